Lay out the workspace, the wire types and the design

Cause: an empty repository; several areas are to be built side by side. Change: a crate for each area by layers, the callers' schema with its generated code, the frames between processes and their authentication, the design page that the areas build against, and the test command.

--- /dev/null
+++ b/protocol/wire/src/caller.rs
@@ -0,0 +1,91 @@
+//! The packets that callers exchange with a service address.
+//!
+//! The types are generated from `proto/caller.proto`, which documents each
+//! field.
+use bytes::Bytes;
+use displaydoc::Display;
+use prost::Message;
+use thiserror::Error;
+
+use crate::FlowKey;
+use crate::RequestId;
+use crate::frame::MAX_PAYLOAD_BYTES;
+
+mod schema {
+    #![allow(missing_docs, clippy::pedantic)]
+    include!("gen/greengagelug.caller.v1.rs");
+}
+
+pub use schema::*;
+
+/// Version of the schema that this program speaks.
+pub const VERSION: u32 = 1;
+
+/// Why a caller's packet was not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, Error)]
+pub enum Error {
+    /// the packet cannot be read; send one Packet of caller.proto in each datagram
+    Malformed,
+    /// the packet's version is not supported; use version 1
+    Version,
+    /// the payload is larger than 16 KiB; send less in one request
+    TooLarge,
+}
+
+impl Packet {
+    /// Wraps a body in a packet of the current version.
+    #[must_use]
+    pub fn new(flow: FlowKey, body: packet::Body) -> Self {
+        Self {
+            version: VERSION,
+            flow,
+            body: Some(body),
+        }
+    }
+
+    /// Wraps a refusal in a packet.
+    #[must_use]
+    pub fn refuse(
+        flow: FlowKey,
+        request: RequestId,
+        reason: Reason,
+        outcome: Outcome,
+        retry_after_ms: u32,
+    ) -> Self {
+        Self::new(
+            flow,
+            packet::Body::Refusal(Refusal {
+                request,
+                reason: reason.into(),
+                outcome: outcome.into(),
+                retry_after_ms,
+            }),
+        )
+    }
+
+    /// Encodes the packet.
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
+        self.encode_to_vec().into()
+    }
+
+    /// Reads and checks a packet.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`]; the datagram is then to be counted and, where the sender
+    /// can use it, answered.
+    pub fn from_bytes(bytes: Bytes) -> Result<Self, Error> {
+        let packet = Self::decode(bytes).map_err(|_| Error::Malformed)?;
+        match &packet.body {
+            _ if packet.version != VERSION => Err(Error::Version),
+            None => Err(Error::Malformed),
+            Some(packet::Body::Request(request)) if request.payload.len() > MAX_PAYLOAD_BYTES => {
+                Err(Error::TooLarge)
+            }
+            Some(packet::Body::Request(request)) if request.request == 0 => Err(Error::Malformed),
+            Some(_) if packet.flow == 0 => Err(Error::Malformed),
+            Some(_) => Ok(packet),
+        }
+    }
+}
--- /dev/null
+++ b/protocol/wire/src/lib.rs
@@ -0,0 +1,28 @@
+//! Identifiers, caller packets and the frames that the system's processes
+//! exchange.
+//!
+//! * [`caller`] holds the schema of the datagrams that callers send.
+//! * [`Frame`] is one datagram between two processes of the system, encoded by
+//!   [`Seal`], which authenticates it.
+//! * [`Target`] describes one backend server as its agent announces it.
+pub mod caller;
+pub mod frame;
+pub mod id;
+pub mod seal;
+pub mod target;
+pub mod token;
+
+pub use frame::Frame;
+pub use frame::Hop;
+pub use frame::Relay;
+pub use frame::Reply;
+pub use id::FlowKey;
+pub use id::Incarnation;
+pub use id::RequestId;
+pub use id::Revision;
+pub use id::ServiceAddress;
+pub use id::TargetId;
+pub use id::ZoneId;
+pub use seal::Seal;
+pub use target::Target;
+pub use token::Token;
--- /dev/null
+++ b/tools/codegen/src/main.rs
@@ -0,0 +1,35 @@
+//! Regenerates the committed schema code from `proto/`.
+//!
+//! Run `cargo run -p codegen` from the repository root after a change of a
+//! schema. The ordinary build never runs it.
+use std::error::Error;
+use std::fs;
+use std::path::Path;
+
+/// A schema file and the folder that its generated code is written to.
+struct Schema {
+    file: &'static str,
+    out: &'static str,
+    services: bool,
+}
+
+const SCHEMAS: [Schema; 1] = [Schema {
+    file: "proto/caller.proto",
+    out: "protocol/wire/src/gen",
+    services: false,
+}];
+
+fn main() -> Result<(), Box<dyn Error>> {
+    for schema in &SCHEMAS {
+        fs::create_dir_all(schema.out)?;
+        let descriptors = protox::compile([schema.file], ["proto"])?;
+        tonic_prost_build::configure()
+            .build_client(schema.services)
+            .build_server(schema.services)
+            .build_transport(false)
+            .bytes(".")
+            .out_dir(Path::new(schema.out))
+            .compile_fds(descriptors)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/tools/standin/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
