Add membership: announcements, directory and gossip, thin

Agents need a way to announce their backend servers and entries a directory of them. This is the public interface (Registry, Announcer, Message, View) with the simplest mechanism behind it: agents heartbeat to all seeds, entries push everything they hold to three peers a round, and each entry holds down what it does not hear itself.

--- /dev/null
+++ b/coordination/member/src/digest.rs
@@ -0,0 +1,16 @@
+//! Order-independent digests of sets of records.
+use serde::Serialize;
+
+/// Digest of a set; the sum of the digests of its items.
+pub type Digest = u64;
+
+/// Digests one item.
+pub fn item(value: &impl Serialize) -> Digest {
+    let mut hasher = blake3::Hasher::new();
+    // Encoding into a hasher cannot fail for the types of this crate.
+    let bytes = postcard::to_stdvec(value).unwrap_or_default();
+    hasher.update(&bytes);
+    let mut digest = [0; size_of::<Digest>()];
+    digest.copy_from_slice(&hasher.finalize().as_bytes()[..size_of::<Digest>()]);
+    Digest::from_le_bytes(digest)
+}
--- a/coordination/member/src/lib.rs
+++ b/coordination/member/src/lib.rs
@@ -1,1 +1,35 @@
-//! Placeholder.
+//! Membership: how agents announce their backend servers and how entries hold
+//! the directory of them, detect failures and spread records.
+//!
+//! * [`Announcer`] runs in an agent. It sends heartbeats to its watchers among
+//!   the entries and keeps the [`View`] of its own service.
+//! * [`Registry`] runs in an entry. It holds the [`View`] of every service.
+//! * [`Message`] is what they exchange, in datagrams.
+//!
+//! Both are state machines without sockets, clocks or threads: events and the
+//! time since an arbitrary origin go in, [`Action`]s come out.
+pub mod action;
+pub mod announcer;
+mod digest;
+mod directory;
+pub mod message;
+pub mod record;
+pub mod registry;
+pub mod settings;
+pub mod status;
+pub mod view;
+
+pub use action::Action;
+pub use announcer::Announcer;
+pub use message::Message;
+pub use record::Entry;
+pub use record::Record;
+pub use record::Service;
+pub use registry::Identity;
+pub use registry::Registry;
+pub use settings::Settings;
+pub use status::Refusal;
+pub use status::Status;
+pub use view::Health;
+pub use view::Member;
+pub use view::View;
