--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -1,4 +1,6 @@
 //! The agent's side: announces a backend server and follows its service.
+mod watchers;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,19 +9,27 @@
 use wire::target::State;
 
 use crate::Action;
+use crate::Health;
 use crate::Message;
 use crate::Refusal;
 use crate::Settings;
 use crate::Status;
 use crate::View;
+use crate::fragment::Assembler;
+use crate::link::Link;
 use crate::message::Ack;
 use crate::message::Heartbeat;
 use crate::message::Members;
+use crate::message::Roll;
 use crate::message::Sequence;
 use crate::message::Subject;
+use watchers::Watchers;
+
+/// Heartbeats that announce a departure before the agent is silent.
+const FAREWELLS: u32 = 8;
 
-/// Heartbeats that carry the last announcement before the agent is silent.
-const FAREWELLS: u32 = 5;
+/// Time between two of these heartbeats.
+const FAREWELL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Largest share by which the time between two heartbeats is shortened.
 const JITTER: f64 = 0.1;
@@ -38,14 +48,16 @@
 pub struct Announcer {
     settings: Settings,
     target: Target,
-    seeds: Vec<SocketAddr>,
     rng: Rng,
     sequence: Sequence,
+    announced: Sequence,
     next_heartbeat: Duration,
+    watchers: Watchers,
     view: View,
     changed: bool,
     farewells: Option<u32>,
-    status: Status,
+    link: Link,
+    assembler: Assembler,
 }
 
 impl Announcer {
@@ -60,71 +72,77 @@
         now: Duration,
     ) -> Self {
         let mut view = View::new(target.service);
-        view.merge_target(target.clone());
+        let mut rng = Rng::with_seed(seed);
+        // A new view takes any target.
+        view.merge_target(target.clone()).ok();
         Self {
+            watchers: Watchers::new(seeds, settings.watchers, now, &mut rng),
+            link: Link::new(settings.send_rate, now),
             settings,
             target,
-            seeds,
-            rng: Rng::with_seed(seed),
+            rng,
             sequence: 0,
+            announced: 1,
             next_heartbeat: now,
             view,
             changed: true,
             farewells: None,
-            status: Status::default(),
+            assembler: Assembler::default(),
         }
     }
 
     /// Announces a change of the backend server with the next tick.
     pub fn announce(&mut self, now: Duration, change: Change) {
-        if self.farewells.is_some()
-            || (self.target.weight, self.target.state) == (change.weight, change.state)
-        {
+        let is_same = (self.target.weight, self.target.state) == (change.weight, change.state);
+        if self.farewells.is_some() || is_same {
             return;
         }
         self.target.weight = change.weight.max(1);
         self.target.state = change.state;
         self.target.version += 1;
-        self.changed |= self.view.merge_target(self.target.clone());
+        self.announced = self.sequence + 1;
+        self.changed |= self.view.merge_target(self.target.clone()).is_ok();
         self.next_heartbeat = now;
     }
 
-    /// Announces that the backend server has left, until the watchers know.
+    /// Announces that the backend server has left, until its watchers know or
+    /// a few heartbeats have gone out.
     pub fn leave(&mut self, now: Duration) {
         let weight = self.target.weight;
-        self.announce(
-            now,
-            Change {
-                weight,
-                state: State::Left,
-            },
-        );
+        let state = State::Left;
+        self.announce(now, Change { weight, state });
         self.farewells.get_or_insert(FAREWELLS);
     }
 
     /// True once nothing is left to announce after [`Self::leave`].
     #[must_use]
     pub fn finished(&self) -> bool {
-        self.farewells == Some(0)
+        let all_know = self.watchers.all_acknowledged(self.announced);
+        self.farewells
+            .is_some_and(|left| left == 0 || (left < FAREWELLS && all_know))
     }
 
     /// Takes a message that `from` sent.
     pub fn handle(
         &mut self,
-        _now: Duration,
+        now: Duration,
         from: SocketAddr,
         message: Message,
-        _actions: &mut Vec<Action>,
+        actions: &mut Vec<Action>,
     ) {
-        self.status.received += 1;
+        self.link.receive(now, &message);
+        let service = self.target.service;
         match message {
-            Message::Ack(ack) => self.ack(from, &ack),
-            Message::Members(members) if members.address == self.target.service => {
-                self.members(members);
-            }
-            Message::Members(_) | Message::Heartbeat(_) | Message::Push(_) => {
-                self.status.refuse(Refusal::Unexpected);
+            Message::Ack(ack) => self.ack(now, from, ack, actions),
+            Message::Probe => self.beat(&[from], actions),
+            Message::Members(members) if members.address == service => self.members(members),
+            Message::Roll(roll) if roll.address == service => self.roll(&roll),
+            Message::Fragment(fragment) if fragment.address == service => {
+                if let Some(config) = self.assembler.take(fragment) {
+                    self.changed |= self.view.merge_config(config).is_ok();
+                }
             }
+            _ => self.link.refuse(Refusal::Unexpected),
         }
     }
 
@@ -133,23 +151,16 @@
         if now < self.next_heartbeat || self.finished() {
             return;
         }
-        let factor = 1.0 - self.rng.f64() * JITTER;
-        self.next_heartbeat = now + self.settings.heartbeat.mul_f64(factor);
+        let interval = match self.farewells {
+            Some(_) => FAREWELL_INTERVAL,
+            None => self.settings.heartbeat,
+        };
+        self.next_heartbeat = now + interval.mul_f64(1.0 - self.rng.f64() * JITTER);
         self.farewells = self.farewells.map(|left| left - 1);
-        self.sequence += 1;
-        for to in self.seeds.clone() {
-            let heartbeat = Heartbeat {
-                subject: Subject::Target(self.target.clone()),
-                sequence: self.sequence,
-                watchers: self.seeds.clone(),
-                digest: self.view.digest(),
-            };
-            self.status.sent += 1;
-            actions.push(Action::Send {
-                to,
-                message: Message::Heartbeat(heartbeat),
-            });
-        }
+        self.watchers
+            .check(now, self.settings.silence, &mut self.rng);
+        let receivers = self.watchers.receivers();
+        self.beat(&receivers, actions);
     }
 
     /// When to call [`Self::tick`] next.
@@ -164,6 +175,12 @@
         &self.target
     }
 
+    /// The entries that watch the agent.
+    #[must_use]
+    pub fn watchers(&self) -> Vec<SocketAddr> {
+        self.watchers.addresses()
+    }
+
     /// What is known of the agent's own service.
     #[must_use]
     pub const fn view(&self) -> &View {
@@ -181,30 +198,71 @@
         Status {
             services: 1,
             targets: self.view.targets.len(),
-            ..self.status.clone()
+            ..self.link.status.clone()
         }
     }
 
-    fn ack(&mut self, from: SocketAddr, ack: &Ack) {
-        if ack.incarnation != self.target.incarnation || !self.seeds.contains(&from) {
-            self.status.refuse(Refusal::Unexpected);
+    /// Sends a heartbeat.
+    fn beat(&mut self, receivers: &[SocketAddr], actions: &mut Vec<Action>) {
+        self.sequence += 1;
+        let watchers = self.watchers.addresses();
+        for to in receivers {
+            let digest = self.view.digest();
+            let parts = match self.watchers.acknowledged_digest(*to) {
+                Some(acknowledged) if acknowledged == digest => Vec::new(),
+                _ => self.view.parts(),
+            };
+            let heartbeat = Heartbeat {
+                subject: Subject::Target(self.target.clone()),
+                sequence: self.sequence,
+                watchers: watchers.clone(),
+                digest,
+                parts,
+            };
+            self.link.send(*to, Message::Heartbeat(heartbeat), actions);
+        }
+    }
+
+    fn ack(&mut self, now: Duration, from: SocketAddr, ack: Ack, actions: &mut Vec<Action>) {
+        if ack.incarnation != self.target.incarnation || ack.sequence > self.sequence {
+            return self.link.refuse(Refusal::Unexpected);
+        }
+        let moved = self
+            .watchers
+            .acknowledge(now, from, ack, self.settings.watchers);
+        if !moved.is_empty() {
+            self.beat(&moved, actions);
         }
     }
 
     fn members(&mut self, members: Members) {
         if let Some(config) = members.config {
-            self.changed |= self.view.merge_config(config);
+            self.changed |= self.view.merge_config(config).is_ok();
         }
         for member in members.members {
-            if member.target.id == self.target.id {
+            let id = member.target.id;
+            if id == self.target.id || member.target.service != self.target.service {
                 continue;
             }
-            let (id, stamp) = (member.target.id, member.target.stamp());
-            self.changed |= self.view.merge_target(member.target);
+            let stamp = member.target.stamp();
+            self.changed |= self.view.merge_target(member.target).is_ok();
             let held = self.view.targets.get(&id).map(|held| held.target.stamp());
             if held == Some(stamp) {
                 self.changed |= self.view.set_health(id, member.health);
             }
         }
     }
+
+    /// Forgets the departed and silent targets that the entry has dropped.
+    fn roll(&mut self, roll: &Roll) {
+        let part = self.view.part(roll.part.into());
+        let dropped: Vec<u64> = part
+            .filter(|member| member.target.state == State::Left || member.health != Health::Up)
+            .map(|member| member.target.id)
+            .filter(|id| *id != self.target.id && !roll.targets.contains(id))
+            .collect();
+        for id in dropped {
+            self.changed |= self.view.remove(id);
+        }
+    }
 }
--- /dev/null
+++ b/coordination/member/src/choice.rs
@@ -0,0 +1,146 @@
+//! Chooses the entries that watch a process: by rendezvous hashing, spread
+//! over zones.
+//!
+//! Each entry scores a keyed hash of the process; the highest scores win (see
+//! Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
+//! 1998). A change of the entries moves only the watchers that it concerns.
+use std::net::SocketAddr;
+
+use wire::ZoneId;
+
+use crate::record::Key;
+use crate::record::SubjectId;
+use crate::zone::region;
+
+/// An entry that may watch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Key of the entry.
+    pub key: Key,
+    /// UDP address of the entry.
+    pub address: SocketAddr,
+    /// Zone of the entry.
+    pub zone: ZoneId,
+}
+
+/// Best entries for a process in its own region, most wanted first, where the
+/// best of each zone come before others. Takes all regions where the region
+/// has no other entry.
+#[must_use]
+pub fn local(
+    subject: SubjectId,
+    zone: ZoneId,
+    candidates: &[Candidate],
+    count: usize,
+) -> Vec<SocketAddr> {
+    let near = |candidate: &Candidate| region(candidate.zone) == region(zone);
+    let chosen = spread(
+        subject,
+        candidates.iter().filter(|other| near(other)),
+        count,
+    );
+    if chosen.is_empty() {
+        spread(subject, candidates.iter(), count)
+    } else {
+        chosen
+    }
+}
+
+/// Best entry for a process in each of at most `count` other regions.
+#[must_use]
+pub fn remote(
+    subject: SubjectId,
+    zone: ZoneId,
+    candidates: &[Candidate],
+    count: usize,
+) -> Vec<SocketAddr> {
+    let mut best = Best::default();
+    for candidate in candidates {
+        if region(candidate.zone) != region(zone) {
+            best.offer_one(subject, candidate, |held| {
+                region(held.zone) == region(candidate.zone)
+            });
+        }
+    }
+    best.into_addresses(count)
+}
+
+fn spread<'a>(
+    subject: SubjectId,
+    candidates: impl Iterator<Item = &'a Candidate>,
+    count: usize,
+) -> Vec<SocketAddr> {
+    let mut zones = Best::default();
+    let mut all = Best::default();
+    for candidate in candidates {
+        zones.offer_one(subject, candidate, |held| held.zone == candidate.zone);
+        all.offer(subject, candidate, count);
+    }
+    let mut chosen = zones.into_addresses(count);
+    for address in all.into_addresses(count) {
+        if chosen.len() < count && !chosen.contains(&address) {
+            chosen.push(address);
+        }
+    }
+    chosen
+}
+
+/// A few candidates with the highest scores, best first.
+#[derive(Default)]
+struct Best {
+    items: Vec<Scored>,
+}
+
+struct Scored {
+    score: u64,
+    candidate: Candidate,
+}
+
+impl Best {
+    /// Keeps the candidate where it is among the `limit` best.
+    fn offer(&mut self, subject: SubjectId, candidate: &Candidate, limit: usize) {
+        let score = score(subject, candidate.key);
+        let full = self.items.len() >= limit;
+        let beaten = self.items.last().is_none_or(|last| last.score >= score);
+        if candidate.key == subject || (full && beaten) {
+            return;
+        }
+        let at = self.items.partition_point(|item| item.score > score);
+        let candidate = *candidate;
+        self.items.insert(at, Scored { score, candidate });
+        self.items.truncate(limit);
+    }
+
+    /// Keeps the candidate where it beats the one like it, or there is none.
+    fn offer_one(
+        &mut self,
+        subject: SubjectId,
+        candidate: &Candidate,
+        like: impl Fn(&Candidate) -> bool,
+    ) {
+        let score = score(subject, candidate.key);
+        let rival = self.items.iter().position(|item| like(&item.candidate));
+        match rival {
+            Some(at) if self.items[at].score >= score => return,
+            Some(at) if candidate.key != subject => {
+                self.items.remove(at);
+            }
+            _ => {}
+        }
+        self.offer(subject, candidate, usize::MAX);
+    }
+
+    fn into_addresses(self, count: usize) -> Vec<SocketAddr> {
+        let best = self.items.into_iter().take(count);
+        best.map(|item| item.candidate.address).collect()
+    }
+}
+
+/// Mixes two keys that are hashes already (the finaliser of `splitmix64`).
+#[must_use]
+pub const fn score(subject: Key, candidate: Key) -> u64 {
+    let mut hash = subject ^ candidate.rotate_left(32);
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- a/coordination/member/src/lib.rs
+++ b/coordination/member/src/lib.rs
@@ -10,17 +10,31 @@
 //! time since an arbitrary origin go in, [`Action`]s come out.
 pub mod action;
 pub mod announcer;
-mod digest;
-mod directory;
 pub mod message;
 pub mod record;
 pub mod registry;
 pub mod settings;
 pub mod status;
+pub mod tree;
 pub mod view;
 
+mod budget;
+mod choice;
+mod digest;
+mod directory;
+mod fragment;
+mod hot;
+mod link;
+mod peers;
+mod statements;
+mod watches;
+mod zone;
+mod zones;
+
 pub use action::Action;
 pub use announcer::Announcer;
+pub use digest::Digest;
+pub use fragment::Fragment;
 pub use message::Message;
 pub use record::Entry;
 pub use record::Record;
--- a/coordination/member/src/message.rs
+++ b/coordination/member/src/message.rs
@@ -9,16 +9,23 @@
 use wire::Incarnation;
 use wire::ServiceAddress;
 use wire::Target;
+use wire::TargetId;
 
 use crate::Entry;
 use crate::Record;
 use crate::Service;
 use crate::digest::Digest;
+use crate::fragment::Fragment;
+use crate::record::Key;
+use crate::tree::Node;
 use crate::view::Member;
 
 /// Largest encoded message, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 1_150;
 
+/// Bytes of a datagram beside the message: IP, UDP, seal and frame.
+pub const OVERHEAD_BYTES: usize = 50;
+
 /// Room that a message needs beside its packed items, in bytes.
 const PACK_HEADER_BYTES: usize = 64;
 
@@ -32,10 +39,24 @@
     Heartbeat(Heartbeat),
     /// Answers a heartbeat.
     Ack(Ack),
+    /// Asks a silent process for a heartbeat.
+    Probe,
     /// Part of the view of a service, for an agent.
     Members(Members),
+    /// Names all targets in some part of a view, for an agent.
+    Roll(Roll),
     /// Records of the sender, for an entry.
-    Push(Vec<Record>),
+    Push(Push),
+    /// Part of a configuration that does not fit into one message.
+    Fragment(Fragment),
+    /// Digests of the sender below a node of the digest tree.
+    Compare(Compare),
+    /// The records that the sender holds in a range of keys.
+    Leaf(Leaf),
+    /// Asks for the records with these keys.
+    Pull(Vec<Key>),
+    /// Asks for everything about a service.
+    Need(ServiceAddress),
 }
 
 /// Shows that a process runs.
@@ -49,6 +70,9 @@
     pub watchers: Vec<SocketAddr>,
     /// Digest of the view that an agent holds of its service.
     pub digest: Digest,
+    /// Digests of the parts of that view, where the receiver's differs for
+    /// longer; empty otherwise.
+    pub parts: Vec<Digest>,
 }
 
 /// The process that a heartbeat is about.
@@ -67,7 +91,8 @@
     pub incarnation: Incarnation,
     /// Number of the heartbeat.
     pub sequence: Sequence,
-    /// The entries that should watch the process, by UDP address.
+    /// Entries that should watch the process, best first: as many as watch,
+    /// and some to replace those that do not answer.
     pub watchers: Vec<SocketAddr>,
     /// Digest of the view that the entry holds of the agent's service.
     pub digest: Digest,
@@ -84,6 +109,55 @@
     pub members: Vec<Member>,
 }
 
+/// Names all targets in some part of a view.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roll {
+    /// Address of the service.
+    pub address: ServiceAddress,
+    /// Number of the part.
+    pub part: u8,
+    /// Its targets.
+    pub targets: Vec<TargetId>,
+}
+
+/// Records of the sender.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Push {
+    /// True where they are news, to be passed on at once.
+    pub hot: bool,
+    /// The records.
+    pub records: Vec<Record>,
+}
+
+/// Digests below a node of the digest tree.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Compare {
+    /// The node.
+    pub node: Node,
+    /// Digests of its children.
+    pub digests: Vec<Digest>,
+}
+
+/// The records that the sender holds in a range of keys.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leaf {
+    /// First key of the range.
+    pub first: Key,
+    /// Last key of the range.
+    pub last: Key,
+    /// The records, by key.
+    pub items: Vec<Item>,
+}
+
+/// A record, by its key and digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// Key of the record.
+    pub key: Key,
+    /// Lower half of the digest of its version.
+    pub digest: u32,
+}
+
 /// Why a message could not be encoded or read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, Error)]
 pub enum Error {
@@ -119,6 +193,13 @@
         }
         postcard::from_bytes(bytes).map_err(|_| Error::Malformed)
     }
+
+    /// Bytes of the datagram that carries the message.
+    #[must_use]
+    pub fn datagram_bytes(&self) -> u64 {
+        let message = self.encode().map_or(0, |bytes| bytes.len());
+        (message + OVERHEAD_BYTES) as u64
+    }
 }
 
 /// Splits items into groups that each fit into one message.
--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -1,12 +1,17 @@
 //! The entry's side: the directory, failure detection and gossip.
+mod failure;
+mod heartbeat;
+mod repair;
+mod spread;
+
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use fastrand::Rng;
 use wire::Incarnation;
 use wire::ServiceAddress;
-use wire::TargetId;
 use wire::ZoneId;
 
 use crate::Action;
@@ -19,16 +24,22 @@
 use crate::Settings;
 use crate::Status;
 use crate::View;
+use crate::choice::Candidate;
 use crate::directory::Directory;
-use crate::message::Ack;
-use crate::message::Heartbeat;
-use crate::message::Members;
+use crate::fragment::Assembler;
+use crate::hot::Hot;
+use crate::link::Link;
 use crate::message::Sequence;
-use crate::message::Subject;
-use crate::message::pack;
+use crate::peers::Peers;
+use crate::record::Key;
+use crate::record::SubjectId;
+use crate::record::entry_key;
+use crate::watches::Watches;
+use crate::zone::region;
+use crate::zones::Scope;
 
-/// Bytes of a datagram beside the message: IP, UDP, seal and frame.
-pub const OVERHEAD_BYTES: usize = 50;
+/// Time between two searches for records to be dropped.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Who an entry is, from its settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,65 +54,146 @@
     pub incarnation: Incarnation,
 }
 
-#[derive(Debug)]
-struct Watch {
-    incarnation: Incarnation,
-    sequence: Sequence,
-    heard: Duration,
-}
-
 /// The directory of an entry and the protocol that keeps it.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// let address = "10.0.0.1:7000".parse()?;
+/// let identity = member::Identity {
+///     address,
+///     control: address,
+///     zone: 1,
+///     incarnation: 1,
+/// };
+/// let now = Duration::ZERO;
+/// let mut registry = member::Registry::new(member::Settings::default(), identity, 1, now);
+/// registry.join(now, &["10.0.0.2:7000".parse()?]);
+/// let mut actions = Vec::new();
+/// registry.tick(now, &mut actions);
+/// assert!(!actions.is_empty());
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
 #[derive(Debug)]
 pub struct Registry {
     settings: Settings,
     identity: Identity,
+    key: Key,
     rng: Rng,
     directory: Directory,
-    watches: BTreeMap<TargetId, Watch>,
-    peers: Vec<SocketAddr>,
+    watches: Watches,
+    hot: Hot,
+    link: Link,
+    assembler: Assembler,
+    fleet: Fleet,
+    pulse: Pulse,
+    seeds: Vec<SocketAddr>,
+    needs: BTreeMap<ServiceAddress, Need>,
+    reported: BTreeMap<ZoneId, Duration>,
+    is_behind: bool,
+    is_doubtful: bool,
     next_round: Duration,
-    status: Status,
+    next_compare: Duration,
+    next_expiry: Duration,
+}
+
+/// What follows from the set of running entries, until it changes.
+#[derive(Debug, Default)]
+struct Fleet {
+    generation: Option<u64>,
+    candidates: Vec<Candidate>,
+    peers: Peers,
+    zones: BTreeSet<ZoneId>,
+    choices: BTreeMap<SubjectId, Vec<SocketAddr>>,
+}
+
+/// The heartbeats of this entry.
+#[derive(Debug, Default)]
+struct Pulse {
+    sequence: Sequence,
+    next: Duration,
+    watchers: Vec<SocketAddr>,
+}
+
+/// A service that peers are asked for.
+#[derive(Debug)]
+struct Need {
+    tries: u32,
+    next: Duration,
 }
 
 impl Registry {
     /// Starts with an empty directory that holds only this entry.
     #[must_use]
     pub fn new(settings: Settings, identity: Identity, seed: u64, now: Duration) -> Self {
-        let mut directory = Directory::default();
-        directory.merge(Record::Entry(Entry {
-            address: identity.address,
-            control: identity.control,
-            zone: identity.zone,
-            incarnation: identity.incarnation,
-            left: false,
-        }));
-        Self {
-            settings,
-            identity,
+        let mut registry = Self {
+            key: entry_key(identity.address),
             rng: Rng::with_seed(seed),
-            directory,
-            watches: BTreeMap::new(),
-            peers: Vec::new(),
+            directory: Directory::default(),
+            watches: Watches::default(),
+            hot: Hot::default(),
+            link: Link::new(settings.send_rate, now),
+            assembler: Assembler::default(),
+            fleet: Fleet::default(),
+            pulse: Pulse {
+                next: now,
+                ..Pulse::default()
+            },
+            seeds: Vec::new(),
+            needs: BTreeMap::new(),
+            reported: BTreeMap::new(),
+            is_behind: false,
+            is_doubtful: false,
             next_round: now,
-            status: Status::default(),
-        }
+            next_compare: now,
+            next_expiry: now + EXPIRY_INTERVAL,
+            settings,
+            identity,
+        };
+        registry.publish(&registry.own_record(false));
+        registry
     }
 
     /// Names entries to learn from; more are learned through them.
     pub fn join(&mut self, now: Duration, peers: &[SocketAddr]) {
-        self.peers = peers.to_vec();
-        self.peers.retain(|peer| *peer != self.identity.address);
+        let others = peers.iter().copied();
+        self.seeds = others
+            .filter(|peer| *peer != self.identity.address)
+            .collect();
         self.next_round = now;
+        self.next_compare = now;
+    }
+
+    /// Announces that this entry stops; its process may exit once the actions
+    /// are done.
+    pub fn leave(&mut self, _now: Duration, actions: &mut Vec<Action>) {
+        self.publish(&self.own_record(true));
+        for _ in 0..self.settings.watchers {
+            self.gossip(actions);
+        }
     }
 
     /// Takes a configuration record, as read from the platform's store; true
     /// where it is newer than the one held.
     pub fn put(&mut self, _now: Duration, service: Service) -> bool {
-        self.directory.merge(Record::Service(service))
+        self.publish(&Record::Service(service))
     }
 
-    /// Asks peers for a service that is not held yet.
-    pub fn need(&mut self, _now: Duration, _address: ServiceAddress) {}
+    /// Asks peers for a service that is not held yet. The rest of the directory
+    /// follows by itself, paced.
+    pub fn need(&mut self, now: Duration, address: ServiceAddress) {
+        let is_held = self
+            .service(&address)
+            .is_some_and(|view| view.config.is_some());
+        if is_held || self.needs.len() >= repair::MAX_NEEDS {
+            return;
+        }
+        self.needs.entry(address).or_insert(Need {
+            tries: 0,
+            next: now,
+        });
+        self.next_round = self.next_round.min(now);
+    }
 
     /// Takes a message that `from` sent.
     pub fn handle(
@@ -111,12 +203,19 @@
         message: Message,
         actions: &mut Vec<Action>,
     ) {
-        self.status.received += 1;
-        self.status.received_bytes += size(&message);
+        self.link.receive(now, &message);
         match message {
             Message::Heartbeat(heartbeat) => self.heartbeat(now, from, heartbeat, actions),
-            Message::Push(records) => self.push(records),
-            Message::Ack(_) | Message::Members(_) => self.status.refuse(Refusal::Unexpected),
+            Message::Probe => self.beat(&[from], actions),
+            Message::Push(push) => self.push(now, push),
+            Message::Fragment(fragment) => self.fragment(fragment),
+            Message::Compare(compare) => self.compare(from, &compare, actions),
+            Message::Leaf(leaf) => self.leaf(from, &leaf, actions),
+            Message::Pull(keys) => self.pull(from, &keys, actions),
+            Message::Need(address) => self.needed(from, address, actions),
+            // That an acknowledgement arrived is all that it tells an entry.
+            Message::Ack(_) => {}
+            Message::Members(_) | Message::Roll(_) => self.link.refuse(Refusal::Unexpected),
         }
     }
 
@@ -125,9 +224,23 @@
         if now < self.next_round {
             return;
         }
+        if now > self.next_round + self.settings.pause() {
+            self.link.status.self_doubts += 1;
+            self.watches.restart(now, |_| true);
+        }
         self.next_round = now + self.settings.round;
+        self.link.refill(now);
+        self.refresh_fleet();
+        self.beat_if_due(now, actions);
+        self.detect(now, actions);
         self.judge(now);
         self.gossip(actions);
+        self.compare_if_due(now, actions);
+        self.ask_needs(now, actions);
+        if now >= self.next_expiry {
+            self.next_expiry = now + EXPIRY_INTERVAL;
+            self.expire(now);
+        }
     }
 
     /// When to call [`Self::tick`] next.
@@ -152,129 +265,102 @@
         self.directory.take_changes()
     }
 
-    /// All entries known, this one and departed ones included.
+    /// All entries known, this one, silent and departed ones included.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.directory.entries()
     }
 
+    /// The entries held to be running, this one included.
+    pub fn live_entries(&self) -> impl Iterator<Item = SocketAddr> {
+        let live = self.directory.live_entries();
+        live.map(|entry| entry.address)
+    }
+
+    /// Digest of all records; equal in directories that agree.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.directory.tree().root()
+    }
+
     /// Counters and sizes.
     #[must_use]
     pub fn status(&self) -> Status {
         let members = self.services().flat_map(|view| view.targets.values());
         Status {
             services: self.services().count(),
-            targets: self.directory.target_count(),
+            targets: self.services().map(|view| view.targets.len()).sum(),
             silent: members.filter(|member| member.health != Health::Up).count(),
             entries: self.entries().count(),
-            ..self.status.clone()
+            watched: self.watches.len(),
+            hot: self.hot.len(),
+            lost_zones: self.directory.zones().lost().count(),
+            ..self.link.status.clone()
         }
     }
 
-    fn heartbeat(
-        &mut self,
-        now: Duration,
-        from: SocketAddr,
-        heartbeat: Heartbeat,
-        actions: &mut Vec<Action>,
-    ) {
-        let Subject::Target(target) = heartbeat.subject else {
-            return self.status.refuse(Refusal::Unexpected);
-        };
-        let replayed = self.watches.get(&target.id).is_some_and(|watch| {
-            (watch.incarnation, watch.sequence) >= (target.incarnation, heartbeat.sequence)
-        });
-        if replayed {
-            return self.status.refuse(Refusal::Replay);
-        }
-        let watch = Watch {
-            incarnation: target.incarnation,
-            sequence: heartbeat.sequence,
-            heard: now,
-        };
-        self.watches.insert(target.id, watch);
-        let (id, address, incarnation) = (target.id, target.service, target.incarnation);
-        self.directory.merge(Record::Target(target));
-        self.directory.set_health(id, Health::Up);
-        let digest = self.service(&address).map_or(0, View::digest);
-        let ack = Ack {
-            incarnation,
-            sequence: heartbeat.sequence,
-            watchers: Vec::new(),
-            digest,
-        };
-        self.send(from, Message::Ack(ack), actions);
-        if digest != heartbeat.digest {
-            self.send_view(from, address, actions);
-        }
+    fn own_record(&self, left: bool) -> Record {
+        Record::Entry(Entry {
+            address: self.identity.address,
+            control: self.identity.control,
+            zone: self.identity.zone,
+            incarnation: self.identity.incarnation,
+            left,
+        })
     }
 
-    fn send_view(&mut self, to: SocketAddr, address: ServiceAddress, actions: &mut Vec<Action>) {
-        let Some(view) = self.service(&address) else {
-            return;
-        };
-        let config = Members {
-            address,
-            config: view.config.clone(),
-            members: Vec::new(),
-        };
-        let chunks = pack(view.targets.values().cloned());
-        self.send(to, Message::Members(config), actions);
-        for members in chunks {
-            let message = Message::Members(Members {
-                address,
-                config: None,
-                members,
-            });
-            self.send(to, message, actions);
-        }
-    }
-
-    fn push(&mut self, records: Vec<Record>) {
-        for record in records {
-            if !self.directory.merge(record) {
-                self.status.refuse(Refusal::Stale);
+    /// Merges a record and passes it on where it is news.
+    fn publish(&mut self, record: &Record) -> bool {
+        match self.directory.merge(record.clone()) {
+            Ok(()) => {
+                self.hot.heat(record, self.fleet.candidates.len());
+                true
+            }
+            Err(reason) => {
+                self.link.refuse(reason);
+                false
             }
         }
     }
 
-    /// Holds down the targets that this entry watches and does not hear.
     fn judge(&mut self, now: Duration) {
-        for (id, watch) in &self.watches {
-            if now.saturating_sub(watch.heard) > self.settings.silence {
-                self.directory.set_health(*id, Health::Down);
-            }
-        }
+        let lost: BTreeSet<ZoneId> = self.directory.zones().lost().collect();
+        let scope = Scope {
+            region: region(self.identity.zone),
+            zones: self.fleet.zones.clone(),
+            settle: self.settings.settle * 2,
+        };
+        self.directory.judge(now, &scope);
+        let zones = self.directory.zones();
+        let is_back = |zone| lost.contains(&zone) && !zones.is_lost(zone);
+        self.watches.restart(now, |watch| is_back(watch.zone));
     }
 
-    /// Pushes all records to a few entries.
-    fn gossip(&mut self, actions: &mut Vec<Action>) {
-        let mut peers: Vec<SocketAddr> = self
-            .entries()
-            .filter(|entry| !entry.left)
-            .map(|entry| entry.address)
-            .chain(self.peers.iter().copied())
-            .filter(|address| *address != self.identity.address)
-            .collect();
-        peers.sort_unstable();
-        peers.dedup();
-        self.rng.shuffle(&mut peers);
-        peers.truncate(self.settings.fanout);
-        for records in pack(self.directory.records()) {
-            for peer in &peers {
-                self.send(*peer, Message::Push(records.clone()), actions);
-            }
+    fn refresh_fleet(&mut self) {
+        let generation = self.directory.generation();
+        if self.fleet.generation == Some(generation) {
+            return;
         }
+        let own = &self.identity;
+        let near = self
+            .directory
+            .entries()
+            .filter(|entry| !entry.left && region(entry.zone) == region(own.zone));
+        let zones = near.map(|entry| entry.zone).collect();
+        let candidates: Vec<Candidate> = self.directory.live_entries().collect();
+        let peers = Peers::new(own.address, own.zone, candidates.iter().copied());
+        self.fleet = Fleet {
+            generation: Some(generation),
+            candidates,
+            peers,
+            zones,
+            choices: BTreeMap::new(),
+        };
     }
 
-    fn send(&mut self, to: SocketAddr, message: Message, actions: &mut Vec<Action>) {
-        self.status.sent += 1;
-        self.status.sent_bytes += size(&message);
-        actions.push(Action::Send { to, message });
+    fn expire(&mut self, now: Duration) {
+        self.directory.expire(now, self.settings.retention);
+        let directory = &self.directory;
+        self.watches
+            .retain(|subject, _| directory.incarnation(subject).is_some());
     }
 }
-
-/// Bytes of the datagram that carries the message.
-fn size(message: &Message) -> u64 {
-    let message = message.encode().map_or(0, |bytes| bytes.len());
-    (message + OVERHEAD_BYTES) as u64
-}
--- /dev/null
+++ b/coordination/member/src/registry/failure.rs
@@ -0,0 +1,217 @@
+//! Suspicions of processes and reports on zones.
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use wire::ZoneId;
+
+use super::Registry;
+use crate::Action;
+use crate::Message;
+use crate::Record;
+use crate::choice::score;
+use crate::record::Key;
+use crate::record::Report;
+use crate::record::SubjectId;
+use crate::record::Suspicion;
+use crate::record::entry_key;
+use crate::watches::Tally;
+use crate::watches::Watch;
+use crate::watches::is_doubtful;
+use crate::zone::region;
+use crate::zones::LOST_PERCENT;
+use crate::zones::MAX_OBSERVERS;
+
+/// Further wait before the processes of a zone that is mostly silent are
+/// suspected one by one.
+const ZONE_WAIT: Duration = Duration::from_secs(3);
+
+/// Shortest time between two reports of this entry on one zone.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Silent processes from which a zone may be mostly silent.
+const MIN_SILENT: u16 = 2;
+
+impl Registry {
+    /// Probes what is silent, and states what it must be taken for.
+    pub(super) fn detect(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for to in self.watches.take_probes(now, &self.settings) {
+            self.link.send(to, Message::Probe, actions);
+        }
+        let own = self.identity.address;
+        let statements = self.directory.statements();
+        let is_suspected = |subject| {
+            let stated = statements.get(subject, own);
+            stated.is_some_and(|stated| stated.silent)
+        };
+        let silence = self.settings.silence;
+        let tallies = self.watches.tallies(now, silence, is_suspected);
+        let is_deaf = now.saturating_sub(self.link.heard) > silence;
+        let was_doubtful = self.is_doubtful;
+        self.is_doubtful = is_deaf || is_doubtful(&tallies);
+        if self.is_doubtful {
+            self.link.status.self_doubts += u64::from(!was_doubtful);
+            return;
+        }
+        self.report_zones(now, &tallies);
+        self.suspect(now, &tallies);
+    }
+
+    fn suspect(&mut self, now: Duration, tallies: &BTreeMap<ZoneId, Tally>) {
+        let wait = self.settings.silence + self.settings.settle;
+        let due = self.watches.iter().filter(|(subject, watch)| {
+            let silence = now.saturating_sub(watch.heard);
+            let mostly_silent = tallies
+                .get(&watch.zone)
+                .copied()
+                .is_some_and(is_mostly_silent);
+            watch.named
+                && silence > wait
+                && (!mostly_silent || silence > wait + ZONE_WAIT)
+                && !self.directory.zones().is_lost(watch.zone)
+                && self.directory.incarnation(*subject) == Some(watch.incarnation)
+                && !self.is_left_to_others(watch)
+                && !self.has_stated(*subject, watch)
+        });
+        let due: Vec<Suspicion> = due
+            .map(|(subject, watch)| self.statement(subject, watch, true))
+            .collect();
+        for suspicion in due {
+            if self.publish(&Record::Suspicion(suspicion)) {
+                self.link.status.suspicions += 1;
+            }
+        }
+    }
+
+    /// States that this entry hears a process, where something else is stated.
+    pub(super) fn vouch(&mut self, subject: SubjectId) {
+        let statements = self.directory.statements();
+        let (Some(watch), Some(rule)) = (self.watches.get(subject), statements.governing(subject))
+        else {
+            return;
+        };
+        let own = statements.get(subject, self.identity.address);
+        let is_refuted = own.is_some_and(|own| own.silent && own.sequence < watch.sequence);
+        let is_superseded = rule.sequence < watch.sequence && rule.watchers != watch.watchers;
+        if watch.named && watch.incarnation == rule.incarnation && (is_refuted || is_superseded) {
+            let statement = self.statement(subject, watch, false);
+            self.publish(&Record::Suspicion(statement));
+        }
+    }
+
+    /// Takes note of what another watcher stated: a watcher that does not know
+    /// the process, as after a restart, begins to watch it.
+    pub(super) fn hear_suspicion(&mut self, now: Duration, suspicion: &Suspicion) {
+        let subject = suspicion.subject;
+        let is_named = suspicion.watchers.contains(&self.identity.address);
+        let is_held = self.directory.incarnation(subject) == Some(suspicion.incarnation);
+        if is_named && is_held && self.watches.get(subject).is_none() {
+            let target = self.directory.target(subject);
+            let entry = self.directory.entry(subject);
+            let place = match (target, entry) {
+                (Some(target), _) => Some((target.address, target.zone)),
+                (None, Some(entry)) => Some((entry.address, entry.zone)),
+                (None, None) => None,
+            };
+            let watch = place.map(|(address, zone)| Watch {
+                address,
+                zone,
+                incarnation: suspicion.incarnation,
+                sequence: suspicion.sequence,
+                heard: now,
+                probed: now,
+                watchers: suspicion.watchers.clone(),
+                named: true,
+            });
+            if let Some(watch) = watch {
+                self.watches.put(subject, watch);
+            }
+        }
+        self.vouch(subject);
+    }
+
+    /// Reports how much of each zone is silent, where that is in question and
+    /// this entry is among its observers.
+    fn report_zones(&mut self, now: Duration, tallies: &BTreeMap<ZoneId, Tally>) {
+        for (zone, tally) in tallies {
+            let is_open =
+                tally.silent * 2 >= tally.watched || self.directory.zones().is_open(*zone);
+            let last = self.reported.get(zone);
+            let is_due = last.is_none_or(|last| now >= *last + REPORT_INTERVAL);
+            let is_asked = *zone != self.identity.zone && is_open && is_due;
+            if !is_asked || !self.is_news(*zone, *tally) || !self.observes(*zone) {
+                continue;
+            }
+            self.reported.insert(*zone, now);
+            let report = self.report(*zone, *tally);
+            self.publish(&Record::Report(report));
+        }
+    }
+
+    /// True where the last report on a zone has become wrong.
+    fn is_news(&self, zone: ZoneId, tally: Tally) -> bool {
+        match self.directory.zones().get(zone, self.identity.address) {
+            Some(last) if last.incarnation == self.identity.incarnation => {
+                last.silent != tally.silent
+                    || last.watched.abs_diff(tally.watched) * 4 > last.watched
+            }
+            _ => tally.watched > 0,
+        }
+    }
+
+    fn report(&self, zone: ZoneId, tally: Tally) -> Report {
+        let last = self.directory.zones().get(zone, self.identity.address);
+        Report {
+            zone,
+            observer: self.identity.address,
+            from: self.identity.zone,
+            incarnation: self.identity.incarnation,
+            version: last.map_or(0, |last| last.version + 1),
+            silent: tally.silent,
+            watched: tally.watched,
+        }
+    }
+
+    /// True where this entry is among the bounded number of observers of a
+    /// zone in its region.
+    fn observes(&self, zone: ZoneId) -> bool {
+        let own = score(Key::from(zone), self.key);
+        let rivals = self.fleet.candidates.iter().filter(|other| {
+            other.zone != zone
+                && region(other.zone) == region(self.identity.zone)
+                && score(Key::from(zone), other.key) > own
+        });
+        rivals.count() < MAX_OBSERVERS
+    }
+
+    fn has_stated(&self, subject: SubjectId, watch: &Watch) -> bool {
+        let statements = self.directory.statements();
+        let stated = statements.get(subject, self.identity.address);
+        stated.is_some_and(|stated| stated.silent && stated.sequence >= watch.sequence)
+    }
+
+    /// True where watchers of the process's own region judge it.
+    fn is_left_to_others(&self, watch: &Watch) -> bool {
+        let near = |address| {
+            let entry = self.directory.entry(entry_key(address));
+            entry.is_some_and(|entry| region(entry.zone) == region(watch.zone))
+        };
+        region(watch.zone) != region(self.identity.zone)
+            && watch.watchers.iter().any(|watcher| near(*watcher))
+    }
+
+    fn statement(&self, subject: SubjectId, watch: &Watch, silent: bool) -> Suspicion {
+        Suspicion {
+            subject,
+            incarnation: watch.incarnation,
+            observer: self.identity.address,
+            sequence: watch.sequence,
+            silent,
+            watchers: watch.watchers.clone(),
+        }
+    }
+}
+
+fn is_mostly_silent(tally: Tally) -> bool {
+    tally.silent >= MIN_SILENT
+        && u32::from(tally.silent) * 100 >= u32::from(tally.watched) * LOST_PERCENT
+}
--- /dev/null
+++ b/coordination/member/src/registry/heartbeat.rs
@@ -0,0 +1,288 @@
+//! Heartbeats of agents and entries, and the answers to them.
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wire::Incarnation;
+use wire::ServiceAddress;
+use wire::ZoneId;
+use wire::target::State;
+
+use super::Registry;
+use crate::Action;
+use crate::Entry;
+use crate::Message;
+use crate::Record;
+use crate::Refusal;
+use crate::View;
+use crate::choice;
+use crate::digest::Digest;
+use crate::fragment;
+use crate::message::Ack;
+use crate::message::Heartbeat;
+use crate::message::Members;
+use crate::message::Roll;
+use crate::message::Subject;
+use crate::message::pack;
+use crate::record::SubjectId;
+use crate::record::entry_key;
+use crate::view::Member;
+use crate::view::PARTS;
+use crate::watches::Watch;
+
+/// Entries named to an agent beyond its watchers.
+const SPARES: usize = 3;
+
+/// Watchers of an entry in other regions.
+const REMOTE_WATCHERS: usize = 2;
+
+/// Processes whose watchers are remembered.
+const MAX_CHOICES: usize = 4_096;
+
+/// The parts of a subject that both kinds have.
+struct Sender {
+    id: SubjectId,
+    address: SocketAddr,
+    zone: ZoneId,
+    incarnation: Incarnation,
+    service: Option<ServiceAddress>,
+    has_left: bool,
+}
+
+impl Sender {
+    fn new(subject: &Subject) -> Self {
+        match subject {
+            Subject::Target(target) => Self {
+                id: target.id,
+                address: target.address,
+                zone: target.zone,
+                incarnation: target.incarnation,
+                service: Some(target.service),
+                has_left: target.state == State::Left,
+            },
+            Subject::Entry(entry) => Self {
+                id: entry_key(entry.address),
+                address: entry.address,
+                zone: entry.zone,
+                incarnation: entry.incarnation,
+                service: None,
+                has_left: entry.left,
+            },
+        }
+    }
+}
+
+impl Registry {
+    /// Takes the heartbeat of a process and answers it.
+    pub(super) fn heartbeat(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        heartbeat: Heartbeat,
+        actions: &mut Vec<Action>,
+    ) {
+        let sender = Sender::new(&heartbeat.subject);
+        if let Err(reason) = self.check_order(&sender, heartbeat.sequence) {
+            return self.link.refuse(reason);
+        }
+        let record = match heartbeat.subject {
+            Subject::Target(target) => Record::Target(target),
+            Subject::Entry(entry) => Record::Entry(entry),
+        };
+        if self.directory.record(record.key()).as_ref() != Some(&record) {
+            self.publish(&record);
+        }
+        self.renew(now, &sender, heartbeat.sequence, heartbeat.watchers);
+        self.refresh_fleet();
+        let view = sender.service.and_then(|address| self.service(&address));
+        let digest = view.map_or(0, View::digest);
+        let ack = Ack {
+            incarnation: sender.incarnation,
+            sequence: heartbeat.sequence,
+            watchers: self.choose_watchers(&sender),
+            digest,
+        };
+        self.link.send(from, Message::Ack(ack), actions);
+        match sender.service {
+            Some(address) if digest != heartbeat.digest => {
+                self.send_view(from, address, &heartbeat.parts, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn check_order(&self, sender: &Sender, sequence: u64) -> Result<(), Refusal> {
+        let held = self.directory.incarnation(sender.id);
+        if held.is_some_and(|held| held > sender.incarnation) {
+            return Err(Refusal::OldIncarnation);
+        }
+        match self.watches.get(sender.id) {
+            Some(watch)
+                if (watch.incarnation, watch.sequence) >= (sender.incarnation, sequence) =>
+            {
+                Err(Refusal::Replay)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Renews the watch on a process that names this entry, and ends others.
+    fn renew(&mut self, now: Duration, sender: &Sender, sequence: u64, watchers: Vec<SocketAddr>) {
+        let named = watchers.contains(&self.identity.address);
+        let is_sentinel =
+            self.watches.get(sender.id).is_some() && self.directory.zones().is_lost(sender.zone);
+        if sender.has_left || !(named || is_sentinel) {
+            return self.watches.remove(sender.id);
+        }
+        let watch = Watch {
+            address: sender.address,
+            zone: sender.zone,
+            incarnation: sender.incarnation,
+            sequence,
+            heard: now,
+            probed: now,
+            watchers,
+            named,
+        };
+        self.watches.put(sender.id, watch);
+        self.vouch(sender.id);
+    }
+
+    fn choose_watchers(&mut self, sender: &Sender) -> Vec<SocketAddr> {
+        if sender.service.is_none() {
+            return Vec::new();
+        }
+        if self.fleet.choices.len() >= MAX_CHOICES {
+            self.fleet.choices.clear();
+        }
+        let count = self.settings.watchers + SPARES;
+        let candidates = &self.fleet.candidates;
+        let choices = &mut self.fleet.choices;
+        let choice = choices
+            .entry(sender.id)
+            .or_insert_with(|| choice::local(sender.id, sender.zone, candidates, count));
+        choice.clone()
+    }
+
+    /// Sends an agent what its view lacks: recent changes, or the parts that
+    /// differ where it names their digests.
+    fn send_view(
+        &mut self,
+        to: SocketAddr,
+        address: ServiceAddress,
+        parts: &[Digest],
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(view) = self.directory.view(&address) else {
+            return;
+        };
+        let mut messages = Vec::new();
+        if parts.len() == PARTS + 1 {
+            let own = view.parts();
+            let differing = (0..).zip(own.iter().zip(parts));
+            for (number, _) in differing.filter(|(_, (own, other))| own != other) {
+                match number {
+                    PARTS => messages.extend(config_messages(view)),
+                    _ => messages.extend(part_messages(view, number)),
+                }
+            }
+        } else {
+            let recent = self.directory.recent(address);
+            if recent.contains(&None) {
+                messages.extend(config_messages(view));
+            }
+            let changed = recent.iter().flatten();
+            let members = changed.filter_map(|id| view.targets.get(id)).cloned();
+            messages.extend(member_messages(address, members));
+        }
+        for message in messages {
+            self.link.send_bulk(to, message, actions);
+        }
+    }
+
+    /// Sends the heartbeat of this entry to its watchers when it is due.
+    pub(super) fn beat_if_due(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if now < self.pulse.next {
+            return;
+        }
+        self.pulse.next = now + self.settings.heartbeat;
+        let candidates = &self.fleet.candidates;
+        let zone = self.identity.zone;
+        let mut watchers = choice::local(self.key, zone, candidates, self.settings.watchers);
+        for far in choice::remote(self.key, zone, candidates, REMOTE_WATCHERS) {
+            if !watchers.contains(&far) {
+                watchers.push(far);
+            }
+        }
+        let old = std::mem::replace(&mut self.pulse.watchers, watchers.clone());
+        let mut receivers = watchers;
+        // Former watchers learn that they are no longer named.
+        receivers.extend(old.iter().filter(|old| !self.pulse.watchers.contains(old)));
+        if receivers.is_empty() {
+            receivers.clone_from(&self.seeds);
+        }
+        self.beat(&receivers, actions);
+    }
+
+    /// Sends a heartbeat of this entry.
+    pub(super) fn beat(&mut self, receivers: &[SocketAddr], actions: &mut Vec<Action>) {
+        self.pulse.sequence += 1;
+        let has_left = self.directory.entry(self.key).is_some_and(|own| own.left);
+        for to in receivers {
+            let heartbeat = Heartbeat {
+                subject: Subject::Entry(Entry {
+                    address: self.identity.address,
+                    control: self.identity.control,
+                    zone: self.identity.zone,
+                    incarnation: self.identity.incarnation,
+                    left: has_left,
+                }),
+                sequence: self.pulse.sequence,
+                watchers: self.pulse.watchers.clone(),
+                digest: 0,
+                parts: Vec::new(),
+            };
+            self.link.send(*to, Message::Heartbeat(heartbeat), actions);
+        }
+    }
+}
+
+fn config_messages(view: &View) -> Vec<Message> {
+    match &view.config {
+        None => Vec::new(),
+        Some(config) if config.body.len() > fragment::MAX_INLINE_BYTES => {
+            let parts = fragment::split(config, false);
+            parts.into_iter().map(Message::Fragment).collect()
+        }
+        Some(config) => vec![Message::Members(Members {
+            address: view.address,
+            config: Some(config.clone()),
+            members: Vec::new(),
+        })],
+    }
+}
+
+fn part_messages(view: &View, number: usize) -> Vec<Message> {
+    let targets = view.part(number).map(|member| member.target.id).collect();
+    let roll = Roll {
+        address: view.address,
+        part: u8::try_from(number).unwrap_or(u8::MAX),
+        targets,
+    };
+    let mut messages = vec![Message::Roll(roll)];
+    messages.extend(member_messages(view.address, view.part(number).cloned()));
+    messages
+}
+
+fn member_messages(
+    address: ServiceAddress,
+    members: impl Iterator<Item = Member>,
+) -> impl Iterator<Item = Message> {
+    let groups = pack(members).into_iter();
+    groups.map(move |members| {
+        Message::Members(Members {
+            address,
+            config: None,
+            members,
+        })
+    })
+}
--- /dev/null
+++ b/coordination/member/src/registry/repair.rs
@@ -0,0 +1,232 @@
+//! Anti-entropy: two entries compare digests, descend only where they differ,
+//! and exchange the records of those leaves.
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wire::ServiceAddress;
+
+use super::Registry;
+use crate::Action;
+use crate::Message;
+use crate::Refusal;
+use crate::digest::Digest;
+use crate::message::Compare;
+use crate::message::Item;
+use crate::message::Leaf;
+use crate::record::Key;
+use crate::tree::BRANCHES;
+use crate::tree::LEAF_LEVEL;
+use crate::tree::Node;
+
+/// Services that may be asked for at a time.
+pub const MAX_NEEDS: usize = 1_024;
+
+/// Times that peers are asked for a service.
+const MAX_TRIES: u32 = 8;
+
+/// Peers that are asked for a service at a time.
+const ASKED_PEERS: usize = 2;
+
+/// Differing branches that one comparison follows.
+const MAX_BRANCHES: usize = 4;
+
+/// Differing leaves that one comparison lists.
+const MAX_LEAVES: usize = 8;
+
+/// Records that one message lists.
+const MAX_ITEMS: usize = 64;
+
+/// One in this many comparisons goes to an entry named at the start, so that
+/// parts that lost each other meet again.
+const SEED_ONE_IN: usize = 10;
+
+impl Registry {
+    /// Starts a comparison with a peer when it is due.
+    pub(super) fn compare_if_due(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if now < self.next_compare || !self.link.may_ask() || !self.link.may_send() {
+            return;
+        }
+        let interval = if self.is_behind {
+            self.settings.round
+        } else {
+            self.settings.compare
+        };
+        self.is_behind = false;
+        self.next_compare = now + interval;
+        let seed = self.rng.choice(&self.seeds).copied();
+        let peer = match self.fleet.peers.one(&mut self.rng) {
+            Some(peer) if self.rng.usize(..SEED_ONE_IN) > 0 => Some(peer),
+            peer => seed.or(peer),
+        };
+        if let Some(peer) = peer {
+            let message = self.digests(Node::ROOT);
+            self.link.send(peer, message, actions);
+        }
+    }
+
+    /// Answers the digests of a peer with those below, or with its leaves.
+    pub(super) fn compare(
+        &mut self,
+        from: SocketAddr,
+        compare: &Compare,
+        actions: &mut Vec<Action>,
+    ) {
+        let node = compare.node;
+        if !node.is_valid() || node.level >= LEAF_LEVEL || compare.digests.len() != BRANCHES {
+            return self.link.refuse(Refusal::Malformed);
+        }
+        let own = self.directory.tree().children(node);
+        let pairs = (0..).zip(own.iter().zip(&compare.digests));
+        let differing = pairs.filter(|(_, (own, other))| own != other);
+        let mut children: Vec<Node> = differing.map(|(number, _)| node.child(number)).collect();
+        self.rng.shuffle(&mut children);
+        let limit = match node.level + 1 {
+            LEAF_LEVEL => MAX_LEAVES,
+            _ => MAX_BRANCHES,
+        };
+        for child in children.into_iter().take(limit) {
+            let messages = match child.level {
+                LEAF_LEVEL => self.leaves(child),
+                _ => vec![self.digests(child)],
+            };
+            for message in messages {
+                self.link.send_bulk(from, message, actions);
+            }
+        }
+    }
+
+    /// Exchanges the records in which two leaves differ.
+    pub(super) fn leaf(&mut self, from: SocketAddr, leaf: &Leaf, actions: &mut Vec<Action>) {
+        if leaf.first > leaf.last || leaf.items.len() > MAX_ITEMS {
+            return self.link.refuse(Refusal::Malformed);
+        }
+        let own: BTreeMap<Key, u32> = self
+            .directory
+            .range(leaf.first, leaf.last)
+            .map(|(key, digest)| (key, half(digest)))
+            .collect();
+        let theirs: BTreeMap<Key, u32> = leaf
+            .items
+            .iter()
+            .map(|item| (item.key, item.digest))
+            .collect();
+        let lacking = |from: &BTreeMap<Key, u32>, to: &BTreeMap<Key, u32>| -> Vec<Key> {
+            let differing = from
+                .iter()
+                .filter(|(key, digest)| to.get(key) != Some(digest));
+            differing.map(|(key, _)| *key).take(MAX_ITEMS).collect()
+        };
+        let wanted = lacking(&theirs, &own);
+        let offered = lacking(&own, &theirs);
+        if !wanted.is_empty() {
+            self.is_behind = true;
+            if self.link.may_ask() {
+                self.link.send_bulk(from, Message::Pull(wanted), actions);
+            }
+        }
+        self.pull(from, &offered, actions);
+    }
+
+    /// Sends the records that a peer asked for.
+    pub(super) fn pull(&mut self, from: SocketAddr, keys: &[Key], actions: &mut Vec<Action>) {
+        let known = keys.iter().take(MAX_ITEMS);
+        let records = known
+            .filter_map(|key| self.directory.record(*key))
+            .collect();
+        self.send_records(from, records, actions);
+    }
+
+    /// Asks peers for the services that are needed.
+    pub(super) fn ask_needs(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let directory = &self.directory;
+        self.needs.retain(|address, need| {
+            let view = directory.view(address);
+            need.tries < MAX_TRIES && view.is_none_or(|view| view.config.is_none())
+        });
+        let mut due = Vec::new();
+        for (address, need) in &mut self.needs {
+            if now >= need.next {
+                need.tries += 1;
+                need.next = now + self.settings.round * need.tries;
+                due.push(*address);
+            }
+        }
+        if due.is_empty() {
+            return;
+        }
+        let mut peers = self.fleet.peers.choose(ASKED_PEERS, &mut self.rng);
+        if peers.is_empty() {
+            peers.clone_from(&self.seeds);
+            peers.truncate(ASKED_PEERS);
+        }
+        for address in due {
+            for peer in &peers {
+                self.link.send(*peer, Message::Need(address), actions);
+            }
+        }
+    }
+
+    /// Sends everything about a service.
+    pub(super) fn needed(
+        &mut self,
+        from: SocketAddr,
+        address: ServiceAddress,
+        actions: &mut Vec<Action>,
+    ) {
+        let keys = self.directory.service_keys(address);
+        let records = keys
+            .into_iter()
+            .filter_map(|key| self.directory.record(key));
+        let records = records.collect();
+        self.send_records(from, records, actions);
+    }
+
+    fn digests(&self, node: Node) -> Message {
+        Message::Compare(Compare {
+            node,
+            digests: self.directory.tree().children(node).to_vec(),
+        })
+    }
+
+    /// Lists the records of a leaf, in as many messages as they need.
+    fn leaves(&self, node: Node) -> Vec<Message> {
+        let items: Vec<Item> = self
+            .directory
+            .range(node.first(), node.last())
+            .map(|(key, digest)| Item {
+                key,
+                digest: half(digest),
+            })
+            .collect();
+        if items.is_empty() {
+            return vec![Message::Leaf(Leaf {
+                first: node.first(),
+                last: node.last(),
+                items,
+            })];
+        }
+        let mut first = node.first();
+        let mut messages = Vec::new();
+        let count = items.len().div_ceil(MAX_ITEMS);
+        for (number, chunk) in (1..).zip(items.chunks(MAX_ITEMS)) {
+            let last = match chunk.last() {
+                Some(item) if number < count => item.key,
+                _ => node.last(),
+            };
+            messages.push(Message::Leaf(Leaf {
+                first,
+                last,
+                items: chunk.to_vec(),
+            }));
+            first = last.saturating_add(1);
+        }
+        messages
+    }
+}
+
+/// Lower half of a digest.
+fn half(digest: Digest) -> u32 {
+    let [a, b, c, d, ..] = digest.to_le_bytes();
+    u32::from_le_bytes([a, b, c, d])
+}
--- a/coordination/member/src/settings.rs
+++ b/coordination/member/src/settings.rs
@@ -6,21 +6,49 @@
 pub struct Settings {
     /// Time between two heartbeats of a process.
     pub heartbeat: Duration,
-    /// Silence after which a watcher suspects a process.
+    /// Entries that watch one process, within its region.
+    pub watchers: usize,
+    /// Silence after which a watcher probes a process.
+    pub probe: Duration,
+    /// Silence after which a process counts as silent.
     pub silence: Duration,
+    /// Further wait before a watcher states its suspicion, in which the
+    /// failure of a whole zone shows itself as such.
+    pub settle: Duration,
     /// Time between two rounds of gossip.
     pub round: Duration,
     /// Peers that a round pushes to.
     pub fanout: usize,
+    /// Time between two comparisons of digests with a peer.
+    pub compare: Duration,
+    /// Bytes a second that an entry sends.
+    pub send_rate: u32,
+    /// Time for which departed and silent processes are remembered. Longer
+    /// than regions are expected to lose each other.
+    pub retention: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
             heartbeat: Duration::from_secs(1),
-            silence: Duration::from_millis(3_500),
+            watchers: 3,
+            probe: Duration::from_millis(1_500),
+            silence: Duration::from_millis(2_500),
+            settle: Duration::from_secs(1),
             round: Duration::from_millis(250),
             fanout: 3,
+            compare: Duration::from_secs(1),
+            send_rate: 12_000,
+            retention: Duration::from_hours(3),
         }
     }
 }
+
+impl Settings {
+    /// Lateness of a tick after which a process doubts what it did not hear.
+    #[must_use]
+    pub fn pause(&self) -> Duration {
+        self.heartbeat / 2
+    }
+}
--- a/coordination/member/src/view.rs
+++ b/coordination/member/src/view.rs
@@ -6,11 +6,18 @@
 use wire::ServiceAddress;
 use wire::Target;
 use wire::TargetId;
+use wire::target::State;
 
+use crate::Refusal;
 use crate::Service;
 use crate::digest;
 use crate::digest::Digest;
 
+/// Parts into which the targets of a view fall, by the upper bits of their id.
+pub const PARTS: usize = 64;
+
+const PART_BITS: u32 = PARTS.ilog2();
+
 /// A service: its configuration and its targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct View {
@@ -62,29 +69,48 @@
         self.digest
     }
 
-    /// Takes the configuration where it is newer; true where it was.
-    pub(crate) fn merge_config(&mut self, config: Service) -> bool {
-        if self
-            .config
-            .as_ref()
-            .is_some_and(|held| held.revision >= config.revision)
-        {
-            return false;
+    /// Digests of the parts of the targets, then that of the configuration.
+    pub(crate) fn parts(&self) -> Vec<Digest> {
+        let mut parts = vec![0; PARTS];
+        for (id, member) in &self.targets {
+            let part = &mut parts[part(*id)];
+            *part = digest::item(member).wrapping_add(*part);
         }
-        self.replace(config_digest(self.config.as_ref()), digest::item(&config));
+        parts.push(config_digest(self.config.as_ref()));
+        parts
+    }
+
+    /// The targets of one part.
+    pub(crate) fn part(&self, number: usize) -> impl Iterator<Item = &Member> {
+        let members = self.targets.iter();
+        members
+            .filter(move |(id, _)| part(**id) == number)
+            .map(|(_, member)| member)
+    }
+
+    /// Takes the configuration where it is newer.
+    pub(crate) fn merge_config(&mut self, config: Service) -> Result<(), Refusal> {
+        let held = self.config.as_ref();
+        if held.is_some_and(|held| held.revision >= config.revision) {
+            return Err(Refusal::Stale);
+        }
+        self.replace(config_digest(held), digest::item(&config));
         self.config = Some(config);
-        true
+        Ok(())
     }
 
-    /// Takes the announcement of a target where it is newer; true where it was.
-    pub(crate) fn merge_target(&mut self, target: Target) -> bool {
+    /// Takes the announcement of a target where it is newer.
+    pub(crate) fn merge_target(&mut self, target: Target) -> Result<(), Refusal> {
         let health = match self.targets.get(&target.id) {
-            Some(held) if held.target.stamp() >= target.stamp() => return false,
+            Some(held) if held.target.incarnation > target.incarnation => {
+                return Err(Refusal::OldIncarnation);
+            }
+            Some(held) if held.target.stamp() >= target.stamp() => return Err(Refusal::Stale),
             Some(held) if held.target.incarnation == target.incarnation => held.health,
             _ => Health::Up,
         };
         self.put_member(Member { target, health });
-        true
+        Ok(())
     }
 
     /// Sets the health of a target; true where it changed.
@@ -97,8 +123,48 @@
         true
     }
 
-    /// Puts a member in place of the one with the same target id.
-    pub(crate) fn put_member(&mut self, member: Member) {
+    /// Forgets a target; true where it was held.
+    pub(crate) fn remove(&mut self, id: TargetId) -> bool {
+        let Some(member) = self.targets.remove(&id) else {
+            return false;
+        };
+        self.replace(digest::item(&member), 0);
+        true
+    }
+
+    /// Gives each target its health, from whether it is silent; the targets
+    /// whose health changed.
+    ///
+    /// At most half of the ready targets are held down for silence. Where more
+    /// are silent, the observers are in doubt rather than the targets.
+    pub(crate) fn judge(&mut self, is_silent: impl Fn(&Target) -> bool) -> Vec<TargetId> {
+        let mut ready = 0;
+        let mut silent_ready = 0;
+        let mut silent = Vec::new();
+        for member in self.targets.values() {
+            let is_ready = member.target.state == State::Ready;
+            ready += usize::from(is_ready);
+            if is_silent(&member.target) {
+                silent_ready += usize::from(is_ready);
+                silent.push(member.target.id);
+            }
+        }
+        let verdict = if silent_ready * 2 > ready {
+            Health::Doubted
+        } else {
+            Health::Down
+        };
+        let health = |id| match silent.binary_search(&id) {
+            Ok(_) => verdict,
+            Err(_) => Health::Up,
+        };
+        let ids: Vec<TargetId> = self.targets.keys().copied().collect();
+        ids.into_iter()
+            .filter(|id| self.set_health(*id, health(*id)))
+            .collect()
+    }
+
+    fn put_member(&mut self, member: Member) {
         let old = self.targets.get(&member.target.id).map_or(0, digest::item);
         self.replace(old, digest::item(&member));
         self.targets.insert(member.target.id, member);
@@ -109,6 +175,11 @@
     }
 }
 
+/// Number of the part that a target falls into.
+pub(crate) fn part(id: TargetId) -> usize {
+    usize::try_from(id >> (TargetId::BITS - PART_BITS)).unwrap_or(0)
+}
+
 fn config_digest(config: Option<&Service>) -> Digest {
     config.map_or(0, digest::item)
 }
