Send large configurations so that they arrive under a budget

A configuration of 20 KB did not reach the agents in 12 s (test a_configuration_larger_than_a_datagram_reaches_every_process failed). Cause: each of three watchers sent all fragments on each heartbeat, the budget cut them off, and always after the same first fragments. Ruled out: the joining of fragments, which entries passed. Now one watcher at a time is asked for the difference, what a budget cuts off varies, and a large body is pushed to fewer peers and left to the digests. The test passes.

Adds tests of freezes, replays, returns, departures and the floor.

--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -206,11 +206,15 @@
     fn beat(&mut self, receivers: &[SocketAddr], actions: &mut Vec<Action>) {
         self.sequence += 1;
         let watchers = self.watchers.addresses();
+        let digest = self.view.digest();
+        let differing = |to: &&SocketAddr| self.watchers.acknowledged_digest(**to) != Some(digest);
+        let mut differing: Vec<SocketAddr> = receivers.iter().filter(differing).copied().collect();
+        self.rng.shuffle(&mut differing);
         for to in receivers {
-            let digest = self.view.digest();
-            let parts = match self.watchers.acknowledged_digest(*to) {
-                Some(acknowledged) if acknowledged == digest => Vec::new(),
-                _ => self.view.parts(),
+            // One of the entries whose view differs sends the difference.
+            let parts = match differing.first() {
+                Some(first) if first == to => self.view.parts(),
+                _ => Vec::new(),
             };
             let heartbeat = Heartbeat {
                 subject: Subject::Target(self.target.clone()),
--- a/coordination/member/src/registry/heartbeat.rs
+++ b/coordination/member/src/registry/heartbeat.rs
@@ -187,13 +187,15 @@
             }
         } else {
             let recent = self.directory.recent(address);
-            if recent.contains(&None) {
+            if recent.contains(&None) && !is_large(view) {
                 messages.extend(config_messages(view));
             }
             let changed = recent.iter().flatten();
             let members = changed.filter_map(|id| view.targets.get(id)).cloned();
             messages.extend(member_messages(address, members));
         }
+        // Where the budget cuts the rest off, that is not the same rest each time.
+        self.rng.shuffle(&mut messages);
         for message in messages {
             self.link.send_bulk(to, message, actions);
         }
@@ -246,10 +248,15 @@
     }
 }
 
+fn is_large(view: &View) -> bool {
+    let config = view.config.as_ref();
+    config.is_some_and(|config| config.body.len() > fragment::MAX_INLINE_BYTES)
+}
+
 fn config_messages(view: &View) -> Vec<Message> {
     match &view.config {
         None => Vec::new(),
-        Some(config) if config.body.len() > fragment::MAX_INLINE_BYTES => {
+        Some(config) if is_large(view) => {
             let parts = fragment::split(config, false);
             parts.into_iter().map(Message::Fragment).collect()
         }
--- a/coordination/member/src/registry/spread.rs
+++ b/coordination/member/src/registry/spread.rs
@@ -113,22 +113,22 @@
         }
     }
 
-    /// Sends records as bulk; false where the budget ran out.
+    /// Sends records as bulk, as far as the budget goes.
     pub(super) fn send_records(
         &mut self,
         to: SocketAddr,
         records: Vec<Record>,
         actions: &mut Vec<Action>,
-    ) -> bool {
-        let messages = batches(records, false)
-            .into_iter()
-            .flat_map(|batch| batch.messages);
+    ) {
+        let batches = batches(records, false).into_iter();
+        let mut messages: Vec<Message> = batches.flat_map(|batch| batch.messages).collect();
+        // Where the budget cuts the rest off, that is not the same rest each time.
+        self.rng.shuffle(&mut messages);
         for message in messages {
             if !self.link.send_bulk(to, message, actions) {
-                return false;
+                return;
             }
         }
-        true
     }
 }
 
--- /dev/null
+++ b/coordination/member/tests/failure.rs
@@ -0,0 +1,233 @@
+//! Failure detection: deaths, freezes, replays and returns.
+mod net;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use member::Health;
+use member::Message;
+use member::Refusal;
+use member::message::Heartbeat;
+use member::message::Subject;
+use wire::Incarnation;
+
+use crate::net::Net;
+use crate::net::SOON;
+use crate::net::agent;
+use crate::net::entry;
+use crate::net::region;
+use crate::net::roster;
+use crate::net::target;
+
+const LONG: Duration = Duration::from_secs(60);
+
+fn nothing_is_silent(net: &Net) {
+    assert!(net.all_see(Health::Down, 0) && net.all_see(Health::Doubted, 0));
+}
+
+fn heartbeat(incarnation: Incarnation, sequence: u64) -> Message {
+    Message::Heartbeat(Heartbeat {
+        subject: Subject::Target(target(1, 1, incarnation)),
+        sequence,
+        watchers: vec![entry(1)],
+        digest: 0,
+        parts: Vec::new(),
+    })
+}
+
+#[test]
+fn a_dead_target_is_held_down_and_its_return_lifts_it() {
+    let mut net = region(3, 4, 4);
+    net.frozen.insert(agent(2));
+    net.run_until(SOON, |net| net.all_see(Health::Down, 1));
+    assert_eq!(net.health(entry(1), agent(2)), Some(Health::Down));
+    net.frozen.remove(&agent(2));
+    net.run_until(SOON, |net| net.all_see(Health::Up, 4));
+}
+
+#[test]
+fn a_target_that_dies_with_its_first_heartbeat_is_held_down() {
+    let mut net = region(3, 4, 3);
+    net.add_agent(5, 1, 1);
+    net.run(Duration::from_millis(4));
+    net.frozen.insert(agent(5));
+    net.run_until(SOON, |net| net.all_see(Health::Down, 1));
+}
+
+#[test]
+fn a_death_is_remembered_when_every_entry_restarts_in_turn() {
+    let mut net = region(4, 5, 4);
+    net.frozen.insert(agent(2));
+    net.run_until(SOON, |net| net.all_see(Health::Down, 1));
+    for number in 1..=4 {
+        net.entries.remove(&entry(number));
+        net.run(SOON);
+        net.add_entry(number, (number % 4).into(), 2);
+        net.run(SOON);
+    }
+    net.run(SOON);
+    assert!(net.all_see(Health::Down, 1));
+}
+
+fn a_frozen_entry_ejects_nobody(frozen: &[u8]) {
+    let mut net = region(7, 5, 4);
+    let frozen: Vec<SocketAddr> = frozen.iter().map(|number| entry(*number)).collect();
+    net.frozen.extend(&frozen);
+    net.run_checked(LONG, nothing_is_silent);
+    net.frozen.clear();
+    net.run_checked(LONG, nothing_is_silent);
+}
+
+cases::cases! { a_frozen_entry_ejects_nobody;
+    one_frozen_entry_ejects_nobody: &[3],
+    two_frozen_entries_eject_nobody: &[1, 4],
+    half_of_the_entries_frozen_eject_nobody: &[1, 2, 3],
+}
+
+#[test]
+fn all_watchers_of_a_target_frozen_eject_nobody() {
+    let mut net = region(7, 5, 4);
+    let watchers = net.agents[&agent(1)].watchers();
+    assert_eq!(watchers.len(), 3);
+    net.frozen.extend(&watchers);
+    net.run_checked(LONG, nothing_is_silent);
+    let moved = net.agents[&agent(1)].watchers();
+    assert!(moved.iter().all(|watcher| !watchers.contains(watcher)));
+    net.frozen.clear();
+    net.run_checked(LONG, nothing_is_silent);
+}
+
+#[test]
+fn a_target_that_dies_while_its_watchers_are_frozen_is_held_down_after() {
+    let mut net = region(7, 5, 4);
+    let watchers = net.agents[&agent(1)].watchers();
+    net.frozen.extend(&watchers);
+    net.frozen.insert(agent(1));
+    net.run(SOON);
+    for watcher in &watchers {
+        net.frozen.remove(watcher);
+    }
+    net.run_until(SOON, |net| net.all_see(Health::Down, 1));
+}
+
+#[test]
+fn an_entry_that_hears_nobody_doubts_itself() {
+    let mut net = region(5, 6, 4);
+    net.cut = Some(Box::new(|_, to| to == entry(2)));
+    net.run_checked(LONG, nothing_is_silent);
+    let status = net.entries[&entry(2)].status();
+    assert_eq!(status.suspicions, 0);
+    assert!(status.self_doubts > 0);
+}
+
+#[test]
+fn a_target_that_one_watcher_hears_not_stays_up() {
+    let mut net = region(5, 5, 4);
+    assert!(net.agents[&agent(1)].watchers().len() == 3);
+    let watcher = net.agents[&agent(1)].watchers()[0];
+    net.cut = Some(Box::new(move |from, to| from == agent(1) && to == watcher));
+    net.run_checked(LONG, nothing_is_silent);
+}
+
+#[test]
+fn more_than_half_of_a_service_is_never_held_down() {
+    let mut net = region(4, 5, 5);
+    for number in 1..=3 {
+        net.frozen.insert(agent(number));
+    }
+    net.run_checked(LONG, |net| {
+        assert!(net.count(Health::Down).iter().all(|down| *down <= 2));
+    });
+    assert!(net.all_see(Health::Doubted, 3));
+    net.frozen.remove(&agent(1));
+    net.run_until(SOON, |net| net.all_see(Health::Down, 2));
+}
+
+#[test]
+fn a_suspicion_does_not_survive_a_newer_incarnation() {
+    let mut net = region(4, 5, 4);
+    net.frozen.insert(agent(1));
+    net.run_until(SOON, |net| net.all_see(Health::Down, 1));
+    net.frozen.remove(&agent(1));
+    net.add_agent(1, 1, 2);
+    net.run_until(SOON, |net| net.all_see(Health::Up, 5));
+    net.run_checked(LONG, nothing_is_silent);
+}
+
+#[test]
+fn another_target_at_the_same_address_is_not_the_old_one() {
+    let mut net = region(4, 5, 4);
+    let old = net.agents[&agent(1)].target().id;
+    net.agents.remove(&agent(1));
+    net.add_agent_at(agent(1), target(9, 1, 2));
+    let new = net.agents[&agent(1)].target().id;
+    let health = |net: &Net, id| {
+        let entries = net.entries.values();
+        let views = entries.map(|held| held.service(&roster()).unwrap());
+        let seen: Vec<Health> = views.map(|view| view.targets[&id].health).collect();
+        seen
+    };
+    net.run(LONG);
+    assert_eq!(health(&net, old), [Health::Down; 4]);
+    assert_eq!(health(&net, new), [Health::Up; 4]);
+}
+
+#[test]
+fn replays_and_old_incarnations_are_refused() {
+    let mut net = Net::default();
+    net.add_entry(1, 1, 1);
+    let registry = net.entries.get_mut(&entry(1)).unwrap();
+    let mut actions = Vec::new();
+    let mut refused = |incarnation, sequence, reason| {
+        let message = heartbeat(incarnation, sequence);
+        actions.clear();
+        registry.handle(Duration::ZERO, agent(1), message, &mut actions);
+        let count = registry.status().refusals.get(&reason).copied();
+        (actions.is_empty(), count.unwrap_or(0))
+    };
+    assert_eq!(refused(5, 3, Refusal::Replay), (false, 0));
+    assert_eq!(refused(5, 3, Refusal::Replay), (true, 1));
+    assert_eq!(refused(5, 2, Refusal::Replay), (true, 2));
+    assert_eq!(refused(4, 9, Refusal::OldIncarnation), (true, 1));
+    assert_eq!(refused(6, 1, Refusal::Replay), (false, 2));
+}
+
+#[test]
+fn a_dead_entry_is_no_longer_chosen() {
+    let mut net = region(5, 5, 4);
+    net.frozen.insert(entry(2));
+    net.run_until(SOON, |net| {
+        let running = net
+            .entries
+            .iter()
+            .filter(|(address, _)| **address != entry(2));
+        let mut live = running.flat_map(|(_, held)| held.live_entries());
+        let mut watchers = net.agents.values().flat_map(member::Announcer::watchers);
+        !live.any(|one| one == entry(2)) && !watchers.any(|one| one == entry(2))
+    });
+    net.frozen.clear();
+    net.run_until(SOON, |net| {
+        let mut entries = net.entries.values();
+        entries.all(|held| held.live_entries().count() == 5)
+    });
+}
+
+#[test]
+fn what_is_silent_for_the_retention_is_dropped_everywhere() {
+    let mut net = Net::default();
+    net.settings.retention = Duration::from_mins(5);
+    net.populate(3, 3, 3);
+    net.frozen.insert(agent(1));
+    net.run_until(SOON, |net| net.all_see(Health::Down, 1));
+    net.run(net.settings.retention + LONG);
+    assert!(net.all_see(Health::Down, 0) && net.all_see(Health::Up, 2));
+    let agents = net
+        .agents
+        .iter()
+        .filter(|(address, _)| **address != agent(1));
+    assert!(
+        agents
+            .map(|(_, held)| held.view())
+            .all(|view| view.targets.len() == 2)
+    );
+}
