Observe other regions with two entries each, and test zones and regions

Two regions of four entries that lost each other did not hold each other's zones to be lost (test regions_apart_for_an_hour_keep_everything_and_agree_after failed): an entry had one watcher in another region, so that a zone of two entries was seen by two at most, below the four that a verdict needs. Ruled out: the quorum of zones. An entry now has two observers in each of two other regions. They are not named as watchers, since a majority among watchers of both regions could then never suspect an entry that died.

--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -220,6 +220,7 @@
                 subject: Subject::Target(self.target.clone()),
                 sequence: self.sequence,
                 watchers: watchers.clone(),
+                observe: false,
                 digest,
                 parts,
             };
--- a/coordination/member/src/choice.rs
+++ b/coordination/member/src/choice.rs
@@ -4,12 +4,14 @@
 //! Each entry scores a keyed hash of the process; the highest scores win (see
 //! Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
 //! 1998). A change of the entries moves only the watchers that it concerns.
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use wire::ZoneId;
 
 use crate::record::Key;
 use crate::record::SubjectId;
+use crate::zone::RegionId;
 use crate::zone::region;
 
 /// An entry that may watch.
@@ -46,23 +48,29 @@
     }
 }
 
-/// Best entry for a process in each of at most `count` other regions.
+/// Best entries for a process in other regions: `count` in each of at most
+/// `regions`, spread over zones.
 #[must_use]
 pub fn remote(
     subject: SubjectId,
     zone: ZoneId,
     candidates: &[Candidate],
+    regions: usize,
     count: usize,
 ) -> Vec<SocketAddr> {
-    let mut best = Best::default();
-    for candidate in candidates {
-        if region(candidate.zone) != region(zone) {
-            best.offer_one(subject, candidate, |held| {
-                region(held.zone) == region(candidate.zone)
-            });
-        }
-    }
-    best.into_addresses(count)
+    let others: BTreeSet<RegionId> = candidates
+        .iter()
+        .map(|candidate| region(candidate.zone))
+        .filter(|other| *other != region(zone))
+        .collect();
+    let mut others: Vec<RegionId> = others.into_iter().collect();
+    others.sort_by_key(|other| score(subject, Key::from(*other)));
+    others.truncate(regions);
+    let best = others.into_iter().flat_map(|other| {
+        let within = |candidate: &&Candidate| region(candidate.zone) == other;
+        spread(subject, candidates.iter().filter(within), count)
+    });
+    best.collect()
 }
 
 fn spread<'a>(
--- a/coordination/member/src/message.rs
+++ b/coordination/member/src/message.rs
@@ -68,6 +68,9 @@
     pub sequence: Sequence,
     /// UDP addresses of the entries that watch the process.
     pub watchers: Vec<SocketAddr>,
+    /// True where the receiver, which is no watcher, is to observe whether the
+    /// zone of the process can be reached.
+    pub observe: bool,
     /// Digest of the view that an agent holds of its service.
     pub digest: Digest,
     /// Digests of the parts of that view, where the receiver's differs for
--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -113,6 +113,7 @@
     sequence: Sequence,
     next: Duration,
     watchers: Vec<SocketAddr>,
+    observers: Vec<SocketAddr>,
 }
 
 /// A service that peers are asked for.
--- a/coordination/member/src/registry/failure.rs
+++ b/coordination/member/src/registry/failure.rs
@@ -13,7 +13,6 @@
 use crate::record::Report;
 use crate::record::SubjectId;
 use crate::record::Suspicion;
-use crate::record::entry_key;
 use crate::watches::Tally;
 use crate::watches::Watch;
 use crate::watches::is_doubtful;
@@ -69,7 +68,6 @@
                 && (!mostly_silent || silence > wait + ZONE_WAIT)
                 && !self.directory.zones().is_lost(watch.zone)
                 && self.directory.incarnation(*subject) == Some(watch.incarnation)
-                && !self.is_left_to_others(watch)
                 && !self.has_stated(*subject, watch)
         });
         let due: Vec<Suspicion> = due
@@ -189,16 +187,6 @@
         stated.is_some_and(|stated| stated.silent && stated.sequence >= watch.sequence)
     }
 
-    /// True where watchers of the process's own region judge it.
-    fn is_left_to_others(&self, watch: &Watch) -> bool {
-        let near = |address| {
-            let entry = self.directory.entry(entry_key(address));
-            entry.is_some_and(|entry| region(entry.zone) == region(watch.zone))
-        };
-        region(watch.zone) != region(self.identity.zone)
-            && watch.watchers.iter().any(|watcher| near(*watcher))
-    }
-
     fn statement(&self, subject: SubjectId, watch: &Watch, silent: bool) -> Suspicion {
         Suspicion {
             subject,
--- a/coordination/member/src/registry/heartbeat.rs
+++ b/coordination/member/src/registry/heartbeat.rs
@@ -32,8 +32,11 @@
 /// Entries named to an agent beyond its watchers.
 const SPARES: usize = 3;
 
-/// Watchers of an entry in other regions.
-const REMOTE_WATCHERS: usize = 2;
+/// Other regions in which an entry has observers.
+const REMOTE_REGIONS: usize = 2;
+
+/// Observers of an entry in each of these.
+const REMOTE_OBSERVERS: usize = 2;
 
 /// Processes whose watchers are remembered.
 const MAX_CHOICES: usize = 4_096;
@@ -91,7 +94,17 @@
         if self.directory.record(record.key()).as_ref() != Some(&record) {
             self.publish(&record);
         }
-        self.renew(now, &sender, heartbeat.sequence, heartbeat.watchers);
+        let watch = Watch {
+            address: sender.address,
+            zone: sender.zone,
+            incarnation: sender.incarnation,
+            sequence: heartbeat.sequence,
+            heard: now,
+            probed: now,
+            named: heartbeat.watchers.contains(&self.identity.address),
+            watchers: heartbeat.watchers,
+        };
+        self.renew(&sender, watch, heartbeat.observe);
         self.refresh_fleet();
         let view = sender.service.and_then(|address| self.service(&address));
         let digest = view.map_or(0, View::digest);
@@ -125,24 +138,14 @@
         }
     }
 
-    /// Renews the watch on a process that names this entry, and ends others.
-    fn renew(&mut self, now: Duration, sender: &Sender, sequence: u64, watchers: Vec<SocketAddr>) {
-        let named = watchers.contains(&self.identity.address);
+    /// Renews the watch on a process that names this entry as its watcher or
+    /// observer, and ends others.
+    fn renew(&mut self, sender: &Sender, watch: Watch, observe: bool) {
         let is_sentinel =
             self.watches.get(sender.id).is_some() && self.directory.zones().is_lost(sender.zone);
-        if sender.has_left || !(named || is_sentinel) {
+        if sender.has_left || !(watch.named || observe || is_sentinel) {
             return self.watches.remove(sender.id);
         }
-        let watch = Watch {
-            address: sender.address,
-            zone: sender.zone,
-            incarnation: sender.incarnation,
-            sequence,
-            heard: now,
-            probed: now,
-            watchers,
-            named,
-        };
         self.watches.put(sender.id, watch);
         self.vouch(sender.id);
     }
@@ -209,19 +212,20 @@
         self.pulse.next = now + self.settings.heartbeat;
         let candidates = &self.fleet.candidates;
         let zone = self.identity.zone;
-        let mut watchers = choice::local(self.key, zone, candidates, self.settings.watchers);
-        for far in choice::remote(self.key, zone, candidates, REMOTE_WATCHERS) {
-            if !watchers.contains(&far) {
-                watchers.push(far);
-            }
-        }
-        let old = std::mem::replace(&mut self.pulse.watchers, watchers.clone());
-        let mut receivers = watchers;
-        // Former watchers learn that they are no longer named.
-        receivers.extend(old.iter().filter(|old| !self.pulse.watchers.contains(old)));
+        let watchers = choice::local(self.key, zone, candidates, self.settings.watchers);
+        let observers =
+            choice::remote(self.key, zone, candidates, REMOTE_REGIONS, REMOTE_OBSERVERS);
+        let mut receivers = self.pulse.watchers.clone();
+        receivers.extend(&self.pulse.observers);
+        receivers.extend(watchers.iter().chain(&observers));
         if receivers.is_empty() {
             receivers.clone_from(&self.seeds);
         }
+        // Former watchers learn that they are no longer named.
+        receivers.sort_unstable();
+        receivers.dedup();
+        self.pulse.watchers = watchers;
+        self.pulse.observers = observers;
         self.beat(&receivers, actions);
     }
 
@@ -240,6 +244,7 @@
                 }),
                 sequence: self.pulse.sequence,
                 watchers: self.pulse.watchers.clone(),
+                observe: self.pulse.observers.contains(to),
                 digest: 0,
                 parts: Vec::new(),
             };
--- a/coordination/member/src/watches.rs
+++ b/coordination/member/src/watches.rs
@@ -30,8 +30,8 @@
     pub probed: Duration,
     /// The watchers that it named.
     pub watchers: Vec<SocketAddr>,
-    /// False where the process no longer names this entry, and is watched only
-    /// to see its zone return.
+    /// False where the process does not name this entry as a watcher, and is
+    /// observed for the sake of its zone.
     pub named: bool,
 }
 
--- /dev/null
+++ b/coordination/member/tests/cold.rs
@@ -0,0 +1,94 @@
+//! An entry that starts with nothing learns from its peers.
+mod net;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use member::Message;
+use member::Record;
+use member::Registry;
+use member::Service;
+use member::message::Push;
+use wire::ServiceAddress;
+
+use crate::net::Net;
+use crate::net::entry;
+use crate::net::region;
+use crate::net::target;
+
+const SERVICES: u8 = 200;
+const TARGETS: u8 = 13;
+
+fn address(number: u8) -> ServiceAddress {
+    ServiceAddress::from(([10, 2, 0, number], 80))
+}
+
+/// Fills a directory with many services, as from a store that is now down.
+fn fill(registry: &mut Registry, now: Duration) {
+    for number in 0..SERVICES {
+        let service = Service {
+            address: address(number),
+            revision: 3,
+            body: Bytes::from(vec![number; 150]),
+        };
+        let mut records = vec![Record::Service(service)];
+        records.extend((0..TARGETS).map(|host| {
+            let mut target = target(host, 1, 1);
+            target.service = address(number);
+            target.id = fastrand::Rng::with_seed(u64::from(number) << 8 | u64::from(host)).u64(..);
+            Record::Target(target)
+        }));
+        let push = Push {
+            hot: false,
+            records,
+        };
+        registry.handle(now, entry(9), Message::Push(push), &mut Vec::new());
+    }
+}
+
+fn knows(net: &Net, number: u8, service: u8) -> bool {
+    let view = net.entries[&entry(number)].service(&address(service));
+    view.is_some_and(|view| view.config.is_some() && view.targets.len() == usize::from(TARGETS))
+}
+
+#[test]
+fn a_cold_entry_gets_what_it_needs_first_and_the_rest_within_its_budget() {
+    let mut net = region(4, 2, 4);
+    let now = net.now;
+    for held in net.entries.values_mut() {
+        fill(held, now);
+    }
+    net.run(Duration::from_secs(5));
+    net.add_entry(5, 1, 1);
+    let now = net.now;
+    net.entries
+        .get_mut(&entry(5))
+        .unwrap()
+        .need(now, address(77));
+    net.run_until(Duration::from_secs(2), |net| knows(net, 5, 77));
+    assert!(!(0..SERVICES).all(|service| knows(&net, 5, service)));
+    let start = net.now;
+    net.run_until(Duration::from_mins(2), |net| {
+        (0..SERVICES).all(|service| knows(net, 5, service))
+    });
+    let seconds = net.now.saturating_sub(start).as_secs() + 4;
+    let rate = u64::from(net.settings.send_rate);
+    let status = net.entries[&entry(5)].status();
+    assert!(status.received_bytes <= rate * 2 * seconds);
+    net.run(Duration::from_secs(10));
+    let digests: Vec<u64> = net.entries.values().map(Registry::digest).collect();
+    assert_eq!(digests, [digests[0]; 5]);
+}
+
+#[test]
+fn a_service_that_nobody_knows_is_asked_for_a_bounded_number_of_times() {
+    let mut net = region(3, 2, 3);
+    let now = net.now;
+    let held = net.entries.get_mut(&entry(1)).unwrap();
+    held.need(now, address(1));
+    net.run(Duration::from_mins(1));
+    let before = net.entries[&entry(2)].status().refusals.clone();
+    net.run(Duration::from_mins(1));
+    assert_eq!(net.entries[&entry(2)].status().refusals, before);
+    assert!(net.entries[&entry(1)].service(&address(1)).is_none());
+}
--- a/coordination/member/tests/failure.rs
+++ b/coordination/member/tests/failure.rs
@@ -19,7 +19,7 @@
 use crate::net::roster;
 use crate::net::target;
 
-const LONG: Duration = Duration::from_secs(60);
+const LONG: Duration = Duration::from_mins(1);
 
 fn nothing_is_silent(net: &Net) {
     assert!(net.all_see(Health::Down, 0) && net.all_see(Health::Doubted, 0));
@@ -30,6 +30,7 @@
         subject: Subject::Target(target(1, 1, incarnation)),
         sequence,
         watchers: vec![entry(1)],
+        observe: false,
         digest: 0,
         parts: Vec::new(),
     })
@@ -159,7 +160,7 @@
     let mut net = region(4, 5, 4);
     let old = net.agents[&agent(1)].target().id;
     net.agents.remove(&agent(1));
-    net.add_agent_at(agent(1), target(9, 1, 2));
+    net.add_agent_at(agent(1), &target(9, 1, 2));
     let new = net.agents[&agent(1)].target().id;
     let health = |net: &Net, id| {
         let entries = net.entries.values();
--- a/coordination/member/tests/net/mod.rs
+++ b/coordination/member/tests/net/mod.rs
@@ -107,14 +107,17 @@
 
     /// Adds an agent that knows all entries.
     pub fn add_agent(&mut self, number: u8, zone: ZoneId, incarnation: Incarnation) {
-        self.add_agent_at(agent(number), target(number, zone, incarnation));
+        self.add_agent_at(agent(number), &target(number, zone, incarnation));
     }
 
     /// Adds an agent at an address.
-    pub fn add_agent_at(&mut self, address: SocketAddr, target: Target) {
+    pub fn add_agent_at(&mut self, address: SocketAddr, target: &Target) {
         let announcer = Announcer::new(
             self.settings.clone(),
-            Target { address, ..target },
+            Target {
+                address,
+                ..target.clone()
+            },
             self.entries.keys().copied().collect(),
             u64::from(address.port()),
             self.now,
@@ -192,8 +195,18 @@
         }
     }
 
+    /// Moves on to the next message or deadline.
     fn step(&mut self) {
-        self.now += DELAY;
+        let running = |address: &SocketAddr| !self.frozen.contains(address);
+        let entries = self.entries.iter().filter(|(address, _)| running(address));
+        let agents = self.agents.iter().filter(|(address, _)| running(address));
+        let next = entries
+            .map(|(_, held)| held.next_deadline())
+            .chain(agents.map(|(_, held)| held.next_deadline()))
+            .chain(self.queue.keys().map(|(at, _)| *at).next())
+            .min();
+        let soonest = self.now + Duration::from_micros(1);
+        self.now = next.map_or(self.now + DELAY, |next| next.max(soonest));
         let (stalled, thawed): (Vec<Parcel>, Vec<Parcel>) = std::mem::take(&mut self.stalled)
             .into_iter()
             .partition(|parcel| self.frozen.contains(&parcel.to));
--- /dev/null
+++ b/coordination/member/tests/zones.rs
@@ -0,0 +1,193 @@
+//! Loss and return of zones and regions.
+mod net;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use member::Health;
+use member::Service;
+use wire::ZoneId;
+
+use crate::net::Net;
+use crate::net::SOON;
+use crate::net::agent;
+use crate::net::entry;
+use crate::net::region;
+use crate::net::roster;
+
+const ZONES: u8 = 3;
+const ENTRIES: u8 = 9;
+const AGENTS: u8 = 12;
+const HOUR: Duration = Duration::from_hours(1);
+
+/// Processes of the first zone.
+fn first_zone() -> Vec<SocketAddr> {
+    let entries = (1..=ENTRIES).filter(|number| number % ZONES == 0);
+    let agents = (1..=AGENTS).filter(|number| number % ZONES == 0);
+    entries.map(entry).chain(agents.map(agent)).collect()
+}
+
+fn suspicions(net: &Net) -> u64 {
+    let entries = net.entries.values();
+    entries.map(|held| held.status().suspicions).sum()
+}
+
+fn sent_bytes(net: &Net) -> Vec<u64> {
+    let entries = net.entries.values();
+    entries.map(|held| held.status().sent_bytes).collect()
+}
+
+/// Runs for a while; no entry sends more than its rate and one burst.
+fn run_within_budget(net: &mut Net, time: Duration) {
+    let before = sent_bytes(net);
+    net.run(time);
+    let seconds = time.as_secs() + 3;
+    let limit = u64::from(net.settings.send_rate) * seconds;
+    let after = sent_bytes(net);
+    assert!(
+        before
+            .iter()
+            .zip(&after)
+            .all(|(old, new)| new - old <= limit)
+    );
+}
+
+#[test]
+fn a_lost_zone_is_reported_as_one_and_returns() {
+    let mut net = region(ENTRIES, AGENTS, ZONES);
+    net.frozen.extend(first_zone());
+    net.run_until(SOON, |net| net.all_see(Health::Down, 4));
+    net.run(SOON);
+    assert!(net.all_see(Health::Down, 4) && net.all_see(Health::Doubted, 0));
+    assert_eq!(suspicions(&net), 0);
+    net.frozen.clear();
+    run_within_budget(&mut net, SOON);
+    assert!(net.all_see(Health::Up, 12));
+    run_within_budget(&mut net, SOON);
+    assert!(net.all_see(Health::Up, 12));
+    assert_eq!(suspicions(&net), 0);
+}
+
+#[test]
+fn a_zone_that_lost_power_returns_with_new_incarnations() {
+    let mut net = region(ENTRIES, AGENTS, ZONES);
+    net.frozen.extend(first_zone());
+    net.run(SOON * 5);
+    assert!(net.all_see(Health::Down, 4));
+    net.frozen.clear();
+    for number in (1..=ENTRIES).filter(|number| number % ZONES == 0) {
+        net.add_entry(number, 0, 2);
+    }
+    for number in (1..=AGENTS).filter(|number| number % ZONES == 0) {
+        net.add_agent(number, 0, 2);
+    }
+    run_within_budget(&mut net, SOON);
+    net.run_until(SOON, |net| net.all_see(Health::Up, 12));
+    net.run(SOON * 2);
+    assert!(net.all_see(Health::Up, 12));
+    assert_eq!(suspicions(&net), 0);
+}
+
+#[test]
+fn a_zone_cut_off_from_the_others_ejects_nobody_within() {
+    let mut net = region(ENTRIES, AGENTS, ZONES);
+    let zone = first_zone();
+    let inside = zone.clone();
+    net.cut = Some(Box::new(move |from, to| {
+        inside.contains(&from) != inside.contains(&to)
+    }));
+    net.run(SOON * 5);
+    for (address, held) in &net.entries {
+        let view = held.service(&roster()).unwrap();
+        let members = view.targets.values();
+        let down = members.filter(|member| member.health == Health::Down);
+        let expected = if zone.contains(address) { 0 } else { 4 };
+        assert_eq!(down.count(), expected, "{address}");
+    }
+    net.cut = None;
+    run_within_budget(&mut net, SOON * 2);
+    assert!(net.all_see(Health::Up, 12));
+}
+
+#[test]
+fn single_deaths_in_one_zone_do_not_lose_it() {
+    let mut net = region(ENTRIES, AGENTS, ZONES);
+    net.frozen.insert(agent(3));
+    net.frozen.insert(entry(6));
+    net.run_until(SOON, |net| net.all_see(Health::Down, 1));
+    net.run(SOON);
+    assert!(net.all_see(Health::Down, 1));
+    let running = net.entries.iter();
+    let mut running = running.filter(|(address, _)| **address != entry(6));
+    assert!(running.all(|(_, held)| held.status().lost_zones == 0));
+}
+
+/// Two regions of two zones with four entries and four agents each; those with
+/// odd numbers are in the first region.
+fn regions() -> Net {
+    let zone = |number: u8| ZoneId::from_be_bytes([1 + number % 2, (number / 2) % 2]);
+    let mut net = Net::default();
+    for number in 1..=8 {
+        net.add_entry(number, zone(number), 1);
+    }
+    for number in 1..=8 {
+        net.add_agent(number, zone(number), 1);
+    }
+    net.run(SOON * 2);
+    assert!(net.all_see(Health::Up, 8));
+    net
+}
+
+fn is_first_region(address: SocketAddr) -> bool {
+    matches!(address, SocketAddr::V4(address) if address.ip().octets()[3] % 2 == 1)
+}
+
+fn put(net: &mut Net, number: u8, revision: u64) {
+    let now = net.now;
+    let service = Service {
+        address: roster(),
+        revision,
+        body: Bytes::from(revision.to_string()),
+    };
+    let held = net.entries.get_mut(&entry(number)).unwrap();
+    held.put(now, service);
+}
+
+#[test]
+fn regions_apart_for_an_hour_keep_everything_and_agree_after() {
+    let mut net = regions();
+    put(&mut net, 1, 5);
+    net.run(SOON);
+    net.cut = Some(Box::new(|from, to| {
+        is_first_region(from) != is_first_region(to)
+    }));
+    net.run(Duration::from_mins(1));
+    // The targets of the other region are silent, which is half.
+    assert!(net.all_see(Health::Up, 4) && net.all_see(Health::Down, 4));
+    put(&mut net, 1, 6);
+    put(&mut net, 2, 7);
+    net.add_agent(3, 0x0201, 2);
+    net.add_agent(4, 0x0100, 2);
+    net.run(HOUR);
+    let count = |held: &member::Registry| held.service(&roster()).unwrap().targets.len();
+    assert!(net.entries.values().all(|held| count(held) == 8));
+    assert!(net.entries.values().all(|held| held.entries().count() == 8));
+    let revisions = |net: &Net| -> Vec<u64> {
+        let views = net.entries.values().map(|held| held.service(&roster()));
+        views
+            .flatten()
+            .filter_map(|view| view.config.as_ref())
+            .map(|held| held.revision)
+            .collect()
+    };
+    assert_eq!(revisions(&net), [6, 7, 6, 7, 6, 7, 6, 7]);
+    net.cut = None;
+    run_within_budget(&mut net, SOON);
+    run_within_budget(&mut net, SOON);
+    assert!(net.all_see(Health::Up, 8));
+    assert_eq!(revisions(&net), [7; 8]);
+    let digests: Vec<u64> = net.entries.values().map(member::Registry::digest).collect();
+    assert_eq!(digests, [digests[0]; 8]);
+    assert_eq!(suspicions(&net), 0);
+}
