--- /dev/null
+++ b/coordination/route/src/hunt.rs
@@ -0,0 +1,80 @@
+//! Moves an open along the first agents of its order until one takes it.
+//!
+//! Each agent on the path takes the open if it has a free slot, or notes its
+//! expected wait and passes it on. After the last, the open goes to the agent
+//! with the least wait, which takes it or refuses it at once.
+use std::time::Duration;
+
+use wire::Relay;
+use wire::frame::MAX_HOPS;
+
+/// Number of agents that an open visits before it settles.
+pub const WIDTH: usize = 3;
+
+/// What an agent can offer to an open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bid {
+    /// Whether a slot is free now.
+    pub free: bool,
+    /// Expected wait for a slot.
+    pub wait: Duration,
+}
+
+/// What an agent does with an open.
+#[allow(clippy::large_enum_variant)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Hold the flow here.
+    Take,
+    /// Send the frame on to the agent at its position.
+    Forward(Relay),
+    /// Answer the caller that nobody takes the flow.
+    Refuse,
+}
+
+/// Decides what the agent at the frame's position does with an open.
+///
+/// A frame that no honest process sends (position outside the path, waits that
+/// do not match the position) is refused.
+#[must_use]
+pub fn step(mut relay: Relay, bid: Bid) -> Step {
+    let position = usize::from(relay.position);
+    let sound = position < relay.path.len()
+        && relay.path.len() <= MAX_HOPS
+        && (relay.settle || relay.waits.len() == position);
+    match () {
+        () if !sound => Step::Refuse,
+        () if bid.free || relay.settle => Step::Take,
+        () => {
+            relay.waits.push(millis(bid.wait));
+            advance(relay)
+        }
+    }
+}
+
+fn advance(mut relay: Relay) -> Step {
+    let here = relay.position;
+    let next = usize::from(here) + 1;
+    if next < relay.path.len() {
+        relay.position = here + 1;
+        return Step::Forward(relay);
+    }
+    relay.settle = true;
+    relay.position = least(&relay.waits);
+    if relay.position == here {
+        return Step::Take;
+    }
+    Step::Forward(relay)
+}
+
+/// Index of the least wait, the first of equals.
+fn least(waits: &[u32]) -> u8 {
+    (0..)
+        .zip(waits)
+        .min_by_key(|&(_, wait)| wait)
+        .map_or(0, |(index, _)| index)
+}
+
+fn millis(wait: Duration) -> u32 {
+    u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
+}
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! Admits work to a backend server within its slots and the caller's deadline.
+//!
+//! * [`Gate`] holds the slots and the queue of one backend server.
+//! * [`Budget`] bounds retries to a share of first tries.
+//! * [`Backoff`] spaces retries.
+//!
+//! All parts are sans-IO: they own no clock or randomness.
+pub mod backoff;
+pub mod budget;
+pub mod gate;
+pub mod job;
+
+pub use backoff::Backoff;
+pub use budget::Budget;
+pub use gate::Gate;
+pub use gate::Settings;
+pub use job::Class;
+pub use job::Finish;
+pub use job::Job;
+pub use job::JobId;
+pub use job::Reason;
+pub use job::Release;
+pub use job::Verdict;
