--- /dev/null
+++ b/roles/app/src/lib.rs
@@ -0,0 +1,2 @@
+//! The parts of the `greengagelug` binary: settings, logs, metrics and roles.
+pub mod settings;
--- /dev/null
+++ b/roles/app/src/settings/agent.rs
@@ -0,0 +1,56 @@
+//! Settings of `greengagelug agent`.
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wire::ServiceAddress;
+use wire::ZoneId;
+
+use crate::settings::Keys;
+use crate::settings::Log;
+
+/// Settings of `greengagelug agent`.
+#[derive(Clone)]
+pub struct Agent {
+    /// UDP address for frames; others reach the agent here.
+    pub listen: SocketAddr,
+    /// TCP address for calls between processes.
+    pub control: SocketAddr,
+    /// Address that callers of the service send to.
+    pub service: ServiceAddress,
+    /// HTTP address of the backend server beside the agent.
+    pub backend: SocketAddr,
+    /// Availability zone of the host.
+    pub zone: ZoneId,
+    /// Requests that the backend server runs at a time.
+    pub slots: u16,
+    /// UDP addresses of entries to announce to.
+    pub seeds: Vec<SocketAddr>,
+    /// Keys shared by the processes of the installation.
+    pub keys: Keys,
+    /// Longest time that a draining backend server keeps its flows.
+    pub drain: Duration,
+    /// Longest time between SIGTERM and exit.
+    pub stop: Duration,
+    /// What is logged.
+    pub log: Log,
+}
+
+impl Default for Agent {
+    fn default() -> Self {
+        let unset = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            listen: unset,
+            control: unset,
+            service: unset,
+            backend: unset,
+            zone: 0,
+            slots: 4,
+            seeds: Vec::new(),
+            keys: Keys::default(),
+            drain: Duration::from_secs(300),
+            stop: Duration::from_secs(10),
+            log: Log::default(),
+        }
+    }
+}
--- /dev/null
+++ b/roles/app/src/settings/call.rs
@@ -0,0 +1,57 @@
+//! Settings of `greengagelug call`.
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wire::ServiceAddress;
+
+use crate::settings::Log;
+
+/// Settings of `greengagelug call`.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Address of the service.
+    pub service: ServiceAddress,
+    /// Name that the service's backend servers echo; empty to accept any.
+    pub name: String,
+    /// Local UDP address.
+    pub bind: SocketAddr,
+    /// Flows that are held open.
+    pub flows: u32,
+    /// Requests a second over all flows.
+    pub rate: u32,
+    /// How long requests are sent.
+    pub duration: Duration,
+    /// Share of requests that are idempotent, in percent.
+    pub idempotent: u8,
+    /// How long each request may take, repeats included.
+    pub deadline: Duration,
+    /// Size of a request's payload in bytes.
+    pub payload: u32,
+    /// File that the report is written to as JSON; empty for none.
+    pub output: String,
+    /// Seed of all random choices; 0 takes one from the system.
+    pub seed: u64,
+    /// What is logged.
+    pub log: Log,
+}
+
+impl Default for Call {
+    fn default() -> Self {
+        let unset = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            service: unset,
+            name: String::new(),
+            bind: unset,
+            flows: 100,
+            rate: 100,
+            duration: Duration::from_secs(10),
+            idempotent: 50,
+            deadline: Duration::from_secs(5),
+            payload: 64,
+            output: String::new(),
+            seed: 0,
+            log: Log::default(),
+        }
+    }
+}
--- /dev/null
+++ b/roles/app/src/settings/entry.rs
@@ -0,0 +1,55 @@
+//! Settings of `greengagelug entry`.
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wire::ZoneId;
+
+use crate::settings::Keys;
+use crate::settings::Log;
+
+/// Settings of `greengagelug entry`.
+#[derive(Clone)]
+pub struct Entry {
+    /// UDP address for frames and sprayed packets; others reach it here.
+    pub listen: SocketAddr,
+    /// TCP address for calls between processes.
+    pub control: SocketAddr,
+    /// TCP address of the operators' RPC (gRPC).
+    pub operator: SocketAddr,
+    /// UDP address of the fabric, which delivers replies to callers.
+    pub fabric: SocketAddr,
+    /// Availability zone of the host.
+    pub zone: ZoneId,
+    /// UDP addresses of entries to join through.
+    pub peers: Vec<SocketAddr>,
+    /// Base URL of the platform's key-value service.
+    pub store: String,
+    /// Keys shared by the processes of the installation.
+    pub keys: Keys,
+    /// Number of threads that relay packets.
+    pub threads: u16,
+    /// Longest time between SIGTERM and exit.
+    pub stop: Duration,
+    /// What is logged.
+    pub log: Log,
+}
+
+impl Default for Entry {
+    fn default() -> Self {
+        let unset = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            listen: unset,
+            control: unset,
+            operator: unset,
+            fabric: unset,
+            zone: 0,
+            peers: Vec::new(),
+            store: String::new(),
+            keys: Keys::default(),
+            threads: 1,
+            stop: Duration::from_secs(10),
+            log: Log::default(),
+        }
+    }
+}
--- /dev/null
+++ b/roles/app/src/settings/operate.rs
@@ -0,0 +1,29 @@
+//! Settings of `greengagelug operate`.
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::settings::Log;
+
+/// Settings of `greengagelug operate`.
+#[derive(Clone, Debug)]
+pub struct Operate {
+    /// Operator addresses of entries; the first that answers is used.
+    pub entries: Vec<SocketAddr>,
+    /// How long one call may take.
+    pub timeout: Duration,
+    /// The command and its arguments.
+    pub command: Vec<String>,
+    /// What is logged.
+    pub log: Log,
+}
+
+impl Default for Operate {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+            timeout: Duration::from_secs(10),
+            command: Vec::new(),
+            log: Log::default(),
+        }
+    }
+}
