--- a/coordination/route/src/order.rs
+++ b/coordination/route/src/order.rs
@@ -52,6 +52,12 @@
         self
     }
 
+    /// Finds a target by its id.
+    #[must_use]
+    pub fn target(&self, id: TargetId) -> Option<&Target> {
+        self.targets.iter().find(|target| target.id == id)
+    }
+
     /// Number of targets.
     #[must_use]
     pub fn len(&self) -> usize {
--- /dev/null
+++ b/roles/app/src/entry/traffic.rs
@@ -0,0 +1,141 @@
+//! The traffic threads of an entry: they relay datagrams and keep nothing.
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use async_channel::Sender;
+use bytes::Bytes;
+use entry::Drop;
+use entry::Router;
+use entry::Step;
+use net::Port;
+use net::port::Received;
+use wire::Frame;
+use wire::Reply;
+use wire::frame::Sprayed;
+
+/// What the traffic threads of one entry share.
+pub struct Traffic {
+    /// The port for frames.
+    pub port: Port,
+    /// Where packets for callers are sent; the fabric's return address.
+    pub fabric: SocketAddr,
+    /// The current snapshot of all services.
+    pub router: ArcSwap<Router>,
+    /// Where control messages go; they are dropped while it is full.
+    pub control: Sender<Message>,
+    /// What was done.
+    pub counters: Counters,
+}
+
+/// A control message on its way to the control thread.
+pub struct Message {
+    /// UDP address of the sender.
+    pub from: SocketAddr,
+    /// The encoded message of the membership protocol.
+    pub payload: Bytes,
+}
+
+/// Counts what the traffic threads did with datagrams, by reason.
+#[derive(Default)]
+pub struct Counters {
+    /// Packets relayed to an agent.
+    pub relayed: AtomicU64,
+    /// Packets returned to a caller.
+    pub replied: AtomicU64,
+    /// Packets that could not be read.
+    pub malformed: AtomicU64,
+    /// Packets of another version.
+    pub version: AtomicU64,
+    /// Packets whose payload is too large.
+    pub too_large: AtomicU64,
+    /// Packets that only the system sends.
+    pub direction: AtomicU64,
+    /// Packets to an address without a service.
+    pub no_service: AtomicU64,
+    /// Packets to a service without targets.
+    pub no_target: AtomicU64,
+    /// Frames that an entry does not take.
+    pub unexpected: AtomicU64,
+    /// Control messages that arrived faster than they were read.
+    pub control_full: AtomicU64,
+}
+
+impl Traffic {
+    /// Relays datagrams until the port fails.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    pub async fn run(self: Arc<Self>) -> io::Result<()> {
+        let entry = self.port.local_addr()?;
+        let mut receiver = self.port.receiver();
+        loop {
+            let received = receiver.receive().await?;
+            self.handle(received, entry);
+        }
+    }
+
+    fn handle(&self, received: Received, entry: SocketAddr) {
+        match received.frame {
+            Frame::Sprayed(sprayed) => self.relay(sprayed, entry),
+            Frame::Reply(reply) => self.reply(reply),
+            Frame::Control(payload) => self.control(received.from, payload),
+            Frame::Relay(_) | Frame::Pin(_) | Frame::Unpin(_) => {
+                count(&self.counters.unexpected);
+            }
+        }
+    }
+
+    fn relay(&self, sprayed: Sprayed, entry: SocketAddr) {
+        match self.router.load().route(sprayed, entry) {
+            Step::Relay { to, relay } => {
+                count(&self.counters.relayed);
+                self.port.send(to, &Frame::Relay(relay));
+            }
+            Step::Refuse { reply, reason } => {
+                count(self.counters.dropped(reason));
+                self.reply(reply);
+            }
+            Step::Ignore(reason) => count(self.counters.dropped(reason)),
+        }
+    }
+
+    fn reply(&self, reply: Reply) {
+        count(&self.counters.replied);
+        let sprayed = Sprayed {
+            caller: reply.caller,
+            service: reply.service,
+            packet: reply.packet,
+        };
+        self.port.send(self.fabric, &Frame::Sprayed(sprayed));
+    }
+
+    fn control(&self, from: SocketAddr, payload: Bytes) {
+        if self.control.try_send(Message { from, payload }).is_err() {
+            count(&self.counters.control_full);
+        }
+    }
+}
+
+impl Counters {
+    /// Returns the counter of a reason.
+    #[must_use]
+    pub const fn dropped(&self, reason: Drop) -> &AtomicU64 {
+        match reason {
+            Drop::Malformed => &self.malformed,
+            Drop::Version => &self.version,
+            Drop::TooLarge => &self.too_large,
+            Drop::Direction => &self.direction,
+            Drop::NoService => &self.no_service,
+            Drop::NoTarget => &self.no_target,
+        }
+    }
+}
+
+fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
--- a/roles/entry/src/service.rs
+++ b/roles/entry/src/service.rs
@@ -17,20 +17,14 @@
 }
 
 impl Service {
-    /// Builds the order of a service from its targets that are not down,
-    /// draining ones included.
+    /// Routes a service by the order of its targets.
     #[must_use]
-    pub fn new(
-        address: ServiceAddress,
-        revision: Revision,
-        hunt: usize,
-        targets: &[Target],
-    ) -> Self {
+    pub fn new(address: ServiceAddress, revision: Revision, hunt: usize, order: Order) -> Self {
         Self {
             address,
             revision,
             hunt: hunt.max(1),
-            order: Order::new(targets),
+            order,
         }
     }
 
--- a/roles/entry/tests/router.rs
+++ b/roles/entry/tests/router.rs
@@ -10,6 +10,7 @@
 use proptest::collection::vec;
 use proptest::prelude::any;
 use proptest::proptest;
+use route::Order;
 use wire::Relay;
 use wire::Target;
 use wire::TargetId;
@@ -49,12 +50,14 @@
 
 fn router(targets: &[Target]) -> Router {
     let mut router = Router::default();
-    router.insert(Service::new(address(80), 5, 3, targets));
+    router.insert(Service::new(address(80), 5, 3, Order::new(targets)));
     router
 }
 
 fn ready() -> Vec<Target> {
-    (0..TARGETS).map(|index| target(index, State::Ready)).collect()
+    (0..TARGETS)
+        .map(|index| target(index, State::Ready))
+        .collect()
 }
 
 fn send(router: &Router, packet: Bytes) -> Step {
