--- /dev/null
+++ b/roles/agent/src/view.rs
@@ -0,0 +1,43 @@
+//! What an agent knows of its service.
+use std::time::Duration;
+
+use wire::Target;
+
+/// The targets and the settings of the service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct View {
+    /// All targets of the service that have not left or are held down.
+    pub targets: Vec<Target>,
+    /// Settings by the operators.
+    pub service: Service,
+}
+
+/// Settings of a service that its agents follow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Where the requests of a flow may run.
+    pub binding: Binding,
+    /// Longest expected wait of a request that is queued.
+    pub queue_limit: Duration,
+    /// Time without a packet after which a flow is forgotten.
+    pub idle: Duration,
+}
+
+/// Where the requests of a flow may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Binding {
+    /// Only at the flow's own backend server.
+    Bound,
+    /// At any backend server of the service.
+    Independent,
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Self {
+            binding: Binding::Bound,
+            queue_limit: Duration::from_secs(1),
+            idle: Duration::from_hours(1),
+        }
+    }
+}
