--- /dev/null
+++ b/coordination/config/src/diff.rs
@@ -0,0 +1,48 @@
+//! The difference between two configurations of a service.
+use std::fmt;
+use std::fmt::Display;
+use std::fmt::Formatter;
+
+use serde_json::Value;
+
+use crate::Service;
+
+/// One field that differs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Line {
+    /// Name of the field, with its unit.
+    pub field: String,
+    /// The earlier value as JSON, empty where there was none.
+    pub before: String,
+    /// The later value as JSON.
+    pub after: String,
+}
+
+impl Display for Line {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {} -> {}", self.field, self.before, self.after)
+    }
+}
+
+/// Lists the fields of `after` that differ from `before`, leaving out the
+/// operation id.
+#[must_use]
+pub fn diff(before: Option<&Service>, after: &Service) -> Vec<Line> {
+    let before = before.map_or(Value::Null, to_value);
+    let Value::Object(fields) = to_value(after) else {
+        return Vec::new();
+    };
+    fields
+        .into_iter()
+        .filter(|(field, value)| field != "operation" && before.get(field) != Some(value))
+        .map(|(field, value)| Line {
+            before: before.get(&field).map_or_else(String::new, Value::to_string),
+            after: value.to_string(),
+            field,
+        })
+        .collect()
+}
+
+fn to_value(service: &Service) -> Value {
+    serde_json::to_value(service).unwrap_or_default()
+}
--- /dev/null
+++ b/coordination/config/src/record.rs
@@ -0,0 +1,84 @@
+//! What the platform's key-value service stores of a service.
+use serde::Deserialize;
+use serde::Serialize;
+use wire::Revision;
+use wire::ServiceAddress;
+
+use crate::OperationId;
+use crate::Problem;
+use crate::Service;
+
+/// Prefix of the keys of all services.
+pub const PREFIX: &str = "greengagelug/service/";
+
+/// Number of earlier writes that a record remembers.
+pub const MAX_HISTORY: usize = 32;
+
+/// The value stored under the key of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The configuration.
+    #[serde(flatten)]
+    pub service: Service,
+    /// Earlier writes, newest first; [`MAX_HISTORY`] at most.
+    #[serde(default)]
+    pub history: Vec<Past>,
+}
+
+/// An earlier write of a record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Past {
+    /// The change that wrote it.
+    pub operation: OperationId,
+    /// The revision that it got.
+    pub revision: Revision,
+}
+
+/// The key that a service is stored under.
+#[must_use]
+pub fn key(address: ServiceAddress) -> String {
+    format!("{PREFIX}{}/{}", address.ip(), address.port())
+}
+
+impl Record {
+    /// The record that replaces `previous`, which has revision `revision`.
+    #[must_use]
+    pub fn replace(service: Service, previous: &Self, revision: Revision) -> Self {
+        let past = Past {
+            operation: previous.service.operation.clone(),
+            revision,
+        };
+        let earlier = previous.history.iter().take(MAX_HISTORY - 1).cloned();
+        Self {
+            service,
+            history: std::iter::once(past).chain(earlier).collect(),
+        }
+    }
+
+    /// The first record of a service.
+    #[must_use]
+    pub fn create(service: Service) -> Self {
+        Self {
+            service,
+            history: Vec::new(),
+        }
+    }
+
+    /// Encodes the record as JSON.
+    ///
+    /// # Errors
+    ///
+    /// [`Problem::Malformed`] where it cannot be encoded.
+    pub fn to_json(&self) -> Result<Vec<u8>, Problem> {
+        serde_json::to_vec(self).map_err(|_| Problem::Malformed)
+    }
+
+    /// Decodes a record from JSON.
+    ///
+    /// # Errors
+    ///
+    /// [`Problem::Malformed`]; keep the configuration in force and count it.
+    pub fn from_json(json: &[u8]) -> Result<Self, Problem> {
+        serde_json::from_slice(json).map_err(|_| Problem::Malformed)
+    }
+}
--- a/protocol/api/src/lib.rs
+++ b/protocol/api/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! The operators' remote procedure calls.
+//!
+//! The types, the client and the server are generated from
+//! `proto/operator.proto`, which documents each field.
+pub mod operator {
+    //! Version 1 of the operators' interface.
+    #![allow(missing_docs, clippy::pedantic)]
+    include!("gen/greengagelug.operator.v1.rs");
+}
--- a/tools/codegen/src/main.rs
+++ b/tools/codegen/src/main.rs
@@ -13,11 +13,18 @@
     services: bool,
 }
 
-const SCHEMAS: [Schema; 1] = [Schema {
-    file: "proto/caller.proto",
-    out: "protocol/wire/src/gen",
-    services: false,
-}];
+const SCHEMAS: [Schema; 2] = [
+    Schema {
+        file: "proto/caller.proto",
+        out: "protocol/wire/src/gen",
+        services: false,
+    },
+    Schema {
+        file: "proto/operator.proto",
+        out: "protocol/api/src/gen",
+        services: true,
+    },
+];
 
 fn main() -> Result<(), Box<dyn Error>> {
     for schema in &SCHEMAS {
--- /dev/null
+++ b/transport/store/src/http.rs
@@ -0,0 +1,316 @@
+//! A client of the platform's key-value service over HTTP.
+//!
+//! Speaks the published HTTP protocol of Consul's key-value store, sessions
+//! and transactions: long polls by `index` and `wait`, compare-and-swap and
+//! session checks in one transaction.
+//!
+//! Each call takes its own connection: an idle connection that the server has
+//! closed would turn a write into one that may or may not have been applied.
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use futures_lite::future;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header::CONNECTION;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::client::conn::http1;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+use wire::Revision;
+
+use crate::Counts;
+use crate::Fault;
+use crate::Item;
+use crate::LeaseId;
+use crate::Listing;
+use crate::Store;
+use crate::Swap;
+use crate::count::Counter;
+use crate::count::Kind;
+use crate::schema;
+
+const INDEX_HEADER: &str = "x-consul-index";
+
+/// Settings of the client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// TCP address of the store.
+    pub address: SocketAddr,
+    /// Longest time to wait for an answer, beyond the wait that a watch asks for.
+    pub timeout: Duration,
+    /// Largest answer, in bytes.
+    pub max_answer_bytes: usize,
+}
+
+impl Settings {
+    /// The default settings for the store at `address`.
+    #[must_use]
+    pub const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            timeout: Duration::from_secs(2),
+            max_answer_bytes: 64 * 1024 * 1024,
+        }
+    }
+}
+
+/// A client of the store. Clones share their counts.
+#[derive(Clone, Debug)]
+pub struct Http {
+    settings: Settings,
+    counter: Arc<Counter>,
+}
+
+struct Answer {
+    status: StatusCode,
+    index: Revision,
+    body: Bytes,
+}
+
+impl Http {
+    /// Makes a client. Connects at each call only.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            counter: Arc::default(),
+        }
+    }
+
+    /// Calls made so far, by this client and its clones.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.counter.snapshot()
+    }
+
+    async fn call(
+        &self,
+        kind: Kind,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        wait: Duration,
+    ) -> Result<Answer, Fault> {
+        self.counter.call(kind);
+        let maybe_applied = method != Method::GET;
+        let expire = async {
+            Timer::after(self.settings.timeout + wait).await;
+            Err(Fault::Lost { maybe_applied })
+        };
+        let answer = self.exchange(method, path, body).or(expire).await;
+        let answer = answer.and_then(|answer| check(answer, maybe_applied));
+        if answer.is_err() {
+            self.counter.fail();
+        }
+        answer
+    }
+
+    async fn exchange(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Answer, Fault> {
+        let maybe_applied = method != Method::GET;
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.settings.address.to_string())
+            .header(CONNECTION, "close")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| Fault::Malformed)?;
+        let stream = TcpStream::connect(self.settings.address)
+            .await
+            .map_err(|_| Fault::Unreachable)?;
+        let (mut sender, connection) = http1::handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|_| Fault::Unreachable)?;
+        let limit = self.settings.max_answer_bytes;
+        let receive = async {
+            let lost = Fault::Lost { maybe_applied };
+            let response = sender.send_request(request).await.map_err(|_| lost)?;
+            let status = response.status();
+            let index = response
+                .headers()
+                .get(INDEX_HEADER)
+                .and_then(|value| value.to_str().ok()?.parse().ok())
+                .unwrap_or_default();
+            let body = Limited::new(response.into_body(), limit)
+                .collect()
+                .await
+                .map_err(|_| lost)?
+                .to_bytes();
+            Ok(Answer {
+                status,
+                index,
+                body,
+            })
+        };
+        let drive = async {
+            // The connection ends once the answer is read, or with an error
+            // that the receiving side sees as well.
+            let _ = connection.await;
+            future::pending().await
+        };
+        receive.or(drive).await
+    }
+
+    async fn read(
+        &self,
+        kind: Kind,
+        path: &str,
+        wait: Duration,
+    ) -> Result<(Vec<schema::Pair>, Revision), Fault> {
+        let answer = self
+            .call(kind, Method::GET, path, Vec::new(), wait)
+            .await?;
+        let pairs = match answer.status {
+            StatusCode::NOT_FOUND => Vec::new(),
+            _ => decode(&answer.body)?,
+        };
+        Ok((pairs, answer.index))
+    }
+
+    async fn write(&self, kind: Kind, path: &str, body: &impl Serialize) -> Result<Answer, Fault> {
+        let body = serde_json::to_vec(body).map_err(|_| Fault::Malformed)?;
+        self.call(kind, Method::PUT, path, body, Duration::ZERO)
+            .await
+    }
+}
+
+impl Store for Http {
+    async fn get(&self, key: &str) -> Result<Option<Item>, Fault> {
+        let path = format!("/v1/kv/{key}?consistent");
+        let (pairs, _) = self.read(Kind::Read, &path, Duration::ZERO).await?;
+        Ok(pairs.into_iter().next().map(item))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, Fault> {
+        let path = format!("/v1/kv/{prefix}?recurse");
+        let (pairs, index) = self.read(Kind::Read, &path, Duration::ZERO).await?;
+        Ok(listing(pairs, index))
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        since: Revision,
+        wait: Duration,
+    ) -> Result<Listing, Fault> {
+        let wait_ms = wait.as_millis();
+        let path = format!("/v1/kv/{prefix}?recurse&index={since}&wait={wait_ms}ms");
+        let _waiting = self.counter.wait();
+        // The store adds up to a sixteenth to the wait, to spread the answers.
+        let (pairs, index) = self.read(Kind::Watch, &path, wait + wait / 16).await?;
+        Ok(listing(pairs, index))
+    }
+
+    async fn swap(&self, swap: Swap) -> Result<Revision, Fault> {
+        let fenced = swap.fence.is_some();
+        let check = swap.fence.map(|fence| schema::Write {
+            verb: schema::Verb::CheckSession,
+            key: fence.key,
+            session: Some(fence.lease),
+            ..schema::Write::default()
+        });
+        let write = schema::Write {
+            verb: schema::Verb::Cas,
+            key: swap.key,
+            value: swap.value,
+            index: swap.expected,
+            session: None,
+        };
+        let operations: Vec<_> = check
+            .into_iter()
+            .chain([write])
+            .map(|kv| schema::Operation { kv })
+            .collect();
+        let answer = self.write(Kind::Write, "/v1/txn", &operations).await?;
+        let lost = Fault::Lost {
+            maybe_applied: true,
+        };
+        let transaction: schema::Transaction = decode(&answer.body).map_err(|_| lost)?;
+        let refused = transaction.errors.unwrap_or_default().into_iter().next();
+        match (answer.status, refused, transaction.results) {
+            (StatusCode::CONFLICT, Some(refused), _) if fenced && refused.op_index == 0 => {
+                Err(Fault::Lapsed)
+            }
+            (StatusCode::CONFLICT, ..) => Err(Fault::Conflict),
+            (StatusCode::OK, None, Some(results)) => results
+                .last()
+                .map(|applied| applied.kv.modify_index)
+                .ok_or(lost),
+            _ => Err(lost),
+        }
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, Fault> {
+        let session = schema::Session {
+            ttl: format!("{}ms", ttl.as_millis()),
+            behavior: "delete".to_owned(),
+            lock_delay: "0s".to_owned(),
+        };
+        let answer = self
+            .write(Kind::Lease, "/v1/session/create", &session)
+            .await?;
+        decode::<schema::Created>(&answer.body).map(|created| created.id)
+    }
+
+    async fn keep_alive(&self, lease: &LeaseId) -> Result<(), Fault> {
+        let path = format!("/v1/session/renew/{lease}");
+        let answer = self.write(Kind::Lease, &path, &()).await?;
+        match answer.status {
+            StatusCode::NOT_FOUND => Err(Fault::Lapsed),
+            _ => Ok(()),
+        }
+    }
+
+    async fn revoke(&self, lease: &LeaseId) -> Result<(), Fault> {
+        let path = format!("/v1/session/destroy/{lease}");
+        self.write(Kind::Lease, &path, &()).await.map(drop)
+    }
+
+    async fn acquire(&self, key: &str, lease: &LeaseId) -> Result<bool, Fault> {
+        let path = format!("/v1/kv/{key}?acquire={lease}");
+        let answer = self.write(Kind::Lease, &path, lease).await?;
+        decode(&answer.body)
+    }
+}
+
+fn check(answer: Answer, maybe_applied: bool) -> Result<Answer, Fault> {
+    match answer.status {
+        StatusCode::OK | StatusCode::NOT_FOUND | StatusCode::CONFLICT => Ok(answer),
+        status if status.is_server_error() => Err(Fault::Failed {
+            status: status.as_u16(),
+            maybe_applied,
+        }),
+        status => Err(Fault::Rejected {
+            status: status.as_u16(),
+        }),
+    }
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Fault> {
+    serde_json::from_slice(body).map_err(|_| Fault::Malformed)
+}
+
+fn item(pair: schema::Pair) -> Item {
+    Item {
+        key: pair.key,
+        value: pair.value.unwrap_or_default(),
+        revision: pair.modify_index,
+    }
+}
+
+fn listing(pairs: Vec<schema::Pair>, index: Revision) -> Listing {
+    Listing {
+        items: pairs.into_iter().map(item).collect(),
+        index,
+    }
+}
