Add the process shells of entry and agent

Cause: the cores own no sockets, clocks or threads. Agents call each other over tarpc, sealed with the installation's key.

--- a/protocol/wire/src/seal.rs
+++ b/protocol/wire/src/seal.rs
@@ -1,8 +1,10 @@
-//! Encodes and authenticates the datagrams between processes.
+//! Encodes and authenticates the messages between processes.
 //!
-//! A sealed datagram is a version byte, a key id, a 16-byte keyed BLAKE3 tag
-//! over all other bytes, and the frame in the `postcard` format.
+//! A sealed message is a version byte, a key id, a purpose, a 16-byte keyed
+//! BLAKE3 tag over all other bytes, and the content in the `postcard` format.
 use displaydoc::Display;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use thiserror::Error;
 
 use crate::Frame;
@@ -12,7 +14,7 @@
 
 const VERSION: u8 = 1;
 const TAG_LEN: usize = 16;
-const HEADER_LEN: usize = 2;
+const HEADER_LEN: usize = 3;
 const PREFIX_LEN: usize = HEADER_LEN + TAG_LEN;
 
 /// A key that the processes of one installation share.
@@ -24,24 +26,38 @@
     pub secret: [u8; KEY_LEN],
 }
 
-/// Seals datagrams with the first key and opens those of every key.
+/// What a sealed message is for; one purpose is never taken for another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[repr(u8)]
+pub enum Purpose {
+    /// A datagram between processes.
+    Frame,
+    /// A call between processes over TCP.
+    Call,
+    /// The answer to a call.
+    Answer,
+}
+
+/// Seals messages with the first key and opens those of every key.
 #[derive(Clone)]
 pub struct Seal {
     keys: Vec<Key>,
 }
 
-/// Why a datagram was not accepted.
+/// Why a message was not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, Error)]
 pub enum Error {
-    /// the datagram is shorter than its header; check what else sends to this port
+    /// the message is shorter than its header; check what else sends to this port
     Truncated,
-    /// the datagram's version is not supported; upgrade the older process
+    /// the message's version is not supported; upgrade the older process
     Version,
-    /// the datagram's key id is unknown; give both processes a key in common
+    /// the message has another purpose; check that the address is of the right port
+    Purpose,
+    /// the message's key id is unknown; give both processes a key in common
     UnknownKey,
-    /// the datagram's tag does not match; check that both processes have the same secret
+    /// the message's tag does not match; check that both processes have the same secret
     BadTag,
-    /// the datagram's frame cannot be read; upgrade the older process
+    /// the message's content cannot be read; upgrade the older process
     Malformed,
 }
 
@@ -61,14 +77,7 @@
     ///
     /// [`Error::Malformed`] where the frame cannot be encoded.
     pub fn seal(&self, frame: &Frame) -> Result<Vec<u8>, Error> {
-        let key = &self.keys[0];
-        let mut datagram = vec![0; PREFIX_LEN];
-        datagram[0] = VERSION;
-        datagram[1] = key.id;
-        let mut datagram = postcard::to_extend(frame, datagram).map_err(|_| Error::Malformed)?;
-        let tag = tag(key, &datagram);
-        datagram[HEADER_LEN..PREFIX_LEN].copy_from_slice(&tag);
-        Ok(datagram)
+        self.seal_as(Purpose::Frame, frame)
     }
 
     /// Checks and decodes a datagram.
@@ -77,32 +86,60 @@
     ///
     /// Any [`Error`]; the datagram is then to be dropped and counted.
     pub fn open(&self, datagram: &[u8]) -> Result<Frame, Error> {
-        if datagram.len() < PREFIX_LEN {
-            return Err(Error::Truncated);
-        }
-        if datagram[0] != VERSION {
-            return Err(Error::Version);
+        self.open_as(Purpose::Frame, datagram)
+    }
+
+    /// Encodes and signs content of any kind.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`] where the content cannot be encoded.
+    pub fn seal_as(&self, purpose: Purpose, content: &impl Serialize) -> Result<Vec<u8>, Error> {
+        let key = &self.keys[0];
+        let mut message = vec![0; PREFIX_LEN];
+        message[..HEADER_LEN].copy_from_slice(&[VERSION, key.id, purpose as u8]);
+        let mut message = postcard::to_extend(content, message).map_err(|_| Error::Malformed)?;
+        let tag = tag(key, &message);
+        message[HEADER_LEN..PREFIX_LEN].copy_from_slice(&tag);
+        Ok(message)
+    }
+
+    /// Checks and decodes content of any kind.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`]; the message is then to be dropped and counted.
+    pub fn open_as<T: DeserializeOwned>(
+        &self,
+        purpose: Purpose,
+        message: &[u8],
+    ) -> Result<T, Error> {
+        match message {
+            _ if message.len() < PREFIX_LEN => return Err(Error::Truncated),
+            _ if message[0] != VERSION => return Err(Error::Version),
+            _ if message[2] != purpose as u8 => return Err(Error::Purpose),
+            _ => {}
         }
         let key = self
             .keys
             .iter()
-            .find(|key| key.id == datagram[1])
+            .find(|key| key.id == message[1])
             .ok_or(Error::UnknownKey)?;
-        let expected = blake3::Hash::from(padded(tag(key, datagram)));
+        let expected = blake3::Hash::from(padded(tag(key, message)));
         let mut received = [0; TAG_LEN];
-        received.copy_from_slice(&datagram[HEADER_LEN..PREFIX_LEN]);
+        received.copy_from_slice(&message[HEADER_LEN..PREFIX_LEN]);
         // `blake3::Hash` compares in constant time.
         if expected != blake3::Hash::from(padded(received)) {
             return Err(Error::BadTag);
         }
-        postcard::from_bytes(&datagram[PREFIX_LEN..]).map_err(|_| Error::Malformed)
+        postcard::from_bytes(&message[PREFIX_LEN..]).map_err(|_| Error::Malformed)
     }
 }
 
-fn tag(key: &Key, datagram: &[u8]) -> [u8; TAG_LEN] {
+fn tag(key: &Key, message: &[u8]) -> [u8; TAG_LEN] {
     let mut hasher = blake3::Hasher::new_keyed(&key.secret);
-    hasher.update(&datagram[..HEADER_LEN]);
-    hasher.update(&datagram[PREFIX_LEN..]);
+    hasher.update(&message[..HEADER_LEN]);
+    hasher.update(&message[PREFIX_LEN..]);
     let mut tag = [0; TAG_LEN];
     tag.copy_from_slice(&hasher.finalize().as_bytes()[..TAG_LEN]);
     tag
--- /dev/null
+++ b/roles/app/src/agent.rs
@@ -0,0 +1,155 @@
+//! The process of `greengagelug agent`.
+//!
+//! One thread runs the agent's core and carries the traffic; the main thread
+//! runs the membership protocol and serves the calls of peers.
+pub mod control;
+pub mod peer;
+pub mod worker;
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::time::Instant;
+
+use ::agent::Agent;
+use ::agent::Event;
+use ::agent::Status;
+use async_channel::Sender;
+use member::Announcer;
+use net::Port;
+use net::backend;
+use smol::net::TcpListener;
+use wire::Target;
+use wire::id::target_id;
+use wire::target::State;
+
+use crate::clock;
+use crate::settings;
+use crate::signal;
+
+/// Control messages that wait for the control thread.
+const CONTROL_QUEUE: usize = 4096;
+
+/// Capacity that is announced until it has been learned, in requests a second
+/// for each slot.
+const INITIAL_WEIGHT_PER_SLOT: u32 = 20;
+
+/// What the traffic thread is told by other threads and tasks.
+pub enum Input {
+    /// Something for the core.
+    Event(Event),
+    /// A peer calls.
+    Call {
+        /// What is asked.
+        call: peer::Call,
+        /// Where the answer goes.
+        reply: Sender<peer::Answer>,
+    },
+    /// The counters are asked for.
+    Status(Sender<Status>),
+}
+
+impl From<Event> for Input {
+    fn from(event: Event) -> Self {
+        Self::Event(event)
+    }
+}
+
+/// Runs the agent until it has stopped.
+///
+/// # Errors
+///
+/// The operating system's error where an address cannot be bound.
+pub fn run(settings: &settings::Agent) -> io::Result<()> {
+    smol::block_on(start(settings))
+}
+
+async fn start(settings: &settings::Agent) -> io::Result<()> {
+    let origin = Instant::now();
+    let seal = Arc::new(settings.keys.seal());
+    let port = Port::bind(settings.listen, Arc::clone(&seal))?;
+    let listener = TcpListener::bind(settings.control).await?;
+    let target = target(settings);
+    let (inputs_sender, inputs) = async_channel::unbounded();
+    let (control_sender, control_inputs) = async_channel::bounded(CONTROL_QUEUE);
+
+    smol::spawn(peer::serve(
+        listener,
+        Arc::clone(&seal),
+        inputs_sender.clone(),
+    ))
+    .detach();
+    smol::spawn(stop_on_signal(inputs_sender.clone())).detach();
+
+    let control = control::Control {
+        announcer: Announcer::new(
+            member::Settings::default(),
+            target.clone(),
+            settings.seeds.clone(),
+            fastrand::u64(..),
+            origin.elapsed(),
+        ),
+        origin,
+        port: port.clone(),
+        target: target.id,
+        inputs: control_inputs,
+        worker: inputs_sender.clone(),
+        drained: false,
+    };
+    let core = Agent::new(
+        ::agent::Settings {
+            stop: settings.stop,
+            drain: settings.drain,
+            ..::agent::Settings::default()
+        },
+        target,
+        fastrand::u64(..),
+        origin.elapsed(),
+    );
+    let worker = worker::Worker {
+        core,
+        origin,
+        port,
+        backend: backend::Client::new(settings.backend, config::service::MAX_ANSWER_BYTES as usize),
+        peers: peer::Pool::new(seal),
+        inputs,
+        inputs_sender,
+        control: control_sender.clone(),
+    };
+    let traffic = thread::Builder::new()
+        .name("traffic".to_string())
+        .spawn(move || {
+            let result = smol::block_on(worker::run(worker));
+            let _ = control_sender.send_blocking(control::Input::Leave);
+            result
+        })?;
+    control.run().await;
+    traffic.join().unwrap_or(Ok(()))
+}
+
+fn target(settings: &settings::Agent) -> Target {
+    Target {
+        id: target_id(settings.service, settings.backend),
+        service: settings.service,
+        address: settings.listen,
+        control: settings.control,
+        zone: settings.zone,
+        incarnation: clock::incarnation(),
+        version: 0,
+        weight: u32::from(settings.slots) * INITIAL_WEIGHT_PER_SLOT,
+        slots: settings.slots,
+        state: State::Ready,
+    }
+}
+
+/// Turns SIGTERM and SIGINT into a stop, SIGHUP into a replacement.
+async fn stop_on_signal(inputs: Sender<Input>) {
+    let signals = signal::watch();
+    while let Ok(signal) = signals.recv().await {
+        let event = match signal {
+            signal::Signal::Stop => Event::Stop,
+            signal::Signal::Replace => Event::Replace,
+        };
+        let _ = inputs.send(event.into()).await;
+    }
+}
--- /dev/null
+++ b/roles/app/src/agent/control.rs
@@ -0,0 +1,146 @@
+//! The control thread of an agent: announces the backend server and follows
+//! its service.
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use ::agent::Event;
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_io::Timer;
+use bytes::Bytes;
+use config::Binding;
+use futures_lite::FutureExt;
+use member::Action;
+use member::Announcer;
+use member::Message;
+use member::announcer::Change;
+use net::Port;
+use wire::Frame;
+use wire::TargetId;
+use wire::target::State;
+
+use crate::agent;
+use crate::directory;
+
+/// Longest sleep while nothing is due.
+const IDLE: Duration = Duration::from_millis(250);
+
+/// What the control thread is told.
+pub enum Input {
+    /// A message of the membership protocol arrived.
+    Message {
+        /// UDP address of the sender.
+        from: SocketAddr,
+        /// The encoded message.
+        payload: Bytes,
+    },
+    /// The announcement changes.
+    Announce {
+        /// Whether the backend server takes new flows.
+        state: State,
+        /// Learned capacity, as in [`wire::Target::weight`].
+        weight: u32,
+    },
+    /// The agent has nothing left to do; the backend server stays.
+    Exit,
+    /// The agent has nothing left to do; the backend server leaves for good.
+    Leave,
+}
+
+/// What the control thread works with.
+pub struct Control {
+    /// The membership protocol.
+    pub announcer: Announcer,
+    /// Origin of the time.
+    pub origin: Instant,
+    /// The port for frames, shared with the traffic thread.
+    pub port: Port,
+    /// The backend server that this agent announces.
+    pub target: TargetId,
+    /// What arrives from the traffic thread.
+    pub inputs: Receiver<Input>,
+    /// The traffic thread.
+    pub worker: Sender<agent::Input>,
+    /// Whether the operators drain the target, as last told to the core.
+    pub drained: bool,
+}
+
+impl Control {
+    /// Runs until the process is to end.
+    pub async fn run(mut self) {
+        let mut actions = Vec::new();
+        loop {
+            let now = self.origin.elapsed();
+            match self.next(now).await {
+                Some(Input::Message { from, payload }) => {
+                    if let Ok(message) = Message::decode(&payload) {
+                        let now = self.origin.elapsed();
+                        self.announcer.handle(now, from, message, &mut actions);
+                    }
+                }
+                Some(Input::Announce { state, weight }) => {
+                    self.announcer.announce(now, Change { weight, state });
+                }
+                Some(Input::Leave) => self.announcer.leave(now),
+                Some(Input::Exit) => return,
+                None => {}
+            }
+            self.announcer.tick(self.origin.elapsed(), &mut actions);
+            self.send(&mut actions);
+            if self.announcer.changed() {
+                self.publish().await;
+            }
+            if self.announcer.finished() {
+                return;
+            }
+        }
+    }
+
+    async fn next(&self, now: Duration) -> Option<Input> {
+        let due = self.announcer.next_deadline().min(now + IDLE);
+        let tick = async {
+            Timer::at(self.origin + due).await;
+            None
+        };
+        let input = async { self.inputs.recv().await.ok() };
+        input.or(tick).await
+    }
+
+    fn send(&self, actions: &mut Vec<Action>) {
+        for action in actions.drain(..) {
+            let Action::Send { to, message } = action;
+            if let Ok(payload) = message.encode() {
+                self.port.send(to, &Frame::Control(payload));
+            }
+        }
+    }
+
+    /// Tells the core what has changed of its service.
+    async fn publish(&mut self) {
+        let view = self.announcer.view();
+        let Some(service) = directory::service(view) else {
+            return;
+        };
+        let targets = directory::targets(view, &service);
+        let drained = targets
+            .iter()
+            .any(|target| target.id == self.target && service.is_drained(target.id, target.zone));
+        let view = ::agent::View {
+            targets,
+            service: ::agent::view::Service {
+                binding: match service.binding {
+                    Binding::Bound => ::agent::view::Binding::Bound,
+                    Binding::Independent => ::agent::view::Binding::Independent,
+                },
+                queue_limit: service.queue_limit,
+                idle: service.idle_timeout,
+            },
+        };
+        let _ = self.worker.send(Event::View(view).into()).await;
+        if drained && !self.drained {
+            let _ = self.worker.send(Event::Drain.into()).await;
+        }
+        self.drained = drained;
+    }
+}
--- /dev/null
+++ b/roles/app/src/agent/peer.rs
@@ -0,0 +1,209 @@
+//! Calls between agents of a service, over `tarpc`.
+//!
+//! The content of a call is sealed, so that a process without the
+//! installation's key can neither offer work nor claim a parked state.
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use agent::Offer;
+use agent::Outcome;
+use agent::offer;
+use agent::park;
+use async_channel::Sender;
+use async_compat::Compat;
+use async_compat::CompatExt;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use futures_lite::StreamExt;
+use serde::Deserialize;
+use serde::Serialize;
+use smol::lock::Mutex;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+use tarpc::client::RpcError;
+use tarpc::context::Context;
+use tarpc::serde_transport;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use wire::Seal;
+use wire::seal::Purpose;
+
+use crate::agent::Input;
+
+/// Longest wait for a connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What one agent asks of another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Call {
+    /// Run a single request.
+    Offer(Offer),
+    /// Withdraw a request that was offered.
+    Withdraw(offer::Id),
+    /// Keep a part of the caller's state.
+    Park(park::Part),
+    /// Give back a part that a predecessor of the caller parked.
+    Claim(park::Claim),
+}
+
+/// What the other agent answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Answer {
+    /// What became of an offer.
+    Offer(Outcome),
+    /// A withdrawal was noted.
+    Withdrawn,
+    /// Whether a part is kept.
+    Parked(bool),
+    /// A part, or none.
+    Claimed(park::Grant),
+}
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The call was not sent.
+    Unsent,
+    /// The call was sent; whether it was carried out is unknown.
+    Lost,
+}
+
+/// Calls that agents make on each other.
+#[tarpc::service]
+trait Peer {
+    /// Carries out a sealed [`Call`] and returns a sealed [`Answer`], or nothing
+    /// where the call cannot be authenticated.
+    async fn call(sealed: Vec<u8>) -> Vec<u8>;
+}
+
+type Clients = Mutex<HashMap<SocketAddr, PeerClient>>;
+
+/// Opens connections to peers and keeps them while they last.
+pub struct Pool {
+    seal: Arc<Seal>,
+    clients: Arc<Clients>,
+}
+
+impl Pool {
+    /// Starts without connections.
+    #[must_use]
+    pub fn new(seal: Arc<Seal>) -> Self {
+        Self {
+            seal,
+            clients: Arc::default(),
+        }
+    }
+
+    /// Calls the peer at `to` and waits for `timeout` at most.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] that says whether the call may have been carried out.
+    pub async fn call(
+        &self,
+        to: SocketAddr,
+        call: &Call,
+        timeout: Duration,
+    ) -> Result<Answer, Failure> {
+        let sealed = self
+            .seal
+            .seal_as(Purpose::Call, call)
+            .map_err(|_| Failure::Unsent)?;
+        let client = self.client(to).await.ok_or(Failure::Unsent)?;
+        let mut context = Context::current();
+        context.deadline = Instant::now() + timeout;
+        let result = Compat::new(client.call(context, sealed)).await;
+        match result {
+            Ok(answer) => self
+                .seal
+                .open_as(Purpose::Answer, &answer)
+                .map_err(|_| Failure::Lost),
+            Err(RpcError::Send(_)) => Err(Failure::Unsent),
+            Err(_) => Err(Failure::Lost),
+        }
+    }
+
+    async fn client(&self, to: SocketAddr) -> Option<PeerClient> {
+        let mut clients = self.clients.lock().await;
+        if let Some(client) = clients.get(&to) {
+            return Some(client.clone());
+        }
+        let client = self.connect(to).await?;
+        clients.insert(to, client.clone());
+        Some(client)
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Option<PeerClient> {
+        let timeout = async {
+            Timer::after(CONNECT_TIMEOUT).await;
+            Err(std::io::ErrorKind::TimedOut.into())
+        };
+        let stream = TcpStream::connect(to).or(timeout).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let framed = LengthDelimitedCodec::builder().new_framed(stream.compat());
+        let transport = serde_transport::new(framed, Bincode::default());
+        let client = PeerClient::new(tarpc::client::Config::default(), transport);
+        let clients = Arc::clone(&self.clients);
+        smol::spawn(Compat::new(async move {
+            let _ = client.dispatch.await;
+            clients.lock().await.remove(&to);
+        }))
+        .detach();
+        Some(client.client)
+    }
+}
+
+#[derive(Clone)]
+struct Server {
+    seal: Arc<Seal>,
+    inputs: Sender<Input>,
+}
+
+impl Server {
+    /// Hands a call to the agent's core and waits for its answer; `None` where
+    /// this process is about to exit.
+    async fn handle(&self, call: Call) -> Option<Answer> {
+        let (reply, answer) = async_channel::bounded(1);
+        self.inputs.send(Input::Call { call, reply }).await.ok()?;
+        answer.recv().await.ok()
+    }
+}
+
+impl Peer for Server {
+    async fn call(self, _: Context, sealed: Vec<u8>) -> Vec<u8> {
+        let Ok(call) = self.seal.open_as(Purpose::Call, &sealed) else {
+            return Vec::new();
+        };
+        match self.handle(call).await {
+            Some(answer) => self
+                .seal
+                .seal_as(Purpose::Answer, &answer)
+                .unwrap_or_default(),
+            None => Vec::new(),
+        }
+    }
+}
+
+/// Serves the calls of peers until the listener fails.
+pub async fn serve(listener: TcpListener, seal: Arc<Seal>, inputs: Sender<Input>) {
+    let server = Server { seal, inputs };
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let server = server.clone();
+        smol::spawn(Compat::new(async move {
+            let framed = LengthDelimitedCodec::builder().new_framed(stream.compat());
+            let transport = serde_transport::new(framed, Bincode::default());
+            let calls = BaseChannel::with_defaults(transport).execute(server.serve());
+            let mut calls = std::pin::pin!(calls);
+            while let Some(call) = calls.next().await {
+                smol::spawn(Compat::new(call)).detach();
+            }
+        }))
+        .detach();
+    }
+}
--- /dev/null
+++ b/roles/app/src/directory.rs
@@ -0,0 +1,34 @@
+//! What a process acts on, out of what the membership protocol knows.
+use config::Service;
+use member::Health;
+use member::View;
+use wire::Target;
+use wire::target::State;
+
+/// Returns the configuration of a service, or `None` where none is known, it
+/// cannot be read, or the service was deleted.
+#[must_use]
+pub fn service(view: &View) -> Option<Service> {
+    let record = view.config.as_ref()?;
+    let service = Service::from_bytes(&record.body).ok()?;
+    service.is_active().then_some(service)
+}
+
+/// Returns the targets that may hold flows: those that have not left and are
+/// not held down. Targets that the operators drain count as draining.
+#[must_use]
+pub fn targets(view: &View, service: &Service) -> Vec<Target> {
+    view.targets
+        .values()
+        .filter(|member| member.health != Health::Down)
+        .filter(|member| member.target.state != State::Left)
+        .map(|member| drained(member.target.clone(), service))
+        .collect()
+}
+
+fn drained(mut target: Target, service: &Service) -> Target {
+    if service.is_drained(target.id, target.zone) {
+        target.state = State::Draining;
+    }
+    target
+}
--- /dev/null
+++ b/roles/app/src/entry/control.rs
@@ -0,0 +1,166 @@
+//! The control thread of an entry.
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use ::entry::Service;
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use member::Action;
+use member::Message;
+use member::Registry;
+use net::Port;
+use route::Order;
+use store::follow::Update;
+use wire::Frame;
+use wire::ServiceAddress;
+
+use crate::directory;
+use crate::entry::traffic::Traffic;
+use crate::settings;
+
+/// Longest sleep while nothing is due.
+const IDLE: Duration = Duration::from_millis(250);
+
+/// What the control thread is told.
+pub enum Input {
+    /// A message of the membership protocol arrived.
+    Message {
+        /// UDP address of the sender.
+        from: SocketAddr,
+        /// The encoded message.
+        payload: Bytes,
+    },
+    /// The store has a configuration.
+    Update(Update),
+}
+
+/// What the control thread works with.
+pub struct Control {
+    /// The membership protocol.
+    pub registry: Registry,
+    /// Origin of the time.
+    pub origin: Instant,
+    /// The port for frames, shared with the traffic threads.
+    pub port: Port,
+    /// What the traffic threads share.
+    pub traffic: Arc<Traffic>,
+    /// What arrives from other threads and tasks.
+    pub inputs: Receiver<Input>,
+    /// The sending end of `inputs`.
+    pub inputs_sender: Sender<Input>,
+}
+
+impl Control {
+    /// Runs until `stopped` is ready.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error where the operators' port cannot be bound.
+    pub async fn run(
+        mut self,
+        settings: &settings::Entry,
+        stopped: impl Future<Output = ()>,
+    ) -> io::Result<()> {
+        self.follow(settings);
+        let turns = async {
+            let mut actions = Vec::new();
+            loop {
+                self.turn(&mut actions).await;
+            }
+        };
+        turns.or(stopped).await;
+        Ok(())
+    }
+
+    /// Follows the configuration in the platform's store.
+    fn follow(&self, settings: &settings::Entry) {
+        let Ok(store) = store::Http::new(&settings.store) else {
+            return;
+        };
+        let (sender, updates) = async_channel::bounded(1);
+        smol::spawn(store::follow::run(store, sender)).detach();
+        let inputs = self.inputs_sender.clone();
+        smol::spawn(async move {
+            while let Ok(update) = updates.recv().await {
+                let _ = inputs.send(Input::Update(update)).await;
+            }
+        })
+        .detach();
+    }
+
+    async fn turn(&mut self, actions: &mut Vec<Action>) {
+        let input = self.next().await;
+        let now = self.origin.elapsed();
+        match input {
+            Some(Input::Message { from, payload }) => {
+                if let Ok(message) = Message::decode(&payload) {
+                    self.registry.handle(now, from, message, actions);
+                }
+            }
+            Some(Input::Update(update)) => self.put(now, &update),
+            None => {}
+        }
+        self.registry.tick(now, actions);
+        for action in actions.drain(..) {
+            let Action::Send { to, message } = action;
+            if let Ok(payload) = message.encode() {
+                self.port.send(to, &Frame::Control(payload));
+            }
+        }
+        let changes = self.registry.changes();
+        if !changes.is_empty() {
+            self.rebuild(&changes);
+        }
+    }
+
+    async fn next(&self) -> Option<Input> {
+        let now = self.origin.elapsed();
+        let due = self.registry.next_deadline().min(now + IDLE);
+        let tick = async {
+            Timer::at(self.origin + due).await;
+            None
+        };
+        let input = async { self.inputs.recv().await.ok() };
+        input.or(tick).await
+    }
+
+    fn put(&mut self, now: Duration, update: &Update) {
+        let Ok(body) = update.service.to_bytes() else {
+            return;
+        };
+        let service = member::Service {
+            address: update.service.address,
+            revision: update.revision,
+            body: body.into(),
+        };
+        self.registry.put(now, service);
+    }
+
+    /// Replaces the routes of the services that changed.
+    fn rebuild(&self, changes: &[ServiceAddress]) {
+        let mut router = self.traffic.router.load().as_ref().clone();
+        for address in changes {
+            match self.route(*address) {
+                Some(service) => router.insert(service),
+                None => router.remove(*address),
+            }
+        }
+        self.traffic.router.store(Arc::new(router));
+    }
+
+    fn route(&self, address: ServiceAddress) -> Option<Service> {
+        let view = self.registry.service(&address)?;
+        let service = directory::service(view)?;
+        let targets = directory::targets(view, &service);
+        let revision = view.config.as_ref().map_or(0, |config| config.revision);
+        let hunt = usize::from(service.hunt);
+        Some(Service::new(address, revision, hunt, Order::new(&targets)))
+    }
+}
--- a/roles/app/src/entry/traffic.rs
+++ b/roles/app/src/entry/traffic.rs
@@ -8,15 +8,17 @@
 use arc_swap::ArcSwap;
 use async_channel::Sender;
 use bytes::Bytes;
-use entry::Drop;
-use entry::Router;
-use entry::Step;
+use ::entry::Drop;
+use ::entry::Router;
+use ::entry::Step;
 use net::Port;
 use net::port::Received;
 use wire::Frame;
 use wire::Reply;
 use wire::frame::Sprayed;
 
+use crate::entry::control::Input;
+
 /// What the traffic threads of one entry share.
 pub struct Traffic {
     /// The port for frames.
@@ -26,19 +28,11 @@
     /// The current snapshot of all services.
     pub router: ArcSwap<Router>,
     /// Where control messages go; they are dropped while it is full.
-    pub control: Sender<Message>,
+    pub control: Sender<Input>,
     /// What was done.
     pub counters: Counters,
 }
 
-/// A control message on its way to the control thread.
-pub struct Message {
-    /// UDP address of the sender.
-    pub from: SocketAddr,
-    /// The encoded message of the membership protocol.
-    pub payload: Bytes,
-}
-
 /// Counts what the traffic threads did with datagrams, by reason.
 #[derive(Default)]
 pub struct Counters {
@@ -115,7 +109,7 @@
     }
 
     fn control(&self, from: SocketAddr, payload: Bytes) {
-        if self.control.try_send(Message { from, payload }).is_err() {
+        if self.control.try_send(Input::Message { from, payload }).is_err() {
             count(&self.counters.control_full);
         }
     }
--- a/transport/net/src/port.rs
+++ b/transport/net/src/port.rs
@@ -43,6 +43,8 @@
     pub truncated: AtomicU64,
     /// Datagrams of another version.
     pub version: AtomicU64,
+    /// Datagrams of another purpose.
+    pub purpose: AtomicU64,
     /// Datagrams under a key that is not configured.
     pub unknown_key: AtomicU64,
     /// Datagrams whose tag did not match.
@@ -127,6 +129,7 @@
         match error {
             wire::seal::Error::Truncated => &self.counters.truncated,
             wire::seal::Error::Version => &self.counters.version,
+            wire::seal::Error::Purpose => &self.counters.purpose,
             wire::seal::Error::UnknownKey => &self.counters.unknown_key,
             wire::seal::Error::BadTag => &self.counters.bad_tag,
             wire::seal::Error::Malformed => &self.counters.malformed,
