Add the operators' change as a state machine, with server and client

A change reads, writes by compare-and-swap and reads back after a lost answer. The record remembers the last 8 operations, so that a write is recognised also where somebody else has written since.

--- /dev/null
+++ b/coordination/config/src/change.rs
@@ -0,0 +1,374 @@
+//! An operator's change of one service, as a compare-and-swap on the revision
+//! that the operator read.
+//!
+//! The stored record names the operation that wrote it and the last few before
+//! it. A write whose answer was lost is thereby recognised on reading back, also
+//! where somebody else has written since.
+use std::time::Duration;
+
+use wire::Revision;
+use wire::ServiceAddress;
+
+use crate::Drained;
+use crate::Fault;
+use crate::Item;
+use crate::OperationId;
+use crate::Problem;
+use crate::Record;
+use crate::Service;
+use crate::State;
+use crate::diff::Line;
+use crate::diff::diff;
+use crate::jitter::jitter;
+use crate::record::key;
+
+/// Most writes, and most reads after a write, that one change makes.
+const MAX_TRIES: u8 = 3;
+
+/// Shortest time that a client is told to wait before it tries again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The service.
+    pub address: ServiceAddress,
+    /// What to do with it.
+    pub edit: Edit,
+    /// The revision that the operator read, 0 for a new service; `None` for
+    /// whatever the store has now.
+    pub expected: Option<Revision>,
+    /// Names the change; the same on each retry.
+    pub operation: OperationId,
+    /// Check only.
+    pub dry_run: bool,
+    /// Whether an earlier attempt of this operation may have been applied.
+    pub retry: bool,
+}
+
+/// What to do with a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Edit {
+    /// Creates the service, also where it was deleted.
+    Create(Service),
+    /// Replaces its configuration.
+    Update(Service),
+    /// Deletes it.
+    Delete,
+    /// Adds to what is drained.
+    Drain(Drained),
+    /// Takes away from what is drained.
+    Undrain(Drained),
+}
+
+/// What to do next with the service's key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Read the key, and answer with [`Change::on_read`].
+    Read {
+        /// The key.
+        key: String,
+    },
+    /// Compare and swap the key, and answer with [`Change::on_written`].
+    Write {
+        /// The key.
+        key: String,
+        /// The new value.
+        value: Vec<u8>,
+        /// Revision that the key must still have; 0 where it must not exist.
+        expected: Revision,
+    },
+    /// The change is over.
+    Done(Outcome),
+}
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is stored.
+    Accepted {
+        /// The revision that it got.
+        revision: Revision,
+        /// The revision that has replaced it since.
+        replaced_by: Option<Revision>,
+        /// What it changed; empty where an earlier attempt wrote it.
+        differences: Vec<Line>,
+    },
+    /// The dry run found no fault.
+    Checked {
+        /// The revision that would be replaced, 0 for a new service.
+        revision: Revision,
+        /// What would change.
+        differences: Vec<Line>,
+    },
+    /// Another change was first.
+    Conflict {
+        /// The revision in the store.
+        winner: Revision,
+        /// The operation that wrote it.
+        operation: OperationId,
+        /// What became of this change.
+        effect: Effect,
+    },
+    /// The request is wrong.
+    Invalid(Vec<Problem>),
+    /// The store did not answer.
+    Unavailable {
+        /// Why.
+        fault: Fault,
+        /// What became of this change.
+        effect: Effect,
+        /// Time to wait before another try.
+        retry_after: Duration,
+    },
+}
+
+/// What became of a change that is not known to be stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Effect {
+    /// Nothing was applied, and nothing will be.
+    NotApplied,
+    /// It may have been applied, or may yet be; a retry with the same
+    /// operation id tells.
+    Unknown,
+}
+
+/// The state of a change.
+#[derive(Clone, Debug)]
+pub struct Change {
+    request: Request,
+    seed: u64,
+    stage: Stage,
+    /// Whether some write of this operation may have been applied.
+    uncertain: bool,
+    writes: u8,
+    reads_back: u8,
+}
+
+#[derive(Clone, Debug)]
+enum Stage {
+    Reading,
+    Writing(Draft),
+    ReadingBack(Draft, Fault),
+}
+
+/// A checked write.
+#[derive(Clone, Debug)]
+struct Draft {
+    value: Vec<u8>,
+    base: Revision,
+    differences: Vec<Line>,
+}
+
+impl Change {
+    /// Begins a change; `seed` spreads the time to come back.
+    #[must_use]
+    pub fn new(request: Request, seed: u64) -> Self {
+        Self {
+            uncertain: request.retry,
+            request,
+            seed,
+            stage: Stage::Reading,
+            writes: 0,
+            reads_back: 0,
+        }
+    }
+
+    /// The first action.
+    #[must_use]
+    pub fn start(&self) -> Action {
+        self.read()
+    }
+
+    /// Takes the answer to [`Action::Read`].
+    pub fn on_read(&mut self, answer: Result<Option<Item>, Fault>) -> Action {
+        let item = match answer {
+            Ok(item) => item,
+            Err(fault) => return self.unavailable(fault),
+        };
+        let found = match item.map(Found::read).transpose() {
+            Ok(found) => found.unwrap_or_default(),
+            Err(problem) => return Action::Done(Outcome::Invalid(vec![problem])),
+        };
+        if let Some(outcome) = self.earlier(&found) {
+            return Action::Done(outcome);
+        }
+        match self.stage.clone() {
+            Stage::Reading | Stage::Writing(_) => self.draft(&found),
+            Stage::ReadingBack(draft, fault) => self.after_read_back(draft, fault, &found),
+        }
+    }
+
+    /// Takes the answer to [`Action::Write`].
+    pub fn on_written(&mut self, answer: Result<Revision, Fault>) -> Action {
+        let Stage::Writing(draft) = self.stage.clone() else {
+            return self.read();
+        };
+        match answer {
+            Ok(revision) => Action::Done(Outcome::Accepted {
+                revision,
+                replaced_by: None,
+                differences: draft.differences,
+            }),
+            Err(fault) if fault == Fault::Conflict || fault.maybe_applied() => {
+                self.uncertain |= fault.maybe_applied();
+                self.stage = Stage::ReadingBack(draft, fault);
+                self.read()
+            }
+            Err(fault) => self.unavailable(fault),
+        }
+    }
+
+    /// Recognises a write of this operation.
+    fn earlier(&self, found: &Found) -> Option<Outcome> {
+        let record = found.record.as_ref()?;
+        let revision = record.find(&self.request.operation, found.revision)?;
+        Some(Outcome::Accepted {
+            revision,
+            replaced_by: Some(found.revision).filter(|now| *now != revision),
+            differences: Vec::new(),
+        })
+    }
+
+    /// Checks the change against what is stored, and writes it.
+    fn draft(&mut self, found: &Found) -> Action {
+        let base = self.request.expected.unwrap_or(found.revision);
+        if base != found.revision {
+            return self.conflict(base, found);
+        }
+        let before = found.record.as_ref().map(|record| &record.service);
+        let after = match self.edit(before) {
+            Ok(service) => service,
+            Err(problems) => return Action::Done(Outcome::Invalid(problems)),
+        };
+        let differences = diff(before, &after);
+        if self.request.dry_run {
+            return Action::Done(Outcome::Checked {
+                revision: base,
+                differences,
+            });
+        }
+        let record = match &found.record {
+            Some(previous) => Record::replace(after, previous, base),
+            None => Record::create(after),
+        };
+        match record.to_json() {
+            Ok(value) => self.write(Draft {
+                value,
+                base,
+                differences,
+            }),
+            Err(problem) => Action::Done(Outcome::Invalid(vec![problem])),
+        }
+    }
+
+    fn edit(&self, before: Option<&Service>) -> Result<Service, Vec<Problem>> {
+        let active = before.filter(|service| service.is_active());
+        let mut service = match (&self.request.edit, active) {
+            (Edit::Create(_), Some(_)) => return Err(vec![Problem::Exists]),
+            (Edit::Create(service), None) | (Edit::Update(service), Some(_)) => service.clone(),
+            (_, None) => return Err(vec![Problem::Missing]),
+            (Edit::Delete, Some(before)) => Service {
+                state: State::Deleted,
+                ..before.clone()
+            },
+            (Edit::Drain(subject), Some(before)) => {
+                let mut service = before.clone();
+                service.drained.insert(*subject);
+                service
+            }
+            (Edit::Undrain(subject), Some(before)) => {
+                let mut service = before.clone();
+                service.drained.remove(subject);
+                service
+            }
+        };
+        service.address = self.request.address;
+        service.operation.clone_from(&self.request.operation);
+        service.check().map(|()| service)
+    }
+
+    /// Decides after a write that failed, with what the store has now.
+    fn after_read_back(&mut self, draft: Draft, fault: Fault, found: &Found) -> Action {
+        self.reads_back += 1;
+        match found.revision {
+            revision if revision > draft.base => self.conflict(draft.base, found),
+            _ if self.reads_back >= MAX_TRIES || self.writes >= MAX_TRIES => {
+                self.unavailable(fault)
+            }
+            revision if revision == draft.base && fault != Fault::Conflict => self.write(draft),
+            // The read was stale.
+            _ => self.read(),
+        }
+    }
+
+    fn conflict(&self, base: Revision, found: &Found) -> Action {
+        let covered = found
+            .record
+            .as_ref()
+            .is_none_or(|record| record.covers(base, found.revision));
+        // A read older than the base says nothing of what came after it.
+        let hidden = !covered || found.revision < base;
+        let effect = match hidden {
+            true if self.uncertain => Effect::Unknown,
+            _ => Effect::NotApplied,
+        };
+        Action::Done(Outcome::Conflict {
+            winner: found.revision,
+            operation: found.operation(),
+            effect,
+        })
+    }
+
+    fn unavailable(&self, fault: Fault) -> Action {
+        let effect = match self.uncertain {
+            true => Effect::Unknown,
+            false => Effect::NotApplied,
+        };
+        Action::Done(Outcome::Unavailable {
+            fault,
+            effect,
+            retry_after: RETRY_AFTER + jitter(self.seed, RETRY_AFTER),
+        })
+    }
+
+    fn read(&self) -> Action {
+        Action::Read {
+            key: key(self.request.address),
+        }
+    }
+
+    fn write(&mut self, draft: Draft) -> Action {
+        self.writes += 1;
+        let action = Action::Write {
+            key: key(self.request.address),
+            value: draft.value.clone(),
+            expected: draft.base,
+        };
+        self.stage = Stage::Writing(draft);
+        action
+    }
+}
+
+/// What the store has under the key; revision 0 where nothing.
+#[derive(Debug, Default)]
+struct Found {
+    record: Option<Record>,
+    revision: Revision,
+}
+
+impl Found {
+    fn read(item: Item) -> Result<Self, Problem> {
+        Ok(Self {
+            record: Some(Record::from_json(&item.value)?),
+            revision: item.revision,
+        })
+    }
+
+    fn operation(&self) -> OperationId {
+        self.record
+            .as_ref()
+            .map(|record| record.service.operation.clone())
+            .unwrap_or_default()
+    }
+}
--- a/coordination/config/src/lib.rs
+++ b/coordination/config/src/lib.rs
@@ -2,14 +2,18 @@
 //!
 //! * [`Service`] is the configuration of one service, with its checks and codecs.
 //! * [`Record`] is what the platform's key-value service stores of it.
+//! * [`Change`] decides about an operator's change.
 //! * [`Item`], [`Listing`] and [`Fault`] are the answers of that service.
+pub mod change;
 pub mod diff;
 pub mod fault;
 pub mod item;
+pub mod jitter;
 pub mod problem;
 pub mod record;
 pub mod service;
 
+pub use change::Change;
 pub use fault::Fault;
 pub use item::Item;
 pub use item::LeaseId;
--- a/coordination/config/src/problem.rs
+++ b/coordination/config/src/problem.rs
@@ -29,6 +29,16 @@
     Drained,
     /// operation is not 1 to 64 printable ASCII characters without spaces; choose a new random id
     Operation,
+    /// the service exists already; update it, or choose another address
+    Exists,
+    /// no such service exists; create it first
+    Missing,
+    /// no change is named; give one of create, update and delete
+    NoChange,
+    /// the address cannot be read; write it as 192.0.2.1:5000 or [2001:db8::1]:5000
+    Address,
+    /// the subject of the drain is missing or its zone is over 65535; give a target id or a zone
+    Subject,
     /// the configuration cannot be read; upgrade the older process or write the record anew
     Malformed,
 }
--- a/coordination/config/src/record.rs
+++ b/coordination/config/src/record.rs
@@ -12,7 +12,7 @@
 pub const PREFIX: &str = "greengagelug/service/";
 
 /// Number of earlier writes that a record remembers.
-pub const MAX_HISTORY: usize = 32;
+pub const MAX_HISTORY: usize = 8;
 
 /// The value stored under the key of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,6 +64,28 @@
         }
     }
 
+    /// The revision that `operation` got, where the record, stored at
+    /// `revision`, still remembers it.
+    #[must_use]
+    pub fn find(&self, operation: &str, revision: Revision) -> Option<Revision> {
+        if self.service.operation == operation {
+            return Some(revision);
+        }
+        self.history
+            .iter()
+            .find(|past| past.operation == operation)
+            .map(|past| past.revision)
+    }
+
+    /// Whether the record, stored at `revision`, remembers every write since
+    /// `base`.
+    #[must_use]
+    pub fn covers(&self, base: Revision, revision: Revision) -> bool {
+        revision <= base
+            || self.history.len() < MAX_HISTORY
+            || self.history.iter().any(|past| past.revision <= base)
+    }
+
     /// Encodes the record as JSON.
     ///
     /// # Errors
--- a/protocol/api/src/gen/greengagelug.operator.v1.rs
+++ b/protocol/api/src/gen/greengagelug.operator.v1.rs
@@ -74,6 +74,9 @@
     /// True to check and compare only; nothing is written.
     #[prost(bool, tag = "6")]
     pub dry_run: bool,
+    /// True where an earlier call with this operation id had the outcome UNKNOWN.
+    #[prost(bool, tag = "7")]
+    pub retry: bool,
     #[prost(oneof = "apply_request::Change", tags = "1, 2, 3")]
     pub change: ::core::option::Option<apply_request::Change>,
 }
@@ -113,6 +116,9 @@
     /// As in ApplyRequest.
     #[prost(bool, tag = "6")]
     pub dry_run: bool,
+    /// As in ApplyRequest.
+    #[prost(bool, tag = "7")]
+    pub retry: bool,
 }
 /// What became of a change.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -131,7 +137,7 @@
         /// The change is stored, and in force everywhere within seconds.
         #[prost(message, tag = "1")]
         Accepted(super::Accepted),
-        /// Another change was first. Nothing of this one was or will be applied.
+        /// Another change was first.
         #[prost(message, tag = "2")]
         Conflict(super::Conflict),
         /// The request is wrong. Nothing was applied.
@@ -151,6 +157,10 @@
     /// The revision that it got.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
+    /// The revision that the store has now, where a later change has already
+    /// replaced this one; otherwise 0.
+    #[prost(uint64, tag = "2")]
+    pub replaced_by: u64,
 }
 /// The dry run found no fault.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -159,7 +169,7 @@
     #[prost(uint64, tag = "1")]
     pub revision: u64,
 }
-/// Another change was first.
+/// Another change was first. This call applied nothing.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Conflict {
     /// The revision that the store has now.
@@ -168,6 +178,10 @@
     /// The operation that wrote it.
     #[prost(string, tag = "2")]
     pub winner_operation: ::prost::alloc::string::String,
+    /// What became of the change. UNKNOWN only where an attempt may have been
+    /// applied and more than 8 later changes have hidden it.
+    #[prost(enumeration = "Outcome", tag = "3")]
+    pub outcome: i32,
 }
 /// The request is wrong.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- /dev/null
+++ b/roles/app/src/lib.rs
@@ -0,0 +1,2 @@
+//! The parts of the `greengagelug` binary.
+pub mod operator;
--- /dev/null
+++ b/roles/app/src/operator/command.rs
@@ -0,0 +1,1 @@
+//! The `operate` command.
--- /dev/null
+++ b/roles/app/src/operator/mod.rs
@@ -0,0 +1,12 @@
+//! The operators' remote procedure calls: the server that entries run and the
+//! client of the `operate` command.
+pub mod client;
+pub mod command;
+mod convert;
+pub mod server;
+mod spawn;
+
+pub use client::Client;
+pub use server::Context;
+pub use server::Snapshot;
+pub use server::serve;
--- /dev/null
+++ b/roles/app/src/operator/server.rs
@@ -0,0 +1,184 @@
+//! The operators' server, which every entry runs.
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use api::operator as schema;
+use config::Change;
+use config::Fault;
+use config::Problem;
+use config::Record;
+use config::change::Outcome;
+use config::change::Request as ChangeRequest;
+use config::jitter::jitter;
+use config::record;
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use schema::get_reply::Result as Found;
+use schema::operator_server::Operator;
+use schema::operator_server::OperatorServer;
+use smol::Executor;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolTimer;
+use store::Store;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+use tonic::codegen::Service;
+
+use super::convert;
+use super::spawn::Spawn;
+
+/// Shortest time that a client is told to wait before it reads again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time between pings of an idle connection.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+
+/// Says what is in force where.
+pub trait Snapshot: Send + Sync + 'static {
+    /// The state of the system, as this process knows it.
+    fn status(&self) -> schema::StatusReply;
+}
+
+/// What the server works with.
+pub struct Context<S, N> {
+    /// The platform's key-value service.
+    pub store: S,
+    /// What is in force where.
+    pub snapshot: N,
+}
+
+struct Handler<S, N>(Arc<Context<S, N>>);
+
+/// Serves operators on a listener until accepting fails.
+///
+/// # Errors
+///
+/// The error of the listener.
+pub async fn serve<S: Store, N: Snapshot>(
+    listener: TcpListener,
+    context: Context<S, N>,
+    executor: Arc<Executor<'static>>,
+) -> io::Result<()> {
+    let server = OperatorServer::new(Handler(Arc::new(context)));
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let connection = connection(stream, server.clone(), executor.clone());
+        executor.spawn(connection).detach();
+    }
+}
+
+async fn connection<S: Store, N: Snapshot>(
+    stream: TcpStream,
+    server: OperatorServer<Handler<S, N>>,
+    executor: Arc<Executor<'static>>,
+) {
+    let service = service_fn(move |request| {
+        let mut server = server.clone();
+        async move { server.call(request).await }
+    });
+    let served = http2::Builder::new(Spawn(executor))
+        .timer(SmolTimer::new())
+        .keep_alive_interval(KEEP_ALIVE)
+        .serve_connection(FuturesIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        log::debug!("operator connection ended: {error}");
+    }
+}
+
+impl<S: Store, N: Snapshot> Handler<S, N> {
+    async fn change(
+        &self,
+        request: Result<ChangeRequest, Vec<Problem>>,
+    ) -> Response<schema::ChangeReply> {
+        let outcome = match request {
+            Ok(request) => {
+                store::change::run(&self.0.store, Change::new(request, fastrand::u64(..))).await
+            }
+            Err(problems) => Outcome::Invalid(problems),
+        };
+        Response::new(convert::outcome(outcome))
+    }
+}
+
+#[tonic::async_trait]
+impl<S: Store, N: Snapshot> Operator for Handler<S, N> {
+    async fn apply(
+        &self,
+        request: Request<schema::ApplyRequest>,
+    ) -> Result<Response<schema::ChangeReply>, Status> {
+        Ok(self.change(convert::apply(request.into_inner())).await)
+    }
+
+    async fn drain(
+        &self,
+        request: Request<schema::DrainRequest>,
+    ) -> Result<Response<schema::ChangeReply>, Status> {
+        Ok(self.change(convert::drain(request.into_inner())).await)
+    }
+
+    async fn get(
+        &self,
+        request: Request<schema::GetRequest>,
+    ) -> Result<Response<schema::GetReply>, Status> {
+        let result = match convert::address(&request.into_inner().address) {
+            Err(problems) => Found::Invalid(convert::invalid(&problems)),
+            Ok(address) => match self.0.store.get(&record::key(address)).await {
+                Err(fault) => Found::Unavailable(unavailable(fault)),
+                Ok(None) => Found::Missing(schema::Missing {}),
+                Ok(Some(item)) => match Record::from_json(&item.value) {
+                    Ok(record) => Found::Stored(convert::stored(record, item.revision)),
+                    Err(problem) => Found::Invalid(convert::invalid(&[problem])),
+                },
+            },
+        };
+        Ok(Response::new(schema::GetReply {
+            result: Some(result),
+        }))
+    }
+
+    async fn list(
+        &self,
+        request: Request<schema::ListRequest>,
+    ) -> Result<Response<schema::ListReply>, Status> {
+        let deleted = request.into_inner().deleted;
+        let mut reply = schema::ListReply::default();
+        let listing = match self.0.store.list(record::PREFIX).await {
+            Ok(listing) => listing,
+            Err(fault) => {
+                reply.unavailable = Some(unavailable(fault));
+                return Ok(Response::new(reply));
+            }
+        };
+        for item in listing.items {
+            match Record::from_json(&item.value) {
+                Err(_) => reply.malformed += 1,
+                Ok(record) if deleted || record.service.is_active() => {
+                    reply.services.push(convert::stored(record, item.revision));
+                }
+                Ok(_) => {}
+            }
+        }
+        Ok(Response::new(reply))
+    }
+
+    async fn status(
+        &self,
+        _: Request<schema::StatusRequest>,
+    ) -> Result<Response<schema::StatusReply>, Status> {
+        Ok(Response::new(self.0.snapshot.status()))
+    }
+}
+
+fn unavailable(fault: Fault) -> schema::Unavailable {
+    let retry_after = RETRY_AFTER + jitter(fastrand::u64(..), RETRY_AFTER);
+    schema::Unavailable {
+        retry_after_ms: convert::millis(retry_after),
+        outcome: schema::Outcome::NotApplied.into(),
+        reason: fault.to_string(),
+    }
+}
--- /dev/null
+++ b/transport/store/src/change.rs
@@ -0,0 +1,31 @@
+//! Carries out an operator's change against a store.
+use config::Change;
+use config::change::Action;
+use config::change::Outcome;
+
+use crate::Store;
+use crate::Swap;
+
+/// Runs a change to its end.
+pub async fn run(store: &impl Store, mut change: Change) -> Outcome {
+    let mut action = change.start();
+    loop {
+        action = match action {
+            Action::Read { key } => change.on_read(store.get(&key).await),
+            Action::Write {
+                key,
+                value,
+                expected,
+            } => {
+                let swap = Swap {
+                    key,
+                    value,
+                    expected,
+                    fence: None,
+                };
+                change.on_written(store.swap(swap).await)
+            }
+            Action::Done(outcome) => return outcome,
+        };
+    }
+}
--- a/transport/store/src/lib.rs
+++ b/transport/store/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`Store`] is the trait that the rest of the system sees.
 //! * [`Http`] is a client over HTTP.
 //! * [`follow`] runs the watch that keeps an entry's configuration fresh.
+pub mod change;
 pub mod count;
 pub mod follow;
 pub mod http;
