--- a/roles/app/src/lib.rs
+++ b/roles/app/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod clock;
 pub mod directory;
 pub mod entry;
+pub mod operator;
 pub mod settings;
 pub mod signal;
