Join the entry's shell with membership, configuration and operators

Cause: the entry's parts ran apart. The store's address is an IP number with a port, as all addresses are.

--- a/roles/app/src/entry.rs
+++ b/roles/app/src/entry.rs
@@ -3,6 +3,7 @@
 //! Traffic threads relay datagrams; the main thread runs the membership
 //! protocol, follows the configuration and serves the operators.
 pub mod control;
+pub mod status;
 pub mod traffic;
 
 use std::io;
@@ -12,12 +13,21 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
+use async_channel::Sender;
 use async_io::Timer;
+use futures_lite::FutureExt;
 use member::Registry;
 use member::registry::Identity;
 use net::Port;
+use smol::Executor;
+use smol::net::TcpListener;
+use store::Http;
 
 use crate::clock;
+use crate::entry::control::Control;
+use crate::entry::control::Input;
+use crate::entry::traffic::Traffic;
+use crate::operator;
 use crate::settings;
 use crate::signal;
 
@@ -39,13 +49,15 @@
 
 async fn start(settings: &settings::Entry) -> io::Result<()> {
     let origin = Instant::now();
+    let executor = Arc::new(Executor::new());
     let port = Port::bind(settings.listen, Arc::new(settings.keys.seal()))?;
-    let (control, inputs) = async_channel::bounded(CONTROL_QUEUE);
-    let traffic = Arc::new(traffic::Traffic {
+    let operators = TcpListener::bind(settings.operator).await?;
+    let (inputs_sender, inputs) = async_channel::bounded(CONTROL_QUEUE);
+    let traffic = Arc::new(Traffic {
         port: port.clone(),
         fabric: settings.fabric,
         router: ArcSwap::default(),
-        control: control.clone(),
+        control: inputs_sender.clone(),
         counters: traffic::Counters::default(),
     });
     for number in 0..settings.threads.max(1) {
@@ -54,30 +66,61 @@
             .name(format!("traffic-{number}"))
             .spawn(move || smol::block_on(traffic.run()))?;
     }
-    let mut registry = Registry::new(
-        member::Settings::default(),
-        Identity {
-            address: settings.listen,
-            control: settings.control,
-            zone: settings.zone,
-            incarnation: clock::incarnation(),
+    let store = Http::new(store::http::Settings::new(settings.store));
+    executor
+        .spawn(follow(store.clone(), inputs_sender.clone()))
+        .detach();
+    let context = operator::Context {
+        store,
+        snapshot: status::Inquiry {
+            control: inputs_sender,
         },
-        fastrand::u64(..),
-        origin.elapsed(),
-    );
-    registry.join(origin.elapsed(), &settings.peers);
-    let control = control::Control {
-        registry,
+    };
+    executor
+        .spawn(operator::serve(operators, context, Arc::clone(&executor)))
+        .detach();
+    let control = Control {
+        registry: registry(settings, origin),
         origin,
         port,
         traffic,
         inputs,
-        inputs_sender: control,
     };
-    control.run(settings, stopped()).await
+    executor.run(control.run().or(stopped())).await;
+    Ok(())
+}
+
+fn registry(settings: &settings::Entry, origin: Instant) -> Registry {
+    let identity = Identity {
+        address: settings.listen,
+        control: settings.control,
+        zone: settings.zone,
+        incarnation: clock::incarnation(),
+    };
+    let now = origin.elapsed();
+    let mut registry = Registry::new(
+        member::Settings::default(),
+        identity,
+        fastrand::u64(..),
+        now,
+    );
+    registry.join(now, &settings.peers);
+    registry
+}
+
+/// Follows the configuration in the platform's store.
+async fn follow(store: Http, control: Sender<Input>) {
+    let (sender, updates) = async_channel::bounded(1);
+    let reading = store::follow::run(store, sender);
+    let passing = async {
+        while let Ok(update) = updates.recv().await {
+            let _ = control.send(Input::Update(update)).await;
+        }
+    };
+    reading.or(passing).await;
 }
 
-/// Waits for SIGTERM, and for what is under way to arrive.
+/// Waits for SIGTERM, and then for what is under way to arrive.
 async fn stopped() {
     let signals = signal::watch();
     let _ = signals.recv().await;
--- a/roles/app/src/entry/control.rs
+++ b/roles/app/src/entry/control.rs
@@ -1,12 +1,11 @@
 //! The control thread of an entry.
-use std::future::Future;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use ::entry::Service;
+use api::operator::StatusReply;
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_io::Timer;
@@ -22,8 +21,8 @@
 use wire::ServiceAddress;
 
 use crate::directory;
+use crate::entry::status;
 use crate::entry::traffic::Traffic;
-use crate::settings;
 
 /// Longest sleep while nothing is due.
 const IDLE: Duration = Duration::from_millis(250);
@@ -39,6 +38,8 @@
     },
     /// The store has a configuration.
     Update(Update),
+    /// An operator asks for the state of the system.
+    Status(Sender<StatusReply>),
 }
 
 /// What the control thread works with.
@@ -53,46 +54,15 @@
     pub traffic: Arc<Traffic>,
     /// What arrives from other threads and tasks.
     pub inputs: Receiver<Input>,
-    /// The sending end of `inputs`.
-    pub inputs_sender: Sender<Input>,
 }
 
 impl Control {
-    /// Runs until `stopped` is ready.
-    ///
-    /// # Errors
-    ///
-    /// The operating system's error where the operators' port cannot be bound.
-    pub async fn run(
-        mut self,
-        settings: &settings::Entry,
-        stopped: impl Future<Output = ()>,
-    ) -> io::Result<()> {
-        self.follow(settings);
-        let turns = async {
-            let mut actions = Vec::new();
-            loop {
-                self.turn(&mut actions).await;
-            }
-        };
-        turns.or(stopped).await;
-        Ok(())
-    }
-
-    /// Follows the configuration in the platform's store.
-    fn follow(&self, settings: &settings::Entry) {
-        let Ok(store) = store::Http::new(&settings.store) else {
-            return;
-        };
-        let (sender, updates) = async_channel::bounded(1);
-        smol::spawn(store::follow::run(store, sender)).detach();
-        let inputs = self.inputs_sender.clone();
-        smol::spawn(async move {
-            while let Ok(update) = updates.recv().await {
-                let _ = inputs.send(Input::Update(update)).await;
-            }
-        })
-        .detach();
+    /// Runs until dropped.
+    pub async fn run(mut self) {
+        let mut actions = Vec::new();
+        loop {
+            self.turn(&mut actions).await;
+        }
     }
 
     async fn turn(&mut self, actions: &mut Vec<Action>) {
@@ -105,6 +75,9 @@
                 }
             }
             Some(Input::Update(update)) => self.put(now, &update),
+            Some(Input::Status(reply)) => {
+                let _ = reply.try_send(status::describe(&self.registry, &self.traffic));
+            }
             None => {}
         }
         self.registry.tick(now, actions);
--- /dev/null
+++ b/roles/app/src/entry/status.rs
@@ -0,0 +1,132 @@
+//! What an entry tells operators of the system.
+use std::sync::atomic::Ordering;
+
+use api::operator::Counter;
+use api::operator::Health;
+use api::operator::InForce;
+use api::operator::Process;
+use api::operator::Role;
+use api::operator::StatusReply;
+use api::operator::TargetStatus;
+use async_channel::Sender;
+use config::Service;
+use member::Registry;
+use member::View;
+use member::view::Member;
+use wire::target::State;
+
+use crate::directory;
+use crate::entry::control::Input;
+use crate::entry::traffic::Traffic;
+use crate::operator::Snapshot;
+
+/// Asks the control thread for the state of the system.
+pub struct Inquiry {
+    /// The control thread.
+    pub control: Sender<Input>,
+}
+
+impl Snapshot for Inquiry {
+    async fn status(&self) -> StatusReply {
+        let (reply, status) = async_channel::bounded(1);
+        let _ = self.control.send(Input::Status(reply)).await;
+        status.recv().await.unwrap_or_default()
+    }
+}
+
+/// Describes the state of the system as this entry knows it.
+#[must_use]
+pub fn describe(registry: &Registry, traffic: &Traffic) -> StatusReply {
+    let services: Vec<InForce> = registry.services().filter_map(in_force).collect();
+    let processes = registry
+        .entries()
+        .filter(|entry| !entry.left)
+        .map(|entry| Process {
+            address: entry.address.to_string(),
+            role: Role::Entry.into(),
+            zone: entry.zone.into(),
+            incarnation: entry.incarnation,
+            ..Process::default()
+        })
+        .collect();
+    let targets = registry.services().flat_map(targets).collect();
+    StatusReply {
+        processes,
+        services,
+        targets,
+        counters: counters(registry, traffic),
+    }
+}
+
+fn in_force(view: &View) -> Option<InForce> {
+    let config = view.config.as_ref()?;
+    let operation = Service::from_bytes(&config.body).ok()?.operation;
+    Some(InForce {
+        address: view.address.to_string(),
+        revision: config.revision,
+        operation,
+    })
+}
+
+fn targets(view: &View) -> Vec<TargetStatus> {
+    let service = directory::service(view);
+    view.targets
+        .values()
+        .map(|member| target(member, service.as_ref()))
+        .collect()
+}
+
+fn target(member: &Member, service: Option<&Service>) -> TargetStatus {
+    let target = &member.target;
+    let drained = service.is_some_and(|service| service.is_drained(target.id, target.zone));
+    let health = match target.state {
+        State::Left => Health::Left,
+        _ if member.health == member::Health::Down => Health::Down,
+        State::Draining => Health::Draining,
+        State::Ready if drained => Health::Draining,
+        State::Ready => Health::Ready,
+    };
+    TargetStatus {
+        target: target.id,
+        service: target.service.to_string(),
+        agent: target.address.to_string(),
+        zone: target.zone.into(),
+        health: health.into(),
+        weight: target.weight,
+        slots: target.slots.into(),
+        incarnation: target.incarnation,
+    }
+}
+
+fn counters(registry: &Registry, traffic: &Traffic) -> Vec<Counter> {
+    let mut counters: Vec<Counter> = traffic
+        .counters
+        .all()
+        .into_iter()
+        .map(|named| counter(named.name, named.value.load(Ordering::Relaxed)))
+        .collect();
+    counters.extend(
+        traffic
+            .port
+            .counters()
+            .all()
+            .into_iter()
+            .map(|named| counter(named.name, named.value.load(Ordering::Relaxed))),
+    );
+    let status = registry.status();
+    counters.push(counter("control.sent_bytes", status.sent_bytes));
+    counters.push(counter("control.received_bytes", status.received_bytes));
+    for (reason, count) in &status.refusals {
+        let name = format!("control.refused.{reason:?}").to_lowercase();
+        counters.push(counter(&name, *count));
+    }
+    counters.sort_by(|a, b| a.name.cmp(&b.name));
+    counters
+}
+
+fn counter(name: &str, value: u64) -> Counter {
+    Counter {
+        name: name.to_string(),
+        value,
+    }
+}
--- a/roles/app/src/entry/traffic.rs
+++ b/roles/app/src/entry/traffic.rs
@@ -5,13 +5,14 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-use arc_swap::ArcSwap;
-use async_channel::Sender;
-use bytes::Bytes;
 use ::entry::Drop;
 use ::entry::Router;
 use ::entry::Step;
+use arc_swap::ArcSwap;
+use async_channel::Sender;
+use bytes::Bytes;
 use net::Port;
+use net::port::Named;
 use net::port::Received;
 use wire::Frame;
 use wire::Reply;
@@ -109,13 +110,35 @@
     }
 
     fn control(&self, from: SocketAddr, payload: Bytes) {
-        if self.control.try_send(Input::Message { from, payload }).is_err() {
+        if self
+            .control
+            .try_send(Input::Message { from, payload })
+            .is_err()
+        {
             count(&self.counters.control_full);
         }
     }
 }
 
 impl Counters {
+    /// Returns every counter with its name.
+    #[must_use]
+    pub fn all(&self) -> [Named<'_>; 10] {
+        [
+            ("packets.relayed", &self.relayed),
+            ("packets.replied", &self.replied),
+            ("refused.malformed", &self.malformed),
+            ("refused.version", &self.version),
+            ("refused.too_large", &self.too_large),
+            ("refused.direction", &self.direction),
+            ("refused.no_service", &self.no_service),
+            ("refused.no_target", &self.no_target),
+            ("refused.unexpected_frame", &self.unexpected),
+            ("refused.control_queue_full", &self.control_full),
+        ]
+        .map(|(name, value)| Named { name, value })
+    }
+
     /// Returns the counter of a reason.
     #[must_use]
     pub const fn dropped(&self, reason: Drop) -> &AtomicU64 {
--- a/roles/app/src/lib.rs
+++ b/roles/app/src/lib.rs
@@ -1,5 +1,4 @@
 //! The parts of the `greengagelug` binary: settings, logs, metrics and roles.
-pub mod agent;
 pub mod clock;
 pub mod directory;
 pub mod entry;
--- a/roles/app/src/operator/server.rs
+++ b/roles/app/src/operator/server.rs
@@ -1,4 +1,5 @@
 //! The operators' server, which every entry runs.
+use std::future::Future;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,7 +41,7 @@
 /// Says what is in force where.
 pub trait Snapshot: Send + Sync + 'static {
     /// The state of the system, as this process knows it.
-    fn status(&self) -> schema::StatusReply;
+    fn status(&self) -> impl Future<Output = schema::StatusReply> + Send;
 }
 
 /// What the server works with.
@@ -170,7 +171,7 @@
         &self,
         _: Request<schema::StatusRequest>,
     ) -> Result<Response<schema::StatusReply>, Status> {
-        Ok(Response::new(self.0.snapshot.status()))
+        Ok(Response::new(self.0.snapshot.status().await))
     }
 }
 
--- a/roles/app/src/settings/entry.rs
+++ b/roles/app/src/settings/entry.rs
@@ -23,8 +23,8 @@
     pub zone: ZoneId,
     /// UDP addresses of entries to join through.
     pub peers: Vec<SocketAddr>,
-    /// Base URL of the platform's key-value service.
-    pub store: String,
+    /// TCP address of the platform's key-value service.
+    pub store: SocketAddr,
     /// Keys shared by the processes of the installation.
     pub keys: Keys,
     /// Number of threads that relay packets.
@@ -45,7 +45,7 @@
             fabric: unset,
             zone: 0,
             peers: Vec::new(),
-            store: String::new(),
+            store: unset,
             keys: Keys::default(),
             threads: 1,
             stop: Duration::from_secs(10),
--- a/transport/net/src/port.rs
+++ b/transport/net/src/port.rs
@@ -55,6 +55,14 @@
     pub send_failed: AtomicU64,
 }
 
+/// A counter and its name.
+pub struct Named<'a> {
+    /// Its name, with the reason.
+    pub name: &'static str,
+    /// Its value.
+    pub value: &'a AtomicU64,
+}
+
 /// A frame and the process that sent it.
 pub struct Received {
     /// UDP address of the sender.
@@ -137,6 +145,27 @@
     }
 }
 
+impl Counters {
+    /// Returns every counter with its name.
+    #[must_use]
+    pub fn all(&self) -> [Named<'_>; 11] {
+        [
+            ("port.received", &self.received),
+            ("port.received_bytes", &self.received_bytes),
+            ("port.sent", &self.sent),
+            ("port.sent_bytes", &self.sent_bytes),
+            ("port.refused.truncated", &self.truncated),
+            ("port.refused.version", &self.version),
+            ("port.refused.purpose", &self.purpose),
+            ("port.refused.unknown_key", &self.unknown_key),
+            ("port.refused.bad_tag", &self.bad_tag),
+            ("port.refused.malformed", &self.malformed),
+            ("port.send_failed", &self.send_failed),
+        ]
+        .map(|(name, value)| Named { name, value })
+    }
+}
+
 impl Receiver {
     /// Waits for the next frame. Datagrams that fail authentication are counted
     /// and skipped.
