--- /dev/null
+++ b/tools/standin/src/backend/model.rs
@@ -0,0 +1,88 @@
+//! How a backend server behaves: slots, queue, speed, cold start, drain.
+use std::time::Duration;
+
+/// Behaviour of a backend server.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the service, echoed in answers.
+    pub service: String,
+    /// Requests run at a time.
+    pub slots: u32,
+    /// Requests that may wait for a slot; more are shed.
+    pub queue: u32,
+    /// Mean time that a request runs.
+    pub time: Duration,
+    /// Largest deviation from the mean, in percent of it.
+    pub spread: u32,
+    /// Length of the cold start.
+    pub cold: Duration,
+    /// Factor on the run time at the beginning of the cold start.
+    pub cold_factor: u32,
+    /// Smallest size of an answer, in bytes.
+    pub answer: usize,
+    /// Age of what the health and load endpoints report.
+    pub lag: Duration,
+    /// Whether those endpoints always report an idle, healthy server.
+    pub mislead: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            service: "service".into(),
+            slots: 4,
+            queue: 8,
+            time: Duration::from_millis(20),
+            spread: 50,
+            cold: Duration::ZERO,
+            cold_factor: 4,
+            answer: 0,
+            lag: Duration::ZERO,
+            mislead: false,
+        }
+    }
+}
+
+impl Settings {
+    /// Time that a request started at `age` runs; `dice` is between 0 and 1.
+    #[must_use]
+    pub fn run_time(&self, age: Duration, dice: f64) -> Duration {
+        let spread = f64::from(self.spread) / 100.0;
+        let factor = 1.0 + spread * (2.0 * dice - 1.0);
+        self.time.mul_f64(factor.max(0.0) * self.cold_slowdown(age))
+    }
+
+    fn cold_slowdown(&self, age: Duration) -> f64 {
+        if age >= self.cold {
+            return 1.0;
+        }
+        let left = 1.0 - age.as_secs_f64() / self.cold.as_secs_f64();
+        1.0 + (f64::from(self.cold_factor) - 1.0) * left
+    }
+}
+
+/// Builds the answer to a request: the service's name and a line break, then
+/// the payload, repeated until the answer has `size` bytes.
+#[must_use]
+pub fn answer(service: &str, payload: &[u8], size: usize) -> Vec<u8> {
+    let mut body = Vec::with_capacity(size.max(service.len() + 1 + payload.len()));
+    body.extend_from_slice(service.as_bytes());
+    body.push(b'\n');
+    body.extend_from_slice(payload);
+    while body.len() < size && !payload.is_empty() {
+        let rest = (size - body.len()).min(payload.len());
+        body.extend_from_slice(&payload[..rest]);
+    }
+    body
+}
+
+/// The caller's own name of a request: the first line of its payload, or the
+/// `request-id` header where that is empty.
+#[must_use]
+pub fn request_name(payload: &[u8], header: &str) -> String {
+    let line = payload.split(|byte| *byte == b'\n').next().unwrap_or(&[]);
+    match std::str::from_utf8(line) {
+        Ok(name) if !name.is_empty() => name.into(),
+        _ => header.into(),
+    }
+}
--- /dev/null
+++ b/tools/standin/src/fabric.rs
@@ -0,0 +1,257 @@
+//! The fabric: hands each caller's datagram to a random entry and delivers what
+//! entries send back, from the service's own address.
+mod entries;
+mod fault;
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Async;
+use bytes::Bytes;
+use getopts::Options;
+use smol::LocalExecutor;
+use smol::Timer;
+use wire::Frame;
+use wire::Seal;
+use wire::ServiceAddress;
+use wire::frame::MAX_DATAGRAM_BYTES;
+use wire::frame::Sprayed;
+use wire::seal::KEY_LEN;
+use wire::seal::Key;
+
+use crate::options;
+use crate::stop;
+
+pub use entries::Entries;
+pub use fault::Fault;
+
+const BRIEF: &str = "Usage: standin fabric --listen ADDRESS --service ADDRESS... \
+    --entry ADDRESS... --key ID:HEX [FLAGS]";
+const RELOAD_INTERVAL: Duration = Duration::from_millis(200);
+/// Room for the prefix and the addresses around a caller's datagram.
+const BUFFER_BYTES: usize = MAX_DATAGRAM_BYTES + 1024;
+
+/// The fabric's sockets and what it does to datagrams.
+pub struct Fabric {
+    seal: Seal,
+    back: Async<UdpSocket>,
+    services: Vec<Service>,
+    entries: RefCell<Entries>,
+    fault: RefCell<Fault>,
+}
+
+struct Service {
+    address: ServiceAddress,
+    socket: Async<UdpSocket>,
+}
+
+/// A datagram and where it goes.
+struct Datagram {
+    /// Index of the service whose socket sends it, or `None` towards entries.
+    service: Option<usize>,
+    destination: SocketAddr,
+    bytes: Vec<u8>,
+}
+
+/// Runs the fabric until SIGTERM.
+#[must_use]
+pub fn main(args: &[String]) -> ExitCode {
+    options::exit(run(args))
+}
+
+fn run(args: &[String]) -> Result<(), Box<dyn std::error::Error>> {
+    let mut flags = Options::new();
+    flags.optopt("", "listen", "UDP address that entries reply to", "ADDRESS");
+    flags.optmulti("", "service", "service address; may be repeated", "ADDRESS");
+    flags.optmulti(
+        "",
+        "entry",
+        "UDP address of an entry; may be repeated",
+        "ADDRESS",
+    );
+    flags.optopt(
+        "",
+        "entries-file",
+        "file with an entry a line, read again when it changes",
+        "FILE",
+    );
+    flags.optopt("", "key", "key shared with the entries", "ID:HEX");
+    flags.optopt("", "loss", "datagrams lost (0)", "PERCENT");
+    flags.optopt("", "duplicate", "datagrams doubled (0)", "PERCENT");
+    flags.optopt(
+        "",
+        "delay-ms",
+        "largest random delay, which reorders (0)",
+        "MS",
+    );
+    flags.optopt(
+        "",
+        "seed",
+        "seed of all random choices (from the system)",
+        "SEED",
+    );
+    let Some(matches) = options::parse(&mut flags, BRIEF, args)? else {
+        return Ok(());
+    };
+    let key: String = options::required(&matches, "key")?;
+    let key = read_key(&key).ok_or_else(|| options::Error::Invalid {
+        name: "key".into(),
+        value: key,
+    })?;
+    let seed = options::or(&matches, "seed", fastrand::u64(..))?;
+    let fault = Fault {
+        loss: options::or(&matches, "loss", 0)?,
+        duplicate: options::or(&matches, "duplicate", 0)?,
+        delay: Duration::from_millis(options::or(&matches, "delay-ms", 0)?),
+        random: fastrand::Rng::with_seed(seed),
+    };
+    let file = matches.opt_str("entries-file").map(PathBuf::from);
+    let entries = Entries::new(options::many(&matches, "entry")?, file);
+    let services: Vec<ServiceAddress> = options::many(&matches, "service")?;
+    let listen: SocketAddr = options::required(&matches, "listen")?;
+    let fabric = Fabric {
+        seal: Seal::new(key, Vec::new()),
+        back: Async::<UdpSocket>::bind(listen)?,
+        services: services
+            .into_iter()
+            .map(Service::bind)
+            .collect::<Result<_, _>>()?,
+        entries: RefCell::new(entries),
+        fault: RefCell::new(fault),
+    };
+    serve(&Rc::new(fabric))?;
+    Ok(())
+}
+
+fn serve(fabric: &Rc<Fabric>) -> std::io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        for index in 0..fabric.services.len() {
+            let spray = spray(Rc::clone(fabric), Rc::clone(&executor), index);
+            executor.spawn(spray).detach();
+        }
+        let deliver = deliver(Rc::clone(fabric), Rc::clone(&executor));
+        executor.spawn(deliver).detach();
+        executor.spawn(reload(Rc::clone(fabric))).detach();
+        stop::requested().await
+    }))
+}
+
+/// Hands each datagram of one service's callers to a random entry.
+async fn spray(fabric: Rc<Fabric>, executor: Rc<LocalExecutor<'static>>, index: usize) {
+    let service = &fabric.services[index];
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let Ok((len, caller)) = service.socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let frame = Frame::Sprayed(Sprayed {
+            caller,
+            service: service.address,
+            packet: Bytes::copy_from_slice(&buffer[..len]),
+        });
+        let (Ok(bytes), Some(destination)) = (fabric.seal.seal(&frame), fabric.choose()) else {
+            continue;
+        };
+        let datagram = Datagram {
+            service: None,
+            destination,
+            bytes,
+        };
+        fabric.forward(&executor, datagram).await;
+    }
+}
+
+/// Delivers what entries send to the callers.
+async fn deliver(fabric: Rc<Fabric>, executor: Rc<LocalExecutor<'static>>) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let Ok((len, _)) = fabric.back.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let Ok(Frame::Sprayed(sprayed)) = fabric.seal.open(&buffer[..len]) else {
+            continue;
+        };
+        let service = fabric
+            .services
+            .iter()
+            .position(|service| service.address == sprayed.service);
+        if service.is_none() {
+            continue;
+        }
+        let datagram = Datagram {
+            service,
+            destination: sprayed.caller,
+            bytes: sprayed.packet.into(),
+        };
+        fabric.forward(&executor, datagram).await;
+    }
+}
+
+async fn reload(fabric: Rc<Fabric>) {
+    loop {
+        Timer::after(RELOAD_INTERVAL).await;
+        fabric.entries.borrow_mut().reload();
+    }
+}
+
+impl Service {
+    fn bind(address: ServiceAddress) -> std::io::Result<Self> {
+        let socket = Async::<UdpSocket>::bind(address)?;
+        Ok(Self { address, socket })
+    }
+}
+
+impl Fabric {
+    fn choose(&self) -> Option<SocketAddr> {
+        let mut fault = self.fault.borrow_mut();
+        self.entries.borrow().choose(&mut fault.random)
+    }
+
+    /// Sends a datagram, after what the faults do to it.
+    async fn forward(self: &Rc<Self>, executor: &LocalExecutor<'static>, datagram: Datagram) {
+        let copies = self.fault.borrow_mut().copies();
+        for delay in copies {
+            if delay.is_zero() {
+                self.send(&datagram).await;
+                continue;
+            }
+            let fabric = Rc::clone(self);
+            let datagram = Datagram {
+                bytes: datagram.bytes.clone(),
+                ..datagram
+            };
+            let later = async move {
+                Timer::after(delay).await;
+                fabric.send(&datagram).await;
+            };
+            executor.spawn(later).detach();
+        }
+    }
+
+    async fn send(&self, datagram: &Datagram) {
+        let socket = datagram
+            .service
+            .map_or(&self.back, |index| &self.services[index].socket);
+        // A datagram may be lost: nobody is told.
+        let _ = socket.send_to(&datagram.bytes, datagram.destination).await;
+    }
+}
+
+/// Reads a key in the form `ID:HEX`.
+fn read_key(text: &str) -> Option<Key> {
+    let (id, hex) = text.split_once(':')?;
+    let secret: [u8; KEY_LEN] = (0..hex.len())
+        .step_by(2)
+        .map(|at| u8::from_str_radix(hex.get(at..at + 2)?, 16).ok())
+        .collect::<Option<Vec<u8>>>()?
+        .try_into()
+        .ok()?;
+    let id = id.parse().ok()?;
+    Some(Key { id, secret })
+}
--- /dev/null
+++ b/tools/standin/src/stop.rs
@@ -0,0 +1,23 @@
+//! Waits for SIGTERM or SIGINT.
+use std::io::Error;
+use std::os::unix::net::UnixStream;
+
+use async_io::Async;
+use futures_lite::AsyncReadExt;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+
+/// Resolves once the process is asked to stop.
+///
+/// # Errors
+///
+/// Those of the operating system.
+pub async fn requested() -> Result<(), Error> {
+    let (reader, writer) = UnixStream::pair()?;
+    for signal in [SIGTERM, SIGINT] {
+        signal_hook::low_level::pipe::register(signal, writer.try_clone()?)?;
+    }
+    let mut reader = Async::new(reader)?;
+    let mut byte = [0];
+    reader.read_exact(&mut byte).await
+}
