Find processes that nobody watches, and let an agent change watchers once a heartbeat

- A target that died together with all its watchers stayed up for ever: its watchers, dead but watched in part by each other, counted as running and not suspecting (test a_target_that_dies_with_all_its_watchers_is_held_down).
Now a watcher that hears a suspected process says so, and one that neither suspects nor answers within two silences no longer counts; each entry goes through the directory in ten minutes and probes what it would watch if nobody running is known to.
- An agent between entries of different views changed its watchers with each acknowledgement: 1.6 MB from one entry in 24 s where 324 KB are allowed (test a_zone_cut_off_from_the_others_ejects_nobody_within, failing once the above was in).
Ruled out: gossip, pulls and probes; 1,600 of 1,700 messages listed were heartbeats and their answers.
It now changes once a heartbeat at most.

The filler targets of the cold start test lie in another region, since nobody announces them and they would rightly be held down.

--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -76,7 +76,7 @@
         // A new view takes any target.
         view.merge_target(target.clone()).ok();
         Self {
-            watchers: Watchers::new(seeds, settings.watchers, now, &mut rng),
+            watchers: Watchers::new(settings.clone(), seeds, now, &mut rng),
             link: Link::new(settings.send_rate, now),
             settings,
             target,
@@ -157,8 +157,7 @@
         };
         self.next_heartbeat = now + interval.mul_f64(1.0 - self.rng.f64() * JITTER);
         self.farewells = self.farewells.map(|left| left - 1);
-        self.watchers
-            .check(now, self.settings.silence, &mut self.rng);
+        self.watchers.check(now, &mut self.rng);
         let receivers = self.watchers.receivers();
         self.beat(&receivers, actions);
     }
@@ -232,9 +231,7 @@
         if ack.incarnation != self.target.incarnation || ack.sequence > self.sequence {
             return self.link.refuse(Refusal::Unexpected);
         }
-        let moved = self
-            .watchers
-            .acknowledge(now, from, ack, self.settings.watchers);
+        let moved = self.watchers.acknowledge(now, from, ack);
         if !moved.is_empty() {
             self.beat(&moved, actions);
         }
--- a/coordination/member/src/announcer/watchers.rs
+++ b/coordination/member/src/announcer/watchers.rs
@@ -5,6 +5,7 @@
 
 use fastrand::Rng;
 
+use crate::Settings;
 use crate::digest::Digest;
 use crate::message::Ack;
 use crate::message::Sequence;
@@ -27,6 +28,8 @@
     asked: Vec<SocketAddr>,
     mute: BTreeMap<SocketAddr, Duration>,
     suggestion: Option<Suggestion>,
+    settings: Settings,
+    changed: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -48,10 +51,10 @@
     /// Begins with some of the seeds as watchers, so that no announcement goes
     /// unwatched.
     #[must_use]
-    pub fn new(seeds: Vec<SocketAddr>, count: usize, now: Duration, rng: &mut Rng) -> Self {
+    pub fn new(settings: Settings, seeds: Vec<SocketAddr>, now: Duration, rng: &mut Rng) -> Self {
         let mut first = seeds.clone();
         rng.shuffle(&mut first);
-        first.truncate(count);
+        first.truncate(settings.watchers);
         let mut watchers = Self {
             seeds,
             contacts: Vec::new(),
@@ -59,8 +62,12 @@
             asked: Vec::new(),
             mute: BTreeMap::new(),
             suggestion: None,
+            settings,
+            changed: None,
         };
         watchers.adopt(now, &first);
+        // The first answer may change the watchers at once.
+        watchers.changed = None;
         watchers
     }
 
@@ -94,7 +101,8 @@
     }
 
     /// Notes who does not answer, and chooses other entries to ask.
-    pub fn check(&mut self, now: Duration, silence: Duration, rng: &mut Rng) {
+    pub fn check(&mut self, now: Duration, rng: &mut Rng) {
+        let silence = self.settings.silence;
         let forgive = silence * FORGIVE_SILENCES;
         self.mute
             .retain(|_, since| now.saturating_sub(*since) < forgive);
@@ -120,13 +128,8 @@
 
     /// Takes an acknowledgement. Where the watchers change, returns whom to
     /// tell: the new ones and the former ones.
-    pub fn acknowledge(
-        &mut self,
-        now: Duration,
-        from: SocketAddr,
-        ack: Ack,
-        count: usize,
-    ) -> Vec<SocketAddr> {
+    pub fn acknowledge(&mut self, now: Duration, from: SocketAddr, ack: Ack) -> Vec<SocketAddr> {
+        let count = self.settings.watchers;
         self.mute.remove(&from);
         if let Some(held) = self.current.iter_mut().find(|held| held.address == from) {
             held.answered = now;
@@ -146,7 +149,11 @@
                 .addresses()
                 .iter()
                 .any(|held| self.mute.contains_key(held));
-        if !is_agreed && !needs_change {
+        // Entries whose views differ must not make the agent change to and fro.
+        let is_early = self
+            .changed
+            .is_some_and(|changed| now < changed + self.settings.heartbeat);
+        if is_early || !(is_agreed || needs_change) {
             self.suggestion = Some(Suggestion {
                 from,
                 watchers: wanted,
@@ -192,6 +199,7 @@
             }
         }
         self.current = kept;
+        self.changed = Some(now);
         self.asked.clear();
         receivers
     }
--- a/coordination/member/src/directory.rs
+++ b/coordination/member/src/directory.rs
@@ -3,10 +3,14 @@
 //!
 //! Each record is versioned. Merging is idempotent and does not depend on the
 //! order of arrival, so that directories which exchanged their records agree.
+mod expiry;
+mod verdict;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::time::Duration;
 
 use wire::Incarnation;
@@ -17,7 +21,6 @@
 use wire::target::State;
 
 use crate::Entry;
-use crate::Health;
 use crate::Record;
 use crate::Refusal;
 use crate::View;
@@ -28,21 +31,18 @@
 use crate::record::Report;
 use crate::record::SubjectId;
 use crate::record::Suspicion;
-use crate::record::entry_key;
 use crate::record::report_key;
 use crate::record::service_key;
 use crate::record::suspicion_key;
 use crate::statements::Statements;
 use crate::tree::Tree;
-use crate::zones::Scope;
 use crate::zones::Zones;
+use expiry::Dropped;
+use verdict::Contest;
 
 /// Changes of targets that are remembered for agents.
 const MAX_RECENT: usize = 512;
 
-/// Dropped records that are remembered.
-const MAX_DROPPED: usize = 50_000;
-
 /// Versioned records and the verdicts that follow from them.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -55,6 +55,7 @@
     dirty: BTreeSet<ServiceAddress>,
     changes: BTreeSet<ServiceAddress>,
     recent: VecDeque<Change>,
+    contests: BTreeMap<SubjectId, Contest>,
     silent_since: BTreeMap<Key, Duration>,
     dropped: BTreeMap<Key, Dropped>,
     stale_hosts: bool,
@@ -68,6 +69,19 @@
     live: bool,
 }
 
+/// A target or an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Process {
+    /// UDP address.
+    pub address: SocketAddr,
+    /// Zone of its host.
+    pub zone: ZoneId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// True once it announced its departure.
+    pub has_left: bool,
+}
+
 /// Where a record is held, and the digest of its version.
 #[derive(Debug)]
 struct Slot {
@@ -91,13 +105,6 @@
     target: Option<TargetId>,
 }
 
-/// A record that was dropped.
-#[derive(Debug)]
-struct Dropped {
-    incarnation: Incarnation,
-    at: Duration,
-}
-
 impl Directory {
     /// Takes a record where it is newer than the one held.
     ///
@@ -175,13 +182,6 @@
         Ok(Place::Report(zone, observer))
     }
 
-    fn check_dropped(&self, key: Key, incarnation: Incarnation) -> Result<(), Refusal> {
-        match self.dropped.get(&key) {
-            Some(dropped) if dropped.incarnation >= incarnation => Err(Refusal::Departed),
-            _ => Ok(()),
-        }
-    }
-
     /// The record under a key.
     #[must_use]
     pub fn record(&self, key: Key) -> Option<Record> {
@@ -229,13 +229,43 @@
     /// The incarnation of a target or entry.
     #[must_use]
     pub fn incarnation(&self, subject: SubjectId) -> Option<Incarnation> {
+        self.process(subject).map(|process| process.incarnation)
+    }
+
+    /// What targets and entries have in common.
+    #[must_use]
+    pub fn process(&self, subject: SubjectId) -> Option<Process> {
         match self.slots.get(&subject)?.place {
-            Place::Target(_) => self.target(subject).map(|target| target.incarnation),
-            Place::Entry => self.hosts.get(&subject).map(|host| host.entry.incarnation),
+            Place::Target(_) => self.target(subject).map(|target| Process {
+                address: target.address,
+                zone: target.zone,
+                incarnation: target.incarnation,
+                has_left: target.state == State::Left,
+            }),
+            Place::Entry => self.entry(subject).map(|entry| Process {
+                address: entry.address,
+                zone: entry.zone,
+                incarnation: entry.incarnation,
+                has_left: entry.left,
+            }),
             _ => None,
         }
     }
 
+    /// Number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// At most `count` keys, the first of which is larger than `last`.
+    #[must_use]
+    pub fn keys_after(&self, last: Key, count: usize) -> Vec<Key> {
+        let after = (Bound::Excluded(last), Bound::Unbounded);
+        let keys = self.slots.range(after).map(|(key, _)| *key);
+        keys.take(count).collect()
+    }
+
     /// The target with this id.
     #[must_use]
     pub fn target(&self, id: TargetId) -> Option<&Target> {
@@ -280,120 +310,6 @@
         })
     }
 
-    /// Judges again whatever the records merged since the last call touch.
-    pub fn judge(&mut self, now: Duration, scope: &Scope) {
-        let hosts = &self.hosts;
-        let changed = self.zones.judge(now, scope, |report| {
-            let host = hosts.get(&entry_key(report.observer));
-            host.is_some_and(|host| host.live && host.entry.incarnation == report.incarnation)
-        });
-        for zone in &changed {
-            self.dirty_zone(*zone);
-        }
-        if self.stale_hosts || !changed.is_empty() {
-            self.judge_hosts();
-        }
-        for address in std::mem::take(&mut self.dirty) {
-            self.judge_service(now, address);
-        }
-    }
-
-    fn judge_hosts(&mut self) {
-        self.stale_hosts = false;
-        let mut turned = Vec::new();
-        for (key, host) in &self.hosts {
-            let live = !host.entry.left
-                && !self.zones.is_lost(host.entry.zone)
-                && !self
-                    .statements
-                    .is_silent(*key, |watcher| is_live(&self.hosts, watcher));
-            if live != host.live {
-                turned.push(*key);
-            }
-        }
-        for key in &turned {
-            if let Some(host) = self.hosts.get_mut(key) {
-                host.live = !host.live;
-            }
-        }
-        if turned.is_empty() {
-            return;
-        }
-        self.generation += 1;
-        // The majority among running watchers may have changed.
-        let subjects: Vec<SubjectId> = self.statements.subjects().collect();
-        for subject in subjects {
-            self.stale_subject(subject);
-        }
-    }
-
-    fn judge_service(&mut self, now: Duration, address: ServiceAddress) {
-        let Some(view) = self.services.get_mut(&address) else {
-            return;
-        };
-        let (statements, zones, hosts) = (&self.statements, &self.zones, &self.hosts);
-        let turned = view.judge(|target| {
-            target.state != State::Left
-                && (zones.is_lost(target.zone)
-                    || statements.is_silent(target.id, |watcher| is_live(hosts, watcher)))
-        });
-        for member in view.targets.values() {
-            let id = member.target.id;
-            let gone = member.target.state == State::Left
-                || (member.health != Health::Up && !zones.is_lost(member.target.zone));
-            if gone {
-                self.silent_since.entry(id).or_insert(now);
-            } else {
-                self.silent_since.remove(&id);
-            }
-        }
-        for target in turned {
-            self.note(address, Some(target));
-        }
-    }
-
-    /// Drops what has been silent or departed for longer than `retention`.
-    pub fn expire(&mut self, now: Duration, retention: Duration) {
-        let hosts = self.hosts.iter().filter(|(_, host)| {
-            !host.live && (host.entry.left || !self.zones.is_lost(host.entry.zone))
-        });
-        let gone: BTreeSet<Key> = hosts.map(|(key, _)| *key).collect();
-        for key in &gone {
-            self.silent_since.entry(*key).or_insert(now);
-        }
-        self.silent_since
-            .retain(|key, _| gone.contains(key) || !self.hosts.contains_key(key));
-        let old = self.silent_since.iter();
-        let expired: Vec<Key> = old
-            .filter(|(_, since)| now.saturating_sub(**since) > retention)
-            .map(|(key, _)| *key)
-            .collect();
-        for key in expired {
-            self.drop_record(now, key);
-        }
-        self.dropped
-            .retain(|_, dropped| now.saturating_sub(dropped.at) <= retention);
-    }
-
-    fn drop_record(&mut self, now: Duration, key: Key) {
-        self.silent_since.remove(&key);
-        let Some(incarnation) = self.incarnation(key) else {
-            return;
-        };
-        if let Some(address) = self.target(key).map(|target| target.service) {
-            self.view_mut(address).remove(key);
-            self.changes.insert(address);
-        }
-        self.hosts.remove(&key);
-        self.generation += 1;
-        self.forget_statements(key);
-        self.clear_slot(key);
-        if self.dropped.len() < MAX_DROPPED {
-            let at = now;
-            self.dropped.insert(key, Dropped { incarnation, at });
-        }
-    }
-
     /// The targets of a service that changed lately, and `None` for its
     /// configuration.
     pub fn recent(&self, service: ServiceAddress) -> BTreeSet<Option<TargetId>> {
@@ -437,25 +353,6 @@
         self.recent.push_front(Change { service, target });
     }
 
-    fn stale_subject(&mut self, subject: SubjectId) {
-        match self.slots.get(&subject).map(|slot| slot.place) {
-            Some(Place::Target(address)) => {
-                self.dirty.insert(address);
-            }
-            Some(Place::Entry) => self.stale_hosts = true,
-            _ => {}
-        }
-    }
-
-    fn dirty_zone(&mut self, zone: ZoneId) {
-        let views = self.services.values();
-        let touched = views.filter(|view| {
-            let mut members = view.targets.values();
-            members.any(|member| member.target.zone == zone)
-        });
-        self.dirty.extend(touched.map(|view| view.address));
-    }
-
     fn forget_statements(&mut self, subject: SubjectId) {
         for statement in self.statements.remove(subject) {
             self.clear_slot(suspicion_key(subject, statement.observer));
@@ -475,7 +372,3 @@
         }
     }
 }
-
-fn is_live(hosts: &BTreeMap<Key, Host>, address: SocketAddr) -> bool {
-    hosts.get(&entry_key(address)).is_some_and(|host| host.live)
-}
--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -1,4 +1,5 @@
 //! The entry's side: the directory, failure detection and gossip.
+mod audit;
 mod failure;
 mod heartbeat;
 mod repair;
@@ -90,6 +91,7 @@
     seeds: Vec<SocketAddr>,
     needs: BTreeMap<ServiceAddress, Need>,
     reported: BTreeMap<ZoneId, Duration>,
+    audited: Key,
     is_behind: bool,
     is_doubtful: bool,
     next_round: Duration,
@@ -143,6 +145,7 @@
             seeds: Vec::new(),
             needs: BTreeMap::new(),
             reported: BTreeMap::new(),
+            audited: 0,
             is_behind: false,
             is_doubtful: false,
             next_round: now,
@@ -233,6 +236,7 @@
         self.link.refill(now);
         self.refresh_fleet();
         self.beat_if_due(now, actions);
+        self.audit(now, actions);
         self.detect(now, actions);
         self.judge(now);
         self.gossip(actions);
@@ -329,6 +333,7 @@
             region: region(self.identity.zone),
             zones: self.fleet.zones.clone(),
             settle: self.settings.settle * 2,
+            answer: self.settings.silence * 2,
         };
         self.directory.judge(now, &scope);
         let zones = self.directory.zones();
--- a/coordination/member/src/registry/failure.rs
+++ b/coordination/member/src/registry/failure.rs
@@ -80,7 +80,8 @@
         }
     }
 
-    /// States that this entry hears a process, where something else is stated.
+    /// States that this entry hears a process, where others suspect it, or
+    /// something outdated is stated.
     pub(super) fn vouch(&mut self, subject: SubjectId) {
         let statements = self.directory.statements();
         let (Some(watch), Some(rule)) = (self.watches.get(subject), statements.governing(subject))
@@ -88,9 +89,16 @@
             return;
         };
         let own = statements.get(subject, self.identity.address);
+        let stated = own.map(|own| own.sequence);
+        let suspected = statements.suspected(subject);
+        let is_contested = suspected
+            .is_some_and(|suspected| watch.sequence > suspected && stated <= Some(suspected));
         let is_refuted = own.is_some_and(|own| own.silent && own.sequence < watch.sequence);
         let is_superseded = rule.sequence < watch.sequence && rule.watchers != watch.watchers;
-        if watch.named && watch.incarnation == rule.incarnation && (is_refuted || is_superseded) {
+        if watch.named
+            && watch.incarnation == rule.incarnation
+            && (is_contested || is_refuted || is_superseded)
+        {
             let statement = self.statement(subject, watch, false);
             self.publish(&Record::Suspicion(statement));
         }
@@ -102,27 +110,21 @@
         let subject = suspicion.subject;
         let is_named = suspicion.watchers.contains(&self.identity.address);
         let is_held = self.directory.incarnation(subject) == Some(suspicion.incarnation);
-        if is_named && is_held && self.watches.get(subject).is_none() {
-            let target = self.directory.target(subject);
-            let entry = self.directory.entry(subject);
-            let place = match (target, entry) {
-                (Some(target), _) => Some((target.address, target.zone)),
-                (None, Some(entry)) => Some((entry.address, entry.zone)),
-                (None, None) => None,
-            };
-            let watch = place.map(|(address, zone)| Watch {
-                address,
-                zone,
+        let process = self.directory.process(subject);
+        if let Some(process) =
+            process.filter(|_| is_named && is_held && self.watches.get(subject).is_none())
+        {
+            let watch = Watch {
+                address: process.address,
+                zone: process.zone,
                 incarnation: suspicion.incarnation,
                 sequence: suspicion.sequence,
                 heard: now,
                 probed: now,
                 watchers: suspicion.watchers.clone(),
                 named: true,
-            });
-            if let Some(watch) = watch {
-                self.watches.put(subject, watch);
-            }
+            };
+            self.watches.put(subject, watch);
         }
         self.vouch(subject);
     }
--- a/coordination/member/src/statements.rs
+++ b/coordination/member/src/statements.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use crate::Refusal;
+use crate::message::Sequence;
 use crate::record::SubjectId;
 use crate::record::Suspicion;
 
@@ -70,24 +71,37 @@
         governing(self.subjects.get(&subject)?)
     }
 
-    /// True where a majority suspects the process: of those watchers that
-    /// suspect it or are running.
+    /// Last heartbeat after which some watcher suspects the process.
     #[must_use]
-    pub fn is_silent(&self, subject: SubjectId, is_live: impl Fn(SocketAddr) -> bool) -> bool {
-        let Some(rule) = self.governing(subject) else {
+    pub fn suspected(&self, subject: SubjectId) -> Option<Sequence> {
+        let held = self.subjects.get(&subject)?.iter();
+        let silent = held.filter(|held| held.silent);
+        silent.map(|held| held.sequence).max()
+    }
+
+    /// True where a majority suspects the process. Those count against it that
+    /// suspect it, and for it the running watchers that stated to have heard a
+    /// later heartbeat. While they may still do so, the other running watchers
+    /// count for it too.
+    #[must_use]
+    pub fn is_silent(
+        &self,
+        subject: SubjectId,
+        may_answer: bool,
+        is_live: impl Fn(SocketAddr) -> bool,
+    ) -> bool {
+        let (Some(rule), Some(suspected)) = (self.governing(subject), self.suspected(subject))
+        else {
             return false;
         };
-        let suspects = |watcher: SocketAddr| {
-            let held = self.get(subject, watcher);
-            held.is_some_and(|held| held.silent)
-        };
         let mut against = 0;
         let mut others = 0;
         for watcher in rule.watchers.iter().copied() {
-            if suspects(watcher) {
-                against += 1;
-            } else if is_live(watcher) {
-                others += 1;
+            match self.get(subject, watcher) {
+                Some(held) if held.silent => against += 1,
+                Some(held) if held.sequence > suspected && is_live(watcher) => others += 1,
+                _ if may_answer && is_live(watcher) => others += 1,
+                _ => {}
             }
         }
         against > others
--- a/coordination/member/src/zones.rs
+++ b/coordination/member/src/zones.rs
@@ -41,6 +41,8 @@
     pub zones: BTreeSet<ZoneId>,
     /// Wait after the first report for those of other observers.
     pub settle: Duration,
+    /// Wait for the other watchers of a process that one suspects.
+    pub answer: Duration,
 }
 
 /// Reports and verdicts.
--- a/coordination/member/tests/cold.rs
+++ b/coordination/member/tests/cold.rs
@@ -35,6 +35,8 @@
         records.extend((0..TARGETS).map(|host| {
             let mut target = target(host, 1, 1);
             target.service = address(number);
+            // A region whose targets these entries do not watch.
+            target.zone = 0x0901;
             target.id = fastrand::Rng::with_seed(u64::from(number) << 8 | u64::from(host)).u64(..);
             Record::Target(target)
         }));
--- a/coordination/member/tests/failure.rs
+++ b/coordination/member/tests/failure.rs
@@ -232,3 +232,22 @@
             .all(|view| view.targets.len() == 2)
     );
 }
+
+#[test]
+fn a_target_that_dies_with_all_its_watchers_is_held_down() {
+    let mut net = region(7, 5, 4);
+    let watchers = net.agents[&agent(1)].watchers();
+    net.frozen.extend(&watchers);
+    net.frozen.insert(agent(1));
+    net.run_until(LONG, |net| net.all_see(Health::Down, 1));
+    let expected = 7 - watchers.len();
+    let live = |net: &Net| -> Vec<usize> {
+        let running = net.entries.iter();
+        let running = running.filter(|(address, _)| !net.frozen.contains(*address));
+        running
+            .map(|(_, held)| held.live_entries().count())
+            .collect()
+    };
+    net.run_until(LONG, |net| live(net).iter().all(|count| *count == expected));
+    net.run_checked(LONG, |net| assert!(net.all_see(Health::Down, 1)));
+}
