Halve the memory of the directory, and offer large configurations

Causes: each service's targets in a tree of nodes that are mostly empty; an address in each place of the index; and the audit ranking all entries twice for each process.

Large bodies are now offered by key and digest and pulled once.

--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -257,7 +257,7 @@
 
     /// Forgets the departed and silent targets that the entry has dropped.
     fn roll(&mut self, roll: &Roll) {
-        let part = self.view.part(roll.part.into());
+        let part = self.view.part(roll.part.into()).iter();
         let dropped: Vec<u64> = part
             .filter(|member| member.target.state == State::Left || member.health != Health::Up)
             .map(|member| member.target.id)
--- a/coordination/member/src/digest.rs
+++ b/coordination/member/src/digest.rs
@@ -14,3 +14,9 @@
     digest.copy_from_slice(&hasher.finalize().as_bytes()[..size_of::<Digest>()]);
     Digest::from_le_bytes(digest)
 }
+
+/// Lower half of a digest.
+pub fn half(digest: Digest) -> u32 {
+    let [a, b, c, d, ..] = digest.to_le_bytes();
+    u32::from_le_bytes([a, b, c, d])
+}
--- a/coordination/member/src/directory.rs
+++ b/coordination/member/src/directory.rs
@@ -46,7 +46,8 @@
 /// Versioned records and the verdicts that follow from them.
 #[derive(Debug, Default)]
 pub struct Directory {
-    services: BTreeMap<ServiceAddress, View>,
+    views: Vec<View>,
+    services: BTreeMap<ServiceAddress, ServiceIndex>,
     hosts: BTreeMap<Key, Host>,
     statements: Statements,
     zones: Zones,
@@ -89,13 +90,29 @@
     digest: Digest,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Position of a view among all views.
+type ServiceIndex = u32;
+
+/// The place of a record, small since there is one for each target.
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum Place {
-    Service(ServiceAddress),
-    Target(ServiceAddress),
+    Service(ServiceIndex),
+    Target(ServiceIndex),
     Entry,
-    Suspicion(SubjectId, SocketAddr),
-    Report(ZoneId, SocketAddr),
+    Suspicion(Box<SuspicionPlace>),
+    Report(Box<ReportPlace>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct SuspicionPlace {
+    subject: SubjectId,
+    observer: SocketAddr,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ReportPlace {
+    zone: ZoneId,
+    observer: SocketAddr,
 }
 
 /// A change of a target, or of the configuration where there is none.
@@ -119,7 +136,7 @@
                 let address = service.address;
                 self.view_mut(address).merge_config(service)?;
                 self.note(address, None);
-                Place::Service(address)
+                Place::Service(self.index(address))
             }
             Record::Target(target) => self.merge_target(target)?,
             Record::Entry(entry) => self.merge_entry(key, entry)?,
@@ -140,7 +157,7 @@
         }
         self.note(address, Some(id));
         self.dirty.insert(address);
-        Ok(Place::Target(address))
+        Ok(Place::Target(self.index(address)))
     }
 
     fn merge_entry(&mut self, key: Key, entry: Entry) -> Result<Place, Refusal> {
@@ -171,7 +188,10 @@
             self.clear_slot(suspicion_key(replaced.subject, replaced.observer));
         }
         self.stale_subject(subject);
-        Ok(Place::Suspicion(subject, observer))
+        Ok(Place::Suspicion(Box::new(SuspicionPlace {
+            subject,
+            observer,
+        })))
     }
 
     fn merge_report(&mut self, report: Report) -> Result<Place, Refusal> {
@@ -179,30 +199,35 @@
         for replaced in self.zones.merge(report)? {
             self.clear_slot(report_key(replaced.zone, replaced.observer));
         }
-        Ok(Place::Report(zone, observer))
+        Ok(Place::Report(Box::new(ReportPlace { zone, observer })))
     }
 
     /// The record under a key.
     #[must_use]
     pub fn record(&self, key: Key) -> Option<Record> {
-        Some(match self.slots.get(&key)?.place {
-            Place::Service(address) => {
-                Record::Service(self.services.get(&address)?.config.clone()?)
-            }
-            Place::Target(address) => {
-                let member = self.services.get(&address)?.targets.get(&key)?;
+        Some(match &self.slots.get(&key)?.place {
+            Place::Service(index) => Record::Service(self.view_at(*index)?.config.clone()?),
+            Place::Target(index) => {
+                let member = self.view_at(*index)?.targets.get(&key)?;
                 Record::Target(member.target.clone())
             }
-            Place::Entry => Record::Entry(self.hosts.get(&key)?.entry.clone()),
-            Place::Suspicion(subject, observer) => {
-                Record::Suspicion(self.statements.get(subject, observer)?.clone())
+            Place::Entry => Record::Entry(self.entry(key)?.clone()),
+            Place::Suspicion(place) => {
+                let held = self.statements.get(place.subject, place.observer)?;
+                Record::Suspicion(held.clone())
             }
-            Place::Report(zone, observer) => {
-                Record::Report(self.zones.get(zone, observer)?.clone())
+            Place::Report(place) => {
+                Record::Report(self.zones.get(place.zone, place.observer)?.clone())
             }
         })
     }
 
+    /// Digest of the record under a key.
+    #[must_use]
+    pub fn digest(&self, key: Key) -> Option<Digest> {
+        self.slots.get(&key).map(|slot| slot.digest)
+    }
+
     /// Keys and digests of the records in a range of keys.
     pub fn range(&self, first: Key, last: Key) -> impl Iterator<Item = (Key, Digest)> {
         let slots = self.slots.range(first..=last);
@@ -212,11 +237,11 @@
     /// Keys of everything about a service.
     #[must_use]
     pub fn service_keys(&self, address: ServiceAddress) -> Vec<Key> {
-        let Some(view) = self.services.get(&address) else {
+        let Some(view) = self.view(&address) else {
             return Vec::new();
         };
         let mut keys: Vec<Key> = view.config.iter().map(|_| service_key(address)).collect();
-        keys.extend(view.targets.keys());
+        keys.extend(view.targets.values().map(|member| member.target.id));
         keys
     }
 
@@ -269,10 +294,10 @@
     /// The target with this id.
     #[must_use]
     pub fn target(&self, id: TargetId) -> Option<&Target> {
-        let Place::Target(address) = self.slots.get(&id)?.place else {
+        let Place::Target(index) = self.slots.get(&id)?.place else {
             return None;
         };
-        let member = self.services.get(&address)?.targets.get(&id)?;
+        let member = self.view_at(index)?.targets.get(&id)?;
         Some(&member.target)
     }
 
@@ -328,12 +353,13 @@
     /// The view of a service.
     #[must_use]
     pub fn view(&self, address: &ServiceAddress) -> Option<&View> {
-        self.services.get(address)
+        self.view_at(*self.services.get(address)?)
     }
 
     /// All views.
     pub fn views(&self) -> impl Iterator<Item = &View> {
-        self.services.values()
+        let indices = self.services.values();
+        indices.filter_map(|index| self.view_at(*index))
     }
 
     /// All entries, departed and silent ones included.
@@ -341,10 +367,22 @@
         self.hosts.values().map(|host| &host.entry)
     }
 
+    fn view_at(&self, index: ServiceIndex) -> Option<&View> {
+        self.views.get(usize::try_from(index).ok()?)
+    }
+
     fn view_mut(&mut self, address: ServiceAddress) -> &mut View {
-        self.services
-            .entry(address)
-            .or_insert_with(|| View::new(address))
+        let index = self.index(address);
+        &mut self.views[index as usize]
+    }
+
+    /// Position of the view of a service, which begins to exist if need be.
+    fn index(&mut self, address: ServiceAddress) -> ServiceIndex {
+        let views = &mut self.views;
+        *self.services.entry(address).or_insert_with(|| {
+            views.push(View::new(address));
+            ServiceIndex::try_from(views.len() - 1).unwrap_or(ServiceIndex::MAX)
+        })
     }
 
     fn note(&mut self, service: ServiceAddress, target: Option<TargetId>) {
--- a/coordination/member/src/directory/verdict.rs
+++ b/coordination/member/src/directory/verdict.rs
@@ -114,9 +114,10 @@
     }
 
     fn judge_service(&mut self, now: Duration, address: ServiceAddress) {
-        let Some(view) = self.services.get_mut(&address) else {
+        let Some(index) = self.services.get(&address).copied() else {
             return;
         };
+        let view = &mut self.views[index as usize];
         let (statements, zones, hosts) = (&self.statements, &self.zones, &self.hosts);
         let contests = &self.contests;
         let turned = view.judge(|target| {
@@ -145,9 +146,10 @@
 
     /// Has the verdict on a process renewed.
     pub(super) fn stale_subject(&mut self, subject: SubjectId) {
-        match self.slots.get(&subject).map(|slot| slot.place) {
-            Some(Place::Target(address)) => {
-                self.dirty.insert(address);
+        match self.slots.get(&subject).map(|slot| &slot.place) {
+            Some(Place::Target(index)) => {
+                let address = self.view_at(*index).map(|view| view.address);
+                self.dirty.extend(address);
             }
             Some(Place::Entry) => self.stale_hosts = true,
             _ => {}
@@ -155,7 +157,7 @@
     }
 
     fn dirty_zone(&mut self, zone: ZoneId) {
-        let views = self.services.values();
+        let views = self.views.iter();
         let touched = views.filter(|view| {
             let mut members = view.targets.values();
             members.any(|member| member.target.zone == zone)
--- a/coordination/member/src/fragment.rs
+++ b/coordination/member/src/fragment.rs
@@ -29,15 +29,13 @@
     pub index: u16,
     /// Number of parts.
     pub count: u16,
-    /// Whether a complete configuration is passed on at once.
-    pub hot: bool,
     /// This part of the body.
     pub bytes: Bytes,
 }
 
 /// Splits a configuration; the body must not exceed 450 KB.
 #[must_use]
-pub fn split(service: &Service, hot: bool) -> Vec<Fragment> {
+pub fn split(service: &Service) -> Vec<Fragment> {
     let chunks = service.body.chunks(MAX_INLINE_BYTES);
     let count = u16::try_from(chunks.len()).unwrap_or(u16::MAX);
     let parts = (0..).zip(chunks).map(|(index, chunk)| Fragment {
@@ -45,7 +43,6 @@
         revision: service.revision,
         index,
         count,
-        hot,
         bytes: service.body.slice_ref(chunk),
     });
     parts.collect()
--- a/coordination/member/src/hot.rs
+++ b/coordination/member/src/hot.rs
@@ -3,18 +3,17 @@
 use std::collections::BTreeMap;
 
 use crate::Record;
-use crate::fragment::MAX_INLINE_BYTES;
 use crate::record::Key;
 
 /// Backlog above which each record is sent fewer times; the comparison of
 /// digests then carries the rest.
 const BACKLOG: usize = 256;
 
-/// Times that a record is sent within a backlog, or where it is large.
+/// Times that a record is sent within a backlog.
 const BACKLOG_SENDS: u32 = 3;
 
 /// Times that a record is sent beyond the logarithm of the number of entries.
-const EXTRA_SENDS: u32 = 3;
+const EXTRA_SENDS: u32 = 5;
 
 /// Which records matter more; the least comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -48,14 +47,9 @@
             Record::Suspicion(_) => Urgency::Suspicion,
             Record::Target(_) => Urgency::Target,
         };
-        let is_large = match record {
-            Record::Service(service) => service.body.len() > MAX_INLINE_BYTES,
-            _ => false,
-        };
-        let left = if is_large || self.sends.len() >= BACKLOG {
-            sends(entries).min(BACKLOG_SENDS)
-        } else {
-            sends(entries)
+        let left = match self.sends.len() {
+            0..BACKLOG => sends(entries),
+            _ => sends(entries).min(BACKLOG_SENDS),
         };
         self.sends.insert(record.key(), Rumor { urgency, left });
     }
--- a/coordination/member/src/lib.rs
+++ b/coordination/member/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod registry;
 pub mod settings;
 pub mod status;
+pub mod targets;
 pub mod tree;
 pub mod view;
 
@@ -44,6 +45,7 @@
 pub use settings::Settings;
 pub use status::Refusal;
 pub use status::Status;
+pub use targets::Targets;
 pub use view::Health;
 pub use view::Member;
 pub use view::View;
--- a/coordination/member/src/message.rs
+++ b/coordination/member/src/message.rs
@@ -49,6 +49,8 @@
     Push(Push),
     /// Part of a configuration that does not fit into one message.
     Fragment(Fragment),
+    /// News that is too large to be pushed, to be pulled by who lacks it.
+    Offer(Vec<Item>),
     /// Digests of the sender below a node of the digest tree.
     Compare(Compare),
     /// The records that the sender holds in a range of keys.
--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -92,10 +92,12 @@
     needs: BTreeMap<ServiceAddress, Need>,
     reported: BTreeMap<ZoneId, Duration>,
     audited: Key,
+    asked: BTreeSet<Key>,
     is_behind: bool,
     is_doubtful: bool,
     next_round: Duration,
     next_compare: Duration,
+    next_ask: Duration,
     next_expiry: Duration,
 }
 
@@ -146,10 +148,12 @@
             needs: BTreeMap::new(),
             reported: BTreeMap::new(),
             audited: 0,
+            asked: BTreeSet::new(),
             is_behind: false,
             is_doubtful: false,
             next_round: now,
             next_compare: now,
+            next_ask: now,
             next_expiry: now + EXPIRY_INTERVAL,
             settings,
             identity,
@@ -213,6 +217,7 @@
             Message::Probe => self.beat(&[from], actions),
             Message::Push(push) => self.push(now, push),
             Message::Fragment(fragment) => self.fragment(fragment),
+            Message::Offer(items) => self.offer(from, &items, actions),
             Message::Compare(compare) => self.compare(from, &compare, actions),
             Message::Leaf(leaf) => self.leaf(from, &leaf, actions),
             Message::Pull(keys) => self.pull(from, &keys, actions),
@@ -240,6 +245,7 @@
         self.detect(now, actions);
         self.judge(now);
         self.gossip(actions);
+        self.forget_asked(now);
         self.compare_if_due(now, actions);
         self.ask_needs(now, actions);
         if now >= self.next_expiry {
--- a/coordination/member/src/registry/audit.rs
+++ b/coordination/member/src/registry/audit.rs
@@ -7,6 +7,7 @@
 use crate::Action;
 use crate::Message;
 use crate::choice;
+use crate::choice::score;
 use crate::directory::Process;
 use crate::record::SubjectId;
 use crate::watches::Watch;
@@ -63,11 +64,22 @@
             && self.watches.get(subject).is_none()
             && rule.is_none_or(|rule| !rule.watchers.iter().any(is_live));
         is_candidate
+            && !self.is_outranked(subject)
             && self
                 .local_watchers(subject, process)
                 .contains(&self.identity.address)
     }
 
+    /// True where there are zones enough for each watcher, and this entry is not
+    /// the best of its zone; found without ranking all entries.
+    fn is_outranked(&self, subject: SubjectId) -> bool {
+        let own = score(subject, self.key);
+        let mut rivals = self.fleet.candidates.iter();
+        self.fleet.zones.len() >= self.settings.watchers
+            && rivals
+                .any(|rival| rival.zone == self.identity.zone && score(subject, rival.key) > own)
+    }
+
     fn local_watchers(&self, subject: SubjectId, process: &Process) -> Vec<SocketAddr> {
         let candidates = &self.fleet.candidates;
         choice::local(subject, process.zone, candidates, self.settings.watchers)
--- a/coordination/member/src/registry/heartbeat.rs
+++ b/coordination/member/src/registry/heartbeat.rs
@@ -262,7 +262,7 @@
     match &view.config {
         None => Vec::new(),
         Some(config) if is_large(view) => {
-            let parts = fragment::split(config, false);
+            let parts = fragment::split(config);
             parts.into_iter().map(Message::Fragment).collect()
         }
         Some(config) => vec![Message::Members(Members {
@@ -274,14 +274,15 @@
 }
 
 fn part_messages(view: &View, number: usize) -> Vec<Message> {
-    let targets = view.part(number).map(|member| member.target.id).collect();
+    let part = view.part(number);
+    let targets = part.iter().map(|member| member.target.id).collect();
     let roll = Roll {
         address: view.address,
         part: u8::try_from(number).unwrap_or(u8::MAX),
         targets,
     };
     let mut messages = vec![Message::Roll(roll)];
-    messages.extend(member_messages(view.address, view.part(number).cloned()));
+    messages.extend(member_messages(view.address, part.iter().cloned()));
     messages
 }
 
--- a/coordination/member/src/registry/repair.rs
+++ b/coordination/member/src/registry/repair.rs
@@ -10,7 +10,7 @@
 use crate::Action;
 use crate::Message;
 use crate::Refusal;
-use crate::digest::Digest;
+use crate::digest::half;
 use crate::message::Compare;
 use crate::message::Item;
 use crate::message::Leaf;
@@ -119,15 +119,45 @@
         };
         let wanted = lacking(&theirs, &own);
         let offered = lacking(&own, &theirs);
-        if !wanted.is_empty() {
-            self.is_behind = true;
-            if self.link.may_ask() {
-                self.link.send_bulk(from, Message::Pull(wanted), actions);
-            }
-        }
+        self.is_behind |= !wanted.is_empty();
+        self.ask(from, wanted, actions);
         self.pull(from, &offered, actions);
     }
 
+    /// Asks for the offered records that this entry does not hold.
+    pub(super) fn offer(&mut self, from: SocketAddr, items: &[Item], actions: &mut Vec<Action>) {
+        let held = |item: &Item| {
+            let digest = self.directory.digest(item.key);
+            digest.map(half) == Some(item.digest)
+        };
+        let lacking = items.iter().filter(|item| !held(item));
+        let wanted = lacking.map(|item| item.key).take(MAX_ITEMS).collect();
+        self.ask(from, wanted, actions);
+    }
+
+    /// Asks a peer for records, but for those that a peer was asked for just
+    /// before.
+    fn ask(&mut self, from: SocketAddr, mut keys: Vec<Key>, actions: &mut Vec<Action>) {
+        keys.retain(|key| !self.asked.contains(key));
+        if keys.is_empty() || !self.link.may_ask() {
+            return;
+        }
+        if self
+            .link
+            .send_bulk(from, Message::Pull(keys.clone()), actions)
+        {
+            self.asked.extend(keys);
+        }
+    }
+
+    /// Lets records be asked for again.
+    pub(super) fn forget_asked(&mut self, now: Duration) {
+        if now >= self.next_ask {
+            self.next_ask = now + self.settings.compare;
+            self.asked.clear();
+        }
+    }
+
     /// Sends the records that a peer asked for.
     pub(super) fn pull(&mut self, from: SocketAddr, keys: &[Key], actions: &mut Vec<Action>) {
         let known = keys.iter().take(MAX_ITEMS);
@@ -224,9 +254,3 @@
         messages
     }
 }
-
-/// Lower half of a digest.
-fn half(digest: Digest) -> u32 {
-    let [a, b, c, d, ..] = digest.to_le_bytes();
-    u32::from_le_bytes([a, b, c, d])
-}
--- a/coordination/member/src/registry/spread.rs
+++ b/coordination/member/src/registry/spread.rs
@@ -6,8 +6,11 @@
 use crate::Action;
 use crate::Message;
 use crate::Record;
+use crate::digest;
+use crate::digest::half;
 use crate::fragment;
 use crate::fragment::Fragment;
+use crate::message::Item;
 use crate::message::Push;
 use crate::message::pack;
 use crate::record::Key;
@@ -55,11 +58,11 @@
         }
     }
 
-    /// Takes part of a large configuration.
+    /// Takes part of a large configuration, and offers it to others once it is
+    /// complete.
     pub(super) fn fragment(&mut self, fragment: Fragment) {
-        let hot = fragment.hot;
         if let Some(service) = self.assembler.take(fragment) {
-            self.take_record(Record::Service(service), hot);
+            self.publish(&Record::Service(service));
         }
     }
 
@@ -153,13 +156,16 @@
         .collect();
     for record in large {
         let key = record.key();
-        if let Record::Service(service) = record {
-            let parts = fragment::split(&service, hot);
-            batches.push(Batch {
-                keys: vec![key],
-                messages: parts.into_iter().map(Message::Fragment).collect(),
-            });
-        }
+        let digest = half(digest::item(&record));
+        let messages = match record {
+            Record::Service(service) if !hot => {
+                let parts = fragment::split(&service);
+                parts.into_iter().map(Message::Fragment).collect()
+            }
+            _ => vec![Message::Offer(vec![Item { key, digest }])],
+        };
+        let keys = vec![key];
+        batches.push(Batch { keys, messages });
     }
     batches
 }
--- a/coordination/member/src/view.rs
+++ b/coordination/member/src/view.rs
@@ -1,6 +1,4 @@
 //! What is known of one service.
-use std::collections::BTreeMap;
-
 use serde::Deserialize;
 use serde::Serialize;
 use wire::ServiceAddress;
@@ -12,6 +10,7 @@
 use crate::Service;
 use crate::digest;
 use crate::digest::Digest;
+use crate::targets::Targets;
 
 /// Parts into which the targets of a view fall, by the upper bits of their id.
 pub const PARTS: usize = 64;
@@ -26,7 +25,7 @@
     /// The configuration, once it is known.
     pub config: Option<Service>,
     /// Every target, including draining, silent and departed ones.
-    pub targets: BTreeMap<TargetId, Member>,
+    pub targets: Targets,
     digest: Digest,
 }
 
@@ -58,7 +57,7 @@
         Self {
             address,
             config: None,
-            targets: BTreeMap::new(),
+            targets: Targets::new(),
             digest: 0,
         }
     }
@@ -72,8 +71,8 @@
     /// Digests of the parts of the targets, then that of the configuration.
     pub(crate) fn parts(&self) -> Vec<Digest> {
         let mut parts = vec![0; PARTS];
-        for (id, member) in &self.targets {
-            let part = &mut parts[part(*id)];
+        for member in self.targets.values() {
+            let part = &mut parts[part(member.target.id)];
             *part = digest::item(member).wrapping_add(*part);
         }
         parts.push(config_digest(self.config.as_ref()));
@@ -81,11 +80,13 @@
     }
 
     /// The targets of one part.
-    pub(crate) fn part(&self, number: usize) -> impl Iterator<Item = &Member> {
-        let members = self.targets.iter();
-        members
-            .filter(move |(id, _)| part(**id) == number)
-            .map(|(_, member)| member)
+    pub(crate) fn part(&self, number: usize) -> &[Member] {
+        if number >= PARTS {
+            return &[];
+        }
+        let first = (number as TargetId) << (TargetId::BITS - PART_BITS);
+        self.targets
+            .range(first, first | (TargetId::MAX >> PART_BITS))
     }
 
     /// Takes the configuration where it is newer.
@@ -125,7 +126,7 @@
 
     /// Forgets a target; true where it was held.
     pub(crate) fn remove(&mut self, id: TargetId) -> bool {
-        let Some(member) = self.targets.remove(&id) else {
+        let Some(member) = self.targets.remove(id) else {
             return false;
         };
         self.replace(digest::item(&member), 0);
@@ -158,7 +159,11 @@
             Ok(_) => verdict,
             Err(_) => Health::Up,
         };
-        let ids: Vec<TargetId> = self.targets.keys().copied().collect();
+        let ids: Vec<TargetId> = self
+            .targets
+            .values()
+            .map(|member| member.target.id)
+            .collect();
         ids.into_iter()
             .filter(|id| self.set_health(*id, health(*id)))
             .collect()
@@ -167,7 +172,7 @@
     fn put_member(&mut self, member: Member) {
         let old = self.targets.get(&member.target.id).map_or(0, digest::item);
         self.replace(old, digest::item(&member));
-        self.targets.insert(member.target.id, member);
+        self.targets.insert(member);
     }
 
     fn replace(&mut self, old: Digest, new: Digest) {
