--- a/coordination/member/tests/failure.rs
+++ b/coordination/member/tests/failure.rs
@@ -251,3 +251,14 @@
     net.run_until(LONG, |net| live(net).iter().all(|count| *count == expected));
     net.run_checked(LONG, |net| assert!(net.all_see(Health::Down, 1)));
 }
+
+#[test]
+fn the_death_of_most_entries_is_noticed_by_the_rest() {
+    let mut net = region(5, 5, 4);
+    net.frozen.extend([1, 2, 3].map(entry));
+    net.run_until(LONG, |net| {
+        let running = [4, 5].map(|number| &net.entries[&entry(number)]);
+        running.iter().all(|held| held.live_entries().count() == 2)
+    });
+    net.run_checked(LONG, nothing_is_silent);
+}
