--- a/roles/app/src/operator/client.rs
+++ b/roles/app/src/operator/client.rs
@@ -36,12 +36,13 @@
 /// An error of the connection; try another entry.
 pub async fn connect(address: SocketAddr, executor: Arc<Executor<'static>>) -> io::Result<Client> {
     let stream = TcpStream::connect(address).await?;
-    let (sender, connection) =
-        http2::handshake(Spawn(executor.clone()), FuturesIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
+    let (sender, connection) = http2::handshake(Spawn(executor.clone()), FuturesIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
     executor.spawn(connection).detach();
-    let origin: Uri = format!("http://{address}").parse().map_err(io::Error::other)?;
+    let origin: Uri = format!("http://{address}")
+        .parse()
+        .map_err(io::Error::other)?;
     Ok(OperatorClient::with_origin(Link(sender), origin))
 }
 
