Add the operate command and test it before a stand-in of the store

The command goes on to the next entry where one does not answer, and says how to repeat a change whose outcome is unknown under the same operation id.

--- a/roles/app/src/operator/mod.rs
+++ b/roles/app/src/operator/mod.rs
@@ -1,8 +1,10 @@
 //! The operators' remote procedure calls: the server that entries run and the
 //! client of the `operate` command.
+pub mod args;
 pub mod client;
 pub mod command;
 mod convert;
+pub mod print;
 pub mod server;
 mod spawn;
 
--- /dev/null
+++ b/roles/app/tests/operator.rs
@@ -0,0 +1,212 @@
+//! The operators' server, its client and the `operate` command, before a
+//! stand-in of the store.
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use api::operator as schema;
+use app::operator;
+use app::operator::command;
+use app::operator::print::End;
+use app::operator::print::Printed;
+use futures_lite::FutureExt;
+use smol::Executor;
+use smol::net::TcpListener;
+use standin::platform;
+use standin::platform::Platform;
+use standin::platform::fault::Mode;
+use store::Http;
+use store::http::Settings;
+
+const SERVICE: &str = "192.0.2.1:5000";
+const TIMEOUT: Duration = Duration::from_mins(1);
+
+struct NoSnapshot;
+
+impl operator::Snapshot for NoSnapshot {
+    fn status(&self) -> schema::StatusReply {
+        schema::StatusReply {
+            counters: vec![schema::Counter {
+                name: "refused.overloaded".to_owned(),
+                value: 7,
+            }],
+            ..schema::StatusReply::default()
+        }
+    }
+}
+
+/// An operator at work.
+struct Operator {
+    entry: SocketAddr,
+    executor: Arc<Executor<'static>>,
+    platform: Platform,
+}
+
+impl Operator {
+    async fn run(&self, line: &str) -> Printed {
+        let args: Vec<String> = line.split_whitespace().map(str::to_owned).collect();
+        command::run(&[self.entry], TIMEOUT, &args, self.executor.clone())
+            .await
+            .expect("the entry answers")
+    }
+
+    async fn expect(&self, line: &str, end: End, text: &str) {
+        let printed = self.run(line).await;
+        assert_eq!(printed.end, end, "{line}: {}", printed.text);
+        assert!(printed.text.contains(text), "{line}: {}", printed.text);
+    }
+}
+
+fn with_operator<F: Future<Output = ()>>(test: impl FnOnce(Operator) -> F) {
+    let executor = Arc::new(Executor::new());
+    smol::block_on(executor.run(async {
+        let store = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let entry = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let platform = Platform::default();
+        let context = operator::Context {
+            store: Http::new(Settings {
+                timeout: TIMEOUT,
+                ..Settings::new(store.local_addr().expect("an address"))
+            }),
+            snapshot: NoSnapshot,
+        };
+        let operator = Operator {
+            entry: entry.local_addr().expect("an address"),
+            executor: executor.clone(),
+            platform: platform.clone(),
+        };
+        let store = platform::serve(store, platform, executor.clone());
+        let entry = operator::serve(entry, context, executor.clone());
+        let serve = async { panic!("a listener ended: {:?}", store.or(entry).await) };
+        test(operator).or(serve).await;
+    }));
+}
+
+#[test]
+fn a_service_is_created_changed_drained_and_deleted() {
+    with_operator(|operator| async move {
+        let create = format!("create {SERVICE} --name roster --operation op-1");
+        operator
+            .expect(&create, End::Done, "accepted as revision 1")
+            .await;
+        let update = format!("update {SERVICE} --hunt 2 --binding independent");
+        operator.expect(&update, End::Done, "hunt: 3 -> 2").await;
+        let drain = format!("drain {SERVICE} zone:4");
+        operator
+            .expect(&drain, End::Done, "accepted as revision 3")
+            .await;
+        let get = format!("get {SERVICE}");
+        operator
+            .expect(&get, End::Done, "independent revision 3")
+            .await;
+        operator.expect(&get, End::Done, "drained [zone:4]").await;
+        let undrain = format!("undrain {SERVICE} zone:4");
+        operator
+            .expect(&undrain, End::Done, "accepted as revision 4")
+            .await;
+        operator.expect(&get, End::Done, "drained []").await;
+        let delete = format!("delete {SERVICE}");
+        operator
+            .expect(&delete, End::Done, "accepted as revision 5")
+            .await;
+        assert_eq!(operator.run("list").await.text, "");
+        operator
+            .expect("list --deleted", End::Done, "roster deleted")
+            .await;
+    });
+}
+
+#[test]
+fn a_wrong_request_gets_every_problem_and_writes_nothing() {
+    with_operator(|operator| async move {
+        let create = format!("create {SERVICE} --hunt 9 --default-deadline-ms 90000");
+        let printed = operator.run(&create).await;
+        assert_eq!(printed.end, End::Invalid);
+        assert_eq!(printed.text.lines().count(), 3, "{}", printed.text);
+        operator
+            .expect("get nowhere", End::Invalid, "address cannot be read")
+            .await;
+        let drain = format!("drain {SERVICE} zone:4");
+        operator
+            .expect(&drain, End::Invalid, "create it first")
+            .await;
+        assert_eq!(operator.platform.calls().writes, 0);
+    });
+}
+
+#[test]
+fn a_dry_run_shows_the_difference_and_writes_nothing() {
+    with_operator(|operator| async move {
+        let create = format!("create {SERVICE} --name roster --dry-run");
+        operator
+            .expect(&create, End::Done, "name:  -> \"roster\"")
+            .await;
+        assert_eq!(operator.platform.calls().writes, 0);
+    });
+}
+
+#[test]
+fn the_loser_of_a_race_sees_the_winner_and_the_winner_itself() {
+    with_operator(|operator| async move {
+        let create = format!("create {SERVICE} --name roster");
+        operator.expect(&create, End::Done, "revision 1").await;
+        operator
+            .platform
+            .set_faults(|faults| faults.lose_answers = 1);
+        let one = format!("update {SERVICE} --hunt 1 --expected 1 --operation one");
+        let two = format!("update {SERVICE} --hunt 2 --expected 1 --operation two");
+        operator.expect(&one, End::Done, "revision 2 ").await;
+        operator
+            .expect(&two, End::Conflict, "revision 2 of operation one")
+            .await;
+        let over = format!("update {SERVICE} --hunt 2 --operation three");
+        operator.expect(&over, End::Done, "revision 3 ").await;
+        let retry = format!("{one} --retry");
+        let text = "revision 2 (operation one), replaced since by revision 3";
+        operator.expect(&retry, End::Done, text).await;
+    });
+}
+
+fn refuses(mode: Mode) {
+    with_operator(|operator| async move {
+        operator.platform.set_faults(|faults| faults.mode = mode);
+        let create = format!("create {SERVICE} --name roster --operation one");
+        operator
+            .expect(&create, End::Unavailable, "try again after 1")
+            .await;
+        let retry = format!("{create} --retry");
+        operator
+            .expect(&retry, End::Unknown, "--operation one --retry")
+            .await;
+        operator
+            .expect("list", End::Unavailable, "not applied")
+            .await;
+        operator
+            .expect("status", End::Done, "refused.overloaded 7")
+            .await;
+        operator
+            .platform
+            .set_faults(|faults| faults.mode = Mode::Up);
+        operator.expect(&retry, End::Done, "revision 1").await;
+    });
+}
+
+cases::cases! { refuses;
+    a_change_is_refused_while_the_store_is_down: Mode::Down,
+    a_change_is_refused_while_the_store_fails: Mode::Fail,
+}
+
+#[test]
+fn a_command_goes_on_to_the_next_entry() {
+    with_operator(|operator| async move {
+        let gone = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let entries = [gone.local_addr().expect("an address"), operator.entry];
+        drop(gone);
+        let args = ["list".to_owned()];
+        let printed = command::run(&entries, TIMEOUT, &args, operator.executor.clone()).await;
+        assert_eq!(printed.expect("an answer").end, End::Done);
+        let none = command::run(&entries[..1], TIMEOUT, &args, operator.executor.clone()).await;
+        assert!(matches!(none, Err(command::Error::NoAnswer { .. })));
+    });
+}
