--- a/coordination/config/src/change.rs
+++ b/coordination/config/src/change.rs
@@ -186,7 +186,7 @@
             Ok(item) => item,
             Err(fault) => return self.unavailable(fault),
         };
-        let found = match item.map(Found::read).transpose() {
+        let found = match item.as_ref().map(Found::read).transpose() {
             Ok(found) => found.unwrap_or_default(),
             Err(problem) => return Action::Done(Outcome::Invalid(vec![problem])),
         };
@@ -309,9 +309,10 @@
             .is_none_or(|record| record.covers(base, found.revision));
         // A read older than the base says nothing of what came after it.
         let hidden = !covered || found.revision < base;
-        let effect = match hidden {
-            true if self.uncertain => Effect::Unknown,
-            _ => Effect::NotApplied,
+        let effect = if hidden {
+            self.effect()
+        } else {
+            Effect::NotApplied
         };
         Action::Done(Outcome::Conflict {
             winner: found.revision,
@@ -321,17 +322,22 @@
     }
 
     fn unavailable(&self, fault: Fault) -> Action {
-        let effect = match self.uncertain {
-            true => Effect::Unknown,
-            false => Effect::NotApplied,
-        };
         Action::Done(Outcome::Unavailable {
             fault,
-            effect,
+            effect: self.effect(),
             retry_after: RETRY_AFTER + jitter(self.seed, RETRY_AFTER),
         })
     }
 
+    /// What became of the change as long as reading back does not tell.
+    fn effect(&self) -> Effect {
+        if self.uncertain {
+            Effect::Unknown
+        } else {
+            Effect::NotApplied
+        }
+    }
+
     fn read(&self) -> Action {
         Action::Read {
             key: key(self.request.address),
@@ -358,7 +364,7 @@
 }
 
 impl Found {
-    fn read(item: Item) -> Result<Self, Problem> {
+    fn read(item: &Item) -> Result<Self, Problem> {
         Ok(Self {
             record: Some(Record::from_json(&item.value)?),
             revision: item.revision,
--- a/coordination/config/src/problem.rs
+++ b/coordination/config/src/problem.rs
@@ -13,17 +13,17 @@
     Name,
     /// hunt is outside 1 to 3; choose the number of agents that an open visits
     Hunt,
-    /// queue_limit_ms is over 60000; lower it, since callers should rather be refused at once
+    /// `queue_limit_ms` is over 60000; lower it, since callers should rather be refused at once
     QueueLimit,
-    /// idle_timeout_ms is outside 1000 to 86400000; choose a time within
+    /// `idle_timeout_ms` is outside 1000 to 86400000; choose a time within
     IdleTimeout,
-    /// default_deadline_ms is 0; give requests that state no deadline a positive one
+    /// `default_deadline_ms` is 0; give requests that state no deadline a positive one
     DefaultDeadlineZero,
-    /// default_deadline_ms is over largest_deadline_ms; lower it or raise the largest
+    /// `default_deadline_ms` is over `largest_deadline_ms`; lower it or raise the largest
     DefaultDeadlineOverLargest,
-    /// largest_deadline_ms is over 3600000; lower it
+    /// `largest_deadline_ms` is over 3600000; lower it
     LargestDeadline,
-    /// largest_answer_bytes is outside 1 to 16777216; choose a size within
+    /// `largest_answer_bytes` is outside 1 to 16777216; choose a size within
     LargestAnswer,
     /// more than 1024 targets and zones are drained; drain whole zones or delete the service
     Drained,
@@ -35,7 +35,7 @@
     Missing,
     /// no change is named; give one of create, update and delete
     NoChange,
-    /// the address cannot be read; write it as 192.0.2.1:5000 or [2001:db8::1]:5000
+    /// the address cannot be read; write it as `192.0.2.1:5000` or `[2001:db8::1]:5000`
     Address,
     /// the subject of the drain is missing or its zone is over 65535; give a target id or a zone
     Subject,
--- a/roles/app/src/operator/convert.rs
+++ b/roles/app/src/operator/convert.rs
@@ -51,9 +51,10 @@
 /// Reads a drain.
 pub(super) fn drain(request: schema::DrainRequest) -> Result<Request, Vec<Problem>> {
     let subject = subject(request.subject)?;
-    let edit = match request.on {
-        true => Edit::Drain(subject),
-        false => Edit::Undrain(subject),
+    let edit = if request.on {
+        Edit::Drain(subject)
+    } else {
+        Edit::Undrain(subject)
     };
     Ok(Request {
         address: address(&request.address)?,
--- a/roles/app/src/operator/print.rs
+++ b/roles/app/src/operator/print.rs
@@ -71,14 +71,9 @@
             "the entry's reply is empty; upgrade the older side",
         ),
     };
-    for difference in &reply.differences {
-        let schema::Difference {
-            field,
-            before,
-            after,
-        } = difference;
-        printed.text += &format!("  {field}: {before} -> {after}\n");
-    }
+    printed
+        .text
+        .extend(reply.differences.iter().map(difference));
     printed
 }
 
@@ -101,59 +96,63 @@
     if let Some(unavailable) = &reply.unavailable {
         return refused(unavailable, "");
     }
-    let mut text: String = reply
-        .services
-        .iter()
-        .map(|stored| service(stored) + "\n")
-        .collect();
+    let mut lines: Vec<String> = reply.services.iter().map(service).collect();
     if reply.malformed > 0 {
-        text += &format!(
-            "{} records cannot be read; upgrade this entry\n",
-            reply.malformed
-        );
-    }
-    Printed {
-        text,
-        end: End::Done,
+        let count = reply.malformed;
+        lines.push(format!(
+            "{count} records cannot be read; upgrade this entry"
+        ));
     }
+    done(lines)
 }
 
 /// What is in force where.
 pub(super) fn status(reply: &schema::StatusReply) -> Printed {
-    let mut text = String::new();
-    for service in &reply.services {
-        text += &format!("in force: {}\n", in_force(service));
-    }
-    for process in &reply.processes {
-        let services: Vec<String> = process.services.iter().map(in_force).collect();
-        text += &format!(
-            "{}: {} zone {} silent {} ms [{}]\n",
-            process.role().as_str_name().to_lowercase(),
-            process.address,
-            process.zone,
-            process.silent_ms,
-            services.join(", "),
-        );
-    }
-    for target in &reply.targets {
-        text += &format!(
-            "target: {} of {} at {} zone {} {} weight {}/s slots {}\n",
-            target.target,
-            target.service,
-            target.agent,
-            target.zone,
-            target.health().as_str_name().to_lowercase(),
-            target.weight,
-            target.slots,
-        );
-    }
-    for counter in &reply.counters {
-        text += &format!("counter: {} {}\n", counter.name, counter.value);
-    }
-    Printed {
-        text,
-        end: End::Done,
-    }
+    let in_force = reply
+        .services
+        .iter()
+        .map(|service| format!("in force: {}", in_force(service)));
+    let processes = reply.processes.iter().map(process);
+    let targets = reply.targets.iter().map(target);
+    let counters = reply
+        .counters
+        .iter()
+        .map(|counter| format!("counter: {} {}", counter.name, counter.value));
+    done(in_force.chain(processes).chain(targets).chain(counters))
+}
+
+fn process(process: &schema::Process) -> String {
+    let services: Vec<String> = process.services.iter().map(in_force).collect();
+    format!(
+        "{}: {} zone {} silent {} ms [{}]",
+        process.role().as_str_name().to_lowercase(),
+        process.address,
+        process.zone,
+        process.silent_ms,
+        services.join(", "),
+    )
+}
+
+fn target(target: &schema::TargetStatus) -> String {
+    format!(
+        "target: {} of {} at {} zone {} {} weight {}/s slots {}",
+        target.target,
+        target.service,
+        target.agent,
+        target.zone,
+        target.health().as_str_name().to_lowercase(),
+        target.weight,
+        target.slots,
+    )
+}
+
+fn difference(difference: &schema::Difference) -> String {
+    let schema::Difference {
+        field,
+        before,
+        after,
+    } = difference;
+    format!("  {field}: {before} -> {after}\n")
 }
 
 fn accepted_line(accepted: &schema::Accepted, operation: &str) -> Printed {
@@ -236,6 +235,13 @@
     format!("{} revision {}", service.address, service.revision)
 }
 
+fn done(lines: impl IntoIterator<Item = String>) -> Printed {
+    Printed {
+        text: lines.into_iter().map(|line| line + "\n").collect(),
+        end: End::Done,
+    }
+}
+
 fn line(end: End, text: impl Display) -> Printed {
     Printed {
         text: format!("{text}\n"),
--- a/roles/app/src/operator/server.rs
+++ b/roles/app/src/operator/server.rs
@@ -80,12 +80,12 @@
         let mut server = server.clone();
         async move { server.call(request).await }
     });
-    let served = http2::Builder::new(Spawn(executor))
+    let ended = http2::Builder::new(Spawn(executor))
         .timer(SmolTimer::new())
         .keep_alive_interval(KEEP_ALIVE)
         .serve_connection(FuturesIo::new(stream), service)
         .await;
-    if let Err(error) = served {
+    if let Err(error) = ended {
         log::debug!("operator connection ended: {error}");
     }
 }
--- a/tools/standin/src/platform.rs
+++ b/tools/standin/src/platform.rs
@@ -7,9 +7,12 @@
 pub mod answer;
 pub mod call;
 pub mod fault;
+mod query;
+mod read;
 pub mod route;
 pub mod session;
 pub mod state;
+mod write;
 
 use std::error::Error;
 use std::io;
--- a/tools/standin/src/platform/fault.rs
+++ b/tools/standin/src/platform/fault.rs
@@ -2,6 +2,9 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use displaydoc::Display;
+use thiserror::Error;
+
 /// Whether the service answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -16,16 +19,25 @@
     Hang,
 }
 
+/// A control that is not known, or whose value cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+pub enum Error {
+    /// the control is unknown; see the fields of the faults
+    UnknownName,
+    /// the control's value cannot be read; give a whole number or a mode
+    UnknownValue,
+}
+
 impl FromStr for Mode {
-    type Err = ();
+    type Err = Error;
 
-    fn from_str(text: &str) -> Result<Self, ()> {
+    fn from_str(text: &str) -> Result<Self, Error> {
         match text {
             "up" => Ok(Self::Up),
             "down" => Ok(Self::Down),
             "fail" => Ok(Self::Fail),
             "hang" => Ok(Self::Hang),
-            _ => Err(()),
+            _ => Err(Error::UnknownValue),
         }
     }
 }
@@ -55,20 +67,20 @@
     ///
     /// # Errors
     ///
-    /// Unit where the name is unknown or the value cannot be read.
-    pub fn set(&mut self, name: &str, value: &str) -> Result<(), ()> {
+    /// Any [`Error`]; nothing is changed then.
+    pub fn set(&mut self, name: &str, value: &str) -> Result<(), Error> {
         if name == "mode" {
             self.mode = value.parse()?;
             return Ok(());
         }
-        let number: u32 = value.parse().map_err(|_| ())?;
+        let number: u32 = value.parse().map_err(|_| Error::UnknownValue)?;
         match name {
             "slow_ms" => self.slow = Duration::from_millis(number.into()),
             "lose_answers" => self.lose_answers = number,
             "drop_events" => self.drop_events = number,
             "repeat_events" => self.repeat_events = number,
             "stale_reads" => self.stale_reads = number,
-            _ => return Err(()),
+            _ => return Err(Error::UnknownName),
         }
         Ok(())
     }
--- /dev/null
+++ b/tools/standin/src/platform/read.rs
@@ -0,0 +1,81 @@
+//! Reads and watches.
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http::StatusCode;
+use serde_json::Value;
+
+use super::answer;
+use super::fault::take;
+use super::query::Query;
+use super::query::duration;
+use super::route::Answer;
+use super::route::Platform;
+use super::state::under;
+
+/// Longest wait of a watch that asks for none.
+const DEFAULT_WAIT: Duration = Duration::from_mins(5);
+
+/// Counts a waiting watch until dropped, also where its client leaves.
+struct Waiting<'a>(&'a Platform);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.lock().calls.waiting -= 1;
+    }
+}
+
+/// Answers a read of a key or prefix, once it is due.
+pub(super) async fn answer(platform: &Platform, path: &str, query: &Query) -> Answer {
+    let Some(key) = path.strip_prefix("/v1/kv/") else {
+        return answer::status(StatusCode::NOT_FOUND);
+    };
+    match query.get("index").and_then(|index| index.parse().ok()) {
+        None | Some(0) => platform.lock().calls.reads += 1,
+        Some(index) => {
+            platform.lock().calls.watches += 1;
+            let timeout = query.get("wait").and_then(duration);
+            wait(platform, key, index, timeout.unwrap_or(DEFAULT_WAIT)).await;
+        }
+    }
+    pairs(platform, key, query.get("recurse").is_some())
+}
+
+fn pairs(platform: &Platform, key: &str, recurse: bool) -> Answer {
+    let mut state = platform.lock();
+    let index = state.prefix_index(key);
+    let pairs: Vec<Value> = under(state.readable(), key)
+        .filter(|(name, _)| recurse || *name == key)
+        .map(|(name, cell)| answer::pair(name, cell))
+        .collect();
+    let status = if pairs.is_empty() {
+        StatusCode::NOT_FOUND
+    } else {
+        StatusCode::OK
+    };
+    answer::json(status, index, &pairs)
+}
+
+/// Waits until something under `prefix` is newer than `index`.
+async fn wait(platform: &Platform, prefix: &str, index: u64, timeout: Duration) {
+    platform.lock().calls.waiting += 1;
+    let _waiting = Waiting(platform);
+    let changed = async {
+        loop {
+            let next = {
+                let mut state = platform.lock();
+                if take(&mut state.faults.repeat_events) || state.prefix_index(prefix) > index {
+                    return;
+                }
+                state.next_write()
+            };
+            // Closed by the next write.
+            let _ = next.recv().await;
+        }
+    };
+    let expire = async {
+        Timer::after(timeout).await;
+    };
+    changed.or(expire).await;
+}
--- a/tools/standin/src/platform/state.rs
+++ b/tools/standin/src/platform/state.rs
@@ -157,10 +157,10 @@
 
     /// The keys to read from: stale ones where a fault asks for it.
     pub fn readable(&mut self) -> &BTreeMap<String, Cell> {
-        match take(&mut self.faults.stale_reads) {
-            true => &self.earlier,
-            false => &self.cells,
+        if take(&mut self.faults.stale_reads) {
+            return &self.earlier;
         }
+        &self.cells
     }
 
     fn holds(&self, operation: &Operation) -> bool {
