--- /dev/null
+++ b/roles/app/src/entry.rs
@@ -0,0 +1,128 @@
+//! The process of `greengagelug entry`.
+//!
+//! Traffic threads relay datagrams; the main thread runs the membership
+//! protocol, follows the configuration and serves the operators.
+pub mod control;
+pub mod status;
+pub mod traffic;
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use async_channel::Sender;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use member::Registry;
+use member::registry::Identity;
+use net::Port;
+use smol::Executor;
+use smol::net::TcpListener;
+use store::Http;
+
+use crate::clock;
+use crate::entry::control::Control;
+use crate::entry::control::Input;
+use crate::entry::traffic::Traffic;
+use crate::operator;
+use crate::settings;
+use crate::signal;
+
+/// Control messages that wait for the control thread.
+const CONTROL_QUEUE: usize = 16 * 1024;
+
+/// Time that a stopping entry goes on relaying, so that replies under way reach
+/// their callers and the other entries learn that it leaves.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// Runs the entry until it has stopped.
+///
+/// # Errors
+///
+/// The operating system's error where an address cannot be bound.
+pub fn run(settings: &settings::Entry) -> io::Result<()> {
+    smol::block_on(start(settings))
+}
+
+async fn start(settings: &settings::Entry) -> io::Result<()> {
+    let origin = Instant::now();
+    let executor = Arc::new(Executor::new());
+    let port = Port::bind(settings.listen, Arc::new(settings.keys.seal()))?;
+    let operators = TcpListener::bind(settings.operator).await?;
+    let (inputs_sender, inputs) = async_channel::bounded(CONTROL_QUEUE);
+    let traffic = Arc::new(Traffic {
+        port: port.clone(),
+        fabric: settings.fabric,
+        router: ArcSwap::default(),
+        control: inputs_sender.clone(),
+        counters: traffic::Counters::default(),
+    });
+    for number in 0..settings.threads.max(1) {
+        let traffic = Arc::clone(&traffic);
+        thread::Builder::new()
+            .name(format!("traffic-{number}"))
+            .spawn(move || smol::block_on(traffic.run()))?;
+    }
+    let store = Http::new(store::http::Settings::new(settings.store));
+    executor
+        .spawn(follow(store.clone(), inputs_sender.clone()))
+        .detach();
+    let context = operator::Context {
+        store,
+        snapshot: status::Inquiry {
+            control: inputs_sender,
+        },
+    };
+    executor
+        .spawn(operator::serve(operators, context, Arc::clone(&executor)))
+        .detach();
+    let control = Control {
+        registry: registry(settings, origin),
+        origin,
+        port,
+        traffic,
+        inputs,
+    };
+    executor.run(control.run().or(stopped())).await;
+    Ok(())
+}
+
+fn registry(settings: &settings::Entry, origin: Instant) -> Registry {
+    let identity = Identity {
+        address: settings.listen,
+        control: settings.control,
+        zone: settings.zone,
+        incarnation: clock::incarnation(),
+    };
+    let now = origin.elapsed();
+    let mut registry = Registry::new(
+        member::Settings::default(),
+        identity,
+        fastrand::u64(..),
+        now,
+    );
+    registry.join(now, &settings.peers);
+    registry
+}
+
+/// Follows the configuration in the platform's store.
+async fn follow(store: Http, control: Sender<Input>) {
+    let (sender, updates) = async_channel::bounded(1);
+    let reading = store::follow::run(store, sender);
+    let passing = async {
+        while let Ok(update) = updates.recv().await {
+            let _ = control.send(Input::Update(update)).await;
+        }
+    };
+    reading.or(passing).await;
+}
+
+/// Waits for SIGTERM, and then for what is under way to arrive.
+async fn stopped() {
+    let signals = signal::watch();
+    let _ = signals.recv().await;
+    Timer::after(LINGER).await;
+}
--- a/roles/app/src/entry/traffic.rs
+++ b/roles/app/src/entry/traffic.rs
@@ -5,18 +5,21 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use ::entry::Drop;
+use ::entry::Router;
+use ::entry::Step;
 use arc_swap::ArcSwap;
 use async_channel::Sender;
 use bytes::Bytes;
-use entry::Drop;
-use entry::Router;
-use entry::Step;
 use net::Port;
+use net::port::Named;
 use net::port::Received;
 use wire::Frame;
 use wire::Reply;
 use wire::frame::Sprayed;
 
+use crate::entry::control::Input;
+
 /// What the traffic threads of one entry share.
 pub struct Traffic {
     /// The port for frames.
@@ -26,19 +29,11 @@
     /// The current snapshot of all services.
     pub router: ArcSwap<Router>,
     /// Where control messages go; they are dropped while it is full.
-    pub control: Sender<Message>,
+    pub control: Sender<Input>,
     /// What was done.
     pub counters: Counters,
 }
 
-/// A control message on its way to the control thread.
-pub struct Message {
-    /// UDP address of the sender.
-    pub from: SocketAddr,
-    /// The encoded message of the membership protocol.
-    pub payload: Bytes,
-}
-
 /// Counts what the traffic threads did with datagrams, by reason.
 #[derive(Default)]
 pub struct Counters {
@@ -115,13 +110,35 @@
     }
 
     fn control(&self, from: SocketAddr, payload: Bytes) {
-        if self.control.try_send(Message { from, payload }).is_err() {
+        if self
+            .control
+            .try_send(Input::Message { from, payload })
+            .is_err()
+        {
             count(&self.counters.control_full);
         }
     }
 }
 
 impl Counters {
+    /// Returns every counter with its name.
+    #[must_use]
+    pub fn all(&self) -> [Named<'_>; 10] {
+        [
+            ("packets.relayed", &self.relayed),
+            ("packets.replied", &self.replied),
+            ("refused.malformed", &self.malformed),
+            ("refused.version", &self.version),
+            ("refused.too_large", &self.too_large),
+            ("refused.direction", &self.direction),
+            ("refused.no_service", &self.no_service),
+            ("refused.no_target", &self.no_target),
+            ("refused.unexpected_frame", &self.unexpected),
+            ("refused.control_queue_full", &self.control_full),
+        ]
+        .map(|(name, value)| Named { name, value })
+    }
+
     /// Returns the counter of a reason.
     #[must_use]
     pub const fn dropped(&self, reason: Drop) -> &AtomicU64 {
--- a/roles/app/tests/operator.rs
+++ b/roles/app/tests/operator.rs
@@ -25,7 +25,7 @@
 struct NoSnapshot;
 
 impl operator::Snapshot for NoSnapshot {
-    fn status(&self) -> schema::StatusReply {
+    async fn status(&self) -> schema::StatusReply {
         schema::StatusReply {
             counters: vec![schema::Counter {
                 name: "refused.overloaded".to_owned(),
--- a/tools/standin/src/lib.rs
+++ b/tools/standin/src/lib.rs
@@ -1,3 +1,8 @@
-//! Stand-ins for what surrounds the system. They are for tests and
-//! demonstrations and are not shipped.
+//! Stand-ins for what surrounds the system: the fabric, the backend servers
+//! and the platform. They are for tests and demonstrations and are not shipped.
+pub mod audit;
+pub mod backend;
+pub mod fabric;
+pub mod options;
 pub mod platform;
+pub mod stop;
--- a/tools/standin/src/main.rs
+++ b/tools/standin/src/main.rs
@@ -1,15 +1,20 @@
-//! Runs one stand-in: `standin platform [FLAGS]`.
+//! Runs one stand-in: `standin fabric|backend|platform|audit [FLAGS]`.
 use std::process::ExitCode;
 
+const USAGE: &str = "Usage: standin fabric|backend|platform|audit [FLAGS]; --help lists the flags";
+
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let name = args.next().unwrap_or_default();
     let args: Vec<String> = args.collect();
     match name.as_str() {
+        "fabric" => standin::fabric::main(&args),
+        "backend" => standin::backend::main(&args),
         "platform" => standin::platform::main(&args),
+        "audit" => standin::audit::main(&args),
         _ => {
-            eprintln!("Usage: standin platform [FLAGS]; --help lists the flags");
-            ExitCode::from(2)
+            eprintln!("{USAGE}");
+            ExitCode::from(standin::options::EXIT_USAGE)
         }
     }
 }
--- a/tools/standin/src/platform.rs
+++ b/tools/standin/src/platform.rs
@@ -16,10 +16,13 @@
 
 use std::error::Error;
 use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use futures_lite::FutureExt;
 use getopts::Options;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -28,42 +31,38 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-pub use route::Platform;
+use crate::options;
+use crate::stop;
 
-const DEFAULT_LISTEN: &str = "127.0.0.1:8500";
+pub use route::Platform;
 
-/// Exit code for flags that cannot be used.
-const EXIT_USAGE: u8 = 2;
+const DEFAULT_LISTEN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8500);
 
-/// Runs the stand-in until it is killed.
+/// Runs `standin platform`.
 #[must_use]
 pub fn main(args: &[String]) -> ExitCode {
-    match run(args) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("standin platform: {error}");
-            ExitCode::from(EXIT_USAGE)
-        }
-    }
+    options::exit(run(args))
 }
 
 fn run(args: &[String]) -> Result<(), Box<dyn Error>> {
-    let mut options = Options::new();
-    options.optopt("", "listen", "TCP address to serve on", "ADDRESS");
-    options.optflag("", "help", "print this help");
-    let matches = options.parse(args)?;
-    if matches.opt_present("help") {
-        print!("{}", options.usage("Usage: standin platform [FLAGS]"));
+    let mut flags = Options::new();
+    flags.optopt(
+        "",
+        "listen",
+        "address to serve on; default 127.0.0.1:8500",
+        "ADDR",
+    );
+    let Some(matches) = options::parse(&mut flags, "Usage: standin platform [FLAGS]", args)? else {
         return Ok(());
-    }
-    let listen = matches.opt_str("listen");
-    let address: SocketAddr = listen.as_deref().unwrap_or(DEFAULT_LISTEN).parse()?;
+    };
+    let address: SocketAddr = options::or(&matches, "listen", DEFAULT_LISTEN)?;
     let executor = Arc::new(Executor::new());
     let serve = async {
         let listener = TcpListener::bind(address).await?;
         serve(listener, Platform::default(), executor.clone()).await
     };
-    Ok(smol::block_on(executor.run(serve))?)
+    smol::block_on(executor.run(serve.or(stop::requested())))?;
+    Ok(())
 }
 
 /// Serves the protocol on a listener until accepting fails.
