Mark changed buckets with each write and tie a retry to its base

Each write also writes the mark of its bucket in the same transaction, so that readers can watch small marks in place of all services.

A retry without the revision of its first attempt could be applied twice once later changes had hidden the first: it is refused now, the command reads the service before each change, and says which revision to give on a retry. The test of the outage gives that revision since.

--- a/coordination/config/src/change.rs
+++ b/coordination/config/src/change.rs
@@ -20,7 +20,7 @@
 use crate::diff::Line;
 use crate::diff::diff;
 use crate::jitter::jitter;
-use crate::record::key;
+use crate::key;
 
 /// Most writes, and most reads after a write, that one change makes.
 const MAX_TRIES: u8 = 3;
@@ -36,7 +36,7 @@
     /// What to do with it.
     pub edit: Edit,
     /// The revision that the operator read, 0 for a new service; `None` for
-    /// whatever the store has now.
+    /// whatever the store has now, which a retry must not ask for.
     pub expected: Option<Revision>,
     /// Names the change; the same on each retry.
     pub operation: OperationId,
@@ -77,6 +77,8 @@
         value: Vec<u8>,
         /// Revision that the key must still have; 0 where it must not exist.
         expected: Revision,
+        /// The key to write in the same step, whatever it holds.
+        touch: String,
     },
     /// The change is over.
     Done(Outcome),
@@ -177,6 +179,9 @@
     /// The first action.
     #[must_use]
     pub fn start(&self) -> Action {
+        if self.request.retry && self.request.expected.is_none() {
+            return Action::Done(Outcome::Invalid(vec![Problem::RetryWithoutRevision]));
+        }
         self.read()
     }
 
@@ -223,6 +228,9 @@
     fn earlier(&self, found: &Found) -> Option<Outcome> {
         let record = found.record.as_ref()?;
         let revision = record.find(&self.request.operation, found.revision)?;
+        if revision == found.revision && !self.matches(&record.service) {
+            return Some(Outcome::Invalid(vec![Problem::OperationReused]));
+        }
         Some(Outcome::Accepted {
             revision,
             replaced_by: Some(found.revision).filter(|now| *now != revision),
@@ -230,6 +238,25 @@
         })
     }
 
+    /// Whether this change could have led to `service`.
+    fn matches(&self, service: &Service) -> bool {
+        match &self.request.edit {
+            Edit::Create(wanted) | Edit::Update(wanted) => self.stamp(wanted.clone()) == *service,
+            Edit::Delete => !service.is_active(),
+            Edit::Drain(subject) => service.drained.contains(subject),
+            Edit::Undrain(subject) => !service.drained.contains(subject),
+        }
+    }
+
+    /// Names the service and the operation.
+    fn stamp(&self, service: Service) -> Service {
+        Service {
+            address: self.request.address,
+            operation: self.request.operation.clone(),
+            ..service
+        }
+    }
+
     /// Checks the change against what is stored, and writes it.
     fn draft(&mut self, found: &Found) -> Action {
         let base = self.request.expected.unwrap_or(found.revision);
@@ -264,7 +291,7 @@
 
     fn edit(&self, before: Option<&Service>) -> Result<Service, Vec<Problem>> {
         let active = before.filter(|service| service.is_active());
-        let mut service = match (&self.request.edit, active) {
+        let service = match (&self.request.edit, active) {
             (Edit::Create(_), Some(_)) => return Err(vec![Problem::Exists]),
             (Edit::Create(service), None) | (Edit::Update(service), Some(_)) => service.clone(),
             (_, None) => return Err(vec![Problem::Missing]),
@@ -283,8 +310,7 @@
                 service
             }
         };
-        service.address = self.request.address;
-        service.operation.clone_from(&self.request.operation);
+        let service = self.stamp(service);
         service.check().map(|()| service)
     }
 
@@ -340,16 +366,17 @@
 
     fn read(&self) -> Action {
         Action::Read {
-            key: key(self.request.address),
+            key: key::service(self.request.address),
         }
     }
 
     fn write(&mut self, draft: Draft) -> Action {
         self.writes += 1;
         let action = Action::Write {
-            key: key(self.request.address),
+            key: key::service(self.request.address),
             value: draft.value.clone(),
             expected: draft.base,
+            touch: key::mark(key::bucket(self.request.address)),
         };
         self.stage = Stage::Writing(draft);
         action
--- a/coordination/config/src/lib.rs
+++ b/coordination/config/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 pub mod item;
 pub mod jitter;
+pub mod key;
 pub mod problem;
 pub mod record;
 pub mod service;
--- a/coordination/config/src/problem.rs
+++ b/coordination/config/src/problem.rs
@@ -33,6 +33,10 @@
     Exists,
     /// no such service exists; create it first
     Missing,
+    /// operation was used for another change already; choose a new random id
+    OperationReused,
+    /// a retry must state the revision that the first attempt was based on; give it as expected
+    RetryWithoutRevision,
     /// no change is named; give one of create, update and delete
     NoChange,
     /// the address cannot be read; write it as `192.0.2.1:5000` or `[2001:db8::1]:5000`
--- a/coordination/config/src/record.rs
+++ b/coordination/config/src/record.rs
@@ -2,15 +2,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 use wire::Revision;
-use wire::ServiceAddress;
 
 use crate::OperationId;
 use crate::Problem;
 use crate::Service;
 
-/// Prefix of the keys of all services.
-pub const PREFIX: &str = "greengagelug/service/";
-
 /// Number of earlier writes that a record remembers.
 pub const MAX_HISTORY: usize = 8;
 
@@ -34,12 +30,6 @@
     pub revision: Revision,
 }
 
-/// The key that a service is stored under.
-#[must_use]
-pub fn key(address: ServiceAddress) -> String {
-    format!("{PREFIX}{}/{}", address.ip(), address.port())
-}
-
 impl Record {
     /// The record that replaces `previous`, which has revision `revision`.
     #[must_use]
--- a/protocol/api/src/gen/greengagelug.operator.v1.rs
+++ b/protocol/api/src/gen/greengagelug.operator.v1.rs
@@ -107,7 +107,8 @@
     /// True to drain, false to take new work again.
     #[prost(bool, tag = "3")]
     pub on: bool,
-    /// As in ApplyRequest; 0 for the revision that the store has now.
+    /// As in ApplyRequest; 0 for the revision that the store has now, which a retry
+    /// must not ask for.
     #[prost(uint64, tag = "4")]
     pub expected_revision: u64,
     /// As in ApplyRequest.
--- a/roles/app/src/operator/args.rs
+++ b/roles/app/src/operator/args.rs
@@ -28,6 +28,8 @@
     UnknownCommand(String),
     /// {0} is missing; give it after the command
     Missing(String),
+    /// --retry needs --operation and --expected; give those that the first attempt printed
+    RetryOfWhat,
     /// `{value}` is no value for {name}; run `operate --help` for its form
     Invalid {
         /// Name of the argument.
@@ -240,6 +242,10 @@
         }
         _ => return Err(Error::UnknownCommand(name)),
     };
+    let first = ["operation", "expected"];
+    if matches.opt_present("retry") && !first.iter().all(|name| matches.opt_present(name)) {
+        return Err(Error::RetryOfWhat);
+    }
     Ok(Command {
         verb,
         address,
--- a/roles/app/src/operator/command.rs
+++ b/roles/app/src/operator/command.rs
@@ -7,6 +7,8 @@
 use async_io::Timer;
 use displaydoc::Display;
 use futures_lite::FutureExt;
+use schema::apply_request::Change;
+use schema::get_reply::Result as Found;
 use smol::Executor;
 use thiserror::Error;
 use tonic::Status;
@@ -25,12 +27,12 @@
     Usage(#[from] args::Error),
     /// no entry was given; name the operator address of one with --entries
     NoEntry,
-    /// no entry answered, the last error being: {reason}; if this was a change, repeat it with --operation {operation} --retry
+    /// no entry answered, the last error being: {reason}; {remedy}
     NoAnswer {
         /// The last error.
         reason: String,
-        /// Names the change.
-        operation: String,
+        /// What to do.
+        remedy: String,
     },
 }
 
@@ -65,7 +67,7 @@
                 "the entry did not answer in time",
             ))
         };
-        match attempt(link, &command).or(expire).await {
+        match attempt(link, &mut command).or(expire).await {
             Ok(printed) => return Ok(printed),
             Err(status) => reason = Some(format!("{entry}: {}", status.message())),
         }
@@ -76,19 +78,22 @@
         None => Error::NoEntry,
         Some(reason) => Error::NoAnswer {
             reason,
-            operation: command.operation,
+            remedy: if command.retry {
+                print::repeat(&command)
+            } else {
+                "check the addresses given with --entries".to_owned()
+            },
         },
     })
 }
 
-async fn attempt(mut client: Client, command: &Command) -> Result<Printed, Status> {
-    match &command.verb {
+async fn attempt(mut client: Client, command: &mut Command) -> Result<Printed, Status> {
+    match command.verb.clone() {
         args::Verb::Status => {
             let reply = client.status(schema::StatusRequest {}).await?;
             Ok(print::status(&reply.into_inner()))
         }
         args::Verb::List { deleted } => {
-            let deleted = *deleted;
             let reply = client.list(schema::ListRequest { deleted }).await?;
             Ok(print::list(&reply.into_inner()))
         }
@@ -97,58 +102,55 @@
             let reply = client.get(schema::GetRequest { address }).await?;
             Ok(print::get(reply.into_inner()))
         }
-        args::Verb::Drain { subject, on } => {
-            let reply = client.drain(command.drain(*subject, *on)).await?;
-            Ok(print::change(&reply.into_inner(), &command.operation))
-        }
         args::Verb::Create(fields) => {
             let service = fields.apply(command.new_service());
-            apply(
-                &mut client,
-                command,
-                schema::apply_request::Change::Create(service),
-                0,
-            )
-            .await
+            command.expected.get_or_insert_default();
+            apply(&mut client, command, Change::Create(service)).await
+        }
+        args::Verb::Update(_) | args::Verb::Delete | args::Verb::Drain { .. } => {
+            change(&mut client, command).await
         }
-        args::Verb::Update(_) | args::Verb::Delete => update(&mut client, command).await,
     }
 }
 
 /// Reads the service, then changes it on the revision read.
-async fn update(client: &mut Client, command: &Command) -> Result<Printed, Status> {
+async fn change(client: &mut Client, command: &mut Command) -> Result<Printed, Status> {
     let address = command.address.clone();
-    let reply = client
-        .get(schema::GetRequest { address })
-        .await?
-        .into_inner();
-    let stored = match reply.result {
-        Some(schema::get_reply::Result::Stored(stored)) => stored,
+    let reply = client.get(schema::GetRequest { address }).await?;
+    let stored = match reply.into_inner().result {
+        Some(Found::Stored(stored)) => stored,
+        Some(Found::Unavailable(unavailable)) if command.retry => {
+            let outcome = schema::Outcome::Unknown.into();
+            let unavailable = schema::Unavailable {
+                outcome,
+                ..unavailable
+            };
+            return Ok(print::unavailable(&unavailable, command));
+        }
         result => return Ok(print::get(schema::GetReply { result })),
     };
-    let change = match &command.verb {
+    command.expected.get_or_insert(stored.revision);
+    match command.verb.clone() {
         args::Verb::Update(fields) => {
             let service = fields.apply(stored.service.unwrap_or_default());
-            schema::apply_request::Change::Update(service)
+            apply(client, command, Change::Update(service)).await
         }
-        _ => schema::apply_request::Change::Delete(command.address.clone()),
-    };
-    apply(client, command, change, stored.revision).await
+        args::Verb::Drain { subject, on } => {
+            let reply = client.drain(command.drain(subject, on)).await?;
+            Ok(print::change(&reply.into_inner(), command))
+        }
+        _ => apply(client, command, Change::Delete(command.address.clone())).await,
+    }
 }
 
-async fn apply(
-    client: &mut Client,
-    command: &Command,
-    change: schema::apply_request::Change,
-    read: u64,
-) -> Result<Printed, Status> {
+async fn apply(client: &mut Client, command: &Command, change: Change) -> Result<Printed, Status> {
     let request = schema::ApplyRequest {
         change: Some(change),
-        expected_revision: command.expected.unwrap_or(read),
+        expected_revision: command.expected.unwrap_or_default(),
         operation: command.operation.clone(),
         dry_run: command.dry_run,
         retry: command.retry,
     };
-    let reply = client.apply(request).await?.into_inner();
-    Ok(print::change(&reply, &command.operation))
+    let reply = client.apply(request).await?;
+    Ok(print::change(&reply.into_inner(), command))
 }
--- a/roles/app/src/operator/print.rs
+++ b/roles/app/src/operator/print.rs
@@ -6,6 +6,8 @@
 use schema::drained::Subject;
 use schema::get_reply::Result as Found;
 
+use super::args::Command;
+
 /// What a command printed, and how it ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Printed {
@@ -45,9 +47,9 @@
 }
 
 /// The reply to a change.
-pub(super) fn change(reply: &schema::ChangeReply, operation: &str) -> Printed {
+pub(super) fn change(reply: &schema::ChangeReply, command: &Command) -> Printed {
     let mut printed = match &reply.result {
-        Some(Change::Accepted(accepted)) => accepted_line(accepted, operation),
+        Some(Change::Accepted(accepted)) => accepted_line(accepted, &command.operation),
         Some(Change::Checked(checked)) => line(
             End::Done,
             format!(
@@ -65,7 +67,7 @@
             ),
         ),
         Some(Change::Invalid(invalid)) => problems(invalid),
-        Some(Change::Unavailable(unavailable)) => refused(unavailable, operation),
+        Some(Change::Unavailable(unavailable)) => self::unavailable(unavailable, command),
         None => line(
             End::Unknown,
             "the entry's reply is empty; upgrade the older side",
@@ -83,7 +85,7 @@
         Some(Found::Stored(stored)) => line(End::Done, service(&stored)),
         Some(Found::Missing(_)) => line(End::Invalid, "no such service; create it first"),
         Some(Found::Invalid(invalid)) => problems(&invalid),
-        Some(Found::Unavailable(unavailable)) => refused(&unavailable, ""),
+        Some(Found::Unavailable(unavailable)) => refused(&unavailable),
         None => line(
             End::Unknown,
             "the entry's reply is empty; upgrade the older side",
@@ -94,7 +96,7 @@
 /// All services.
 pub(super) fn list(reply: &schema::ListReply) -> Printed {
     if let Some(unavailable) = &reply.unavailable {
-        return refused(unavailable, "");
+        return refused(unavailable);
     }
     let mut lines: Vec<String> = reply.services.iter().map(service).collect();
     if reply.malformed > 0 {
@@ -170,19 +172,30 @@
     )
 }
 
-fn refused(unavailable: &schema::Unavailable, operation: &str) -> Printed {
-    let end = match unavailable.outcome() {
-        schema::Outcome::Unknown => End::Unknown,
-        schema::Outcome::Unspecified | schema::Outcome::NotApplied => End::Unavailable,
-    };
-    let repeat = match end {
-        End::Unknown => format!(" with --operation {operation} --retry"),
-        _ => String::new(),
-    };
+/// A change that the store did not confirm.
+pub(super) fn unavailable(unavailable: &schema::Unavailable, command: &Command) -> Printed {
+    let mut printed = refused(unavailable);
+    if unavailable.outcome() == schema::Outcome::Unknown {
+        printed.end = End::Unknown;
+        printed.text += &(repeat(command) + "\n");
+    }
+    printed
+}
+
+/// How to learn what became of a change.
+pub(super) fn repeat(command: &Command) -> String {
+    format!(
+        "repeat it with --operation {} --expected {} --retry to learn its outcome",
+        command.operation,
+        command.expected.unwrap_or_default(),
+    )
+}
+
+fn refused(unavailable: &schema::Unavailable) -> Printed {
     line(
-        end,
+        End::Unavailable,
         format!(
-            "refused ({}): {}; try again after {} ms{repeat}",
+            "refused ({}): {}; try again after {} ms",
             effect(unavailable.outcome()),
             unavailable.reason,
             unavailable.retry_after_ms,
--- a/roles/app/src/operator/server.rs
+++ b/roles/app/src/operator/server.rs
@@ -12,7 +12,7 @@
 use config::change::Outcome;
 use config::change::Request as ChangeRequest;
 use config::jitter::jitter;
-use config::record;
+use config::key;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
 use schema::get_reply::Result as Found;
@@ -128,7 +128,7 @@
     ) -> Result<Response<schema::GetReply>, Status> {
         let result = match convert::address(&request.into_inner().address) {
             Err(problems) => Found::Invalid(convert::invalid(&problems)),
-            Ok(address) => match self.0.store.get(&record::key(address)).await {
+            Ok(address) => match self.0.store.get(&key::service(address)).await {
                 Err(fault) => Found::Unavailable(unavailable(fault)),
                 Ok(None) => Found::Missing(schema::Missing {}),
                 Ok(Some(item)) => match Record::from_json(&item.value) {
@@ -148,7 +148,7 @@
     ) -> Result<Response<schema::ListReply>, Status> {
         let deleted = request.into_inner().deleted;
         let mut reply = schema::ListReply::default();
-        let listing = match self.0.store.list(record::PREFIX).await {
+        let listing = match self.0.store.list(key::SERVICES).await {
             Ok(listing) => listing,
             Err(fault) => {
                 reply.unavailable = Some(unavailable(fault));
--- a/roles/app/tests/operator.rs
+++ b/roles/app/tests/operator.rs
@@ -175,10 +175,9 @@
         operator
             .expect(&create, End::Unavailable, "try again after 1")
             .await;
-        let retry = format!("{create} --retry");
-        operator
-            .expect(&retry, End::Unknown, "--operation one --retry")
-            .await;
+        let retry = format!("{create} --expected 0 --retry");
+        let text = "--operation one --expected 0 --retry";
+        operator.expect(&retry, End::Unknown, text).await;
         operator
             .expect("list", End::Unavailable, "not applied")
             .await;
--- a/transport/store/src/change.rs
+++ b/transport/store/src/change.rs
@@ -16,11 +16,13 @@
                 key,
                 value,
                 expected,
+                touch,
             } => {
                 let swap = Swap {
                     key,
                     value,
                     expected,
+                    touch: Some(touch),
                     fence: None,
                 };
                 change.on_written(store.swap(swap).await)
--- a/transport/store/src/follow.rs
+++ b/transport/store/src/follow.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use config::Record;
 use config::Service;
-use config::record::PREFIX;
+use config::key::SERVICES;
 use wire::Revision;
 use wire::ServiceAddress;
 
@@ -26,7 +26,7 @@
     let mut known: HashMap<ServiceAddress, Revision> = HashMap::new();
     let mut index = 0;
     while !updates.is_closed() {
-        let Ok(listing) = store.watch(PREFIX, index, Duration::from_secs(10)).await else {
+        let Ok(listing) = store.watch(SERVICES, index, Duration::from_secs(10)).await else {
             Timer::after(Duration::from_millis(500)).await;
             continue;
         };
--- a/transport/store/src/http.rs
+++ b/transport/store/src/http.rs
@@ -206,6 +206,7 @@
 
     async fn swap(&self, swap: Swap) -> Result<Revision, Fault> {
         let fenced = swap.fence.is_some();
+        let key = swap.key.clone();
         let check = swap.fence.map(|fence| schema::Write {
             verb: schema::Verb::CheckSession,
             key: fence.key,
@@ -219,9 +220,15 @@
             index: swap.expected,
             session: None,
         };
+        let touch = swap.touch.map(|key| schema::Write {
+            verb: schema::Verb::Set,
+            key,
+            ..schema::Write::default()
+        });
         let operations: Vec<_> = check
             .into_iter()
             .chain([write])
+            .chain(touch)
             .map(|kv| schema::Operation { kv })
             .collect();
         let answer = self.write(Kind::Write, "/v1/txn", &operations).await?;
@@ -236,7 +243,8 @@
             }
             (StatusCode::CONFLICT, ..) => Err(Fault::Conflict),
             (StatusCode::OK, None, Some(results)) => results
-                .last()
+                .iter()
+                .find(|applied| applied.kv.key == key)
                 .map(|applied| applied.kv.modify_index)
                 .ok_or(lost),
             _ => Err(lost),
--- a/transport/store/src/lib.rs
+++ b/transport/store/src/lib.rs
@@ -31,6 +31,8 @@
     pub value: Vec<u8>,
     /// Revision that the key must still have; 0 where it must not exist.
     pub expected: Revision,
+    /// Key to write in the same step, whatever it holds, with an empty value.
+    pub touch: Option<String>,
     /// Lease that must still hold its key at the moment of the write.
     pub fence: Option<Fence>,
 }
--- a/transport/store/src/schema.rs
+++ b/transport/store/src/schema.rs
@@ -44,6 +44,8 @@
     /// Writes where the revision matches.
     #[default]
     Cas,
+    /// Writes always.
+    Set,
     /// Fails the transaction where the session does not hold the key.
     CheckSession,
 }
--- a/transport/store/tests/http.rs
+++ b/transport/store/tests/http.rs
@@ -22,6 +22,7 @@
         key: key.to_owned(),
         value: value.as_bytes().to_vec(),
         expected,
+        touch: None,
         fence: None,
     }
 }
