--- a/coordination/config/src/change.rs
+++ b/coordination/config/src/change.rs
@@ -22,7 +22,7 @@
 use crate::jitter::jitter;
 use crate::key;
 
-/// Most writes, and most reads after a write, that one change makes.
+/// Most writes that one change makes, and most reads before or after a write.
 const MAX_TRIES: u8 = 3;
 
 /// Shortest time that a client is told to wait before it tries again.
@@ -144,7 +144,7 @@
     /// Whether some write of this operation may have been applied.
     uncertain: bool,
     writes: u8,
-    reads_back: u8,
+    reads: u8,
 }
 
 #[derive(Clone, Debug)]
@@ -172,7 +172,7 @@
             seed,
             stage: Stage::Reading,
             writes: 0,
-            reads_back: 0,
+            reads: 0,
         }
     }
 
@@ -191,6 +191,7 @@
             Ok(item) => item,
             Err(fault) => return self.unavailable(fault),
         };
+        self.reads += 1;
         let found = match item.as_ref().map(Found::read).transpose() {
             Ok(found) => found.unwrap_or_default(),
             Err(problem) => return Action::Done(Outcome::Invalid(vec![problem])),
@@ -217,6 +218,7 @@
             }),
             Err(fault) if fault == Fault::Conflict || fault.maybe_applied() => {
                 self.uncertain |= fault.maybe_applied();
+                self.reads = 0;
                 self.stage = Stage::ReadingBack(draft, fault);
                 self.read()
             }
@@ -260,8 +262,11 @@
     /// Checks the change against what is stored, and writes it.
     fn draft(&mut self, found: &Found) -> Action {
         let base = self.request.expected.unwrap_or(found.revision);
-        if base != found.revision {
-            return self.conflict(base, found);
+        match found.revision {
+            revision if revision == base => {}
+            // The operator has read something newer: this read was stale.
+            revision if revision < base && self.reads < MAX_TRIES => return self.read(),
+            _ => return self.conflict(base, found),
         }
         let before = found.record.as_ref().map(|record| &record.service);
         let after = match self.edit(before) {
@@ -316,12 +321,9 @@
 
     /// Decides after a write that failed, with what the store has now.
     fn after_read_back(&mut self, draft: Draft, fault: Fault, found: &Found) -> Action {
-        self.reads_back += 1;
         match found.revision {
             revision if revision > draft.base => self.conflict(draft.base, found),
-            _ if self.reads_back >= MAX_TRIES || self.writes >= MAX_TRIES => {
-                self.unavailable(fault)
-            }
+            _ if self.reads >= MAX_TRIES || self.writes >= MAX_TRIES => self.unavailable(fault),
             revision if revision == draft.base && fault != Fault::Conflict => self.write(draft),
             // The read was stale.
             _ => self.read(),
--- /dev/null
+++ b/coordination/config/tests/change.rs
@@ -0,0 +1,284 @@
+//! Changes by operators, through a store that fails.
+mod common;
+
+use common::Failure;
+use common::Store;
+use common::store_with_service;
+use common::update;
+use config::Change;
+use config::Fault;
+use config::Problem;
+use config::change::Action;
+use config::change::Edit;
+use config::change::Effect;
+use config::change::Outcome;
+use config::change::Request;
+use proptest::prelude::*;
+
+/// The revision of an accepted change and of the one that replaced it.
+fn accepted(outcome: &Outcome) -> (u64, Option<u64>) {
+    match outcome {
+        Outcome::Accepted {
+            revision,
+            replaced_by,
+            ..
+        } => (*revision, *replaced_by),
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+fn retry(request: Request) -> Request {
+    Request {
+        retry: true,
+        ..request
+    }
+}
+
+#[test]
+fn an_own_write_is_recognised_after_its_answer_was_lost() {
+    let mut store = store_with_service();
+    let outcome = store.run(update(1, 1, "a"), &[Failure::None, Failure::LostAfter]);
+    assert_eq!(accepted(&outcome), (2, None));
+    assert_eq!(store.operations(), ["create", "a"]);
+}
+
+#[test]
+fn an_own_write_is_recognised_after_somebody_wrote_over_it() {
+    let mut store = store_with_service();
+    let lost = [Failure::None, Failure::LostAfter, Failure::Unreachable];
+    let outcome = store.run(update(1, 1, "a"), &lost);
+    assert!(matches!(
+        outcome,
+        Outcome::Unavailable {
+            effect: Effect::Unknown,
+            ..
+        }
+    ));
+    assert_eq!(accepted(&store.run(update(2, 2, "b"), &[])), (3, None));
+    let outcome = store.run(retry(update(1, 1, "a")), &[]);
+    assert_eq!(accepted(&outcome), (2, Some(3)));
+    assert_eq!(store.operations(), ["create", "a", "b"]);
+}
+
+#[test]
+fn the_loser_of_a_race_sees_the_winner() {
+    let mut store = store_with_service();
+    let mut loser = Change::new(update(2, 1, "b"), 1);
+    let action = loser.start();
+    let write = store.step(&mut loser, action, Failure::None);
+    let lost = [Failure::None, Failure::LostAfter];
+    assert_eq!(accepted(&store.run(update(1, 1, "a"), &lost)), (2, None));
+    let read = store.step(&mut loser, write, Failure::None);
+    let end = store.step(&mut loser, read, Failure::None);
+    let conflict = Outcome::Conflict {
+        winner: 2,
+        operation: "a".to_owned(),
+        effect: Effect::NotApplied,
+    };
+    assert_eq!(end, Action::Done(conflict));
+    let again = store.run(retry(update(1, 1, "a")), &[]);
+    assert_eq!(accepted(&again), (2, None));
+}
+
+#[test]
+fn a_write_hidden_by_many_later_ones_is_not_called_unapplied() {
+    let mut store = store_with_service();
+    let lost = [Failure::None, Failure::LostAfter, Failure::Unreachable];
+    store.run(update(1, 1, "a"), &lost);
+    for number in 2..12 {
+        store.run(update(2, number, &format!("later-{number}")), &[]);
+    }
+    let outcome = store.run(retry(update(1, 1, "a")), &[]);
+    assert_eq!(
+        outcome,
+        Outcome::Conflict {
+            winner: 12,
+            operation: "later-11".to_owned(),
+            effect: Effect::Unknown,
+        }
+    );
+}
+
+#[test]
+fn a_change_is_refused_at_once_while_the_store_is_down() {
+    let mut store = store_with_service();
+    match store.run(update(1, 1, "a"), &[Failure::Unreachable]) {
+        Outcome::Unavailable {
+            fault,
+            effect,
+            retry_after,
+        } => {
+            assert_eq!((fault, effect), (Fault::Unreachable, Effect::NotApplied));
+            assert!(!retry_after.is_zero());
+        }
+        other => panic!("not refused: {other:?}"),
+    }
+    assert_eq!(store.operations(), ["create"]);
+}
+
+#[test]
+fn a_dry_run_shows_the_difference_and_writes_nothing() {
+    let mut store = store_with_service();
+    let dry_run = Request {
+        dry_run: true,
+        ..update(1, 1, "a")
+    };
+    match store.run(dry_run, &[]) {
+        Outcome::Checked {
+            revision,
+            differences,
+        } => {
+            let lines: Vec<_> = differences.iter().map(ToString::to_string).collect();
+            assert_eq!((revision, lines), (1, vec!["hunt: 3 -> 1".to_owned()]));
+        }
+        other => panic!("not checked: {other:?}"),
+    }
+    assert_eq!(store.operations(), ["create"]);
+}
+
+#[test]
+fn a_deleted_service_can_be_created_anew_at_a_higher_revision() {
+    let mut store = store_with_service();
+    let delete = Request {
+        edit: Edit::Delete,
+        ..update(3, 1, "delete")
+    };
+    assert_eq!(accepted(&store.run(delete, &[])), (2, None));
+    let create = Request {
+        edit: Edit::Create(common::service()),
+        ..update(3, 2, "again")
+    };
+    assert_eq!(accepted(&store.run(create, &[])), (3, None));
+}
+
+fn is_invalid((request, problem): (Request, Problem)) {
+    let mut store = store_with_service();
+    store.run(update(2, 1, "used"), &[]);
+    let outcome = store.run(request, &[]);
+    assert_eq!(outcome, Outcome::Invalid(vec![problem]));
+    assert_eq!(store.operations(), ["create", "used"]);
+}
+
+cases::cases! { is_invalid;
+    a_service_is_not_created_twice: (
+        Request { edit: Edit::Create(common::service()), ..update(3, 2, "a") },
+        Problem::Exists,
+    ),
+    a_wrong_field_is_refused: (update(4, 2, "a"), Problem::Hunt),
+    an_operation_id_with_spaces_is_refused: (update(1, 2, "a b"), Problem::Operation),
+    an_operation_id_is_not_used_for_two_changes: (update(1, 2, "used"), Problem::OperationReused),
+    a_retry_without_its_revision_is_refused: (
+        Request { expected: None, retry: true, ..update(1, 2, "a") },
+        Problem::RetryWithoutRevision,
+    ),
+}
+
+#[test]
+fn an_unknown_service_is_not_updated() {
+    let outcome = Store::default().run(update(1, 0, "a"), &[]);
+    assert_eq!(outcome, Outcome::Invalid(vec![Problem::Missing]));
+}
+
+/// One operator who repeats a change until its outcome is known.
+struct Operator {
+    request: Request,
+    change: Change,
+    action: Action,
+    tries: u8,
+}
+
+const MAX_TRIES: u8 = 4;
+
+impl Operator {
+    fn new(request: Request) -> Self {
+        let change = Change::new(request.clone(), 1);
+        Self {
+            action: change.start(),
+            change,
+            request,
+            tries: 0,
+        }
+    }
+
+    fn step(&mut self, store: &mut Store, failure: Failure) {
+        self.action = store.step(&mut self.change, self.action.clone(), failure);
+        if let Action::Done(Outcome::Unavailable { effect, .. }) = &self.action
+            && self.tries < MAX_TRIES
+        {
+            self.tries += 1;
+            self.request.retry |= *effect == Effect::Unknown;
+            self.change = Change::new(self.request.clone(), 1);
+            self.action = self.change.start();
+        }
+    }
+
+    /// Checks what the operator was told against what the store has.
+    fn check(&self, store: &Store) {
+        let operation = &self.request.operation;
+        let applied: Vec<_> = store
+            .written
+            .iter()
+            .zip(store.operations())
+            .filter(|(_, written)| written == operation)
+            .map(|(item, _)| item.revision)
+            .collect();
+        match &self.action {
+            Action::Done(Outcome::Accepted { revision, .. }) => {
+                assert_eq!(applied, [*revision], "{operation}");
+            }
+            Action::Done(
+                Outcome::Conflict {
+                    effect: Effect::NotApplied,
+                    ..
+                }
+                | Outcome::Unavailable {
+                    effect: Effect::NotApplied,
+                    ..
+                }
+                | Outcome::Invalid(_),
+            ) => assert!(applied.is_empty(), "{operation}: {:?}", self.action),
+            _ => assert!(applied.len() <= 1, "{operation}"),
+        }
+    }
+}
+
+fn failure() -> impl Strategy<Value = Failure> {
+    prop_oneof![
+        4 => Just(Failure::None),
+        1 => Just(Failure::Unreachable),
+        2 => Just(Failure::LostAfter),
+        1 => Just(Failure::LostBefore),
+        2 => Just(Failure::LostOnTheWay),
+        2 => Just(Failure::Stale),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2000))]
+
+    #[test]
+    fn operators_are_told_the_truth(
+        steps in prop::collection::vec((0..4_usize, failure()), 0..60),
+        bases in prop::collection::vec(1..3_u64, 3),
+    ) {
+        let mut store = store_with_service();
+        let mut operators: Vec<_> = bases
+            .iter()
+            .zip(["a", "b", "c"])
+            .zip(1..)
+            .map(|((base, name), hunt)| Operator::new(update(hunt, *base, name)))
+            .collect();
+        for (who, failure) in steps {
+            match operators.get_mut(who) {
+                Some(operator) => operator.step(&mut store, failure),
+                None => store.deliver(),
+            }
+        }
+        for _ in 0..60 {
+            store.deliver();
+        }
+        for operator in &operators {
+            operator.check(&store);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/config/tests/common/mod.rs
@@ -0,0 +1,165 @@
+//! A store in memory that fails as a test asks.
+use config::Change;
+use config::Fault;
+use config::Item;
+use config::Record;
+use config::Service;
+use config::change::Action;
+use config::change::Edit;
+use config::change::Outcome;
+use config::change::Request;
+use wire::Revision;
+
+/// How one call fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Not at all.
+    None,
+    /// The store is not reached.
+    Unreachable,
+    /// The answer is lost; a write was applied.
+    LostAfter,
+    /// The answer is lost; a write was not applied.
+    LostBefore,
+    /// The answer is lost; a write is applied later.
+    LostOnTheWay,
+    /// A read answers what was there one write before.
+    Stale,
+}
+
+/// One key of the store.
+#[derive(Debug, Default)]
+pub struct Store {
+    /// All values that the key had, oldest first.
+    pub written: Vec<Item>,
+    on_the_way: Vec<Item>,
+}
+
+impl Store {
+    /// Revision of the key.
+    pub fn revision(&self) -> Revision {
+        self.written.last().map_or(0, |item| item.revision)
+    }
+
+    /// Delivers a write that is on the way.
+    pub fn deliver(&mut self) {
+        if let Some(item) = self.on_the_way.pop() {
+            let _ = self.swap(item);
+        }
+    }
+
+    /// Carries out one action.
+    pub fn step(&mut self, change: &mut Change, action: Action, failure: Failure) -> Action {
+        match action {
+            Action::Read { .. } => change.on_read(self.read(failure)),
+            Action::Write {
+                key,
+                value,
+                expected,
+                ..
+            } => {
+                let item = Item {
+                    key,
+                    value,
+                    revision: expected,
+                };
+                change.on_written(self.write(item, failure))
+            }
+            Action::Done(_) => action,
+        }
+    }
+
+    /// Carries out a change to its end, with `failures` first.
+    pub fn run(&mut self, request: Request, failures: &[Failure]) -> Outcome {
+        let mut change = Change::new(request, 1);
+        let mut action = change.start();
+        let mut failures = failures.iter().copied();
+        loop {
+            action = match action {
+                Action::Done(outcome) => return outcome,
+                action => {
+                    let failure = failures.next().unwrap_or(Failure::None);
+                    self.step(&mut change, action, failure)
+                }
+            };
+        }
+    }
+
+    /// Operations in the order in which they were applied.
+    pub fn operations(&self) -> Vec<String> {
+        let records = self.written.iter().map(|item| {
+            let record = Record::from_json(&item.value).expect("a record");
+            record.service.operation
+        });
+        records.collect()
+    }
+
+    fn read(&self, failure: Failure) -> Result<Option<Item>, Fault> {
+        let skip = match failure {
+            Failure::None => 0,
+            Failure::Stale => 1,
+            Failure::Unreachable => return Err(Fault::Unreachable),
+            _ => {
+                return Err(Fault::Lost {
+                    maybe_applied: false,
+                });
+            }
+        };
+        Ok(self.written.iter().rev().nth(skip).cloned())
+    }
+
+    fn write(&mut self, item: Item, failure: Failure) -> Result<Revision, Fault> {
+        match failure {
+            Failure::None | Failure::Stale => return self.swap(item),
+            Failure::Unreachable => return Err(Fault::Unreachable),
+            Failure::LostAfter => drop(self.swap(item)),
+            Failure::LostBefore => {}
+            Failure::LostOnTheWay => self.on_the_way.push(item),
+        }
+        Err(Fault::Lost {
+            maybe_applied: true,
+        })
+    }
+
+    /// Writes where the key still has the item's revision.
+    fn swap(&mut self, item: Item) -> Result<Revision, Fault> {
+        if item.revision != self.revision() {
+            return Err(Fault::Conflict);
+        }
+        let revision = item.revision + 1;
+        self.written.push(Item { revision, ..item });
+        Ok(revision)
+    }
+}
+
+/// A valid service.
+pub fn service() -> Service {
+    Service {
+        name: "roster".to_owned(),
+        ..Service::new("192.0.2.1:5000".parse().expect("an address"))
+    }
+}
+
+/// A change of the hunt width.
+pub fn update(hunt: u8, expected: Revision, operation: &str) -> Request {
+    Request {
+        address: service().address,
+        edit: Edit::Update(Service { hunt, ..service() }),
+        expected: Some(expected),
+        operation: operation.to_owned(),
+        dry_run: false,
+        retry: false,
+    }
+}
+
+/// A store that holds the service at revision 1.
+pub fn store_with_service() -> Store {
+    let mut store = Store::default();
+    let create = Request {
+        edit: Edit::Create(service()),
+        ..update(3, 0, "create")
+    };
+    let outcome = store.run(create, &[]);
+    assert!(matches!(outcome, Outcome::Accepted { revision: 1, .. }));
+    store
+}
