--- a/roles/app/tests/operator.rs
+++ b/roles/app/tests/operator.rs
@@ -88,27 +88,27 @@
     with_operator(|operator| async move {
         let create = format!("create {SERVICE} --name roster --operation op-1");
         operator
-            .expect(&create, End::Done, "accepted as revision 1")
+            .expect(&create, End::Done, "accepted as revision 2")
             .await;
         let update = format!("update {SERVICE} --hunt 2 --binding independent");
         operator.expect(&update, End::Done, "hunt: 3 -> 2").await;
         let drain = format!("drain {SERVICE} zone:4");
         operator
-            .expect(&drain, End::Done, "accepted as revision 3")
+            .expect(&drain, End::Done, "accepted as revision 4")
             .await;
         let get = format!("get {SERVICE}");
         operator
-            .expect(&get, End::Done, "independent revision 3")
+            .expect(&get, End::Done, "independent revision 4")
             .await;
         operator.expect(&get, End::Done, "drained [zone:4]").await;
         let undrain = format!("undrain {SERVICE} zone:4");
         operator
-            .expect(&undrain, End::Done, "accepted as revision 4")
+            .expect(&undrain, End::Done, "accepted as revision 5")
             .await;
         operator.expect(&get, End::Done, "drained []").await;
         let delete = format!("delete {SERVICE}");
         operator
-            .expect(&delete, End::Done, "accepted as revision 5")
+            .expect(&delete, End::Done, "accepted as revision 6")
             .await;
         assert_eq!(operator.run("list").await.text, "");
         operator
@@ -150,20 +150,20 @@
 fn the_loser_of_a_race_sees_the_winner_and_the_winner_itself() {
     with_operator(|operator| async move {
         let create = format!("create {SERVICE} --name roster");
-        operator.expect(&create, End::Done, "revision 1").await;
+        operator.expect(&create, End::Done, "revision 2").await;
         operator
             .platform
             .set_faults(|faults| faults.lose_answers = 1);
-        let one = format!("update {SERVICE} --hunt 1 --expected 1 --operation one");
-        let two = format!("update {SERVICE} --hunt 2 --expected 1 --operation two");
-        operator.expect(&one, End::Done, "revision 2 ").await;
+        let one = format!("update {SERVICE} --hunt 1 --expected 2 --operation one");
+        let two = format!("update {SERVICE} --hunt 2 --expected 2 --operation two");
+        operator.expect(&one, End::Done, "revision 3 ").await;
         operator
-            .expect(&two, End::Conflict, "revision 2 of operation one")
+            .expect(&two, End::Conflict, "revision 3 of operation one")
             .await;
         let over = format!("update {SERVICE} --hunt 2 --operation three");
-        operator.expect(&over, End::Done, "revision 3 ").await;
+        operator.expect(&over, End::Done, "revision 4 ").await;
         let retry = format!("{one} --retry");
-        let text = "revision 2 (operation one), replaced since by revision 3";
+        let text = "revision 3 (operation one), replaced since by revision 4";
         operator.expect(&retry, End::Done, text).await;
     });
 }
@@ -187,7 +187,7 @@
         operator
             .platform
             .set_faults(|faults| faults.mode = Mode::Up);
-        operator.expect(&retry, End::Done, "revision 1").await;
+        operator.expect(&retry, End::Done, "revision 2").await;
     });
 }
 
--- a/tools/standin/src/platform/state.rs
+++ b/tools/standin/src/platform/state.rs
@@ -10,6 +10,9 @@
 use super::fault::take;
 use super::session::Sessions;
 
+/// Index of a prefix under which nothing was ever written.
+const EMPTY_INDEX: u64 = 1;
+
 /// One key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Cell {
@@ -145,7 +148,7 @@
     pub fn prefix_index(&self, prefix: &str) -> u64 {
         let written = under(&self.cells, prefix).map(|(_, cell)| cell.modify);
         let removed = under(&self.removed, prefix).map(|(_, index)| *index);
-        written.chain(removed).max().unwrap_or(1).max(1)
+        written.chain(removed).max().unwrap_or(EMPTY_INDEX)
     }
 
     /// Resolves, by being closed, at the next write that wakes watches.
@@ -177,7 +180,8 @@
 
     fn begin_write(&mut self) {
         self.earlier.clone_from(&self.cells);
-        self.index += 1;
+        // The first write must be newer than an empty prefix.
+        self.index = self.index.max(EMPTY_INDEX) + 1;
     }
 
     fn put(&mut self, key: &str, value: Vec<u8>) {
--- a/transport/store/src/lib.rs
+++ b/transport/store/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! * [`Store`] is the trait that the rest of the system sees.
 //! * [`Http`] is a client over HTTP.
-//! * [`follow`] runs the watch that keeps an entry's configuration fresh.
+//! * [`reader`] runs the reads that keep an entry's configuration fresh.
+//! * [`change`] carries out an operator's change.
 pub mod change;
 pub mod count;
 pub mod follow;
 pub mod http;
+pub mod reader;
 mod schema;
 
 use std::future::Future;
@@ -15,6 +17,7 @@
 use wire::Revision;
 
 pub use config::Fault;
+pub use config::Fence;
 pub use config::Item;
 pub use config::LeaseId;
 pub use config::Listing;
@@ -37,15 +40,6 @@
     pub fence: Option<Fence>,
 }
 
-/// A lease and the key that it must hold for a write to be accepted.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fence {
-    /// The key held.
-    pub key: String,
-    /// The lease that must hold it.
-    pub lease: LeaseId,
-}
-
 /// The platform's key-value service.
 ///
 /// Every call fails with a [`Fault`]; [`Fault::maybe_applied`] tells whether a
--- a/transport/store/tests/http.rs
+++ b/transport/store/tests/http.rs
@@ -74,6 +74,24 @@
     });
 }
 
+#[test]
+fn a_watch_of_an_empty_prefix_answers_at_the_first_write() {
+    with_store(|http, platform| async move {
+        let index = http.list("a/").await.expect("an answer").index;
+        let watch = http.watch("a/", index, WAIT);
+        let write = async {
+            while platform.calls().waiting == 0 {
+                future::yield_now().await;
+            }
+            http.swap(swap("a/1", "one", 0)).await
+        };
+        let (listing, revision) = future::zip(watch, write).await;
+        let listing = listing.expect("an answer");
+        assert_eq!(Ok(listing.items[0].revision), revision);
+        assert!(listing.items[0].revision > index);
+    });
+}
+
 #[test]
 fn a_lost_answer_says_that_the_write_may_have_been_applied() {
     with_store(|http, platform| async move {
