--- a/coordination/config/src/reader.rs
+++ b/coordination/config/src/reader.rs
@@ -87,16 +87,16 @@
 }
 
 impl Reader {
-    /// Makes a reader that will look for a seat at once; `seed` spreads its
-    /// calls.
+    /// Makes a reader of an entry whose [`rank`] is `rank` as far as is known;
+    /// `seed` spreads its calls.
     #[must_use]
-    pub fn new(settings: Settings, seed: u64) -> Self {
+    pub fn new(settings: Settings, rank: usize, seed: u64) -> Self {
         let keys = (0..settings.seats)
             .map(|number| key::seat(settings.zone, number))
             .collect();
         let prefix = key::seats(settings.zone);
         let mut lease = Lease::new(settings.lease, prefix, keys, seed);
-        lease.want(true);
+        lease.want(rank < settings.candidates);
         Self {
             candidates: settings.candidates,
             lease,
--- /dev/null
+++ b/coordination/config/tests/reader.rs
@@ -0,0 +1,364 @@
+//! Several readers of one zone before one store, in simulated time.
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use config::Fault;
+use config::Item;
+use config::LeaseId;
+use config::Listing;
+use config::Reader;
+use config::Record;
+use config::Service;
+use config::feed;
+use config::key;
+use config::lease;
+use config::lease::Answer;
+use config::lease::Call;
+use config::reader::Action;
+use config::reader::Event;
+use config::reader::Settings;
+use config::reader::rank;
+use wire::Revision;
+
+const MS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+const ZONE: u16 = 1;
+
+/// A store with leases.
+#[derive(Default)]
+struct Store {
+    items: BTreeMap<String, Item>,
+    /// End of each lease.
+    leases: HashMap<LeaseId, Duration>,
+    /// The lease that holds a key.
+    holders: HashMap<String, LeaseId>,
+    granted: u64,
+    revision: Revision,
+    down: bool,
+    calls: u64,
+}
+
+impl Store {
+    fn write(&mut self, name: &str) {
+        let address = "192.0.2.1:5000".parse().expect("an address");
+        let service = Service {
+            name: name.to_owned(),
+            ..Service::new(address)
+        };
+        let value = Record::create(service).to_json().expect("a record");
+        self.revision += 1;
+        self.put(key::service(address), value);
+        self.put(key::mark(key::bucket(address)), Vec::new());
+    }
+
+    fn put(&mut self, key: String, value: Vec<u8>) {
+        let item = Item {
+            key: key.clone(),
+            value,
+            revision: self.revision,
+        };
+        self.items.insert(key, item);
+    }
+
+    fn expire(&mut self, now: Duration) {
+        self.leases.retain(|_, end| *end > now);
+        self.holders
+            .retain(|_, lease| self.leases.contains_key(lease));
+        let held = |key: &String| self.holders.contains_key(key);
+        let seats = key::seats(ZONE);
+        self.items
+            .retain(|key, _| !key.starts_with(&seats) || held(key));
+    }
+
+    fn list(&self, prefix: &str) -> Result<Listing, Fault> {
+        if self.down {
+            return Err(Fault::Unreachable);
+        }
+        let items: Vec<Item> = self
+            .items
+            .values()
+            .filter(|item| item.key.starts_with(prefix))
+            .cloned()
+            .collect();
+        let index = items.iter().map(|item| item.revision).max();
+        Ok(Listing {
+            items,
+            index: index.unwrap_or(1),
+        })
+    }
+
+    fn lease(&mut self, now: Duration, call: Call) -> Option<Answer> {
+        self.calls += 1;
+        let ttl = lease::Settings::default().ttl;
+        let fault = Fault::Unreachable;
+        match call {
+            Call::Look { prefix } => Some(Answer::Looked(self.list(&prefix))),
+            Call::Grant { .. } if self.down => Some(Answer::Granted(Err(fault))),
+            Call::Acquire { .. } if self.down => Some(Answer::Acquired(Err(fault))),
+            Call::KeepAlive { .. } if self.down => Some(Answer::Kept(Err(fault))),
+            Call::Revoke { .. } if self.down => None,
+            Call::Grant { .. } => {
+                self.granted += 1;
+                let lease = format!("lease-{}", self.granted);
+                self.leases.insert(lease.clone(), now + ttl);
+                Some(Answer::Granted(Ok(lease)))
+            }
+            Call::Acquire { key, lease } => {
+                let free = !self.holders.contains_key(&key);
+                if free && self.leases.contains_key(&lease) {
+                    self.revision += 1;
+                    self.put(key.clone(), Vec::new());
+                    self.holders.insert(key.clone(), lease.clone());
+                }
+                let held = self.holders.get(&key) == Some(&lease);
+                Some(Answer::Acquired(Ok(held)))
+            }
+            Call::KeepAlive { lease } => match self.leases.get_mut(&lease) {
+                Some(end) => {
+                    *end = now + ttl;
+                    Some(Answer::Kept(Ok(())))
+                }
+                None => Some(Answer::Kept(Err(Fault::Lapsed))),
+            },
+            Call::Revoke { lease } => {
+                self.leases.remove(&lease);
+                self.expire(now);
+                None
+            }
+        }
+    }
+}
+
+/// An entry with its reader.
+struct Entry {
+    reader: Reader,
+    /// Events that the reader has not seen.
+    events: Vec<Event>,
+    paused: bool,
+    /// A long poll that waits: its number, its index and its end.
+    watch: Option<(u64, Revision, Duration)>,
+    /// The name and revision in force.
+    in_force: Option<(String, Revision)>,
+}
+
+/// A zone of entries before a store, in steps of one millisecond.
+struct Zone {
+    store: Store,
+    entries: Vec<Entry>,
+    now: Duration,
+}
+
+impl Zone {
+    fn new(entries: usize) -> Self {
+        let entry = |number| Entry {
+            reader: Reader::new(Settings::new(ZONE), number, number as u64),
+            events: Vec::new(),
+            paused: false,
+            watch: None,
+            in_force: None,
+        };
+        Self {
+            store: Store::default(),
+            entries: (0..entries).map(entry).collect(),
+            now: Duration::ZERO,
+        }
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += MS;
+            self.store.expire(self.now);
+            for number in 0..self.entries.len() {
+                self.step(number);
+            }
+        }
+    }
+
+    fn step(&mut self, number: usize) {
+        let entry = &mut self.entries[number];
+        if entry.paused {
+            return;
+        }
+        let mut events = std::mem::take(&mut entry.events);
+        if entry
+            .reader
+            .next_deadline()
+            .is_some_and(|due| due <= self.now)
+        {
+            events.push(Event::Tick);
+        }
+        let changed = self.store.list(key::MARKS);
+        if let Some((id, since, end)) = entry.watch
+            && (end <= self.now || changed.as_ref().map_or(true, |marks| marks.index > since))
+        {
+            entry.watch = None;
+            events.push(Event::Feed(id, changed));
+        }
+        while let Some(event) = events.pop() {
+            for action in entry.reader.handle(self.now, event) {
+                events.extend(carry_out(&mut self.store, entry, self.now, action));
+            }
+        }
+    }
+
+    fn readers(&self) -> usize {
+        let reading = |entry: &&Entry| entry.reader.is_reading(self.now);
+        self.entries.iter().filter(reading).count()
+    }
+
+    fn in_force(&self, number: usize) -> Option<&str> {
+        let in_force = self.entries[number].in_force.as_ref();
+        in_force.map(|(name, _)| name.as_str())
+    }
+
+    /// The entries that read, by number.
+    fn reading(&self) -> Vec<usize> {
+        let reads = |number: &usize| self.entries[*number].reader.is_reading(self.now);
+        (0..self.entries.len()).filter(reads).collect()
+    }
+}
+
+fn carry_out(store: &mut Store, entry: &mut Entry, now: Duration, action: Action) -> Option<Event> {
+    match action {
+        Action::Lease(action) => {
+            let answer = store.lease(now, action.call)?;
+            Some(Event::Lease(action.id, answer))
+        }
+        Action::Feed(feed::Action::List { id, prefix }) => {
+            store.calls += 1;
+            Some(Event::Feed(id, store.list(&prefix)))
+        }
+        Action::Feed(feed::Action::Watch {
+            id, since, wait, ..
+        }) => {
+            store.calls += 1;
+            entry.watch = Some((id, since, now + wait));
+            None
+        }
+        Action::Feed(feed::Action::Publish(update)) => {
+            let before = entry.in_force.as_ref().map(|(_, revision)| *revision);
+            assert!(before.is_none_or(|before| before < update.revision));
+            entry.in_force = Some((update.service.name, update.revision));
+            None
+        }
+    }
+}
+
+#[test]
+fn two_entries_of_a_zone_read_and_learn_of_a_change() {
+    let mut zone = Zone::new(6);
+    zone.store.write("one");
+    zone.pass(10 * SECOND);
+    assert_eq!(zone.readers(), 2);
+    zone.store.write("two");
+    zone.pass(SECOND);
+    for number in zone.reading() {
+        assert_eq!(zone.in_force(number), Some("two"));
+    }
+    let silent = (0..6).filter(|number| zone.in_force(*number).is_none());
+    assert_eq!(silent.count(), 4);
+}
+
+#[test]
+fn the_calls_do_not_grow_with_the_fleet() {
+    let calls = [6, 60].map(|entries| {
+        let mut zone = Zone::new(entries);
+        zone.pass(60 * SECOND);
+        zone.store.calls
+    });
+    assert_eq!(calls[0], calls[1]);
+}
+
+#[test]
+fn a_paused_reader_is_replaced_and_does_not_go_on_reading() {
+    let mut zone = Zone::new(4);
+    zone.store.write("one");
+    zone.pass(10 * SECOND);
+    let paused = zone.reading()[0];
+    zone.entries[paused].paused = true;
+    zone.pass(30 * SECOND);
+    assert!(!zone.entries[paused].reader.is_reading(zone.now));
+    assert_eq!(zone.readers(), 2);
+    zone.store.write("two");
+    zone.pass(SECOND);
+    zone.entries[paused].paused = false;
+    zone.pass(30 * SECOND);
+    assert_eq!(zone.readers(), 2);
+    assert!(!zone.reading().contains(&paused));
+    assert_eq!(zone.entries[paused].watch, None);
+    assert_eq!(zone.in_force(paused), Some("one"));
+}
+
+#[test]
+fn reading_goes_on_after_an_outage() {
+    let mut zone = Zone::new(4);
+    zone.store.write("one");
+    zone.pass(10 * SECOND);
+    zone.store.down = true;
+    let before = zone.store.calls;
+    zone.pass(600 * SECOND);
+    assert_eq!(zone.readers(), 0);
+    let calls = zone.store.calls - before;
+    assert!(calls < 4 * 600, "{calls}");
+    zone.store.down = false;
+    zone.store.write("two");
+    zone.pass(5 * SECOND);
+    let told = (0..4).filter(|number| zone.in_force(*number) == Some("two"));
+    assert_eq!(told.count(), 2);
+}
+
+#[test]
+fn a_reader_that_stops_gives_its_seat_back() {
+    let mut zone = Zone::new(4);
+    zone.pass(10 * SECOND);
+    let stopping = zone.reading()[0];
+    let actions = zone.entries[stopping].reader.handle(zone.now, Event::Stop);
+    for action in actions {
+        carry_out(
+            &mut zone.store,
+            &mut zone.entries[stopping],
+            zone.now,
+            action,
+        );
+    }
+    assert_eq!(zone.store.holders.len(), 1);
+    zone.pass(15 * SECOND);
+    assert_eq!(zone.readers(), 2);
+    assert!(!zone.reading().contains(&stopping));
+}
+
+#[test]
+fn a_lease_that_the_store_ended_early_is_given_up() {
+    let mut zone = Zone::new(2);
+    zone.pass(10 * SECOND);
+    zone.store.leases.clear();
+    zone.pass(20 * SECOND);
+    assert_eq!(zone.readers(), 2);
+    assert_eq!(zone.store.holders.len(), 2);
+}
+
+#[test]
+fn an_entry_that_moves_up_takes_a_free_seat() {
+    let mut zone = Zone::new(6);
+    zone.pass(10 * SECOND);
+    for entry in &mut zone.entries[..4] {
+        entry.paused = true;
+    }
+    zone.pass(30 * SECOND);
+    assert_eq!(zone.readers(), 0);
+    for (rank, entry) in zone.entries[4..].iter_mut().enumerate() {
+        entry.events.push(Event::Rank(rank));
+    }
+    zone.pass(SECOND);
+    assert_eq!(zone.reading(), [4, 5]);
+}
+
+#[test]
+fn entries_are_ranked_by_address() {
+    let others = ["192.0.2.1:1", "192.0.2.2:1", "192.0.2.9:1"];
+    let others = others.map(|text| text.parse().expect("an address"));
+    let own = "192.0.2.3:1".parse().expect("an address");
+    assert_eq!(rank(own, others), 2);
+}
--- a/transport/store/src/follow.rs
+++ b/transport/store/src/follow.rs
@@ -5,21 +5,13 @@
 use async_channel::Sender;
 use async_io::Timer;
 use config::Record;
-use config::Service;
 use config::key::SERVICES;
 use wire::Revision;
 use wire::ServiceAddress;
 
 use crate::Store;
 
-/// A configuration and its revision.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Update {
-    /// The configuration.
-    pub service: Service,
-    /// Its revision.
-    pub revision: Revision,
-}
+pub use config::Update;
 
 /// Follows the store until the receiver of `updates` is dropped.
 pub async fn run(store: impl Store, updates: Sender<Update>) {
--- /dev/null
+++ b/transport/store/tests/reader.rs
@@ -0,0 +1,157 @@
+//! The reader against the stand-in of the store.
+mod common;
+
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use config::Reader;
+use config::Record;
+use config::Service;
+use config::Update;
+use config::key;
+use config::reader::Event;
+use config::reader::Settings;
+use futures_lite::FutureExt;
+use standin::platform::fault::Mode;
+use store::Http;
+use store::Store;
+use store::Swap;
+use store::reader;
+
+use common::with_store;
+
+/// A reader at work.
+struct Reading {
+    http: Http,
+    updates: Receiver<Update>,
+    inputs: Sender<Event>,
+}
+
+impl Reading {
+    /// Writes a service, as an operator's change does.
+    async fn write(&self, name: &str, expected: u64) -> u64 {
+        let address = "192.0.2.1:5000".parse().expect("an address");
+        let service = Service {
+            name: name.to_owned(),
+            ..Service::new(address)
+        };
+        let value = Record::create(service).to_json().expect("a record");
+        let swap = Swap {
+            key: key::service(address),
+            value,
+            expected,
+            touch: Some(key::mark(key::bucket(address))),
+            fence: None,
+        };
+        self.http.swap(swap).await.expect("a match")
+    }
+
+    async fn expect(&self, name: &str, revision: u64) {
+        let update = self.updates.recv().await.expect("an update");
+        assert_eq!(
+            (update.service.name.as_str(), update.revision),
+            (name, revision)
+        );
+    }
+}
+
+fn with_reader<F: Future<Output = ()>>(
+    test: impl FnOnce(Reading, standin::platform::Platform) -> F,
+) {
+    with_store(|http, platform| async move {
+        let (sender, updates) = async_channel::unbounded();
+        let (inputs, events) = async_channel::unbounded();
+        let mut settings = Settings::new(1);
+        settings.feed.spread = Duration::ZERO;
+        settings.feed.wait = Duration::from_millis(50);
+        settings.lease.renew = Duration::from_millis(50);
+        settings.feed.backoff.base = Duration::from_millis(1);
+        settings.lease.backoff.base = Duration::from_millis(1);
+        let reader = Reader::new(settings, 0, 1);
+        let run = reader::run(http.clone(), reader, events, sender);
+        let reading = Reading {
+            http,
+            updates,
+            inputs,
+        };
+        let run = async {
+            run.await;
+            futures_lite::future::pending::<()>().await;
+        };
+        test(reading, platform).or(run).await;
+    });
+}
+
+#[test]
+fn a_change_is_read_as_it_is_made() {
+    with_reader(|reading, platform| async move {
+        let first = reading.write("one", 0).await;
+        reading.expect("one", first).await;
+        let second = reading.write("two", first).await;
+        reading.expect("two", second).await;
+        assert!(platform.calls().watches >= 1);
+    });
+}
+
+#[test]
+fn a_change_that_woke_no_watch_is_read_later() {
+    with_reader(|reading, platform| async move {
+        let first = reading.write("one", 0).await;
+        reading.expect("one", first).await;
+        platform.set_faults(|faults| faults.drop_events = 1);
+        let second = reading.write("two", first).await;
+        reading.expect("two", second).await;
+    });
+}
+
+#[test]
+fn stale_and_repeated_answers_revert_nothing() {
+    with_reader(|reading, platform| async move {
+        let first = reading.write("one", 0).await;
+        reading.expect("one", first).await;
+        platform.set_faults(|faults| {
+            faults.stale_reads = 5;
+            faults.repeat_events = 3;
+        });
+        let second = reading.write("two", first).await;
+        reading.expect("two", second).await;
+        let third = reading.write("three", second).await;
+        reading.expect("three", third).await;
+    });
+}
+
+#[test]
+fn reading_goes_on_after_outages_and_lapsed_leases() {
+    with_reader(|reading, platform| async move {
+        let mut revision = reading.write("one", 0).await;
+        reading.expect("one", revision).await;
+        for mode in [Mode::Down, Mode::Fail] {
+            platform.set_faults(|faults| faults.mode = mode);
+            let refused = platform.calls().refused;
+            while platform.calls().refused < refused + 3 {
+                futures_lite::future::yield_now().await;
+            }
+            platform.lapse();
+            platform.set_faults(|faults| faults.mode = Mode::Up);
+            revision = reading.write("again", revision).await;
+            reading.expect("again", revision).await;
+        }
+    });
+}
+
+#[test]
+fn a_reader_that_stops_gives_its_seat_back() {
+    with_reader(|reading, _| async move {
+        let first = reading.write("one", 0).await;
+        reading.expect("one", first).await;
+        let seats = key::seats(1);
+        let held = reading.http.list(&seats).await.expect("an answer");
+        assert_eq!(held.items.len(), 1);
+        reading.inputs.send(Event::Stop).await.expect("a reader");
+        // The reader drops its side once it has stopped.
+        assert!(reading.updates.recv().await.is_err());
+        let held = reading.http.list(&seats).await.expect("an answer");
+        assert_eq!(held.items, []);
+    });
+}
