--- a/coordination/config/tests/feed.rs
+++ b/coordination/config/tests/feed.rs
@@ -332,6 +332,21 @@
     assert!(fixture.feed.counts().lists <= 5);
 }
 
+#[test]
+fn a_service_written_without_its_mark_is_read_in_the_end() {
+    let mut fixture = Fixture::new();
+    fixture.settle();
+    fixture.store.write(1);
+    let mark = key::mark(key::bucket(address(1)));
+    let state = fixture.store.0.last_mut().expect("a state");
+    state.remove(&mark);
+    fixture.now += Settings::default().relist;
+    for _ in 0..3 {
+        fixture.reply(Reply::Latest);
+    }
+    fixture.assert_latest();
+}
+
 #[test]
 fn an_outage_is_met_with_growing_pauses() {
     let mut fixture = Fixture::new();
@@ -356,8 +371,10 @@
     let call = fixture.call.take().expect("a call");
     fixture.feed.stop();
     fixture.feed.start(fixture.now);
+    fixture.advance();
     let answer = fixture.store.answer(&call, Reply::Latest);
     assert_eq!(fixture.feed.on_answer(fixture.now, call.id, answer), []);
+    assert_eq!(fixture.feed.next_deadline(), None);
     fixture.settle();
     fixture.assert_latest();
 }
--- a/coordination/config/tests/lease.rs
+++ b/coordination/config/tests/lease.rs
@@ -45,7 +45,10 @@
 
 /// A lease that acquired `seat/1` at `now`.
 fn held(now: Duration) -> Lease {
-    let mut lease = lease();
+    acquire(lease(), now)
+}
+
+fn acquire(mut lease: Lease, now: Duration) -> Lease {
     let look = only(lease.tick(now));
     let listing = Answer::Looked(Ok(taken(&["seat/0"])));
     let grant = only(lease.on_answer(now, look.id, listing));
@@ -117,6 +120,16 @@
     assert!(!lease.holds(5 * SECOND));
 }
 
+#[test]
+fn an_answer_about_an_earlier_lease_does_not_end_the_present_one() {
+    let mut lease = held(SECOND);
+    let renew = only(lease.tick(5 * SECOND));
+    lease.tick(60 * SECOND);
+    let mut lease = acquire(lease, 60 * SECOND);
+    lease.on_answer(60 * SECOND, renew.id, Answer::Kept(Err(Fault::Lapsed)));
+    assert!(lease.holds(60 * SECOND));
+}
+
 #[test]
 fn a_failed_renewal_is_repeated_until_the_lease_ends() {
     let mut lease = held(SECOND);
