--- /dev/null
+++ b/tools/bench/src/relay.rs
@@ -0,0 +1,264 @@
+//! Packets a second through an entry's traffic thread, against a bare relay.
+//!
+//! Both relay the same datagrams from one loopback socket to another. The
+//! figure is packets per second of processor time of the relaying thread, so
+//! that other load on the machine weighs little.
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use app::entry::traffic::Counters;
+use app::entry::traffic::Traffic;
+use arc_swap::ArcSwap;
+use entry::Router;
+use entry::Service;
+use net::Port;
+use route::Order;
+use serde::Serialize;
+use wire::Frame;
+use wire::Seal;
+use wire::Target;
+use wire::caller::Open;
+use wire::caller::Packet;
+use wire::caller::packet::Body;
+use wire::frame::Sprayed;
+use wire::seal::KEY_LEN;
+use wire::seal::Key;
+use wire::target::State;
+
+use crate::report;
+
+/// Length of one run.
+const RUN: Duration = Duration::from_secs(3);
+
+/// Runs of each relay, in turn.
+const ROUNDS: usize = 3;
+
+/// Targets of the services that are measured.
+const SIZES: [u16; 3] = [7, 100, 1_000];
+
+/// Distinct flows that are sent.
+const FLOWS: u64 = 1_024;
+
+#[derive(Serialize)]
+struct Figure {
+    relay: String,
+    targets: u16,
+    packets_per_cpu_second: f64,
+    ratio_to_bare: f64,
+}
+
+/// What one run of a relay did.
+struct Run {
+    packets: u64,
+    cpu: Duration,
+}
+
+/// Measures and prints the figures.
+///
+/// # Errors
+///
+/// The operating system's error.
+pub fn run() -> io::Result<()> {
+    let bare = median(|| bare(&datagrams(1)))?;
+    let mut figures = vec![Figure {
+        relay: "bare".to_string(),
+        targets: 0,
+        packets_per_cpu_second: bare,
+        ratio_to_bare: 1.0,
+    }];
+    for targets in SIZES {
+        let rate = median(|| through_entry(targets))?;
+        figures.push(Figure {
+            relay: "entry".to_string(),
+            targets,
+            packets_per_cpu_second: rate,
+            ratio_to_bare: rate / bare,
+        });
+    }
+    println!(
+        "{:8} {:>8} {:>22} {:>14}",
+        "relay", "targets", "packets/CPU-second", "ratio to bare"
+    );
+    for figure in &figures {
+        println!(
+            "{:8} {:>8} {:>22.0} {:>14.2}",
+            figure.relay, figure.targets, figure.packets_per_cpu_second, figure.ratio_to_bare
+        );
+    }
+    report::write("relay", &figures)
+}
+
+fn median(mut run: impl FnMut() -> io::Result<Run>) -> io::Result<f64> {
+    let mut rates = Vec::with_capacity(ROUNDS);
+    for _ in 0..ROUNDS {
+        let run = run()?;
+        #[allow(clippy::cast_precision_loss)]
+        rates.push(run.packets as f64 / run.cpu.as_secs_f64());
+    }
+    rates.sort_by(f64::total_cmp);
+    Ok(rates[ROUNDS / 2])
+}
+
+/// Relays with two system calls a packet and nothing else.
+fn bare(datagrams: &[Vec<u8>]) -> io::Result<Run> {
+    let socket = UdpSocket::bind(loopback())?;
+    let sink = UdpSocket::bind(loopback())?;
+    let to = socket.local_addr()?;
+    let sink_address = sink.local_addr()?;
+    socket.set_read_timeout(Some(Duration::from_millis(100)))?;
+    let load = Load::start(to, datagrams.to_vec());
+    let begun = Instant::now();
+    let before = cpu_time()?;
+    let mut packets = 0;
+    let mut buffer = [0; 2_048];
+    while begun.elapsed() < RUN {
+        let Ok((length, _)) = socket.recv_from(&mut buffer) else {
+            continue;
+        };
+        if socket.send_to(&buffer[..length], sink_address).is_ok() {
+            packets += 1;
+        }
+    }
+    let cpu = cpu_time()? - before;
+    load.stop();
+    Ok(Run { packets, cpu })
+}
+
+fn through_entry(targets: u16) -> io::Result<Run> {
+    let sink = UdpSocket::bind(loopback())?;
+    let port = Port::bind(loopback(), Arc::new(seal()))?;
+    let to = port.local_addr()?;
+    let (control, _inputs) = async_channel::bounded(1);
+    let traffic = Arc::new(Traffic {
+        port,
+        fabric: sink.local_addr()?,
+        router: ArcSwap::from_pointee(router(targets, sink.local_addr()?)),
+        control,
+        counters: Counters::default(),
+    });
+    let load = Load::start(to, datagrams(FLOWS));
+    let running = Arc::clone(&traffic);
+    // The relay looks at its timer only once the load has stopped.
+    let timed = thread::spawn(move || -> io::Result<Duration> {
+        let before = cpu_time()?;
+        smol::block_on(smol::future::or(
+            async {
+                let _ = running.run().await;
+            },
+            async {
+                smol::Timer::after(RUN).await;
+            },
+        ));
+        Ok(cpu_time()? - before)
+    });
+    let cpu = timed
+        .join()
+        .map_err(|_| io::Error::other("the relay stopped"))??;
+    Ok(Run {
+        packets: traffic.counters.relayed.load(Ordering::Relaxed),
+        cpu,
+    })
+}
+
+fn router(targets: u16, agent: SocketAddr) -> Router {
+    let targets: Vec<Target> = (0..targets).map(|index| target(index, agent)).collect();
+    let mut router = Router::default();
+    router.insert(Service::new(service(), 1, 3, Order::new(&targets)));
+    router
+}
+
+fn target(index: u16, agent: SocketAddr) -> Target {
+    Target {
+        id: u64::from(index) + 1,
+        service: service(),
+        address: agent,
+        control: agent,
+        zone: index % 4,
+        incarnation: 1,
+        version: 1,
+        weight: 100,
+        slots: 4,
+        state: State::Ready,
+    }
+}
+
+/// The datagrams of a fabric for so many flows.
+fn datagrams(flows: u64) -> Vec<Vec<u8>> {
+    let seal = seal();
+    (1..=flows)
+        .filter_map(|flow| {
+            let sprayed = Sprayed {
+                caller: service(),
+                service: service(),
+                packet: Packet::new(flow, Body::Open(Open::default())).to_bytes(),
+            };
+            seal.seal(&Frame::Sprayed(sprayed)).ok()
+        })
+        .collect()
+}
+
+fn seal() -> Seal {
+    let key = Key {
+        id: 1,
+        secret: [7; KEY_LEN],
+    };
+    Seal::new(key, Vec::new())
+}
+
+fn service() -> SocketAddr {
+    SocketAddr::from(([127, 0, 1, 1], 5_000))
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Processor time of the calling thread.
+fn cpu_time() -> io::Result<Duration> {
+    let stat = fs::read_to_string("/proc/thread-self/schedstat")?;
+    let nanos = stat
+        .split_whitespace()
+        .next()
+        .and_then(|field| field.parse().ok());
+    nanos
+        .map(Duration::from_nanos)
+        .ok_or_else(|| io::Error::other("schedstat has another form"))
+}
+
+/// A thread that sends datagrams as fast as it can until it is stopped.
+struct Load {
+    stopped: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl Load {
+    fn start(to: SocketAddr, datagrams: Vec<Vec<u8>>) -> Self {
+        let stopped = Arc::new(AtomicBool::new(false));
+        let flag = Arc::clone(&stopped);
+        let thread = thread::spawn(move || {
+            let Ok(socket) = UdpSocket::bind(loopback()) else {
+                return;
+            };
+            while !flag.load(Ordering::Relaxed) {
+                for datagram in &datagrams {
+                    let _ = socket.send_to(datagram, to);
+                }
+            }
+        });
+        Self { stopped, thread }
+    }
+
+    fn stop(self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        let _ = self.thread.join();
+    }
+}
