--- a/protocol/wire/src/caller.rs
+++ b/protocol/wire/src/caller.rs
@@ -63,6 +63,24 @@
         )
     }
 
+    /// Wraps the refusal of a packet that was not accepted, naming the flow and
+    /// the request as far as they can be read. Such a packet never runs, nor
+    /// does a copy of it.
+    #[must_use]
+    pub fn reject(bytes: Bytes, error: Error) -> Self {
+        let packet = Self::decode(bytes).unwrap_or_default();
+        let request = match packet.body {
+            Some(packet::Body::Request(request)) => request.request,
+            _ => 0,
+        };
+        let reason = match error {
+            Error::Malformed => Reason::Malformed,
+            Error::Version => Reason::BadVersion,
+            Error::TooLarge => Reason::TooLarge,
+        };
+        Self::refuse(packet.flow, request, reason, Outcome::NotRun, 0)
+    }
+
     /// Encodes the packet.
     #[must_use]
     pub fn to_bytes(&self) -> Bytes {
--- a/roles/agent/src/action.rs
+++ b/roles/agent/src/action.rs
@@ -26,7 +26,9 @@
         frame: Frame,
     },
     /// Runs a job at the backend server; answered by
-    /// [`crate::Event::Finished`].
+    /// [`crate::Event::Finished`]. A job whose deadline has passed before it
+    /// is sent, as after a pause of the process, must not be sent any more: it
+    /// has failed without having run.
     Run(Job),
     /// Cancels a job at the backend server. A later
     /// [`crate::Event::Finished`] for it is ignored.
--- /dev/null
+++ b/roles/agent/src/agent.rs
@@ -0,0 +1,362 @@
+//! The agent's state, and how events and deadlines reach its parts.
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flow::Ledger;
+use flow::Table;
+use flow::record;
+use flow::record::Refusal;
+use limit::Budget;
+use limit::Gate;
+use route::Order;
+use route::pin;
+use wire::FlowKey;
+use wire::Frame;
+use wire::Incarnation;
+use wire::RequestId;
+use wire::Target;
+use wire::TargetId;
+use wire::Token;
+use wire::caller::Outcome;
+use wire::caller::Packet;
+use wire::caller::Reason;
+use wire::target::State;
+
+use crate::Action;
+use crate::Event;
+use crate::Settings;
+use crate::View;
+use crate::claim::Claiming;
+use crate::event::JobId;
+use crate::keep::Keep;
+use crate::leave::Leaving;
+use crate::offered::Offers;
+use crate::pinning::Renewal;
+use crate::status::Counter;
+use crate::status::Counters;
+use crate::status::Status;
+use crate::task::Task;
+use crate::task::Timer;
+use crate::view;
+
+/// The agent beside one backend server.
+#[derive(Debug)]
+pub struct Agent {
+    pub(crate) settings: Settings,
+    pub(crate) identity: Target,
+    pub(crate) token: Token,
+    pub(crate) random: fastrand::Rng,
+    pub(crate) counters: Counters,
+    pub(crate) view: View,
+    pub(crate) order: Order,
+    /// Targets that were in an earlier view, with their last incarnation.
+    pub(crate) gone: BTreeMap<TargetId, Incarnation>,
+    pub(crate) flows: Table,
+    pub(crate) ledger: Ledger,
+    pub(crate) pins: pin::Table,
+    pub(crate) gate: Gate,
+    pub(crate) budget: Budget,
+    pub(crate) tasks: BTreeMap<JobId, Task>,
+    /// The task of each request of a flow that is held here.
+    pub(crate) by_request: HashMap<record::Key, JobId>,
+    /// The task of each offer that another agent has.
+    pub(crate) by_offer: HashMap<u64, JobId>,
+    pub(crate) timers: BTreeSet<Timer>,
+    pub(crate) next_id: u64,
+    pub(crate) offers: Offers,
+    pub(crate) keep: Keep,
+    pub(crate) renewal: Renewal,
+    pub(crate) claiming: Option<Claiming>,
+    pub(crate) draining: bool,
+    pub(crate) leaving: Option<Leaving>,
+    announced: Announced,
+}
+
+/// What was last announced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Announced {
+    state: State,
+    weight: u32,
+    next: Duration,
+}
+
+/// One call of [`Agent::handle`].
+pub(crate) struct Turn<'a> {
+    pub(crate) now: Duration,
+    pub(crate) out: &'a mut Vec<Action>,
+}
+
+impl Turn<'_> {
+    pub(crate) fn push(&mut self, action: Action) {
+        self.out.push(action);
+    }
+
+    pub(crate) fn send(&mut self, to: SocketAddr, frame: Frame) {
+        self.push(Action::Send { to, frame });
+    }
+}
+
+/// Where replies to a caller go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Via {
+    pub(crate) entry: SocketAddr,
+    pub(crate) caller: SocketAddr,
+}
+
+impl Agent {
+    /// Creates the agent of `identity`. It asks the peers of its first view for
+    /// what its predecessor left, and takes flows afterwards.
+    #[must_use]
+    pub fn new(settings: Settings, identity: Target, seed: u64, now: Duration) -> Self {
+        let token = Token {
+            target: identity.id,
+            incarnation: identity.incarnation,
+        };
+        let mut random = fastrand::Rng::with_seed(seed);
+        let view = View {
+            targets: vec![identity.clone()],
+            service: view::Service::default(),
+        };
+        Self {
+            order: Order::new(&view.targets),
+            view,
+            gone: BTreeMap::new(),
+            flows: Table::new(settings.flows, random.u64(..), now),
+            ledger: Ledger::new(settings.ledger, random.u64(..)),
+            pins: pin::Table::new(settings.pins),
+            gate: Gate::new(settings.gate.clone(), now),
+            budget: Budget::new(settings.retries),
+            tasks: BTreeMap::new(),
+            by_request: HashMap::new(),
+            by_offer: HashMap::new(),
+            timers: BTreeSet::new(),
+            next_id: 1,
+            offers: Offers::default(),
+            keep: Keep::default(),
+            renewal: Renewal::new(&settings, now),
+            claiming: Some(Claiming::new(&settings, now)),
+            draining: false,
+            leaving: None,
+            announced: Announced {
+                state: identity.state,
+                weight: identity.weight,
+                next: now,
+            },
+            counters: Counters::default(),
+            token,
+            random,
+            identity,
+            settings,
+        }
+    }
+
+    /// Takes an event and pushes what is to be done. Deadlines that have passed
+    /// are acted on first, so that a process that was paused does not run what
+    /// nobody waits for.
+    pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
+        let mut turn = Turn { now, out };
+        let turn = &mut turn;
+        self.act_on_deadlines(turn);
+        match event {
+            Event::Frame { from: _, frame } => self.on_frame(turn, frame),
+            Event::Finished { job, result } => self.on_finished(turn, job, result),
+            Event::Offered { call, offer } => self.on_offered(turn, call, offer),
+            Event::Withdrawn { offer } => self.on_withdrawn(turn, offer),
+            Event::Passed { offer, outcome } => self.on_passed(turn, offer, outcome),
+            Event::View(view) => self.on_view(turn, view),
+            Event::Park { call, part } => self.on_park(turn, call, part),
+            Event::Parked { index, accepted } => self.on_parked(turn, index, accepted),
+            Event::Claim { call, claim } => self.on_claim(turn, call, claim),
+            Event::Claimed { peer, grant } => self.on_claimed(turn, peer, grant),
+            Event::Tick => {}
+            Event::Drain => self.draining = true,
+            Event::Resume => self.draining = false,
+            Event::Stop => self.on_stop(turn),
+            Event::Replace => self.on_replace(turn),
+        }
+        self.leave_when_finished(turn);
+        self.announce(turn);
+    }
+
+    /// When [`Agent::handle`] is to be called with [`Event::Tick`] at the
+    /// latest.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<Duration> {
+        [
+            self.flows.next_deadline(),
+            self.ledger.next_deadline(),
+            self.gate.next_deadline(),
+            self.timers.first().map(|timer| timer.at),
+            self.offers.next_deadline(),
+            self.keep.next_deadline(),
+            Some(self.renewal.next_deadline()),
+            self.claiming.as_ref().map(Claiming::next_deadline),
+            self.leaving.as_ref().and_then(Leaving::next_deadline),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    /// A view of the agent for operators and metrics.
+    #[must_use]
+    pub fn status(&self, now: Duration) -> Status {
+        Status {
+            state: self.state(),
+            weight: self.announced.weight,
+            flows: self.flows.len(),
+            flow_bytes: self.flows.bytes(),
+            records: self.ledger.len(),
+            record_bytes: self.ledger.bytes(),
+            pins: self.pins.len(),
+            pin_bytes: self.pins.bytes(),
+            tasks: self.tasks.len(),
+            expected_wait: self.gate.expected_wait(now),
+            parked: self.keep.len(),
+            counters: self.counters.clone(),
+        }
+    }
+
+    fn act_on_deadlines(&mut self, turn: &mut Turn<'_>) {
+        self.expire_flows(turn);
+        self.ledger.expire(turn.now);
+        self.expire_tasks(turn);
+        self.offers.expire(turn.now);
+        self.keep.expire(turn.now);
+        self.renew_pins(turn);
+        self.expire_claim(turn);
+        self.expire_leaving(turn);
+    }
+
+    fn on_frame(&mut self, turn: &mut Turn<'_>, frame: Frame) {
+        match frame {
+            Frame::Relay(relay) => self.on_relay(turn, relay),
+            Frame::Pin(pin) => self.on_pin(turn, &pin),
+            Frame::Unpin(pin) => self.on_unpin(&pin),
+            Frame::Reply(_) | Frame::Control(_) | Frame::Sprayed(_) => {
+                self.counters.add(Counter::UnexpectedFrame);
+            }
+        }
+    }
+
+    fn on_view(&mut self, turn: &mut Turn<'_>, mut view: View) {
+        if !view.targets.iter().any(|it| it.id == self.identity.id) {
+            view.targets.push(self.identity.clone());
+        }
+        let old = std::mem::replace(&mut self.view, view);
+        for target in old.targets {
+            self.gone.insert(target.id, target.incarnation);
+        }
+        for target in &self.view.targets {
+            self.gone.remove(&target.id);
+        }
+        while self.gone.len() > MAX_GONE {
+            self.gone.pop_first();
+        }
+        self.order = Order::new(&self.view.targets);
+        self.flows.set_idle(self.view.service.idle);
+        self.renewal.restart(turn.now);
+        self.pin_kept(turn);
+        self.start_claim(turn);
+    }
+
+    /// Announces a changed state at once, and a changed weight now and then.
+    fn announce(&mut self, turn: &mut Turn<'_>) {
+        let state = self.state();
+        let weight = self.gate.weight();
+        let Announced {
+            state: old_state,
+            weight: old_weight,
+            next,
+        } = self.announced;
+        if state == old_state && (weight == old_weight || turn.now < next) {
+            return;
+        }
+        self.announced = Announced {
+            state,
+            weight,
+            next: turn.now + self.settings.announce_interval,
+        };
+        turn.push(Action::Announce { state, weight });
+    }
+
+    fn state(&self) -> State {
+        match &self.leaving {
+            Some(Leaving::Gone) => State::Left,
+            Some(_) => State::Draining,
+            None if self.draining => State::Draining,
+            None => State::Ready,
+        }
+    }
+
+    /// Whether new flows are taken.
+    pub(crate) fn takes_flows(&self) -> bool {
+        !self.draining && self.leaving.is_none() && self.claiming.is_none()
+    }
+
+    pub(crate) fn next_id(&mut self) -> u64 {
+        let id = self.next_id;
+        self.next_id += 1;
+        id
+    }
+
+    /// A target of the view.
+    pub(crate) fn target(&self, id: TargetId) -> Option<&Target> {
+        self.view.targets.iter().find(|target| target.id == id)
+    }
+
+    /// Spreads a time to come back by half of it either way, so that callers
+    /// refused together do not return together.
+    pub(crate) fn jitter(&mut self, time: Duration) -> Duration {
+        time.mul_f64(0.5 + self.random.f64())
+    }
+
+    pub(crate) fn refusal(&mut self, reason: Reason, retry_after: Duration) -> Refusal {
+        Refusal {
+            reason,
+            retry_after: self.jitter(retry_after),
+        }
+    }
+
+    pub(crate) fn reply(&self, turn: &mut Turn<'_>, via: Via, packet: &Packet) {
+        let reply = wire::Reply {
+            caller: via.caller,
+            service: self.identity.service,
+            packet: packet.to_bytes(),
+        };
+        turn.send(via.entry, Frame::Reply(reply));
+    }
+
+    pub(crate) fn refuse(
+        &mut self,
+        turn: &mut Turn<'_>,
+        via: Via,
+        subject: Subject,
+        refusal: Refusal,
+        outcome: Outcome,
+    ) {
+        self.counters.refuse(refusal.reason);
+        let retry_after = u32::try_from(refusal.retry_after.as_millis()).unwrap_or(u32::MAX);
+        let packet = Packet::refuse(
+            subject.flow,
+            subject.request,
+            refusal.reason,
+            outcome,
+            retry_after,
+        );
+        self.reply(turn, via, &packet);
+    }
+}
+
+/// What a refusal is about; the request is 0 for an open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Subject {
+    pub(crate) flow: FlowKey,
+    pub(crate) request: RequestId,
+}
+
+/// Number of targets no longer in the view that are remembered.
+const MAX_GONE: usize = 1_024;
--- a/roles/agent/src/event.rs
+++ b/roles/agent/src/event.rs
@@ -88,6 +88,8 @@
     Tick,
     /// Take no new flows and finish those that are held.
     Drain,
+    /// Take new flows again, after a [`Event::Drain`].
+    Resume,
     /// The backend server leaves for good: finish within a bound, then exit.
     Stop,
     /// The agent is replaced beside a backend server that stays: finish what
--- /dev/null
+++ b/roles/agent/src/keep.rs
@@ -0,0 +1,303 @@
+//! Keeps the state of other agents for their successors, or adopts it.
+//!
+//! What is kept is not changed here: recorded outcomes are answered from it,
+//! and everything else waits for the successor. Only a whole state is used, and
+//! only one incarnation may claim it, so that no two agents hold the same flow.
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use flow::Answer;
+use flow::State;
+use flow::record;
+use flow::record::Refusal;
+use wire::FlowKey;
+use wire::Incarnation;
+use wire::Relay;
+use wire::RequestId;
+use wire::TargetId;
+use wire::Token;
+use wire::caller::Reason;
+
+use crate::Action;
+use crate::Agent;
+use crate::agent::Turn;
+use crate::event::CallId;
+use crate::park::Claim;
+use crate::park::Grant;
+use crate::park::Outcome;
+use crate::park::Part;
+use crate::park::Purpose;
+use crate::park::Record;
+use crate::relay;
+use crate::relay::Stray;
+use crate::relay::Unheld;
+use crate::status::Counter;
+
+/// The states of other agents.
+#[derive(Debug, Default)]
+pub(crate) struct Keep {
+    states: BTreeMap<TargetId, Kept>,
+    flows: HashMap<FlowKey, Position>,
+    bytes: usize,
+}
+
+/// The state of one agent, whole or in part.
+#[derive(Debug)]
+struct Kept {
+    owner: Token,
+    count: u32,
+    received: u32,
+    parts: Vec<Part>,
+    claimed_by: Option<Incarnation>,
+    expiry: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Position {
+    owner: TargetId,
+    part: usize,
+    flow: usize,
+}
+
+impl Keep {
+    /// Number of flows that are kept.
+    pub(crate) fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    pub(crate) fn holds(&self, flow: FlowKey) -> bool {
+        self.flows.contains_key(&flow)
+    }
+
+    pub(crate) fn next_deadline(&self) -> Option<Duration> {
+        self.states.values().map(|kept| kept.expiry).min()
+    }
+
+    pub(crate) fn expire(&mut self, now: Duration) {
+        let due: Vec<TargetId> = self
+            .states
+            .iter()
+            .filter(|(_, kept)| kept.expiry <= now)
+            .map(|(&owner, _)| owner)
+            .collect();
+        for owner in due {
+            self.remove(owner);
+        }
+    }
+
+    fn remove(&mut self, owner: TargetId) {
+        if let Some(kept) = self.states.remove(&owner) {
+            self.bytes -= kept.parts.iter().map(Part::bytes).sum::<usize>();
+            self.flows.retain(|_, position| position.owner != owner);
+        }
+    }
+
+    fn get(&self, flow: FlowKey) -> Option<&crate::park::Flow> {
+        let position = self.flows.get(&flow)?;
+        let kept = self.states.get(&position.owner)?;
+        kept.parts.get(position.part)?.flows.get(position.flow)
+    }
+
+    /// Stores a part that is the next of its state; false where it is refused.
+    fn store(&mut self, part: Part, expiry: Duration, max_bytes: usize) -> bool {
+        let owner = part.owner;
+        let stored = self.states.get(&owner.target);
+        if stored.is_some_and(|kept| kept.owner.incarnation < owner.incarnation) {
+            self.remove(owner.target);
+        }
+        let kept = self.states.entry(owner.target).or_insert_with(|| Kept {
+            owner,
+            count: part.count,
+            received: 0,
+            parts: Vec::new(),
+            claimed_by: None,
+            expiry,
+        });
+        let is_sound = kept.owner == owner && kept.count == part.count && part.index < part.count;
+        match () {
+            () if !is_sound || part.index > kept.received => false,
+            () if part.index < kept.received => true,
+            () if self.bytes + part.bytes() > max_bytes => false,
+            () => {
+                kept.received += 1;
+                kept.expiry = expiry;
+                self.bytes += part.bytes();
+                kept.parts.push(part);
+                true
+            }
+        }
+    }
+
+    /// Makes the flows of a whole state known.
+    fn index(&mut self, owner: TargetId) {
+        let Some(kept) = self.states.get(&owner) else {
+            return;
+        };
+        for (part, stored) in kept.parts.iter().enumerate() {
+            for (flow, stored) in stored.flows.iter().enumerate() {
+                let position = Position { owner, part, flow };
+                self.flows.insert(stored.key, position);
+            }
+        }
+    }
+
+    /// Takes the parts of a whole state out, and remembers that it was here.
+    fn take(&mut self, owner: TargetId) -> Vec<Part> {
+        let Some(kept) = self.states.get_mut(&owner) else {
+            return Vec::new();
+        };
+        let parts = std::mem::take(&mut kept.parts);
+        self.bytes -= parts.iter().map(Part::bytes).sum::<usize>();
+        parts
+    }
+
+    fn grant(&mut self, claim: Claim) -> Grant {
+        let Some(kept) = self.states.get_mut(&claim.target) else {
+            return Grant::Nothing;
+        };
+        let is_whole = kept.received == kept.count;
+        let is_successor = claim.incarnation > kept.owner.incarnation
+            && kept.claimed_by.is_none_or(|it| it == claim.incarnation);
+        let part = usize::try_from(claim.index)
+            .ok()
+            .and_then(|index| kept.parts.get(index));
+        match part {
+            Some(part) if is_whole && is_successor => {
+                kept.claimed_by = Some(claim.incarnation);
+                Grant::Part(part.clone())
+            }
+            _ => Grant::Nothing,
+        }
+    }
+
+    /// Whether the successor has come for a flow.
+    fn is_claimed(&self, flow: FlowKey) -> bool {
+        self.flows
+            .get(&flow)
+            .and_then(|position| self.states.get(&position.owner))
+            .is_some_and(|kept| kept.claimed_by.is_some())
+    }
+}
+
+impl Agent {
+    pub(crate) fn on_park(&mut self, turn: &mut Turn<'_>, call: CallId, part: Part) {
+        let owner = part.owner.target;
+        let purpose = part.purpose;
+        let is_last = part.index + 1 == part.count;
+        let takes = self.takes_flows()
+            && part.service == self.identity.service
+            && owner != self.identity.id;
+        let expiry = turn.now + self.settings.leave.keep;
+        let max_bytes = self.settings.leave.max_kept_bytes;
+        let was_whole = self.is_whole(owner);
+        let accepted = takes && self.keep.store(part, expiry, max_bytes);
+        turn.push(Action::Parked { call, accepted });
+        if !accepted || !is_last || was_whole {
+            return;
+        }
+        match purpose {
+            Purpose::Keep => {
+                self.keep.index(owner);
+                self.pin_kept(turn);
+            }
+            Purpose::Adopt => {
+                for part in self.keep.take(owner) {
+                    self.inherit(turn.now, part);
+                }
+                self.renewal.restart(turn.now);
+            }
+        }
+    }
+
+    fn is_whole(&self, owner: TargetId) -> bool {
+        let kept = self.keep.states.get(&owner);
+        kept.is_some_and(|kept| kept.received == kept.count)
+    }
+
+    pub(crate) fn on_claim(&mut self, turn: &mut Turn<'_>, call: CallId, claim: Claim) {
+        let grant = self.keep.grant(claim);
+        turn.push(Action::Claimed { call, grant });
+    }
+
+    /// Tells the homes of kept flows to send packets here.
+    pub(crate) fn pin_kept(&mut self, turn: &mut Turn<'_>) {
+        let mut batches = BTreeMap::new();
+        for kept in self.keep.states.values() {
+            if kept.received < kept.count || kept.claimed_by.is_some() {
+                continue;
+            }
+            for flow in kept.parts.iter().flat_map(|part| &part.flows) {
+                let home = self
+                    .order
+                    .top(flow.key, 2)
+                    .find(|home| home.id != kept.owner.target)
+                    .filter(|home| home.id != self.identity.id);
+                if let Some(home) = home {
+                    let batch: &mut Vec<FlowKey> = batches.entry(home.address).or_default();
+                    batch.push(flow.key);
+                }
+            }
+        }
+        self.send_pins(turn, batches);
+    }
+
+    /// Answers a packet of a kept flow from its record. Without one nothing is
+    /// said, so that the caller repeats until the successor is there.
+    pub(crate) fn answer_kept(
+        &mut self,
+        turn: &mut Turn<'_>,
+        relay: &Relay,
+        flow: FlowKey,
+        request: RequestId,
+    ) {
+        let Some(kept) = self.keep.get(flow) else {
+            return;
+        };
+        if self.keep.is_claimed(flow) {
+            let stray = Stray {
+                flow,
+                token: Some(kept.token),
+                unheld: Unheld::Silent,
+            };
+            return self.hand_along(turn, relay.clone(), &stray);
+        }
+        let record = kept
+            .records
+            .iter()
+            .filter(|_| kept.caller == relay.caller)
+            .find(|record| record.request == request);
+        match record.map(Record::state) {
+            Some(state) => {
+                let key = record::Key { flow, request };
+                self.tell(turn, relay::via(relay), key, &state);
+            }
+            None => self.counters.add(Counter::KeptSilent),
+        }
+    }
+}
+
+impl Record {
+    /// The record's state in the ledger.
+    pub(crate) fn state(&self) -> State {
+        match &self.outcome {
+            Outcome::Answered(bytes) => match Answer::new(bytes.clone()) {
+                Some(answer) => State::Done(answer),
+                None => State::Unknown(refusal(Reason::TooLarge)),
+            },
+            Outcome::NotRun(reason) => State::NotRun(refusal(read(*reason))),
+            Outcome::Unknown(reason) => State::Unknown(refusal(read(*reason))),
+        }
+    }
+}
+
+fn read(reason: i32) -> Reason {
+    Reason::try_from(reason).unwrap_or(Reason::HolderAway)
+}
+
+const fn refusal(reason: Reason) -> Refusal {
+    Refusal {
+        reason,
+        retry_after: Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/roles/agent/src/leave.rs
@@ -0,0 +1,291 @@
+//! Planned stop and replacement: finish, hand the flows over, exit.
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flow::State;
+use wire::FlowKey;
+use wire::caller::Reason;
+
+use crate::Action;
+use crate::Agent;
+use crate::agent::Turn;
+use crate::event::JobId;
+use crate::park::Flow;
+use crate::park::Outcome;
+use crate::park::Part;
+use crate::park::Purpose;
+use crate::park::Record;
+use crate::task::End;
+use crate::view::Binding;
+
+/// Time between two tries to send the last part.
+const RESEND: Duration = Duration::from_millis(200);
+
+/// How far an agent is on its way out.
+#[derive(Debug)]
+pub(crate) enum Leaving {
+    /// Requests that are underway may finish.
+    Finishing { until: Duration, then: Then },
+    /// The state goes to a peer; nothing changes here any more.
+    HandingOver(Handover),
+    /// Nothing is left to do.
+    Gone,
+}
+
+/// What follows when requests have finished.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Then {
+    /// Hand the flows over.
+    Handover(Purpose),
+    /// Exit; the flows end with the backend server.
+    Exit,
+}
+
+/// The state on its way to a peer.
+///
+/// The first part has no flows: it only asks whether the peer takes them.
+/// Once the last part has been sent, the peer may have the whole state, and no
+/// other peer is asked, since two must never hold the same flows.
+#[derive(Debug)]
+pub(crate) struct Handover {
+    parts: Vec<Part>,
+    index: usize,
+    peers: Vec<SocketAddr>,
+    until: Duration,
+    resend: Option<Duration>,
+}
+
+impl Leaving {
+    pub(crate) fn next_deadline(&self) -> Option<Duration> {
+        match self {
+            Self::Finishing { until, .. } => Some(*until),
+            Self::HandingOver(handover) => {
+                let resend = handover.resend.unwrap_or(handover.until);
+                Some(resend.min(handover.until))
+            }
+            Self::Gone => None,
+        }
+    }
+}
+
+impl Agent {
+    pub(crate) fn on_stop(&mut self, turn: &mut Turn<'_>) {
+        let then = match self.view.service.binding {
+            Binding::Bound => Then::Exit,
+            Binding::Independent => Then::Handover(Purpose::Adopt),
+        };
+        self.begin_leaving(turn, then);
+    }
+
+    pub(crate) fn on_replace(&mut self, turn: &mut Turn<'_>) {
+        self.begin_leaving(turn, Then::Handover(Purpose::Keep));
+    }
+
+    fn begin_leaving(&mut self, turn: &mut Turn<'_>, then: Then) {
+        if self.leaving.is_none() {
+            let until = turn.now + self.settings.leave.grace;
+            self.leaving = Some(Leaving::Finishing { until, then });
+            self.claiming = None;
+        }
+    }
+
+    /// Whether the flows are on their way to a peer, so that nothing may be
+    /// recorded here any more.
+    pub(crate) fn is_handing_over(&self) -> bool {
+        matches!(self.leaving, Some(Leaving::HandingOver(_) | Leaving::Gone))
+    }
+
+    /// Refuses a request that came while the agent leaves. The record goes
+    /// along with the flow, so the request will not run.
+    pub(crate) fn refuse_leaving(&mut self, turn: &mut Turn<'_>, job: JobId) {
+        let reason = match self.leaving {
+            Some(Leaving::Finishing {
+                then: Then::Exit, ..
+            }) => Reason::Draining,
+            _ => Reason::HolderAway,
+        };
+        let refusal = self.refusal(reason, self.settings.leave.away);
+        self.conclude(turn, job, End::NotRun(refusal));
+    }
+
+    /// Goes on once nothing is underway.
+    pub(crate) fn leave_when_finished(&mut self, turn: &mut Turn<'_>) {
+        let then = match self.leaving {
+            Some(Leaving::Finishing { then, .. }) if self.tasks.is_empty() => then,
+            _ => return,
+        };
+        match then {
+            Then::Exit => self.exit(turn),
+            Then::Handover(purpose) => self.begin_handover(turn, purpose),
+        }
+    }
+
+    pub(crate) fn expire_leaving(&mut self, turn: &mut Turn<'_>) {
+        match &self.leaving {
+            Some(Leaving::Finishing { until, .. }) if *until <= turn.now => {
+                self.abandon_all(turn);
+                self.leave_when_finished(turn);
+            }
+            Some(Leaving::HandingOver(handover)) if handover.until <= turn.now => self.exit(turn),
+            Some(Leaving::HandingOver(handover))
+                if handover.resend.is_some_and(|at| at <= turn.now) =>
+            {
+                self.send_part(turn);
+            }
+            _ => {}
+        }
+    }
+
+    fn abandon_all(&mut self, turn: &mut Turn<'_>) {
+        while let Some((&job, _)) = self.tasks.first_key_value() {
+            let refusal = self.refusal(Reason::HolderAway, self.settings.leave.away);
+            self.abandon(turn, job, refusal);
+        }
+    }
+
+    fn begin_handover(&mut self, turn: &mut Turn<'_>, purpose: Purpose) {
+        let parts = self.parts(turn.now, purpose);
+        let peers = self.peers();
+        if parts.len() == 1 || peers.is_empty() {
+            return self.exit(turn);
+        }
+        self.leaving = Some(Leaving::HandingOver(Handover {
+            parts,
+            index: 0,
+            peers,
+            until: turn.now + self.settings.leave.handover,
+            resend: None,
+        }));
+        self.send_part(turn);
+    }
+
+    fn send_part(&mut self, turn: &mut Turn<'_>) {
+        let Some(Leaving::HandingOver(handover)) = &mut self.leaving else {
+            return;
+        };
+        handover.resend = None;
+        match (handover.peers.first(), handover.parts.get(handover.index)) {
+            (Some(&to), Some(part)) => turn.push(Action::Park {
+                to,
+                part: part.clone(),
+            }),
+            _ => self.exit(turn),
+        }
+    }
+
+    pub(crate) fn on_parked(&mut self, turn: &mut Turn<'_>, index: u32, accepted: bool) {
+        let Some(Leaving::HandingOver(handover)) = &mut self.leaving else {
+            return;
+        };
+        if usize::try_from(index) != Ok(handover.index) {
+            return;
+        }
+        let is_last = handover.index + 1 == handover.parts.len();
+        match accepted {
+            true if is_last => return self.exit(turn),
+            true => handover.index += 1,
+            false if is_last => {
+                handover.resend = Some(turn.now + RESEND);
+                return;
+            }
+            false => {
+                handover.peers.remove(0);
+                handover.index = 0;
+            }
+        }
+        self.send_part(turn);
+    }
+
+    fn exit(&mut self, turn: &mut Turn<'_>) {
+        self.leaving = Some(Leaving::Gone);
+        turn.push(Action::Announce {
+            state: wire::target::State::Left,
+            weight: self.gate.weight(),
+        });
+        turn.push(Action::Exit);
+    }
+
+    /// Control addresses of the peers that keep state for each other, in an
+    /// order that depends on their ids alone, so that an agent and its
+    /// successor ask the same ones.
+    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
+        let mut peers: Vec<&wire::Target> = self
+            .view
+            .targets
+            .iter()
+            .filter(|target| target.id != self.identity.id)
+            .filter(|target| target.state == wire::target::State::Ready)
+            .collect();
+        peers.sort_by_key(|target| target.id.wrapping_sub(self.identity.id));
+        let count = self.settings.leave.peers;
+        peers
+            .iter()
+            .take(count)
+            .map(|target| target.control)
+            .collect()
+    }
+
+    /// The whole state, in parts of bounded size.
+    fn parts(&self, now: Duration, purpose: Purpose) -> Vec<Part> {
+        let mut records = self.final_records(now);
+        let mut parts = vec![Vec::new()];
+        let mut size = usize::MAX;
+        for held in self.flows.iter() {
+            let seen = self.ledger.seen(held.key);
+            let flow = Flow {
+                key: held.key,
+                token: held.token,
+                caller: held.caller,
+                closed: held.phase == flow::table::Phase::Closed,
+                floor: seen.map_or(0, flow::seen::Seen::floor),
+                seen: seen.map(|seen| seen.ids().collect()).unwrap_or_default(),
+                records: records.remove(&held.key).unwrap_or_default(),
+            };
+            if size.saturating_add(flow.bytes()) > self.settings.leave.part_bytes {
+                parts.push(Vec::new());
+                size = 0;
+            }
+            size += flow.bytes();
+            if let Some(part) = parts.last_mut() {
+                part.push(flow);
+            }
+        }
+        let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+        (0..)
+            .zip(parts)
+            .map(|(index, flows)| Part {
+                owner: self.token,
+                service: self.identity.service,
+                purpose,
+                index,
+                count,
+                flows,
+            })
+            .collect()
+    }
+
+    fn final_records(&self, now: Duration) -> BTreeMap<FlowKey, Vec<Record>> {
+        let mut records: BTreeMap<FlowKey, Vec<Record>> = BTreeMap::new();
+        for entry in self.ledger.iter() {
+            let outcome = match &entry.record.state {
+                State::Done(answer) => Outcome::Answered(answer.bytes().clone()),
+                State::NotRun(refusal) => Outcome::NotRun(refusal.reason.into()),
+                State::Unknown(refusal) => Outcome::Unknown(refusal.reason.into()),
+                State::Recorded | State::Queued | State::Running => {
+                    Outcome::Unknown(Reason::HolderAway.into())
+                }
+            };
+            records.entry(entry.key.flow).or_default().push(Record {
+                request: entry.key.request,
+                idempotent: entry.record.idempotent,
+                remaining: entry.record.deadline.saturating_sub(now),
+                outcome,
+            });
+        }
+        for records in records.values_mut() {
+            records.sort_by_key(|record| record.request);
+        }
+        records
+    }
+}
--- a/roles/agent/src/lib.rs
+++ b/roles/agent/src/lib.rs
@@ -3,15 +3,31 @@
 //! [`Agent::handle`] takes an [`Event`] and the time and pushes [`Action`]s;
 //! the process around it owns the sockets, the clock and the threads.
 pub mod action;
+mod agent;
+mod claim;
 pub mod event;
+mod keep;
+mod leave;
 pub mod offer;
+mod offered;
+mod open;
 pub mod park;
+mod pass;
+mod pinning;
+mod relay;
+mod request;
+pub mod settings;
+pub mod status;
+mod task;
 pub mod view;
 
 pub use action::Action;
 pub use action::Job;
+pub use agent::Agent;
 pub use event::Completion;
 pub use event::Event;
 pub use offer::Offer;
 pub use offer::Outcome;
+pub use settings::Settings;
+pub use status::Status;
 pub use view::View;
--- /dev/null
+++ b/roles/agent/src/offered.rs
@@ -0,0 +1,195 @@
+//! Requests that other agents pass to this one.
+//!
+//! An offer is remembered by its id, so that a repeat never runs twice and one
+//! that was refused never runs.
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use wire::caller::Reason;
+
+use crate::Action;
+use crate::Agent;
+use crate::Offer;
+use crate::Outcome;
+use crate::agent::Turn;
+use crate::event::CallId;
+use crate::event::JobId;
+use crate::offer;
+use crate::offer::Refusal;
+use crate::status::Counter;
+use crate::task::End;
+use crate::task::Task;
+
+/// The offers of other agents.
+#[derive(Debug, Default)]
+pub(crate) struct Offers {
+    entries: HashMap<offer::Id, Entry>,
+    expiries: BTreeSet<Expiry>,
+    answer_bytes: usize,
+}
+
+#[derive(Debug)]
+enum Entry {
+    /// It runs; these calls wait for it.
+    Running { job: JobId, calls: Vec<CallId> },
+    /// It ended so.
+    Ended(Outcome),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Expiry {
+    at: Duration,
+    id: offer::Id,
+}
+
+impl Offers {
+    pub(crate) fn next_deadline(&self) -> Option<Duration> {
+        self.expiries.first().map(|expiry| expiry.at)
+    }
+
+    /// Forgets the offers whose time has passed.
+    pub(crate) fn expire(&mut self, now: Duration) {
+        while self.expiries.first().is_some_and(|expiry| expiry.at <= now) {
+            if let Some(expiry) = self.expiries.pop_first()
+                && let Some(entry) = self.entries.remove(&expiry.id)
+            {
+                self.answer_bytes -= entry.bytes();
+            }
+        }
+    }
+
+    fn is_full(&self, max_offers: usize) -> bool {
+        self.entries.len() >= max_offers
+    }
+
+    /// Remembers how an offer ended, without the answer where it is too large.
+    fn end(&mut self, id: offer::Id, at: Duration, outcome: Outcome, max_bytes: usize) {
+        let mut entry = Entry::Ended(outcome);
+        if self.answer_bytes + entry.bytes() > max_bytes {
+            entry = Entry::Ended(Outcome::Unknown);
+        }
+        self.answer_bytes += entry.bytes();
+        self.entries.insert(id, entry);
+        self.expiries.insert(Expiry { at, id });
+    }
+}
+
+impl Entry {
+    fn bytes(&self) -> usize {
+        match self {
+            Self::Ended(Outcome::Answered(bytes)) => bytes.len(),
+            _ => 0,
+        }
+    }
+}
+
+impl Agent {
+    pub(crate) fn on_offered(&mut self, turn: &mut Turn<'_>, call: CallId, offer: Offer) {
+        let is_full = self.offers.is_full(self.settings.pass.max_offers);
+        match self.offers.entries.get_mut(&offer.id) {
+            Some(Entry::Running { calls, .. }) => calls.push(call),
+            Some(Entry::Ended(outcome)) => {
+                let outcome = outcome.clone();
+                turn.push(Action::Resolve { call, outcome });
+            }
+            None if is_full => {
+                // A refusal could not be remembered, so it must not promise
+                // that the offer will not run.
+                let outcome = Outcome::Unknown;
+                turn.push(Action::Resolve { call, outcome });
+            }
+            None => self.take_offer(turn, call, offer),
+        }
+    }
+
+    fn take_offer(&mut self, turn: &mut Turn<'_>, call: CallId, offer: Offer) {
+        let id = offer.id;
+        let forget_at = turn.now + offer.remaining + self.settings.ledger.late_copy;
+        let refusal = match () {
+            () if offer.service != self.identity.service => Some(Refusal::Unreachable),
+            () if !self.takes_flows() => Some(Refusal::Draining),
+            () if !self.gate.free() => Some(Refusal::Overloaded),
+            () => None,
+        };
+        if let Some(reason) = refusal {
+            self.counters.add(Counter::OfferRefused);
+            let retry_after = self.gate.expected_wait(turn.now);
+            let outcome = Outcome::NotRun {
+                reason,
+                retry_after: self.jitter(retry_after),
+            };
+            self.end_offer(id, forget_at, outcome.clone());
+            turn.push(Action::Resolve { call, outcome });
+            return;
+        }
+        self.counters.add(Counter::OfferTaken);
+        let entry = Entry::Running {
+            job: self.next_id,
+            calls: vec![call],
+        };
+        self.offers.entries.insert(id, entry);
+        let task = Task::lent(offer, turn.now);
+        self.start(turn, task);
+    }
+
+    pub(crate) fn on_withdrawn(&mut self, turn: &mut Turn<'_>, id: offer::Id) {
+        match self.offers.entries.get(&id) {
+            Some(&Entry::Running { job, .. }) => {
+                let refusal = self.refusal(Reason::Cancelled, Duration::ZERO);
+                self.abandon(turn, job, refusal);
+            }
+            Some(Entry::Ended(_)) => {}
+            None if self.offers.is_full(self.settings.pass.max_offers) => {}
+            None => {
+                // The withdrawal overtook the offer, which must not run.
+                let forget_at = turn.now + WITHDRAWN + self.settings.ledger.late_copy;
+                let outcome = Outcome::NotRun {
+                    reason: Refusal::Cancelled,
+                    retry_after: Duration::ZERO,
+                };
+                self.end_offer(id, forget_at, outcome);
+            }
+        }
+    }
+
+    /// Records how an offer ended, and answers the calls that wait for it.
+    pub(crate) fn conclude_offer(
+        &mut self,
+        turn: &mut Turn<'_>,
+        id: offer::Id,
+        deadline: Duration,
+        end: End,
+    ) {
+        let Some(Entry::Running { calls, .. }) = self.offers.entries.remove(&id) else {
+            return;
+        };
+        let outcome = Outcome::from(end);
+        let forget_at = deadline.max(turn.now) + self.settings.ledger.late_copy;
+        self.end_offer(id, forget_at, outcome.clone());
+        for call in calls {
+            let outcome = outcome.clone();
+            turn.push(Action::Resolve { call, outcome });
+        }
+    }
+
+    fn end_offer(&mut self, id: offer::Id, forget_at: Duration, outcome: Outcome) {
+        let max_bytes = self.settings.pass.max_offer_bytes;
+        self.offers.end(id, forget_at, outcome, max_bytes);
+    }
+}
+
+/// Time that a withdrawn offer that never came is remembered.
+const WITHDRAWN: Duration = Duration::from_mins(1);
+
+impl From<Reason> for Refusal {
+    fn from(reason: Reason) -> Self {
+        match reason {
+            Reason::Deadline => Self::Deadline,
+            Reason::Draining | Reason::HolderAway => Self::Draining,
+            Reason::BackendFailed => Self::BackendFailed,
+            Reason::Cancelled => Self::Cancelled,
+            _ => Self::Overloaded,
+        }
+    }
+}
--- a/roles/agent/src/park.rs
+++ b/roles/agent/src/park.rs
@@ -4,10 +4,13 @@
 //! at a peer of the service. Its next incarnation claims the parts at start,
 //! and from then on accepts the tokens of the incarnation it inherited from.
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
 use wire::FlowKey;
 use wire::Incarnation;
 use wire::RequestId;
@@ -22,6 +25,8 @@
     pub owner: Token,
     /// The service of the flows.
     pub service: ServiceAddress,
+    /// What the peer shall do with the flows.
+    pub purpose: Purpose,
     /// Position of this part, from 0.
     pub index: u32,
     /// Number of parts of the whole state.
@@ -30,6 +35,15 @@
     pub flows: Vec<Flow>,
 }
 
+/// What a peer shall do with the flows that it is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Purpose {
+    /// Keep them for the owner's next incarnation.
+    Keep,
+    /// Hold them from now on; the owner leaves for good.
+    Adopt,
+}
+
 /// A parked flow.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Flow {
@@ -50,12 +64,16 @@
 }
 
 /// What became of a request of a parked flow.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// The request.
     pub request: RequestId,
     /// Whether running it twice does no harm.
     pub idempotent: bool,
+    /// Time until its caller gives up, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub remaining: Duration,
     /// What became of it.
     pub outcome: Outcome,
 }
@@ -92,3 +110,35 @@
     /// The peer could not be asked.
     Unreachable,
 }
+
+/// Memory of an encoded flow without its ids and records, in bytes.
+const FLOW_BYTES: usize = 64;
+
+/// Memory of an encoded record without its answer, in bytes.
+const RECORD_BYTES: usize = 32;
+
+impl Part {
+    /// Size of the encoded part in bytes, within a small factor.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        FLOW_BYTES + self.flows.iter().map(Flow::bytes).sum::<usize>()
+    }
+}
+
+impl Flow {
+    /// Size of the encoded flow in bytes, within a small factor.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let records: usize = self.records.iter().map(Record::bytes).sum();
+        FLOW_BYTES + self.seen.len() * size_of::<RequestId>() + records
+    }
+}
+
+impl Record {
+    fn bytes(&self) -> usize {
+        match &self.outcome {
+            Outcome::Answered(bytes) => RECORD_BYTES + bytes.len(),
+            Outcome::NotRun(_) | Outcome::Unknown(_) => RECORD_BYTES,
+        }
+    }
+}
--- /dev/null
+++ b/roles/agent/src/pass.rs
@@ -0,0 +1,148 @@
+//! Passes single requests of independent flows to other agents.
+//!
+//! The holder stays the one authority: it has recorded the request, passes it
+//! to one agent at a time, and answers the caller itself.
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flow::State;
+use flow::record::Refusal;
+use wire::Target;
+use wire::caller::Reason;
+
+use crate::Action;
+use crate::Agent;
+use crate::Offer;
+use crate::Outcome;
+use crate::agent::Turn;
+use crate::event::JobId;
+use crate::offer;
+use crate::status::Counter;
+use crate::task::Elsewhere;
+use crate::task::Stage;
+use crate::task::Task;
+use crate::view::Binding;
+
+/// Which agent has a request, and as which offer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Lent {
+    pub(crate) number: u64,
+    /// Control address of the agent.
+    pub(crate) to: SocketAddr,
+}
+
+impl Agent {
+    /// Whether a request that comes now is better run elsewhere.
+    pub(crate) fn prefers_passing(&self, now: Duration) -> bool {
+        let is_full =
+            !self.gate.free() && self.gate.expected_wait(now) > self.settings.pass.threshold;
+        is_full || self.draining || self.leaving.is_some()
+    }
+
+    /// Passes a request to the next agent; false where none is left, the
+    /// service is bound, or the deadline leaves no room.
+    pub(crate) fn pass(&mut self, turn: &mut Turn<'_>, job: JobId) -> bool {
+        let settings = self.settings.pass;
+        let Some(task) = self.tasks.get(&job) else {
+            return false;
+        };
+        let may_pass = self.view.service.binding == Binding::Independent
+            && task.is_own()
+            && task.tried.len() < settings.tries
+            && turn.now + settings.room < task.deadline;
+        if !may_pass {
+            return false;
+        }
+        let Some(target) = self.candidate(task).cloned() else {
+            return false;
+        };
+        self.send_offer(turn, job, &target);
+        true
+    }
+
+    /// The first agent of the request's own order that was not asked.
+    fn candidate(&self, task: &Task) -> Option<&Target> {
+        let key = task.key.flow ^ task.key.request.rotate_left(u64::BITS / 2);
+        self.order
+            .open(key, task.tried.len() + 2)
+            .find(|target| target.id != self.identity.id && !task.tried.contains(&target.id))
+    }
+
+    fn send_offer(&mut self, turn: &mut Turn<'_>, job: JobId, target: &Target) {
+        let number = self.next_id();
+        let origin = self.token;
+        let service = self.identity.service;
+        let Some(task) = self.tasks.get_mut(&job) else {
+            return;
+        };
+        let to = target.control;
+        task.tried.push(target.id);
+        task.stage = Stage::Passed(Lent { number, to });
+        // False where an earlier try has made it so already.
+        let _ = self.ledger.advance(turn.now, task.key, State::Running);
+        let offer = Offer {
+            id: offer::Id { origin, number },
+            service,
+            flow: task.key.flow,
+            request: task.key.request,
+            idempotent: task.idempotent,
+            remaining: task.deadline.saturating_sub(turn.now),
+            payload: task.payload.clone(),
+        };
+        self.by_offer.insert(number, job);
+        self.counters.add(Counter::Passed);
+        turn.push(Action::Pass { to, offer });
+    }
+
+    pub(crate) fn on_passed(&mut self, turn: &mut Turn<'_>, offer: offer::Id, outcome: Outcome) {
+        if offer.origin != self.token {
+            return;
+        }
+        let Some(job) = self.by_offer.remove(&offer.number) else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered(bytes) => self.answer(turn, job, bytes),
+            Outcome::Unknown => self.retry_unknown(turn, job),
+            Outcome::NotRun {
+                reason,
+                retry_after,
+            } => {
+                let refusal = Refusal {
+                    reason: match reason.reason() {
+                        Reason::Draining => Reason::Overloaded,
+                        reason => reason,
+                    },
+                    retry_after,
+                };
+                self.pass_again(turn, job, refusal);
+            }
+        }
+    }
+
+    /// An agent did not run a request: the next one gets it, or the backend
+    /// server here, as if the request had just come.
+    fn pass_again(&mut self, turn: &mut Turn<'_>, job: JobId, refusal: Refusal) {
+        if let Some(task) = self.tasks.get_mut(&job) {
+            task.stage = Stage::New;
+        }
+        match () {
+            () if !self.prefers_passing(turn.now) => self.offer_to_gate(turn, job),
+            () if self.leaving.is_some() => {
+                self.retry_not_run(turn, job, refusal, Elsewhere::Only);
+            }
+            () => self.retry_not_run_or_queue(turn, job),
+        }
+    }
+
+    /// Passes on within the retry budget; otherwise the request queues here.
+    fn retry_not_run_or_queue(&mut self, turn: &mut Turn<'_>, job: JobId) {
+        if self.budget.withdraw() {
+            self.counters.add(Counter::RetryNotRun);
+            if self.pass(turn, job) {
+                return;
+            }
+        }
+        self.offer_to_gate(turn, job);
+    }
+}
--- /dev/null
+++ b/roles/agent/src/pinning.rs
@@ -0,0 +1,257 @@
+//! Tells homes which flows are held here, and keeps what others tell.
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flow::Flow;
+use flow::table::Phase;
+use route::pin::Holder;
+use route::pin::Outcome;
+use wire::FlowKey;
+use wire::Frame;
+use wire::Hop;
+use wire::Relay;
+use wire::frame::Pin;
+
+use crate::Agent;
+use crate::Settings;
+use crate::agent::Turn;
+use crate::status::Counter;
+
+/// Largest number of flows in one frame.
+const BATCH: usize = 128;
+
+/// Number of table slots looked at in one step.
+const STEP_SLOTS: usize = 1_024;
+
+/// Time between two steps of a round.
+const STEP: Duration = Duration::from_millis(50);
+
+/// Time between two looks for pins that have expired.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The rounds over the flow table in which homes are told.
+///
+/// Each round walks the table in steps. A round after a change of the view
+/// tells only the homes that changed; a regular one renews all pins.
+#[derive(Debug)]
+pub(crate) struct Renewal {
+    interval: Duration,
+    next_round: Duration,
+    next_expiry: Duration,
+    round: Option<Round>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Round {
+    next_slot: usize,
+    next_step: Duration,
+    renews_all: bool,
+}
+
+impl Renewal {
+    pub(crate) fn new(settings: &Settings, now: Duration) -> Self {
+        let interval = settings.pins.lifetime / 3;
+        Self {
+            interval,
+            next_round: now + interval,
+            next_expiry: now + EXPIRY_INTERVAL,
+            round: None,
+        }
+    }
+
+    /// Starts a round after a change of the view.
+    pub(crate) fn restart(&mut self, now: Duration) {
+        self.round = Some(Round {
+            next_slot: 0,
+            next_step: now,
+            renews_all: self.round.is_some_and(|round| round.renews_all),
+        });
+    }
+
+    pub(crate) fn next_deadline(&self) -> Duration {
+        let step = self.round.map(|round| round.next_step);
+        let round = self.next_round.min(self.next_expiry);
+        step.unwrap_or(round).min(round)
+    }
+
+    fn start_if_due(&mut self, now: Duration) {
+        if self.next_round <= now {
+            self.next_round = now + self.interval;
+            self.round = Some(Round {
+                next_slot: 0,
+                next_step: now,
+                renews_all: true,
+            });
+        }
+    }
+}
+
+/// Flows by the address of their homes.
+type Batches = BTreeMap<SocketAddr, Vec<FlowKey>>;
+
+impl Agent {
+    pub(crate) fn on_pin(&mut self, turn: &mut Turn<'_>, pin: &Pin) {
+        if pin.service != self.identity.service {
+            self.counters.add(Counter::ForeignService);
+            return;
+        }
+        let holder = Holder {
+            token: pin.holder,
+            address: pin.address,
+        };
+        for &flow in &pin.flows {
+            let outcome = self.pins.pin(turn.now, pin.service, flow, holder);
+            if outcome == Outcome::Full {
+                self.counters.add(Counter::PinTableFull);
+            }
+        }
+    }
+
+    pub(crate) fn on_unpin(&mut self, pin: &Pin) {
+        for &flow in &pin.flows {
+            self.pins.unpin(pin.service, flow, pin.holder);
+        }
+    }
+
+    /// The holder of a flow that has its home here, unless it is known to have
+    /// left.
+    pub(crate) fn pinned(&self, flow: FlowKey) -> Option<Hop> {
+        let holder = self.pins.get(self.identity.service, flow)?;
+        let target = holder.token.target;
+        let has_left = self
+            .gone
+            .get(&target)
+            .is_some_and(|&incarnation| incarnation >= holder.token.incarnation);
+        if target == self.identity.id || has_left {
+            return None;
+        }
+        // A newer incarnation may have inherited the flow.
+        let address = self
+            .target(target)
+            .map_or(holder.address, |target| target.address);
+        Some(Hop { target, address })
+    }
+
+    /// Tells the home of a flow that was just opened.
+    pub(crate) fn pin_new(&mut self, turn: &mut Turn<'_>, home: Hop, key: FlowKey) {
+        if let Some(flow) = self.flows.get_mut(key) {
+            flow.home = Some(home.target);
+        }
+        if home.target != self.identity.id {
+            let flows = vec![key];
+            turn.send(home.address, Frame::Pin(self.pin_frame(flows)));
+        }
+    }
+
+    /// Tells the homes of flows that they have ended.
+    pub(crate) fn unpin(&mut self, turn: &mut Turn<'_>, flows: impl IntoIterator<Item = Flow>) {
+        let mut batches = Batches::new();
+        for flow in flows {
+            let home = flow.home.and_then(|home| self.target(home));
+            if let Some(home) = home.filter(|home| home.id != self.identity.id) {
+                batches.entry(home.address).or_default().push(flow.key);
+            }
+        }
+        for (to, flows) in batches {
+            for flows in flows.chunks(BATCH) {
+                turn.send(to, Frame::Unpin(self.pin_frame(flows.to_vec())));
+            }
+        }
+    }
+
+    /// Tells the home that its pin names this agent in vain.
+    pub(crate) fn report_stale_pin(&mut self, turn: &mut Turn<'_>, relay: &Relay, flow: FlowKey) {
+        let previous = usize::from(relay.position)
+            .checked_sub(1)
+            .and_then(|index| relay.path.get(index));
+        let is_from_home = previous.is_some_and(|hop| hop.target == relay.home.target);
+        if is_from_home && self.claiming.is_none() {
+            self.counters.add(Counter::StalePin);
+            let flows = vec![flow];
+            turn.send(relay.home.address, Frame::Unpin(self.pin_frame(flows)));
+        }
+    }
+
+    /// Takes the next step of a round that is due.
+    pub(crate) fn renew_pins(&mut self, turn: &mut Turn<'_>) {
+        if self.renewal.next_expiry <= turn.now {
+            self.renewal.next_expiry = turn.now + EXPIRY_INTERVAL;
+            self.pins.expire(turn.now);
+        }
+        self.renewal.start_if_due(turn.now);
+        let due = self
+            .renewal
+            .round
+            .filter(|round| round.next_step <= turn.now);
+        if let Some(round) = due {
+            self.renewal.round = self.step_round(turn, round);
+        }
+    }
+
+    fn step_round(&mut self, turn: &mut Turn<'_>, round: Round) -> Option<Round> {
+        let flows: Vec<Flow> = self
+            .flows
+            .scan(round.next_slot, STEP_SLOTS)?
+            .copied()
+            .collect();
+        let mut batches = Batches::new();
+        for flow in flows.iter().filter(|flow| flow.phase != Phase::Closed) {
+            self.renew_pin(flow, round.renews_all, &mut batches);
+        }
+        self.send_pins(turn, batches);
+        Some(Round {
+            next_slot: round.next_slot + STEP_SLOTS,
+            next_step: turn.now + STEP,
+            ..round
+        })
+    }
+
+    fn renew_pin(&mut self, flow: &Flow, renews_all: bool, batches: &mut Batches) {
+        let Some(home) = self.order.top(flow.key, 1).next() else {
+            return;
+        };
+        let is_new = flow.home != Some(home.id);
+        if home.id != self.identity.id && (is_new || renews_all) {
+            batches.entry(home.address).or_default().push(flow.key);
+        }
+        let home = home.id;
+        if let Some(flow) = self.flows.get_mut(flow.key) {
+            flow.home = Some(home);
+        }
+    }
+
+    pub(crate) fn send_pins(&self, turn: &mut Turn<'_>, batches: Batches) {
+        for (to, flows) in batches {
+            for flows in flows.chunks(BATCH) {
+                turn.send(to, Frame::Pin(self.pin_frame(flows.to_vec())));
+            }
+        }
+    }
+
+    fn pin_frame(&self, flows: Vec<FlowKey>) -> Pin {
+        Pin {
+            service: self.identity.service,
+            holder: self.token,
+            address: self.identity.address,
+            flows,
+        }
+    }
+
+    pub(crate) fn expire_flows(&mut self, turn: &mut Turn<'_>) {
+        let mut expired = Vec::new();
+        self.flows.expire(turn.now, &mut expired);
+        for flow in &expired {
+            self.ledger.forget(flow.key);
+            match flow.phase {
+                Phase::HalfOpen => self.counters.add(Counter::HalfOpen),
+                Phase::Open => self.counters.add(Counter::Expired),
+                Phase::Closed => {}
+            }
+        }
+        let live = expired
+            .into_iter()
+            .filter(|flow| flow.phase != Phase::Closed);
+        self.unpin(turn, live);
+    }
+}
