Let callers read the refusal of a packet whose flow could not be read

A packet that cannot be read was refused under flow 0, which the callers' own check then rejected as malformed. Refusals may name no flow now, and what could be read of the packet before the error is named.

Also test requests, records and closes over the agent's core.

--- a/protocol/wire/src/caller.rs
+++ b/protocol/wire/src/caller.rs
@@ -68,7 +68,9 @@
     /// does a copy of it.
     #[must_use]
     pub fn reject(bytes: Bytes, error: Error) -> Self {
-        let packet = Self::decode(bytes).unwrap_or_default();
+        let mut packet = Self::default();
+        // What was read before the error stays.
+        let _ = packet.merge(bytes);
         let request = match packet.body {
             Some(packet::Body::Request(request)) => request.request,
             _ => 0,
@@ -102,6 +104,8 @@
                 Err(Error::TooLarge)
             }
             Some(packet::Body::Request(request)) if request.request == 0 => Err(Error::Malformed),
+            // The refusal of a packet whose flow could not be read names none.
+            Some(packet::Body::Refusal(_)) => Ok(packet),
             Some(_) if packet.flow == 0 => Err(Error::Malformed),
             Some(_) => Ok(packet),
         }
--- /dev/null
+++ b/roles/agent/tests/world/mod.rs
@@ -0,0 +1,627 @@
+//! A few agents of one service, and the messages between them, which a test
+//! delivers, repeats, loses and delays as it likes.
+#![allow(dead_code, missing_docs)]
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use agent::Action;
+use agent::Agent;
+use agent::Completion;
+use agent::Event;
+use agent::Job;
+use agent::Offer;
+use agent::Outcome;
+use agent::Settings;
+use agent::View;
+use agent::offer;
+use agent::park;
+use agent::view::Binding;
+use agent::view::Service;
+use bytes::Bytes;
+use wire::Frame;
+use wire::Hop;
+use wire::Relay;
+use wire::Target;
+use wire::Token;
+use wire::caller::Cancel;
+use wire::caller::Close;
+use wire::caller::Fetch;
+use wire::caller::Open;
+use wire::caller::Packet;
+use wire::caller::Refusal;
+use wire::caller::Request;
+use wire::caller::packet::Body;
+use wire::target::State;
+
+pub const FLOW: u64 = 77;
+pub const REQUEST: u64 = 5;
+
+/// A message on its way.
+#[derive(Clone, Debug)]
+pub enum Message {
+    Frame {
+        from: usize,
+        to: SocketAddr,
+        frame: Frame,
+    },
+    Offer {
+        from: usize,
+        to: SocketAddr,
+        offer: Offer,
+    },
+    Withdraw {
+        to: SocketAddr,
+        offer: offer::Id,
+    },
+    Outcome {
+        to: usize,
+        offer: offer::Id,
+        outcome: Outcome,
+    },
+    Park {
+        from: usize,
+        to: SocketAddr,
+        part: park::Part,
+    },
+    Parked {
+        to: usize,
+        index: u32,
+        accepted: bool,
+    },
+    Claim {
+        from: usize,
+        to: SocketAddr,
+        claim: park::Claim,
+    },
+    Claimed {
+        to: usize,
+        peer: SocketAddr,
+        grant: park::Grant,
+    },
+}
+
+/// A call that waits for an agent's answer.
+#[derive(Clone, Debug)]
+enum Call {
+    Offer { from: usize, offer: offer::Id },
+    Park { from: usize, index: u32 },
+    Claim { from: usize, peer: SocketAddr },
+}
+
+/// A job at a backend server.
+#[derive(Clone, Debug)]
+pub struct Running {
+    pub agent: usize,
+    pub job: Job,
+}
+
+pub struct World {
+    pub now: Duration,
+    pub agents: Vec<Option<Agent>>,
+    pub targets: Vec<Target>,
+    pub settings: Settings,
+    pub service: Service,
+    pub messages: Vec<Message>,
+    /// Packets that reached the callers.
+    pub replies: Vec<Packet>,
+    /// Jobs at the backend servers that are not finished.
+    pub running: Vec<Running>,
+    /// All jobs that ever reached a backend server.
+    pub runs: Vec<Running>,
+    pub aborted: Vec<u64>,
+    pub announced: Vec<State>,
+    pub exited: Vec<usize>,
+    calls: BTreeMap<u64, Call>,
+    next_call: u64,
+}
+
+pub fn service() -> SocketAddr {
+    "192.0.2.1:53".parse().unwrap()
+}
+
+pub fn entry() -> SocketAddr {
+    "198.51.100.1:7000".parse().unwrap()
+}
+
+pub fn caller() -> SocketAddr {
+    "203.0.113.5:4000".parse().unwrap()
+}
+
+pub fn target(index: usize) -> Target {
+    let host = u8::try_from(index).unwrap() + 1;
+    Target {
+        id: 1000 + index as u64,
+        service: service(),
+        address: SocketAddr::from(([10, 0, 0, host], 7100)),
+        control: SocketAddr::from(([10, 0, 0, host], 7200)),
+        zone: 1,
+        incarnation: 1,
+        version: 1,
+        weight: 100,
+        slots: 2,
+        state: State::Ready,
+    }
+}
+
+pub fn settings() -> Settings {
+    let mut settings = Settings::default();
+    settings.gate.slots = 2;
+    settings
+}
+
+/// Cases that do not fit a bound service say so.
+pub fn independent() -> Service {
+    Service {
+        binding: Binding::Independent,
+        ..Service::default()
+    }
+}
+
+impl World {
+    /// Starts agents that know each other and have nothing to claim.
+    pub fn new(count: usize, settings: Settings, service: Service) -> Self {
+        let targets: Vec<Target> = (0..count).map(target).collect();
+        let now = Duration::from_secs(100);
+        let agents = targets
+            .iter()
+            .map(|target| Some(Agent::new(settings.clone(), target.clone(), 7, now)))
+            .collect();
+        let mut world = Self {
+            now,
+            agents,
+            targets,
+            settings,
+            service,
+            messages: Vec::new(),
+            replies: Vec::new(),
+            running: Vec::new(),
+            runs: Vec::new(),
+            aborted: Vec::new(),
+            announced: Vec::new(),
+            exited: Vec::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+        };
+        for index in 0..count {
+            world.tell_view(index);
+        }
+        world.settle();
+        world
+    }
+
+    pub fn bound(count: usize) -> Self {
+        Self::new(count, settings(), Service::default())
+    }
+
+    pub fn tell_view(&mut self, index: usize) {
+        let targets = self.targets.clone();
+        self.tell_view_of(index, targets);
+    }
+
+    /// Gives an agent a view that differs from that of others.
+    pub fn tell_view_of(&mut self, index: usize, targets: Vec<Target>) {
+        let service = self.service;
+        self.event(index, Event::View(View { targets, service }));
+    }
+
+    /// Hands an event to an agent and takes its actions up.
+    pub fn event(&mut self, index: usize, event: Event) {
+        let Some(agent) = &mut self.agents[index] else {
+            return;
+        };
+        let mut actions = Vec::new();
+        agent.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.act(index, action);
+        }
+    }
+
+    fn act(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Send {
+                frame: Frame::Reply(reply),
+                to,
+            } => {
+                assert_eq!(to, entry());
+                assert_eq!(reply.service, service());
+                let packet = Packet::from_bytes(reply.packet).unwrap();
+                self.replies.push(packet);
+            }
+            Action::Send { to, frame } => self.messages.push(Message::Frame {
+                from: index,
+                to,
+                frame,
+            }),
+            Action::Run(job) => {
+                let running = Running { agent: index, job };
+                self.runs.push(running.clone());
+                self.running.push(running);
+            }
+            Action::Abort { job } => {
+                self.aborted.push(job);
+                self.running
+                    .retain(|it| it.agent != index || it.job.id != job);
+            }
+            Action::Pass { to, offer } => self.messages.push(Message::Offer {
+                from: index,
+                to,
+                offer,
+            }),
+            Action::Withdraw { to, offer } => self.messages.push(Message::Withdraw { to, offer }),
+            Action::Resolve { call, outcome } => {
+                if let Some(Call::Offer { from, offer }) = self.calls.remove(&call) {
+                    self.messages.push(Message::Outcome {
+                        to: from,
+                        offer,
+                        outcome,
+                    });
+                }
+            }
+            Action::Announce { state, .. } => {
+                self.targets[index].state = state;
+                self.targets[index].version += 1;
+                self.announced.push(state);
+            }
+            Action::Park { to, part } => self.messages.push(Message::Park {
+                from: index,
+                to,
+                part,
+            }),
+            Action::Parked { call, accepted } => {
+                if let Some(Call::Park { from, index }) = self.calls.remove(&call) {
+                    self.messages.push(Message::Parked {
+                        to: from,
+                        index,
+                        accepted,
+                    });
+                }
+            }
+            Action::Claim { to, claim } => self.messages.push(Message::Claim {
+                from: index,
+                to,
+                claim,
+            }),
+            Action::Claimed { call, grant } => {
+                if let Some(Call::Claim { from, peer }) = self.calls.remove(&call) {
+                    self.messages.push(Message::Claimed {
+                        to: from,
+                        peer,
+                        grant,
+                    });
+                }
+            }
+            Action::Exit => {
+                self.exited.push(index);
+                self.agents[index] = None;
+                self.running.retain(|it| it.agent != index);
+            }
+        }
+    }
+
+    fn call(&mut self, call: Call) -> u64 {
+        self.next_call += 1;
+        self.calls.insert(self.next_call, call);
+        self.next_call
+    }
+
+    fn by_address(&self, address: SocketAddr) -> Option<usize> {
+        self.targets
+            .iter()
+            .position(|target| target.address == address || target.control == address)
+            .filter(|&index| self.agents[index].is_some())
+    }
+
+    /// Delivers one message.
+    pub fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Frame { from, to, frame } => {
+                let from = self.targets[from].address;
+                if let Some(index) = self.by_address(to) {
+                    self.event(index, Event::Frame { from, frame });
+                }
+            }
+            Message::Offer { from, to, offer } => {
+                let id = offer.id;
+                match self.by_address(to) {
+                    Some(index) => {
+                        let call = self.call(Call::Offer { from, offer: id });
+                        self.event(index, Event::Offered { call, offer });
+                    }
+                    None => self.messages.push(Message::Outcome {
+                        to: from,
+                        offer: id,
+                        outcome: Outcome::NotRun {
+                            reason: offer::Refusal::Unreachable,
+                            retry_after: Duration::ZERO,
+                        },
+                    }),
+                }
+            }
+            Message::Withdraw { to, offer } => {
+                if let Some(index) = self.by_address(to) {
+                    self.event(index, Event::Withdrawn { offer });
+                }
+            }
+            Message::Outcome { to, offer, outcome } => {
+                self.event(to, Event::Passed { offer, outcome });
+            }
+            Message::Park { from, to, part } => {
+                let index = part.index;
+                match self.by_address(to) {
+                    Some(peer) => {
+                        let call = self.call(Call::Park { from, index });
+                        self.event(peer, Event::Park { call, part });
+                    }
+                    None => self.messages.push(Message::Parked {
+                        to: from,
+                        index,
+                        accepted: false,
+                    }),
+                }
+            }
+            Message::Parked {
+                to,
+                index,
+                accepted,
+            } => self.event(to, Event::Parked { index, accepted }),
+            Message::Claim { from, to, claim } => match self.by_address(to) {
+                Some(peer) => {
+                    let call = self.call(Call::Claim { from, peer: to });
+                    self.event(peer, Event::Claim { call, claim });
+                }
+                None => self.messages.push(Message::Claimed {
+                    to: from,
+                    peer: to,
+                    grant: park::Grant::Unreachable,
+                }),
+            },
+            Message::Claimed { to, peer, grant } => {
+                self.event(to, Event::Claimed { peer, grant });
+            }
+        }
+    }
+
+    /// Delivers all messages, in order.
+    pub fn settle(&mut self) {
+        while !self.messages.is_empty() {
+            let message = self.messages.remove(0);
+            self.deliver(message);
+        }
+    }
+
+    /// Lets time pass, with the ticks that the agents ask for.
+    pub fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(next) = self.next_deadline().filter(|&at| at <= end) {
+            self.now = self.now.max(next);
+            self.tick();
+            self.settle();
+        }
+        self.now = end;
+        self.tick();
+        self.settle();
+    }
+
+    pub fn next_deadline(&self) -> Option<Duration> {
+        let agents = self.agents.iter().flatten();
+        agents.filter_map(Agent::next_deadline).min()
+    }
+
+    pub fn tick(&mut self) {
+        for index in 0..self.agents.len() {
+            self.event(index, Event::Tick);
+        }
+    }
+
+    fn hop(&self, index: usize) -> Hop {
+        Hop {
+            target: self.targets[index].id,
+            address: self.targets[index].address,
+        }
+    }
+
+    /// Index of the first agent in the order of a flow.
+    pub fn home(&self, flow: u64) -> usize {
+        self.ranked(flow)[0]
+    }
+
+    /// Indexes of the agents in the order of a flow.
+    pub fn ranked(&self, flow: u64) -> Vec<usize> {
+        let order = route::Order::new(&self.targets);
+        order
+            .top(flow, self.targets.len())
+            .map(|target| usize::try_from(target.id - 1000).unwrap())
+            .collect()
+    }
+
+    /// A relayed packet, as an entry with the full view makes it.
+    pub fn relay(&self, packet: &Packet) -> Relay {
+        let path = self.ranked(packet.flow);
+        self.relay_along(packet, &path[..path.len().min(3)])
+    }
+
+    /// A relayed packet along the given agents.
+    pub fn relay_along(&self, packet: &Packet, path: &[usize]) -> Relay {
+        Relay {
+            caller: caller(),
+            service: service(),
+            entry: entry(),
+            revision: 1,
+            home: self.hop(path[0]),
+            path: path.iter().map(|&index| self.hop(index)).collect(),
+            position: 0,
+            waits: Vec::new(),
+            settle: false,
+            packet: packet.to_bytes(),
+        }
+    }
+
+    /// Sends a packet through an entry and delivers what follows.
+    pub fn send(&mut self, packet: &Packet) {
+        let relay = self.relay(packet);
+        self.send_relay(relay);
+    }
+
+    pub fn send_along(&mut self, packet: &Packet, path: &[usize]) {
+        let relay = self.relay_along(packet, path);
+        self.send_relay(relay);
+    }
+
+    pub fn send_relay(&mut self, relay: Relay) {
+        let to = relay.path[usize::from(relay.position)].address;
+        if let Some(index) = self.by_address(to) {
+            let frame = Frame::Relay(relay);
+            self.event(
+                index,
+                Event::Frame {
+                    from: entry(),
+                    frame,
+                },
+            );
+        }
+        self.settle();
+    }
+
+    /// Opens a flow and returns its token.
+    pub fn open(&mut self, flow: u64) -> Token {
+        self.send(&open(flow));
+        self.take_opened().expect("the open should be answered")
+    }
+
+    /// Opens a flow at the given agent.
+    pub fn open_at(&mut self, flow: u64, index: usize) -> Token {
+        self.send_along(&open(flow), &[index]);
+        self.take_opened().expect("the open should be answered")
+    }
+
+    pub fn take_opened(&mut self) -> Option<Token> {
+        let replies = std::mem::take(&mut self.replies);
+        replies.iter().find_map(|packet| match &packet.body {
+            Some(Body::Opened(opened)) => Token::from_bytes(&opened.holder),
+            _ => None,
+        })
+    }
+
+    pub fn take_refusal(&mut self) -> Option<Refusal> {
+        let replies = std::mem::take(&mut self.replies);
+        replies.into_iter().find_map(|packet| match packet.body {
+            Some(Body::Refusal(refusal)) => Some(refusal),
+            _ => None,
+        })
+    }
+
+    /// The whole answer to a request among the replies.
+    pub fn take_answer(&mut self, request: u64) -> Option<Vec<u8>> {
+        let replies = std::mem::take(&mut self.replies);
+        let mut chunks = BTreeMap::new();
+        let mut count = None;
+        for packet in replies {
+            if let Some(Body::Chunk(chunk)) = packet.body
+                && chunk.request == request
+            {
+                count = Some(chunk.count as usize);
+                chunks.insert(chunk.index, chunk.payload);
+            }
+        }
+        (count == Some(chunks.len())).then(|| chunks.into_values().flatten().collect())
+    }
+
+    /// Finishes the oldest job at a backend server.
+    pub fn finish(&mut self, result: Completion) {
+        assert!(!self.running.is_empty(), "a job should be running");
+        let Running { agent, job } = self.running.remove(0);
+        let job = job.id;
+        self.event(agent, Event::Finished { job, result });
+        self.settle();
+    }
+
+    pub fn answer(&mut self, text: &str) {
+        self.finish(Completion::Completed(Bytes::from(text.to_owned())));
+    }
+
+    /// Replaces an agent by a new incarnation that knows nothing.
+    pub fn restart(&mut self, index: usize) {
+        self.running.retain(|it| it.agent != index);
+        self.targets[index].incarnation += 1;
+        self.targets[index].state = State::Ready;
+        let target = self.targets[index].clone();
+        let agent = Agent::new(self.settings.clone(), target, 9, self.now);
+        self.agents[index] = Some(agent);
+    }
+
+    pub fn tell_all(&mut self) {
+        for index in 0..self.agents.len() {
+            self.tell_view(index);
+        }
+        self.settle();
+    }
+
+    pub fn status(&self, index: usize) -> agent::Status {
+        let agent = self.agents[index].as_ref().expect("the agent should live");
+        agent.status(self.now)
+    }
+
+    /// Index of the agent that a token names.
+    pub fn holder(&self, token: Token) -> usize {
+        usize::try_from(token.target - 1000).unwrap()
+    }
+}
+
+pub fn open(flow: u64) -> Packet {
+    Packet::new(flow, Body::Open(Open { attempt: 0 }))
+}
+
+pub fn request(flow: u64, request: u64, token: Token) -> Packet {
+    with_deadline(flow, request, token, 10_000)
+}
+
+pub fn with_deadline(flow: u64, request: u64, token: Token, deadline_ms: u32) -> Packet {
+    Packet::new(
+        flow,
+        Body::Request(Request {
+            request,
+            holder: token.to_bytes().to_vec().into(),
+            idempotent: false,
+            deadline_ms,
+            attempt: 0,
+            payload: Bytes::from_static(b"payload"),
+        }),
+    )
+}
+
+pub fn idempotent(flow: u64, request: u64) -> Packet {
+    Packet::new(
+        flow,
+        Body::Request(Request {
+            request,
+            holder: Bytes::new(),
+            idempotent: true,
+            deadline_ms: 10_000,
+            attempt: 0,
+            payload: Bytes::from_static(b"payload"),
+        }),
+    )
+}
+
+pub fn cancel(flow: u64, request: u64, token: Token) -> Packet {
+    let holder = token.to_bytes().to_vec().into();
+    Packet::new(flow, Body::Cancel(Cancel { request, holder }))
+}
+
+pub fn fetch(flow: u64, request: u64, chunks: Vec<u32>, token: Token) -> Packet {
+    let holder = token.to_bytes().to_vec().into();
+    Packet::new(
+        flow,
+        Body::Fetch(Fetch {
+            request,
+            chunks,
+            holder,
+        }),
+    )
+}
+
+pub fn close(flow: u64, token: Token) -> Packet {
+    let holder = token.to_bytes().to_vec().into();
+    Packet::new(flow, Body::Close(Close { holder }))
+}
