--- a/roles/agent/tests/requests.rs
+++ b/roles/agent/tests/requests.rs
@@ -18,6 +18,7 @@
 use world::cancel;
 use world::close;
 use world::fetch;
+use world::holder;
 use world::idempotent;
 use world::open;
 use world::request;
@@ -145,7 +146,7 @@
 fn a_holder_frozen_between_recording_and_running_does_not_run() {
     let (mut world, token) = busy();
     world.send(&with_deadline(FLOW, 2, token, 500));
-    world.now += Duration::from_secs(60);
+    world.now += Duration::from_mins(1);
     world.answer("first");
     assert_eq!(world.runs.len(), 1);
     let refusal = world
@@ -182,9 +183,8 @@
 fn a_request_for_a_dead_incarnation_is_unknown() {
     let mut world = World::bound(3);
     let token = world.open(FLOW);
-    let holder = world.holder(token);
     world.send(&request(FLOW, REQUEST, token));
-    world.restart(holder);
+    world.restart(holder(token));
     world.tell_all();
     world.send(&request(FLOW, REQUEST, token));
     assert_refused(&mut world, Reason::FlowUnknown, Outcome::Unknown);
@@ -454,7 +454,7 @@
     world.open(2);
     world.send(&open(3));
     assert_refused(&mut world, Reason::TableFull, Outcome::NotRun);
-    world.pass(Duration::from_secs(60));
+    world.pass(Duration::from_mins(1));
     world.open(3);
 }
 
@@ -477,7 +477,7 @@
     let token = world.open(2);
     world.send(&request(2, REQUEST, token));
     world.answer("used");
-    world.pass(Duration::from_secs(60));
+    world.pass(Duration::from_mins(1));
     assert_eq!(world.status(0).flows, 1);
     let counters = world.status(0).counters;
     assert_eq!(counters.get(Counter::HalfOpen), 1);
@@ -485,8 +485,10 @@
 
 #[test]
 fn a_flow_with_a_running_feed_outlives_its_idle_time() {
-    let mut service = agent::view::Service::default();
-    service.idle = Duration::from_mins(1);
+    let service = agent::view::Service {
+        idle: Duration::from_mins(1),
+        ..agent::view::Service::default()
+    };
     let mut world = World::new(1, settings(), service);
     let token = world.open(FLOW);
     world.send(&with_deadline(FLOW, REQUEST, token, 3_600_000));
--- a/roles/agent/tests/world/mod.rs
+++ b/roles/agent/tests/world/mod.rs
@@ -561,11 +561,11 @@
         let agent = self.agents[index].as_ref().expect("the agent should live");
         agent.status(self.now)
     }
+}
 
-    /// Index of the agent that a token names.
-    pub fn holder(&self, token: Token) -> usize {
-        usize::try_from(token.target - 1000).unwrap()
-    }
+/// Index of the agent that a token names.
+pub fn holder(token: Token) -> usize {
+    usize::try_from(token.target - 1000).unwrap()
 }
 
 pub fn open(flow: u64) -> Packet {
