Deepen the gate: classes, deadlines, pauses, learned capacity

The thin gate was one FIFO queue that knew no classes, no slow start and no shedding. Now a job that cannot meet its deadline, or would wait too long, is refused at once and told a time of its own to come back; each class has a reserved share of the slots; a target that sheds or fails in a row is paused and tried again with one slot; the weight follows the service time seen here, in steps with hysteresis.

--- a/state/limit/src/backoff.rs
+++ b/state/limit/src/backoff.rs
@@ -58,6 +58,21 @@
         bound.mul_f64(0.5 + self.random.f64() / 2.0)
     }
 
+    /// The pause before the next try, or `None` where the try would not end
+    /// before the caller's deadline.
+    ///
+    /// `service_time` is how long a try is expected to take.
+    pub fn next_within(
+        &mut self,
+        now: Duration,
+        deadline: Duration,
+        service_time: Duration,
+    ) -> Option<Duration> {
+        let pause = self.next_pause();
+        let end = now.checked_add(pause)?.checked_add(service_time)?;
+        (end <= deadline).then_some(pause)
+    }
+
     /// Starts again at the first pause, after a success.
     pub fn reset(&mut self) {
         self.tries = 0;
--- a/state/limit/src/job.rs
+++ b/state/limit/src/job.rs
@@ -45,8 +45,13 @@
 pub enum Reason {
     /// The queue is at its limit.
     Full,
-    /// The job would not get a slot before its deadline.
+    /// The job would not end before its deadline.
     Deadline,
+    /// The backend server asked for a pause, or fails, and the pause outlasts
+    /// the deadline.
+    Paused,
+    /// A job of this id is in the gate already.
+    Duplicate,
 }
 
 /// How a running job ended.
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -7,8 +7,12 @@
 //! All parts are sans-IO: they own no clock or randomness.
 pub mod backoff;
 pub mod budget;
+pub mod capacity;
 pub mod gate;
 pub mod job;
+pub mod pause;
+pub mod queue;
+pub mod share;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
--- /dev/null
+++ b/state/limit/tests/gate.rs
@@ -0,0 +1,455 @@
+//! The gate's promises: slots, deadlines, classes, pauses, learned capacity.
+use std::collections::HashSet;
+use std::time::Duration;
+
+use limit::Class;
+use limit::Finish;
+use limit::Gate;
+use limit::Job;
+use limit::JobId;
+use limit::Reason;
+use limit::Release;
+use limit::Settings;
+use limit::Verdict;
+use limit::queue::Discipline;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const FAR: Duration = Duration::from_hours(1);
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+const fn job(id: JobId, class: Class, deadline: Duration) -> Job {
+    Job {
+        id,
+        deadline,
+        class,
+    }
+}
+
+fn settings(slots: u16) -> Settings {
+    Settings {
+        slots,
+        ..Settings::default()
+    }
+}
+
+/// A gate past its slow start, with a mean service time of 50 ms.
+struct Warm {
+    gate: Gate,
+    now: Duration,
+    out: Vec<Release>,
+}
+
+impl Warm {
+    fn new(settings: Settings) -> Self {
+        let mut warm = Self {
+            gate: Gate::new(settings, Duration::ZERO),
+            now: Duration::ZERO,
+            out: Vec::new(),
+        };
+        warm.run(400, ms(50));
+        warm
+    }
+
+    /// Runs short jobs one after another.
+    fn run(&mut self, jobs: u64, time: Duration) {
+        for id in 0..jobs {
+            let job = job(u64::MAX - id, Class::Short, self.now + FAR);
+            assert_eq!(self.gate.offer(self.now, job), Verdict::Start);
+            self.now += time;
+            self.finish(job.id, Finish::Done);
+        }
+    }
+
+    fn offer(&mut self, id: JobId, class: Class, wait: Duration) -> Verdict {
+        self.gate.offer(self.now, job(id, class, self.now + wait))
+    }
+
+    fn finish(&mut self, id: JobId, end: Finish) {
+        self.gate.finish(self.now, id, end, &mut self.out);
+    }
+}
+
+fn refusal(verdict: Verdict) -> Option<Reason> {
+    match verdict {
+        Verdict::Refuse { reason, .. } => Some(reason),
+        Verdict::Start | Verdict::Queued => None,
+    }
+}
+
+#[derive(Clone, Copy)]
+struct Late {
+    queued: u64,
+    deadline: Duration,
+    reason: Option<Reason>,
+}
+
+fn late_work_is_refused_at_once(case: Late) {
+    let settings = Settings {
+        max_wait: ms(1990),
+        ..settings(1)
+    };
+    let mut warm = Warm::new(settings);
+    for id in 0..=case.queued {
+        assert_eq!(refusal(warm.offer(id, Class::Short, FAR)), None);
+    }
+    let verdict = warm.offer(1000, Class::Short, case.deadline);
+    assert_eq!(refusal(verdict), case.reason);
+}
+
+cases::cases! { late_work_is_refused_at_once;
+    a_short_queue_meets_the_deadline: Late { queued: 1, deadline: ms(150), reason: None },
+    a_queue_past_the_deadline_refuses: Late { queued: 3, deadline: ms(150), reason: Some(Reason::Deadline) },
+    a_queue_past_the_wait_limit_refuses: Late { queued: 39, deadline: FAR, reason: Some(Reason::Full) },
+    a_deadline_that_has_passed_refuses: Late { queued: 0, deadline: ms(0), reason: Some(Reason::Deadline) },
+}
+
+#[test]
+fn refused_callers_are_told_distinct_times() {
+    let mut warm = Warm::new(settings(2));
+    let mut told = HashSet::new();
+    let mut latest = Duration::ZERO;
+    for id in 0..300 {
+        if let Verdict::Refuse { retry_after, .. } = warm.offer(id, Class::Short, FAR) {
+            told.insert(retry_after.as_millis() / 10);
+            latest = latest.max(retry_after);
+        }
+    }
+    // 300 jobs of 50 ms on 2 slots take 7.5 s: callers come back over that time.
+    assert!(told.len() > 150, "{} distinct times", told.len());
+    assert!(latest > Duration::from_secs(5), "{latest:?}");
+    assert!(latest <= Duration::from_secs(30), "{latest:?}");
+}
+
+#[test]
+fn long_jobs_leave_the_reserve_of_short_ones() {
+    let mut warm = Warm::new(settings(4));
+    let starts = (0..4)
+        .filter(|&id| warm.offer(id, Class::Long, FAR) == Verdict::Start)
+        .count();
+    assert_eq!(starts, 2);
+    assert_eq!(warm.offer(10, Class::Short, FAR), Verdict::Start);
+    assert_eq!(warm.offer(11, Class::Short, FAR), Verdict::Start);
+}
+
+#[test]
+fn short_jobs_give_back_the_reserve_of_long_ones() {
+    let mut warm = Warm::new(settings(4));
+    for id in 0..20 {
+        assert_eq!(refusal(warm.offer(id, Class::Short, FAR)), None);
+    }
+    assert_eq!(warm.offer(100, Class::Long, FAR), Verdict::Queued);
+    warm.now += ms(50);
+    warm.finish(0, Finish::Done);
+    assert_eq!(warm.out, [Release::Start(100)]);
+}
+
+#[test]
+fn a_feed_on_a_cold_target_leaves_room_for_queries() {
+    let mut gate = Gate::new(settings(2), Duration::ZERO);
+    let offers = [Class::Long, Class::Short]
+        .into_iter()
+        .zip(0..)
+        .map(|(class, id)| gate.offer(ms(0), job(id, class, FAR)));
+    assert!(offers.eq([Verdict::Start, Verdict::Start]));
+}
+
+#[test]
+fn earliest_deadline_runs_first() {
+    let settings = Settings {
+        discipline: Discipline::EarliestDeadline,
+        ..settings(1)
+    };
+    let mut warm = Warm::new(settings);
+    assert_eq!(warm.offer(0, Class::Short, FAR), Verdict::Start);
+    assert_eq!(warm.offer(1, Class::Short, FAR), Verdict::Queued);
+    assert_eq!(warm.offer(2, Class::Short, ms(400)), Verdict::Queued);
+    warm.now += ms(50);
+    warm.finish(0, Finish::Done);
+    assert_eq!(warm.out, [Release::Start(2)]);
+}
+
+#[test]
+fn a_queued_job_expires_when_it_can_no_longer_be_met() {
+    let mut warm = Warm::new(settings(1));
+    assert_eq!(warm.offer(0, Class::Short, FAR), Verdict::Start);
+    assert_eq!(warm.offer(1, Class::Short, ms(120)), Verdict::Queued);
+    let due = warm.gate.next_deadline().expect("a job waits");
+    assert!(due < warm.now + ms(120));
+    warm.gate.expire(due, &mut warm.out);
+    assert_eq!(warm.out, [Release::Expire(1)]);
+}
+
+#[test]
+fn a_cancelled_job_frees_its_slot() {
+    let mut warm = Warm::new(settings(1));
+    assert_eq!(warm.offer(0, Class::Short, FAR), Verdict::Start);
+    assert_eq!(warm.offer(1, Class::Short, FAR), Verdict::Queued);
+    assert_eq!(warm.offer(2, Class::Short, FAR), Verdict::Queued);
+    warm.gate.cancel(warm.now, 1, &mut warm.out);
+    assert_eq!(warm.out, []);
+    warm.gate.cancel(warm.now, 0, &mut warm.out);
+    assert_eq!(warm.out, [Release::Start(2)]);
+}
+
+#[test]
+fn a_shed_pauses_and_returns_with_one_slot() {
+    let mut warm = Warm::new(settings(4));
+    for id in 0..3 {
+        assert_eq!(warm.offer(id, Class::Short, FAR), Verdict::Start);
+    }
+    let retry_after = Duration::from_secs(1);
+    for id in 0..3 {
+        warm.finish(id, Finish::Shed { retry_after });
+    }
+    assert!(!warm.gate.free());
+    assert!(warm.gate.expected_wait(warm.now) >= retry_after);
+    let verdict = warm.offer(10, Class::Short, ms(500));
+    assert_eq!(refusal(verdict), Some(Reason::Paused));
+    for id in 11..13 {
+        assert_eq!(warm.offer(id, Class::Short, FAR), Verdict::Queued);
+    }
+    warm.now = warm.gate.next_deadline().expect("the pause ends");
+    warm.gate.expire(warm.now, &mut warm.out);
+    assert_eq!(warm.out, [Release::Start(11)]);
+    warm.now += ms(50);
+    warm.finish(11, Finish::Done);
+    assert_eq!(warm.out[1..], [Release::Start(12)]);
+    assert!(warm.gate.free(), "a success adds a second slot");
+}
+
+#[test]
+fn failures_in_a_row_pause() {
+    let mut warm = Warm::new(settings(4));
+    for id in 0..3 {
+        assert_eq!(warm.offer(id, Class::Short, FAR), Verdict::Start);
+        warm.now += ms(1);
+        warm.finish(id, Finish::Failed);
+    }
+    assert!(!warm.gate.free(), "fast failures must not attract work");
+}
+
+#[test]
+fn a_cold_target_starts_with_one_slot_and_a_low_weight() {
+    let mut gate = Gate::new(settings(4), Duration::ZERO);
+    let warm = Warm::new(settings(4)).gate.weight();
+    assert!(gate.weight() * 2 < warm, "{} {warm}", gate.weight());
+    let offers = [1, 2].map(|id| gate.offer(ms(0), job(id, Class::Short, FAR)));
+    assert_eq!(offers, [Verdict::Start, Verdict::Queued]);
+}
+
+#[derive(Clone, Copy)]
+struct Pace {
+    time: Duration,
+    least: u32,
+    most: u32,
+}
+
+fn the_weight_follows_the_service_time(pace: Pace) {
+    let mut warm = Warm::new(settings(4));
+    warm.run(200, pace.time);
+    let weight = warm.gate.weight();
+    assert!((pace.least..=pace.most).contains(&weight), "{weight}");
+}
+
+// 4 slots at 20, 50 and 80 ms make 200, 80 and 50 jobs a second; a step is 19%.
+cases::cases! { the_weight_follows_the_service_time;
+    a_fast_target: Pace { time: ms(20), least: 168, most: 238 },
+    a_steady_target: Pace { time: ms(50), least: 67, most: 96 },
+    a_slow_target: Pace { time: ms(80), least: 42, most: 60 },
+}
+
+#[test]
+fn a_stalled_target_loses_weight_within_two_seconds() {
+    let mut warm = Warm::new(settings(2));
+    let before = warm.gate.weight();
+    for id in 0..2 {
+        assert_eq!(warm.offer(id, Class::Short, FAR), Verdict::Start);
+    }
+    for id in 2..6 {
+        warm.now += ms(500);
+        warm.offer(id, Class::Short, FAR);
+    }
+    let after = warm.gate.weight();
+    assert!(after * 4 <= before, "{before} then {after}");
+    assert!(warm.gate.expected_wait(warm.now) > Duration::from_secs(1));
+}
+
+#[test]
+fn the_weight_holds_still_under_noise() {
+    let mut warm = Warm::new(settings(4));
+    let mut weights = HashSet::new();
+    for round in 0..500 {
+        warm.run(1, ms(if round % 2 == 0 { 20 } else { 80 }));
+        weights.insert(warm.gate.weight());
+    }
+    assert!(weights.len() <= 2, "{weights:?}");
+}
+
+#[test]
+fn one_flooded_gate_leaves_another_alone() {
+    let mut flooded = Warm::new(settings(2));
+    let mut other = Warm::new(settings(2));
+    for id in 0..10_000 {
+        flooded.offer(id, Class::Short, FAR);
+    }
+    assert_eq!(other.offer(0, Class::Short, ms(60)), Verdict::Start);
+    assert!(flooded.gate.queued() <= 1000);
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Offer { class: Class, wait: u64 },
+    Finish { index: usize, end: Finish },
+    Cancel { index: usize },
+    Expire,
+}
+
+fn class() -> impl Strategy<Value = Class> {
+    prop_oneof![Just(Class::Short), Just(Class::Long)]
+}
+
+fn end() -> impl Strategy<Value = Finish> {
+    prop_oneof![
+        4 => Just(Finish::Done),
+        1 => (0_u64..3000).prop_map(|pause| Finish::Shed { retry_after: ms(pause) }),
+        1 => Just(Finish::Failed),
+        1 => Just(Finish::Cancelled),
+    ]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (class(), 0_u64..5000).prop_map(|(class, wait)| Event::Offer { class, wait }),
+        3 => (any::<usize>(), end()).prop_map(|(index, end)| Event::Finish { index, end }),
+        1 => any::<usize>().prop_map(|index| Event::Cancel { index }),
+        1 => Just(Event::Expire),
+    ]
+}
+
+/// What the owner of the gate knows of its jobs.
+#[derive(Default)]
+struct Book {
+    running: Vec<JobId>,
+    queued: Vec<JobId>,
+    ended: HashSet<JobId>,
+}
+
+impl Book {
+    fn take(&mut self, releases: &mut Vec<Release>) {
+        for release in releases.drain(..) {
+            let (Release::Start(id) | Release::Expire(id)) = release;
+            let index = self.queued.iter().position(|&queued| queued == id);
+            self.queued
+                .swap_remove(index.expect("only queued jobs are released"));
+            match release {
+                Release::Start(_) => self.running.push(id),
+                Release::Expire(_) => assert!(self.ended.insert(id), "one end a job"),
+            }
+        }
+    }
+
+    fn apply(&mut self, gate: &mut Gate, now: Duration, id: JobId, event: &Event) {
+        let mut out = Vec::new();
+        match *event {
+            Event::Offer { class, wait } => match gate.offer(now, job(id, class, now + ms(wait))) {
+                Verdict::Start => self.running.push(id),
+                Verdict::Queued => self.queued.push(id),
+                Verdict::Refuse { .. } => assert!(self.ended.insert(id)),
+            },
+            Event::Finish { index, end } if !self.running.is_empty() => {
+                let id = self.running.swap_remove(index % self.running.len());
+                assert!(self.ended.insert(id));
+                gate.finish(now, id, end, &mut out);
+            }
+            Event::Cancel { index } if !self.queued.is_empty() => {
+                let id = self.queued.swap_remove(index % self.queued.len());
+                assert!(self.ended.insert(id));
+                gate.cancel(now, id, &mut out);
+            }
+            Event::Finish { .. } | Event::Cancel { .. } | Event::Expire => {
+                gate.expire(now, &mut out);
+            }
+        }
+        self.take(&mut out);
+    }
+}
+
+fn discipline() -> impl Strategy<Value = Discipline> {
+    prop_oneof![Just(Discipline::Fifo), Just(Discipline::EarliestDeadline)]
+}
+
+proptest! {
+    /// Never more jobs than slots, one end for each job, and no job is left
+    /// once every deadline has passed.
+    #[test]
+    fn every_job_has_one_end(
+        slots in 1_u16..6,
+        discipline in discipline(),
+        events in vec((event(), 0_u64..200), 1..300),
+    ) {
+        let mut gate = Gate::new(Settings { discipline, ..settings(slots) }, Duration::ZERO);
+        let mut book = Book::default();
+        let mut now = Duration::ZERO;
+        let mut offers = 0;
+        for (id, (event, pause)) in (0..).zip(&events) {
+            now += ms(*pause);
+            book.apply(&mut gate, now, id, event);
+            offers += usize::from(matches!(event, Event::Offer { .. }));
+            prop_assert!(book.running.len() <= usize::from(slots));
+            prop_assert_eq!(book.running.len(), usize::from(gate.running().total()));
+            prop_assert_eq!(book.queued.len(), gate.queued());
+        }
+        while let Some(id) = book.running.pop() {
+            let mut out = Vec::new();
+            book.ended.insert(id);
+            gate.finish(now, id, Finish::Done, &mut out);
+            book.take(&mut out);
+        }
+        gate.expire(now + FAR, &mut Vec::new());
+        prop_assert_eq!(gate.queued(), 0);
+        prop_assert_eq!(book.ended.len() + book.queued.len(), offers);
+    }
+
+    /// A deadline that the gate names is never in the past once it was acted
+    /// on, so that no caller of `next_deadline` spins.
+    #[test]
+    fn the_next_deadline_makes_progress(events in vec((event(), 0_u64..200), 1..200)) {
+        let mut gate = Gate::new(settings(3), Duration::ZERO);
+        let mut book = Book::default();
+        let mut now = Duration::ZERO;
+        for (id, (event, pause)) in (0..).zip(&events) {
+            now += ms(*pause);
+            book.apply(&mut gate, now, id, event);
+            let mut out = Vec::new();
+            gate.expire(now, &mut out);
+            book.take(&mut out);
+            prop_assert!(gate.next_deadline().is_none_or(|deadline| deadline > now));
+        }
+    }
+
+    /// Under a flood of both classes each one gets its reserved share.
+    #[test]
+    fn neither_class_starves(slots in 1_u16..8, seed in any::<u64>()) {
+        let mut gate = Gate::new(Settings { max_wait: FAR, seed, ..settings(slots) }, Duration::ZERO);
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut book = Book::default();
+        let mut now = Duration::ZERO;
+        let mut ends = [0, 0];
+        for id in 0..2000 {
+            now += ms(10);
+            let class = if id % 2 == 0 { Class::Short } else { Class::Long };
+            book.apply(&mut gate, now, id, &Event::Offer { class, wait: 3_600_000 });
+            if id % 4 == 0 {
+                let index = random.usize(..book.running.len());
+                ends[usize::from(book.running[index] % 2 == 1)] += 1;
+                book.apply(&mut gate, now, id, &Event::Finish { index, end: Finish::Done });
+            }
+        }
+        // 500 jobs end; the smallest reserve is one slot of seven.
+        prop_assert!(ends.iter().all(|&ends| ends > 40), "{ends:?}");
+    }
+}
