--- a/coordination/config/src/diff.rs
+++ b/coordination/config/src/diff.rs
@@ -36,7 +36,9 @@
         .into_iter()
         .filter(|(field, value)| field != "operation" && before.get(field) != Some(value))
         .map(|(field, value)| Line {
-            before: before.get(&field).map_or_else(String::new, Value::to_string),
+            before: before
+                .get(&field)
+                .map_or_else(String::new, Value::to_string),
             after: value.to_string(),
             field,
         })
--- a/coordination/config/src/service.rs
+++ b/coordination/config/src/service.rs
@@ -127,9 +127,7 @@
 
 /// What an operator drained.
 #[serde_as]
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Drained {
     /// One target.
@@ -216,7 +214,10 @@
     /// Every [`Problem`] found, in the order of the fields.
     pub fn check(&self) -> Result<(), Vec<Problem>> {
         let checks = [
-            (!self.address.ip().is_unspecified(), Problem::AddressUnspecified),
+            (
+                !self.address.ip().is_unspecified(),
+                Problem::AddressUnspecified,
+            ),
             (self.address.port() != 0, Problem::PortZero),
             (is_name(&self.name, MAX_NAME_BYTES), Problem::Name),
             ((MIN_HUNT..=MAX_HUNT).contains(&self.hunt), Problem::Hunt),
@@ -225,12 +226,18 @@
                 (MIN_IDLE_TIMEOUT..=MAX_IDLE_TIMEOUT).contains(&self.idle_timeout),
                 Problem::IdleTimeout,
             ),
-            (!self.default_deadline.is_zero(), Problem::DefaultDeadlineZero),
+            (
+                !self.default_deadline.is_zero(),
+                Problem::DefaultDeadlineZero,
+            ),
             (
                 self.default_deadline <= self.largest_deadline,
                 Problem::DefaultDeadlineOverLargest,
             ),
-            (self.largest_deadline <= MAX_DEADLINE, Problem::LargestDeadline),
+            (
+                self.largest_deadline <= MAX_DEADLINE,
+                Problem::LargestDeadline,
+            ),
             (
                 (1..=MAX_ANSWER_BYTES).contains(&self.largest_answer_bytes),
                 Problem::LargestAnswer,
--- a/coordination/route/src/hunt.rs
+++ b/coordination/route/src/hunt.rs
@@ -39,9 +39,13 @@
 #[must_use]
 pub fn step(mut relay: Relay, bid: Bid) -> Step {
     let position = usize::from(relay.position);
-    let sound = position < relay.path.len()
-        && relay.path.len() <= MAX_HOPS
-        && (relay.settle || relay.waits.len() == position);
+    let visited = if relay.settle {
+        relay.path.len()
+    } else {
+        position
+    };
+    let sound =
+        position < relay.path.len() && relay.path.len() <= MAX_HOPS && relay.waits.len() == visited;
     match () {
         () if !sound => Step::Refuse,
         () if bid.free || relay.settle => Step::Take,
--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -7,9 +7,12 @@
 //! * [`pin`] remembers which target holds a flow that its home passed on.
 //!
 //! All parts are sans-IO: they own no socket, clock or randomness.
+pub mod hash;
+pub mod holder;
 pub mod hunt;
 pub mod logarithm;
 pub mod order;
 pub mod pin;
+pub mod tree;
 
 pub use order::Order;
--- a/coordination/route/src/order.rs
+++ b/coordination/route/src/order.rs
@@ -1,4 +1,5 @@
 //! Ranks the targets of a service for a flow by weighted rendezvous hashing.
+use std::collections::BTreeMap;
 use std::collections::HashSet;
 
 use wire::FlowKey;
@@ -6,10 +7,20 @@
 use wire::TargetId;
 use wire::target::State;
 
-use crate::logarithm::neg_log2;
+use crate::hash::finalize;
+use crate::tree::Leaf;
+use crate::tree::Tree;
+
+/// Bits of a target's hashed id that each level of the tree looks at.
+pub const TREE_BITS: u32 = 6;
 
 /// The targets of one service, ready to be ranked for any flow.
 ///
+/// The order is a function of the ids and weights alone, the same on every
+/// process and platform. A target comes first for a share of the flows that is
+/// its share of the weights; without it, its flows go to the target that was
+/// second for them.
+///
 /// ```
 /// # use wire::target::State;
 /// # let target = |n: u64| wire::Target {
@@ -21,43 +32,60 @@
 /// #     state: State::Ready,
 /// # };
 /// let order = route::Order::new(&[target(1), target(2), target(3)]);
-/// let home = order.top(42, 1).next().unwrap();
-/// assert_eq!(order.top(42, 3).next(), Some(home));
+/// let ranked: Vec<_> = order.top(42, 3).map(|target| target.id).collect();
+///
+/// // Keep new flows from the first: they open at the second.
+/// let order = order.close([ranked[0]]);
+/// assert_eq!(order.top(42, 1).next().unwrap().id, ranked[0]);
+/// assert_eq!(order.open(42, 1).next().unwrap().id, ranked[1]);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Order {
+    /// Sorted by hashed id.
     targets: Vec<Target>,
-    closed: HashSet<TargetId>,
-}
-
-struct Scored<'a> {
-    score: u128,
-    target: &'a Target,
+    all: Tree<TREE_BITS>,
+    /// The targets that take new flows.
+    open: Tree<TREE_BITS>,
+    /// Positions in `targets` of the leaves of `open`.
+    positions: Vec<usize>,
 }
 
 impl Order {
-    /// Prepares the order of the given targets of one service.
+    /// Prepares the order of the given targets of one service. Of two targets
+    /// with the same id the newer announcement counts.
     #[must_use]
     pub fn new(targets: &[Target]) -> Self {
-        Self {
-            targets: targets.to_vec(),
-            closed: HashSet::new(),
+        let mut sorted: BTreeMap<u64, &Target> = BTreeMap::new();
+        for target in targets {
+            let kept = sorted.entry(finalize(target.id)).or_insert(target);
+            if target.stamp() > kept.stamp() {
+                *kept = target;
+            }
         }
+        let targets: Vec<Target> = sorted.into_values().cloned().collect();
+        let all = Tree::new(targets.iter().map(leaf).collect());
+        let order = Self {
+            targets,
+            all,
+            ..Self::default()
+        };
+        order.close([])
     }
 
-    /// Keeps new flows from the given targets, such as those held down.
+    /// Keeps new flows from the given targets, such as those held down, and
+    /// from no others but those that announce that they take none.
     #[must_use]
     pub fn close(mut self, targets: impl IntoIterator<Item = TargetId>) -> Self {
-        self.closed.extend(targets);
+        let closed: HashSet<TargetId> = targets.into_iter().collect();
+        let takes = |target: &Target| target.state == State::Ready && !closed.contains(&target.id);
+        self.positions = (0..self.targets.len())
+            .filter(|&position| takes(&self.targets[position]))
+            .collect();
+        let open = self.positions.iter();
+        self.open = Tree::new(open.map(|&open| leaf(&self.targets[open])).collect());
         self
     }
 
-    /// Finds a target by its id.
-    #[must_use]
-    pub fn target(&self, id: TargetId) -> Option<&Target> {
-        self.targets.iter().find(|target| target.id == id)
-    }
-
     /// Number of targets.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -70,58 +98,37 @@
         self.targets.is_empty()
     }
 
+    /// The flow's home: the first of all targets.
+    #[must_use]
+    pub fn home(&self, key: FlowKey) -> Option<&Target> {
+        let first = self.all.first(key)?;
+        self.targets.get(first as usize)
+    }
+
     /// The first `n` of all targets; the first is the flow's home.
     pub fn top(&self, key: FlowKey, n: usize) -> impl Iterator<Item = &Target> {
-        self.rank(key, n, |_| true)
+        let drawn = self.all.draw(key).take(n);
+        drawn.map(|leaf| &self.targets[leaf as usize])
     }
 
     /// The first `n` of the targets that take new flows.
     pub fn open(&self, key: FlowKey, n: usize) -> impl Iterator<Item = &Target> {
-        self.rank(key, n, |target| {
-            target.state == State::Ready && !self.closed.contains(&target.id)
-        })
+        let drawn = self.open.draw(key).take(n);
+        drawn.map(|leaf| &self.targets[self.positions[leaf as usize]])
     }
 
-    fn rank(
-        &self,
-        key: FlowKey,
-        n: usize,
-        accept: impl Fn(&Target) -> bool,
-    ) -> std::vec::IntoIter<&Target> {
-        let mut scored: Vec<Scored<'_>> = self
-            .targets
-            .iter()
-            .filter(|target| accept(target))
-            .map(|target| Scored {
-                score: score(key, target),
-                target,
-            })
-            .collect();
-        scored.sort_unstable_by_key(|scored| (scored.score, scored.target.id));
-        let top: Vec<&Target> = scored
-            .into_iter()
-            .take(n)
-            .map(|scored| scored.target)
-            .collect();
-        top.into_iter()
+    /// Memory that the order holds, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let targets = self.targets.capacity() * size_of::<Target>();
+        let positions = self.positions.capacity() * size_of::<usize>();
+        targets + positions + self.all.bytes() + self.open.bytes()
     }
 }
 
-fn score(key: FlowKey, target: &Target) -> u128 {
-    let inverse = u64::MAX / u64::from(target.weight.max(1));
-    u128::from(neg_log2(mix(key, target.id))) * u128::from(inverse)
-}
-
-/// Mixes a flow key and a seed; the finalizer of `SplitMix64` (Steele, Lea and
-/// Flood, 2014), applied twice.
-fn mix(key: u64, seed: u64) -> u64 {
-    finalize(finalize(key.wrapping_add(GOLDEN)) ^ seed)
-}
-
-const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
-
-const fn finalize(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
+fn leaf(target: &Target) -> Leaf {
+    Leaf {
+        spread: finalize(target.id),
+        weight: target.weight,
+    }
 }
--- /dev/null
+++ b/coordination/route/tests/hunt.rs
@@ -0,0 +1,157 @@
+//! Hunting: every open ends after a bounded number of hops, whatever the frame.
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use route::hunt;
+use route::hunt::Bid;
+use route::hunt::Step;
+use wire::Hop;
+use wire::Relay;
+use wire::frame::MAX_HOPS;
+
+fn hop(target: u64) -> Hop {
+    Hop {
+        target,
+        address: SocketAddr::from(([198, 51, 100, 1], 7000)),
+    }
+}
+
+fn relay(path: usize) -> Relay {
+    Relay {
+        caller: SocketAddr::from(([203, 0, 113, 1], 4000)),
+        service: SocketAddr::from(([192, 0, 2, 1], 53)),
+        entry: SocketAddr::from(([198, 51, 100, 2], 7000)),
+        revision: 1,
+        home: hop(0),
+        path: (0..).map(hop).take(path).collect(),
+        position: 0,
+        waits: Vec::new(),
+        settle: false,
+        packet: vec![1, 2, 3].into(),
+    }
+}
+
+/// Where an open ends and after how many hops.
+#[derive(Debug, PartialEq, Eq)]
+enum End {
+    Taken { position: u8, hops: usize },
+    Refused { hops: usize },
+}
+
+fn walk(mut relay: Relay, bids: &[Bid]) -> End {
+    for hops in 0.. {
+        let position = relay.position;
+        let full = Bid {
+            free: false,
+            wait: Duration::MAX,
+        };
+        let bid = bids.get(usize::from(position)).copied().unwrap_or(full);
+        relay = match hunt::step(relay, bid) {
+            Step::Take => return End::Taken { position, hops },
+            Step::Refuse => return End::Refused { hops },
+            Step::Forward(relay) => relay,
+        };
+        assert!(hops <= MAX_HOPS + 1, "the open travels without end");
+    }
+    unreachable!("the loop returns")
+}
+
+const FREE: Bid = Bid {
+    free: true,
+    wait: Duration::ZERO,
+};
+
+const fn busy(millis: u64) -> Bid {
+    Bid {
+        free: false,
+        wait: Duration::from_millis(millis),
+    }
+}
+
+struct Hunt {
+    bids: [Bid; 3],
+    end: End,
+}
+
+fn an_open_ends_at(hunt: &Hunt) {
+    assert_eq!(walk(relay(hunt.bids.len()), &hunt.bids), hunt.end);
+}
+
+cases::cases! { an_open_ends_at;
+    the_first_that_is_free: &Hunt { bids: [FREE, FREE, FREE], end: End::Taken { position: 0, hops: 0 } },
+    the_last_that_is_free: &Hunt { bids: [busy(1), busy(1), FREE], end: End::Taken { position: 2, hops: 2 } },
+    the_least_wait: &Hunt { bids: [busy(30), busy(10), busy(20)], end: End::Taken { position: 1, hops: 3 } },
+    the_last_with_the_least_wait: &Hunt { bids: [busy(30), busy(20), busy(10)], end: End::Taken { position: 2, hops: 2 } },
+    the_first_of_equal_waits: &Hunt { bids: [busy(10), busy(10), busy(10)], end: End::Taken { position: 0, hops: 3 } },
+}
+
+struct Hostile {
+    path: usize,
+    position: u8,
+    waits: usize,
+    settle: bool,
+}
+
+fn a_frame_that_no_agent_sends_is_refused(hostile: &Hostile) {
+    let relay = Relay {
+        position: hostile.position,
+        waits: vec![1; hostile.waits],
+        settle: hostile.settle,
+        ..relay(hostile.path)
+    };
+    assert_eq!(hunt::step(relay, FREE), Step::Refuse);
+}
+
+cases::cases! { a_frame_that_no_agent_sends_is_refused;
+    an_empty_path: &Hostile { path: 0, position: 0, waits: 0, settle: false },
+    an_empty_path_on_the_last_round: &Hostile { path: 0, position: 0, waits: 0, settle: true },
+    a_position_past_the_path: &Hostile { path: 3, position: 3, waits: 3, settle: false },
+    the_largest_position: &Hostile { path: 3, position: u8::MAX, waits: 3, settle: true },
+    too_many_waits: &Hostile { path: 3, position: 1, waits: 200, settle: false },
+    too_few_waits: &Hostile { path: 3, position: 2, waits: 1, settle: false },
+    too_many_waits_on_the_last_round: &Hostile { path: 3, position: 1, waits: 200, settle: true },
+    a_path_that_is_too_long: &Hostile { path: MAX_HOPS + 1, position: 0, waits: 0, settle: false },
+}
+
+fn bid() -> impl Strategy<Value = Bid> {
+    (any::<bool>(), 0_u64..10_000).prop_map(|(free, wait)| Bid {
+        free,
+        wait: Duration::from_millis(wait),
+    })
+}
+
+proptest! {
+    /// An open ends at the first free agent, else at the least wait.
+    #[test]
+    fn an_open_ends_where_the_bids_say(bids in vec(bid(), 1..=MAX_HOPS)) {
+        let first_free = bids.iter().position(|bid| bid.free);
+        let least = bids.iter().enumerate().min_by_key(|(_, bid)| bid.wait).map(|(index, _)| index);
+        let expected = first_free.or(least).map(|index| u8::try_from(index).unwrap());
+        match walk(relay(bids.len()), &bids) {
+            End::Taken { position, hops } => {
+                prop_assert_eq!(Some(position), expected);
+                prop_assert!(hops <= bids.len());
+            }
+            End::Refused { .. } => prop_assert!(false, "a sound frame is taken"),
+        }
+    }
+
+    /// No frame, however made, travels for ever or grows beyond its path.
+    #[test]
+    fn no_frame_travels_without_end(
+        path in 0_usize..20,
+        position in any::<u8>(),
+        waits in vec(any::<u32>(), 0..20),
+        settle in any::<bool>(),
+        bids in vec(bid(), 0..20),
+    ) {
+        let relay = Relay { position, waits, settle, ..relay(path) };
+        if let Step::Forward(next) = hunt::step(relay.clone(), busy(1)) {
+            prop_assert!(next.waits.len() <= next.path.len());
+            prop_assert!(usize::from(next.position) < next.path.len());
+        }
+        walk(relay, &bids);
+    }
+}
--- a/roles/app/src/agent/worker.rs
+++ b/roles/app/src/agent/worker.rs
@@ -338,4 +338,3 @@
         }
     }
 }
-
--- a/roles/app/src/entry/traffic.rs
+++ b/roles/app/src/entry/traffic.rs
@@ -5,12 +5,12 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-use arc_swap::ArcSwap;
-use async_channel::Sender;
-use bytes::Bytes;
 use ::entry::Drop;
 use ::entry::Router;
 use ::entry::Step;
+use arc_swap::ArcSwap;
+use async_channel::Sender;
+use bytes::Bytes;
 use net::Port;
 use net::port::Received;
 use wire::Frame;
@@ -109,7 +109,11 @@
     }
 
     fn control(&self, from: SocketAddr, payload: Bytes) {
-        if self.control.try_send(Input::Message { from, payload }).is_err() {
+        if self
+            .control
+            .try_send(Input::Message { from, payload })
+            .is_err()
+        {
             count(&self.counters.control_full);
         }
     }
--- a/transport/store/src/http.rs
+++ b/transport/store/src/http.rs
@@ -167,9 +167,7 @@
         path: &str,
         wait: Duration,
     ) -> Result<(Vec<schema::Pair>, Revision), Fault> {
-        let answer = self
-            .call(kind, Method::GET, path, Vec::new(), wait)
-            .await?;
+        let answer = self.call(kind, Method::GET, path, Vec::new(), wait).await?;
         let pairs = match answer.status {
             StatusCode::NOT_FOUND => Vec::new(),
             _ => decode(&answer.body)?,
@@ -197,12 +195,7 @@
         Ok(listing(pairs, index))
     }
 
-    async fn watch(
-        &self,
-        prefix: &str,
-        since: Revision,
-        wait: Duration,
-    ) -> Result<Listing, Fault> {
+    async fn watch(&self, prefix: &str, since: Revision, wait: Duration) -> Result<Listing, Fault> {
         let wait_ms = wait.as_millis();
         let path = format!("/v1/kv/{prefix}?recurse&index={since}&wait={wait_ms}ms");
         let _waiting = self.counter.wait();
