--- a/coordination/route/src/order.rs
+++ b/coordination/route/src/order.rs
@@ -86,6 +86,16 @@
         self
     }
 
+    /// Finds a target by its id.
+    #[must_use]
+    pub fn target(&self, id: TargetId) -> Option<&Target> {
+        let spread = finalize(id);
+        let position = self
+            .targets
+            .binary_search_by_key(&spread, |target| finalize(target.id));
+        self.targets.get(position.ok()?)
+    }
+
     /// Number of targets.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/coordination/route/tests/order.rs
+++ b/coordination/route/tests/order.rs
@@ -179,6 +179,9 @@
         prop_assert_eq!(order.iter().copied().collect::<HashSet<_>>().len(), targets.len());
         targets.reverse();
         prop_assert_eq!(&ids(Order::new(&targets).top(key, usize::MAX)), &order);
+        for target in &targets {
+            prop_assert_eq!(Order::new(&targets).target(target.id), Some(target));
+        }
         prop_assert_eq!(Order::new(&targets).home(key).map(|home| home.id), Some(order[0]));
     }
 
