Follow the service's deadlines and answer limit in the agent

The agent's status needs no time any more. The shell tells the core when a drain is over. Callers are told to number non-idempotent requests in rising order.

--- a/protocol/wire/src/gen/greengagelug.caller.v1.rs
+++ b/protocol/wire/src/gen/greengagelug.caller.v1.rs
@@ -58,7 +58,9 @@
 /// Asks the holder to run a request.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Request {
-    /// Identifies the request within its flow; non-zero and never reused.
+    /// Identifies the request within its flow; non-zero and never reused. Number
+    /// non-idempotent requests in rising order: of those long past, only the
+    /// largest is remembered, and smaller ids are refused as unknown.
     #[prost(fixed64, tag = "1")]
     pub request: u64,
     /// The token of the Opened packet. May be empty for idempotent requests.
@@ -67,7 +69,8 @@
     /// True where running the request twice does no harm.
     #[prost(bool, tag = "3")]
     pub idempotent: bool,
-    /// Milliseconds that the caller will still wait, counted from now.
+    /// Milliseconds that the caller will still wait, counted from now; 0 takes the
+    /// default of the service.
     #[prost(uint32, tag = "4")]
     pub deadline_ms: u32,
     /// 0 for the first transmission, one more for each repeat.
--- a/roles/agent/src/agent.rs
+++ b/roles/agent/src/agent.rs
@@ -45,6 +45,8 @@
 /// The agent beside one backend server.
 #[derive(Debug)]
 pub struct Agent {
+    /// Time of the last event.
+    now: Duration,
     pub(crate) settings: Settings,
     pub(crate) identity: Target,
     pub(crate) token: Token,
@@ -127,7 +129,7 @@
             flows: Table::new(settings.flows, random.u64(..), now),
             ledger: Ledger::new(settings.ledger, random.u64(..)),
             pins: pin::Table::new(settings.pins),
-            gate: Gate::new(settings.gate.clone(), now),
+            gate: Gate::new(settings.gate, now),
             budget: Budget::new(settings.retries),
             tasks: BTreeMap::new(),
             by_request: HashMap::new(),
@@ -146,6 +148,7 @@
                 next: now,
             },
             counters: Counters::default(),
+            now,
             token,
             random,
             identity,
@@ -157,6 +160,7 @@
     /// are acted on first, so that a process that was paused does not run what
     /// nobody waits for.
     pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
         let mut turn = Turn { now, out };
         let turn = &mut turn;
         self.act_on_deadlines(turn);
@@ -193,6 +197,7 @@
             self.offers.next_deadline(),
             self.keep.next_deadline(),
             Some(self.renewal.next_deadline()),
+            self.pins.next_deadline(),
             self.claiming.as_ref().map(Claiming::next_deadline),
             self.leaving.as_ref().and_then(Leaving::next_deadline),
         ]
@@ -201,9 +206,9 @@
         .min()
     }
 
-    /// A view of the agent for operators and metrics.
+    /// A view of the agent for operators and metrics, as of the last event.
     #[must_use]
-    pub fn status(&self, now: Duration) -> Status {
+    pub fn status(&self) -> Status {
         Status {
             state: self.state(),
             weight: self.announced.weight,
@@ -214,7 +219,7 @@
             pins: self.pins.len(),
             pin_bytes: self.pins.bytes(),
             tasks: self.tasks.len(),
-            expected_wait: self.gate.expected_wait(now),
+            expected_wait: self.gate.expected_wait(self.now),
             parked: self.keep.len(),
             counters: self.counters.clone(),
         }
@@ -305,7 +310,7 @@
 
     /// A target of the view.
     pub(crate) fn target(&self, id: TargetId) -> Option<&Target> {
-        self.view.targets.iter().find(|target| target.id == id)
+        self.order.target(id)
     }
 
     /// Spreads a time to come back by half of it either way, so that callers
--- a/roles/agent/src/pinning.rs
+++ b/roles/agent/src/pinning.rs
@@ -27,9 +27,6 @@
 /// Time between two steps of a round.
 const STEP: Duration = Duration::from_millis(50);
 
-/// Time between two looks for pins that have expired.
-const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
-
 /// The rounds over the flow table in which homes are told.
 ///
 /// Each round walks the table in steps. A round after a change of the view
@@ -38,7 +35,6 @@
 pub(crate) struct Renewal {
     interval: Duration,
     next_round: Duration,
-    next_expiry: Duration,
     round: Option<Round>,
 }
 
@@ -55,7 +51,6 @@
         Self {
             interval,
             next_round: now + interval,
-            next_expiry: now + EXPIRY_INTERVAL,
             round: None,
         }
     }
@@ -71,8 +66,7 @@
 
     pub(crate) fn next_deadline(&self) -> Duration {
         let step = self.round.map(|round| round.next_step);
-        let round = self.next_round.min(self.next_expiry);
-        step.unwrap_or(round).min(round)
+        step.unwrap_or(self.next_round).min(self.next_round)
     }
 
     fn start_if_due(&mut self, now: Duration) {
@@ -175,8 +169,7 @@
 
     /// Takes the next step of a round that is due.
     pub(crate) fn renew_pins(&mut self, turn: &mut Turn<'_>) {
-        if self.renewal.next_expiry <= turn.now {
-            self.renewal.next_expiry = turn.now + EXPIRY_INTERVAL;
+        if self.pins.next_deadline().is_some_and(|at| at <= turn.now) {
             self.pins.expire(turn.now);
         }
         self.renewal.start_if_due(turn.now);
@@ -208,7 +201,7 @@
     }
 
     fn renew_pin(&mut self, flow: &Flow, renews_all: bool, batches: &mut Batches) {
-        let Some(home) = self.order.top(flow.key, 1).next() else {
+        let Some(home) = self.order.home(flow.key) else {
             return;
         };
         let is_new = flow.home != Some(home.id);
--- a/roles/agent/src/request.rs
+++ b/roles/agent/src/request.rs
@@ -101,8 +101,7 @@
             flow: flow.key,
             request: request.request,
         };
-        let time = Duration::from_millis(request.deadline_ms.into());
-        let deadline = turn.now + time.min(self.settings.max_deadline);
+        let deadline = turn.now + self.time_left(&request);
         if flow.phase == Phase::Closed || self.is_handing_over() {
             return self.answer_record(turn, via, key, flow.phase);
         }
@@ -129,6 +128,15 @@
         }
     }
 
+    /// Time that the caller of a request will wait.
+    fn time_left(&self, request: &Request) -> Duration {
+        let service = &self.view.service;
+        match request.deadline_ms {
+            0 => service.default_deadline,
+            millis => Duration::from_millis(millis.into()).min(service.max_deadline),
+        }
+    }
+
     /// Answers from the record alone; nothing new runs.
     fn answer_record(&mut self, turn: &mut Turn<'_>, via: Via, key: record::Key, phase: Phase) {
         match self.ledger.get(key).cloned() {
--- a/roles/agent/src/settings.rs
+++ b/roles/agent/src/settings.rs
@@ -18,8 +18,6 @@
     pub pass: Pass,
     /// Planned stop and replacement.
     pub leave: Leave,
-    /// Longest deadline of a request; longer ones are cut to it.
-    pub max_deadline: Duration,
     /// A request with more time than this until its deadline counts as a feed.
     pub long_deadline: Duration,
     /// Number of chunks of an answer that are sent unasked; the caller fetches
@@ -75,7 +73,6 @@
             retries: limit::budget::Settings::default(),
             pass: Pass::default(),
             leave: Leave::default(),
-            max_deadline: Duration::from_hours(24),
             long_deadline: Duration::from_secs(30),
             burst_chunks: 256,
             announce_interval: Duration::from_secs(1),
--- a/roles/agent/src/task.rs
+++ b/roles/agent/src/task.rs
@@ -155,9 +155,8 @@
             return;
         };
         let is_own = task.is_own();
-        let verdict = self
-            .gate
-            .offer(turn.now, self.gate_job(turn.now, job, task.deadline));
+        let gate_job = self.gate_job(turn.now, job, task.deadline);
+        let verdict = self.admit_job(turn.now, gate_job);
         match verdict {
             Verdict::Start => self.run(turn, job),
             Verdict::Queued => self.queue(turn.now, job),
@@ -167,8 +166,8 @@
                 retry_after,
             } => {
                 let reason = match reason {
-                    limit::Reason::Full => Reason::Overloaded,
                     limit::Reason::Deadline => Reason::Deadline,
+                    _ => Reason::Overloaded,
                 };
                 let refusal = Refusal {
                     reason,
@@ -179,6 +178,19 @@
         }
     }
 
+    /// Offers a job to the gate, unless the expected wait is beyond the
+    /// service's limit.
+    fn admit_job(&mut self, now: Duration, job: limit::Job) -> Verdict {
+        let wait = self.gate.expected_wait(now);
+        if !self.gate.free_for(job.class) && wait > self.view.service.queue_limit {
+            return Verdict::Refuse {
+                reason: limit::Reason::Full,
+                retry_after: self.jitter(wait),
+            };
+        }
+        self.gate.offer(now, job)
+    }
+
     fn gate_job(&self, now: Duration, id: JobId, deadline: Duration) -> limit::Job {
         let class = if deadline.saturating_sub(now) > self.settings.long_deadline {
             Class::Long
@@ -254,7 +266,8 @@
     }
 
     pub(crate) fn answer(&mut self, turn: &mut Turn<'_>, job: JobId, bytes: Bytes) {
-        match Answer::new(bytes) {
+        let max_bytes = self.view.service.max_answer_bytes;
+        match Answer::new(bytes).filter(|answer| answer.bytes().len() <= max_bytes) {
             Some(answer) => self.conclude(turn, job, End::Answered(answer)),
             None => self.end_unknown(turn, job, Reason::TooLarge),
         }
--- a/roles/agent/src/view.rs
+++ b/roles/agent/src/view.rs
@@ -6,7 +6,7 @@
 /// The targets and the settings of the service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct View {
-    /// All targets of the service that have not left or are held down.
+    /// All targets of the service but those that have left or are held down.
     pub targets: Vec<Target>,
     /// Settings by the operators.
     pub service: Service,
@@ -21,6 +21,12 @@
     pub queue_limit: Duration,
     /// Time without a packet after which a flow is forgotten.
     pub idle: Duration,
+    /// Deadline of a request that states none.
+    pub default_deadline: Duration,
+    /// Longest deadline of a request; longer ones are cut to it.
+    pub max_deadline: Duration,
+    /// Largest answer, in bytes; at most [`flow::answer::MAX_ANSWER_BYTES`].
+    pub max_answer_bytes: usize,
 }
 
 /// Where the requests of a flow may run.
@@ -38,6 +44,9 @@
             binding: Binding::Bound,
             queue_limit: Duration::from_secs(1),
             idle: Duration::from_hours(1),
+            default_deadline: Duration::from_secs(2),
+            max_deadline: Duration::from_hours(1),
+            max_answer_bytes: 1024 * 1024,
         }
     }
 }
--- a/roles/app/src/agent/control.rs
+++ b/roles/app/src/agent/control.rs
@@ -135,11 +135,16 @@
                 },
                 queue_limit: service.queue_limit,
                 idle: service.idle_timeout,
+                default_deadline: service.default_deadline,
+                max_deadline: service.largest_deadline,
+                max_answer_bytes: usize::try_from(service.largest_answer_bytes)
+                    .unwrap_or(usize::MAX),
             },
         };
         let _ = self.worker.send(Event::View(view).into()).await;
-        if drained && !self.drained {
-            let _ = self.worker.send(Event::Drain.into()).await;
+        if drained != self.drained {
+            let change = if drained { Event::Drain } else { Event::Resume };
+            let _ = self.worker.send(change.into()).await;
         }
         self.drained = drained;
     }
--- a/state/flow/src/answer.rs
+++ b/state/flow/src/answer.rs
@@ -7,7 +7,7 @@
 pub const CHUNK_BYTES: usize = 1_200;
 
 /// Largest answer, in bytes.
-pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// The whole answer to a request.
 ///
