Let a claimed state go its successor's way

A peer went on treating the flows of a claimed state as kept, so that when the successor itself was gone, packets that passed the peer were dropped there instead of being answered as unknown. Shown by a_state_is_claimed_by_one_incarnation, which failed before.

--- a/roles/agent/src/keep.rs
+++ b/roles/agent/src/keep.rs
@@ -30,8 +30,6 @@
 use crate::park::Purpose;
 use crate::park::Record;
 use crate::relay;
-use crate::relay::Stray;
-use crate::relay::Unheld;
 use crate::status::Counter;
 
 /// The states of other agents.
@@ -66,8 +64,12 @@
         self.flows.len()
     }
 
+    /// Whether a flow is kept for a successor that has not come yet.
     pub(crate) fn holds(&self, flow: FlowKey) -> bool {
-        self.flows.contains_key(&flow)
+        self.flows
+            .get(&flow)
+            .and_then(|position| self.states.get(&position.owner))
+            .is_some_and(|kept| kept.claimed_by.is_none())
     }
 
     pub(crate) fn next_deadline(&self) -> Option<Duration> {
@@ -170,14 +172,6 @@
             _ => Grant::Nothing,
         }
     }
-
-    /// Whether the successor has come for a flow.
-    fn is_claimed(&self, flow: FlowKey) -> bool {
-        self.flows
-            .get(&flow)
-            .and_then(|position| self.states.get(&position.owner))
-            .is_some_and(|kept| kept.claimed_by.is_some())
-    }
 }
 
 impl Agent {
@@ -254,14 +248,6 @@
         let Some(kept) = self.keep.get(flow) else {
             return;
         };
-        if self.keep.is_claimed(flow) {
-            let stray = Stray {
-                flow,
-                token: Some(kept.token),
-                unheld: Unheld::Silent,
-            };
-            return self.hand_along(turn, relay.clone(), &stray);
-        }
         let record = kept
             .records
             .iter()
--- a/roles/agent/tests/world/mod.rs
+++ b/roles/agent/tests/world/mod.rs
@@ -428,7 +428,13 @@
 
     /// Indexes of the agents in the order of a flow.
     pub fn ranked(&self, flow: u64) -> Vec<usize> {
-        let order = route::Order::new(&self.targets);
+        let live: Vec<Target> = self
+            .targets
+            .iter()
+            .filter(|target| target.state != State::Left)
+            .cloned()
+            .collect();
+        let order = route::Order::new(&live);
         order
             .top(flow, self.targets.len())
             .map(|target| usize::try_from(target.id - 1000).unwrap())
@@ -557,6 +563,26 @@
         self.settle();
     }
 
+    /// Tells all agents that one has left.
+    pub fn tell_others(&mut self, gone: usize) {
+        let id = self.targets[gone].id;
+        let targets: Vec<Target> = self
+            .targets
+            .iter()
+            .filter(|target| target.id != id)
+            .cloned()
+            .collect();
+        for index in (0..self.agents.len()).filter(|&index| index != gone) {
+            self.tell_view_of(index, targets.clone());
+        }
+        self.settle();
+    }
+
+    /// Takes the oldest message on its way.
+    pub fn take_message(&mut self) -> Option<Message> {
+        (!self.messages.is_empty()).then(|| self.messages.remove(0))
+    }
+
     pub fn status(&self, index: usize) -> agent::Status {
         let agent = self.agents[index].as_ref().expect("the agent should live");
         agent.status()
