Say not run only where it can be kept true

Found by requests_run_at_most_once (proptest over interleavings, repeats, losses, delays, restarts and replacements), which failed before: - A cancel of a request without a record was answered as not run. The request may have run, with its answer evicted since. The outcome is unknown now; a copy that comes later still does not run. The test of a cancel that overtakes its request expected not run and expects unknown now. - An idempotent request that named a holder ran at another agent that held the flow after two opens, while the named one had said not run. It now runs where it names its holder, or, where it names nobody, without a promise of not run.

Ruled out: answering evicted idempotent requests as unknown, which would refuse repeats that do no harm. The schema says that repeats and cancels carry the token of the request's first transmission.

--- a/protocol/wire/src/gen/greengagelug.caller.v1.rs
+++ b/protocol/wire/src/gen/greengagelug.caller.v1.rs
@@ -63,7 +63,8 @@
     /// largest is remembered, and smaller ids are refused as unknown.
     #[prost(fixed64, tag = "1")]
     pub request: u64,
-    /// The token of the Opened packet. May be empty for idempotent requests.
+    /// The token of the Opened packet; repeats carry that of the first
+    /// transmission. May be empty for idempotent requests.
     #[prost(bytes = "bytes", tag = "2")]
     pub holder: ::prost::bytes::Bytes,
     /// True where running the request twice does no harm.
@@ -85,6 +86,7 @@
 pub struct Cancel {
     #[prost(fixed64, tag = "1")]
     pub request: u64,
+    /// The token that the request carries.
     #[prost(bytes = "bytes", tag = "2")]
     pub holder: ::prost::bytes::Bytes,
 }
--- a/roles/agent/src/request.rs
+++ b/roles/agent/src/request.rs
@@ -52,7 +52,7 @@
             unheld: Unheld::Unknown(request.request),
         };
         match self.locate(&relay, key) {
-            Place::Here(flow) if request.idempotent || token == Some(flow.token) => {
+            Place::Here(flow) if accepts(&flow, &request, token) => {
                 self.admit(turn, &relay, &flow, request);
             }
             Place::Here(_) => self.on_wrong_holder(turn, relay, &stray, request.request),
@@ -69,8 +69,8 @@
         }
     }
 
-    /// A non-idempotent request whose token does not name the holder here. Two
-    /// opens may have met: the named target gets the request.
+    /// A request that names another holder. Two opens may have met: the named
+    /// target gets the request.
     fn on_wrong_holder(
         &mut self,
         turn: &mut Turn<'_>,
@@ -269,16 +269,17 @@
         }
     }
 
-    /// A cancel that overtook its request: the request will not run.
+    /// A cancel of a request that is not recorded. It may have overtaken the
+    /// request, which then will not run; or the request ran, and its record is
+    /// gone.
     fn cancel_unseen(&mut self, turn: &mut Turn<'_>, via: Via, key: record::Key, refusal: Refusal) {
         if self.is_handing_over() {
             return;
         }
-        let state = match self.ledger.admit(key, false, turn.now) {
-            Admission::New => State::NotRun(refusal),
-            _ => State::Unknown(refusal),
-        };
-        let _ = self.ledger.advance(turn.now, key, state.clone());
+        let state = State::Unknown(refusal);
+        if self.ledger.admit(key, false, turn.now) == Admission::New {
+            let _ = self.ledger.advance(turn.now, key, state.clone());
+        }
         self.tell(turn, via, key, &state);
     }
 
@@ -345,3 +346,9 @@
         self.conclude(turn, job, end);
     }
 }
+
+/// Whether the holder of a flow may run a request: it is named, or the request
+/// is idempotent and names nobody.
+fn accepts(flow: &Flow, request: &Request, token: Option<Token>) -> bool {
+    token == Some(flow.token) || (request.idempotent && request.holder.is_empty())
+}
--- a/roles/agent/src/task.rs
+++ b/roles/agent/src/task.rs
@@ -36,8 +36,9 @@
     pub(crate) deadline: Duration,
     pub(crate) payload: Bytes,
     pub(crate) stage: Stage,
-    /// Whether a try that is over may have run it.
-    pub(crate) may_have_run: bool,
+    /// Whether it may have run in a try that is over, or may run at another
+    /// agent that holds the flow too, since its caller named none.
+    pub(crate) is_uncertain: bool,
     /// The agents that it was passed to.
     pub(crate) tried: Vec<TargetId>,
 }
@@ -87,13 +88,13 @@
         deadline: Duration,
     ) -> Self {
         Self {
+            is_uncertain: request.holder.is_empty(),
             origin,
             key,
             idempotent: request.idempotent,
             deadline,
             payload: request.payload,
             stage: Stage::New,
-            may_have_run: false,
             tried: Vec::new(),
         }
     }
@@ -110,7 +111,7 @@
             deadline: now + offer.remaining,
             payload: offer.payload,
             stage: Stage::New,
-            may_have_run: false,
+            is_uncertain: false,
             tried: Vec::new(),
         }
     }
@@ -302,7 +303,7 @@
         let Some(task) = self.tasks.get_mut(&job) else {
             return;
         };
-        task.may_have_run = true;
+        task.is_uncertain = true;
         if !task.idempotent || !self.may_retry(turn.now, job) {
             return self.end_unknown(turn, job, Reason::BackendFailed);
         }
@@ -396,7 +397,7 @@
             job,
         });
         let end = match end {
-            End::NotRun(refusal) if task.may_have_run => End::Unknown(refusal),
+            End::NotRun(refusal) if task.is_uncertain => End::Unknown(refusal),
             end => end,
         };
         match task.origin {
