--- a/roles/agent/src/action.rs
+++ b/roles/agent/src/action.rs
@@ -37,7 +37,9 @@
         job: JobId,
     },
     /// Passes a request to another agent; answered by
-    /// [`crate::Event::Passed`].
+    /// [`crate::Event::Passed`]. It must not be sent again, on another
+    /// connection, once it may have reached the agent: a new incarnation does
+    /// not know what the old one ran.
     Pass {
         /// Control address of the agent.
         to: SocketAddr,
--- a/state/flow/src/ledger.rs
+++ b/state/flow/src/ledger.rs
@@ -196,7 +196,7 @@
             .is_some_and(|Reverse(expiry)| expiry.at <= now)
         {
             if let Some(Reverse(expiry)) = self.expiries.pop() {
-                self.retire(expiry);
+                self.retire(expiry.key);
             }
         }
     }
@@ -287,17 +287,13 @@
         }
     }
 
-    /// Gives up one answer. An idempotent request may then run again; another
-    /// one has become unknown.
+    /// Gives up one answer. The request has become unknown: if an idempotent
+    /// one ran again, a refusal of the second run as "not run" would be false.
     fn evict(&mut self, key: Key) {
         let Some(kept) = self.records.get_mut(&key) else {
             return;
         };
         self.answer_bytes -= kept.record.state.bytes();
-        if kept.record.idempotent {
-            self.records.remove(&key);
-            return;
-        }
         kept.record.state = State::Unknown(Refusal {
             reason: Reason::TableFull,
             retry_after: Duration::ZERO,
@@ -333,16 +329,8 @@
         self.seen.insert(flow, Ids { seen, position });
     }
 
-    fn retire(&mut self, expiry: Expiry) {
-        // After an eviction, the request may have a younger record.
-        let is_due = self.records.get(&expiry.key).is_some_and(|kept| {
-            let record = &kept.record;
-            record.state.is_final() && record.deadline + self.settings.late_copy <= expiry.at
-        });
-        if !is_due {
-            return;
-        }
-        let Some(Kept { record, answer }) = self.records.remove(&expiry.key) else {
+    fn retire(&mut self, key: Key) {
+        let Some(Kept { record, answer }) = self.records.remove(&key) else {
             return;
         };
         if matches!(record.state, State::Done(_)) {
@@ -350,8 +338,7 @@
             self.answer_bytes -= record.state.bytes();
         }
         if !record.idempotent {
-            let request = expiry.key.request;
-            self.change_seen(expiry.key.flow, |seen| seen.insert(request));
+            self.change_seen(key.flow, |seen| seen.insert(key.request));
         }
     }
 }
