--- a/state/flow/src/wheel.rs
+++ b/state/flow/src/wheel.rs
@@ -41,7 +41,10 @@
     /// Moves the items whose timers have fired to `due`.
     pub fn fire(&mut self, now: Duration, due: &mut Vec<u32>) {
         let end = number(self.width, now);
-        let passed = (end + 1).saturating_sub(self.next).min(BUCKETS);
+        if end < self.next {
+            return;
+        }
+        let passed = (end + 1 - self.next).min(BUCKETS);
         for offset in 0..passed {
             let number = self.next + offset;
             let bucket = self.bucket(number);
@@ -49,7 +52,7 @@
             // A bucket that was once large does not keep its memory.
             bucket.shrink_to(0);
         }
-        self.next = self.next.max(end + 1);
+        self.next = end + 1;
         self.len = self.buckets.iter().map(Vec::len).sum();
     }
 
--- /dev/null
+++ b/state/flow/tests/table.rs
@@ -0,0 +1,240 @@
+//! The flow table holds flows within its limit and forgets them in time.
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flow::Table;
+use flow::table::Error;
+use flow::table::Phase;
+use flow::table::Settings;
+use proptest::prelude::*;
+use wire::Token;
+
+const TOKEN: Token = Token {
+    target: 1,
+    incarnation: 1,
+};
+
+fn caller() -> SocketAddr {
+    "203.0.113.5:4000".parse().unwrap()
+}
+
+fn settings() -> Settings {
+    Settings {
+        capacity: 4,
+        idle: Duration::from_mins(10),
+        half_open: Duration::from_secs(30),
+        late_copy: Duration::from_mins(1),
+        accuracy: Duration::from_secs(1),
+    }
+}
+
+fn table() -> Table {
+    Table::new(settings(), 1, Duration::ZERO)
+}
+
+fn expire(table: &mut Table, now: Duration) -> Vec<u64> {
+    let mut expired = Vec::new();
+    table.expire(now, &mut expired);
+    let mut keys: Vec<u64> = expired.into_iter().map(|flow| flow.key).collect();
+    keys.sort_unstable();
+    keys
+}
+
+struct Life {
+    /// Seconds at which packets come.
+    packets: Vec<u64>,
+    /// Second at which the flow is closed.
+    closed: Option<u64>,
+    /// Second before which the flow must be there.
+    held_until: u64,
+}
+
+fn lives_as_long(life: Life) {
+    let Life {
+        packets,
+        closed,
+        held_until,
+    } = life;
+    let mut table = table();
+    table.open(Duration::ZERO, 7, TOKEN, caller()).unwrap();
+    let mut gone = None;
+    for second in 0..4_000 {
+        let now = Duration::from_secs(second);
+        if packets.contains(&second) {
+            table.touch(now, 7);
+        }
+        if closed == Some(second) {
+            table.close(now, 7);
+        }
+        if !expire(&mut table, now).is_empty() {
+            gone = Some(second);
+        }
+    }
+    let gone = gone.expect("the flow should expire");
+    let latest = life.held_until + 2;
+    assert!(
+        (life.held_until..=latest).contains(&gone),
+        "gone at {gone} s"
+    );
+}
+
+cases::cases! { lives_as_long;
+    a_half_open_flow_lives_briefly: Life {
+        packets: vec![],
+        closed: None,
+        held_until: 30,
+    },
+    a_used_flow_lives_for_its_idle_time: Life {
+        packets: vec![10],
+        closed: None,
+        held_until: 610,
+    },
+    packets_keep_a_flow_alive: Life {
+        packets: (1..2_000).step_by(500).collect(),
+        closed: None,
+        held_until: 2_101,
+    },
+    a_closed_flow_is_kept_for_late_copies: Life {
+        packets: vec![10],
+        closed: Some(20),
+        held_until: 80,
+    },
+    packets_after_the_close_do_not_keep_it: Life {
+        packets: vec![10],
+        closed: Some(20),
+        held_until: 80,
+    },
+}
+
+#[test]
+fn a_repeated_open_finds_the_flow() {
+    let mut table = table();
+    let first = table.open(Duration::ZERO, 7, TOKEN, caller()).unwrap();
+    let other = Token {
+        target: 2,
+        incarnation: 2,
+    };
+    let second = table
+        .open(Duration::from_secs(1), 7, other, caller())
+        .unwrap();
+    assert_eq!(second.token, first.token);
+    assert_eq!(second.phase, Phase::HalfOpen);
+    assert_eq!(table.len(), 1);
+}
+
+#[test]
+fn a_closed_flow_is_not_opened_again() {
+    let mut table = table();
+    table.open(Duration::ZERO, 7, TOKEN, caller()).unwrap();
+    table.close(Duration::ZERO, 7);
+    let result = table.open(Duration::from_secs(1), 7, TOKEN, caller());
+    assert_eq!(result, Err(Error::Closed));
+}
+
+#[test]
+fn a_flow_key_belongs_to_one_caller() {
+    let mut table = table();
+    table.open(Duration::ZERO, 7, TOKEN, caller()).unwrap();
+    let other = "203.0.113.6:4000".parse().unwrap();
+    let result = table.open(Duration::ZERO, 7, TOKEN, other);
+    assert_eq!(result, Err(Error::Taken));
+}
+
+#[test]
+fn a_full_table_refuses_until_a_flow_expires() {
+    let mut table = table();
+    for key in 1..=4 {
+        table.open(Duration::ZERO, key, TOKEN, caller()).unwrap();
+    }
+    let result = table.open(Duration::ZERO, 5, TOKEN, caller());
+    assert_eq!(result, Err(Error::Full));
+    let now = Duration::from_secs(32);
+    assert_eq!(expire(&mut table, now), vec![1, 2, 3, 4]);
+    table.open(now, 5, TOKEN, caller()).unwrap();
+}
+
+#[test]
+fn a_busy_flow_does_not_expire() {
+    let mut table = table();
+    table.open(Duration::ZERO, 7, TOKEN, caller()).unwrap();
+    table.get_mut(7).unwrap().pending = 1;
+    let now = Duration::from_hours(5);
+    assert_eq!(expire(&mut table, now), Vec::<u64>::new());
+    let flow = table.get_mut(7).unwrap();
+    flow.pending = 0;
+    flow.last_seen = now;
+    assert_eq!(expire(&mut table, now + Duration::from_mins(12)), vec![7]);
+}
+
+#[test]
+fn memory_for_each_flow_is_bounded() {
+    let settings = Settings {
+        capacity: 100_000,
+        ..settings()
+    };
+    let mut table = Table::new(settings, 1, Duration::ZERO);
+    for key in 1..=100_000 {
+        table.open(Duration::ZERO, key, TOKEN, caller()).unwrap();
+    }
+    let bytes = table.bytes() / table.len();
+    assert!(bytes <= 256, "{bytes} bytes a flow");
+    expire(&mut table, Duration::from_mins(1));
+    assert!(table.is_empty());
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Open(u64),
+    Touch(u64),
+    Close(u64),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (1..8_u64).prop_map(Step::Open),
+        (1..8_u64).prop_map(Step::Touch),
+        (1..8_u64).prop_map(Step::Close),
+        (1..400_u64).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(4),
+        ..ProptestConfig::default()
+    })]
+
+    /// A flow is held until its time has passed, and not much longer.
+    #[test]
+    fn flows_expire_on_time(steps in prop::collection::vec(step(), 1..100)) {
+        let mut table = table();
+        let mut now = Duration::ZERO;
+        for step in steps {
+            match step {
+                Step::Open(key) => drop(table.open(now, key, TOKEN, caller())),
+                Step::Touch(key) => table.touch(now, key),
+                Step::Close(key) => table.close(now, key),
+                Step::Wait(seconds) => now += Duration::from_secs(seconds),
+            }
+            let before: Vec<_> = table.iter().copied().collect();
+            let expired = expire(&mut table, now);
+            for flow in before {
+                let time = match flow.phase {
+                    Phase::HalfOpen => settings().half_open,
+                    Phase::Open => settings().idle,
+                    Phase::Closed => settings().late_copy,
+                };
+                let is_over = flow.last_seen + time <= now;
+                prop_assert!(is_over || !expired.contains(&flow.key));
+            }
+            prop_assert!(table.len() <= settings().capacity);
+        }
+        now += Duration::from_hours(1);
+        expire(&mut table, now);
+        now += Duration::from_mins(2);
+        expire(&mut table, now);
+        prop_assert!(table.is_empty());
+    }
+}
