--- a/roles/agent/src/action.rs
+++ b/roles/agent/src/action.rs
@@ -26,7 +26,9 @@
         frame: Frame,
     },
     /// Runs a job at the backend server; answered by
-    /// [`crate::Event::Finished`].
+    /// [`crate::Event::Finished`]. A job whose deadline has passed before it
+    /// is sent, as after a pause of the process, must not be sent any more: it
+    /// has failed without having run.
     Run(Job),
     /// Cancels a job at the backend server. A later
     /// [`crate::Event::Finished`] for it is ignored.
@@ -35,7 +37,9 @@
         job: JobId,
     },
     /// Passes a request to another agent; answered by
-    /// [`crate::Event::Passed`].
+    /// [`crate::Event::Passed`]. It must not be sent again, on another
+    /// connection, once it may have reached the agent: a new incarnation does
+    /// not know what the old one ran.
     Pass {
         /// Control address of the agent.
         to: SocketAddr,
