--- /dev/null
+++ b/roles/app/src/call.rs
@@ -0,0 +1,57 @@
+//! A caller of services, and the load tool built on it.
+//!
+//! [`Caller`] is sans-IO: it holds flows open, repeats what is lost, gathers
+//! answers and decides when an operation is over. The load tool around it
+//! paces the operations and owns the socket.
+mod answer;
+mod backoff;
+mod caller;
+mod flow;
+pub mod load;
+mod operation;
+pub mod payload;
+mod report;
+
+use std::fs;
+use std::io;
+use std::process::ExitCode;
+
+use crate::exit;
+
+pub use answer::Answer;
+pub use backoff::Backoff;
+pub use caller::Action;
+pub use caller::Caller;
+pub use caller::Settings;
+pub use operation::Ending;
+pub use operation::Operation;
+pub use report::Report;
+
+/// Runs the load tool and prints its report.
+#[must_use]
+pub fn main(settings: crate::settings::Call) -> ExitCode {
+    let output = settings.output.clone();
+    let report = match smol::block_on(load::run(settings)) {
+        Ok(report) => report,
+        Err(error) => {
+            eprintln!("greengagelug call: {error}; check --bind and --service");
+            return ExitCode::from(exit::FAILED);
+        }
+    };
+    print!("{report}");
+    if let Err(error) = write(&report, &output) {
+        eprintln!("greengagelug call: {error}; check --output");
+        return ExitCode::from(exit::FAILED);
+    }
+    if report.is_broken() {
+        return ExitCode::from(exit::BROKEN);
+    }
+    ExitCode::SUCCESS
+}
+
+fn write(report: &Report, output: &str) -> io::Result<()> {
+    if output.is_empty() {
+        return Ok(());
+    }
+    fs::write(output, serde_json::to_vec_pretty(report)?)
+}
--- /dev/null
+++ b/roles/app/src/call/report.rs
@@ -0,0 +1,190 @@
+//! What a caller saw: counts, latencies and broken promises.
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use wire::caller::Outcome;
+use wire::caller::Reason;
+
+use super::Action;
+use super::Ending;
+
+const LARGEST_LATENCY_US: u64 = 600_000_000;
+const LATENCY_DIGITS: u8 = 3;
+const MEDIAN: f64 = 0.50;
+const TAIL: f64 = 0.99;
+
+/// What a caller saw.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Name of the service.
+    pub service: String,
+    /// Operations that were started.
+    pub sent: u64,
+    /// Operations whose right answer arrived whole.
+    pub answered: u64,
+    /// Operations that ended as not run, by reason.
+    pub refused: BTreeMap<String, u64>,
+    /// Operations that may have run, by reason.
+    pub unknown: BTreeMap<String, u64>,
+    /// Operations without any ending before their deadline.
+    pub lost: u64,
+    /// Answers that came from another service.
+    pub wrong_service: u64,
+    /// Answers that were not those to their requests.
+    pub mismatched: u64,
+    /// Flows that were opened.
+    pub opened: u64,
+    /// Opens that were refused and tried again, by reason.
+    pub opens_refused: BTreeMap<String, u64>,
+    /// Open flows that were lost, by reason.
+    pub broken: BTreeMap<String, u64>,
+    /// Flows closed as asked.
+    pub closed: u64,
+    /// Requests that were refused, tried again or not, by reason.
+    pub refusals: BTreeMap<String, u64>,
+    /// Packets that were sent again.
+    pub repeated: u64,
+    /// Packets that were ignored.
+    pub ignored: u64,
+    /// Median latency of the answered operations in microseconds.
+    pub p50_us: u64,
+    /// 99th percentile of the same.
+    pub p99_us: u64,
+    /// Largest of the same.
+    pub max_us: u64,
+    /// Names of the requests that were refused as not run.
+    pub not_run: Vec<String>,
+    #[serde(skip)]
+    latency: Option<Histogram<u64>>,
+}
+
+impl Report {
+    /// Creates an empty report on a service.
+    #[must_use]
+    pub fn new(service: String) -> Self {
+        Self {
+            service,
+            sent: 0,
+            answered: 0,
+            refused: BTreeMap::new(),
+            unknown: BTreeMap::new(),
+            lost: 0,
+            wrong_service: 0,
+            mismatched: 0,
+            opened: 0,
+            opens_refused: BTreeMap::new(),
+            broken: BTreeMap::new(),
+            closed: 0,
+            refusals: BTreeMap::new(),
+            repeated: 0,
+            ignored: 0,
+            p50_us: 0,
+            p99_us: 0,
+            max_us: 0,
+            not_run: Vec::new(),
+            latency: Histogram::new_with_max(LARGEST_LATENCY_US, LATENCY_DIGITS).ok(),
+        }
+    }
+
+    /// Counts what a caller reports.
+    pub fn add(&mut self, action: &Action) {
+        match action {
+            Action::Send(_) => {}
+            Action::Ended(_, ending) => self.add_ending(ending),
+            Action::Refused {
+                name,
+                reason,
+                outcome,
+            } => {
+                count(&mut self.refusals, *reason);
+                if *outcome == Outcome::NotRun {
+                    self.not_run.push(name.clone());
+                }
+            }
+            Action::Opened => self.opened += 1,
+            Action::OpenRefused(reason) => count(&mut self.opens_refused, *reason),
+            Action::Broken(reason) => count(&mut self.broken, *reason),
+            Action::Closed => self.closed += 1,
+            Action::Repeated => self.repeated += 1,
+            Action::Ignored => self.ignored += 1,
+        }
+    }
+
+    /// Whether anything happened that is never to happen while only planned
+    /// changes are made.
+    #[must_use]
+    pub fn is_broken(&self) -> bool {
+        self.wrong_service > 0 || self.mismatched > 0 || self.lost > 0 || !self.broken.is_empty()
+    }
+
+    fn add_ending(&mut self, ending: &Ending) {
+        match ending {
+            Ending::Answered { latency } => {
+                self.answered += 1;
+                self.add_latency(*latency);
+            }
+            Ending::Refused(reason) => count(&mut self.refused, *reason),
+            Ending::Unknown(reason) => count(&mut self.unknown, *reason),
+            Ending::Lost => self.lost += 1,
+            Ending::WrongService => self.wrong_service += 1,
+            Ending::Mismatch => self.mismatched += 1,
+        }
+    }
+
+    fn add_latency(&mut self, latency: Duration) {
+        let Some(histogram) = &mut self.latency else {
+            return;
+        };
+        histogram.saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
+        self.p50_us = histogram.value_at_quantile(MEDIAN);
+        self.p99_us = histogram.value_at_quantile(TAIL);
+        self.max_us = histogram.max();
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut row = |name: &str, value: &str| writeln!(formatter, "{name:<16} {value}");
+        row("service", &self.service)?;
+        row("sent", &self.sent.to_string())?;
+        row("answered", &self.answered.to_string())?;
+        row("refused", &reasons(&self.refused))?;
+        row("unknown", &reasons(&self.unknown))?;
+        row("lost", &self.lost.to_string())?;
+        row("wrong service", &self.wrong_service.to_string())?;
+        row("mismatched", &self.mismatched.to_string())?;
+        row("flows opened", &self.opened.to_string())?;
+        row("opens refused", &reasons(&self.opens_refused))?;
+        row("broken flows", &reasons(&self.broken))?;
+        row("flows closed", &self.closed.to_string())?;
+        row("refusals", &reasons(&self.refusals))?;
+        row("repeated", &self.repeated.to_string())?;
+        row("ignored", &self.ignored.to_string())?;
+        row("p50 ms", &milliseconds(self.p50_us))?;
+        row("p99 ms", &milliseconds(self.p99_us))?;
+        row("max ms", &milliseconds(self.max_us))
+    }
+}
+
+fn count(counts: &mut BTreeMap<String, u64>, reason: Reason) {
+    *counts.entry(reason.as_str_name().into()).or_default() += 1;
+}
+
+fn reasons(counts: &BTreeMap<String, u64>) -> String {
+    let total: u64 = counts.values().sum();
+    let parts = counts
+        .iter()
+        .map(|(reason, count)| format!("{reason} {count}"));
+    let parts: Vec<String> = parts.collect();
+    match parts.as_slice() {
+        [] => total.to_string(),
+        parts => format!("{total} ({})", parts.join(", ")),
+    }
+}
+
+fn milliseconds(microseconds: u64) -> String {
+    format!("{}.{}", microseconds / 1000, microseconds % 1000 / 100)
+}
--- a/roles/app/src/settings/agent.rs
+++ b/roles/app/src/settings/agent.rs
@@ -8,6 +8,10 @@
 
 use crate::settings::Keys;
 use crate::settings::Log;
+use crate::settings::command;
+use crate::settings::command::Settings;
+use crate::settings::reader::Reader;
+use crate::settings::table::Role;
 
 /// Settings of `greengagelug agent`.
 #[derive(Clone)]
@@ -48,9 +52,42 @@
             slots: 4,
             seeds: Vec::new(),
             keys: Keys::default(),
-            drain: Duration::from_secs(300),
+            drain: Duration::from_mins(5),
             stop: Duration::from_secs(10),
             log: Log::default(),
         }
     }
 }
+
+impl Settings for Agent {
+    const ROLE: Role = Role::Agent;
+
+    fn read(reader: &mut Reader<'_>, rest: &[String]) -> Self {
+        let default = Self::default();
+        let settings = Self {
+            listen: reader.address("listen", default.listen),
+            control: reader.address("control", default.control),
+            service: reader.address("service", default.service),
+            backend: reader.address("backend", default.backend),
+            zone: reader.number("zone"),
+            slots: reader.number("slots"),
+            seeds: reader.addresses("seeds"),
+            keys: command::keys(reader),
+            drain: reader.time("drain"),
+            stop: reader.time("stop"),
+            log: command::log(reader),
+        };
+        command::distinct(
+            reader,
+            ("control", settings.control),
+            ("backend", settings.backend),
+        );
+        command::distinct(
+            reader,
+            ("listen", settings.listen),
+            ("service", settings.service),
+        );
+        command::no_arguments(reader, rest);
+        settings
+    }
+}
--- a/roles/app/src/settings/call.rs
+++ b/roles/app/src/settings/call.rs
@@ -6,6 +6,10 @@
 use wire::ServiceAddress;
 
 use crate::settings::Log;
+use crate::settings::command;
+use crate::settings::command::Settings;
+use crate::settings::reader::Reader;
+use crate::settings::table::Role;
 
 /// Settings of `greengagelug call`.
 #[derive(Clone, Debug)]
@@ -55,3 +59,27 @@
         }
     }
 }
+
+impl Settings for Call {
+    const ROLE: Role = Role::Call;
+
+    fn read(reader: &mut Reader<'_>, rest: &[String]) -> Self {
+        let default = Self::default();
+        let settings = Self {
+            service: reader.address("service", default.service),
+            name: reader.text("name"),
+            bind: reader.address("bind", default.bind),
+            flows: reader.number("flows"),
+            rate: reader.number("rate"),
+            duration: reader.time("duration"),
+            idempotent: reader.number("idempotent"),
+            deadline: reader.time("deadline"),
+            payload: reader.number("payload"),
+            output: reader.text("output"),
+            seed: reader.number("seed"),
+            log: command::log(reader),
+        };
+        command::no_arguments(reader, rest);
+        settings
+    }
+}
--- /dev/null
+++ b/roles/app/src/settings/command.rs
@@ -0,0 +1,203 @@
+//! The command line of a role: parsing, help and checks.
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+use getopts::Options;
+use getopts::ParsingStyle;
+
+use super::Format;
+use super::Keys;
+use super::Log;
+use super::reader::Error;
+use super::reader::Reader;
+use super::table::Preset;
+use super::table::Role;
+use super::table::SETTINGS;
+
+/// What the command line asks for.
+#[derive(Clone, Debug)]
+pub enum Command<T> {
+    /// Run with these settings.
+    Run(T),
+    /// Say that these settings are in order.
+    Check,
+    /// Print this help.
+    Help(String),
+}
+
+/// Settings of one role.
+pub trait Settings: Sized {
+    /// The role.
+    const ROLE: Role;
+
+    /// Reads all settings; errors are left in the reader.
+    fn read(reader: &mut Reader<'_>, rest: &[String]) -> Self;
+}
+
+/// Reads the command line of a role.
+///
+/// # Errors
+///
+/// Every error of the settings at once.
+pub fn read<T: Settings>(
+    args: &[String],
+    variable: &dyn Fn(&str) -> Option<String>,
+) -> Result<Command<T>, Vec<Error>> {
+    let matches = options(T::ROLE)
+        .parse(args)
+        .map_err(|error| vec![Error::Unreadable(error.to_string())])?;
+    if matches.opt_present("help") {
+        return Ok(Command::Help(help(T::ROLE)));
+    }
+    let mut reader = Reader::new(T::ROLE, &matches, variable);
+    let settings = T::read(&mut reader, &matches.free);
+    let settings = reader.finish(settings)?;
+    if matches.opt_present("check") {
+        return Ok(Command::Check);
+    }
+    Ok(Command::Run(settings))
+}
+
+/// The help of a role.
+#[must_use]
+pub fn help(role: Role) -> String {
+    let brief = format!(
+        "{}\n\nUsage: greengagelug {} [FLAGS]{}\n\nExample:\n    {}",
+        about(role),
+        role.name(),
+        arguments(role),
+        example(role),
+    );
+    let notes = "Each flag can be given as an environment variable instead: --log-format as \
+        GREENGAGELUG_LOG_FORMAT. The flag wins.\n";
+    format!("{}\n{notes}", options(role).usage(&brief))
+}
+
+/// The page docs/SETTINGS.md.
+#[must_use]
+pub fn page() -> String {
+    let mut page = String::from(include_str!("page.md"));
+    for setting in SETTINGS {
+        let roles: Vec<&str> = setting.roles.iter().map(|role| role.name()).collect();
+        let default = match setting.default {
+            Preset::Required => "required".into(),
+            Preset::Text("") => "empty".into(),
+            Preset::Text(text) => format!("`{text}`"),
+        };
+        // Writing to a String cannot fail.
+        let _ = writeln!(
+            page,
+            "| `--{}` | `{}` | {} | {} | {} | {} | {} | {} |",
+            setting.name,
+            setting.variable(),
+            roles.join(", "),
+            setting.kind,
+            setting.unit,
+            setting.kind.range(),
+            default,
+            setting.help,
+        );
+    }
+    page
+}
+
+fn options(role: Role) -> Options {
+    let mut options = Options::new();
+    options.parsing_style(ParsingStyle::StopAtFirstFree);
+    for setting in role.settings() {
+        let mut help = setting.help.to_owned();
+        let range = setting.kind.range();
+        for part in [setting.unit, &range] {
+            if !part.is_empty() {
+                help = format!("{help}; {part}");
+            }
+        }
+        help = match setting.default {
+            Preset::Required => format!("{help} (required)"),
+            Preset::Text("") => help,
+            Preset::Text(text) => format!("{help} (default {text})"),
+        };
+        options.optopt("", setting.name, &help, &setting.kind.to_string());
+    }
+    options.optflag("", "check", "check the settings and exit");
+    options.optflag("", "help", "print this help and exit");
+    options
+}
+
+const fn about(role: Role) -> &'static str {
+    match role {
+        Role::Entry => "Receives callers' datagrams from the fabric and relays them to agents.",
+        Role::Agent => "Stands beside a backend server, announces it and runs its requests.",
+        Role::Operate => "Changes and shows the configuration.",
+        Role::Call => "Calls a service with a bounded load and reports what happened.",
+    }
+}
+
+const fn arguments(role: Role) -> &'static str {
+    match role {
+        Role::Operate => " COMMAND [ARGUMENTS]",
+        Role::Entry | Role::Agent | Role::Call => "",
+    }
+}
+
+const fn example(role: Role) -> &'static str {
+    match role {
+        Role::Entry => {
+            "greengagelug entry --listen 10.0.0.1:7000 --control 10.0.0.1:7001 \
+             --operator 10.0.0.1:7002 --fabric 10.0.0.250:7000 --zone 1 \
+             --peers 10.0.0.2:7000 --store http://10.0.0.200:8000"
+        }
+        Role::Agent => {
+            "greengagelug agent --listen 10.0.1.1:7000 --control 10.0.1.1:7001 \
+             --service 10.9.0.1:5000 --backend 127.0.0.1:8080 --zone 1 \
+             --seeds 10.0.0.1:7000,10.0.0.2:7000"
+        }
+        Role::Operate => "greengagelug operate --entries 10.0.0.1:7002 status",
+        Role::Call => {
+            "greengagelug call --service 10.9.0.1:5000 --flows 200 --rate 100 --duration 15"
+        }
+    }
+}
+
+/// Reads what is logged, and how.
+pub fn log(reader: &mut Reader<'_>) -> Log {
+    let default = Log::default();
+    Log {
+        format: reader.choice("log-format", Format::Readable),
+        level: reader.choice("log-level", default.level),
+    }
+}
+
+/// Reads the keys and checks that their ids differ.
+pub fn keys(reader: &mut Reader<'_>) -> Keys {
+    let sign = reader.key("sign-key");
+    let accept = reader.keys("accept-keys");
+    let Some(sign) = sign else {
+        return Keys::default();
+    };
+    let mut ids = vec![sign.id];
+    for key in &accept {
+        if ids.contains(&key.id) {
+            reader.fail(Error::SameKey(key.id));
+        }
+        ids.push(key.id);
+    }
+    Keys { sign, accept }
+}
+
+/// Checks that two addresses of one transport differ.
+pub fn distinct(reader: &mut Reader<'_>, first: (&str, SocketAddr), second: (&str, SocketAddr)) {
+    if first.1 == second.1 && first.1.port() != 0 {
+        reader.fail(Error::SameAddress {
+            first: format!("--{}", first.0),
+            second: format!("--{}", second.0),
+        });
+    }
+}
+
+/// Checks that no arguments are left over.
+pub fn no_arguments(reader: &mut Reader<'_>, rest: &[String]) {
+    for argument in rest {
+        reader.fail(Error::Unexpected(argument.clone()));
+    }
+}
--- a/roles/app/src/settings/entry.rs
+++ b/roles/app/src/settings/entry.rs
@@ -7,6 +7,10 @@
 
 use crate::settings::Keys;
 use crate::settings::Log;
+use crate::settings::command;
+use crate::settings::command::Settings;
+use crate::settings::reader::Reader;
+use crate::settings::table::Role;
 
 /// Settings of `greengagelug entry`.
 #[derive(Clone)]
@@ -53,3 +57,36 @@
         }
     }
 }
+
+impl Settings for Entry {
+    const ROLE: Role = Role::Entry;
+
+    fn read(reader: &mut Reader<'_>, rest: &[String]) -> Self {
+        let default = Self::default();
+        let settings = Self {
+            listen: reader.address("listen", default.listen),
+            control: reader.address("control", default.control),
+            operator: reader.address("operator", default.operator),
+            fabric: reader.address("fabric", default.fabric),
+            zone: reader.number("zone"),
+            peers: reader.addresses("peers"),
+            store: reader.text("store"),
+            keys: command::keys(reader),
+            threads: reader.number("threads"),
+            stop: reader.time("stop"),
+            log: command::log(reader),
+        };
+        command::distinct(
+            reader,
+            ("control", settings.control),
+            ("operator", settings.operator),
+        );
+        command::distinct(
+            reader,
+            ("listen", settings.listen),
+            ("fabric", settings.fabric),
+        );
+        command::no_arguments(reader, rest);
+        settings
+    }
+}
--- a/roles/app/src/settings/operate.rs
+++ b/roles/app/src/settings/operate.rs
@@ -3,6 +3,10 @@
 use std::time::Duration;
 
 use crate::settings::Log;
+use crate::settings::command;
+use crate::settings::command::Settings;
+use crate::settings::reader::Reader;
+use crate::settings::table::Role;
 
 /// Settings of `greengagelug operate`.
 #[derive(Clone, Debug)]
@@ -27,3 +31,16 @@
         }
     }
 }
+
+impl Settings for Operate {
+    const ROLE: Role = Role::Operate;
+
+    fn read(reader: &mut Reader<'_>, rest: &[String]) -> Self {
+        Self {
+            entries: reader.addresses("entries"),
+            timeout: reader.time("timeout"),
+            command: rest.to_vec(),
+            log: command::log(reader),
+        }
+    }
+}
--- /dev/null
+++ b/roles/app/src/settings/reader.rs
@@ -0,0 +1,256 @@
+//! Reads the settings of a role from flags and environment variables.
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use displaydoc::Display;
+use getopts::Matches;
+use thiserror::Error;
+use wire::seal::KEY_LEN;
+use wire::seal::Key;
+
+use super::table::Kind;
+use super::table::Preset;
+use super::table::Role;
+use super::table::Setting;
+
+const HEX_RADIX: u32 = 16;
+const HEX_DIGITS: usize = 2;
+
+/// What is wrong with the settings.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum Error {
+    /// {0}; see `greengagelug help` for the flags
+    Unreadable(String),
+    /// --{flag} is missing; give it or set {variable}
+    Missing {
+        /// Name of the flag.
+        flag: String,
+        /// Name of the environment variable.
+        variable: String,
+    },
+    /// {origin} does not accept `{value}`; give {expected}
+    Invalid {
+        /// The flag or environment variable.
+        origin: String,
+        /// The text given.
+        value: String,
+        /// What is accepted.
+        expected: String,
+    },
+    /// {first} and {second} are the same address; give each its own port
+    SameAddress {
+        /// Name of a flag.
+        first: String,
+        /// Name of another.
+        second: String,
+    },
+    /// --sign-key and --accept-keys have two keys with the id {0}; give each key its own id
+    SameKey(u8),
+    /// `{0}` is not expected; see `greengagelug help` for the flags
+    Unexpected(String),
+}
+
+/// Reads the settings of one role, and collects every error.
+pub struct Reader<'a> {
+    role: Role,
+    matches: &'a Matches,
+    variable: &'a dyn Fn(&str) -> Option<String>,
+    errors: Vec<Error>,
+}
+
+struct Given {
+    text: String,
+    origin: String,
+}
+
+impl<'a> Reader<'a> {
+    /// Reads flags first, then what `variable` says of an environment variable.
+    #[must_use]
+    pub const fn new(
+        role: Role,
+        matches: &'a Matches,
+        variable: &'a dyn Fn(&str) -> Option<String>,
+    ) -> Self {
+        Self {
+            role,
+            matches,
+            variable,
+            errors: Vec::new(),
+        }
+    }
+
+    /// Adds an error found elsewhere.
+    pub fn fail(&mut self, error: Error) {
+        self.errors.push(error);
+    }
+
+    /// The result, or every error.
+    ///
+    /// # Errors
+    ///
+    /// All errors that were collected.
+    pub fn finish<T>(self, settings: T) -> Result<T, Vec<Error>> {
+        if self.errors.is_empty() {
+            Ok(settings)
+        } else {
+            Err(self.errors)
+        }
+    }
+
+    /// Reads one address.
+    pub fn address(&mut self, name: &str, default: SocketAddr) -> SocketAddr {
+        self.read(name, default, |text, _| text.parse().ok())
+    }
+
+    /// Reads addresses separated by commas.
+    pub fn addresses(&mut self, name: &str) -> Vec<SocketAddr> {
+        self.read(name, Vec::new(), |text, kind| {
+            let addresses: Vec<SocketAddr> =
+                list(text).map(str::parse).collect::<Result<_, _>>().ok()?;
+            match kind {
+                Kind::Addresses(min) if addresses.len() < min => None,
+                _ => Some(addresses),
+            }
+        })
+    }
+
+    /// Reads a number within its range.
+    pub fn number<T: TryFrom<u64> + Default>(&mut self, name: &str) -> T {
+        self.read(name, T::default(), |text, kind| {
+            let number: u64 = text.parse().ok()?;
+            let (Kind::Number { min, max } | Kind::Time { min, max, .. }) = kind else {
+                return None;
+            };
+            let in_range = (min..=max).contains(&number);
+            in_range.then(|| T::try_from(number).ok())?
+        })
+    }
+
+    /// Reads a time within its range.
+    pub fn time(&mut self, name: &str) -> Duration {
+        self.read(name, Duration::ZERO, |text, kind| match kind {
+            Kind::Time { unit, min, max } => {
+                let number: u64 = text.parse().ok()?;
+                (min..=max).contains(&number).then(|| unit.duration(number))
+            }
+            _ => None,
+        })
+    }
+
+    /// Reads a text.
+    pub fn text(&mut self, name: &str) -> String {
+        self.read(name, String::new(), |text, kind| match kind {
+            Kind::Url if !is_url(text) => None,
+            _ => Some(text.to_owned()),
+        })
+    }
+
+    /// Reads one of some words.
+    pub fn choice<T: FromStr>(&mut self, name: &str, default: T) -> T {
+        self.read(name, default, |text, kind| match kind {
+            Kind::Choice(words) if words.contains(&text) => text.parse().ok(),
+            _ => None,
+        })
+    }
+
+    /// Reads a key.
+    pub fn key(&mut self, name: &str) -> Option<Key> {
+        self.read(name, None, |text, _| read_key(text).map(Some))
+    }
+
+    /// Reads keys separated by commas.
+    pub fn keys(&mut self, name: &str) -> Vec<Key> {
+        self.read(name, Vec::new(), |text, _| {
+            list(text).map(read_key).collect()
+        })
+    }
+
+    /// Reads one setting, or notes the error and returns `fallback`.
+    fn read<T>(
+        &mut self,
+        name: &str,
+        fallback: T,
+        parse: impl FnOnce(&str, Kind) -> Option<T>,
+    ) -> T {
+        let Some(setting) = self.role.settings().find(|setting| setting.name == name) else {
+            return fallback;
+        };
+        let Some(given) = self.given(setting) else {
+            self.errors.push(Error::Missing {
+                flag: name.into(),
+                variable: setting.variable(),
+            });
+            return fallback;
+        };
+        if let Some(value) = parse(&given.text, setting.kind) {
+            return value;
+        }
+        let value = match setting.kind {
+            // Keys are never printed.
+            Kind::Key | Kind::Keys => "***".into(),
+            _ => given.text,
+        };
+        self.errors.push(Error::Invalid {
+            origin: given.origin,
+            value,
+            expected: expected(setting),
+        });
+        fallback
+    }
+
+    fn given(&self, setting: &Setting) -> Option<Given> {
+        if let Some(text) = self.matches.opt_str(setting.name) {
+            let origin = format!("--{}", setting.name);
+            return Some(Given { text, origin });
+        }
+        let origin = setting.variable();
+        if let Some(text) = (self.variable)(&origin) {
+            return Some(Given { text, origin });
+        }
+        match setting.default {
+            Preset::Required => None,
+            Preset::Text(text) => Some(Given {
+                text: text.into(),
+                origin: format!("the default of --{}", setting.name),
+            }),
+        }
+    }
+}
+
+fn expected(setting: &Setting) -> String {
+    let range = setting.kind.range();
+    let mut expected = setting.kind.to_string();
+    if !range.is_empty() {
+        expected = format!("{expected} ({range})");
+    }
+    if !setting.unit.is_empty() {
+        expected = format!("{expected} in {}", setting.unit);
+    }
+    expected
+}
+
+fn list(text: &str) -> impl Iterator<Item = &str> {
+    text.split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+}
+
+fn is_url(text: &str) -> bool {
+    text.parse::<http::Uri>()
+        .is_ok_and(|uri| uri.scheme_str() == Some("http") && uri.port_u16().is_some())
+}
+
+fn read_key(text: &str) -> Option<Key> {
+    let (id, hex) = text.split_once(':')?;
+    if !hex.is_ascii() || hex.len() != KEY_LEN * HEX_DIGITS {
+        return None;
+    }
+    let digits = (0..hex.len()).step_by(HEX_DIGITS);
+    let bytes = digits.map(|at| u8::from_str_radix(&hex[at..at + HEX_DIGITS], HEX_RADIX));
+    let secret = bytes.collect::<Result<Vec<u8>, _>>().ok()?;
+    Some(Key {
+        id: id.parse().ok()?,
+        secret: secret.try_into().ok()?,
+    })
+}
--- a/roles/app/src/settings/shared.rs
+++ b/roles/app/src/settings/shared.rs
@@ -1,4 +1,6 @@
 //! Settings that several roles have in common.
+use std::str::FromStr;
+
 use log::LevelFilter;
 use wire::Seal;
 use wire::seal::KEY_LEN;
@@ -60,3 +62,15 @@
         }
     }
 }
+
+impl FromStr for Format {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "readable" => Ok(Self::Readable),
+            "json" => Ok(Self::Json),
+            _ => Err(()),
+        }
+    }
+}
--- a/tools/standin/src/audit.rs
+++ b/tools/standin/src/audit.rs
@@ -1,8 +1,67 @@
-//! Holds callers' reports against backend servers' ledgers.
+//! Holds callers' reports against backend servers' ledgers and prints one
+//! table of what was promised.
+mod fetch;
+mod finding;
+mod table;
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
-/// Prints the table of promises.
+use getopts::Options;
+
+use crate::backend::Ledger;
+use crate::options;
+
+pub use finding::Finding;
+pub use finding::Report;
+
+const BRIEF: &str = "Usage: standin audit --report FILE... --backend ADDRESS...";
+const EXIT_BROKEN: u8 = 3;
+
+/// Prints the table; the exit code is 3 where a promise was broken.
 #[must_use]
-pub fn main(_args: &[String]) -> ExitCode {
-    ExitCode::SUCCESS
+pub fn main(args: &[String]) -> ExitCode {
+    match run(args) {
+        Ok(true) => ExitCode::from(EXIT_BROKEN),
+        Ok(false) => ExitCode::SUCCESS,
+        Err(error) => options::exit(Err(error)),
+    }
+}
+
+/// Returns whether a promise was broken.
+fn run(args: &[String]) -> Result<bool, Box<dyn std::error::Error>> {
+    let mut flags = Options::new();
+    flags.optmulti(
+        "",
+        "report",
+        "report of `greengagelug call`; may be repeated",
+        "FILE",
+    );
+    flags.optmulti(
+        "",
+        "backend",
+        "address of a backend server; may be repeated",
+        "ADDRESS",
+    );
+    let Some(matches) = options::parse(&mut flags, BRIEF, args)? else {
+        return Ok(false);
+    };
+    let mut ledgers = BTreeMap::<String, Vec<Ledger>>::new();
+    for address in options::many::<SocketAddr>(&matches, "backend")? {
+        let ledger = smol::block_on(fetch::ledger(address))?;
+        ledgers
+            .entry(ledger.service.clone())
+            .or_default()
+            .push(ledger);
+    }
+    let mut findings = Vec::new();
+    for file in matches.opt_strs("report") {
+        let report: Report = serde_json::from_slice(&fs::read(file)?)?;
+        let ledgers = ledgers.get(&report.service).map_or(&[][..], Vec::as_slice);
+        findings.push(Finding::new(report, ledgers));
+    }
+    print!("{}", table::Table(&findings));
+    Ok(findings.iter().any(Finding::is_broken))
 }
