--- a/roles/app/src/lib.rs
+++ b/roles/app/src/lib.rs
@@ -1,5 +1,10 @@
 //! The parts of the `greengagelug` binary: settings, logs, metrics and roles.
 pub mod call;
+pub mod clock;
+pub mod directory;
+pub mod entry;
 pub mod exit;
 pub mod help;
+pub mod operator;
 pub mod settings;
+pub mod signal;
--- a/roles/app/src/settings/command.rs
+++ b/roles/app/src/settings/command.rs
@@ -145,7 +145,7 @@
         Role::Entry => {
             "greengagelug entry --listen 10.0.0.1:7000 --control 10.0.0.1:7001 \
              --operator 10.0.0.1:7002 --fabric 10.0.0.250:7000 --zone 1 \
-             --peers 10.0.0.2:7000 --store http://10.0.0.200:8000"
+             --peers 10.0.0.2:7000 --store 10.0.0.200:8000"
         }
         Role::Agent => {
             "greengagelug agent --listen 10.0.1.1:7000 --control 10.0.1.1:7001 \
--- a/roles/app/src/settings/entry.rs
+++ b/roles/app/src/settings/entry.rs
@@ -27,8 +27,8 @@
     pub zone: ZoneId,
     /// UDP addresses of entries to join through.
     pub peers: Vec<SocketAddr>,
-    /// Base URL of the platform's key-value service.
-    pub store: String,
+    /// TCP address of the platform's key-value service.
+    pub store: SocketAddr,
     /// Keys shared by the processes of the installation.
     pub keys: Keys,
     /// Number of threads that relay packets.
@@ -49,7 +49,7 @@
             fabric: unset,
             zone: 0,
             peers: Vec::new(),
-            store: String::new(),
+            store: unset,
             keys: Keys::default(),
             threads: 1,
             stop: Duration::from_secs(10),
@@ -70,7 +70,7 @@
             fabric: reader.address("fabric", default.fabric),
             zone: reader.number("zone"),
             peers: reader.addresses("peers"),
-            store: reader.text("store"),
+            store: reader.address("store", default.store),
             keys: command::keys(reader),
             threads: reader.number("threads"),
             stop: reader.time("stop"),
--- a/roles/app/src/settings/reader.rs
+++ b/roles/app/src/settings/reader.rs
@@ -140,10 +140,7 @@
 
     /// Reads a text.
     pub fn text(&mut self, name: &str) -> String {
-        self.read(name, String::new(), |text, kind| match kind {
-            Kind::Url if !is_url(text) => None,
-            _ => Some(text.to_owned()),
-        })
+        self.read(name, String::new(), |text, _| Some(text.to_owned()))
     }
 
     /// Reads one of some words.
@@ -236,11 +233,6 @@
         .filter(|part| !part.is_empty())
 }
 
-fn is_url(text: &str) -> bool {
-    text.parse::<http::Uri>()
-        .is_ok_and(|uri| uri.scheme_str() == Some("http") && uri.port_u16().is_some())
-}
-
 fn read_key(text: &str) -> Option<Key> {
     let (id, hex) = text.split_once(':')?;
     if !hex.is_ascii() || hex.len() != KEY_LEN * HEX_DIGITS {
--- a/roles/app/src/settings/table.rs
+++ b/roles/app/src/settings/table.rs
@@ -43,8 +43,6 @@
     Choice(&'static [&'static str]),
     /// Any text.
     Text,
-    /// An `http://` URL.
-    Url,
     /// A key id and 64 hexadecimal digits, as `ID:HEX`.
     Key,
     /// Several keys, separated by commas.
@@ -149,10 +147,10 @@
     Setting {
         name: "store",
         roles: ENTRY,
-        kind: Kind::Url,
+        kind: Kind::Address,
         unit: "",
         default: Preset::Required,
-        help: "base URL of the platform's key-value service",
+        help: "TCP address of the platform's key-value service",
     },
     Setting {
         name: "threads",
@@ -422,7 +420,6 @@
             Self::Number { .. } | Self::Time { .. } => formatter.write_str("NUMBER"),
             Self::Choice(_) => formatter.write_str("WORD"),
             Self::Text => formatter.write_str("TEXT"),
-            Self::Url => formatter.write_str("URL"),
             Self::Key => formatter.write_str("ID:HEX"),
             Self::Keys => formatter.write_str("ID:HEX,..."),
         }
@@ -437,7 +434,6 @@
             Self::Number { min, max } | Self::Time { min, max, .. } => format!("{min} to {max}"),
             Self::Choice(words) => words.join(", "),
             Self::Addresses(min) => format!("{min} or more"),
-            Self::Url => "http://...".into(),
             Self::Key | Self::Keys => "id 0 to 255, 64 hexadecimal digits".into(),
             Self::Address | Self::Text => String::new(),
         }
