--- a/roles/app/src/exit.rs
+++ b/roles/app/src/exit.rs
@@ -8,6 +8,3 @@
 
 /// `call` found a broken promise.
 pub const BROKEN: u8 = 3;
-
-/// `operate` was refused.
-pub const REFUSED: u8 = 4;
--- a/roles/app/src/main.rs
+++ b/roles/app/src/main.rs
@@ -1,13 +1,19 @@
 //! `greengagelug entry|agent|operate|call|help`.
+use std::io;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use app::call;
+use app::entry;
 use app::exit;
 use app::help;
+use app::operator;
 use app::settings;
 use app::settings::Command;
 use app::settings::command;
 use app::settings::command::Settings;
+use app::settings::table::Role;
+use smol::Executor;
 
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
@@ -48,14 +54,41 @@
     }
 }
 
-fn entry(_settings: settings::Entry) -> ExitCode {
-    ExitCode::from(exit::FAILED)
+fn entry(settings: settings::Entry) -> ExitCode {
+    finish(Role::Entry, entry::run(&settings))
 }
 
 fn agent(_settings: settings::Agent) -> ExitCode {
     ExitCode::from(exit::FAILED)
 }
 
-fn operate(_settings: settings::Operate) -> ExitCode {
-    ExitCode::from(exit::FAILED)
+fn operate(settings: settings::Operate) -> ExitCode {
+    let executor = Arc::new(Executor::new());
+    let command = operator::command::run(
+        &settings.entries,
+        settings.timeout,
+        &settings.command,
+        Arc::clone(&executor),
+    );
+    match smol::block_on(executor.run(command)) {
+        Ok(printed) => {
+            println!("{}", printed.text.trim_end());
+            ExitCode::from(printed.end.code())
+        }
+        Err(error) => {
+            eprintln!("greengagelug operate: {error}");
+            ExitCode::from(exit::USAGE)
+        }
+    }
+}
+
+fn finish(role: Role, result: io::Result<()>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            let role = role.name();
+            eprintln!("greengagelug {role}: {error}; check the addresses in the settings");
+            ExitCode::from(exit::FAILED)
+        }
+    }
 }
--- a/roles/app/src/settings/command.rs
+++ b/roles/app/src/settings/command.rs
@@ -68,9 +68,13 @@
         arguments(role),
         example(role),
     );
+    let commands = match role {
+        Role::Operate => format!("\n{}\n", crate::operator::args::USAGE),
+        Role::Entry | Role::Agent | Role::Call => String::new(),
+    };
     let notes = "Each flag can be given as an environment variable instead: --log-format as \
         GREENGAGELUG_LOG_FORMAT. The flag wins.\n";
-    format!("{}\n{notes}", options(role).usage(&brief))
+    format!("{}{commands}\n{notes}", options(role).usage(&brief))
 }
 
 /// The page docs/SETTINGS.md.
--- a/tools/standin/src/main.rs
+++ b/tools/standin/src/main.rs
@@ -1,7 +1,7 @@
-//! Runs one stand-in: `standin fabric|backend|audit [FLAGS]`.
+//! Runs one stand-in: `standin fabric|platform|backend|audit [FLAGS]`.
 use std::process::ExitCode;
 
-const USAGE: &str = "Usage: standin fabric|backend|audit [FLAGS]; --help lists the flags";
+const USAGE: &str = "Usage: standin fabric|platform|backend|audit [FLAGS]; --help lists the flags";
 
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
@@ -9,6 +9,7 @@
     let args: Vec<String> = args.collect();
     match name.as_str() {
         "fabric" => standin::fabric::main(&args),
+        "platform" => standin::platform::main(&args),
         "backend" => standin::backend::main(&args),
         "audit" => standin::audit::main(&args),
         _ => {
