--- /dev/null
+++ b/demo.sh
@@ -0,0 +1,147 @@
+#!/usr/bin/env bash
+# Builds the binary, runs a small deployment on loopback addresses under load
+# and prints one table. Exits non-zero when a promise was broken.
+#
+#   DEMO_NET      first two numbers of the loopback addresses (127.80)
+#   DEMO_SECONDS  length of the load (12)
+#   DEMO_OUT      directory of logs and reports (target/demo)
+set -euo pipefail
+cd "$(dirname "$0")"
+
+net=${DEMO_NET:-127.80}
+seconds=${DEMO_SECONDS:-12}
+out=${DEMO_OUT:-target/demo}
+
+platform=$net.0.1:8500
+fabric=$net.0.2:7000
+roster=$net.9.1:5000
+rota=$net.9.2:5000
+
+cargo build --quiet -p app -p standin
+bin=${CARGO_TARGET_DIR:-target}/debug
+rm -rf "$out"
+mkdir -p "$out"
+
+GREENGAGELUG_SIGN_KEY=1:$(head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n')
+export GREENGAGELUG_SIGN_KEY
+
+declare -A pids=()
+
+# Starts a process of the deployment: NAME COMMAND...
+start() {
+    local name=$1
+    shift
+    "$@" >"$out/$name.log" 2>&1 &
+    pids[$name]=$!
+}
+
+# Stops all processes that are left, at first politely.
+finish() {
+    local status=$?
+    trap - EXIT
+    kill -TERM "${pids[@]}" 2>/dev/null || true
+    local deadline=$((SECONDS + 8))
+    while kill -0 "${pids[@]}" 2>/dev/null && [ "$SECONDS" -lt "$deadline" ]; do
+        sleep 0.1
+    done
+    kill -KILL "${pids[@]}" 2>/dev/null || true
+    wait 2>/dev/null || true
+    exit "$status"
+}
+trap finish EXIT
+trap 'exit 130' INT TERM
+
+entry() {
+    local peers
+    peers=$(printf ",$net.1.%d:7000" 1 2 3)
+    start "entry-$1" "$bin/greengagelug" entry --listen "$net.1.$1:7000" \
+        --control "$net.1.$1:7001" --operator "$net.1.$1:7002" \
+        --fabric "$fabric" --zone "$1" --peers "${peers#,}" --store "$platform"
+}
+
+# Starts a backend server and its agent: NUMBER SERVICE ADDRESS SLOTS RUN_TIME_MS
+target() {
+    backends+=("$net.2.$1:8080")
+    start "backend-$1" "$bin/standin" backend --listen "$net.2.$1:8080" \
+        --service "$2" --slots "$4" --time-ms "$5" --answer "$6"
+    agent "$1" "$3" "$4"
+}
+
+agent() {
+    start "agent-$1" "$bin/greengagelug" agent --listen "$net.2.$1:7000" \
+        --control "$net.2.$1:7001" --service "$2" --backend "$net.2.$1:8080" \
+        --zone $(($1 % 4 + 1)) --slots "$3" --seeds "$net.1.1:7000,$net.1.2:7000"
+}
+
+operate() {
+    "$bin/greengagelug" operate --entries "$net.1.1:7002,$net.1.2:7002" "$@"
+}
+
+# Repeats a command until it succeeds: SECONDS COMMAND...
+retry() {
+    local deadline=$((SECONDS + $1))
+    shift
+    until "$@"; do
+        if [ "$SECONDS" -ge "$deadline" ]; then
+            echo "timed out: $*" >&2
+            return 1
+        fi
+        sleep 0.2
+    done
+}
+
+# Whether every entry knows 11 targets and both services.
+ready() {
+    local number status
+    for number in 1 2 3; do
+        status=$("$bin/greengagelug" operate --entries "$net.1.$number:7002" status)
+        [ "$(grep -c '^target: .*ready' <<<"$status")" -eq 11 ] || return 1
+        [ "$(grep -c '^in force: ' <<<"$status")" -eq 2 ] || return 1
+    done 2>/dev/null
+}
+
+echo "== starting"
+backends=()
+start platform "$bin/standin" platform --listen "$platform"
+for number in 1 2 3; do
+    entry "$number"
+done
+printf "$net.1.%d:7000\n" 1 2 3 >"$out/entries"
+start fabric "$bin/standin" fabric --listen "$fabric" --service "$roster" \
+    --service "$rota" --entries-file "$out/entries" --key "$GREENGAGELUG_SIGN_KEY"
+
+number=0
+for time in 20 25 30 40 50 60 80; do
+    number=$((number + 1))
+    target "$number" roster "$roster" 4 "$time" 0
+done
+for time in 30 45 60 90; do
+    number=$((number + 1))
+    target "$number" rota "$rota" 2 "$time" 8000
+done
+
+echo "== configuring"
+retry 10 operate create "$roster" --name roster --binding independent
+retry 10 operate create "$rota" --name rota --binding independent
+retry 15 ready
+
+echo "== calling for $seconds s"
+call() {
+    local name=$1
+    shift
+    "$bin/greengagelug" call --name "$name" --duration "$seconds" \
+        --output "$out/$name.json" "$@" >"$out/call-$name.log" 2>&1
+}
+call roster --service "$roster" --flows 200 --rate 300 &
+roster_call=$!
+call rota --service "$rota" --flows 50 --rate 60 &
+rota_call=$!
+
+broken=0
+wait "$roster_call" || broken=$?
+wait "$rota_call" || broken=$?
+
+echo "== result"
+reports=(--report "$out/roster.json" --report "$out/rota.json")
+"$bin/standin" audit "${reports[@]}" "${backends[@]/#/--backend=}" || broken=$?
+exit "$broken"
