--- a/roles/app/src/call.rs
+++ b/roles/app/src/call.rs
@@ -29,9 +29,8 @@
 
 /// Runs the load tool and prints its report.
 #[must_use]
-pub fn main(settings: crate::settings::Call) -> ExitCode {
-    let output = settings.output.clone();
-    let report = match smol::block_on(load::run(settings)) {
+pub fn main(settings: &crate::settings::Call) -> ExitCode {
+    let report = match smol::block_on(load::run(settings.clone())) {
         Ok(report) => report,
         Err(error) => {
             eprintln!("greengagelug call: {error}; check --bind and --service");
@@ -39,7 +38,7 @@
         }
     };
     print!("{report}");
-    if let Err(error) = write(&report, &output) {
+    if let Err(error) = write(&report, &settings.output) {
         eprintln!("greengagelug call: {error}; check --output");
         return ExitCode::from(exit::FAILED);
     }
--- a/roles/app/src/help.rs
+++ b/roles/app/src/help.rs
@@ -1,7 +1,9 @@
-//! `greengagelug help [ROLE|settings]`.
+//! `greengagelug help [ROLE|settings|events|metrics]`.
 use std::process::ExitCode;
 
+use crate::event;
 use crate::exit;
+use crate::metric;
 use crate::settings::command;
 use crate::settings::table::Role;
 
@@ -15,8 +17,8 @@
     agent      stands beside a backend server and runs its requests
     operate    changes and shows the configuration
     call       calls a service with a bounded load and reports
-    help       prints this text; `help ROLE` that of a role,
-               `help settings` the table of all settings
+    help       prints this text; `help ROLE` that of a role, and
+               `help settings|events|metrics` the page of that name
 ";
 
 /// Prints the help that is asked for.
@@ -28,6 +30,8 @@
         (Some(role), _) => print!("{}", command::help(role)),
         (None, "") => print!("{OVERVIEW}"),
         (None, "settings") => print!("{}", command::page()),
+        (None, "events") => print!("{}", event::page()),
+        (None, "metrics") => print!("{}", metric::page()),
         (None, _) => {
             eprintln!("there is no help on `{topic}`; see `greengagelug help`");
             return ExitCode::from(exit::USAGE);
--- a/roles/app/src/main.rs
+++ b/roles/app/src/main.rs
@@ -33,10 +33,10 @@
 }
 
 /// Reads the settings of a role and runs it.
-fn start<T: Settings>(args: &[String], run: impl FnOnce(T) -> ExitCode) -> ExitCode {
+fn start<T: Settings>(args: &[String], run: impl FnOnce(&T) -> ExitCode) -> ExitCode {
     let variable = |name: &str| std::env::var(name).ok();
     match command::read(args, &variable) {
-        Ok(Command::Run(settings)) => run(settings),
+        Ok(Command::Run(settings)) => run(&settings),
         Ok(Command::Check) => {
             println!("settings are in order");
             ExitCode::SUCCESS
@@ -54,15 +54,15 @@
     }
 }
 
-fn entry(settings: settings::Entry) -> ExitCode {
-    finish(Role::Entry, entry::run(&settings))
+fn entry(settings: &settings::Entry) -> ExitCode {
+    finish(Role::Entry, entry::run(settings))
 }
 
-fn agent(_settings: settings::Agent) -> ExitCode {
+fn agent(_settings: &settings::Agent) -> ExitCode {
     ExitCode::from(exit::FAILED)
 }
 
-fn operate(settings: settings::Operate) -> ExitCode {
+fn operate(settings: &settings::Operate) -> ExitCode {
     let executor = Arc::new(Executor::new());
     let command = operator::command::run(
         &settings.entries,
--- a/roles/app/src/settings/reader.rs
+++ b/roles/app/src/settings/reader.rs
@@ -100,7 +100,13 @@
 
     /// Reads one address.
     pub fn address(&mut self, name: &str, default: SocketAddr) -> SocketAddr {
-        self.read(name, default, |text, _| text.parse().ok())
+        self.read(name, default, |text, kind| {
+            let address: SocketAddr = text.parse().ok()?;
+            match kind {
+                Kind::Address if !is_reachable(address) => None,
+                _ => Some(address),
+            }
+        })
     }
 
     /// Reads addresses separated by commas.
@@ -110,6 +116,7 @@
                 list(text).map(str::parse).collect::<Result<_, _>>().ok()?;
             match kind {
                 Kind::Addresses(min) if addresses.len() < min => None,
+                Kind::Addresses(_) if !addresses.iter().all(|one| is_reachable(*one)) => None,
                 _ => Some(addresses),
             }
         })
@@ -227,6 +234,11 @@
     expected
 }
 
+/// Whether other processes can send to the address.
+const fn is_reachable(address: SocketAddr) -> bool {
+    !address.ip().is_unspecified() && address.port() != 0
+}
+
 fn list(text: &str) -> impl Iterator<Item = &str> {
     text.split(',')
         .map(str::trim)
--- a/roles/app/src/settings/table.rs
+++ b/roles/app/src/settings/table.rs
@@ -19,8 +19,10 @@
 /// The type of a setting, with its range.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
-    /// An IP address and port.
+    /// An IP address and port that other processes can send to.
     Address,
+    /// An IP address and port to send from; both may be 0.
+    Local,
     /// Several of them, separated by commas; this many at least.
     Addresses(usize),
     /// A whole number.
@@ -274,7 +276,7 @@
     Setting {
         name: "bind",
         roles: CALL,
-        kind: Kind::Address,
+        kind: Kind::Local,
         unit: "",
         default: Preset::Text("127.0.0.1:0"),
         help: "local UDP address; port 0 takes a free one",
@@ -415,7 +417,7 @@
 impl fmt::Display for Kind {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Address => formatter.write_str("IP:PORT"),
+            Self::Address | Self::Local => formatter.write_str("IP:PORT"),
             Self::Addresses(_) => formatter.write_str("IP:PORT,..."),
             Self::Number { .. } | Self::Time { .. } => formatter.write_str("NUMBER"),
             Self::Choice(_) => formatter.write_str("WORD"),
@@ -433,9 +435,10 @@
         match self {
             Self::Number { min, max } | Self::Time { min, max, .. } => format!("{min} to {max}"),
             Self::Choice(words) => words.join(", "),
-            Self::Addresses(min) => format!("{min} or more"),
+            Self::Address => "neither 0".into(),
+            Self::Addresses(min) => format!("{min} or more, neither 0"),
             Self::Key | Self::Keys => "id 0 to 255, 64 hexadecimal digits".into(),
-            Self::Address | Self::Text => String::new(),
+            Self::Local | Self::Text => String::new(),
         }
     }
 }
--- /dev/null
+++ b/roles/app/tests/metric.rs
@@ -0,0 +1,71 @@
+//! The metrics of a process.
+use std::sync::atomic::Ordering;
+
+use app::metric;
+use app::metric::Error;
+use app::metric::METRICS;
+use app::metric::Metrics;
+use app::metric::Sample;
+
+fn sample(name: &str, reason: &str, value: u64) -> Sample {
+    Sample {
+        name: name.into(),
+        reason: reason.into(),
+        value,
+    }
+}
+
+#[test]
+fn page_matches_the_code() {
+    let page = include_str!("../../../docs/METRICS.md");
+    assert!(
+        page == metric::page(),
+        "write it again with `greengagelug help metrics > docs/METRICS.md`"
+    );
+}
+
+#[test]
+fn names_are_unique() {
+    for metric in METRICS {
+        let count = METRICS
+            .iter()
+            .filter(|other| other.name == metric.name)
+            .count();
+        assert_eq!(count, 1, "{}", metric.name);
+    }
+}
+
+#[test]
+fn reads_counters_by_reason_and_gauges() {
+    let metrics = Metrics::new();
+    let overloaded = metrics
+        .cell("requests.refused", "overloaded")
+        .expect("is in the table");
+    let deadline = metrics
+        .cell("requests.refused", "deadline")
+        .expect("is in the table");
+    let flows = metrics.cell("flows", "").expect("is in the table");
+    overloaded.fetch_add(2, Ordering::Relaxed);
+    deadline.fetch_add(1, Ordering::Relaxed);
+    flows.store(7, Ordering::Relaxed);
+    let first = metrics.read().expect("can be read");
+    assert_eq!(
+        first,
+        [
+            sample("flows", "", 7),
+            sample("requests.refused", "deadline", 1),
+            sample("requests.refused", "overloaded", 2),
+        ]
+    );
+    overloaded.fetch_add(1, Ordering::Relaxed);
+    flows.store(5, Ordering::Relaxed);
+    let second = metrics.read().expect("can be read");
+    assert_eq!(second[0], sample("flows", "", 5));
+    assert_eq!(second[2], sample("requests.refused", "overloaded", 3));
+}
+
+#[test]
+fn refuses_a_metric_that_is_not_in_the_table() {
+    let result = Metrics::new().cell("flaws", "");
+    assert!(matches!(result, Err(Error::Unknown(name)) if name == "flaws"));
+}
--- /dev/null
+++ b/roles/app/tests/settings.rs
@@ -0,0 +1,214 @@
+//! Settings: every error at once, each with its remedy, and the page.
+use std::time::Duration;
+
+use app::settings::Agent;
+use app::settings::Call;
+use app::settings::Command;
+use app::settings::Entry;
+use app::settings::Error;
+use app::settings::Format;
+use app::settings::Operate;
+use app::settings::command;
+use app::settings::command::Settings;
+use app::settings::table::Role;
+
+const KEY: &str = "7:00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+const ENTRY: &str = "--listen 127.0.0.1:1 --control 127.0.0.1:2 --operator 127.0.0.1:3 \
+    --fabric 127.0.0.1:4 --zone 258 --store 127.0.0.1:5";
+
+const AGENT: &str = "--listen 127.0.0.1:1 --control 127.0.0.1:2 --service 127.0.0.9:5000 \
+    --backend 127.0.0.1:8080 --zone 1 --seeds 127.0.0.1:7,127.0.0.2:7";
+
+fn words(line: &str) -> Vec<String> {
+    line.split_whitespace().map(str::to_owned).collect()
+}
+
+fn read<T: Settings>(line: &str, variables: &[&str]) -> Result<Command<T>, Vec<Error>> {
+    let variable = |name: &str| {
+        let mut pairs = variables.iter().filter_map(|pair| pair.split_once('='));
+        pairs
+            .find(|(found, _)| *found == name)
+            .map(|(_, value)| value.to_owned())
+    };
+    command::read(&words(line), &variable)
+}
+
+fn run<T: Settings>(line: &str, variables: &[&str]) -> T {
+    match read::<T>(line, variables) {
+        Ok(Command::Run(settings)) => settings,
+        Ok(_) => panic!("the command line does not ask to run"),
+        Err(errors) => panic!("not accepted: {errors:?}"),
+    }
+}
+
+fn errors<T: Settings>(line: &str, variables: &[&str]) -> Vec<String> {
+    match read::<T>(line, variables) {
+        Ok(_) => Vec::new(),
+        Err(errors) => errors.iter().map(ToString::to_string).collect(),
+    }
+}
+
+#[test]
+fn reads_an_entry() {
+    let key = format!("GREENGAGELUG_SIGN_KEY={KEY}");
+    let settings: Entry = run(&format!("{ENTRY} --log-format json"), &[&key]);
+    assert_eq!(settings.zone, 258);
+    assert_eq!(settings.keys.sign.id, 7);
+    assert_eq!(settings.keys.sign.secret[1], 0x11);
+    assert_eq!(settings.log.format, Format::Json);
+    assert_eq!(settings.stop, Entry::default().stop);
+    assert_eq!(settings.threads, Entry::default().threads);
+}
+
+#[test]
+fn reads_an_agent() {
+    let settings: Agent = run(&format!("{AGENT} --sign-key {KEY}"), &[]);
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.slots, Agent::default().slots);
+    assert_eq!(settings.drain, Agent::default().drain);
+    assert_eq!(settings.stop, Agent::default().stop);
+}
+
+#[test]
+fn reads_a_call() {
+    let settings: Call = run("--service 127.0.0.9:5000 --deadline 250", &[]);
+    assert_eq!(settings.deadline, Duration::from_millis(250));
+    assert_eq!(settings.flows, Call::default().flows);
+    assert_eq!(settings.rate, Call::default().rate);
+    assert_eq!(settings.duration, Call::default().duration);
+    assert_eq!(settings.idempotent, Call::default().idempotent);
+    assert_eq!(settings.payload, Call::default().payload);
+    assert_eq!(settings.bind, Call::default().bind);
+}
+
+#[test]
+fn leaves_the_command_of_operate_alone() {
+    let settings: Operate = run(
+        "--entries 127.0.0.1:1 drain 127.0.0.9:1 zone:2 --dry-run",
+        &[],
+    );
+    assert_eq!(
+        settings.command,
+        words("drain 127.0.0.9:1 zone:2 --dry-run")
+    );
+    assert_eq!(settings.timeout, Operate::default().timeout);
+}
+
+#[test]
+fn flag_wins_over_variable() {
+    let settings: Call = run(
+        "--service 127.0.0.9:5000 --rate 7",
+        &["GREENGAGELUG_RATE=9", "GREENGAGELUG_FLOWS=11"],
+    );
+    assert_eq!(settings.rate, 7);
+    assert_eq!(settings.flows, 11);
+}
+
+#[test]
+fn reports_every_error_at_once() {
+    let line = "--listen nowhere --control 127.0.0.1:2 --operator 127.0.0.1:2 --zone 70000 extra";
+    let errors = errors::<Entry>(line, &["GREENGAGELUG_THREADS=0"]);
+    for expected in [
+        "--listen does not accept `nowhere`; give IP:PORT (neither 0)",
+        "--fabric is missing; give it or set GREENGAGELUG_FABRIC",
+        "--zone does not accept `70000`; give NUMBER (0 to 65535)",
+        "--store is missing; give it or set GREENGAGELUG_STORE",
+        "--sign-key is missing; give it or set GREENGAGELUG_SIGN_KEY",
+        "GREENGAGELUG_THREADS does not accept `0`; give NUMBER (1 to 64) in threads",
+        "--control and --operator are the same address; give each its own port",
+        "`extra` is not expected; see `greengagelug help` for the flags",
+    ] {
+        assert!(
+            errors.iter().any(|error| error == expected),
+            "{expected}: {errors:#?}"
+        );
+    }
+    assert_eq!(errors.len(), 8, "{errors:#?}");
+}
+
+/// The line without a flag and its value.
+fn without(line: &str, flag: &str) -> String {
+    let words = words(line);
+    let pairs = words.chunks(2).filter(|pair| pair[0] != flag);
+    pairs
+        .map(|pair| pair.join(" "))
+        .collect::<Vec<_>>()
+        .join(" ")
+}
+
+/// One setting that is not accepted, and a part of the message.
+struct Wrong {
+    flag: &'static str,
+    message: &'static str,
+}
+
+fn is_refused(wrong: &Wrong) {
+    let name = wrong.flag.split(' ').next().unwrap_or_default();
+    let line = without(&format!("{AGENT} --sign-key {KEY}"), name);
+    let line = format!("{line} {}", wrong.flag);
+    let errors = errors::<Agent>(&line, &[]);
+    assert_eq!(errors.len(), 1, "{errors:?}");
+    assert!(errors[0].contains(wrong.message), "{errors:?}");
+}
+
+cases::cases! { is_refused;
+    unknown_flag: &Wrong { flag: "--sloots 4", message: "see `greengagelug help`" },
+    number_below_range: &Wrong { flag: "--slots 0", message: "1 to 1024" },
+    number_above_range: &Wrong { flag: "--stop 3601", message: "1 to 3600" },
+    number_with_sign: &Wrong { flag: "--slots -1", message: "--slots" },
+    address_of_any_host: &Wrong { flag: "--control 0.0.0.0:7001", message: "neither 0" },
+    address_without_port: &Wrong { flag: "--backend 127.0.0.1:0", message: "neither 0" },
+    unknown_word: &Wrong { flag: "--log-level loud", message: "error, warn, info" },
+    short_key: &Wrong { flag: "--accept-keys 1:00", message: "64 hexadecimal digits" },
+    key_twice: &Wrong {
+        flag: "--accept-keys 7:00000000000000000000000000000000ffffffffffffffffffffffffffffffff",
+        message: "two keys with the id 7",
+    },
+}
+
+#[test]
+fn keys_are_not_printed() {
+    let errors = errors::<Agent>(&format!("{AGENT} --sign-key 1:secret"), &[]);
+    assert_eq!(errors.len(), 1);
+    assert!(!errors[0].contains("secret"), "{errors:?}");
+}
+
+#[test]
+fn check_does_not_run() {
+    let line = format!("{AGENT} --sign-key {KEY} --check");
+    assert!(matches!(read::<Agent>(&line, &[]), Ok(Command::Check)));
+}
+
+#[test]
+fn help_is_given_without_settings() {
+    assert!(matches!(read::<Agent>("--help", &[]), Ok(Command::Help(_))));
+}
+
+fn help_lists_all_settings(role: Role) {
+    let help = command::help(role);
+    for setting in role.settings() {
+        assert!(
+            help.contains(&format!("--{} ", setting.name)),
+            "{}",
+            setting.name
+        );
+    }
+    assert!(help.contains("Example"));
+}
+
+cases::cases! { help_lists_all_settings;
+    help_of_entry: Role::Entry,
+    help_of_agent: Role::Agent,
+    help_of_operate: Role::Operate,
+    help_of_call: Role::Call,
+}
+
+#[test]
+fn page_matches_the_code() {
+    let page = include_str!("../../../docs/SETTINGS.md");
+    assert!(
+        page == command::page(),
+        "write it again with `greengagelug help settings > docs/SETTINGS.md`"
+    );
+}
