--- a/roles/app/tests/caller.rs
+++ b/roles/app/tests/caller.rs
@@ -47,7 +47,7 @@
 
     /// A caller with one open flow.
     fn open() -> Self {
-        let mut bench = Self::new(Settings::default());
+        let mut bench = Self::new(0);
         bench.caller.open(bench.now);
         bench.drain();
         bench.reply(Body::Opened(opened()));
