--- a/tools/standin/src/backend.rs
+++ b/tools/standin/src/backend.rs
@@ -33,6 +33,8 @@
 pub use model::Settings;
 pub use model::answer;
 pub use model::request_name;
+pub use worker::Outcome;
+pub use worker::Work;
 pub use worker::Worker;
 
 const BRIEF: &str = "Usage: standin backend --listen ADDRESS --service NAME [FLAGS]";
--- /dev/null
+++ b/tools/standin/tests/audit.rs
@@ -0,0 +1,82 @@
+//! Reports held against ledgers.
+use standin::audit::Finding;
+use standin::audit::Report;
+use standin::backend::Ledger;
+
+fn ledger(slots: u32, busy_ms: u64, runs: &[&str]) -> Ledger {
+    let mut ledger = Ledger::new("roster".into(), slots);
+    ledger.busy_ms = busy_ms;
+    for name in runs {
+        ledger.begin(name, name.starts_with('i'));
+        ledger.finish(name);
+    }
+    ledger
+}
+
+fn report() -> Report {
+    Report {
+        service: "roster".into(),
+        sent: 10,
+        answered: 10,
+        ..Report::default()
+    }
+}
+
+#[test]
+fn kept_promises_are_not_broken() {
+    let ledgers = [ledger(4, 0, &["a", "b"]), ledger(4, 0, &["c"])];
+    let finding = Finding::new(report(), &ledgers);
+    assert!(!finding.is_broken(), "{finding:?}");
+}
+
+#[test]
+fn second_run_on_another_server_is_found() {
+    let ledgers = [ledger(4, 0, &["a", "b"]), ledger(4, 0, &["b"])];
+    let finding = Finding::new(report(), &ledgers);
+    assert_eq!(finding.run_twice, 1);
+    assert!(finding.is_broken());
+}
+
+#[test]
+fn idempotent_request_may_run_twice() {
+    let ledgers = [ledger(4, 0, &["i1"]), ledger(4, 0, &["i1"])];
+    assert!(!Finding::new(report(), &ledgers).is_broken());
+}
+
+#[test]
+fn run_after_not_run_is_found() {
+    let report = Report {
+        not_run: vec!["a".into(), "z".into()],
+        ..report()
+    };
+    let finding = Finding::new(report, &[ledger(4, 0, &["a"])]);
+    assert_eq!(finding.ran_refused, 1);
+    assert!(finding.is_broken());
+}
+
+/// A report with one broken promise.
+fn is_broken(change: fn(&mut Report)) {
+    let mut report = report();
+    change(&mut report);
+    assert!(Finding::new(report, &[]).is_broken());
+}
+
+cases::cases! { is_broken;
+    lost_operation: |report| report.lost = 1,
+    wrong_service: |report| report.wrong_service = 1,
+    mismatched_answer: |report| report.mismatched = 1,
+    broken_flow: |report| { report.broken.insert("FLOW_UNKNOWN".into(), 1); },
+    no_answer_at_all: |report| report.answered = 0,
+}
+
+#[test]
+fn imbalance_is_relative_to_slots() {
+    let even = Finding::new(report(), &[ledger(4, 400, &[]), ledger(2, 200, &[])]);
+    assert!((even.imbalance - 1.0).abs() < 1e-9, "{}", even.imbalance);
+    let uneven = Finding::new(report(), &[ledger(1, 300, &[]), ledger(1, 100, &[])]);
+    assert!(
+        (uneven.imbalance - 1.5).abs() < 1e-9,
+        "{}",
+        uneven.imbalance
+    );
+}
