--- a/roles/app/src/agent.rs
+++ b/roles/app/src/agent.rs
@@ -9,11 +9,13 @@
 use std::io;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 use std::time::Instant;
 
 use ::agent::Agent;
 use ::agent::Event;
 use ::agent::Status;
+use ::agent::settings::Leave;
 use async_channel::Sender;
 use member::Announcer;
 use net::Port;
@@ -98,8 +100,7 @@
     };
     let core = Agent::new(
         ::agent::Settings {
-            stop: settings.stop,
-            drain: settings.drain,
+            leave: leave(settings.stop),
             ..::agent::Settings::default()
         },
         target,
@@ -127,6 +128,17 @@
     traffic.join().unwrap_or(Ok(()))
 }
 
+/// Shares the time between SIGTERM and exit: two thirds for requests that run,
+/// one for handing the flows over.
+fn leave(stop: Duration) -> Leave {
+    let handover = stop / 3;
+    Leave {
+        grace: stop - handover,
+        handover,
+        ..Leave::default()
+    }
+}
+
 fn target(settings: &settings::Agent) -> Target {
     Target {
         id: target_id(settings.service, settings.backend),
--- a/roles/app/src/lib.rs
+++ b/roles/app/src/lib.rs
@@ -1,4 +1,5 @@
 //! The parts of the `greengagelug` binary: settings, logs, metrics and roles.
+pub mod agent;
 pub mod call;
 pub mod clock;
 pub mod directory;
--- a/roles/app/src/main.rs
+++ b/roles/app/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use app::agent;
 use app::call;
 use app::entry;
 use app::exit;
@@ -58,8 +59,8 @@
     finish(Role::Entry, entry::run(settings))
 }
 
-fn agent(_settings: &settings::Agent) -> ExitCode {
-    ExitCode::from(exit::FAILED)
+fn agent(settings: &settings::Agent) -> ExitCode {
+    finish(Role::Agent, agent::run(settings))
 }
 
 fn operate(settings: &settings::Operate) -> ExitCode {
