--- a/demo.sh
+++ b/demo.sh
@@ -90,6 +90,11 @@
     done
 }
 
+# Prints the id of the target whose agent has an address.
+target_id() {
+    operate status | sed -n "s/^target: \([0-9]*\) .* at $1 .*/\1/p"
+}
+
 # Whether every entry knows 11 targets and both services.
 ready() {
     local number status
@@ -121,23 +126,47 @@
 done
 
 echo "== configuring"
-retry 10 operate create "$roster" --name roster --binding independent
-retry 10 operate create "$rota" --name rota --binding independent
+retry 10 operate create "$roster" --name roster --binding independent >/dev/null
+retry 10 operate create "$rota" --name rota --binding independent >/dev/null
 retry 15 ready
 
 echo "== calling for $seconds s"
+broken=0
 call() {
     local name=$1
     shift
     "$bin/greengagelug" call --name "$name" --duration "$seconds" \
         --output "$out/$name.json" "$@" >"$out/call-$name.log" 2>&1
 }
-call roster --service "$roster" --flows 200 --rate 300 &
+call roster --service "$roster" --flows 200 --rate 450 &
 roster_call=$!
-call rota --service "$rota" --flows 50 --rate 60 &
+call rota --service "$rota" --flows 50 --rate 90 &
 rota_call=$!
+pids[call-roster]=$roster_call
+pids[call-rota]=$rota_call
+
+pause=$((seconds / 5))
+sleep "$pause"
+echo "== planned stop of entry 3"
+kill -TERM "${pids[entry-3]}"
+sleep 1
+printf "$net.1.%d:7000\n" 1 2 >"$out/entries"
+
+sleep "$pause"
+echo "== planned replacement of the agent beside backend server 2"
+kill -HUP "${pids[agent-2]}"
+wait "${pids[agent-2]}" || broken=$?
+agent 2 "$roster" 4
+
+sleep "$pause"
+echo "== drain of backend server 3"
+operate drain "$roster" "target:$(target_id "$net.2.3:7000")" >/dev/null || broken=$?
+
+sleep "$pause"
+echo "== planned stop of the agent beside backend server 11"
+kill -TERM "${pids[agent-11]}"
+wait "${pids[agent-11]}" || broken=$?
 
-broken=0
 wait "$roster_call" || broken=$?
 wait "$rota_call" || broken=$?
 
