Let an agent hear of its peers before its core sees a view

Cause: the first view that the core got had the configuration and its own target alone, since the entry sends them ahead of the members. The core asks the peers of its first view for its predecessor's flows, found none and gave up, so a replaced agent lost them. Ruled out: the handover itself (the peer answered later claims). Keeping the claim open in the core instead withholds the first opens of a lone agent; 34 of its tests said so.

The first view now waits for another agent, for 1 s at most.

--- a/roles/app/src/agent.rs
+++ b/roles/app/src/agent.rs
@@ -97,6 +97,7 @@
         inputs: control_inputs,
         worker: inputs_sender.clone(),
         drained: false,
+        changed: false,
     };
     let core = Agent::new(
         ::agent::Settings {
--- a/roles/app/src/agent/control.rs
+++ b/roles/app/src/agent/control.rs
@@ -26,6 +26,9 @@
 /// Longest sleep while nothing is due.
 const IDLE: Duration = Duration::from_millis(250);
 
+/// Longest wait for the other agents of the service after the start.
+const FIRST_VIEW_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What the control thread is told.
 pub enum Input {
     /// A message of the membership protocol arrived.
@@ -64,6 +67,8 @@
     pub worker: Sender<agent::Input>,
     /// Whether the operators drain the target, as last told to the core.
     pub drained: bool,
+    /// Whether the core has not been told of the last change.
+    pub changed: bool,
 }
 
 impl Control {
@@ -88,7 +93,9 @@
             }
             self.announcer.tick(self.origin.elapsed(), &mut actions);
             self.send(&mut actions);
-            if self.announcer.changed() {
+            self.changed |= self.announcer.changed();
+            if self.changed && self.knows_peers() {
+                self.changed = false;
                 self.publish().await;
             }
             if self.announcer.finished() {
@@ -97,6 +104,13 @@
         }
     }
 
+    /// Whether the entries have told of the other agents, or had the time to.
+    /// The core asks the peers of its first view for the flows of its
+    /// predecessor, so that view must not come before them.
+    fn knows_peers(&self) -> bool {
+        self.announcer.view().targets.len() > 1 || self.origin.elapsed() >= FIRST_VIEW_TIMEOUT
+    }
+
     async fn next(&self, now: Duration) -> Option<Input> {
         let due = self.announcer.next_deadline().min(now + IDLE);
         let tick = async {
