Say not run of calls that come after an agent's core has exited

Cause: while a leaving agent says farewell, its listener still takes calls of peers; their core is gone, and the empty answer was read as lost, so that a passed non-idempotent request became unknown although it never ran. Ruled out: answers lost in flight (the calls were never taken up).

--- a/roles/app/src/agent/peer.rs
+++ b/roles/app/src/agent/peer.rs
@@ -166,11 +166,27 @@
 
 impl Server {
     /// Hands a call to the agent's core and waits for its answer; `None` where
-    /// this process is about to exit.
+    /// this process exits while the core has the call.
     async fn handle(&self, call: Call) -> Option<Answer> {
         let (reply, answer) = async_channel::bounded(1);
-        self.inputs.send(Input::Call { call, reply }).await.ok()?;
-        answer.recv().await.ok()
+        let refused = refused(&call);
+        match self.inputs.send(Input::Call { call, reply }).await {
+            Ok(()) => answer.recv().await.ok(),
+            Err(_) => Some(refused),
+        }
+    }
+}
+
+/// The answer to a call that no core takes any more: it was not carried out.
+const fn refused(call: &Call) -> Answer {
+    match call {
+        Call::Offer(_) => Answer::Offer(Outcome::NotRun {
+            reason: offer::Refusal::Unreachable,
+            retry_after: Duration::ZERO,
+        }),
+        Call::Withdraw(_) => Answer::Withdrawn,
+        Call::Park(_) => Answer::Parked(false),
+        Call::Claim(_) => Answer::Claimed(park::Grant::Unreachable),
     }
 }
 
