Log events and metrics of the daemons; print metrics in the status

Entries log each change of a service's revision and of a target's state; both daemons log their metrics at an interval. The status of an entry prints the same opentelemetry samples. The setting of the agent's drain time is removed: nothing used it.

--- a/roles/app/src/agent.rs
+++ b/roles/app/src/agent.rs
@@ -26,6 +26,7 @@
 use wire::target::State;
 
 use crate::clock;
+use crate::metric;
 use crate::settings;
 use crate::signal;
 
@@ -82,6 +83,11 @@
     ))
     .detach();
     smol::spawn(stop_on_signal(inputs_sender.clone())).detach();
+    smol::spawn(metric::agent::report(
+        inputs_sender.clone(),
+        settings.metrics,
+    ))
+    .detach();
 
     let control = control::Control {
         announcer: Announcer::new(
--- a/roles/app/src/entry.rs
+++ b/roles/app/src/entry.rs
@@ -27,9 +27,12 @@
 use crate::entry::control::Control;
 use crate::entry::control::Input;
 use crate::entry::traffic::Traffic;
+use crate::metric;
+use crate::metric::Board;
 use crate::operator;
 use crate::settings;
 use crate::signal;
+use crate::watch::Watch;
 
 /// Control messages that wait for the control thread.
 const CONTROL_QUEUE: usize = 16 * 1024;
@@ -73,18 +76,23 @@
     let context = operator::Context {
         store,
         snapshot: status::Inquiry {
-            control: inputs_sender,
+            control: inputs_sender.clone(),
         },
     };
     executor
         .spawn(operator::serve(operators, context, Arc::clone(&executor)))
         .detach();
+    executor
+        .spawn(metric::entry::report(inputs_sender, settings.metrics))
+        .detach();
     let control = Control {
         registry: registry(settings, origin),
         origin,
         port,
         traffic,
         inputs,
+        board: Board::default(),
+        watch: Watch::default(),
     };
     executor.run(control.run().or(stopped())).await;
     Ok(())
--- a/roles/app/src/entry/control.rs
+++ b/roles/app/src/entry/control.rs
@@ -23,6 +23,10 @@
 use crate::directory;
 use crate::entry::status;
 use crate::entry::traffic::Traffic;
+use crate::metric;
+use crate::metric::Board;
+use crate::metric::Sample;
+use crate::watch::Watch;
 
 /// Longest sleep while nothing is due.
 const IDLE: Duration = Duration::from_millis(250);
@@ -40,6 +44,8 @@
     Update(Update),
     /// An operator asks for the state of the system.
     Status(Sender<StatusReply>),
+    /// The metrics are asked for.
+    Metrics(Sender<Vec<Sample>>),
 }
 
 /// What the control thread works with.
@@ -54,6 +60,10 @@
     pub traffic: Arc<Traffic>,
     /// What arrives from other threads and tasks.
     pub inputs: Receiver<Input>,
+    /// The metrics.
+    pub board: Board,
+    /// What was last logged of the services.
+    pub watch: Watch,
 }
 
 impl Control {
@@ -76,7 +86,11 @@
             }
             Some(Input::Update(update)) => self.put(now, &update),
             Some(Input::Status(reply)) => {
-                let _ = reply.try_send(status::describe(&self.registry, &self.traffic));
+                let samples = self.samples();
+                let _ = reply.try_send(status::describe(&self.registry, &samples));
+            }
+            Some(Input::Metrics(reply)) => {
+                let _ = reply.try_send(self.samples());
             }
             None => {}
         }
@@ -116,10 +130,27 @@
         self.registry.put(now, service);
     }
 
+    /// Reads all metrics.
+    fn samples(&mut self) -> Vec<Sample> {
+        metric::entry::publish(&mut self.board, &self.registry, &self.traffic)
+            .and_then(|()| self.board.read())
+            .unwrap_or_else(|error| {
+                log::warn!("{error}");
+                Vec::new()
+            })
+    }
+
     /// Replaces the routes of the services that changed.
-    fn rebuild(&self, changes: &[ServiceAddress]) {
+    fn rebuild(&mut self, changes: &[ServiceAddress]) {
         let mut router = self.traffic.router.load().as_ref().clone();
         for address in changes {
+            let view = self.registry.service(address);
+            for event in view
+                .map(|view| self.watch.compare(view))
+                .unwrap_or_default()
+            {
+                event.log();
+            }
             match self.route(*address) {
                 Some(service) => router.insert(service),
                 None => router.remove(*address),
--- a/roles/app/src/entry/status.rs
+++ b/roles/app/src/entry/status.rs
@@ -1,6 +1,4 @@
 //! What an entry tells operators of the system.
-use std::sync::atomic::Ordering;
-
 use api::operator::Counter;
 use api::operator::Health;
 use api::operator::InForce;
@@ -17,7 +15,7 @@
 
 use crate::directory;
 use crate::entry::control::Input;
-use crate::entry::traffic::Traffic;
+use crate::metric::Sample;
 use crate::operator::Snapshot;
 
 /// Asks the control thread for the state of the system.
@@ -36,7 +34,7 @@
 
 /// Describes the state of the system as this entry knows it.
 #[must_use]
-pub fn describe(registry: &Registry, traffic: &Traffic) -> StatusReply {
+pub fn describe(registry: &Registry, samples: &[Sample]) -> StatusReply {
     let services: Vec<InForce> = registry.services().filter_map(in_force).collect();
     let processes = registry
         .entries()
@@ -54,7 +52,7 @@
         processes,
         services,
         targets,
-        counters: counters(registry, traffic),
+        counters: samples.iter().map(counter).collect(),
     }
 }
 
@@ -98,35 +96,13 @@
     }
 }
 
-fn counters(registry: &Registry, traffic: &Traffic) -> Vec<Counter> {
-    let mut counters: Vec<Counter> = traffic
-        .counters
-        .all()
-        .into_iter()
-        .map(|named| counter(named.name, named.value.load(Ordering::Relaxed)))
-        .collect();
-    counters.extend(
-        traffic
-            .port
-            .counters()
-            .all()
-            .into_iter()
-            .map(|named| counter(named.name, named.value.load(Ordering::Relaxed))),
-    );
-    let status = registry.status();
-    counters.push(counter("control.sent_bytes", status.sent_bytes));
-    counters.push(counter("control.received_bytes", status.received_bytes));
-    for (reason, count) in &status.refusals {
-        let name = format!("control.refused.{reason:?}").to_lowercase();
-        counters.push(counter(&name, *count));
-    }
-    counters.sort_by(|a, b| a.name.cmp(&b.name));
-    counters
-}
-
-fn counter(name: &str, value: u64) -> Counter {
+fn counter(sample: &Sample) -> Counter {
+    let name = match sample.reason.as_str() {
+        "" => sample.name.clone(),
+        reason => format!("{}.{reason}", sample.name),
+    };
     Counter {
-        name: name.to_string(),
-        value,
+        name,
+        value: sample.value,
     }
 }
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -90,14 +90,14 @@
 }
 
 events! {
-    1001 Info Started { role: String, listen: SocketAddr }
-        "{role} started on {listen}", "nothing";
-    1002 Info Stopping { role: String }
-        "{role} stops: no new work is taken", "nothing";
-    1003 Info Stopped { role: String }
+    1001 Info Starting { role: String, listen: SocketAddr }
+        "{role} starts on {listen}", "nothing";
+    1002 Info Stopped { role: String }
         "{role} has stopped", "nothing";
-    1004 Error Failed { role: String, error: String }
-        "{role} failed: {error}", "correct the setting that the error names";
+    1003 Error Failed { role: String, error: String }
+        "{role} failed: {error}", "check the addresses in the settings";
+    1004 Info Metrics { samples: String }
+        "metrics: {samples}", "nothing";
     2001 Info InForce { service: ServiceAddress, revision: Revision }
         "revision {revision} of service {service} is in force here", "nothing";
     3001 Info TargetUp { service: ServiceAddress, target: TargetId }
--- a/roles/app/src/lib.rs
+++ b/roles/app/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod operator;
 pub mod settings;
 pub mod signal;
+pub mod watch;
--- a/roles/app/src/main.rs
+++ b/roles/app/src/main.rs
@@ -1,16 +1,20 @@
 //! `greengagelug entry|agent|operate|call|help`.
 use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use app::agent;
 use app::call;
 use app::entry;
+use app::event::Event;
 use app::exit;
 use app::help;
+use app::logger;
 use app::operator;
 use app::settings;
 use app::settings::Command;
+use app::settings::Log;
 use app::settings::command;
 use app::settings::command::Settings;
 use app::settings::table::Role;
@@ -56,11 +60,15 @@
 }
 
 fn entry(settings: &settings::Entry) -> ExitCode {
-    finish(Role::Entry, entry::run(settings))
+    daemon(Role::Entry, settings.listen, settings.log, || {
+        entry::run(settings)
+    })
 }
 
 fn agent(settings: &settings::Agent) -> ExitCode {
-    finish(Role::Agent, agent::run(settings))
+    daemon(Role::Agent, settings.listen, settings.log, || {
+        agent::run(settings)
+    })
 }
 
 fn operate(settings: &settings::Operate) -> ExitCode {
@@ -83,12 +91,31 @@
     }
 }
 
-fn finish(role: Role, result: io::Result<()>) -> ExitCode {
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
+/// Runs a daemon with a log.
+fn daemon(
+    role: Role,
+    listen: SocketAddr,
+    log: Log,
+    run: impl FnOnce() -> io::Result<()>,
+) -> ExitCode {
+    let role = role.name().to_owned();
+    if let Err(error) = logger::start(log) {
+        eprintln!("greengagelug {role}: {error}");
+        return ExitCode::from(exit::FAILED);
+    }
+    let starting = Event::Starting {
+        role: role.clone(),
+        listen,
+    };
+    starting.log();
+    match run() {
+        Ok(()) => {
+            Event::Stopped { role }.log();
+            ExitCode::SUCCESS
+        }
         Err(error) => {
-            let role = role.name();
-            eprintln!("greengagelug {role}: {error}; check the addresses in the settings");
+            let error = error.to_string();
+            Event::Failed { role, error }.log();
             ExitCode::from(exit::FAILED)
         }
     }
--- a/roles/app/src/metric.rs
+++ b/roles/app/src/metric.rs
@@ -1,9 +1,13 @@
 //! Metrics, kept by `opentelemetry` and read within the process.
 //!
-//! The traffic threads count in atomic numbers of their own, so that a packet
-//! costs no lock. [`Metrics::observe`] joins such a number to an instrument,
-//! which reads it only when the metrics are read.
+//! The cores and the traffic threads count in numbers of their own, so that a
+//! packet costs no lock. They are copied to a [`Board`] when the metrics are
+//! read.
+pub mod agent;
+mod board;
+pub mod entry;
 mod reader;
+mod table;
 
 use std::fmt::Write;
 use std::sync::Arc;
@@ -20,7 +24,13 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use thiserror::Error;
 
+pub use board::Board;
 pub use reader::Sample;
+pub use table::Kind;
+pub use table::METRICS;
+pub use table::Metric;
+
+use crate::event::Event;
 
 use reader::Latest;
 
@@ -32,127 +42,6 @@
 /// Attribute that tells refusals, retries and drops apart.
 pub const REASON: &str = "reason";
 
-/// How a metric behaves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
-    /// Only rises while the process runs.
-    Counter,
-    /// Rises and falls.
-    Gauge,
-}
-
-/// One metric of the table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Metric {
-    /// Name of the metric.
-    pub name: &'static str,
-    /// How it behaves.
-    pub kind: Kind,
-    /// Unit, in the notation of UCUM.
-    pub unit: &'static str,
-    /// What it counts.
-    pub help: &'static str,
-}
-
-const fn counter(name: &'static str, unit: &'static str, help: &'static str) -> Metric {
-    let kind = Kind::Counter;
-    Metric {
-        name,
-        kind,
-        unit,
-        help,
-    }
-}
-
-const fn gauge(name: &'static str, unit: &'static str, help: &'static str) -> Metric {
-    let kind = Kind::Gauge;
-    Metric {
-        name,
-        kind,
-        unit,
-        help,
-    }
-}
-
-/// All metrics, by role.
-pub const METRICS: &[Metric] = &[
-    counter(
-        "frames.received",
-        "{datagram}",
-        "datagrams from other processes and the fabric",
-    ),
-    counter("frames.received_bytes", "By", "their size"),
-    counter(
-        "frames.sent",
-        "{datagram}",
-        "datagrams to other processes and the fabric",
-    ),
-    counter("frames.sent_bytes", "By", "their size"),
-    counter(
-        "frames.dropped",
-        "{datagram}",
-        "datagrams that were not accepted or not sent, by reason",
-    ),
-    counter(
-        "packets.relayed",
-        "{packet}",
-        "callers' packets relayed to agents",
-    ),
-    counter(
-        "packets.returned",
-        "{packet}",
-        "packets returned to callers",
-    ),
-    counter(
-        "packets.refused",
-        "{packet}",
-        "callers' packets that the entry did not relay, by reason",
-    ),
-    counter(
-        "control.sent_bytes",
-        "By",
-        "bytes of the membership protocol sent",
-    ),
-    counter(
-        "control.received_bytes",
-        "By",
-        "bytes of the membership protocol received",
-    ),
-    counter(
-        "control.refused",
-        "{message}",
-        "messages of the membership protocol not accepted, by reason",
-    ),
-    gauge("services", "{service}", "services that this process knows"),
-    gauge(
-        "targets",
-        "{target}",
-        "backend servers that this process knows",
-    ),
-    gauge(
-        "revision",
-        "1",
-        "largest revision of the configuration in force here",
-    ),
-    counter(
-        "requests.refused",
-        "{request}",
-        "requests and opens that the agent refused, by reason",
-    ),
-    counter(
-        "requests.retried",
-        "{request}",
-        "requests that the agent sent again or passed on, by reason",
-    ),
-    gauge("flows", "{flow}", "flows that this agent holds"),
-    gauge("slots.busy", "{slot}", "slots of the backend server in use"),
-    gauge(
-        "slots.limit",
-        "{slot}",
-        "slots of the backend server that may be used",
-    ),
-];
-
 /// Why the metrics could not be read.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -200,14 +89,15 @@
     pub fn observe(
         &self,
         name: &str,
-        reason: &'static str,
+        reason: impl Into<String>,
         read: impl Fn() -> u64 + Send + Sync + 'static,
     ) -> Result<(), Error> {
         let metric = METRICS.iter().find(|metric| metric.name == name);
         let metric = metric.ok_or_else(|| Error::Unknown(name.into()))?;
-        let attributes: Vec<KeyValue> = match reason {
+        let reason = reason.into();
+        let attributes: Vec<KeyValue> = match reason.as_str() {
             "" => Vec::new(),
-            reason => vec![KeyValue::new(REASON, reason)],
+            _ => vec![KeyValue::new(REASON, reason)],
         };
         match metric.kind {
             Kind::Counter => {
@@ -236,7 +126,7 @@
     /// # Errors
     ///
     /// [`Error::Unknown`] where the table has no such metric.
-    pub fn cell(&self, name: &str, reason: &'static str) -> Result<Arc<AtomicU64>, Error> {
+    pub fn cell(&self, name: &str, reason: impl Into<String>) -> Result<Arc<AtomicU64>, Error> {
         let cell = Arc::new(AtomicU64::new(0));
         let read = Arc::clone(&cell);
         self.observe(name, reason, move || read.load(Ordering::Relaxed))?;
@@ -254,6 +144,24 @@
     }
 }
 
+/// Logs a reading as an event.
+fn log(read: Result<Vec<Sample>, Error>) {
+    match read {
+        Ok(samples) => Event::Metrics {
+            samples: line(&samples),
+        }
+        .log(),
+        Err(error) => log::warn!("{error}"),
+    }
+}
+
+/// Writes samples in one line: `name{reason}=value`.
+#[must_use]
+pub fn line(samples: &[Sample]) -> String {
+    let samples: Vec<String> = samples.iter().map(ToString::to_string).collect();
+    samples.join(" ")
+}
+
 /// The page docs/METRICS.md.
 #[must_use]
 pub fn page() -> String {
--- /dev/null
+++ b/roles/app/src/metric/agent.rs
@@ -0,0 +1,93 @@
+//! The metrics of an agent.
+use std::time::Duration;
+
+use agent::Status;
+use agent::status::Counter;
+use async_channel::Sender;
+use async_io::Timer;
+
+use super::Board;
+use super::Error;
+use crate::agent::Input;
+
+/// Copies what an agent counted to the board.
+///
+/// # Errors
+///
+/// [`Error::Unknown`] where a counter is not in the table of metrics.
+pub fn publish(board: &mut Board, status: &Status) -> Result<(), Error> {
+    board.set_size("flows", status.flows)?;
+    board.set_size("flows.bytes", status.flow_bytes)?;
+    board.set_size("flows.parked", status.parked)?;
+    board.set_size("pins", status.pins)?;
+    board.set_size("pins.bytes", status.pin_bytes)?;
+    board.set_size("records", status.records)?;
+    board.set_size("records.bytes", status.record_bytes)?;
+    board.set_size("requests", status.tasks)?;
+    let wait = status.expected_wait.as_millis();
+    board.set("requests.wait", "", u64::try_from(wait).unwrap_or(u64::MAX))?;
+    board.set("weight", "", status.weight.into())?;
+    for refusals in status.counters.refusals() {
+        let reason = refusals.reason.as_str_name().to_lowercase();
+        board.set("requests.refused", &reason, refusals.count)?;
+    }
+    for counted in status.counters.iter() {
+        let place = place(counted.counter);
+        board.set(place.metric, place.reason, counted.count)?;
+    }
+    Ok(())
+}
+
+/// Logs the metrics at an interval, until the agent has stopped.
+pub async fn report(inputs: Sender<Input>, interval: Duration) {
+    let mut board = Board::default();
+    while !interval.is_zero() {
+        Timer::after(interval).await;
+        let (reply, status) = async_channel::bounded(1);
+        let _ = inputs.send(Input::Status(reply)).await;
+        let Ok(status) = status.recv().await else {
+            return;
+        };
+        let read = publish(&mut board, &status).and_then(|()| board.read());
+        super::log(read);
+    }
+}
+
+/// Where a counter is shown.
+struct Place {
+    metric: &'static str,
+    reason: &'static str,
+}
+
+const fn place(counter: Counter) -> Place {
+    let (metric, reason) = match counter {
+        Counter::Opened => ("flows.opened", ""),
+        Counter::Closed => ("flows.ended", "closed"),
+        Counter::Expired => ("flows.ended", "expired"),
+        Counter::HalfOpen => ("flows.ended", "half_open"),
+        Counter::HandedAlong => ("packets.handed_along", ""),
+        Counter::OpenPassed => ("opens.passed", ""),
+        Counter::Request => ("requests.admitted", ""),
+        Counter::Repeat => ("requests.repeated", ""),
+        Counter::Answered => ("requests.answered", ""),
+        Counter::Passed => ("requests.retried", "passed"),
+        Counter::RetryNotRun => ("requests.retried", "not_run"),
+        Counter::RetryIdempotent => ("requests.retried", "idempotent"),
+        Counter::BudgetSpent => ("retries.refused", "budget_spent"),
+        Counter::OfferTaken => ("offers.taken", ""),
+        Counter::OfferRefused => ("offers.refused", ""),
+        Counter::SpoofedClose => ("packets.refused", "spoofed_close"),
+        Counter::SpoofedCancel => ("packets.refused", "spoofed_cancel"),
+        Counter::ForeignCaller => ("packets.refused", "foreign_caller"),
+        Counter::ForeignService => ("packets.refused", "foreign_service"),
+        Counter::UnexpectedFrame => ("packets.refused", "unexpected_frame"),
+        Counter::MalformedFrame => ("packets.refused", "malformed_frame"),
+        Counter::UnexpectedPacket => ("packets.refused", "unexpected_packet"),
+        Counter::AwaitingState => ("packets.refused", "awaiting_state"),
+        Counter::KeptSilent => ("packets.refused", "kept_silent"),
+        Counter::PinTableFull => ("pins.refused", "table_full"),
+        Counter::StalePin => ("pins.refused", "stale"),
+        Counter::Inherited => ("flows.inherited", ""),
+    };
+    Place { metric, reason }
+}
--- a/roles/app/src/metric/reader.rs
+++ b/roles/app/src/metric/reader.rs
@@ -1,4 +1,5 @@
 //! Keeps what the instruments said when they were last read.
+use std::fmt;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -27,6 +28,15 @@
     pub value: u64,
 }
 
+impl fmt::Display for Sample {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.reason.as_str() {
+            "" => write!(formatter, "{}={}", self.name, self.value),
+            reason => write!(formatter, "{}{{{reason}}}={}", self.name, self.value),
+        }
+    }
+}
+
 /// The samples of the last reading.
 #[derive(Debug, Default)]
 pub(super) struct Latest(Mutex<Vec<Sample>>);
--- a/roles/app/src/settings/agent.rs
+++ b/roles/app/src/settings/agent.rs
@@ -32,10 +32,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Keys shared by the processes of the installation.
     pub keys: Keys,
-    /// Longest time that a draining backend server keeps its flows.
-    pub drain: Duration,
     /// Longest time between SIGTERM and exit.
     pub stop: Duration,
+    /// Time between two log lines with all metrics; zero for none.
+    pub metrics: Duration,
     /// What is logged.
     pub log: Log,
 }
@@ -52,8 +52,8 @@
             slots: 4,
             seeds: Vec::new(),
             keys: Keys::default(),
-            drain: Duration::from_mins(5),
             stop: Duration::from_secs(10),
+            metrics: Duration::from_mins(1),
             log: Log::default(),
         }
     }
@@ -73,8 +73,8 @@
             slots: reader.number("slots"),
             seeds: reader.addresses("seeds"),
             keys: command::keys(reader),
-            drain: reader.time("drain"),
             stop: reader.time("stop"),
+            metrics: reader.time("metrics-interval"),
             log: command::log(reader),
         };
         command::distinct(
--- a/roles/app/src/settings/call.rs
+++ b/roles/app/src/settings/call.rs
@@ -5,7 +5,6 @@
 
 use wire::ServiceAddress;
 
-use crate::settings::Log;
 use crate::settings::command;
 use crate::settings::command::Settings;
 use crate::settings::reader::Reader;
@@ -36,8 +35,6 @@
     pub output: String,
     /// Seed of all random choices; 0 takes one from the system.
     pub seed: u64,
-    /// What is logged.
-    pub log: Log,
 }
 
 impl Default for Call {
@@ -55,7 +52,6 @@
             payload: 64,
             output: String::new(),
             seed: 0,
-            log: Log::default(),
         }
     }
 }
@@ -77,7 +73,6 @@
             payload: reader.number("payload"),
             output: reader.text("output"),
             seed: reader.number("seed"),
-            log: command::log(reader),
         };
         command::no_arguments(reader, rest);
         settings
--- a/roles/app/src/settings/command.rs
+++ b/roles/app/src/settings/command.rs
@@ -72,8 +72,8 @@
         Role::Operate => format!("\n{}\n", crate::operator::args::USAGE),
         Role::Entry | Role::Agent | Role::Call => String::new(),
     };
-    let notes = "Each flag can be given as an environment variable instead: --log-format as \
-        GREENGAGELUG_LOG_FORMAT. The flag wins.\n";
+    let notes = "Each flag can be given as an environment variable instead: --entries as \
+        GREENGAGELUG_ENTRIES. The flag wins.\n";
     format!("{}{commands}\n{notes}", options(role).usage(&brief))
 }
 
--- a/roles/app/src/settings/entry.rs
+++ b/roles/app/src/settings/entry.rs
@@ -35,6 +35,8 @@
     pub threads: u16,
     /// Longest time between SIGTERM and exit.
     pub stop: Duration,
+    /// Time between two log lines with all metrics; zero for none.
+    pub metrics: Duration,
     /// What is logged.
     pub log: Log,
 }
@@ -53,6 +55,7 @@
             keys: Keys::default(),
             threads: 1,
             stop: Duration::from_secs(10),
+            metrics: Duration::from_mins(1),
             log: Log::default(),
         }
     }
@@ -74,6 +77,7 @@
             keys: command::keys(reader),
             threads: reader.number("threads"),
             stop: reader.time("stop"),
+            metrics: reader.time("metrics-interval"),
             log: command::log(reader),
         };
         command::distinct(
--- a/roles/app/src/settings/operate.rs
+++ b/roles/app/src/settings/operate.rs
@@ -2,8 +2,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::settings::Log;
-use crate::settings::command;
 use crate::settings::command::Settings;
 use crate::settings::reader::Reader;
 use crate::settings::table::Role;
@@ -17,8 +15,6 @@
     pub timeout: Duration,
     /// The command and its arguments.
     pub command: Vec<String>,
-    /// What is logged.
-    pub log: Log,
 }
 
 impl Default for Operate {
@@ -27,7 +23,6 @@
             entries: Vec::new(),
             timeout: Duration::from_secs(10),
             command: Vec::new(),
-            log: Log::default(),
         }
     }
 }
@@ -40,7 +35,6 @@
             entries: reader.addresses("entries"),
             timeout: reader.time("timeout"),
             command: rest.to_vec(),
-            log: command::log(reader),
         }
     }
 }
--- a/roles/app/src/settings/table.rs
+++ b/roles/app/src/settings/table.rs
@@ -98,7 +98,6 @@
 }
 
 const DAEMONS: &[Role] = &[Role::Entry, Role::Agent];
-const ALL: &[Role] = &[Role::Entry, Role::Agent, Role::Operate, Role::Call];
 const ENTRY: &[Role] = &[Role::Entry];
 const AGENT: &[Role] = &[Role::Agent];
 const OPERATE: &[Role] = &[Role::Operate];
@@ -194,18 +193,6 @@
         default: Preset::Required,
         help: "UDP addresses of entries to announce to",
     },
-    Setting {
-        name: "drain",
-        roles: AGENT,
-        kind: Kind::Time {
-            unit: Unit::Seconds,
-            min: 0,
-            max: 86_400,
-        },
-        unit: "s",
-        default: Preset::Text("300"),
-        help: "longest time that a draining backend server keeps its flows",
-    },
     Setting {
         name: "stop",
         roles: DAEMONS,
@@ -365,9 +352,21 @@
         default: Preset::Text("0"),
         help: "seed of all random choices; 0 takes one from the system",
     },
+    Setting {
+        name: "metrics-interval",
+        roles: DAEMONS,
+        kind: Kind::Time {
+            unit: Unit::Seconds,
+            min: 0,
+            max: 86_400,
+        },
+        unit: "s",
+        default: Preset::Text("60"),
+        help: "time between two log lines with all metrics; 0 writes none",
+    },
     Setting {
         name: "log-format",
-        roles: ALL,
+        roles: DAEMONS,
         kind: Kind::Choice(&["readable", "json"]),
         unit: "",
         default: Preset::Text("readable"),
@@ -375,7 +374,7 @@
     },
     Setting {
         name: "log-level",
-        roles: ALL,
+        roles: DAEMONS,
         kind: Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
         unit: "",
         default: Preset::Text("info"),
--- a/roles/app/tests/event.rs
+++ b/roles/app/tests/event.rs
@@ -1,4 +1,7 @@
 //! The catalogue of events.
+use std::fs;
+use std::path::Path;
+
 use app::event;
 use app::event::CATALOGUE;
 use app::event::Event;
@@ -8,8 +11,8 @@
 use log::Record;
 use log4rs::encode::writer::simple::SimpleWriter;
 
-fn stopping() -> Event {
-    Event::Stopping {
+fn stopped() -> Event {
+    Event::Stopped {
         role: "entry".into(),
     }
 }
@@ -55,27 +58,50 @@
     }
 }
 
+/// Every event is written somewhere in the code.
+#[test]
+fn events_are_used() {
+    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let mut text = String::new();
+    read(&source, &mut text);
+    for entry in CATALOGUE {
+        assert!(
+            text.contains(&format!("Event::{} {{", entry.name)),
+            "{}",
+            entry.name
+        );
+    }
+}
+
+fn read(directory: &Path, text: &mut String) {
+    for entry in fs::read_dir(directory).expect("the sources can be listed") {
+        let path = entry.expect("the sources can be listed").path();
+        if path.is_dir() {
+            read(&path, text);
+        } else {
+            *text += &fs::read_to_string(&path).expect("the sources can be read");
+        }
+    }
+}
+
 #[test]
 fn text_has_its_fields() {
-    assert_eq!(stopping().to_string(), "entry stops: no new work is taken");
-    assert_eq!(stopping().number(), 1002);
-    assert_eq!(stopping().level(), Level::Info);
+    assert_eq!(stopped().to_string(), "entry has stopped");
+    assert_eq!(stopped().number(), 1002);
+    assert_eq!(stopped().level(), Level::Info);
 }
 
 #[test]
 fn readable_line_has_the_number() {
-    let line = encode(Format::Readable, &stopping());
-    assert!(
-        line.ends_with(" INFO  1002 entry stops: no new work is taken\n"),
-        "{line}"
-    );
+    let line = encode(Format::Readable, &stopped());
+    assert!(line.ends_with(" INFO  1002 entry has stopped\n"), "{line}");
 }
 
 #[test]
 fn json_line_has_the_number() {
-    let line = encode(Format::Json, &stopping());
+    let line = encode(Format::Json, &stopped());
     let value: serde_json::Value = serde_json::from_str(&line).expect("the line is JSON");
     assert_eq!(value["attributes"]["event"], "1002");
     assert_eq!(value["level"], "INFO");
-    assert_eq!(value["message"], "entry stops: no new work is taken");
+    assert_eq!(value["message"], "entry has stopped");
 }
--- a/roles/app/tests/metric.rs
+++ b/roles/app/tests/metric.rs
@@ -1,11 +1,16 @@
 //! The metrics of a process.
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use app::metric;
+use app::metric::Board;
 use app::metric::Error;
 use app::metric::METRICS;
 use app::metric::Metrics;
 use app::metric::Sample;
+use wire::Target;
+use wire::target::State;
 
 fn sample(name: &str, reason: &str, value: u64) -> Sample {
     Sample {
@@ -69,3 +74,32 @@
     let result = Metrics::new().cell("flaws", "");
     assert!(matches!(result, Err(Error::Unknown(name)) if name == "flaws"));
 }
+
+#[test]
+fn status_of_an_agent_is_in_the_table() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 7000));
+    let target = Target {
+        id: 1,
+        service: address,
+        address,
+        control: address,
+        zone: 1,
+        incarnation: 1,
+        version: 0,
+        weight: 20,
+        slots: 1,
+        state: State::Ready,
+    };
+    let core = agent::Agent::new(agent::Settings::default(), target, 1, Duration::ZERO);
+    let mut board = Board::default();
+    metric::agent::publish(&mut board, &core.status()).expect("all are in the table");
+    let samples = board.read().expect("can be read");
+    assert!(samples.contains(&sample("flows", "", 0)), "{samples:?}");
+    assert!(metric::line(&samples).contains("flows=0 "));
+}
+
+#[test]
+fn reason_is_shown_in_braces() {
+    let samples = [sample("port.refused", "bad_tag", 3), sample("flows", "", 1)];
+    assert_eq!(metric::line(&samples), "port.refused{bad_tag}=3 flows=1");
+}
--- a/roles/app/tests/settings.rs
+++ b/roles/app/tests/settings.rs
@@ -66,7 +66,7 @@
     let settings: Agent = run(&format!("{AGENT} --sign-key {KEY}"), &[]);
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.slots, Agent::default().slots);
-    assert_eq!(settings.drain, Agent::default().drain);
+    assert_eq!(settings.metrics, Agent::default().metrics);
     assert_eq!(settings.stop, Agent::default().stop);
 }
 
