--- a/roles/app/src/operator/print.rs
+++ b/roles/app/src/operator/print.rs
@@ -6,6 +6,8 @@
 use schema::drained::Subject;
 use schema::get_reply::Result as Found;
 
+use super::args::Command;
+
 /// What a command printed, and how it ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Printed {
@@ -45,9 +47,9 @@
 }
 
 /// The reply to a change.
-pub(super) fn change(reply: &schema::ChangeReply, operation: &str) -> Printed {
+pub(super) fn change(reply: &schema::ChangeReply, command: &Command) -> Printed {
     let mut printed = match &reply.result {
-        Some(Change::Accepted(accepted)) => accepted_line(accepted, operation),
+        Some(Change::Accepted(accepted)) => accepted_line(accepted, &command.operation),
         Some(Change::Checked(checked)) => line(
             End::Done,
             format!(
@@ -65,20 +67,15 @@
             ),
         ),
         Some(Change::Invalid(invalid)) => problems(invalid),
-        Some(Change::Unavailable(unavailable)) => refused(unavailable, operation),
+        Some(Change::Unavailable(unavailable)) => self::unavailable(unavailable, command),
         None => line(
             End::Unknown,
             "the entry's reply is empty; upgrade the older side",
         ),
     };
-    for difference in &reply.differences {
-        let schema::Difference {
-            field,
-            before,
-            after,
-        } = difference;
-        printed.text += &format!("  {field}: {before} -> {after}\n");
-    }
+    printed
+        .text
+        .extend(reply.differences.iter().map(difference));
     printed
 }
 
@@ -88,7 +85,7 @@
         Some(Found::Stored(stored)) => line(End::Done, service(&stored)),
         Some(Found::Missing(_)) => line(End::Invalid, "no such service; create it first"),
         Some(Found::Invalid(invalid)) => problems(&invalid),
-        Some(Found::Unavailable(unavailable)) => refused(&unavailable, ""),
+        Some(Found::Unavailable(unavailable)) => refused(&unavailable),
         None => line(
             End::Unknown,
             "the entry's reply is empty; upgrade the older side",
@@ -99,61 +96,65 @@
 /// All services.
 pub(super) fn list(reply: &schema::ListReply) -> Printed {
     if let Some(unavailable) = &reply.unavailable {
-        return refused(unavailable, "");
+        return refused(unavailable);
     }
-    let mut text: String = reply
-        .services
-        .iter()
-        .map(|stored| service(stored) + "\n")
-        .collect();
+    let mut lines: Vec<String> = reply.services.iter().map(service).collect();
     if reply.malformed > 0 {
-        text += &format!(
-            "{} records cannot be read; upgrade this entry\n",
-            reply.malformed
-        );
-    }
-    Printed {
-        text,
-        end: End::Done,
+        let count = reply.malformed;
+        lines.push(format!(
+            "{count} records cannot be read; upgrade this entry"
+        ));
     }
+    done(lines)
 }
 
 /// What is in force where.
 pub(super) fn status(reply: &schema::StatusReply) -> Printed {
-    let mut text = String::new();
-    for service in &reply.services {
-        text += &format!("in force: {}\n", in_force(service));
-    }
-    for process in &reply.processes {
-        let services: Vec<String> = process.services.iter().map(in_force).collect();
-        text += &format!(
-            "{}: {} zone {} silent {} ms [{}]\n",
-            process.role().as_str_name().to_lowercase(),
-            process.address,
-            process.zone,
-            process.silent_ms,
-            services.join(", "),
-        );
-    }
-    for target in &reply.targets {
-        text += &format!(
-            "target: {} of {} at {} zone {} {} weight {}/s slots {}\n",
-            target.target,
-            target.service,
-            target.agent,
-            target.zone,
-            target.health().as_str_name().to_lowercase(),
-            target.weight,
-            target.slots,
-        );
-    }
-    for counter in &reply.counters {
-        text += &format!("counter: {} {}\n", counter.name, counter.value);
-    }
-    Printed {
-        text,
-        end: End::Done,
-    }
+    let in_force = reply
+        .services
+        .iter()
+        .map(|service| format!("in force: {}", in_force(service)));
+    let processes = reply.processes.iter().map(process);
+    let targets = reply.targets.iter().map(target);
+    let counters = reply
+        .counters
+        .iter()
+        .map(|counter| format!("counter: {} {}", counter.name, counter.value));
+    done(in_force.chain(processes).chain(targets).chain(counters))
+}
+
+fn process(process: &schema::Process) -> String {
+    let services: Vec<String> = process.services.iter().map(in_force).collect();
+    format!(
+        "{}: {} zone {} silent {} ms [{}]",
+        process.role().as_str_name().to_lowercase(),
+        process.address,
+        process.zone,
+        process.silent_ms,
+        services.join(", "),
+    )
+}
+
+fn target(target: &schema::TargetStatus) -> String {
+    format!(
+        "target: {} of {} at {} zone {} {} weight {}/s slots {}",
+        target.target,
+        target.service,
+        target.agent,
+        target.zone,
+        target.health().as_str_name().to_lowercase(),
+        target.weight,
+        target.slots,
+    )
+}
+
+fn difference(difference: &schema::Difference) -> String {
+    let schema::Difference {
+        field,
+        before,
+        after,
+    } = difference;
+    format!("  {field}: {before} -> {after}\n")
 }
 
 fn accepted_line(accepted: &schema::Accepted, operation: &str) -> Printed {
@@ -171,19 +172,30 @@
     )
 }
 
-fn refused(unavailable: &schema::Unavailable, operation: &str) -> Printed {
-    let end = match unavailable.outcome() {
-        schema::Outcome::Unknown => End::Unknown,
-        schema::Outcome::Unspecified | schema::Outcome::NotApplied => End::Unavailable,
-    };
-    let repeat = match end {
-        End::Unknown => format!(" with --operation {operation} --retry"),
-        _ => String::new(),
-    };
+/// A change that the store did not confirm.
+pub(super) fn unavailable(unavailable: &schema::Unavailable, command: &Command) -> Printed {
+    let mut printed = refused(unavailable);
+    if unavailable.outcome() == schema::Outcome::Unknown {
+        printed.end = End::Unknown;
+        printed.text += &(repeat(command) + "\n");
+    }
+    printed
+}
+
+/// How to learn what became of a change.
+pub(super) fn repeat(command: &Command) -> String {
+    format!(
+        "repeat it with --operation {} --expected {} --retry to learn its outcome",
+        command.operation,
+        command.expected.unwrap_or_default(),
+    )
+}
+
+fn refused(unavailable: &schema::Unavailable) -> Printed {
     line(
-        end,
+        End::Unavailable,
         format!(
-            "refused ({}): {}; try again after {} ms{repeat}",
+            "refused ({}): {}; try again after {} ms",
             effect(unavailable.outcome()),
             unavailable.reason,
             unavailable.retry_after_ms,
@@ -236,6 +248,13 @@
     format!("{} revision {}", service.address, service.revision)
 }
 
+fn done(lines: impl IntoIterator<Item = String>) -> Printed {
+    Printed {
+        text: lines.into_iter().map(|line| line + "\n").collect(),
+        end: End::Done,
+    }
+}
+
 fn line(end: End, text: impl Display) -> Printed {
     Printed {
         text: format!("{text}\n"),
