--- /dev/null
+++ b/tools/bench/src/place/plot.rs
@@ -0,0 +1,132 @@
+//! Draws the imbalance of the policies and the latency through a slow-down.
+use std::error::Error;
+use std::fs;
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use super::report::Results;
+use super::report::Row;
+
+const SIZE: (u32, u32) = (900, 420);
+const FONT: (&str, u32) = ("sans-serif", 14);
+const TITLE: (&str, u32) = ("sans-serif", 18);
+const COLOURS: [RGBColor; 6] = [BLUE, RED, GREEN, MAGENTA, BLACK, CYAN];
+
+/// Trial that the latency through a slow-down is drawn from.
+const SLOW_TRIAL: &str = "roster single slow";
+
+/// Trials that the imbalance is drawn from.
+const IMBALANCE_TRIALS: [&str; 4] = [
+    "roster single",
+    "rota single",
+    "advice single",
+    "intake single",
+];
+
+/// Latencies below this are drawn at the foot, in milliseconds.
+const LEAST_MS: f64 = 10.0;
+
+/// Latencies above this are drawn at the top, in milliseconds.
+const MOST_MS: f64 = 100_000.0;
+
+/// Writes the plots of the results that were run.
+pub fn save(results: &[Results], plots: &Path) -> Result<(), Box<dyn Error>> {
+    fs::create_dir_all(plots)?;
+    if let Some(slow) = results.iter().find(|results| results.name == SLOW_TRIAL) {
+        latency(slow, &plots.join("slowdown.svg"))?;
+    }
+    let named = |name| results.iter().find(|results| results.name == name);
+    let trials: Vec<&Results> = IMBALANCE_TRIALS.into_iter().filter_map(named).collect();
+    if trials.len() == IMBALANCE_TRIALS.len() {
+        imbalance(&trials, &plots.join("imbalance.svg"))?;
+    }
+    Ok(())
+}
+
+fn latency(results: &Results, path: &Path) -> Result<(), Box<dyn Error>> {
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let seconds = u32::try_from(results.rows[0].outcome.p99_by_second_ms.len())?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(
+            "p99 by second; one target 5 times slower from 90 s to 120 s",
+            TITLE,
+        )
+        .margin(10)
+        .x_label_area_size(40)
+        .y_label_area_size(70)
+        .build_cartesian_2d(60..seconds, (LEAST_MS..MOST_MS).log_scale())?;
+    let mut mesh = chart.configure_mesh();
+    mesh.x_desc("second")
+        .y_desc("ms")
+        .label_style(FONT)
+        .draw()?;
+    for (row, colour) in results.rows.iter().zip(COLOURS) {
+        let points = (0..).zip(&row.outcome.p99_by_second_ms);
+        let points = points.filter(|&(second, _)| second >= 60);
+        let points = points.map(|(second, &ms)| (second, ms.clamp(LEAST_MS, MOST_MS)));
+        let line = chart.draw_series(LineSeries::new(points, colour))?;
+        line.label(&row.name).legend(key(colour));
+    }
+    let mut labels = chart.configure_series_labels();
+    labels
+        .label_font(FONT)
+        .background_style(WHITE)
+        .border_style(BLACK)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
+
+fn imbalance(trials: &[&Results], path: &Path) -> Result<(), Box<dyn Error>> {
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let policies = trials[0].rows.len();
+    let width = policies + 1;
+    let end = trials.len() * width;
+    let mut chart = ChartBuilder::on(&area)
+        .caption("Largest over mean utilisation at 85% load", TITLE)
+        .margin(10)
+        .x_label_area_size(40)
+        .y_label_area_size(70)
+        .build_cartesian_2d(0..end, 1.0..1.35_f64)?;
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .x_labels(end)
+        .x_label_formatter(&|x| middle(trials, *x, width))
+        .label_style(FONT)
+        .draw()?;
+    for policy in 0..policies {
+        let colour = COLOURS[policy % COLOURS.len()];
+        let bar = |(trial, results): (usize, &&Results)| {
+            let left = trial * width + policy;
+            let top = results.rows[policy].outcome.imbalance;
+            Rectangle::new([(left, 1.0), (left + 1, top)], colour.filled())
+        };
+        let bars = chart.draw_series(trials.iter().enumerate().map(bar))?;
+        let row: &Row = &trials[0].rows[policy];
+        bars.label(&row.name).legend(key(colour));
+    }
+    let mut labels = chart.configure_series_labels();
+    labels
+        .label_font(FONT)
+        .background_style(WHITE)
+        .border_style(BLACK)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
+
+/// The name of a group of bars, below its middle.
+fn middle(trials: &[&Results], x: usize, width: usize) -> String {
+    match trials.get(x / width) {
+        Some(results) if x % width == width / 2 => results.name.clone(),
+        _ => String::new(),
+    }
+}
+
+fn key(colour: RGBColor) -> impl Fn((i32, i32)) -> PathElement<(i32, i32)> {
+    move |(x, y)| PathElement::new(vec![(x, y), (x + 20, y)], colour.stroke_width(3))
+}
--- /dev/null
+++ b/tools/bench/src/place/trial.rs
@@ -0,0 +1,233 @@
+//! The trials: sizes, work, faults and the policies compared.
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::policy::Key;
+use super::policy::Pass;
+use super::policy::Place;
+use super::policy::Policy;
+use super::policy::Signal;
+
+/// One set of targets and work, run under several policies.
+#[derive(Clone, Debug)]
+pub struct Trial {
+    /// Name for tables and files.
+    pub name: String,
+    /// Targets and their slots.
+    pub fleet: Fleet,
+    /// What the callers do.
+    pub work: Work,
+    /// What goes wrong.
+    pub fault: Fault,
+    /// The policies.
+    pub policies: Vec<Policy>,
+}
+
+/// The targets of a service; their mean service times lie evenly between
+/// [`FASTEST`] and [`SLOWEST`].
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Fleet {
+    /// Number of targets.
+    pub targets: usize,
+    /// Slots of each.
+    pub slots: u16,
+}
+
+impl Fleet {
+    /// The target that a fault befalls.
+    pub const fn faulty(self) -> usize {
+        self.targets / 2
+    }
+}
+
+/// Mean service time of the fastest target.
+pub const FASTEST: Duration = Duration::from_millis(20);
+
+/// Mean service time of the slowest target.
+pub const SLOWEST: Duration = Duration::from_millis(80);
+
+/// Offered load over the capacity of all targets.
+pub const LOAD: f64 = 0.85;
+
+/// Length of a run.
+pub const END: Duration = Duration::from_mins(3);
+
+/// Start of the measurement.
+pub const WARM: Duration = Duration::from_mins(1);
+
+/// One-way delay between two hosts.
+pub const HOP: Duration = Duration::from_micros(1500);
+
+/// Mean time that a long flow is held.
+pub const FLOW_LIFE: Duration = Duration::from_mins(1);
+
+/// Time that a caller allows for a request.
+pub const DEADLINE: Duration = Duration::from_secs(30);
+
+/// What the callers do.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub enum Work {
+    /// Each flow carries one request, `gap` after it was taken.
+    Single {
+        /// Round trip between the holder and the caller.
+        gap: Duration,
+    },
+    /// Flows that stay, with uneven request rates (log-normal, sigma 1.25).
+    Long {
+        /// Number of flows.
+        flows: usize,
+    },
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// Two targets always report that they are idle.
+    Lies,
+    /// The middle target takes 5 times as long from 90 s to 120 s.
+    Slow,
+    /// The middle target is replaced at 90 s, and takes 5 times as long for
+    /// the first 10 s.
+    Cold,
+}
+
+/// Start of [`Fault::Slow`] and [`Fault::Cold`].
+pub const FAULT_START: Duration = Duration::from_secs(90);
+
+/// End of [`Fault::Slow`].
+pub const SLOW_END: Duration = Duration::from_mins(2);
+
+/// End of [`Fault::Cold`].
+pub const COLD_END: Duration = Duration::from_secs(100);
+
+/// Factor of the service time during a fault.
+pub const SLOW_FACTOR: f64 = 5.0;
+
+const ROSTER: Fleet = Fleet {
+    targets: 7,
+    slots: 4,
+};
+const ROTA: Fleet = Fleet {
+    targets: 4,
+    slots: 4,
+};
+const ADVICE: Fleet = Fleet {
+    targets: 7,
+    slots: 2,
+};
+const INTAKE: Fleet = Fleet {
+    targets: 4,
+    slots: 2,
+};
+
+/// All trials.
+pub fn all() -> Vec<Trial> {
+    let mut trials = services();
+    let long = Work::Long { flows: 14_000 };
+    let few = Work::Long { flows: 200 };
+    let gap = Work::Single { gap: ROUND_TRIP };
+    let roster = |kind, work, fault, policies| trial("roster", kind, ROSTER, work, fault, policies);
+    trials.extend([
+        roster("few bound", few, Fault::None, bounds()),
+        roster("few independent", few, Fault::None, passes()),
+        roster("single with gap", gap, Fault::None, singles()),
+        roster("single lies", SINGLE, Fault::Lies, singles()),
+        roster("single slow", SINGLE, Fault::Slow, singles()),
+        roster("single cold", SINGLE, Fault::Cold, singles()),
+        roster("bound slow", long, Fault::Slow, bounds()),
+        roster("bound cold", long, Fault::Cold, bounds()),
+        roster("independent slow", long, Fault::Slow, passes()),
+        roster("independent cold", long, Fault::Cold, passes()),
+    ]);
+    trials
+}
+
+/// The services of both customers without a fault.
+fn services() -> Vec<Trial> {
+    let mut trials = Vec::new();
+    for (name, fleet) in [
+        ("roster", ROSTER),
+        ("rota", ROTA),
+        ("advice", ADVICE),
+        ("intake", INTAKE),
+    ] {
+        let flows = fleet.targets * 2000;
+        let long = Work::Long { flows };
+        let add = |kind, work, policies| trial(name, kind, fleet, work, Fault::None, policies);
+        trials.push(add("single", SINGLE, singles()));
+        trials.push(add("bound", long, bounds()));
+        trials.push(add("independent", long, passes()));
+    }
+    trials
+}
+
+const SINGLE: Work = Work::Single {
+    gap: Duration::ZERO,
+};
+
+/// Round trip to a caller in Slovakia.
+const ROUND_TRIP: Duration = Duration::from_millis(6);
+
+fn trial(
+    service: &str,
+    kind: &str,
+    fleet: Fleet,
+    work: Work,
+    fault: Fault,
+    policies: Vec<Policy>,
+) -> Trial {
+    Trial {
+        name: format!("{service} {kind}"),
+        fleet,
+        work,
+        fault,
+        policies,
+    }
+}
+
+fn hunt(width: usize, signal: Signal) -> Place {
+    Place::Hunt { width, signal }
+}
+
+fn baselines() -> Vec<Policy> {
+    [Place::Hash, Place::RoundRobin, Place::BestOfTwo]
+        .map(Policy::bound)
+        .to_vec()
+}
+
+fn singles() -> Vec<Policy> {
+    let hunts = (2..=4).map(|width| Policy::bound(hunt(width, Signal::Slots)));
+    baselines().into_iter().chain(hunts).collect()
+}
+
+fn bounds() -> Vec<Policy> {
+    let slots = [2, 3, 5].map(|width| hunt(width, Signal::Slots));
+    let signals = [Signal::Held, Signal::Load, Signal::Forecast, Signal::Blend];
+    let signals = signals.map(|signal| hunt(3, signal));
+    let hunts = slots.into_iter().chain(signals).map(Policy::bound);
+    baselines().into_iter().chain(hunts).collect()
+}
+
+fn passes() -> Vec<Policy> {
+    let place = hunt(3, Signal::Slots);
+    let pass = |width, millis, key| Policy {
+        place,
+        pass: Some(Pass {
+            width,
+            threshold: Duration::from_millis(millis),
+            key,
+        }),
+    };
+    let thresholds = [0, 6, 12, 25, 50, 100].map(|millis| pass(2, millis, Key::Request));
+    let mut policies = vec![Policy::bound(Place::Hash), Policy::bound(place)];
+    policies.extend(thresholds);
+    policies.extend([
+        pass(2, 12, Key::Flow),
+        pass(1, 12, Key::Request),
+        pass(3, 12, Key::Request),
+    ]);
+    policies
+}
--- /dev/null
+++ b/tools/bench/src/place/world.rs
@@ -0,0 +1,553 @@
+//! The discrete event program: callers, entries, agents, backend servers.
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fastrand::Rng;
+use limit::Class;
+use limit::Finish;
+use limit::Job;
+use limit::Release;
+use limit::Verdict;
+use route::Order;
+use route::hunt;
+use route::hunt::Step;
+use wire::Hop;
+use wire::Relay;
+use wire::Target;
+use wire::target::State;
+
+use super::outcome::Count;
+use super::outcome::Outcome;
+use super::policy::Key;
+use super::policy::Pass;
+use super::policy::Place;
+use super::policy::Policy;
+use super::server::Server;
+use super::trial::DEADLINE;
+use super::trial::END;
+use super::trial::FAULT_START;
+use super::trial::FLOW_LIFE;
+use super::trial::Fault;
+use super::trial::HOP;
+use super::trial::LOAD;
+use super::trial::Trial;
+use super::trial::WARM;
+use super::trial::Work;
+
+const ENTRIES: usize = 3;
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+const RATE_SIGMA: f64 = 1.25;
+
+/// Time over which the long flows are opened at the start.
+const RAMP: Duration = Duration::from_secs(20);
+
+#[derive(Debug)]
+enum Event {
+    /// A flow opens.
+    Open(usize),
+    /// An open reaches the next agent of its path.
+    Visit { flow: usize, relay: Box<Relay> },
+    /// A long flow ends, and its caller opens another.
+    Close(usize),
+    /// A flow's next request reaches the holder.
+    Request { flow: usize, life: u32 },
+    /// A passed request reaches another agent.
+    Ask {
+        request: usize,
+        target: usize,
+        settle: bool,
+    },
+    /// The other agent did not run it.
+    NotRun { request: usize, wait: Duration },
+    /// A backend server has answered.
+    Done { request: usize, target: usize },
+    /// A gate's deadline.
+    Wake(usize),
+    /// Agents report and entries rebuild their order.
+    Report,
+    /// The agent beside a target restarts.
+    Restart(usize),
+}
+
+/// Events of the same time come in the sequence in which they were planned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Due {
+    time: Duration,
+    sequence: u64,
+}
+
+#[derive(Debug)]
+struct Flow {
+    key: u64,
+    holder: usize,
+    rate: f64,
+    life: u32,
+}
+
+#[derive(Debug)]
+struct Request {
+    flow: usize,
+    holder: usize,
+    issued: Duration,
+    /// The other agents to ask, last first.
+    others: Vec<usize>,
+    /// The best wait that another agent named.
+    best: Option<Offer>,
+    asked: Option<usize>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Offer {
+    target: usize,
+    wait: Duration,
+}
+
+/// One run.
+pub struct World {
+    trial: Trial,
+    policy: Policy,
+    now: Duration,
+    sequence: u64,
+    events: BTreeMap<Due, Event>,
+    wakes: Vec<Option<Duration>>,
+    servers: Vec<Server>,
+    flows: Vec<Flow>,
+    requests: Vec<Request>,
+    order: Order,
+    turns: [usize; ENTRIES],
+    random: Rng,
+    count: Count,
+    changes: u64,
+}
+
+impl World {
+    /// Runs a trial under a policy.
+    pub fn run(trial: &Trial, policy: Policy, seed: u64) -> Outcome {
+        let mut world = Self::new(trial, policy, seed);
+        world.start();
+        while let Some((due, event)) = world.events.pop_first() {
+            if due.time >= END {
+                break;
+            }
+            world.now = due.time;
+            world.handle(event);
+        }
+        let measured = END.saturating_sub(WARM);
+        let servers = world.servers.iter();
+        let utilisation: Vec<f64> = servers.map(|server| server.utilisation(measured)).collect();
+        world.count.finish(&utilisation, world.changes)
+    }
+
+    fn new(trial: &Trial, policy: Policy, seed: u64) -> Self {
+        let server = |index| Server::new(index, trial.fleet, trial.fault, seed);
+        let servers: Vec<Server> = (0..trial.fleet.targets).map(server).collect();
+        Self {
+            trial: trial.clone(),
+            policy,
+            now: Duration::ZERO,
+            sequence: 0,
+            events: BTreeMap::new(),
+            wakes: vec![None; servers.len()],
+            order: order(&servers),
+            servers,
+            flows: Vec::new(),
+            requests: Vec::new(),
+            turns: [0; ENTRIES],
+            random: Rng::with_seed(seed),
+            count: Count::new(),
+            changes: 0,
+        }
+    }
+
+    fn start(&mut self) {
+        self.plan(REPORT_INTERVAL, Event::Report);
+        if self.trial.fault == Fault::Cold {
+            self.plan(FAULT_START, Event::Restart(self.trial.fleet.faulty()));
+        }
+        match self.trial.work {
+            Work::Single { .. } => self.open_single(),
+            Work::Long { flows } => self.open_long(flows),
+        }
+    }
+
+    /// Load that all callers together offer, in requests a second.
+    fn offered(&self) -> f64 {
+        self.servers.iter().map(Server::capacity).sum::<f64>() * LOAD
+    }
+
+    fn open_single(&mut self) {
+        let flow = self.flows.len();
+        let flow_key = self.random.u64(..);
+        self.flows.push(Flow {
+            key: flow_key,
+            holder: 0,
+            rate: 0.0,
+            life: 0,
+        });
+        let pause = self.exponential(1.0 / self.offered());
+        self.plan(pause, Event::Open(flow));
+    }
+
+    fn open_long(&mut self, flows: usize) {
+        let weights: Vec<f64> = (0..flows).map(|_| self.log_normal()).collect();
+        let sum: f64 = weights.iter().sum();
+        let offered = self.offered();
+        for weight in weights {
+            let flow = self.flows.len();
+            let key = self.random.u64(..);
+            self.flows.push(Flow {
+                key,
+                holder: 0,
+                rate: weight / sum * offered,
+                life: 0,
+            });
+            let pause = RAMP.mul_f64(self.random.f64());
+            self.plan(pause, Event::Open(flow));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Open(flow) => self.open(flow),
+            Event::Visit { flow, relay } => self.visit(flow, *relay),
+            Event::Close(flow) => self.close(flow),
+            Event::Request { flow, life } => self.request(flow, life),
+            Event::Ask {
+                request,
+                target,
+                settle,
+            } => self.ask(request, target, settle),
+            Event::NotRun { request, wait } => self.not_run(request, wait),
+            Event::Done { request, target } => self.done(request, target),
+            Event::Wake(target) => self.wake(target),
+            Event::Report => self.report(),
+            Event::Restart(target) => self.servers[target].restart(self.now),
+        }
+    }
+
+    fn open(&mut self, flow: usize) {
+        if matches!(self.trial.work, Work::Single { .. }) {
+            self.open_single();
+        }
+        match self.policy.place {
+            Place::Hash => {
+                let home = self.path(flow, 1)[0];
+                self.hold(flow, home);
+            }
+            Place::RoundRobin => {
+                let entry = self.random.usize(..ENTRIES);
+                self.turns[entry] += 1;
+                self.hold(flow, self.turns[entry] % self.servers.len());
+            }
+            Place::BestOfTwo => {
+                let two = self.random.choose_multiple(0..self.servers.len(), 2);
+                let load = |&target: &usize| self.servers[target].reported;
+                let best = two.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)));
+                self.hold(flow, best.unwrap_or(0));
+            }
+            Place::Hunt { width, .. } => {
+                let path = self.path(flow, width);
+                self.visit(flow, relay(&path));
+            }
+        }
+    }
+
+    fn path(&self, flow: usize, width: usize) -> Vec<usize> {
+        let open = self.order.open(self.flows[flow].key, width);
+        open.map(index_of).collect()
+    }
+
+    fn visit(&mut self, flow: usize, relay: Relay) {
+        let Place::Hunt { signal, .. } = self.policy.place else {
+            return;
+        };
+        let target = index(relay.path[usize::from(relay.position)].target);
+        let bid = self.servers[target].bid(self.now, signal);
+        match hunt::step(relay, bid) {
+            Step::Take => self.hold(flow, target),
+            Step::Refuse => self.count.refused += 1,
+            Step::Forward(relay) => {
+                self.count.messages += u64::from(self.now >= WARM);
+                let relay = Box::new(relay);
+                self.plan(HOP, Event::Visit { flow, relay });
+            }
+        }
+    }
+
+    fn hold(&mut self, flow: usize, holder: usize) {
+        self.flows[flow].holder = holder;
+        self.servers[holder].note_open(self.now);
+        match self.trial.work {
+            Work::Single { gap } if gap.is_zero() => self.request(flow, 0),
+            Work::Single { gap } => self.plan(gap, Event::Request { flow, life: 0 }),
+            Work::Long { .. } => {
+                let life = self.exponential(FLOW_LIFE.as_secs_f64());
+                self.plan(life, Event::Close(flow));
+                self.plan_request(flow);
+            }
+        }
+    }
+
+    fn close(&mut self, flow: usize) {
+        let holder = self.flows[flow].holder;
+        self.servers[holder].held -= 1;
+        self.flows[flow].life += 1;
+        self.flows[flow].key = self.random.u64(..);
+        self.open(flow);
+    }
+
+    fn plan_request(&mut self, flow: usize) {
+        let pause = self.exponential(1.0 / self.flows[flow].rate);
+        let life = self.flows[flow].life;
+        self.plan(pause, Event::Request { flow, life });
+    }
+
+    fn request(&mut self, flow: usize, life: u32) {
+        if self.flows[flow].life != life {
+            return;
+        }
+        match self.trial.work {
+            Work::Long { .. } => self.plan_request(flow),
+            Work::Single { .. } => {
+                let holder = self.flows[flow].holder;
+                self.servers[holder].held -= 1;
+            }
+        }
+        let holder = self.flows[flow].holder;
+        self.count.issued += u64::from(self.now >= WARM);
+        self.servers[holder].note_request(self.now);
+        let request = self.requests.len();
+        self.requests.push(Request {
+            flow,
+            holder,
+            issued: self.now,
+            others: Vec::new(),
+            best: None,
+            asked: None,
+        });
+        let gate = &self.servers[holder].gate;
+        let (free, wait) = (gate.free(), gate.expected_wait(self.now));
+        match self.policy.pass {
+            Some(pass) if !free && wait > pass.threshold => {
+                self.requests[request].others = self.others(request, pass);
+                self.ask_next(request);
+            }
+            _ => self.offer(request, holder),
+        }
+    }
+
+    fn others(&self, request: usize, pass: Pass) -> Vec<usize> {
+        let flow = self.requests[request].flow;
+        let own_key = self.flows[flow].key;
+        let key = match pass.key {
+            Key::Flow => own_key,
+            Key::Request => route::hash::mix(own_key, request as u64),
+        };
+        let holder = self.requests[request].holder;
+        let open = self.order.open(key, pass.width + 1).map(index_of);
+        let others = open.filter(|&target| target != holder);
+        let mut others: Vec<usize> = others.take(pass.width).collect();
+        others.reverse();
+        others
+    }
+
+    fn ask_next(&mut self, request: usize) {
+        if let Some(target) = self.requests[request].others.pop() {
+            return self.send(request, target, false);
+        }
+        let holder = self.requests[request].holder;
+        let wait = self.servers[holder].gate.expected_wait(self.now);
+        match self.requests[request].best {
+            Some(best) if best.wait + HOP * 2 < wait => self.send(request, best.target, true),
+            _ => self.offer(request, holder),
+        }
+    }
+
+    fn send(&mut self, request: usize, target: usize, settle: bool) {
+        self.count.messages += u64::from(self.now >= WARM);
+        self.requests[request].asked = Some(target);
+        let ask = Event::Ask {
+            request,
+            target,
+            settle,
+        };
+        self.plan(HOP, ask);
+    }
+
+    fn ask(&mut self, request: usize, target: usize, settle: bool) {
+        let gate = &self.servers[target].gate;
+        if gate.free() || settle {
+            return self.offer(request, target);
+        }
+        self.count.messages += u64::from(self.now >= WARM);
+        let wait = gate.expected_wait(self.now);
+        self.plan(HOP, Event::NotRun { request, wait });
+    }
+
+    fn not_run(&mut self, request: usize, wait: Duration) {
+        let Request {
+            holder,
+            asked,
+            best,
+            ..
+        } = self.requests[request];
+        if self.servers[holder].gate.free() {
+            return self.offer(request, holder);
+        }
+        let better = best.is_none_or(|best| wait < best.wait);
+        if let Some(target) = asked.filter(|_| better) {
+            self.requests[request].best = Some(Offer { target, wait });
+        }
+        self.ask_next(request);
+    }
+
+    fn offer(&mut self, request: usize, target: usize) {
+        let job = Job {
+            id: request as u64,
+            deadline: self.requests[request].issued + DEADLINE,
+            class: Class::Short,
+        };
+        match self.servers[target].gate.offer(self.now, job) {
+            Verdict::Start => self.run_job(request, target),
+            Verdict::Queued => {}
+            Verdict::Refuse { .. } => self.count.refused += u64::from(self.now >= WARM),
+        }
+        self.plan_wake(target);
+    }
+
+    fn run_job(&mut self, request: usize, target: usize) {
+        let time = self.servers[target].draw(self.now, &mut self.random);
+        self.plan(time, Event::Done { request, target });
+    }
+
+    fn done(&mut self, request: usize, target: usize) {
+        let Request { holder, issued, .. } = self.requests[request];
+        let travelled = holder != target;
+        let back = if travelled { HOP } else { Duration::ZERO };
+        let counted = u64::from(self.now >= WARM);
+        self.count.travelled += u64::from(travelled) * counted;
+        self.count.messages += u64::from(travelled) * counted;
+        let latency = (self.now + back).saturating_sub(issued);
+        self.count.answer(self.now, latency);
+        let mut releases = Vec::new();
+        let gate = &mut self.servers[target].gate;
+        gate.finish(self.now, request as u64, Finish::Done, &mut releases);
+        self.release(target, &releases);
+    }
+
+    fn wake(&mut self, target: usize) {
+        self.wakes[target] = None;
+        let mut releases = Vec::new();
+        self.servers[target].gate.expire(self.now, &mut releases);
+        self.release(target, &releases);
+    }
+
+    fn release(&mut self, target: usize, releases: &[Release]) {
+        for release in releases {
+            match *release {
+                Release::Start(id) => {
+                    self.run_job(usize::try_from(id).unwrap_or(usize::MAX), target);
+                }
+                Release::Expire(_) => self.count.refused += u64::from(self.now >= WARM),
+            }
+        }
+        self.plan_wake(target);
+    }
+
+    fn plan_wake(&mut self, target: usize) {
+        let Some(deadline) = self.servers[target].gate.next_deadline() else {
+            return;
+        };
+        if self.wakes[target].is_none_or(|wake| deadline < wake) {
+            self.wakes[target] = Some(deadline);
+            self.plan(deadline.saturating_sub(self.now), Event::Wake(target));
+        }
+    }
+
+    fn report(&mut self) {
+        for server in &mut self.servers {
+            server.report();
+            let weight = server.gate.weight();
+            self.changes += u64::from(weight != server.weight && self.now >= WARM);
+            server.weight = weight;
+        }
+        self.order = order(&self.servers);
+        self.plan(REPORT_INTERVAL, Event::Report);
+    }
+
+    fn plan(&mut self, pause: Duration, event: Event) {
+        self.sequence += 1;
+        let due = Due {
+            time: self.now + pause,
+            sequence: self.sequence,
+        };
+        self.events.insert(due, event);
+    }
+
+    fn exponential(&mut self, mean: f64) -> Duration {
+        let uniform = 1.0 - self.random.f64();
+        Duration::from_secs_f64(-uniform.ln() * mean)
+    }
+
+    fn log_normal(&mut self) -> f64 {
+        let (radius, angle) = (1.0 - self.random.f64(), self.random.f64());
+        let normal = (-2.0 * radius.ln()).sqrt() * (std::f64::consts::TAU * angle).cos();
+        (normal * RATE_SIGMA).exp()
+    }
+}
+
+fn order(servers: &[Server]) -> Order {
+    let targets: Vec<Target> = (0..)
+        .zip(servers)
+        .map(|(id, server)| target(id, server.weight))
+        .collect();
+    Order::new(&targets)
+}
+
+fn target(id: u64, weight: u32) -> Target {
+    Target {
+        id,
+        service: ADDRESS,
+        address: ADDRESS,
+        control: ADDRESS,
+        zone: 0,
+        incarnation: 1,
+        version: 1,
+        weight,
+        slots: 1,
+        state: State::Ready,
+    }
+}
+
+const ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
+fn index(target: wire::TargetId) -> usize {
+    usize::try_from(target).unwrap_or(usize::MAX)
+}
+
+fn index_of(target: &Target) -> usize {
+    index(target.id)
+}
+
+fn relay(path: &[usize]) -> Relay {
+    let hop = |&target: &usize| Hop {
+        target: target as u64,
+        address: ADDRESS,
+    };
+    let path: Vec<Hop> = path.iter().map(hop).collect();
+    Relay {
+        caller: ADDRESS,
+        service: ADDRESS,
+        entry: ADDRESS,
+        revision: 0,
+        home: path[0],
+        path,
+        position: 0,
+        waits: Vec::new(),
+        settle: false,
+        packet: bytes::Bytes::new(),
+    }
+}
