--- a/roles/app/src/main.rs
+++ b/roles/app/src/main.rs
@@ -1,2 +1,122 @@
-//! Placeholder.
-fn main() {}
+//! `greengagelug entry|agent|operate|call|help`.
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use app::agent;
+use app::call;
+use app::entry;
+use app::event::Event;
+use app::exit;
+use app::help;
+use app::logger;
+use app::operator;
+use app::settings;
+use app::settings::Command;
+use app::settings::Log;
+use app::settings::command;
+use app::settings::command::Settings;
+use app::settings::table::Role;
+use smol::Executor;
+
+fn main() -> ExitCode {
+    let mut args = std::env::args().skip(1);
+    let role = args.next().unwrap_or_default();
+    let args: Vec<String> = args.collect();
+    match role.as_str() {
+        "entry" => start(&args, entry),
+        "agent" => start(&args, agent),
+        "operate" => start(&args, operate),
+        "call" => start(&args, call::main),
+        "help" | "--help" | "" => help::main(&args),
+        _ => {
+            eprintln!("`{role}` is no role; see `greengagelug help`");
+            ExitCode::from(exit::USAGE)
+        }
+    }
+}
+
+/// Reads the settings of a role and runs it.
+fn start<T: Settings>(args: &[String], run: impl FnOnce(&T) -> ExitCode) -> ExitCode {
+    let variable = |name: &str| std::env::var(name).ok();
+    match command::read(args, &variable) {
+        Ok(Command::Run(settings)) => run(&settings),
+        Ok(Command::Check) => {
+            println!("settings are in order");
+            ExitCode::SUCCESS
+        }
+        Ok(Command::Help(help)) => {
+            print!("{help}");
+            ExitCode::SUCCESS
+        }
+        Err(errors) => {
+            for error in errors {
+                eprintln!("greengagelug {}: {error}", T::ROLE.name());
+            }
+            ExitCode::from(exit::USAGE)
+        }
+    }
+}
+
+fn entry(settings: &settings::Entry) -> ExitCode {
+    daemon(Role::Entry, settings.listen, settings.log, || {
+        entry::run(settings)
+    })
+}
+
+fn agent(settings: &settings::Agent) -> ExitCode {
+    daemon(Role::Agent, settings.listen, settings.log, || {
+        agent::run(settings)
+    })
+}
+
+fn operate(settings: &settings::Operate) -> ExitCode {
+    let executor = Arc::new(Executor::new());
+    let command = operator::command::run(
+        &settings.entries,
+        settings.timeout,
+        &settings.command,
+        Arc::clone(&executor),
+    );
+    match smol::block_on(executor.run(command)) {
+        Ok(printed) => {
+            println!("{}", printed.text.trim_end());
+            ExitCode::from(printed.end.code())
+        }
+        Err(error) => {
+            eprintln!("greengagelug operate: {error}");
+            ExitCode::from(exit::USAGE)
+        }
+    }
+}
+
+/// Runs a daemon with a log.
+fn daemon(
+    role: Role,
+    listen: SocketAddr,
+    log: Log,
+    run: impl FnOnce() -> io::Result<()>,
+) -> ExitCode {
+    let role = role.name().to_owned();
+    if let Err(error) = logger::start(log) {
+        eprintln!("greengagelug {role}: {error}");
+        return ExitCode::from(exit::FAILED);
+    }
+    let starting = Event::Starting {
+        role: role.clone(),
+        listen,
+    };
+    starting.log();
+    match run() {
+        Ok(()) => {
+            Event::Stopped { role }.log();
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            let error = error.to_string();
+            Event::Failed { role, error }.log();
+            ExitCode::from(exit::FAILED)
+        }
+    }
+}
