--- a/protocol/wire/src/caller.rs
+++ b/protocol/wire/src/caller.rs
@@ -63,6 +63,26 @@
         )
     }
 
+    /// Wraps the refusal of a packet that was not accepted, naming the flow and
+    /// the request as far as they can be read. Such a packet never runs, nor
+    /// does a copy of it.
+    #[must_use]
+    pub fn reject(bytes: Bytes, error: Error) -> Self {
+        let mut packet = Self::default();
+        // What was read before the error stays.
+        let _ = packet.merge(bytes);
+        let request = match packet.body {
+            Some(packet::Body::Request(request)) => request.request,
+            _ => 0,
+        };
+        let reason = match error {
+            Error::Malformed => Reason::Malformed,
+            Error::Version => Reason::BadVersion,
+            Error::TooLarge => Reason::TooLarge,
+        };
+        Self::refuse(packet.flow, request, reason, Outcome::NotRun, 0)
+    }
+
     /// Encodes the packet.
     #[must_use]
     pub fn to_bytes(&self) -> Bytes {
@@ -84,6 +104,8 @@
                 Err(Error::TooLarge)
             }
             Some(packet::Body::Request(request)) if request.request == 0 => Err(Error::Malformed),
+            // The refusal of a packet whose flow could not be read names none.
+            Some(packet::Body::Refusal(_)) => Ok(packet),
             Some(_) if packet.flow == 0 => Err(Error::Malformed),
             Some(_) => Ok(packet),
         }
--- /dev/null
+++ b/roles/app/src/metric.rs
@@ -0,0 +1,182 @@
+//! Metrics, kept by `opentelemetry` and read within the process.
+//!
+//! The cores and the traffic threads count in numbers of their own, so that a
+//! packet costs no lock. They are copied to a [`Board`] when the metrics are
+//! read.
+pub mod agent;
+mod board;
+pub mod entry;
+mod reader;
+mod table;
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use displaydoc::Display;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::PeriodicReader;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use thiserror::Error;
+
+pub use board::Board;
+pub use reader::Sample;
+pub use table::Kind;
+pub use table::METRICS;
+pub use table::Metric;
+
+use crate::event::Event;
+
+use reader::Latest;
+
+const SCOPE: &str = "greengagelug";
+
+/// How often the instruments are read without being asked.
+const READ_INTERVAL: Duration = Duration::from_mins(1);
+
+/// Attribute that tells refusals, retries and drops apart.
+pub const REASON: &str = "reason";
+
+/// Why the metrics could not be read.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// the metrics could not be collected ({0}); report it as a fault
+    Collect(#[from] OTelSdkError),
+    /// there is no metric `{0}`; add it to the table of metrics
+    Unknown(String),
+}
+
+/// The metrics of one process.
+pub struct Metrics {
+    provider: SdkMeterProvider,
+    meter: Meter,
+    latest: Arc<Latest>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Creates metrics without instruments.
+    #[must_use]
+    pub fn new() -> Self {
+        let latest = Arc::new(Latest::default());
+        let reader = PeriodicReader::builder(reader::Exporter(Arc::clone(&latest)))
+            .with_interval(READ_INTERVAL)
+            .build();
+        let provider = SdkMeterProvider::builder().with_reader(reader).build();
+        Self {
+            meter: provider.meter(SCOPE),
+            provider,
+            latest,
+        }
+    }
+
+    /// Joins a number that is kept elsewhere to a metric of the table; `reason`
+    /// is empty where the metric has none.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] where the table has no such metric.
+    pub fn observe(
+        &self,
+        name: &str,
+        reason: impl Into<String>,
+        read: impl Fn() -> u64 + Send + Sync + 'static,
+    ) -> Result<(), Error> {
+        let metric = METRICS.iter().find(|metric| metric.name == name);
+        let metric = metric.ok_or_else(|| Error::Unknown(name.into()))?;
+        let reason = reason.into();
+        let attributes: Vec<KeyValue> = match reason.as_str() {
+            "" => Vec::new(),
+            _ => vec![KeyValue::new(REASON, reason)],
+        };
+        match metric.kind {
+            Kind::Counter => {
+                self.meter
+                    .u64_observable_counter(metric.name)
+                    .with_unit(metric.unit)
+                    .with_description(metric.help)
+                    .with_callback(move |observer| observer.observe(read(), &attributes))
+                    .build();
+            }
+            Kind::Gauge => {
+                self.meter
+                    .u64_observable_gauge(metric.name)
+                    .with_unit(metric.unit)
+                    .with_description(metric.help)
+                    .with_callback(move |observer| observer.observe(read(), &attributes))
+                    .build();
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns a number that is joined to a metric of the table, for what no
+    /// other part keeps in a number of its own.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] where the table has no such metric.
+    pub fn cell(&self, name: &str, reason: impl Into<String>) -> Result<Arc<AtomicU64>, Error> {
+        let cell = Arc::new(AtomicU64::new(0));
+        let read = Arc::clone(&cell);
+        self.observe(name, reason, move || read.load(Ordering::Relaxed))?;
+        Ok(cell)
+    }
+
+    /// Reads all instruments, ordered by name and reason.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Collect`].
+    pub fn read(&self) -> Result<Vec<Sample>, Error> {
+        self.provider.force_flush()?;
+        Ok(self.latest.samples())
+    }
+}
+
+/// Logs a reading as an event.
+fn log(read: Result<Vec<Sample>, Error>) {
+    match read {
+        Ok(samples) => Event::Metrics {
+            samples: line(&samples),
+        }
+        .log(),
+        Err(error) => log::warn!("{error}"),
+    }
+}
+
+/// Writes samples in one line: `name{reason}=value`.
+#[must_use]
+pub fn line(samples: &[Sample]) -> String {
+    let samples: Vec<String> = samples.iter().map(ToString::to_string).collect();
+    samples.join(" ")
+}
+
+/// The page docs/METRICS.md.
+#[must_use]
+pub fn page() -> String {
+    let mut page = String::from(include_str!("metric/page.md"));
+    for metric in METRICS {
+        let kind = match metric.kind {
+            Kind::Counter => "counter",
+            Kind::Gauge => "gauge",
+        };
+        // Writing to a String cannot fail.
+        let _ = writeln!(
+            page,
+            "| `{}` | {kind} | {} | {} |",
+            metric.name, metric.unit, metric.help
+        );
+    }
+    page
+}
--- a/roles/app/src/settings/call.rs
+++ b/roles/app/src/settings/call.rs
@@ -5,7 +5,10 @@
 
 use wire::ServiceAddress;
 
-use crate::settings::Log;
+use crate::settings::command;
+use crate::settings::command::Settings;
+use crate::settings::reader::Reader;
+use crate::settings::table::Role;
 
 /// Settings of `greengagelug call`.
 #[derive(Clone, Debug)]
@@ -32,8 +35,6 @@
     pub output: String,
     /// Seed of all random choices; 0 takes one from the system.
     pub seed: u64,
-    /// What is logged.
-    pub log: Log,
 }
 
 impl Default for Call {
@@ -51,7 +52,29 @@
             payload: 64,
             output: String::new(),
             seed: 0,
-            log: Log::default(),
         }
     }
 }
+
+impl Settings for Call {
+    const ROLE: Role = Role::Call;
+
+    fn read(reader: &mut Reader<'_>, rest: &[String]) -> Self {
+        let default = Self::default();
+        let settings = Self {
+            service: reader.address("service", default.service),
+            name: reader.text("name"),
+            bind: reader.address("bind", default.bind),
+            flows: reader.number("flows"),
+            rate: reader.number("rate"),
+            duration: reader.time("duration"),
+            idempotent: reader.number("idempotent"),
+            deadline: reader.time("deadline"),
+            payload: reader.number("payload"),
+            output: reader.text("output"),
+            seed: reader.number("seed"),
+        };
+        command::no_arguments(reader, rest);
+        settings
+    }
+}
--- a/roles/app/src/settings/entry.rs
+++ b/roles/app/src/settings/entry.rs
@@ -7,6 +7,10 @@
 
 use crate::settings::Keys;
 use crate::settings::Log;
+use crate::settings::command;
+use crate::settings::command::Settings;
+use crate::settings::reader::Reader;
+use crate::settings::table::Role;
 
 /// Settings of `greengagelug entry`.
 #[derive(Clone)]
@@ -31,6 +35,8 @@
     pub threads: u16,
     /// Longest time between SIGTERM and exit.
     pub stop: Duration,
+    /// Time between two log lines with all metrics; zero for none.
+    pub metrics: Duration,
     /// What is logged.
     pub log: Log,
 }
@@ -49,7 +55,42 @@
             keys: Keys::default(),
             threads: 1,
             stop: Duration::from_secs(10),
+            metrics: Duration::from_mins(1),
             log: Log::default(),
         }
     }
 }
+
+impl Settings for Entry {
+    const ROLE: Role = Role::Entry;
+
+    fn read(reader: &mut Reader<'_>, rest: &[String]) -> Self {
+        let default = Self::default();
+        let settings = Self {
+            listen: reader.address("listen", default.listen),
+            control: reader.address("control", default.control),
+            operator: reader.address("operator", default.operator),
+            fabric: reader.address("fabric", default.fabric),
+            zone: reader.number("zone"),
+            peers: reader.addresses("peers"),
+            store: reader.address("store", default.store),
+            keys: command::keys(reader),
+            threads: reader.number("threads"),
+            stop: reader.time("stop"),
+            metrics: reader.time("metrics-interval"),
+            log: command::log(reader),
+        };
+        command::distinct(
+            reader,
+            ("control", settings.control),
+            ("operator", settings.operator),
+        );
+        command::distinct(
+            reader,
+            ("listen", settings.listen),
+            ("fabric", settings.fabric),
+        );
+        command::no_arguments(reader, rest);
+        settings
+    }
+}
--- a/tools/standin/src/lib.rs
+++ b/tools/standin/src/lib.rs
@@ -1,5 +1,5 @@
-//! Stand-ins for what surrounds the system: the fabric, the backend servers
-//! and the platform. They are for tests and demonstrations and are not shipped.
+//! Stand-ins for what surrounds the system: the fabric, the platform and the
+//! backend servers. They are for tests and demonstrations and are not shipped.
 pub mod audit;
 pub mod backend;
 pub mod fabric;
