--- a/roles/app/src/agent.rs
+++ b/roles/app/src/agent.rs
@@ -9,11 +9,13 @@
 use std::io;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 use std::time::Instant;
 
 use ::agent::Agent;
 use ::agent::Event;
 use ::agent::Status;
+use ::agent::settings::Leave;
 use async_channel::Sender;
 use member::Announcer;
 use net::Port;
@@ -24,6 +26,7 @@
 use wire::target::State;
 
 use crate::clock;
+use crate::metric;
 use crate::settings;
 use crate::signal;
 
@@ -80,6 +83,11 @@
     ))
     .detach();
     smol::spawn(stop_on_signal(inputs_sender.clone())).detach();
+    smol::spawn(metric::agent::report(
+        inputs_sender.clone(),
+        settings.metrics,
+    ))
+    .detach();
 
     let control = control::Control {
         announcer: Announcer::new(
@@ -95,11 +103,11 @@
         inputs: control_inputs,
         worker: inputs_sender.clone(),
         drained: false,
+        changed: false,
     };
     let core = Agent::new(
         ::agent::Settings {
-            stop: settings.stop,
-            drain: settings.drain,
+            leave: leave(settings.stop),
             ..::agent::Settings::default()
         },
         target,
@@ -127,6 +135,17 @@
     traffic.join().unwrap_or(Ok(()))
 }
 
+/// Shares the time between SIGTERM and exit: two thirds for requests that run,
+/// one for handing the flows over.
+fn leave(stop: Duration) -> Leave {
+    let handover = stop / 3;
+    Leave {
+        grace: stop - handover,
+        handover,
+        ..Leave::default()
+    }
+}
+
 fn target(settings: &settings::Agent) -> Target {
     Target {
         id: target_id(settings.service, settings.backend),
