Measure membership, and let an entry cut off with its zone doubt itself

Entries in a zone that was cut off held the targets of both other zones to be doubtful one by one (test a_zone_cut_off_from_the_others_ejects_nobody_within, made stricter, failed): the watchers beyond did not answer and no longer counted. Ruled out: the verdict on zones, which asks for two zones of observers. An entry now doubts itself where two other zones of its region are mostly silent, and begins all silences anew once the doubt ends.

Removed: adopting the watch that a suspicion names after a restart; no test needed it since watchers that do not answer no longer count.

--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -303,6 +303,7 @@
             silent: members.filter(|member| member.health != Health::Up).count(),
             entries: self.entries().count(),
             watched: self.watches.len(),
+            is_doubtful: self.is_doubtful,
             hot: self.hot.len(),
             lost_zones: self.directory.zones().lost().count(),
             ..self.link.status.clone()
--- a/coordination/member/src/registry/failure.rs
+++ b/coordination/member/src/registry/failure.rs
@@ -46,11 +46,16 @@
         let tallies = self.watches.tallies(now, silence, is_suspected);
         let is_deaf = now.saturating_sub(self.link.heard) > silence;
         let was_doubtful = self.is_doubtful;
-        self.is_doubtful = is_deaf || is_doubtful(&tallies);
+        self.is_doubtful = is_deaf || is_doubtful(self.identity.zone, &tallies);
         if self.is_doubtful {
             self.link.status.self_doubts += u64::from(!was_doubtful);
             return;
         }
+        if was_doubtful {
+            // What was not heard meanwhile says nothing of those processes.
+            self.watches.restart(now, |_| true);
+            return;
+        }
         self.report_zones(now, &tallies);
         self.suspect(now, &tallies);
     }
@@ -104,31 +109,6 @@
         }
     }
 
-    /// Takes note of what another watcher stated: a watcher that does not know
-    /// the process, as after a restart, begins to watch it.
-    pub(super) fn hear_suspicion(&mut self, now: Duration, suspicion: &Suspicion) {
-        let subject = suspicion.subject;
-        let is_named = suspicion.watchers.contains(&self.identity.address);
-        let is_held = self.directory.incarnation(subject) == Some(suspicion.incarnation);
-        let process = self.directory.process(subject);
-        if let Some(process) =
-            process.filter(|_| is_named && is_held && self.watches.get(subject).is_none())
-        {
-            let watch = Watch {
-                address: process.address,
-                zone: process.zone,
-                incarnation: suspicion.incarnation,
-                sequence: suspicion.sequence,
-                heard: now,
-                probed: now,
-                watchers: suspicion.watchers.clone(),
-                named: true,
-            };
-            self.watches.put(subject, watch);
-        }
-        self.vouch(subject);
-    }
-
     /// Reports how much of each zone is silent, where that is in question and
     /// this entry is among its observers.
     fn report_zones(&mut self, now: Duration, tallies: &BTreeMap<ZoneId, Tally>) {
--- a/coordination/member/src/registry/spread.rs
+++ b/coordination/member/src/registry/spread.rs
@@ -67,19 +67,19 @@
     }
 
     fn learn(&mut self, now: Duration, record: Record, hot: bool) {
-        let suspicion = match &record {
-            Record::Suspicion(suspicion) => Some(suspicion.clone()),
-            Record::Target(target) => {
-                self.supersede(now, target.id, target.incarnation);
-                None
-            }
+        let suspected = match &record {
+            Record::Suspicion(suspicion) => Some(suspicion.subject),
             _ => None,
         };
+        if let Record::Target(target) = &record {
+            self.supersede(now, target.id, target.incarnation);
+        }
         if !self.is_own(&record) {
             self.take_record(record, hot);
         }
-        if let Some(suspicion) = suspicion {
-            self.hear_suspicion(now, &suspicion);
+        // A watcher that hears the process says so.
+        if let Some(subject) = suspected {
+            self.vouch(subject);
         }
     }
 
--- a/coordination/member/src/status.rs
+++ b/coordination/member/src/status.rs
@@ -42,6 +42,8 @@
     /// Times that this process doubted itself: its tick came late, or it lost
     /// most of what it watches.
     pub self_doubts: u64,
+    /// True while this process doubts itself and suspects nobody.
+    pub is_doubtful: bool,
     /// Services held.
     pub services: usize,
     /// Targets held.
--- a/coordination/member/src/targets.rs
+++ b/coordination/member/src/targets.rs
@@ -1,5 +1,7 @@
 //! The targets of one service, in the order of their ids.
+use std::iter::Map;
 use std::ops::Index;
+use std::slice;
 
 use wire::TargetId;
 
@@ -29,6 +31,12 @@
         self.members.iter()
     }
 
+    /// All targets with their ids.
+    pub fn iter(&self) -> Iter<'_> {
+        let entry: fn(&Member) -> (&TargetId, &Member) = |member| (&member.target.id, member);
+        self.members.iter().map(entry)
+    }
+
     /// The target with this id.
     #[must_use]
     pub fn get(&self, id: &TargetId) -> Option<&Member> {
@@ -81,6 +89,18 @@
     }
 }
 
+/// Iterates over targets with their ids, as over a map.
+pub type Iter<'a> = Map<slice::Iter<'a, Member>, fn(&'a Member) -> (&'a TargetId, &'a Member)>;
+
+impl<'a> IntoIterator for &'a Targets {
+    type Item = (&'a TargetId, &'a Member);
+    type IntoIter = Iter<'a>;
+
+    fn into_iter(self) -> Iter<'a> {
+        self.iter()
+    }
+}
+
 impl Index<&TargetId> for Targets {
     type Output = Member;
 
--- a/coordination/member/src/watches.rs
+++ b/coordination/member/src/watches.rs
@@ -9,10 +9,14 @@
 use crate::Settings;
 use crate::message::Sequence;
 use crate::record::SubjectId;
+use crate::zone::region;
 
 /// Fewest watched processes from whose silence a watcher doubts itself.
 const MIN_WATCHED: usize = 4;
 
+/// Other zones of the region which do not all fail at once.
+const DOUBTFUL_ZONES: usize = 2;
+
 /// One watched process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Watch {
@@ -129,16 +133,25 @@
     }
 }
 
-/// True where so much is silent, beyond one zone, that the watcher must doubt
-/// itself.
+/// True where so much is silent that the watcher in zone `own` must doubt
+/// itself: most of what it watches beyond one zone, or most of two other zones.
+/// Counts what is in its region, since regions do lose each other.
 #[must_use]
-pub fn is_doubtful(tallies: &BTreeMap<ZoneId, Tally>) -> bool {
-    let worst = tallies.iter().max_by_key(|(_, tally)| tally.silent);
+pub fn is_doubtful(own: ZoneId, tallies: &BTreeMap<ZoneId, Tally>) -> bool {
+    let near = tallies
+        .iter()
+        .filter(|(zone, _)| region(**zone) == region(own));
+    let near: BTreeMap<ZoneId, Tally> = near.map(|(zone, tally)| (*zone, *tally)).collect();
+    let lost = near
+        .iter()
+        .filter(|(zone, tally)| **zone != own && tally.silent * 2 > tally.watched);
+    let worst = near.iter().max_by_key(|(_, tally)| tally.silent);
     let worst = worst.map(|(zone, _)| *zone);
-    let rest = tallies.iter().filter(|(zone, _)| Some(**zone) != worst);
+    let rest = near.iter().filter(|(zone, _)| Some(**zone) != worst);
     let (silent, watched) = sum(rest.map(|(_, tally)| tally));
-    match sum(tallies.values()) {
+    match sum(near.values()) {
         (_, all) if all < MIN_WATCHED => false,
+        _ if lost.count() >= DOUBTFUL_ZONES => true,
         (all_silent, all) if watched == 0 => all_silent * 2 > all,
         _ => silent * 2 > watched,
     }
--- a/coordination/member/tests/cold.rs
+++ b/coordination/member/tests/cold.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use member::Message;
 use member::Record;
+use member::Refusal;
 use member::Registry;
 use member::Service;
 use member::message::Push;
@@ -94,3 +95,23 @@
     assert_eq!(net.entries[&entry(2)].status().refusals, before);
     assert!(net.entries[&entry(1)].service(&address(1)).is_none());
 }
+
+#[test]
+fn peers_that_all_ask_at_once_get_no_more_than_the_budget() {
+    let mut net = region(1, 1, 1);
+    let now = net.now;
+    let rate = u64::from(net.settings.send_rate);
+    let held = net.entries.get_mut(&entry(1)).unwrap();
+    fill(held, now);
+    let before = held.status().sent_bytes;
+    let mut actions = Vec::new();
+    for number in 0..SERVICES {
+        let from = entry(100 + number % 50);
+        held.handle(now, from, Message::Need(address(number)), &mut actions);
+    }
+    let status = held.status();
+    assert!(!actions.is_empty());
+    // Two seconds of the rate and one datagram.
+    assert!(status.sent_bytes - before <= rate * 2 + 1_200);
+    assert!(status.refusals[&Refusal::Budget] > 0);
+}
--- a/coordination/member/tests/failure.rs
+++ b/coordination/member/tests/failure.rs
@@ -6,8 +6,10 @@
 
 use member::Health;
 use member::Message;
+use member::Record;
 use member::Refusal;
 use member::message::Heartbeat;
+use member::message::Push;
 use member::message::Subject;
 use wire::Incarnation;
 
@@ -222,6 +224,17 @@
     net.run_until(SOON, |net| net.all_see(Health::Down, 1));
     net.run(net.settings.retention + LONG);
     assert!(net.all_see(Health::Down, 0) && net.all_see(Health::Up, 2));
+    // A peer that slept through the time does not bring it back.
+    let record = Record::Target(target(1, 1, 1));
+    let push = Message::Push(Push {
+        hot: true,
+        records: vec![record],
+    });
+    let now = net.now;
+    let held = net.entries.get_mut(&entry(1)).unwrap();
+    held.handle(now, entry(2), push, &mut Vec::new());
+    assert_eq!(held.status().refusals[&Refusal::Departed], 1);
+    assert!(net.all_see(Health::Up, 2));
     let agents = net
         .agents
         .iter()
@@ -262,3 +275,20 @@
     });
     net.run_checked(LONG, nothing_is_silent);
 }
+
+#[test]
+fn watchers_cut_off_for_a_while_eject_nobody() {
+    let mut net = region(7, 5, 4);
+    let watchers = net.agents[&agent(1)].watchers();
+    let cut_off = watchers.clone();
+    net.cut = Some(Box::new(move |from, to| {
+        cut_off.contains(&from) || cut_off.contains(&to)
+    }));
+    net.run_checked(LONG, nothing_is_silent);
+    let moved = net.agents[&agent(1)].watchers();
+    assert!(moved.iter().all(|watcher| !watchers.contains(watcher)));
+    net.cut = None;
+    net.run_checked(LONG, nothing_is_silent);
+    let mut entries = net.entries.values();
+    assert!(entries.all(|held| !held.status().is_doubtful));
+}
--- a/coordination/member/tests/net/mod.rs
+++ b/coordination/member/tests/net/mod.rs
@@ -169,18 +169,21 @@
 
     /// Number of targets of this health in the view of each running entry.
     pub fn count(&self, health: Health) -> Vec<usize> {
-        let running = self.entries.iter();
-        let running = running.filter(|(address, _)| !self.frozen.contains(*address));
+        let running = self.entries.keys();
         running
-            .map(|(_, registry)| {
-                registry.service(&roster()).map_or(0, |view| {
-                    let members = view.targets.values();
-                    members.filter(|member| member.health == health).count()
-                })
-            })
+            .filter(|address| !self.frozen.contains(*address))
+            .map(|address| self.count_at(*address, health))
             .collect()
     }
 
+    /// Number of targets of this health in the view of one entry.
+    pub fn count_at(&self, entry: SocketAddr, health: Health) -> usize {
+        self.entries[&entry].service(&roster()).map_or(0, |view| {
+            let members = view.targets.values();
+            members.filter(|member| member.health == health).count()
+        })
+    }
+
     /// True where each running entry gives `count` targets this health.
     pub fn all_see(&self, health: Health, count: usize) -> bool {
         self.count(health).iter().all(|seen| *seen == count)
--- a/coordination/member/tests/zones.rs
+++ b/coordination/member/tests/zones.rs
@@ -6,7 +6,11 @@
 
 use bytes::Bytes;
 use member::Health;
+use member::Message;
+use member::Record;
 use member::Service;
+use member::message::Push;
+use member::record::Report;
 use wire::ZoneId;
 
 use crate::net::Net;
@@ -69,6 +73,21 @@
     assert_eq!(suspicions(&net), 0);
 }
 
+#[test]
+fn a_zone_that_returns_bit_by_bit_raises_no_suspicions() {
+    let mut net = region(ENTRIES, AGENTS, ZONES);
+    net.frozen.extend(first_zone());
+    net.run(SOON * 2);
+    assert!(net.all_see(Health::Down, 4));
+    for address in first_zone() {
+        net.frozen.remove(&address);
+        net.run(Duration::from_millis(500));
+    }
+    net.run(SOON);
+    assert!(net.all_see(Health::Up, 12));
+    assert_eq!(suspicions(&net), 0);
+}
+
 #[test]
 fn a_zone_that_lost_power_returns_with_new_incarnations() {
     let mut net = region(ENTRIES, AGENTS, ZONES);
@@ -98,18 +117,50 @@
         inside.contains(&from) != inside.contains(&to)
     }));
     net.run(SOON * 5);
-    for (address, held) in &net.entries {
-        let view = held.service(&roster()).unwrap();
-        let members = view.targets.values();
-        let down = members.filter(|member| member.health == Health::Down);
-        let expected = if zone.contains(address) { 0 } else { 4 };
-        assert_eq!(down.count(), expected, "{address}");
+    for address in net.entries.keys() {
+        let seen = [Health::Up, Health::Down].map(|health| net.count_at(*address, health));
+        let is_inside = zone.contains(address);
+        assert_eq!(seen, if is_inside { [12, 0] } else { [8, 4] }, "{address}");
     }
     net.cut = None;
     run_within_budget(&mut net, SOON * 2);
     assert!(net.all_see(Health::Up, 12));
 }
 
+#[test]
+fn observers_of_one_zone_alone_do_not_lose_another() {
+    let mut net = region(ENTRIES, 1, ZONES);
+    let report = |number: u8| {
+        Record::Report(Report {
+            zone: 0,
+            observer: entry(number),
+            from: ZoneId::from(number % ZONES),
+            incarnation: 1,
+            version: 1,
+            silent: 3,
+            watched: 3,
+        })
+    };
+    let lost_zones = |net: &mut Net, observers: &[u8]| {
+        let records = observers.iter().map(|number| report(*number)).collect();
+        let push = Push {
+            hot: false,
+            records,
+        };
+        let start = net.now;
+        let held = net.entries.get_mut(&entry(1)).unwrap();
+        held.handle(start, entry(2), Message::Push(push), &mut Vec::new());
+        for round in 1..=12 {
+            let now = start + net.settings.round * round;
+            held.tick(now, &mut Vec::new());
+        }
+        net.now = start + net.settings.round * 12;
+        net.entries[&entry(1)].status().lost_zones
+    };
+    assert_eq!(lost_zones(&mut net, &[1, 4, 7]), 0);
+    assert_eq!(lost_zones(&mut net, &[2, 5]), 1);
+}
+
 #[test]
 fn single_deaths_in_one_zone_do_not_lose_it() {
     let mut net = region(ENTRIES, AGENTS, ZONES);
--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measures the decisions of greengagelug on one machine.
 //!
 //! Each subcommand prints a table and writes the same figures as data.
+mod member;
 mod options;
 mod place;
 mod relay;
@@ -16,6 +17,7 @@
 Usage: measure COMMAND [OPTIONS]
 
 Commands:
+  member  membership: spreading, detection, loss of a zone, directory
   place   imbalance and latency of the ways to place flows
   relay   packets a second through an entry, against a bare UDP relay
   route   cost of a routing decision, bytes of a flow
@@ -35,6 +37,7 @@
 fn run(arguments: &[String]) -> Result<(), Box<dyn Error>> {
     let (command, options) = arguments.split_first().ok_or(USAGE)?;
     match command.as_str() {
+        "member" => Ok(member::run()?),
         "place" => place::run(options),
         "relay" => Ok(relay::run()?),
         "route" => route::run(options),
--- /dev/null
+++ b/tools/bench/src/member/fleet.rs
@@ -0,0 +1,280 @@
+//! Entries and agents in one process, which exchange messages in memory.
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use member::Action;
+use member::Announcer;
+use member::Entry;
+use member::Identity;
+use member::Message;
+use member::Record;
+use member::Registry;
+use member::Settings;
+use member::message::Push;
+use wire::ServiceAddress;
+use wire::Target;
+use wire::ZoneId;
+use wire::target::State;
+
+/// Zones, in regions of three.
+pub const ZONES: usize = 9;
+
+const ZONES_PER_REGION: usize = 3;
+
+/// Targets of one service.
+const TARGETS: usize = 13;
+
+/// Time on the way between two processes.
+const DELAY: Duration = Duration::from_micros(1_500);
+
+/// Records in one message while the entries are introduced to each other.
+const PUSH_RECORDS: usize = 20;
+
+/// Entries, agents and the messages on their way.
+pub struct Fleet {
+    /// The time of all processes.
+    pub now: Duration,
+    /// The entries.
+    pub entries: Vec<Registry>,
+    /// Number of a zone whose processes neither run nor receive.
+    pub frozen_zone: Option<usize>,
+    /// Bytes sent by where they went, while they are counted.
+    pub reach: Option<Reach>,
+    agents: Vec<Announcer>,
+    numbers: HashMap<SocketAddr, Number>,
+    queue: BTreeMap<(Duration, u64), Parcel>,
+    sent: u64,
+}
+
+/// Bytes by how far they went.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reach {
+    /// All bytes.
+    pub all: u64,
+    /// Bytes to other zones, those to other regions included.
+    pub beyond_zone: u64,
+    /// Bytes to other regions.
+    pub beyond_region: u64,
+}
+
+#[derive(Clone, Copy)]
+enum Number {
+    Entry(usize),
+    Agent(usize),
+}
+
+struct Parcel {
+    from: SocketAddr,
+    to: SocketAddr,
+    message: Message,
+}
+
+impl Fleet {
+    /// Starts entries that know each other, and agents that know some of them.
+    pub fn new(entries: usize, agents: usize) -> Self {
+        let now = Duration::ZERO;
+        let settings = Settings::default();
+        let identities: Vec<Identity> = (0..entries).map(identity).collect();
+        let mut numbers = HashMap::new();
+        for (number, identity) in identities.iter().enumerate() {
+            numbers.insert(identity.address, Number::Entry(number));
+        }
+        let records: Vec<Record> = identities.iter().map(record).collect();
+        let introduce = |(number, identity): (usize, &Identity)| {
+            let mut entry = Registry::new(settings.clone(), identity.clone(), number as u64, now);
+            for records in records.chunks(PUSH_RECORDS) {
+                let push = Push {
+                    hot: false,
+                    records: records.to_vec(),
+                };
+                entry.handle(now, identity.address, Message::Push(push), &mut Vec::new());
+            }
+            entry
+        };
+        let registries = identities.iter().enumerate().map(introduce).collect();
+        let announce = |number| {
+            let target = target(number);
+            let near = (0..3).map(|seed| address(0, (number + seed * 7) % entries));
+            numbers.insert(target.address, Number::Agent(number));
+            Announcer::new(settings.clone(), target, near.collect(), number as u64, now)
+        };
+        let agents = (0..agents).map(announce).collect();
+        Self {
+            now,
+            entries: registries,
+            frozen_zone: None,
+            reach: None,
+            agents,
+            numbers,
+            queue: BTreeMap::new(),
+            sent: 0,
+        }
+    }
+
+    /// Bytes sent and received by all entries so far.
+    pub fn bytes(&self) -> u64 {
+        let statuses = self.entries.iter().map(Registry::status);
+        statuses
+            .map(|status| status.sent_bytes + status.received_bytes)
+            .sum()
+    }
+
+    /// True where the entry belongs to the frozen zone.
+    pub fn is_frozen(&self, number: usize) -> bool {
+        self.frozen_zone == Some(number % ZONES)
+    }
+
+    /// Runs for a while.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step(end);
+        }
+    }
+
+    /// Runs until the condition holds, which is looked at after each step.
+    pub fn run_until(
+        &mut self,
+        limit: Duration,
+        step: Duration,
+        condition: impl Fn(&Self) -> bool,
+    ) {
+        let end = self.now + limit;
+        while self.now < end && !condition(self) {
+            self.run(step);
+        }
+    }
+
+    fn step(&mut self, end: Duration) {
+        let entries = (0..self.entries.len()).filter(|number| !self.is_frozen(*number));
+        let agents = (0..self.agents.len()).filter(|number| !self.is_frozen(*number));
+        let next = entries
+            .map(|number| self.entries[number].next_deadline())
+            .chain(agents.map(|number| self.agents[number].next_deadline()))
+            .min();
+        let tick = next.unwrap_or(end).clamp(self.now, end);
+        self.deliver_until(tick);
+        self.now = tick;
+        let mut actions = Vec::new();
+        for number in 0..self.entries.len() {
+            if !self.is_frozen(number) && self.entries[number].next_deadline() <= tick {
+                self.entries[number].tick(tick, &mut actions);
+                self.post(address(0, number), &mut actions);
+            }
+        }
+        for number in 0..self.agents.len() {
+            if !self.is_frozen(number) && self.agents[number].next_deadline() <= tick {
+                self.agents[number].tick(tick, &mut actions);
+                self.post(address(1, number), &mut actions);
+            }
+        }
+    }
+
+    fn deliver_until(&mut self, end: Duration) {
+        let mut actions = Vec::new();
+        while let Some(first) = self.queue.first_entry() {
+            let at = first.key().0;
+            if at > end {
+                return;
+            }
+            let Parcel { from, to, message } = first.remove();
+            self.now = at;
+            match self.numbers.get(&to).copied() {
+                Some(Number::Entry(number)) if !self.is_frozen(number) => {
+                    self.entries[number].handle(at, from, message, &mut actions);
+                }
+                Some(Number::Agent(number)) if !self.is_frozen(number) => {
+                    self.agents[number].handle(at, from, message, &mut actions);
+                }
+                _ => {}
+            }
+            self.post(to, &mut actions);
+        }
+    }
+
+    fn post(&mut self, from: SocketAddr, actions: &mut Vec<Action>) {
+        for Action::Send { to, message } in actions.drain(..) {
+            self.sent += 1;
+            if let Some(reach) = &mut self.reach {
+                reach.count(zone_of(from), zone_of(to), message.datagram_bytes());
+            }
+            let at = (self.now + DELAY, self.sent);
+            self.queue.insert(at, Parcel { from, to, message });
+        }
+    }
+}
+
+impl Reach {
+    fn count(&mut self, from: ZoneId, to: ZoneId, bytes: u64) {
+        let [region, _] = from.to_be_bytes();
+        let [other, _] = to.to_be_bytes();
+        self.all += bytes;
+        self.beyond_zone += if from == to { 0 } else { bytes };
+        self.beyond_region += if region == other { 0 } else { bytes };
+    }
+}
+
+/// Zone of the process at an address of [`address`].
+fn zone_of(address: SocketAddr) -> ZoneId {
+    let SocketAddr::V4(address) = address else {
+        return 0;
+    };
+    let [_, high, middle, low] = address.ip().octets();
+    zone(u32::from_be_bytes([0, high, middle, low]) as usize)
+}
+
+/// Identity of the entry with this number.
+pub fn identity(number: usize) -> Identity {
+    Identity {
+        address: address(0, number),
+        control: address(0, number),
+        zone: zone(number),
+        incarnation: 1_700_000_000_000_000,
+    }
+}
+
+/// Record of an entry.
+pub fn record(identity: &Identity) -> Record {
+    Record::Entry(Entry {
+        address: identity.address,
+        control: identity.control,
+        zone: identity.zone,
+        incarnation: identity.incarnation,
+        left: false,
+    })
+}
+
+/// The target with this number.
+pub fn target(number: usize) -> Target {
+    let service = service(number / TARGETS);
+    Target {
+        id: wire::id::target_id(service, address(2, number)),
+        service,
+        address: address(1, number),
+        control: address(1, number),
+        zone: zone(number),
+        incarnation: 1_700_000_000_000_000,
+        version: 1,
+        weight: 120,
+        slots: 4,
+        state: State::Ready,
+    }
+}
+
+/// Address of the service with this number.
+pub fn service(number: usize) -> ServiceAddress {
+    address(3, number)
+}
+
+fn zone(number: usize) -> ZoneId {
+    let zone = u8::try_from(number % ZONES).unwrap_or(0);
+    let region = zone / u8::try_from(ZONES_PER_REGION).unwrap_or(1);
+    ZoneId::from_be_bytes([region + 1, zone])
+}
+
+fn address(kind: u8, number: usize) -> SocketAddr {
+    let [_, high, middle, low] = u32::try_from(number).unwrap_or(0).to_be_bytes();
+    SocketAddr::from(([10 + kind, high, middle, low], 7_000))
+}
