--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use fastrand::Rng;
+use wire::Incarnation;
 use wire::Target;
 use wire::target::State;
 
 use crate::Action;
 use crate::Health;
+use crate::Member;
 use crate::Message;
 use crate::Refusal;
 use crate::Settings;
@@ -56,6 +58,7 @@
     view: View,
     changed: bool,
     farewells: Option<u32>,
+    successor: Option<Incarnation>,
     link: Link,
     assembler: Assembler,
 }
@@ -87,6 +90,7 @@
             view,
             changed: true,
             farewells: None,
+            successor: None,
             assembler: Assembler::default(),
         }
     }
@@ -114,6 +118,14 @@
         self.farewells.get_or_insert(FAREWELLS);
     }
 
+    /// The newer incarnation that announces the same backend server, if there
+    /// is one. This process is then no longer heard, and must end or start anew
+    /// with a larger incarnation.
+    #[must_use]
+    pub const fn successor(&self) -> Option<Incarnation> {
+        self.successor
+    }
+
     /// True once nothing is left to announce after [`Self::leave`].
     #[must_use]
     pub fn finished(&self) -> bool {
@@ -242,16 +254,26 @@
             self.changed |= self.view.merge_config(config).is_ok();
         }
         for member in members.members {
-            let id = member.target.id;
-            if id == self.target.id || member.target.service != self.target.service {
-                continue;
-            }
-            let stamp = member.target.stamp();
+            self.member(member);
+        }
+    }
+
+    fn member(&mut self, member: Member) {
+        let (id, stamp) = (member.target.id, member.target.stamp());
+        if member.target.service != self.target.service {
+            return;
+        }
+        if id == self.target.id && stamp.incarnation > self.target.incarnation {
+            self.successor = Some(stamp.incarnation);
+            return;
+        }
+        // This agent knows best what it announces.
+        if id != self.target.id {
             self.changed |= self.view.merge_target(member.target).is_ok();
-            let held = self.view.targets.get(&id).map(|held| held.target.stamp());
-            if held == Some(stamp) {
-                self.changed |= self.view.set_health(id, member.health);
-            }
+        }
+        let held = self.view.targets.get(&id).map(|held| held.target.stamp());
+        if held == Some(stamp) {
+            self.changed |= self.view.set_health(id, member.health);
         }
     }
 
--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -45,7 +45,7 @@
 /// Who an entry is, from its settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Identity {
-    /// UDP address for frames.
+    /// UDP address for frames, from which this process also sends.
     pub address: SocketAddr,
     /// TCP address for calls between processes.
     pub control: SocketAddr,
@@ -287,6 +287,15 @@
         live.map(|entry| entry.address)
     }
 
+    /// The newer incarnation of an entry at this address, if there is one. This
+    /// process is then no longer heard, and must end or start anew with a larger
+    /// incarnation.
+    #[must_use]
+    pub fn successor(&self) -> Option<Incarnation> {
+        let held = self.directory.incarnation(self.key);
+        held.filter(|held| *held > self.identity.incarnation)
+    }
+
     /// Digest of all records; equal in directories that agree.
     #[must_use]
     pub fn digest(&self) -> u64 {
--- a/coordination/member/src/registry/heartbeat.rs
+++ b/coordination/member/src/registry/heartbeat.rs
@@ -85,7 +85,8 @@
     ) {
         let sender = Sender::new(&heartbeat.subject);
         if let Err(reason) = self.check_order(&sender, heartbeat.sequence) {
-            return self.link.refuse(reason);
+            self.link.refuse(reason);
+            return self.name_successor(from, &sender, actions);
         }
         let record = match heartbeat.subject {
             Subject::Target(target) => Record::Target(target),
@@ -138,6 +139,22 @@
         }
     }
 
+    /// Tells an agent that a newer incarnation announces its backend server.
+    fn name_successor(&mut self, from: SocketAddr, sender: &Sender, actions: &mut Vec<Action>) {
+        let view = sender.service.and_then(|address| self.service(&address));
+        let member = view.and_then(|view| view.targets.get(&sender.id));
+        let newer = member.filter(|held| held.target.incarnation > sender.incarnation);
+        let Some(newer) = newer.cloned() else {
+            return;
+        };
+        let members = Members {
+            address: newer.target.service,
+            config: None,
+            members: vec![newer],
+        };
+        self.link.send(from, Message::Members(members), actions);
+    }
+
     /// Renews the watch on a process that names this entry as its watcher or
     /// observer, and ends others.
     fn renew(&mut self, sender: &Sender, watch: Watch, observe: bool) {
--- a/coordination/member/tests/merge.rs
+++ b/coordination/member/tests/merge.rs
@@ -15,6 +15,7 @@
 use member::message::Push;
 use member::record::Report;
 use member::record::Suspicion;
+use member::record::report_key;
 use proptest::prelude::*;
 use wire::Revision;
 use wire::ServiceAddress;
@@ -211,3 +212,33 @@
     assert!(registry.put(NOW, service(1, 5)));
     assert!(registry.service(&roster()).is_some());
 }
+
+#[test]
+fn the_observers_of_a_zone_are_bounded() {
+    let mut registry = registry(1);
+    let report = |observer| Report {
+        zone: 2,
+        observer: entry(observer),
+        from: 1,
+        incarnation: 1,
+        version: 1,
+        silent: 1,
+        watched: 1,
+    };
+    let reports = (0..200).map(report);
+    let keys: Vec<u64> = (0..200)
+        .map(|number| report_key(2, entry(number)))
+        .collect();
+    push(&mut registry, reports.map(Record::Report).collect());
+    let mut actions = Vec::new();
+    for keys in keys.chunks(50) {
+        registry.handle(NOW, entry(2), Message::Pull(keys.to_vec()), &mut actions);
+    }
+    let held = actions
+        .iter()
+        .map(|Action::Send { message, .. }| match message {
+            Message::Push(push) => push.records.len(),
+            _ => 0,
+        });
+    assert_eq!(held.sum::<usize>(), 64);
+}
