--- a/roles/app/src/entry/control.rs
+++ b/roles/app/src/entry/control.rs
@@ -145,10 +145,7 @@
         let mut router = self.traffic.router.load().as_ref().clone();
         for address in changes {
             let view = self.registry.service(address);
-            for event in view
-                .map(|view| self.watch.compare(view))
-                .unwrap_or_default()
-            {
+            for event in view.map(|view| self.watch.view(view)).unwrap_or_default() {
                 event.log();
             }
             match self.route(*address) {
--- a/roles/app/src/watch.rs
+++ b/roles/app/src/watch.rs
@@ -2,8 +2,8 @@
 use std::collections::HashMap;
 
 use member::Health;
+use member::Member;
 use member::View;
-use member::view::Member;
 use wire::Revision;
 use wire::ServiceAddress;
 use wire::TargetId;
@@ -28,27 +28,33 @@
 
 impl Watch {
     /// Takes a view and returns what changed since the last one of its service.
-    pub fn compare(&mut self, view: &View) -> Vec<Event> {
-        let service = view.address;
-        let mut events = Vec::new();
-        if let Some(config) = &view.config {
-            let before = self.revisions.insert(service, config.revision);
-            if before != Some(config.revision) {
-                events.push(Event::InForce {
-                    service,
-                    revision: config.revision,
-                });
-            }
-        }
-        for (&target, member) in &view.targets {
-            let phase = phase(member);
-            let before = self.targets.insert(target, phase);
-            if before != Some(phase) {
-                events.push(event(service, target, phase));
-            }
-        }
+    pub fn view(&mut self, view: &View) -> Vec<Event> {
+        let revision = view.config.as_ref().map(|config| config.revision);
+        let mut events: Vec<Event> = revision
+            .and_then(|revision| self.revision(view.address, revision))
+            .into_iter()
+            .collect();
+        events.extend(
+            view.targets
+                .values()
+                .filter_map(|member| self.member(member)),
+        );
         events
     }
+
+    /// Takes the revision of a service and returns what changed.
+    pub fn revision(&mut self, service: ServiceAddress, revision: Revision) -> Option<Event> {
+        let before = self.revisions.insert(service, revision);
+        (before != Some(revision)).then_some(Event::InForce { service, revision })
+    }
+
+    /// Takes a target and returns what changed.
+    pub fn member(&mut self, member: &Member) -> Option<Event> {
+        let phase = phase(member);
+        let target = member.target.id;
+        let before = self.targets.insert(target, phase);
+        (before != Some(phase)).then(|| event(member.target.service, target, phase))
+    }
 }
 
 const fn phase(member: &Member) -> Phase {
--- a/roles/app/tests/watch.rs
+++ b/roles/app/tests/watch.rs
@@ -1,12 +1,10 @@
-//! What is logged of a changed view.
+//! What is logged of changes.
 use std::net::SocketAddr;
 
 use app::event::Event;
 use app::watch::Watch;
 use member::Health;
-use member::Service;
-use member::View;
-use member::view::Member;
+use member::Member;
 use wire::Target;
 use wire::target::State;
 
@@ -16,8 +14,7 @@
     SocketAddr::from(([127, 0, 0, 9], 5000))
 }
 
-fn view(state: State, version: u32) -> View {
-    let mut view = View::new(service());
+fn member(state: State, health: Health) -> Member {
     let address = SocketAddr::from(([127, 0, 0, 1], 7000));
     let target = Target {
         id: TARGET,
@@ -26,71 +23,50 @@
         control: address,
         zone: 1,
         incarnation: 1,
-        version,
+        version: 0,
         weight: 1,
         slots: 1,
         state,
     };
-    let health = Health::Up;
-    view.targets.insert(TARGET, Member { target, health });
-    view
-}
-
-/// What is told of a target whose health changes.
-fn told(watch: &mut Watch, view: &mut View, health: Health) -> Vec<Event> {
-    for member in view.targets.values_mut() {
-        member.health = health;
-    }
-    watch.compare(view)
+    Member { target, health }
 }
 
 #[test]
-fn tells_each_change_once() {
+fn tells_each_state_once() {
     let mut watch = Watch::default();
     let (service, target) = (service(), TARGET);
-    let ready = view(State::Ready, 0);
-    assert_eq!(watch.compare(&ready), [Event::TargetUp { service, target }]);
-    assert_eq!(watch.compare(&ready), []);
-    let draining = view(State::Draining, 1);
-    assert_eq!(
-        watch.compare(&draining),
-        [Event::TargetDraining { service, target }]
-    );
-    let left = view(State::Left, 2);
-    assert_eq!(
-        watch.compare(&left),
-        [Event::TargetLeft { service, target }]
-    );
+    for (state, event) in [
+        (State::Ready, Event::TargetUp { service, target }),
+        (State::Draining, Event::TargetDraining { service, target }),
+        (State::Left, Event::TargetLeft { service, target }),
+    ] {
+        let member = member(state, Health::Up);
+        assert_eq!(watch.member(&member), Some(event));
+        assert_eq!(watch.member(&member), None);
+    }
 }
 
 #[test]
 fn tells_that_a_target_is_down_and_up_again() {
     let mut watch = Watch::default();
     let (service, target) = (service(), TARGET);
-    let mut view = view(State::Ready, 0);
-    watch.compare(&view);
-    assert_eq!(told(&mut watch, &mut view, Health::Doubted), []);
-    let down = Event::TargetDown { service, target };
-    assert_eq!(told(&mut watch, &mut view, Health::Down), [down]);
-    let up = Event::TargetUp { service, target };
-    assert_eq!(told(&mut watch, &mut view, Health::Up), [up]);
+    for (health, event) in [
+        (Health::Up, Some(Event::TargetUp { service, target })),
+        (Health::Doubted, None),
+        (Health::Down, Some(Event::TargetDown { service, target })),
+        (Health::Up, Some(Event::TargetUp { service, target })),
+    ] {
+        assert_eq!(watch.member(&member(State::Ready, health)), event);
+    }
 }
 
 #[test]
-fn tells_a_new_revision() {
+fn tells_each_revision_once() {
     let mut watch = Watch::default();
     let service = service();
-    let mut view = View::new(service);
-    let config = Service {
-        address: service,
-        revision: 3,
-        body: Vec::new().into(),
-    };
-    view.config = Some(config);
-    let event = Event::InForce {
-        service,
-        revision: 3,
-    };
-    assert_eq!(watch.compare(&view), [event]);
-    assert_eq!(watch.compare(&view), []);
+    for revision in [3, 4] {
+        let event = Event::InForce { service, revision };
+        assert_eq!(watch.revision(service, revision), Some(event));
+        assert_eq!(watch.revision(service, revision), None);
+    }
 }
