--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -3,6 +3,8 @@
 //! Each subcommand prints a table and writes the same figures as data.
 mod options;
 mod place;
+mod relay;
+mod report;
 mod route;
 mod table;
 
@@ -15,6 +17,7 @@
 
 Commands:
   place   imbalance and latency of the ways to place flows
+  relay   packets a second through an entry, against a bare UDP relay
   route   cost of a routing decision, bytes of a flow
 ";
 
@@ -33,6 +36,7 @@
     let (command, options) = arguments.split_first().ok_or(USAGE)?;
     match command.as_str() {
         "place" => place::run(options),
+        "relay" => Ok(relay::run()?),
         "route" => route::run(options),
         "--help" | "-h" => {
             print!("{USAGE}");
