Wait for the whole view before the agent's core claims

Cause: the first wait ended with any second target, but the members come in several messages; the core then asked peers that had nothing and gave up.

Libraries log warnings and errors only: tarpc wrote a line for each call.

--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -186,6 +186,14 @@
         &self.view
     }
 
+    /// True where the view is the one that a watcher had when it last answered.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        let digest = Some(self.view.digest());
+        let mut watchers = self.watchers.addresses().into_iter();
+        watchers.any(|watcher| self.watchers.acknowledged_digest(watcher) == digest)
+    }
+
     /// True where the view changed since the last call.
     pub fn changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
--- a/roles/app/src/agent/control.rs
+++ b/roles/app/src/agent/control.rs
@@ -104,11 +104,11 @@
         }
     }
 
-    /// Whether the entries have told of the other agents, or had the time to.
-    /// The core asks the peers of its first view for the flows of its
-    /// predecessor, so that view must not come before them.
+    /// Whether an entry has told of all other agents, or had the time to. The
+    /// core asks the peers of its first view for the flows of its predecessor,
+    /// so that view must be whole.
     fn knows_peers(&self) -> bool {
-        self.announcer.view().targets.len() > 1 || self.origin.elapsed() >= FIRST_VIEW_TIMEOUT
+        self.announcer.is_current() || self.origin.elapsed() >= FIRST_VIEW_TIMEOUT
     }
 
     async fn next(&self, now: Duration) -> Option<Input> {
--- a/roles/app/src/logger.rs
+++ b/roles/app/src/logger.rs
@@ -1,13 +1,15 @@
 //! Sets up the log: readable lines for people, or JSON lines.
 //!
 //! Log lines go to the standard error, which leaves the standard output to the
-//! results of `operate` and `call`.
+//! results of `operate` and `call`. Libraries write warnings and errors only.
 use displaydoc::Display;
+use log::LevelFilter;
 use log4rs::Handle;
 use log4rs::append::console::ConsoleAppender;
 use log4rs::append::console::Target;
 use log4rs::config::Appender;
 use log4rs::config::Config;
+use log4rs::config::Logger;
 use log4rs::config::Root;
 use log4rs::config::runtime::ConfigErrors;
 use log4rs::encode::Encode;
@@ -15,6 +17,7 @@
 use log4rs::encode::pattern::PatternEncoder;
 use thiserror::Error;
 
+use crate::event::LOG_TARGET;
 use crate::settings::Format;
 use crate::settings::Log;
 
@@ -51,9 +54,12 @@
         .target(Target::Stderr)
         .encoder(encoder(settings.format))
         .build();
+    let libraries = settings.level.min(LevelFilter::Warn);
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, Box::new(appender)))
-        .build(Root::builder().appender(APPENDER).build(settings.level))?;
+        .logger(Logger::builder().build(LOG_TARGET, settings.level))
+        .logger(Logger::builder().build(env!("CARGO_CRATE_NAME"), settings.level))
+        .build(Root::builder().appender(APPENDER).build(libraries))?;
     Ok(config)
 }
 
