Land the whole path: demo and checks run on the joined parts

Cause: the parts were built side by side and met here for the first time. Change: the watch's test puts members through the view; lints of the joined shells; the relay's measurement ends its load before it waits.

--- a/coordination/member/src/view.rs
+++ b/coordination/member/src/view.rs
@@ -169,7 +169,9 @@
             .collect()
     }
 
-    fn put_member(&mut self, member: Member) {
+    /// Puts a member in place of the one with the same target id, whichever is
+    /// newer.
+    pub fn put_member(&mut self, member: Member) {
         let old = self.targets.get(&member.target.id).map_or(0, digest::item);
         self.replace(old, digest::item(&member));
         self.targets.insert(member);
--- a/roles/app/src/agent.rs
+++ b/roles/app/src/agent.rs
@@ -140,7 +140,7 @@
 fn leave(stop: Duration) -> Leave {
     let handover = stop / 3;
     Leave {
-        grace: stop - handover,
+        grace: stop.saturating_sub(handover),
         handover,
         ..Leave::default()
     }
--- a/roles/app/src/agent/worker.rs
+++ b/roles/app/src/agent/worker.rs
@@ -126,11 +126,11 @@
                     let event = shell.event(input);
                     core.handle(origin.elapsed(), event, &mut actions);
                 }
-                Wake::Frame(received) => shell.take(&mut core, received, &mut actions),
+                Wake::Frame(frame) => shell.take(&mut core, frame, &mut actions),
             }
             for _ in 0..BATCH {
                 match receiver.try_receive() {
-                    Ok(Some(received)) => shell.take(&mut core, received, &mut actions),
+                    Ok(Some(frame)) => shell.take(&mut core, frame, &mut actions),
                     Ok(None) => {}
                     Err(_) => break,
                 }
--- a/roles/app/src/entry/traffic.rs
+++ b/roles/app/src/entry/traffic.rs
@@ -69,8 +69,8 @@
         let entry = self.port.local_addr()?;
         let mut receiver = self.port.receiver();
         loop {
-            let received = receiver.receive().await?;
-            self.handle(received, entry);
+            let incoming = receiver.receive().await?;
+            self.handle(incoming, entry);
         }
     }
 
--- a/roles/app/src/watch.rs
+++ b/roles/app/src/watch.rs
@@ -40,7 +40,8 @@
                 });
             }
         }
-        for (&target, member) in &view.targets {
+        for member in view.targets.values() {
+            let target = member.target.id;
             let phase = phase(member);
             let before = self.targets.insert(target, phase);
             if before != Some(phase) {
--- a/roles/app/tests/watch.rs
+++ b/roles/app/tests/watch.rs
@@ -32,14 +32,15 @@
         state,
     };
     let health = Health::Up;
-    view.targets.insert(TARGET, Member { target, health });
+    view.put_member(Member { target, health });
     view
 }
 
 /// What is told of a target whose health changes.
 fn told(watch: &mut Watch, view: &mut View, health: Health) -> Vec<Event> {
-    for member in view.targets.values_mut() {
-        member.health = health;
+    let members: Vec<Member> = view.targets.values().cloned().collect();
+    for member in members {
+        view.put_member(Member { health, ..member });
     }
     watch.compare(view)
 }
--- a/tools/bench/src/relay.rs
+++ b/tools/bench/src/relay.rs
@@ -128,7 +128,7 @@
             packets += 1;
         }
     }
-    let cpu = cpu_time()? - before;
+    let cpu = cpu_time()?.saturating_sub(before);
     load.stop();
     Ok(Run { packets, cpu })
 }
@@ -158,8 +158,10 @@
                 smol::Timer::after(RUN).await;
             },
         ));
-        Ok(cpu_time()? - before)
+        Ok(cpu_time()?.saturating_sub(before))
     });
+    thread::sleep(RUN);
+    load.stop();
     let cpu = timed
         .join()
         .map_err(|_| io::Error::other("the relay stopped"))??;
