--- a/coordination/member/tests/registry.rs
+++ b/coordination/member/tests/registry.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use member::Announcer;
 use member::Health;
 use member::Message;
 use member::Refusal;
@@ -171,3 +172,18 @@
     assert_eq!(agent.status().refusals[&Refusal::Unexpected], 1);
     assert!(actions.is_empty());
 }
+
+/// An agent that starts among others knows when it has heard of all of them.
+#[test]
+fn a_view_is_current_once_it_is_whole() {
+    let mut net = region(3, 7, 3);
+    net.run_until(SOON, |net| net.agents.values().all(Announcer::is_current));
+    for held in net.agents.values() {
+        assert_eq!(held.view().targets.len(), 7);
+    }
+    net.add_agent(8, 1, 1);
+    let fresh = agent(8);
+    assert!(!net.agents[&fresh].is_current());
+    net.run_until(SOON, |net| net.agents[&fresh].is_current());
+    assert_eq!(net.agents[&fresh].view().targets.len(), 8);
+}
