Say farewell at once when an agent has exited

Cause: the core announces Left, and the farewell that follows found the next heartbeat up to a second away; a replaced agent's process, and with it the start of its successor, waited for that. Shown by a test that failed first.

--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -111,7 +111,10 @@
         let weight = self.target.weight;
         let state = State::Left;
         self.announce(now, Change { weight, state });
-        self.farewells.get_or_insert(FAREWELLS);
+        if self.farewells.is_none() {
+            self.farewells = Some(FAREWELLS);
+            self.next_heartbeat = now;
+        }
     }
 
     /// True once nothing is left to announce after [`Self::leave`].
--- a/coordination/member/tests/registry.rs
+++ b/coordination/member/tests/registry.rs
@@ -187,3 +187,19 @@
     net.run_until(SOON, |net| net.agents[&fresh].is_current());
     assert_eq!(net.agents[&fresh].view().targets.len(), 8);
 }
+
+/// The agent's core announces that it leaves before it asks for the farewell.
+#[test]
+fn a_farewell_does_not_wait_for_a_heartbeat() {
+    let mut net = region(3, 3, 3);
+    net.run(SOON);
+    let now = net.now;
+    let leaving = net.agents.get_mut(&agent(1)).unwrap();
+    let weight = leaving.target().weight;
+    let state = State::Left;
+    let mut actions = Vec::new();
+    leaving.announce(now, Change { weight, state });
+    leaving.tick(now, &mut actions);
+    leaving.leave(now);
+    assert!(leaving.next_deadline() <= now);
+}
