Let a stopping entry tell the others, within its stop setting

Cause: SIGTERM only ended the process after a fixed wait, so the others found out by silence, and the setting for the longest stop had no effect.

--- a/roles/app/src/entry.rs
+++ b/roles/app/src/entry.rs
@@ -83,8 +83,12 @@
         .spawn(operator::serve(operators, context, Arc::clone(&executor)))
         .detach();
     executor
-        .spawn(metric::entry::report(inputs_sender, settings.metrics))
+        .spawn(metric::entry::report(
+            inputs_sender.clone(),
+            settings.metrics,
+        ))
         .detach();
+    let stopped = stopped(inputs_sender, settings.stop);
     let control = Control {
         registry: registry(settings, origin),
         origin,
@@ -94,7 +98,7 @@
         board: Board::default(),
         watch: Watch::default(),
     };
-    executor.run(control.run().or(stopped())).await;
+    executor.run(control.run().or(stopped)).await;
     Ok(())
 }
 
@@ -128,9 +132,11 @@
     reading.or(passing).await;
 }
 
-/// Waits for SIGTERM, and then for what is under way to arrive.
-async fn stopped() {
+/// Waits for SIGTERM, says so to the other entries, and then waits for what is
+/// under way to arrive.
+async fn stopped(control: Sender<Input>, limit: Duration) {
     let signals = signal::watch();
     let _ = signals.recv().await;
-    Timer::after(LINGER).await;
+    let _ = control.send(Input::Leave).await;
+    Timer::after(LINGER.min(limit)).await;
 }
--- a/roles/app/src/entry/control.rs
+++ b/roles/app/src/entry/control.rs
@@ -46,6 +46,8 @@
     Status(Sender<StatusReply>),
     /// The metrics are asked for.
     Metrics(Sender<Vec<Sample>>),
+    /// The entry is to stop.
+    Leave,
 }
 
 /// What the control thread works with.
@@ -89,6 +91,7 @@
                 let samples = self.samples();
                 let _ = reply.try_send(status::describe(&self.registry, &samples));
             }
+            Some(Input::Leave) => self.registry.leave(now, actions),
             Some(Input::Metrics(reply)) => {
                 let _ = reply.try_send(self.samples());
             }
