--- a/roles/app/src/entry/control.rs
+++ b/roles/app/src/entry/control.rs
@@ -46,6 +46,8 @@
     Status(Sender<StatusReply>),
     /// The metrics are asked for.
     Metrics(Sender<Vec<Sample>>),
+    /// The entry is to stop.
+    Leave,
 }
 
 /// What the control thread works with.
@@ -89,6 +91,7 @@
                 let samples = self.samples();
                 let _ = reply.try_send(status::describe(&self.registry, &samples));
             }
+            Some(Input::Leave) => self.registry.leave(now, actions),
             Some(Input::Metrics(reply)) => {
                 let _ = reply.try_send(self.samples());
             }
@@ -145,10 +148,7 @@
         let mut router = self.traffic.router.load().as_ref().clone();
         for address in changes {
             let view = self.registry.service(address);
-            for event in view
-                .map(|view| self.watch.compare(view))
-                .unwrap_or_default()
-            {
+            for event in view.map(|view| self.watch.view(view)).unwrap_or_default() {
                 event.log();
             }
             match self.route(*address) {
