Push news at once, and fetch only the missing fragments of large configurations

News waited for the 250 ms round at each hop.

A receiver now keeps asking the one that offered for the fragments that it lacks.

--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -18,6 +18,7 @@
 use crate::Status;
 use crate::View;
 use crate::fragment::Assembler;
+use crate::fragment::Offer;
 use crate::link::Link;
 use crate::message::Ack;
 use crate::message::Heartbeat;
@@ -152,8 +153,11 @@
             Message::Probe => self.beat(&[from], actions),
             Message::Members(members) if members.address == service => self.members(members),
             Message::Roll(roll) if roll.address == service => self.roll(&roll),
-            Message::Fragment(fragment) if fragment.address == service => {
-                if let Some(config) = self.assembler.take(fragment) {
+            Message::Offer(offer) if offer.address == service => {
+                self.offer(now, from, offer, actions);
+            }
+            Message::Fragment(fragment) if fragment.offer.address == service => {
+                if let Some(config) = self.assembler.take(now, fragment) {
                     self.changed |= self.view.merge_config(config).is_ok();
                 }
             }
@@ -175,6 +179,10 @@
         self.watchers.check(now, &mut self.rng);
         let receivers = self.watchers.receivers();
         self.beat(&receivers, actions);
+        for request in self.assembler.overdue(now) {
+            self.link
+                .send(request.to, Message::Fetch(request.fetch), actions);
+        }
     }
 
     /// When to call [`Self::tick`] next.
@@ -269,6 +277,18 @@
         }
     }
 
+    /// Fetches a large configuration that is newer than the one held.
+    fn offer(&mut self, now: Duration, from: SocketAddr, offer: Offer, actions: &mut Vec<Action>) {
+        let held = self.view.config.as_ref();
+        if held.is_some_and(|held| held.revision >= offer.revision) {
+            return;
+        }
+        if let Some(request) = self.assembler.begin(now, from, offer) {
+            self.link
+                .send(request.to, Message::Fetch(request.fetch), actions);
+        }
+    }
+
     fn member(&mut self, member: Member) {
         let (id, stamp) = (member.target.id, member.target.stamp());
         if member.target.service != self.target.service {
--- a/coordination/member/src/directory.rs
+++ b/coordination/member/src/directory.rs
@@ -222,12 +222,6 @@
         })
     }
 
-    /// Digest of the record under a key.
-    #[must_use]
-    pub fn digest(&self, key: Key) -> Option<Digest> {
-        self.slots.get(&key).map(|slot| slot.digest)
-    }
-
     /// Keys and digests of the records in a range of keys.
     pub fn range(&self, first: Key, last: Key) -> impl Iterator<Item = (Key, Digest)> {
         let slots = self.slots.range(first..=last);
--- a/coordination/member/src/message.rs
+++ b/coordination/member/src/message.rs
@@ -15,7 +15,9 @@
 use crate::Record;
 use crate::Service;
 use crate::digest::Digest;
+use crate::fragment::Fetch;
 use crate::fragment::Fragment;
+use crate::fragment::Offer;
 use crate::record::Key;
 use crate::tree::Node;
 use crate::view::Member;
@@ -47,10 +49,12 @@
     Roll(Roll),
     /// Records of the sender, for an entry.
     Push(Push),
-    /// Part of a configuration that does not fit into one message.
+    /// Names a configuration that is too large to be pushed.
+    Offer(Offer),
+    /// Asks for the fragments of such a configuration.
+    Fetch(Fetch),
+    /// Part of such a configuration.
     Fragment(Fragment),
-    /// News that is too large to be pushed, to be pulled by who lacks it.
-    Offer(Vec<Item>),
     /// Digests of the sender below a node of the digest tree.
     Compare(Compare),
     /// The records that the sender holds in a range of keys.
--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -96,6 +96,8 @@
     is_behind: bool,
     is_doubtful: bool,
     next_round: Duration,
+    last_push: Duration,
+    next_push: Option<Duration>,
     next_compare: Duration,
     next_ask: Duration,
     next_expiry: Duration,
@@ -152,6 +154,8 @@
             is_behind: false,
             is_doubtful: false,
             next_round: now,
+            last_push: Duration::ZERO,
+            next_push: None,
             next_compare: now,
             next_ask: now,
             next_expiry: now + EXPIRY_INTERVAL,
@@ -216,8 +220,9 @@
             Message::Heartbeat(heartbeat) => self.heartbeat(now, from, heartbeat, actions),
             Message::Probe => self.beat(&[from], actions),
             Message::Push(push) => self.push(now, push),
-            Message::Fragment(fragment) => self.fragment(fragment),
-            Message::Offer(items) => self.offer(from, &items, actions),
+            Message::Offer(offer) => self.offer(now, from, offer, actions),
+            Message::Fetch(fetch) => self.fetch(from, &fetch, actions),
+            Message::Fragment(fragment) => self.fragment(now, fragment),
             Message::Compare(compare) => self.compare(from, &compare, actions),
             Message::Leaf(leaf) => self.leaf(from, &leaf, actions),
             Message::Pull(keys) => self.pull(from, &keys, actions),
@@ -230,6 +235,7 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        self.gossip_if_due(now, actions);
         if now < self.next_round {
             return;
         }
@@ -244,7 +250,7 @@
         self.audit(now, actions);
         self.detect(now, actions);
         self.judge(now);
-        self.gossip(actions);
+        self.fetch_overdue(now, actions);
         self.forget_asked(now);
         self.compare_if_due(now, actions);
         self.ask_needs(now, actions);
@@ -256,8 +262,9 @@
 
     /// When to call [`Self::tick`] next.
     #[must_use]
-    pub const fn next_deadline(&self) -> Duration {
-        self.next_round
+    pub fn next_deadline(&self) -> Duration {
+        let push = self.next_push.unwrap_or(self.next_round);
+        push.min(self.next_round)
     }
 
     /// The view of a service.
@@ -334,6 +341,8 @@
         match self.directory.merge(record.clone()) {
             Ok(()) => {
                 self.hot.heat(record, self.fleet.candidates.len());
+                let earliest = self.last_push + self.settings.pace;
+                self.next_push.get_or_insert(earliest);
                 true
             }
             Err(reason) => {
--- a/coordination/member/src/registry/heartbeat.rs
+++ b/coordination/member/src/registry/heartbeat.rs
@@ -201,14 +201,14 @@
             let differing = (0..).zip(own.iter().zip(parts));
             for (number, _) in differing.filter(|(_, (own, other))| own != other) {
                 match number {
-                    PARTS => messages.extend(config_messages(view)),
+                    PARTS => messages.extend(config_message(view)),
                     _ => messages.extend(part_messages(view, number)),
                 }
             }
         } else {
             let recent = self.directory.recent(address);
-            if recent.contains(&None) && !is_large(view) {
-                messages.extend(config_messages(view));
+            if recent.contains(&None) {
+                messages.extend(config_message(view));
             }
             let changed = recent.iter().flatten();
             let members = changed.filter_map(|id| view.targets.get(id)).cloned();
@@ -270,24 +270,16 @@
     }
 }
 
-fn is_large(view: &View) -> bool {
-    let config = view.config.as_ref();
-    config.is_some_and(|config| config.body.len() > fragment::MAX_INLINE_BYTES)
-}
-
-fn config_messages(view: &View) -> Vec<Message> {
-    match &view.config {
-        None => Vec::new(),
-        Some(config) if is_large(view) => {
-            let parts = fragment::split(config);
-            parts.into_iter().map(Message::Fragment).collect()
-        }
-        Some(config) => vec![Message::Members(Members {
-            address: view.address,
-            config: Some(config.clone()),
-            members: Vec::new(),
-        })],
+fn config_message(view: &View) -> Option<Message> {
+    let config = view.config.as_ref()?;
+    if fragment::is_large(config) {
+        return Some(Message::Offer(fragment::offer(config)));
     }
+    Some(Message::Members(Members {
+        address: view.address,
+        config: Some(config.clone()),
+        members: Vec::new(),
+    }))
 }
 
 fn part_messages(view: &View, number: usize) -> Vec<Message> {
--- a/coordination/member/src/registry/repair.rs
+++ b/coordination/member/src/registry/repair.rs
@@ -124,17 +124,6 @@
         self.pull(from, &offered, actions);
     }
 
-    /// Asks for the offered records that this entry does not hold.
-    pub(super) fn offer(&mut self, from: SocketAddr, items: &[Item], actions: &mut Vec<Action>) {
-        let held = |item: &Item| {
-            let digest = self.directory.digest(item.key);
-            digest.map(half) == Some(item.digest)
-        };
-        let lacking = items.iter().filter(|item| !held(item));
-        let wanted = lacking.map(|item| item.key).take(MAX_ITEMS).collect();
-        self.ask(from, wanted, actions);
-    }
-
     /// Asks a peer for records, but for those that a peer was asked for just
     /// before.
     fn ask(&mut self, from: SocketAddr, mut keys: Vec<Key>, actions: &mut Vec<Action>) {
--- a/coordination/member/src/registry/spread.rs
+++ b/coordination/member/src/registry/spread.rs
@@ -1,4 +1,4 @@
-//! Gossip: news is pushed to a few entries in each round.
+//! Gossip: news is pushed to a few entries at a time.
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -6,19 +6,32 @@
 use crate::Action;
 use crate::Message;
 use crate::Record;
-use crate::digest;
-use crate::digest::half;
 use crate::fragment;
+use crate::fragment::Fetch;
 use crate::fragment::Fragment;
-use crate::message::Item;
+use crate::fragment::Offer;
 use crate::message::Push;
 use crate::message::pack;
 use crate::record::Key;
 
-/// Records of which the most urgent are chosen in one round.
-const ROUND_RECORDS: usize = 200;
+/// Records that are considered at a time, the most urgent first.
+const MAX_RECORDS: usize = 200;
 
 impl Registry {
+    /// Pushes news when it is due.
+    pub(super) fn gossip_if_due(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.next_push.is_none_or(|next| now < next) {
+            return;
+        }
+        self.link.refill(now);
+        self.gossip(actions);
+        self.last_push = now;
+        self.next_push = match self.hot.len() {
+            0 => None,
+            _ => Some(now + self.settings.pace),
+        };
+    }
+
     /// Pushes news to a few entries, within the budget.
     pub(super) fn gossip(&mut self, actions: &mut Vec<Action>) {
         let keys = self.hot.order();
@@ -30,7 +43,7 @@
             return;
         }
         let mut records = Vec::new();
-        for key in keys.into_iter().take(ROUND_RECORDS) {
+        for key in keys.into_iter().take(MAX_RECORDS) {
             match self.directory.record(key) {
                 Some(record) => records.push(record),
                 None => self.hot.remove(key),
@@ -41,9 +54,7 @@
                 return;
             }
             for peer in &peers {
-                for message in &batch.messages {
-                    self.link.send(*peer, message.clone(), actions);
-                }
+                self.link.send(*peer, batch.message.clone(), actions);
             }
             for key in batch.keys {
                 self.hot.count(key, peers.len());
@@ -58,10 +69,51 @@
         }
     }
 
+    /// Fetches a large configuration that is newer than the one held.
+    pub(super) fn offer(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        offer: Offer,
+        actions: &mut Vec<Action>,
+    ) {
+        let view = self.directory.view(&offer.address);
+        let held = view.and_then(|view| view.config.as_ref());
+        if held.is_some_and(|held| held.revision >= offer.revision) {
+            return;
+        }
+        if let Some(request) = self.assembler.begin(now, from, offer) {
+            self.link
+                .send(request.to, Message::Fetch(request.fetch), actions);
+        }
+    }
+
+    /// Sends the fragments that a process lacks, as far as the budget goes.
+    pub(super) fn fetch(&mut self, from: SocketAddr, fetch: &Fetch, actions: &mut Vec<Action>) {
+        let view = self.directory.view(&fetch.offer.address);
+        let Some(config) = view.and_then(|view| view.config.as_ref()) else {
+            return;
+        };
+        for fragment in fragment::split(config, fetch) {
+            let message = Message::Fragment(fragment);
+            if !self.link.send_bulk(from, message, actions) {
+                return;
+            }
+        }
+    }
+
+    /// Asks again for fragments that did not arrive.
+    pub(super) fn fetch_overdue(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for request in self.assembler.overdue(now) {
+            self.link
+                .send(request.to, Message::Fetch(request.fetch), actions);
+        }
+    }
+
     /// Takes part of a large configuration, and offers it to others once it is
     /// complete.
-    pub(super) fn fragment(&mut self, fragment: Fragment) {
-        if let Some(service) = self.assembler.take(fragment) {
+    pub(super) fn fragment(&mut self, now: Duration, fragment: Fragment) {
+        if let Some(service) = self.assembler.take(now, fragment) {
             self.publish(&Record::Service(service));
         }
     }
@@ -124,7 +176,7 @@
         actions: &mut Vec<Action>,
     ) {
         let batches = batches(records, false).into_iter();
-        let mut messages: Vec<Message> = batches.flat_map(|batch| batch.messages).collect();
+        let mut messages: Vec<Message> = batches.map(|batch| batch.message).collect();
         // Where the budget cuts the rest off, that is not the same rest each time.
         self.rng.shuffle(&mut messages);
         for message in messages {
@@ -135,37 +187,31 @@
     }
 }
 
-/// Records and the messages that carry them.
+/// Records and the message that carries them.
 struct Batch {
     keys: Vec<Key>,
-    messages: Vec<Message>,
+    message: Message,
 }
 
 fn batches(records: Vec<Record>, hot: bool) -> Vec<Batch> {
-    let (large, small): (Vec<Record>, Vec<Record>) =
-        records.into_iter().partition(|record| match record {
-            Record::Service(service) => service.body.len() > fragment::MAX_INLINE_BYTES,
-            _ => false,
-        });
+    let offered = |record: &Record| match record {
+        Record::Service(service) if fragment::is_large(service) => Some(fragment::offer(service)),
+        _ => None,
+    };
+    let (large, small): (Vec<Record>, Vec<Record>) = records
+        .into_iter()
+        .partition(|record| offered(record).is_some());
     let mut batches: Vec<Batch> = pack(small.into_iter())
         .into_iter()
         .map(|records| Batch {
             keys: records.iter().map(Record::key).collect(),
-            messages: vec![Message::Push(Push { hot, records })],
+            message: Message::Push(Push { hot, records }),
         })
         .collect();
-    for record in large {
-        let key = record.key();
-        let digest = half(digest::item(&record));
-        let messages = match record {
-            Record::Service(service) if !hot => {
-                let parts = fragment::split(&service);
-                parts.into_iter().map(Message::Fragment).collect()
-            }
-            _ => vec![Message::Offer(vec![Item { key, digest }])],
-        };
-        let keys = vec![key];
-        batches.push(Batch { keys, messages });
-    }
+    batches.extend(large.iter().filter_map(|record| {
+        let message = Message::Offer(offered(record)?);
+        let keys = vec![record.key()];
+        Some(Batch { keys, message })
+    }));
     batches
 }
--- a/coordination/member/src/settings.rs
+++ b/coordination/member/src/settings.rs
@@ -15,9 +15,11 @@
     /// Further wait before a watcher states its suspicion, in which the
     /// failure of a whole zone shows itself as such.
     pub settle: Duration,
-    /// Time between two rounds of gossip.
+    /// Time between two looks at what is silent or due.
     pub round: Duration,
-    /// Peers that a round pushes to.
+    /// Time between two pushes of news.
+    pub pace: Duration,
+    /// Peers that news is pushed to at a time.
     pub fanout: usize,
     /// Time between two comparisons of digests with a peer.
     pub compare: Duration,
@@ -37,6 +39,7 @@
             silence: Duration::from_millis(2_500),
             settle: Duration::from_secs(1),
             round: Duration::from_millis(250),
+            pace: Duration::from_millis(50),
             fanout: 3,
             compare: Duration::from_secs(1),
             send_rate: 12_000,
