Hand an accepted configuration to its entry at once

Cause: a change that was accepted just before the store went down reached no reader until the store was back, so that it was accepted but not in force. The change's outcome now carries what is stored, and the operators' server hands it to its process, which spreads it by gossip.

--- a/coordination/config/src/change.rs
+++ b/coordination/config/src/change.rs
@@ -17,6 +17,7 @@
 use crate::Record;
 use crate::Service;
 use crate::State;
+use crate::Update;
 use crate::diff::Line;
 use crate::diff::diff;
 use crate::jitter::jitter;
@@ -95,6 +96,9 @@
         replaced_by: Option<Revision>,
         /// What it changed; empty where an earlier attempt wrote it.
         differences: Vec<Line>,
+        /// What is stored now, to be spread at once: the store may be down
+        /// before any reader has read it.
+        latest: Box<Update>,
     },
     /// The dry run found no fault.
     Checked {
@@ -157,6 +161,7 @@
 /// A checked write.
 #[derive(Clone, Debug)]
 struct Draft {
+    service: Service,
     value: Vec<u8>,
     base: Revision,
     differences: Vec<Line>,
@@ -215,6 +220,10 @@
                 revision,
                 replaced_by: None,
                 differences: draft.differences,
+                latest: Box::new(Update {
+                    service: draft.service,
+                    revision,
+                }),
             }),
             Err(fault) if fault == Fault::Conflict || fault.maybe_applied() => {
                 self.uncertain |= fault.maybe_applied();
@@ -237,6 +246,10 @@
             revision,
             replaced_by: Some(found.revision).filter(|now| *now != revision),
             differences: Vec::new(),
+            latest: Box::new(Update {
+                service: record.service.clone(),
+                revision: found.revision,
+            }),
         })
     }
 
@@ -280,12 +293,14 @@
                 differences,
             });
         }
+        let service = after.clone();
         let record = match &found.record {
             Some(previous) => Record::replace(after, previous, base),
             None => Record::create(after),
         };
         match record.to_json() {
             Ok(value) => self.write(Draft {
+                service,
                 value,
                 base,
                 differences,
--- a/coordination/config/tests/change.rs
+++ b/coordination/config/tests/change.rs
@@ -223,8 +223,12 @@
             .map(|(item, _)| item.revision)
             .collect();
         match &self.action {
-            Action::Done(Outcome::Accepted { revision, .. }) => {
+            Action::Done(Outcome::Accepted {
+                revision, latest, ..
+            }) => {
                 assert_eq!(applied, [*revision], "{operation}");
+                assert!(latest.revision >= *revision, "{operation}");
+                assert!(store.has(latest), "{operation}");
             }
             Action::Done(
                 Outcome::Conflict {
--- a/coordination/config/tests/common/mod.rs
+++ b/coordination/config/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use config::Item;
 use config::Record;
 use config::Service;
+use config::Update;
 use config::change::Action;
 use config::change::Edit;
 use config::change::Outcome;
@@ -94,6 +95,14 @@
         records.collect()
     }
 
+    /// Whether the service was once stored so at that revision.
+    pub fn has(&self, update: &Update) -> bool {
+        self.written.iter().any(|item| {
+            let record = Record::from_json(&item.value).expect("a record");
+            (record.service, item.revision) == (update.service.clone(), update.revision)
+        })
+    }
+
     fn read(&self, failure: Failure) -> Result<Option<Item>, Fault> {
         let skip = match failure {
             Failure::None => 0,
--- a/roles/app/src/operator/convert.rs
+++ b/roles/app/src/operator/convert.rs
@@ -170,6 +170,7 @@
             revision,
             replaced_by,
             differences,
+            latest: _,
         } => {
             let replaced_by = replaced_by.unwrap_or_default();
             let accepted = schema::Accepted {
--- a/roles/app/src/operator/server.rs
+++ b/roles/app/src/operator/server.rs
@@ -1,5 +1,6 @@
 //! The operators' server, which every entry runs.
 use std::future::Future;
+use std::future::ready;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use config::Fault;
 use config::Problem;
 use config::Record;
+use config::Update;
 use config::change::Outcome;
 use config::change::Request as ChangeRequest;
 use config::jitter::jitter;
@@ -38,8 +40,15 @@
 /// Time between pings of an idle connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
-/// Says what is in force where.
+/// What the server asks of its process.
 pub trait Snapshot: Send + Sync + 'static {
+    /// Puts a configuration in force here and spreads it by gossip. Called as
+    /// soon as a change is accepted, since the store may be down before any
+    /// reader has read it. Does nothing by default: the readers spread it.
+    fn accept(&self, _: Update) -> impl Future<Output = ()> + Send {
+        ready(())
+    }
+
     /// The state of the system, as this process knows it.
     fn status(&self) -> impl Future<Output = schema::StatusReply> + Send;
 }
@@ -102,6 +111,9 @@
             }
             Err(problems) => Outcome::Invalid(problems),
         };
+        if let Outcome::Accepted { latest, .. } = &outcome {
+            self.0.snapshot.accept(Update::clone(latest)).await;
+        }
         Response::new(convert::outcome(outcome))
     }
 }
--- a/roles/app/tests/operator.rs
+++ b/roles/app/tests/operator.rs
@@ -10,6 +10,9 @@
 use app::operator::command;
 use app::operator::print::End;
 use app::operator::print::Printed;
+use async_channel::Receiver;
+use async_channel::Sender;
+use config::Update;
 use futures_lite::FutureExt;
 use smol::Executor;
 use smol::net::TcpListener;
@@ -22,9 +25,14 @@
 const SERVICE: &str = "192.0.2.1:5000";
 const TIMEOUT: Duration = Duration::from_mins(1);
 
-struct NoSnapshot;
+/// An entry that notes what it was told to spread.
+struct Entry(Sender<Update>);
+
+impl operator::Snapshot for Entry {
+    async fn accept(&self, update: Update) {
+        self.0.send(update).await.expect("the test listens");
+    }
 
-impl operator::Snapshot for NoSnapshot {
     async fn status(&self) -> schema::StatusReply {
         schema::StatusReply {
             counters: vec![schema::Counter {
@@ -41,6 +49,7 @@
     entry: SocketAddr,
     executor: Arc<Executor<'static>>,
     platform: Platform,
+    accepted: Receiver<Update>,
 }
 
 impl Operator {
@@ -64,17 +73,19 @@
         let store = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let entry = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let platform = Platform::default();
+        let (sender, accepted) = async_channel::unbounded();
         let context = operator::Context {
             store: Http::new(Settings {
                 timeout: TIMEOUT,
                 ..Settings::new(store.local_addr().expect("an address"))
             }),
-            snapshot: NoSnapshot,
+            snapshot: Entry(sender),
         };
         let operator = Operator {
             entry: entry.local_addr().expect("an address"),
             executor: executor.clone(),
             platform: platform.clone(),
+            accepted,
         };
         let store = platform::serve(store, platform, executor.clone());
         let entry = operator::serve(entry, context, executor.clone());
@@ -196,6 +207,21 @@
     a_change_is_refused_while_the_store_fails: Mode::Fail,
 }
 
+#[test]
+fn an_accepted_change_is_spread_at_once_and_a_refused_one_never() {
+    with_operator(|operator| async move {
+        let create = format!("create {SERVICE} --name roster");
+        operator.expect(&create, End::Done, "revision 2").await;
+        let update = operator.accepted.recv().await.expect("an update");
+        assert_eq!((update.revision, update.service.hunt), (2, 3));
+        let late = format!("update {SERVICE} --hunt 1 --expected 1");
+        operator.expect(&late, End::Conflict, "revision 2").await;
+        let dry = format!("update {SERVICE} --hunt 1 --dry-run");
+        operator.expect(&dry, End::Done, "nothing written").await;
+        assert!(operator.accepted.is_empty());
+    });
+}
+
 #[test]
 fn a_command_goes_on_to_the_next_entry() {
     with_operator(|operator| async move {
