--- a/tools/standin/src/platform/read.rs
+++ b/tools/standin/src/platform/read.rs
@@ -45,7 +45,7 @@
 fn pairs(platform: &Platform, key: &str, recurse: bool) -> Answer {
     let mut state = platform.lock();
     let index = state.prefix_index(key);
-    let pairs: Vec<Value> = under(state.readable(), key)
+    let pairs: Vec<Value> = under(&state.readable(), key)
         .filter(|(name, _)| recurse || *name == key)
         .map(|(name, cell)| answer::pair(name, cell))
         .collect();
--- a/tools/standin/src/platform/state.rs
+++ b/tools/standin/src/platform/state.rs
@@ -1,4 +1,5 @@
 //! Keys with their revisions, and what waits for them.
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -59,8 +60,8 @@
 pub struct State {
     /// Keys in order.
     pub cells: BTreeMap<String, Cell>,
-    /// What was there before the latest write, for stale reads.
-    pub earlier: BTreeMap<String, Cell>,
+    /// What the latest write replaced, for stale reads.
+    pub replaced: BTreeMap<String, Option<Cell>>,
     /// Sessions.
     pub sessions: Sessions,
     /// Faults in force.
@@ -91,7 +92,8 @@
             .collect();
         for key in held {
             self.begin_write();
-            self.cells.remove(&key);
+            let cell = self.cells.remove(&key);
+            self.replaced.insert(key.clone(), cell);
             self.removed.insert(key, self.index);
             self.wake();
         }
@@ -159,11 +161,18 @@
     }
 
     /// The keys to read from: stale ones where a fault asks for it.
-    pub fn readable(&mut self) -> &BTreeMap<String, Cell> {
-        if take(&mut self.faults.stale_reads) {
-            return &self.earlier;
+    pub fn readable(&mut self) -> Cow<'_, BTreeMap<String, Cell>> {
+        if !take(&mut self.faults.stale_reads) {
+            return Cow::Borrowed(&self.cells);
         }
-        &self.cells
+        let mut cells = self.cells.clone();
+        for (key, cell) in &self.replaced {
+            match cell {
+                Some(cell) => cells.insert(key.clone(), cell.clone()),
+                None => cells.remove(key),
+            };
+        }
+        Cow::Owned(cells)
     }
 
     fn holds(&self, operation: &Operation) -> bool {
@@ -179,13 +188,16 @@
     }
 
     fn begin_write(&mut self) {
-        self.earlier.clone_from(&self.cells);
+        self.replaced.clear();
         // The first write must be newer than an empty prefix.
         self.index = self.index.max(EMPTY_INDEX) + 1;
     }
 
     fn put(&mut self, key: &str, value: Vec<u8>) {
         let index = self.index;
+        self.replaced
+            .entry(key.to_owned())
+            .or_insert_with(|| self.cells.get(key).cloned());
         let cell = self.cells.entry(key.to_owned()).or_insert(Cell {
             value: Vec::new(),
             create: index,
--- /dev/null
+++ b/transport/store/examples/reading.rs
@@ -0,0 +1,265 @@
+//! Measures what it costs to read the configuration from the store.
+//!
+//! Serves the stand-in of the store on 127.0.0.1, lets readers of several zones
+//! follow it with their default settings, and prints a table.
+//!
+//! ```text
+//! cargo run --release -p store --example reading -- [SERVICES] [ZONES] [CHANGES]
+//! ```
+#![allow(clippy::cast_precision_loss, reason = "the counts are far below 2^52")]
+use std::error::Error;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use config::Reader;
+use config::Record;
+use config::Service;
+use config::Update;
+use config::key;
+use config::reader::Settings;
+use futures_lite::FutureExt;
+use smol::Executor;
+use smol::net::TcpListener;
+use standin::platform;
+use standin::platform::Platform;
+use standin::platform::fault::Mode;
+use store::Http;
+use store::Store;
+use store::Swap;
+use store::reader;
+use wire::Revision;
+use wire::ZoneId;
+
+/// Entries of each zone.
+const ENTRIES: usize = 6;
+
+/// Time over which idle calls are counted.
+const IDLE: Duration = Duration::from_secs(20);
+
+/// Time between looks at whether everything was read.
+const POLL: Duration = Duration::from_millis(10);
+
+/// Time of the outage.
+const OUTAGE: Duration = Duration::from_secs(20);
+
+/// A reader and what it publishes.
+struct Follower {
+    http: Http,
+    updates: Receiver<Update>,
+}
+
+struct Plan {
+    services: u16,
+    zones: ZoneId,
+    changes: u16,
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let mut args = std::env::args().skip(1).map(|text| text.parse::<u16>());
+    let mut next = |default| args.next().unwrap_or(Ok(default));
+    let plan = Plan {
+        services: next(7700)?,
+        zones: next(9)?,
+        changes: next(200)?,
+    };
+    let executor = Arc::new(Executor::new());
+    smol::block_on(executor.run(measure(plan, executor.clone())))
+}
+
+async fn measure(plan: Plan, executor: Arc<Executor<'static>>) -> Result<(), Box<dyn Error>> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let platform = Platform::default();
+    let serve = platform::serve(listener, platform.clone(), executor.clone());
+    executor.spawn(serve).detach();
+    let operator = Http::new(store::http::Settings::new(address));
+    for number in 0..plan.services {
+        write(&operator, number, 0).await?;
+    }
+    let start = Instant::now();
+    let followers = start_readers(&plan, address, &executor);
+    let readers = reading(&followers, &plan).await;
+    println!("services                       {}", plan.services);
+    println!("zones                          {}", plan.zones);
+    println!("entries                        {}", followers.len());
+    println!("readers                        {}", readers.len());
+    println!(
+        "first read of everything, ms   {}",
+        start.elapsed().as_millis()
+    );
+    let bytes = received(&followers) / readers.len() as u64;
+    println!("  bytes a reader               {bytes}");
+    idle(&platform, &followers, readers.len()).await;
+    changes(&plan, &operator, &followers, &readers).await?;
+    outage(&platform, &operator, &followers).await
+}
+
+fn start_readers(
+    plan: &Plan,
+    address: SocketAddr,
+    executor: &Arc<Executor<'static>>,
+) -> Vec<Follower> {
+    let mut followers = Vec::new();
+    for zone in 0..plan.zones {
+        for rank in 0..ENTRIES {
+            let http = Http::new(store::http::Settings::new(address));
+            let (sender, updates) = async_channel::unbounded();
+            let (inputs, events) = async_channel::unbounded();
+            let reader = Reader::new(Settings::new(zone), rank, fastrand::u64(..));
+            let run = reader::run(http.clone(), reader, events, sender);
+            executor
+                .spawn(async move {
+                    run.await;
+                    drop(inputs);
+                })
+                .detach();
+            followers.push(Follower { http, updates });
+        }
+    }
+    followers
+}
+
+/// Waits until every seat is taken and its follower has everything, and
+/// returns those followers.
+async fn reading<'a>(followers: &'a [Follower], plan: &Plan) -> Vec<&'a Follower> {
+    let seats = usize::from(plan.zones) * usize::from(Settings::new(0).seats);
+    let services = usize::from(plan.services);
+    loop {
+        let ready = followers
+            .iter()
+            .filter(|follower| follower.updates.len() >= services);
+        let ready: Vec<_> = ready.collect();
+        if ready.len() >= seats {
+            for follower in &ready {
+                while follower.updates.try_recv().is_ok() {}
+            }
+            return ready;
+        }
+        Timer::after(POLL).await;
+    }
+}
+
+async fn idle(platform: &Platform, followers: &[Follower], readers: usize) {
+    let (calls, bytes) = (platform.calls(), received(followers));
+    Timer::after(IDLE).await;
+    let seconds = IDLE.as_secs_f64();
+    let after = platform.calls();
+    let rate = |before: u64, after: u64| (after - before) as f64 / seconds;
+    println!(
+        "idle: reads a second           {:.2}",
+        rate(calls.reads, after.reads)
+    );
+    println!(
+        "idle: watches a second         {:.2}",
+        rate(calls.watches, after.watches)
+    );
+    println!(
+        "idle: lease calls a second     {:.2}",
+        rate(calls.leases, after.leases)
+    );
+    println!("idle: watches that wait        {}", after.waiting);
+    let bytes = rate(bytes, received(followers)) / readers as f64;
+    println!("idle: bytes a second a reader  {bytes:.0}");
+}
+
+async fn changes(
+    plan: &Plan,
+    operator: &Http,
+    followers: &[Follower],
+    readers: &[&Follower],
+) -> Result<(), Box<dyn Error>> {
+    let before = received(followers);
+    let mut delays = Vec::new();
+    for number in 0..plan.changes {
+        let number = number % plan.services;
+        let item = operator.get(&key::service(address_of(number))).await?;
+        let base = item.map_or(0, |item| item.revision);
+        let start = Instant::now();
+        let revision = write(operator, number, base).await?;
+        for reader in readers {
+            while reader.updates.recv().await?.revision < revision {}
+        }
+        delays.push(start.elapsed());
+    }
+    delays.sort();
+    let at = |share: usize| delays[(delays.len() - 1) * share / 100].as_secs_f64() * 1000.0;
+    println!("change: p50 ms to all readers  {:.1}", at(50));
+    println!("change: p99 ms to all readers  {:.1}", at(99));
+    println!("change: max ms to all readers  {:.1}", at(100));
+    let bytes = (received(followers) - before) / u64::from(plan.changes) / readers.len() as u64;
+    println!("change: bytes a reader         {bytes}");
+    Ok(())
+}
+
+async fn outage(
+    platform: &Platform,
+    operator: &Http,
+    followers: &[Follower],
+) -> Result<(), Box<dyn Error>> {
+    let before = platform.calls().refused;
+    platform.set_faults(|faults| faults.mode = Mode::Down);
+    Timer::after(OUTAGE).await;
+    let refused = platform.calls().refused - before;
+    println!(
+        "outage: calls a second         {:.1}",
+        refused as f64 / OUTAGE.as_secs_f64()
+    );
+    platform.set_faults(|faults| faults.mode = Mode::Up);
+    let item = operator.get(&key::service(address_of(0))).await?;
+    let revision = write(operator, 0, item.map_or(0, |item| item.revision)).await?;
+    let start = Instant::now();
+    // Whoever reads first spreads the change.
+    let mut first = async { futures_lite::future::pending().await }.boxed();
+    for follower in followers {
+        let told = async {
+            while let Ok(update) = follower.updates.recv().await {
+                if update.revision >= revision {
+                    break;
+                }
+            }
+        };
+        first = first.or(told).boxed();
+    }
+    first.await;
+    println!(
+        "outage: ms to the next change  {}",
+        start.elapsed().as_millis()
+    );
+    Ok(())
+}
+
+fn received(followers: &[Follower]) -> u64 {
+    followers
+        .iter()
+        .map(|follower| follower.http.counts().received_bytes)
+        .sum()
+}
+
+fn address_of(number: u16) -> SocketAddr {
+    SocketAddr::from(([192, 0, 2, 1], 1000 + number))
+}
+
+async fn write(http: &Http, number: u16, expected: Revision) -> Result<Revision, config::Fault> {
+    let address = address_of(number);
+    let service = Service {
+        name: format!("service-{number}"),
+        operation: format!("{:032x}", fastrand::u128(..)),
+        ..Service::new(address)
+    };
+    let mut record = Record::create(service.clone());
+    for _ in 0..config::record::MAX_HISTORY {
+        record = Record::replace(service.clone(), &record, expected);
+    }
+    let swap = Swap {
+        key: key::service(address),
+        value: record.to_json().unwrap_or_default(),
+        expected,
+        touch: Some(key::mark(key::bucket(address))),
+        fence: None,
+    };
+    http.swap(swap).await
+}
--- a/transport/store/src/count.rs
+++ b/transport/store/src/count.rs
@@ -17,6 +17,8 @@
     pub failures: u64,
     /// Watches that wait now.
     pub waiting: u64,
+    /// Bytes of answers, headers left out.
+    pub received_bytes: u64,
 }
 
 /// The kind of a call.
@@ -36,6 +38,7 @@
     leases: AtomicU64,
     failures: AtomicU64,
     waiting: AtomicU64,
+    received_bytes: AtomicU64,
 }
 
 /// Counts a waiting watch until dropped.
@@ -62,6 +65,10 @@
         self.failures.fetch_add(1, Relaxed);
     }
 
+    pub(crate) fn receive(&self, bytes: usize) {
+        self.received_bytes.fetch_add(bytes as u64, Relaxed);
+    }
+
     pub(crate) fn wait(&self) -> Waiting<'_> {
         self.waiting.fetch_add(1, Relaxed);
         Waiting(self)
@@ -75,6 +82,7 @@
             leases: self.leases.load(Relaxed),
             failures: self.failures.load(Relaxed),
             waiting: self.waiting.load(Relaxed),
+            received_bytes: self.received_bytes.load(Relaxed),
         }
     }
 }
--- a/transport/store/src/http.rs
+++ b/transport/store/src/http.rs
@@ -146,6 +146,7 @@
                 .await
                 .map_err(|_| lost)?
                 .to_bytes();
+            self.counter.receive(body.len());
             Ok(Answer {
                 status,
                 index,
