Say that a change is unknown where no entry answered it

The command called a change unanswered by every entry a wrong use (exit code 2), although an entry may have applied it before it fell silent. It now ends as unknown (5) once the change was sent, and as not applied (4) before.

--- a/roles/app/src/operator/command.rs
+++ b/roles/app/src/operator/command.rs
@@ -27,13 +27,6 @@
     Usage(#[from] args::Error),
     /// no entry was given; name the operator address of one with --entries
     NoEntry,
-    /// no entry answered, the last error being: {reason}; {remedy}
-    NoAnswer {
-        /// The last error.
-        reason: String,
-        /// What to do.
-        remedy: String,
-    },
 }
 
 /// Runs one command of an operator against the first entry that answers.
@@ -43,8 +36,8 @@
 ///
 /// # Errors
 ///
-/// [`Error::Usage`] where the arguments are wrong, [`Error::NoAnswer`] where no
-/// entry answered. All other outcomes are in what is [`Printed`].
+/// [`Error::Usage`] where the arguments are wrong, [`Error::NoEntry`] where no
+/// entry is given. All other outcomes are in what is [`Printed`].
 pub async fn run(
     entries: &[SocketAddr],
     timeout: Duration,
@@ -54,40 +47,31 @@
     let mut command = args::parse(args)?;
     let mut reason = None;
     for entry in entries {
-        let link = match client::connect(*entry, executor.clone()).await {
-            Ok(link) => link,
-            Err(error) => {
-                reason = Some(format!("{entry}: {error}"));
-                continue;
-            }
-        };
         let expire = async {
             Timer::after(timeout).await;
-            Err(Status::deadline_exceeded(
-                "the entry did not answer in time",
-            ))
+            let text = "the entry did not answer in time";
+            Err(Status::deadline_exceeded(text))
         };
-        match attempt(link, &mut command).or(expire).await {
+        let attempt = attempt(*entry, &mut command, executor.clone());
+        match attempt.or(expire).await {
             Ok(printed) => return Ok(printed),
             Err(status) => reason = Some(format!("{entry}: {}", status.message())),
         }
-        // The entry may have applied the change before it fell silent.
-        command.retry = true;
     }
-    Err(match reason {
-        None => Error::NoEntry,
-        Some(reason) => Error::NoAnswer {
-            reason,
-            remedy: if command.retry {
-                print::repeat(&command)
-            } else {
-                "check the addresses given with --entries".to_owned()
-            },
-        },
-    })
+    match reason {
+        None => Err(Error::NoEntry),
+        Some(reason) => Ok(print::no_answer(&reason, &command)),
+    }
 }
 
-async fn attempt(mut client: Client, command: &mut Command) -> Result<Printed, Status> {
+async fn attempt(
+    entry: SocketAddr,
+    command: &mut Command,
+    executor: Arc<Executor<'static>>,
+) -> Result<Printed, Status> {
+    let mut client = client::connect(entry, executor)
+        .await
+        .map_err(|error| Status::unavailable(error.to_string()))?;
     match command.verb.clone() {
         args::Verb::Status => {
             let reply = client.status(schema::StatusRequest {}).await?;
@@ -136,14 +120,23 @@
             apply(client, command, Change::Update(service)).await
         }
         args::Verb::Drain { subject, on } => {
-            let reply = client.drain(command.drain(subject, on)).await?;
+            let request = command.drain(subject, on);
+            command.retry |= !command.dry_run;
+            let reply = client.drain(request).await?;
             Ok(print::change(&reply.into_inner(), command))
         }
-        _ => apply(client, command, Change::Delete(command.address.clone())).await,
+        _ => {
+            let address = command.address.clone();
+            apply(client, command, Change::Delete(address)).await
+        }
     }
 }
 
-async fn apply(client: &mut Client, command: &Command, change: Change) -> Result<Printed, Status> {
+async fn apply(
+    client: &mut Client,
+    command: &mut Command,
+    change: Change,
+) -> Result<Printed, Status> {
     let request = schema::ApplyRequest {
         change: Some(change),
         expected_revision: command.expected.unwrap_or_default(),
@@ -151,6 +144,8 @@
         dry_run: command.dry_run,
         retry: command.retry,
     };
+    // From here on the change may be applied, whatever the answer.
+    command.retry |= !command.dry_run;
     let reply = client.apply(request).await?;
     Ok(print::change(&reply.into_inner(), command))
 }
--- a/roles/app/src/operator/print.rs
+++ b/roles/app/src/operator/print.rs
@@ -182,6 +182,20 @@
     printed
 }
 
+/// A command that no entry answered.
+pub(super) fn no_answer(reason: &str, command: &Command) -> Printed {
+    let (end, remedy) = if command.retry {
+        (End::Unknown, repeat(command))
+    } else {
+        let remedy = "not applied; check the addresses given with --entries";
+        (End::Unavailable, remedy.to_owned())
+    };
+    line(
+        end,
+        format!("no entry answered, the last being {reason}; {remedy}"),
+    )
+}
+
 /// How to learn what became of a change.
 pub(super) fn repeat(command: &Command) -> String {
     format!(
