--- a/demo.sh
+++ b/demo.sh
@@ -4,6 +4,7 @@
 #
 #   DEMO_NET      first two numbers of the loopback addresses (127.80)
 #   DEMO_SECONDS  length of the load (12)
+#   DEMO_FABRIC   faults of the fabric, as "--loss 2 --duplicate 2 --delay-ms 5"
 #   DEMO_OUT      directory of logs and reports (target/demo)
 set -euo pipefail
 cd "$(dirname "$0")"
@@ -11,6 +12,7 @@
 net=${DEMO_NET:-127.80}
 seconds=${DEMO_SECONDS:-12}
 out=${DEMO_OUT:-target/demo}
+read -ra faults <<<"${DEMO_FABRIC:-}"
 
 platform=$net.0.1:8500
 fabric=$net.0.2:7000
@@ -113,7 +115,7 @@
 done
 printf "$net.1.%d:7000\n" 1 2 3 >"$out/entries"
 start fabric "$bin/standin" fabric --listen "$fabric" --service "$roster" \
-    --service "$rota" --entries-file "$out/entries" --key "$GREENGAGELUG_SIGN_KEY"
+    --service "$rota" --entries-file "$out/entries" --key "$GREENGAGELUG_SIGN_KEY" "${faults[@]}"
 
 number=0
 for time in 20 25 30 40 50 60 80; do
--- a/roles/app/src/main.rs
+++ b/roles/app/src/main.rs
@@ -86,7 +86,12 @@
         }
         Err(error) => {
             eprintln!("greengagelug operate: {error}");
-            ExitCode::from(exit::USAGE)
+            ExitCode::from(match error {
+                operator::command::Error::Usage(_) | operator::command::Error::NoEntry => {
+                    exit::USAGE
+                }
+                operator::command::Error::NoAnswer { .. } => operator::print::End::Unknown.code(),
+            })
         }
     }
 }
