Keep half-open flows from breaking the flows of an agent that leaves

Cause: where an open is sent twice, a second agent may hold the flow half open. A request that reached it and named a target that has left was refused as wrong holder, and the caller gave the flow up. Where the second agent was also the peer that keeps or adopts the flow, its half-open one hid or displaced it.

A request of a holder that has left is now handed along, a kept flow is found behind a half-open one, and an adopted flow that was used takes its place.

--- a/roles/agent/src/claim.rs
+++ b/roles/agent/src/claim.rs
@@ -136,7 +136,12 @@
                 pending: 0,
                 home: None,
             };
-            if self.flows.insert(flow).is_err() {
+            let taken = if kept.is_used() {
+                self.flows.insert_over_half_open(flow)
+            } else {
+                self.flows.insert(flow)
+            };
+            if taken.is_err() {
                 continue;
             }
             self.counters.add(Counter::Inherited);
--- a/roles/agent/src/park.rs
+++ b/roles/agent/src/park.rs
@@ -117,6 +117,13 @@
 /// Memory of an encoded record without its answer, in bytes.
 const RECORD_BYTES: usize = 32;
 
+impl Flow {
+    /// Whether its caller has sent a request that left a trace.
+    pub(crate) const fn is_used(&self) -> bool {
+        self.floor > 0 || !self.seen.is_empty() || !self.records.is_empty()
+    }
+}
+
 impl Part {
     /// Size of the encoded part in bytes, within a small factor.
     #[must_use]
--- a/roles/agent/src/relay.rs
+++ b/roles/agent/src/relay.rs
@@ -148,6 +148,12 @@
         })
     }
 
+    /// Whether the target that a token names has left or is not known.
+    pub(crate) fn has_left(&self, token: Token) -> bool {
+        let target = self.target(token.target);
+        target.is_none_or(|target| target.state == State::Left)
+    }
+
     fn next_of_order(&self, relay: &Relay, flow: FlowKey) -> Option<Hop> {
         self.order
             .top(flow, MAX_HOPS + 1)
--- a/roles/agent/src/request.rs
+++ b/roles/agent/src/request.rs
@@ -55,6 +55,9 @@
             Place::Here(flow) if accepts(&flow, &request, token) => {
                 self.admit(turn, &relay, &flow, request);
             }
+            Place::Here(_) if self.keep.holds(key) => {
+                self.answer_kept(turn, &relay, key, request.request);
+            }
             Place::Here(_) => self.on_wrong_holder(turn, relay, &stray, request.request),
             Place::Foreign => {
                 let subject = Subject {
@@ -70,7 +73,7 @@
     }
 
     /// A request that names another holder. Two opens may have met: the named
-    /// target gets the request.
+    /// target gets the request, or where it has left, whoever has its flows.
     fn on_wrong_holder(
         &mut self,
         turn: &mut Turn<'_>,
@@ -86,6 +89,9 @@
             self.counters.add(Counter::HandedAlong);
             return relay::forward(turn, relay, hop);
         }
+        if stray.token.is_some_and(|token| self.has_left(token)) {
+            return self.hand_along(turn, relay, stray);
+        }
         let subject = Subject {
             flow: stray.flow,
             request,
--- a/state/flow/src/table.rs
+++ b/state/flow/src/table.rs
@@ -171,6 +171,22 @@
         Ok(flow)
     }
 
+    /// Adds a flow as it is, in place of one that is half open under the same
+    /// key: two opens have met, and the caller uses the flow that is added.
+    ///
+    /// # Errors
+    ///
+    /// As of [`Self::insert`].
+    pub fn insert_over_half_open(&mut self, flow: Flow) -> Result<Flow, Error> {
+        match self.get_mut(flow.key) {
+            Some(held) if held.phase == Phase::HalfOpen => {
+                *held = flow;
+                Ok(flow)
+            }
+            _ => self.insert(flow),
+        }
+    }
+
     /// The flow of a key, closed ones included.
     #[must_use]
     pub fn get(&self, key: FlowKey) -> Option<&Flow> {
