--- a/roles/agent/tests/leaving.rs
+++ b/roles/agent/tests/leaving.rs
@@ -314,6 +314,7 @@
         accepted: false,
     };
     world.deliver(lost);
+    world.settle();
     world.pass(settings().leave.handover);
     assert_eq!(world.exited, vec![holder]);
     let kept: Vec<usize> = (0..4)
--- a/roles/agent/tests/world/mod.rs
+++ b/roles/agent/tests/world/mod.rs
@@ -112,6 +112,8 @@
     pub aborted: Vec<u64>,
     pub announced: Vec<State>,
     pub exited: Vec<usize>,
+    /// Events that wait for frozen agents.
+    frozen: BTreeMap<usize, Vec<Event>>,
     calls: BTreeMap<u64, Call>,
     next_call: u64,
 }
@@ -180,6 +182,7 @@
             aborted: Vec::new(),
             announced: Vec::new(),
             exited: Vec::new(),
+            frozen: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_call: 0,
         };
@@ -207,6 +210,10 @@
 
     /// Hands an event to an agent and takes its actions up.
     pub fn event(&mut self, index: usize, event: Event) {
+        if let Some(events) = self.frozen.get_mut(&index) {
+            events.push(event);
+            return;
+        }
         let Some(agent) = &mut self.agents[index] else {
             return;
         };
@@ -217,6 +224,19 @@
         }
     }
 
+    /// Stops a process; what is sent to it waits.
+    pub fn freeze(&mut self, index: usize) {
+        self.frozen.insert(index, Vec::new());
+    }
+
+    /// Lets a stopped process go on.
+    pub fn thaw(&mut self, index: usize) {
+        for event in self.frozen.remove(&index).unwrap_or_default() {
+            self.event(index, event);
+        }
+        self.settle();
+    }
+
     fn act(&mut self, index: usize, action: Action) {
         match action {
             Action::Send {
@@ -404,8 +424,10 @@
     }
 
     pub fn next_deadline(&self) -> Option<Duration> {
-        let agents = self.agents.iter().flatten();
-        agents.filter_map(Agent::next_deadline).min()
+        let agents = self.agents.iter().enumerate();
+        let awake = agents.filter(|(index, _)| !self.frozen.contains_key(index));
+        let awake = awake.filter_map(|(_, agent)| agent.as_ref());
+        awake.filter_map(Agent::next_deadline).min()
     }
 
     pub fn tick(&mut self) {
