--- a/coordination/config/src/change.rs
+++ b/coordination/config/src/change.rs
@@ -20,9 +20,9 @@
 use crate::diff::Line;
 use crate::diff::diff;
 use crate::jitter::jitter;
-use crate::record::key;
+use crate::key;
 
-/// Most writes, and most reads after a write, that one change makes.
+/// Most writes that one change makes, and most reads before or after a write.
 const MAX_TRIES: u8 = 3;
 
 /// Shortest time that a client is told to wait before it tries again.
@@ -36,7 +36,7 @@
     /// What to do with it.
     pub edit: Edit,
     /// The revision that the operator read, 0 for a new service; `None` for
-    /// whatever the store has now.
+    /// whatever the store has now, which a retry must not ask for.
     pub expected: Option<Revision>,
     /// Names the change; the same on each retry.
     pub operation: OperationId,
@@ -77,6 +77,8 @@
         value: Vec<u8>,
         /// Revision that the key must still have; 0 where it must not exist.
         expected: Revision,
+        /// The key to write in the same step, whatever it holds.
+        touch: String,
     },
     /// The change is over.
     Done(Outcome),
@@ -142,7 +144,7 @@
     /// Whether some write of this operation may have been applied.
     uncertain: bool,
     writes: u8,
-    reads_back: u8,
+    reads: u8,
 }
 
 #[derive(Clone, Debug)]
@@ -170,13 +172,16 @@
             seed,
             stage: Stage::Reading,
             writes: 0,
-            reads_back: 0,
+            reads: 0,
         }
     }
 
     /// The first action.
     #[must_use]
     pub fn start(&self) -> Action {
+        if self.request.retry && self.request.expected.is_none() {
+            return Action::Done(Outcome::Invalid(vec![Problem::RetryWithoutRevision]));
+        }
         self.read()
     }
 
@@ -186,7 +191,8 @@
             Ok(item) => item,
             Err(fault) => return self.unavailable(fault),
         };
-        let found = match item.map(Found::read).transpose() {
+        self.reads += 1;
+        let found = match item.as_ref().map(Found::read).transpose() {
             Ok(found) => found.unwrap_or_default(),
             Err(problem) => return Action::Done(Outcome::Invalid(vec![problem])),
         };
@@ -212,6 +218,7 @@
             }),
             Err(fault) if fault == Fault::Conflict || fault.maybe_applied() => {
                 self.uncertain |= fault.maybe_applied();
+                self.reads = 0;
                 self.stage = Stage::ReadingBack(draft, fault);
                 self.read()
             }
@@ -223,6 +230,9 @@
     fn earlier(&self, found: &Found) -> Option<Outcome> {
         let record = found.record.as_ref()?;
         let revision = record.find(&self.request.operation, found.revision)?;
+        if revision == found.revision && !self.matches(&record.service) {
+            return Some(Outcome::Invalid(vec![Problem::OperationReused]));
+        }
         Some(Outcome::Accepted {
             revision,
             replaced_by: Some(found.revision).filter(|now| *now != revision),
@@ -230,11 +240,33 @@
         })
     }
 
+    /// Whether this change could have led to `service`.
+    fn matches(&self, service: &Service) -> bool {
+        match &self.request.edit {
+            Edit::Create(wanted) | Edit::Update(wanted) => self.stamp(wanted.clone()) == *service,
+            Edit::Delete => !service.is_active(),
+            Edit::Drain(subject) => service.drained.contains(subject),
+            Edit::Undrain(subject) => !service.drained.contains(subject),
+        }
+    }
+
+    /// Names the service and the operation.
+    fn stamp(&self, service: Service) -> Service {
+        Service {
+            address: self.request.address,
+            operation: self.request.operation.clone(),
+            ..service
+        }
+    }
+
     /// Checks the change against what is stored, and writes it.
     fn draft(&mut self, found: &Found) -> Action {
         let base = self.request.expected.unwrap_or(found.revision);
-        if base != found.revision {
-            return self.conflict(base, found);
+        match found.revision {
+            revision if revision == base => {}
+            // The operator has read something newer: this read was stale.
+            revision if revision < base && self.reads < MAX_TRIES => return self.read(),
+            _ => return self.conflict(base, found),
         }
         let before = found.record.as_ref().map(|record| &record.service);
         let after = match self.edit(before) {
@@ -264,7 +296,7 @@
 
     fn edit(&self, before: Option<&Service>) -> Result<Service, Vec<Problem>> {
         let active = before.filter(|service| service.is_active());
-        let mut service = match (&self.request.edit, active) {
+        let service = match (&self.request.edit, active) {
             (Edit::Create(_), Some(_)) => return Err(vec![Problem::Exists]),
             (Edit::Create(service), None) | (Edit::Update(service), Some(_)) => service.clone(),
             (_, None) => return Err(vec![Problem::Missing]),
@@ -283,19 +315,15 @@
                 service
             }
         };
-        service.address = self.request.address;
-        service.operation.clone_from(&self.request.operation);
+        let service = self.stamp(service);
         service.check().map(|()| service)
     }
 
     /// Decides after a write that failed, with what the store has now.
     fn after_read_back(&mut self, draft: Draft, fault: Fault, found: &Found) -> Action {
-        self.reads_back += 1;
         match found.revision {
             revision if revision > draft.base => self.conflict(draft.base, found),
-            _ if self.reads_back >= MAX_TRIES || self.writes >= MAX_TRIES => {
-                self.unavailable(fault)
-            }
+            _ if self.reads >= MAX_TRIES || self.writes >= MAX_TRIES => self.unavailable(fault),
             revision if revision == draft.base && fault != Fault::Conflict => self.write(draft),
             // The read was stale.
             _ => self.read(),
@@ -309,9 +337,10 @@
             .is_none_or(|record| record.covers(base, found.revision));
         // A read older than the base says nothing of what came after it.
         let hidden = !covered || found.revision < base;
-        let effect = match hidden {
-            true if self.uncertain => Effect::Unknown,
-            _ => Effect::NotApplied,
+        let effect = if hidden {
+            self.effect()
+        } else {
+            Effect::NotApplied
         };
         Action::Done(Outcome::Conflict {
             winner: found.revision,
@@ -321,29 +350,35 @@
     }
 
     fn unavailable(&self, fault: Fault) -> Action {
-        let effect = match self.uncertain {
-            true => Effect::Unknown,
-            false => Effect::NotApplied,
-        };
         Action::Done(Outcome::Unavailable {
             fault,
-            effect,
+            effect: self.effect(),
             retry_after: RETRY_AFTER + jitter(self.seed, RETRY_AFTER),
         })
     }
 
+    /// What became of the change as long as reading back does not tell.
+    fn effect(&self) -> Effect {
+        if self.uncertain {
+            Effect::Unknown
+        } else {
+            Effect::NotApplied
+        }
+    }
+
     fn read(&self) -> Action {
         Action::Read {
-            key: key(self.request.address),
+            key: key::service(self.request.address),
         }
     }
 
     fn write(&mut self, draft: Draft) -> Action {
         self.writes += 1;
         let action = Action::Write {
-            key: key(self.request.address),
+            key: key::service(self.request.address),
             value: draft.value.clone(),
             expected: draft.base,
+            touch: key::mark(key::bucket(self.request.address)),
         };
         self.stage = Stage::Writing(draft);
         action
@@ -358,7 +393,7 @@
 }
 
 impl Found {
-    fn read(item: Item) -> Result<Self, Problem> {
+    fn read(item: &Item) -> Result<Self, Problem> {
         Ok(Self {
             record: Some(Record::from_json(&item.value)?),
             revision: item.revision,
--- /dev/null
+++ b/roles/app/src/operator/print.rs
@@ -0,0 +1,263 @@
+//! What the `operate` command shows.
+use std::fmt::Display;
+
+use api::operator as schema;
+use schema::change_reply::Result as Change;
+use schema::drained::Subject;
+use schema::get_reply::Result as Found;
+
+use super::args::Command;
+
+/// What a command printed, and how it ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Printed {
+    /// Text for the standard output.
+    pub text: String,
+    /// How it ended.
+    pub end: End,
+}
+
+/// How a command ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum End {
+    /// As asked.
+    Done,
+    /// The request is wrong.
+    Invalid,
+    /// Another change was first.
+    Conflict,
+    /// The store did not answer, and nothing was applied.
+    Unavailable,
+    /// The store did not answer, and the change may have been applied.
+    Unknown,
+}
+
+impl End {
+    /// Exit code of the process.
+    #[must_use]
+    pub const fn code(self) -> u8 {
+        match self {
+            Self::Done => 0,
+            Self::Invalid => 2,
+            Self::Conflict => 3,
+            Self::Unavailable => 4,
+            Self::Unknown => 5,
+        }
+    }
+}
+
+/// The reply to a change.
+pub(super) fn change(reply: &schema::ChangeReply, command: &Command) -> Printed {
+    let mut printed = match &reply.result {
+        Some(Change::Accepted(accepted)) => accepted_line(accepted, &command.operation),
+        Some(Change::Checked(checked)) => line(
+            End::Done,
+            format!(
+                "checked against revision {}; nothing written",
+                checked.revision
+            ),
+        ),
+        Some(Change::Conflict(conflict)) => line(
+            End::Conflict,
+            format!(
+                "conflict: revision {} of operation {} was first ({}); read it and try again",
+                conflict.winner_revision,
+                conflict.winner_operation,
+                effect(conflict.outcome()),
+            ),
+        ),
+        Some(Change::Invalid(invalid)) => problems(invalid),
+        Some(Change::Unavailable(unavailable)) => self::unavailable(unavailable, command),
+        None => line(
+            End::Unknown,
+            "the entry's reply is empty; upgrade the older side",
+        ),
+    };
+    printed
+        .text
+        .extend(reply.differences.iter().map(difference));
+    printed
+}
+
+/// One service.
+pub(super) fn get(reply: schema::GetReply) -> Printed {
+    match reply.result {
+        Some(Found::Stored(stored)) => line(End::Done, service(&stored)),
+        Some(Found::Missing(_)) => line(End::Invalid, "no such service; create it first"),
+        Some(Found::Invalid(invalid)) => problems(&invalid),
+        Some(Found::Unavailable(unavailable)) => refused(&unavailable),
+        None => line(
+            End::Unknown,
+            "the entry's reply is empty; upgrade the older side",
+        ),
+    }
+}
+
+/// All services.
+pub(super) fn list(reply: &schema::ListReply) -> Printed {
+    if let Some(unavailable) = &reply.unavailable {
+        return refused(unavailable);
+    }
+    let mut lines: Vec<String> = reply.services.iter().map(service).collect();
+    if reply.malformed > 0 {
+        let count = reply.malformed;
+        lines.push(format!(
+            "{count} records cannot be read; upgrade this entry"
+        ));
+    }
+    done(lines)
+}
+
+/// What is in force where.
+pub(super) fn status(reply: &schema::StatusReply) -> Printed {
+    let in_force = reply
+        .services
+        .iter()
+        .map(|service| format!("in force: {}", in_force(service)));
+    let processes = reply.processes.iter().map(process);
+    let targets = reply.targets.iter().map(target);
+    let counters = reply
+        .counters
+        .iter()
+        .map(|counter| format!("counter: {} {}", counter.name, counter.value));
+    done(in_force.chain(processes).chain(targets).chain(counters))
+}
+
+fn process(process: &schema::Process) -> String {
+    let services: Vec<String> = process.services.iter().map(in_force).collect();
+    format!(
+        "{}: {} zone {} silent {} ms [{}]",
+        process.role().as_str_name().to_lowercase(),
+        process.address,
+        process.zone,
+        process.silent_ms,
+        services.join(", "),
+    )
+}
+
+fn target(target: &schema::TargetStatus) -> String {
+    format!(
+        "target: {} of {} at {} zone {} {} weight {}/s slots {}",
+        target.target,
+        target.service,
+        target.agent,
+        target.zone,
+        target.health().as_str_name().to_lowercase(),
+        target.weight,
+        target.slots,
+    )
+}
+
+fn difference(difference: &schema::Difference) -> String {
+    let schema::Difference {
+        field,
+        before,
+        after,
+    } = difference;
+    format!("  {field}: {before} -> {after}\n")
+}
+
+fn accepted_line(accepted: &schema::Accepted, operation: &str) -> Printed {
+    let schema::Accepted {
+        revision,
+        replaced_by,
+    } = accepted;
+    let replaced = match replaced_by {
+        0 => String::new(),
+        newer => format!(", replaced since by revision {newer}"),
+    };
+    line(
+        End::Done,
+        format!("accepted as revision {revision} (operation {operation}){replaced}"),
+    )
+}
+
+/// A change that the store did not confirm.
+pub(super) fn unavailable(unavailable: &schema::Unavailable, command: &Command) -> Printed {
+    let mut printed = refused(unavailable);
+    if unavailable.outcome() == schema::Outcome::Unknown {
+        printed.end = End::Unknown;
+        printed.text += &(repeat(command) + "\n");
+    }
+    printed
+}
+
+/// How to learn what became of a change.
+pub(super) fn repeat(command: &Command) -> String {
+    format!(
+        "repeat it with --operation {} --expected {} --retry to learn its outcome",
+        command.operation,
+        command.expected.unwrap_or_default(),
+    )
+}
+
+fn refused(unavailable: &schema::Unavailable) -> Printed {
+    line(
+        End::Unavailable,
+        format!(
+            "refused ({}): {}; try again after {} ms",
+            effect(unavailable.outcome()),
+            unavailable.reason,
+            unavailable.retry_after_ms,
+        ),
+    )
+}
+
+fn effect(outcome: schema::Outcome) -> &'static str {
+    match outcome {
+        schema::Outcome::Unknown => "may have been applied",
+        schema::Outcome::Unspecified | schema::Outcome::NotApplied => "not applied",
+    }
+}
+
+fn problems(invalid: &schema::Invalid) -> Printed {
+    line(End::Invalid, invalid.problems.join("\n"))
+}
+
+fn service(stored: &schema::Stored) -> String {
+    let service = stored.service.clone().unwrap_or_default();
+    let drained: Vec<String> = service.drained.iter().map(drained).collect();
+    format!(
+        "{} {} {} {} revision {} operation {} hunt {} queue {} ms idle {} ms \
+         deadline {}/{} ms answer {} bytes drained [{}]",
+        service.address,
+        service.name,
+        service.state().as_str_name().to_lowercase(),
+        service.binding().as_str_name().to_lowercase(),
+        stored.revision,
+        stored.operation,
+        service.hunt,
+        service.queue_limit_ms,
+        service.idle_timeout_ms,
+        service.default_deadline_ms,
+        service.largest_deadline_ms,
+        service.largest_answer_bytes,
+        drained.join(", "),
+    )
+}
+
+fn drained(drained: &schema::Drained) -> String {
+    match drained.subject {
+        Some(Subject::Target(target)) => format!("target:{target}"),
+        Some(Subject::Zone(zone)) => format!("zone:{zone}"),
+        None => "?".to_owned(),
+    }
+}
+
+fn in_force(service: &schema::InForce) -> String {
+    format!("{} revision {}", service.address, service.revision)
+}
+
+fn done(lines: impl IntoIterator<Item = String>) -> Printed {
+    Printed {
+        text: lines.into_iter().map(|line| line + "\n").collect(),
+        end: End::Done,
+    }
+}
+
+fn line(end: End, text: impl Display) -> Printed {
+    Printed {
+        text: format!("{text}\n"),
+        end,
+    }
+}
