Leave out records with a problem, and split the configuration's modules

A record was put in force as stored, also where somebody had written it by hand with a value out of range or under the key of another service. Such records are left out and counted now; what was in force stays.

Change, lease and feed give their types to modules of their own, and the modules have examples that run as tests.

--- a/coordination/config/src/change.rs
+++ b/coordination/config/src/change.rs
@@ -4,12 +4,43 @@
 //! The stored record names the operation that wrote it and the last few before
 //! it. A write whose answer was lost is thereby recognised on reading back, also
 //! where somebody else has written since.
+//!
+//! ```
+//! use config::Change;
+//! use config::Fault;
+//! use config::Service;
+//! use config::change::Action;
+//! use config::change::Edit;
+//! use config::change::Effect;
+//! use config::change::Outcome;
+//! use config::change::Request;
+//!
+//! let address = "192.0.2.1:5000".parse()?;
+//! let request = Request {
+//!     address,
+//!     edit: Edit::Update(Service::new(address)),
+//!     expected: Some(7),
+//!     operation: "change-42".to_owned(),
+//!     dry_run: false,
+//!     retry: false,
+//! };
+//! let mut change = Change::new(request, 1);
+//! assert!(matches!(change.start(), Action::Read { .. }));
+//! // The store is down: nothing was applied, and the answer is given at once.
+//! let action = change.on_read(Err(Fault::Unreachable));
+//! assert!(matches!(
+//!     action,
+//!     Action::Done(Outcome::Unavailable { effect: Effect::NotApplied, .. })
+//! ));
+//! # Ok::<(), std::net::AddrParseError>(())
+//! ```
+mod outcome;
+mod request;
+
 use std::time::Duration;
 
 use wire::Revision;
-use wire::ServiceAddress;
 
-use crate::Drained;
 use crate::Fault;
 use crate::Item;
 use crate::OperationId;
@@ -23,122 +54,18 @@
 use crate::jitter::jitter;
 use crate::key;
 
+pub use outcome::Action;
+pub use outcome::Effect;
+pub use outcome::Outcome;
+pub use request::Edit;
+pub use request::Request;
+
 /// Most writes that one change makes, and most reads before or after a write.
 const MAX_TRIES: u8 = 3;
 
 /// Shortest time that a client is told to wait before it tries again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// What an operator asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Request {
-    /// The service.
-    pub address: ServiceAddress,
-    /// What to do with it.
-    pub edit: Edit,
-    /// The revision that the operator read, 0 for a new service; `None` for
-    /// whatever the store has now, which a retry must not ask for.
-    pub expected: Option<Revision>,
-    /// Names the change; the same on each retry.
-    pub operation: OperationId,
-    /// Check only.
-    pub dry_run: bool,
-    /// Whether an earlier attempt of this operation may have been applied.
-    pub retry: bool,
-}
-
-/// What to do with a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Edit {
-    /// Creates the service, also where it was deleted.
-    Create(Service),
-    /// Replaces its configuration.
-    Update(Service),
-    /// Deletes it.
-    Delete,
-    /// Adds to what is drained.
-    Drain(Drained),
-    /// Takes away from what is drained.
-    Undrain(Drained),
-}
-
-/// What to do next with the service's key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Read the key, and answer with [`Change::on_read`].
-    Read {
-        /// The key.
-        key: String,
-    },
-    /// Compare and swap the key, and answer with [`Change::on_written`].
-    Write {
-        /// The key.
-        key: String,
-        /// The new value.
-        value: Vec<u8>,
-        /// Revision that the key must still have; 0 where it must not exist.
-        expected: Revision,
-        /// The key to write in the same step, whatever it holds.
-        touch: String,
-    },
-    /// The change is over.
-    Done(Outcome),
-}
-
-/// What became of a change.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// It is stored.
-    Accepted {
-        /// The revision that it got.
-        revision: Revision,
-        /// The revision that has replaced it since.
-        replaced_by: Option<Revision>,
-        /// What it changed; empty where an earlier attempt wrote it.
-        differences: Vec<Line>,
-        /// What is stored now, to be spread at once: the store may be down
-        /// before any reader has read it.
-        latest: Box<Update>,
-    },
-    /// The dry run found no fault.
-    Checked {
-        /// The revision that would be replaced, 0 for a new service.
-        revision: Revision,
-        /// What would change.
-        differences: Vec<Line>,
-    },
-    /// Another change was first.
-    Conflict {
-        /// The revision in the store.
-        winner: Revision,
-        /// The operation that wrote it.
-        operation: OperationId,
-        /// What became of this change.
-        effect: Effect,
-    },
-    /// The request is wrong.
-    Invalid(Vec<Problem>),
-    /// The store did not answer.
-    Unavailable {
-        /// Why.
-        fault: Fault,
-        /// What became of this change.
-        effect: Effect,
-        /// Time to wait before another try.
-        retry_after: Duration,
-    },
-}
-
-/// What became of a change that is not known to be stored.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Effect {
-    /// Nothing was applied, and nothing will be.
-    NotApplied,
-    /// It may have been applied, or may yet be; a retry with the same
-    /// operation id tells.
-    Unknown,
-}
-
 /// The state of a change.
 #[derive(Clone, Debug)]
 pub struct Change {
--- a/coordination/config/src/feed.rs
+++ b/coordination/config/src/feed.rs
@@ -4,111 +4,37 @@
 //! mark that is newer than what was listed of its bucket makes the bucket due.
 //! Marks and lists are states, not events: one that was missed, repeated,
 //! late or older than the last changes nothing but the time.
+mod action;
+mod bucket;
+mod settings;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
 use fastrand::Rng;
 use limit::Backoff;
-use limit::backoff;
 use wire::Revision;
 use wire::ServiceAddress;
 
 use crate::Fault;
 use crate::Listing;
 use crate::Record;
-use crate::Service;
 use crate::jitter::jitter;
 use crate::key;
-use crate::key::BUCKETS;
 use crate::key::Bucket;
 use crate::lease::CallId;
 
+use bucket::Buckets;
+
+pub use action::Action;
+pub use action::Counts;
+pub use action::Update;
+pub use settings::Settings;
+
 /// Lists that do not reach their bucket's mark, after which the marks are
 /// watched again before the next list.
 const MAX_FRUITLESS: u8 = 3;
 
-/// Settings of a feed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Settings {
-    /// Longest wait of one long poll. Bounds the delay of a missed event.
-    pub wait: Duration,
-    /// Longest time before the first read, jittered.
-    pub spread: Duration,
-    /// Time between reads of everything; jittered.
-    pub relist: Duration,
-    /// Pauses after calls that failed or brought nothing.
-    pub backoff: backoff::Settings,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            wait: Duration::from_secs(4),
-            spread: Duration::from_millis(500),
-            relist: Duration::from_mins(30),
-            backoff: backoff::Settings {
-                base: Duration::from_millis(200),
-                max: Duration::from_secs(5),
-            },
-        }
-    }
-}
-
-/// What to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// List all keys under a prefix.
-    List {
-        /// Comes back with the answer.
-        id: CallId,
-        /// The prefix.
-        prefix: String,
-    },
-    /// Wait for a change under a prefix, then list all keys under it.
-    Watch {
-        /// Comes back with the answer.
-        id: CallId,
-        /// The prefix.
-        prefix: String,
-        /// Index to wait beyond.
-        since: Revision,
-        /// Longest wait.
-        wait: Duration,
-    },
-    /// Take over a configuration and spread it.
-    Publish(Update),
-}
-
-/// A configuration and its revision.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Update {
-    /// The configuration.
-    pub service: Service,
-    /// Its revision.
-    pub revision: Revision,
-}
-
-/// Counts of a feed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Configurations published.
-    pub published: u64,
-    /// Reads of everything.
-    pub relists: u64,
-    /// Reads of one bucket.
-    pub lists: u64,
-    /// Long polls.
-    pub watches: u64,
-    /// Calls that failed.
-    pub failures: u64,
-    /// Records that could not be read.
-    pub malformed: u64,
-    /// Records that were older than what is known.
-    pub stale: u64,
-    /// Indexes that went backwards.
-    pub gaps: u64,
-}
-
 /// Reads the configuration while it is running.
 #[derive(Clone, Debug)]
 pub struct Feed {
@@ -121,8 +47,7 @@
     relist: Duration,
     call: CallId,
     index: Revision,
-    marks: [Revision; BUCKETS as usize],
-    listed: [Revision; BUCKETS as usize],
+    buckets: Buckets,
     fruitless: u8,
     known: HashMap<ServiceAddress, Revision>,
     counts: Counts,
@@ -155,8 +80,7 @@
             relist: Duration::ZERO,
             call: 0,
             index: 0,
-            marks: [0; BUCKETS as usize],
-            listed: [0; BUCKETS as usize],
+            buckets: Buckets::new(),
             fruitless: 0,
             known: HashMap::new(),
             counts: Counts::default(),
@@ -263,17 +187,15 @@
             Step::Off => Vec::new(),
             Step::Marks => {
                 self.index = listing.index.max(1);
-                self.mark(listing);
+                self.buckets.mark(listing);
                 self.step = Step::All;
                 self.due = Some(now);
                 Vec::new()
             }
             Step::All | Step::Bucket(_) => {
-                let before = self.listed;
-                let actions = self.publish(listing);
-                let fruitful = self.step == Step::All || self.listed != before;
-                self.advance(now, fruitful);
-                actions
+                let newer = self.list(listing);
+                self.advance(now, newer || self.step == Step::All);
+                self.publish(listing)
             }
             Step::Watch(_) if listing.index < self.index => {
                 self.counts.gaps += 1;
@@ -282,7 +204,7 @@
                 Vec::new()
             }
             Step::Watch(sent) => {
-                let changed = self.mark(listing);
+                let changed = self.buckets.mark(listing);
                 self.index = listing.index;
                 // An event that changed nothing was repeated by the store.
                 let fruitful = changed || now.saturating_sub(sent) >= self.settings.wait / 2;
@@ -305,7 +227,11 @@
         } else {
             self.backoff.next_pause()
         };
-        self.step = match (self.step, self.behind()) {
+        let last = match self.step {
+            Step::Bucket(bucket) => bucket,
+            _ => 0,
+        };
+        self.step = match (self.step, self.buckets.behind(last)) {
             (Step::Bucket(_), Some(_)) if self.fruitless >= MAX_FRUITLESS => Step::Watch(now),
             (_, Some(bucket)) => Step::Bucket(bucket),
             (_, None) if now >= self.relist => return self.begin(now + pause),
@@ -314,19 +240,6 @@
         self.due = Some(now + pause);
     }
 
-    /// The next bucket whose mark is newer than what was listed of it.
-    fn behind(&self) -> Option<Bucket> {
-        let last = match self.step {
-            Step::Bucket(bucket) => bucket,
-            _ => 0,
-        };
-        let next = (last + 1..BUCKETS).chain(0..=last);
-        next.into_iter().find(|bucket| {
-            let bucket = usize::from(*bucket);
-            self.listed[bucket] < self.marks[bucket]
-        })
-    }
-
     fn begin(&mut self, due: Duration) {
         let half = self.settings.relist / 2;
         self.relist = due + half + jitter(self.random.u64(..), half);
@@ -334,30 +247,25 @@
         self.due = Some(due);
     }
 
-    /// Takes over marks; true where one is newer.
-    fn mark(&mut self, listing: &Listing) -> bool {
-        let mut changed = false;
+    /// Notes how new the listed buckets are; true where one is newer.
+    fn list(&mut self, listing: &Listing) -> bool {
+        let mut newer = false;
         for item in &listing.items {
-            let Some(bucket) = key::parse_mark(&item.key) else {
-                continue;
-            };
-            let mark = &mut self.marks[usize::from(bucket)];
-            changed |= item.revision > *mark;
-            *mark = item.revision.max(*mark);
+            if let Some(bucket) = key::parse_service(&item.key) {
+                newer |= self.buckets.list(bucket, item.revision);
+            }
         }
-        changed
+        newer
     }
 
     fn publish(&mut self, listing: &Listing) -> Vec<Action> {
         let mut actions = Vec::new();
         for item in &listing.items {
-            let Ok(record) = Record::from_json(&item.value) else {
+            let Ok(record) = Record::from_item(item) else {
                 self.counts.malformed += 1;
                 continue;
             };
             let address = record.service.address;
-            let listed = &mut self.listed[usize::from(key::bucket(address))];
-            *listed = item.revision.max(*listed);
             let known = self.known.entry(address).or_default();
             self.counts.stale += u64::from(item.revision < *known);
             if item.revision <= *known {
--- a/coordination/config/src/key.rs
+++ b/coordination/config/src/key.rs
@@ -53,6 +53,14 @@
     (bucket < BUCKETS).then_some(bucket)
 }
 
+/// The bucket of a service's key.
+#[must_use]
+pub fn parse_service(key: &str) -> Option<Bucket> {
+    let (bucket, _) = key.strip_prefix(SERVICES)?.split_once('/')?;
+    let bucket = Bucket::from_str_radix(bucket, 16).ok()?;
+    (bucket < BUCKETS).then_some(bucket)
+}
+
 /// The key that a reader of a zone holds.
 #[must_use]
 pub fn seat(zone: ZoneId, number: u8) -> String {
--- a/coordination/config/src/lease.rs
+++ b/coordination/config/src/lease.rs
@@ -5,6 +5,32 @@
 //! sent, ends it a margin early, and answers [`Lease::fence`] only within. A
 //! write carries the fence, which the store checks once more: a pause between
 //! the two checks cannot let an old holder write.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use config::Lease;
+//! use config::Listing;
+//! use config::lease::Answer;
+//! use config::lease::Settings;
+//!
+//! let now = Duration::from_secs(1);
+//! let mut lease = Lease::new(Settings::default(), "job/".into(), vec!["job/0".into()], 1);
+//! lease.want(true);
+//! let look = lease.tick(now).remove(0);
+//! let grant = lease
+//!     .on_answer(now, look.id, Answer::Looked(Ok(Listing::default())))
+//!     .remove(0);
+//! let acquire = lease
+//!     .on_answer(now, grant.id, Answer::Granted(Ok("lease".into())))
+//!     .remove(0);
+//! lease.on_answer(now, acquire.id, Answer::Acquired(Ok(true)));
+//! assert!(lease.fence(now).is_some());
+//! // Paused for a minute, the holder may not write.
+//! assert!(lease.fence(now + Duration::from_mins(1)).is_none());
+//! ```
+mod call;
+
 use std::time::Duration;
 
 use fastrand::Rng;
@@ -12,10 +38,15 @@
 use limit::backoff;
 
 use crate::Fault;
-use crate::LeaseId;
 use crate::Listing;
 use crate::jitter::jitter;
 
+pub use call::Action;
+pub use call::Answer;
+pub use call::Call;
+pub use call::CallId;
+pub use call::Fence;
+
 /// Settings of a lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -46,73 +77,6 @@
     }
 }
 
-/// A key and the lease that must hold it when a write is applied.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fence {
-    /// The key held.
-    pub key: String,
-    /// The lease that must hold it.
-    pub lease: LeaseId,
-}
-
-/// Numbers the calls of one state machine; an answer to an older call is
-/// ignored.
-pub type CallId = u64;
-
-/// A call of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Call {
-    /// List the keys under a prefix.
-    Look {
-        /// The prefix.
-        prefix: String,
-    },
-    /// Start a lease.
-    Grant {
-        /// Time to live.
-        ttl: Duration,
-    },
-    /// Take a key for a lease.
-    Acquire {
-        /// The key.
-        key: String,
-        /// The lease.
-        lease: LeaseId,
-    },
-    /// Renew a lease.
-    KeepAlive {
-        /// The lease.
-        lease: LeaseId,
-    },
-    /// End a lease. The answer is of no interest.
-    Revoke {
-        /// The lease.
-        lease: LeaseId,
-    },
-}
-
-/// The answer to a [`Call`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// To [`Call::Look`].
-    Looked(Result<Listing, Fault>),
-    /// To [`Call::Grant`].
-    Granted(Result<LeaseId, Fault>),
-    /// To [`Call::Acquire`]: whether the lease holds the key.
-    Acquired(Result<bool, Fault>),
-    /// To [`Call::KeepAlive`].
-    Kept(Result<(), Fault>),
-}
-
-/// A call to make, and its number.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Action {
-    /// Comes back with the answer.
-    pub id: CallId,
-    /// The call.
-    pub call: Call,
-}
-
 /// Acquires one of a few keys and keeps it.
 #[derive(Clone, Debug)]
 pub struct Lease {
--- a/coordination/config/src/problem.rs
+++ b/coordination/config/src/problem.rs
@@ -43,6 +43,8 @@
     Address,
     /// the subject of the drain is missing or its zone is over 65535; give a target id or a zone
     Subject,
+    /// the record is stored under the key of another service; delete that key
+    WrongKey,
     /// the configuration cannot be read; upgrade the older process or write the record anew
     Malformed,
 }
--- a/coordination/config/src/reader.rs
+++ b/coordination/config/src/reader.rs
@@ -3,6 +3,24 @@
 //! A few entries of each zone hold a seat by lease and read; all others learn
 //! by gossip. Only the first few entries of a zone, by address, look for a free
 //! seat, so that the calls do not grow with the fleet.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use config::Reader;
+//! use config::lease::Call;
+//! use config::reader::Action;
+//! use config::reader::Event;
+//! use config::reader::Settings;
+//!
+//! let mut reader = Reader::new(Settings::new(1), 0, 7);
+//! let actions = reader.handle(Duration::ZERO, Event::Tick);
+//! // The first of its zone looks for a free seat.
+//! assert!(matches!(
+//!     &actions[..],
+//!     [Action::Lease(action)] if matches!(action.call, Call::Look { .. })
+//! ));
+//! ```
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/coordination/config/src/record.rs
+++ b/coordination/config/src/record.rs
@@ -3,9 +3,11 @@
 use serde::Serialize;
 use wire::Revision;
 
+use crate::Item;
 use crate::OperationId;
 use crate::Problem;
 use crate::Service;
+use crate::key;
 
 /// Number of earlier writes that a record remembers.
 pub const MAX_HISTORY: usize = 8;
@@ -76,6 +78,22 @@
             || self.history.iter().any(|past| past.revision <= base)
     }
 
+    /// Reads and checks what the store has under a key.
+    ///
+    /// # Errors
+    ///
+    /// The first [`Problem`]; keep the configuration in force and count it.
+    pub fn from_item(item: &Item) -> Result<Self, Problem> {
+        let record = Self::from_json(&item.value)?;
+        if item.key != key::service(record.service.address) {
+            return Err(Problem::WrongKey);
+        }
+        match record.service.check() {
+            Ok(()) => Ok(record),
+            Err(problems) => Err(problems.first().copied().unwrap_or(Problem::Malformed)),
+        }
+    }
+
     /// Encodes the record as JSON.
     ///
     /// # Errors
--- a/coordination/config/tests/feed.rs
+++ b/coordination/config/tests/feed.rs
@@ -62,6 +62,7 @@
         let revision = self.next_revision();
         let service = Service {
             name: format!("revision-{revision}"),
+            operation: format!("operation-{revision}"),
             ..Service::new(address(number))
         };
         let bucket = key::bucket(address(number));
@@ -347,6 +348,35 @@
     fixture.assert_latest();
 }
 
+fn is_left_out(spoil: fn(&mut Item)) {
+    let mut fixture = Fixture::new();
+    fixture.store.write(1);
+    fixture.settle();
+    fixture.store.write(1);
+    let state = fixture.store.0.last_mut().expect("a state");
+    spoil(state.get_mut(&key::service(address(1))).expect("an item"));
+    fixture.settle();
+    assert_eq!(fixture.in_force[&address(1)], 2);
+    assert_eq!(fixture.feed.counts().malformed, 1);
+    fixture.store.write(1);
+    fixture.settle();
+    fixture.assert_latest();
+}
+
+fn replace(item: &mut Item, from: &str, to: &str) {
+    let text = String::from_utf8(item.value.clone()).expect("text");
+    assert!(text.contains(from), "{text}");
+    item.value = text.replace(from, to).into_bytes();
+}
+
+cases::cases! { is_left_out;
+    a_record_that_cannot_be_read_is_left_out: |item| item.value.truncate(9),
+    a_record_with_a_problem_is_left_out:
+        |item| replace(item, "\"hunt\":3", "\"hunt\":200"),
+    a_record_under_the_key_of_another_service_is_left_out:
+        |item| replace(item, "192.0.2.1:5001", "192.0.2.1:5002"),
+}
+
 #[test]
 fn an_outage_is_met_with_growing_pauses() {
     let mut fixture = Fixture::new();
--- a/coordination/config/tests/reader.rs
+++ b/coordination/config/tests/reader.rs
@@ -44,6 +44,7 @@
         let address = "192.0.2.1:5000".parse().expect("an address");
         let service = Service {
             name: name.to_owned(),
+            operation: name.to_owned(),
             ..Service::new(address)
         };
         let value = Record::create(service).to_json().expect("a record");
--- a/coordination/config/tests/service.rs
+++ b/coordination/config/tests/service.rs
@@ -169,6 +169,7 @@
         let address = SocketAddr::from((ip, port));
         let bucket = key::bucket(address);
         prop_assert_eq!(key::parse_mark(&key::mark(bucket)), Some(bucket));
+        prop_assert_eq!(key::parse_service(&key::service(address)), Some(bucket));
         prop_assert!(key::service(address).starts_with(&key::services(bucket)));
     }
 }
--- a/transport/store/src/follow.rs
+++ b/transport/store/src/follow.rs
@@ -24,7 +24,7 @@
         };
         index = listing.index;
         for item in listing.items {
-            let Ok(record) = Record::from_json(&item.value) else {
+            let Ok(record) = Record::from_item(&item) else {
                 continue;
             };
             let revision = known.entry(record.service.address).or_default();
