Take the exit code of an unanswered command from its outcome

The command's error for it is gone: what no entry answered ends as unknown (5) or as not applied (4).

--- a/roles/app/src/main.rs
+++ b/roles/app/src/main.rs
@@ -86,12 +86,7 @@
         }
         Err(error) => {
             eprintln!("greengagelug operate: {error}");
-            ExitCode::from(match error {
-                operator::command::Error::Usage(_) | operator::command::Error::NoEntry => {
-                    exit::USAGE
-                }
-                operator::command::Error::NoAnswer { .. } => operator::print::End::Unknown.code(),
-            })
+            ExitCode::from(exit::USAGE)
         }
     }
 }
