--- a/coordination/route/src/hunt.rs
+++ b/coordination/route/src/hunt.rs
@@ -11,6 +11,30 @@
 /// Number of agents that an open visits before it settles.
 pub const WIDTH: usize = 3;
 
+/// Number of other agents that a full holder asks, one after another, to run a
+/// single request of an independent service.
+pub const PASS_WIDTH: usize = 2;
+
+/// Expected wait above which a holder passes single requests on, in round trips
+/// between two agents.
+pub const PASS_ROUND_TRIPS: u32 = 4;
+
+/// Whether a holder without a free slot should pass a single request of an
+/// independent service on.
+///
+/// ```
+/// use std::time::Duration;
+/// use route::hunt::pass_pays;
+///
+/// let round_trip = Duration::from_millis(3);
+/// assert!(!pass_pays(Duration::from_millis(5), round_trip));
+/// assert!(pass_pays(Duration::from_millis(20), round_trip));
+/// ```
+#[must_use]
+pub fn pass_pays(wait: Duration, round_trip: Duration) -> bool {
+    wait > round_trip.saturating_mul(PASS_ROUND_TRIPS)
+}
+
 /// What an agent can offer to an open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bid {
--- a/coordination/route/src/tree.rs
+++ b/coordination/route/src/tree.rs
@@ -47,13 +47,16 @@
     children: Range<u32>,
 }
 
+/// Score of a child whose leaves are all drawn.
+const EXHAUSTED: u128 = u128::MAX;
+
 /// Draws leaves for one key, each once; see [`Tree::draw`].
 #[derive(Debug)]
 pub struct Draw<'a, const BITS: u32> {
     tree: &'a Tree<BITS>,
     key: u64,
-    /// Logarithms of the root's children, computed once.
-    logs: Vec<u64>,
+    /// Scores of the root's children; [`EXHAUSTED`] where all is drawn.
+    scores: Vec<u128>,
     drawn: Vec<u32>,
 }
 
@@ -76,14 +79,11 @@
     #[must_use]
     pub fn draw(&self, key: u64) -> Draw<'_, BITS> {
         let key = finalize(key);
-        let root = self.span(&self.root);
+        let root = self.span(&self.root).iter();
         Draw {
             tree: self,
             key,
-            logs: root
-                .iter()
-                .map(|child| neg_log2(mix(key, child.seed)))
-                .collect(),
+            scores: root.map(|child| child.score(key)).collect(),
             drawn: Vec::new(),
         }
     }
@@ -91,7 +91,15 @@
     /// The first leaf that [`Tree::draw`] yields.
     #[must_use]
     pub fn first(&self, key: u64) -> Option<u32> {
-        self.descend(self.root.clone(), finalize(key), &[])
+        let key = finalize(key);
+        let mut children = self.span(&self.root);
+        loop {
+            let child = &children[least(children.iter().map(|child| child.score(key)))?];
+            if child.children.is_empty() {
+                return Some(child.leaves.start);
+            }
+            children = self.span(&child.children);
+        }
     }
 
     /// Memory that the tree holds, in bytes.
@@ -144,58 +152,66 @@
         &self.children[children.start as usize..children.end as usize]
     }
 
-    fn descend(&self, children: Range<u32>, key: u64, drawn: &[u32]) -> Option<u32> {
-        let mut children = children;
-        loop {
-            let scored = self.span(&children).iter().filter_map(|child| {
-                let inverse = self.inverse(child, drawn)?;
-                Some((score(neg_log2(mix(key, child.seed)), inverse), child))
-            });
-            let (_, child) = scored.min_by_key(|&(score, _)| score)?;
-            if child.children.is_empty() {
-                return Some(child.leaves.start);
-            }
-            children = child.children.clone();
+    /// Draws a leaf below a child that is not exhausted.
+    fn descend(&self, child: &Child, key: u64, drawn: &[u32]) -> Option<u32> {
+        let mut child = child;
+        while !child.children.is_empty() {
+            let children = self.span(&child.children);
+            let scores = children.iter().map(|child| self.rest(child, key, drawn));
+            child = &children[least(scores)?];
         }
+        Some(child.leaves.start)
     }
 
-    /// The inverse of a child's weight without the drawn leaves, or `None`
-    /// where nothing is left.
-    fn inverse(&self, child: &Child, drawn: &[u32]) -> Option<u64> {
-        let gone: u64 = drawn
-            .iter()
-            .filter(|leaf| child.leaves.contains(leaf))
-            .map(|&leaf| weight(self.leaves[leaf as usize]))
-            .sum();
-        match gone {
-            0 => Some(child.inverse),
-            _ if gone >= child.weight => None,
-            _ => Some(u64::MAX / (child.weight - gone)),
+    /// The score of a child without the drawn leaves.
+    fn rest(&self, child: &Child, key: u64, drawn: &[u32]) -> u128 {
+        let gone = drawn.iter().filter(|leaf| child.leaves.contains(leaf));
+        let gone = gone.map(|&leaf| weight(self.leaves[leaf as usize]));
+        match gone.sum() {
+            0 => child.score(key),
+            gone if gone >= child.weight => EXHAUSTED,
+            gone => score(child.log(key), u64::MAX / (child.weight - gone)),
         }
     }
 }
 
+impl Child {
+    fn log(&self, key: u64) -> u64 {
+        neg_log2(mix(key, self.seed))
+    }
+
+    fn score(&self, key: u64) -> u128 {
+        score(self.log(key), self.inverse)
+    }
+}
+
 impl<const BITS: u32> Iterator for Draw<'_, BITS> {
     type Item = u32;
 
     fn next(&mut self) -> Option<u32> {
-        let root = self.tree.span(&self.tree.root);
-        let scored = root.iter().zip(&self.logs).filter_map(|(child, &log)| {
-            let inverse = self.tree.inverse(child, &self.drawn)?;
-            Some((score(log, inverse), child))
-        });
-        let (_, child) = scored.min_by_key(|&(score, _)| score)?;
-        let leaf = if child.children.is_empty() {
-            child.leaves.start
-        } else {
-            self.tree
-                .descend(child.children.clone(), self.key, &self.drawn)?
-        };
+        let index = least(self.scores.iter().copied())?;
+        let child = &self.tree.span(&self.tree.root)[index];
+        let leaf = self.tree.descend(child, self.key, &self.drawn)?;
         self.drawn.push(leaf);
+        self.scores[index] = self.tree.rest(child, self.key, &self.drawn);
         Some(leaf)
     }
 }
 
+/// Index of the least score, the first of equals, or `None` where all are
+/// exhausted.
+fn least(scores: impl Iterator<Item = u128>) -> Option<usize> {
+    let mut least = EXHAUSTED;
+    let mut found = None;
+    for (index, score) in scores.enumerate() {
+        if score < least {
+            least = score;
+            found = Some(index);
+        }
+    }
+    found
+}
+
 fn weight(leaf: Leaf) -> u64 {
     u64::from(leaf.weight.max(1))
 }
--- /dev/null
+++ b/tools/bench/src/gate.rs
@@ -0,0 +1,245 @@
+//! Queue disciplines of a gate, and the cost of its decisions.
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::fs;
+use std::time::Duration;
+
+use fastrand::Rng;
+use limit::Class;
+use limit::Finish;
+use limit::Gate;
+use limit::Job;
+use limit::Release;
+use limit::Settings;
+use limit::Verdict;
+use limit::queue::Discipline;
+use serde::Serialize;
+
+use crate::options;
+use crate::table;
+use crate::timing;
+
+const SLOTS: u16 = 4;
+const SERVICE_TIME: Duration = Duration::from_millis(50);
+const END: Duration = Duration::from_mins(2);
+const LOADS: [f64; 4] = [0.85, 0.95, 1.2, 2.0];
+
+/// Half of the jobs allow the first time, half the second.
+const PATIENCE: [Duration; 2] = [Duration::from_millis(200), Duration::from_secs(2)];
+
+const HEADER: [&str; 8] = [
+    "discipline",
+    "load",
+    "in time %",
+    "of the hasty %",
+    "late %",
+    "refused at once %",
+    "expired %",
+    "expired after ms",
+];
+
+/// One discipline at one load.
+#[derive(Debug, Default, Serialize)]
+struct Row {
+    discipline: String,
+    load: f64,
+    offered: f64,
+    hasty: f64,
+    in_time: f64,
+    hasty_in_time: f64,
+    late: f64,
+    refused: f64,
+    expired: f64,
+    /// Sum of the times between offer and expiry, in milliseconds.
+    expired_ms: f64,
+}
+
+/// Runs all measurements.
+pub fn run(arguments: &[String]) -> Result<(), Box<dyn Error>> {
+    let settings = options::parse(arguments)?;
+    let mut rows = Vec::new();
+    for discipline in [Discipline::Fifo, Discipline::EarliestDeadline] {
+        rows.extend(LOADS.map(|load| Trial::run(discipline, load, settings.seeds)));
+    }
+    println!("4 slots of 50 ms; half of the jobs allow 200 ms, half 2 s\n");
+    table::print(&HEADER, &rows.iter().map(cells).collect::<Vec<_>>());
+    println!("offer and finish of a job: {:.0} ns", decision_ns());
+    fs::create_dir_all(&settings.out)?;
+    fs::write(
+        settings.out.join("gate.json"),
+        serde_json::to_string_pretty(&rows)?,
+    )?;
+    Ok(())
+}
+
+fn cells(row: &Row) -> Vec<String> {
+    let percent = |part: f64, all: f64| format!("{:.1}", part / all.max(1.0) * 100.0);
+    vec![
+        row.discipline.clone(),
+        format!("{:.2}", row.load),
+        percent(row.in_time, row.offered),
+        percent(row.hasty_in_time, row.hasty),
+        percent(row.late, row.offered),
+        percent(row.refused, row.offered),
+        percent(row.expired, row.offered),
+        format!("{:.0}", row.expired_ms / row.expired.max(1.0)),
+    ]
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    Done(usize),
+    Expire,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    issued: Duration,
+    deadline: Duration,
+}
+
+/// One gate under one load.
+struct Trial {
+    gate: Gate,
+    events: BTreeMap<Duration, Event>,
+    jobs: Vec<Entry>,
+    random: Rng,
+    now: Duration,
+    /// The earliest expiry that is planned.
+    wake: Option<Duration>,
+    row: Row,
+}
+
+impl Trial {
+    fn run(discipline: Discipline, load: f64, seed: u64) -> Row {
+        let settings = Settings {
+            slots: SLOTS,
+            discipline,
+            seed,
+            ..Settings::default()
+        };
+        let mut trial = Self {
+            gate: Gate::new(settings, Duration::ZERO),
+            events: BTreeMap::new(),
+            jobs: Vec::new(),
+            random: Rng::with_seed(seed),
+            now: Duration::ZERO,
+            wake: None,
+            row: Row {
+                discipline: format!("{discipline:?}"),
+                load,
+                ..Row::default()
+            },
+        };
+        trial.plan(Duration::ZERO, Event::Arrive);
+        while let Some((now, event)) = trial.events.pop_first() {
+            trial.now = now;
+            trial.handle(event);
+        }
+        trial.row
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut releases = Vec::new();
+        match event {
+            Event::Arrive if self.now < END => self.arrive(),
+            Event::Arrive => {}
+            Event::Done(job) => {
+                self.count(job);
+                let id = job as u64;
+                self.gate.finish(self.now, id, Finish::Done, &mut releases);
+            }
+            Event::Expire => {
+                self.wake = None;
+                self.gate.expire(self.now, &mut releases);
+            }
+        }
+        for release in releases {
+            self.release(release);
+        }
+        match self.gate.next_deadline() {
+            Some(deadline) if self.wake.is_none_or(|wake| deadline < wake) => {
+                self.wake = Some(deadline);
+                self.plan(deadline.max(self.now), Event::Expire);
+            }
+            _ => {}
+        }
+    }
+
+    fn arrive(&mut self) {
+        let rate = f64::from(SLOTS) / SERVICE_TIME.as_secs_f64() * self.row.load;
+        let pause = -(1.0 - self.random.f64()).ln() / rate;
+        self.plan(self.now + Duration::from_secs_f64(pause), Event::Arrive);
+        let hasty = self.random.bool();
+        let patience = PATIENCE[usize::from(!hasty)];
+        let job = self.jobs.len();
+        let entry = Entry {
+            issued: self.now,
+            deadline: self.now + patience,
+        };
+        self.jobs.push(entry);
+        self.row.offered += 1.0;
+        self.row.hasty += f64::from(u8::from(hasty));
+        let offer = Job {
+            id: job as u64,
+            deadline: entry.deadline,
+            class: Class::Short,
+        };
+        match self.gate.offer(self.now, offer) {
+            Verdict::Start => self.start(job),
+            Verdict::Queued => {}
+            Verdict::Refuse { .. } => self.row.refused += 1.0,
+        }
+    }
+
+    fn release(&mut self, release: Release) {
+        match release {
+            Release::Start(id) => self.start(usize::try_from(id).unwrap_or(usize::MAX)),
+            Release::Expire(id) => {
+                let job = self.jobs[usize::try_from(id).unwrap_or(usize::MAX)];
+                let waited = self.now.saturating_sub(job.issued);
+                self.row.expired += 1.0;
+                self.row.expired_ms += waited.as_secs_f64() * 1e3;
+            }
+        }
+    }
+
+    fn start(&mut self, job: usize) {
+        let time = SERVICE_TIME.mul_f64(0.5 + self.random.f64());
+        self.plan(self.now + time, Event::Done(job));
+    }
+
+    fn count(&mut self, job: usize) {
+        let Entry { issued, deadline } = self.jobs[job];
+        let hasty = deadline.saturating_sub(issued) == PATIENCE[0];
+        let in_time = self.now <= deadline;
+        self.row.in_time += f64::from(u8::from(in_time));
+        self.row.late += f64::from(u8::from(!in_time));
+        self.row.hasty_in_time += f64::from(u8::from(in_time && hasty));
+    }
+
+    fn plan(&mut self, time: Duration, event: Event) {
+        let mut time = time;
+        while self.events.contains_key(&time) {
+            time += Duration::from_nanos(1);
+        }
+        self.events.insert(time, event);
+    }
+}
+
+fn decision_ns() -> f64 {
+    let mut gate = Gate::new(Settings::default(), Duration::ZERO);
+    let mut releases = Vec::new();
+    timing::nanos(|call| {
+        let now = Duration::from_micros(call);
+        let job = Job {
+            id: call,
+            deadline: now + Duration::from_secs(1),
+            class: Class::Short,
+        };
+        gate.offer(now, job);
+        gate.finish(now, call, Finish::Done, &mut releases);
+        releases.clear();
+    })
+}
--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -1,10 +1,12 @@
 //! Measures the decisions of greengagelug on one machine.
 //!
 //! Each subcommand prints a table and writes the same figures as data.
+mod gate;
 mod options;
 mod place;
 mod route;
 mod table;
+mod timing;
 
 use std::env;
 use std::error::Error;
@@ -14,6 +16,7 @@
 Usage: measure COMMAND [OPTIONS]
 
 Commands:
+  gate    queue disciplines of a gate, and the cost of its decisions
   place   imbalance and latency of the ways to place flows
   route   cost of a routing decision, bytes of a flow
 ";
@@ -32,6 +35,7 @@
 fn run(arguments: &[String]) -> Result<(), Box<dyn Error>> {
     let (command, options) = arguments.split_first().ok_or(USAGE)?;
     match command.as_str() {
+        "gate" => gate::run(options),
         "place" => place::run(options),
         "route" => route::run(options),
         "--help" | "-h" => {
--- /dev/null
+++ b/tools/bench/src/route/order.rs
@@ -0,0 +1,170 @@
+//! Measures the ways to rank targets.
+use std::hint::black_box;
+use std::time::Instant;
+
+use route::hash::finalize;
+use route::tree::Leaf;
+use route::tree::Tree;
+use serde::Serialize;
+
+use super::baseline::Buckets;
+use super::baseline::Flat;
+use crate::timing;
+
+const TARGETS: [u64; 4] = [7, 100, 1000, 10_000];
+
+/// The table of buckets is not filled for more targets: it takes minutes.
+const MOST_FOR_BUCKETS: u64 = 1000;
+
+/// Flows whose homes are compared.
+const FLOWS: u64 = 1_000_000;
+
+/// Columns of the table.
+pub const HEADER: [&str; 7] = [
+    "targets",
+    "way",
+    "home ns",
+    "first 3 ns",
+    "build us",
+    "KiB",
+    "moved/own",
+];
+
+/// One way at one size.
+#[derive(Debug, Serialize)]
+pub struct Row {
+    targets: u64,
+    way: String,
+    home_ns: f64,
+    top_ns: f64,
+    build_us: f64,
+    bytes: usize,
+    /// Flows that move when a target leaves, over the flows that it had.
+    moved: f64,
+}
+
+/// Measures all ways at all sizes.
+pub fn measure() -> Vec<Row> {
+    let mut rows = Vec::new();
+    for count in TARGETS {
+        let leaves = leaves(count);
+        rows.push(flat(&leaves));
+        if count <= MOST_FOR_BUCKETS {
+            rows.push(buckets(&leaves));
+        }
+        rows.push(tree::<4>(&leaves));
+        rows.push(tree::<5>(&leaves));
+        rows.push(tree::<6>(&leaves));
+    }
+    rows
+}
+
+/// Formats the rows.
+pub fn cells(rows: &[Row]) -> Vec<Vec<String>> {
+    let cells = |row: &Row| {
+        vec![
+            row.targets.to_string(),
+            row.way.clone(),
+            format!("{:.0}", row.home_ns),
+            format!("{:.0}", row.top_ns),
+            format!("{:.0}", row.build_us),
+            format!("{}", row.bytes / 1024),
+            format!("{:.2}", row.moved),
+        ]
+    };
+    rows.iter().map(cells).collect()
+}
+
+fn leaves(count: u64) -> Vec<Leaf> {
+    let weight = |index: u64| if index.is_multiple_of(2) { 50 } else { 100 };
+    let leaf = |index| Leaf {
+        spread: finalize(finalize(index)),
+        weight: weight(index),
+    };
+    let mut leaves: Vec<Leaf> = (0..count).map(leaf).collect();
+    leaves.sort_unstable_by_key(|leaf| leaf.spread);
+    leaves
+}
+
+fn flat(leaves: &[Leaf]) -> Row {
+    let built = Instant::now();
+    let flat = Flat::new(leaves);
+    let build_us = micros(built);
+    Row {
+        targets: leaves.len() as u64,
+        way: "flat rendezvous".into(),
+        home_ns: timing::nanos(|key| drop(black_box(flat.top(key, 1)))),
+        top_ns: timing::nanos(|key| drop(black_box(flat.top(key, 3)))),
+        build_us,
+        bytes: flat.bytes(),
+        moved: 1.0,
+    }
+}
+
+fn buckets(leaves: &[Leaf]) -> Row {
+    let built = Instant::now();
+    let buckets = Buckets::new(leaves);
+    let build_us = micros(built);
+    let look_up = timing::nanos(|key| {
+        black_box(buckets.top(key));
+    });
+    let gone = leaves.len() / 2;
+    let rest = Buckets::new(&without(leaves, gone));
+    let homes = |key| buckets.top(key)[0] as usize;
+    let after = |key| rest.top(key)[0] as usize;
+    Row {
+        targets: leaves.len() as u64,
+        way: "bucket table".into(),
+        home_ns: look_up,
+        top_ns: look_up,
+        build_us,
+        bytes: buckets.bytes(),
+        moved: moved(gone, homes, after),
+    }
+}
+
+fn tree<const BITS: u32>(leaves: &[Leaf]) -> Row {
+    let built = Instant::now();
+    let tree = Tree::<BITS>::new(leaves.to_vec());
+    let build_us = micros(built);
+    let gone = leaves.len() / 2;
+    let rest = Tree::<BITS>::new(without(leaves, gone));
+    let home = |tree: &Tree<BITS>, key| tree.first(key).map_or(0, |leaf| leaf as usize);
+    Row {
+        targets: leaves.len() as u64,
+        way: format!("tree of {}", 1 << BITS),
+        home_ns: timing::nanos(|key| {
+            black_box(tree.first(key));
+        }),
+        top_ns: timing::nanos(|key| {
+            black_box(tree.draw(key).take(3).fold(0, |sum, leaf| sum ^ leaf));
+        }),
+        build_us,
+        bytes: tree.bytes(),
+        moved: moved(gone, |key| home(&tree, key), |key| home(&rest, key)),
+    }
+}
+
+fn without(leaves: &[Leaf], gone: usize) -> Vec<Leaf> {
+    let mut rest = leaves.to_vec();
+    rest.remove(gone);
+    rest
+}
+
+/// Flows whose home moves when the target at a position leaves, over those that
+/// it had. Positions after it are one less afterwards.
+#[allow(clippy::cast_precision_loss)]
+fn moved(gone: usize, before: impl Fn(u64) -> usize, after: impl Fn(u64) -> usize) -> f64 {
+    let (mut own, mut moved) = (0_u64, 0_u64);
+    for key in 0..FLOWS {
+        let home = before(key);
+        let stays = home - usize::from(home > gone);
+        own += u64::from(home == gone);
+        moved += u64::from(home == gone || after(key) != stays);
+    }
+    moved as f64 / own.max(1) as f64
+}
+
+fn micros(start: Instant) -> f64 {
+    start.elapsed().as_secs_f64() * 1e6
+}
--- /dev/null
+++ b/tools/bench/src/timing.rs
@@ -0,0 +1,28 @@
+//! Times a small operation.
+use std::time::Duration;
+use std::time::Instant;
+
+const REPEATS: usize = 5;
+const LEAST_TIME: Duration = Duration::from_millis(50);
+
+/// Nanoseconds of one call, the median of several repeats. The argument counts
+/// the calls.
+pub fn nanos(mut operation: impl FnMut(u64)) -> f64 {
+    let mut repeats: Vec<f64> = (0..REPEATS).map(|_| repeat(&mut operation)).collect();
+    repeats.sort_by(f64::total_cmp);
+    repeats[REPEATS / 2]
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn repeat(operation: &mut impl FnMut(u64)) -> f64 {
+    const BATCH: u64 = 64;
+    let start = Instant::now();
+    let mut calls = 0;
+    while start.elapsed() < LEAST_TIME {
+        for call in calls..calls + BATCH {
+            operation(call);
+        }
+        calls += BATCH;
+    }
+    start.elapsed().as_secs_f64() * 1e9 / calls as f64
+}
