--- a/protocol/wire/src/gen/greengagelug.caller.v1.rs
+++ b/protocol/wire/src/gen/greengagelug.caller.v1.rs
@@ -58,16 +58,20 @@
 /// Asks the holder to run a request.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Request {
-    /// Identifies the request within its flow; non-zero and never reused.
+    /// Identifies the request within its flow; non-zero and never reused. Number
+    /// non-idempotent requests in rising order: of those long past, only the
+    /// largest is remembered, and smaller ids are refused as unknown.
     #[prost(fixed64, tag = "1")]
     pub request: u64,
-    /// The token of the Opened packet. May be empty for idempotent requests.
+    /// The token of the Opened packet; repeats carry that of the first
+    /// transmission. May be empty for idempotent requests.
     #[prost(bytes = "bytes", tag = "2")]
     pub holder: ::prost::bytes::Bytes,
     /// True where running the request twice does no harm.
     #[prost(bool, tag = "3")]
     pub idempotent: bool,
-    /// Milliseconds that the caller will still wait, counted from now.
+    /// Milliseconds that the caller will still wait, counted from now; 0 takes the
+    /// default of the service.
     #[prost(uint32, tag = "4")]
     pub deadline_ms: u32,
     /// 0 for the first transmission, one more for each repeat.
@@ -82,6 +86,7 @@
 pub struct Cancel {
     #[prost(fixed64, tag = "1")]
     pub request: u64,
+    /// The token that the request carries.
     #[prost(bytes = "bytes", tag = "2")]
     pub holder: ::prost::bytes::Bytes,
 }
--- a/roles/app/src/entry.rs
+++ b/roles/app/src/entry.rs
@@ -27,9 +27,12 @@
 use crate::entry::control::Control;
 use crate::entry::control::Input;
 use crate::entry::traffic::Traffic;
+use crate::metric;
+use crate::metric::Board;
 use crate::operator;
 use crate::settings;
 use crate::signal;
+use crate::watch::Watch;
 
 /// Control messages that wait for the control thread.
 const CONTROL_QUEUE: usize = 16 * 1024;
@@ -73,20 +76,29 @@
     let context = operator::Context {
         store,
         snapshot: status::Inquiry {
-            control: inputs_sender,
+            control: inputs_sender.clone(),
         },
     };
     executor
         .spawn(operator::serve(operators, context, Arc::clone(&executor)))
         .detach();
+    executor
+        .spawn(metric::entry::report(
+            inputs_sender.clone(),
+            settings.metrics,
+        ))
+        .detach();
+    let stopped = stopped(inputs_sender, settings.stop);
     let control = Control {
         registry: registry(settings, origin),
         origin,
         port,
         traffic,
         inputs,
+        board: Board::default(),
+        watch: Watch::default(),
     };
-    executor.run(control.run().or(stopped())).await;
+    executor.run(control.run().or(stopped)).await;
     Ok(())
 }
 
@@ -120,9 +132,11 @@
     reading.or(passing).await;
 }
 
-/// Waits for SIGTERM, and then for what is under way to arrive.
-async fn stopped() {
+/// Waits for SIGTERM, says so to the other entries, and then waits for what is
+/// under way to arrive.
+async fn stopped(control: Sender<Input>, limit: Duration) {
     let signals = signal::watch();
     let _ = signals.recv().await;
-    Timer::after(LINGER).await;
+    let _ = control.send(Input::Leave).await;
+    Timer::after(LINGER.min(limit)).await;
 }
--- a/roles/app/src/operator/server.rs
+++ b/roles/app/src/operator/server.rs
@@ -1,5 +1,6 @@
 //! The operators' server, which every entry runs.
 use std::future::Future;
+use std::future::ready;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,10 +10,11 @@
 use config::Fault;
 use config::Problem;
 use config::Record;
+use config::Update;
 use config::change::Outcome;
 use config::change::Request as ChangeRequest;
 use config::jitter::jitter;
-use config::record;
+use config::key;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
 use schema::get_reply::Result as Found;
@@ -38,8 +40,15 @@
 /// Time between pings of an idle connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
-/// Says what is in force where.
+/// What the server asks of its process.
 pub trait Snapshot: Send + Sync + 'static {
+    /// Puts a configuration in force here and spreads it by gossip. Called as
+    /// soon as a change is accepted, since the store may be down before any
+    /// reader has read it. Does nothing by default: the readers spread it.
+    fn accept(&self, _: Update) -> impl Future<Output = ()> + Send {
+        ready(())
+    }
+
     /// The state of the system, as this process knows it.
     fn status(&self) -> impl Future<Output = schema::StatusReply> + Send;
 }
@@ -81,12 +90,12 @@
         let mut server = server.clone();
         async move { server.call(request).await }
     });
-    let served = http2::Builder::new(Spawn(executor))
+    let ended = http2::Builder::new(Spawn(executor))
         .timer(SmolTimer::new())
         .keep_alive_interval(KEEP_ALIVE)
         .serve_connection(FuturesIo::new(stream), service)
         .await;
-    if let Err(error) = served {
+    if let Err(error) = ended {
         log::debug!("operator connection ended: {error}");
     }
 }
@@ -102,6 +111,9 @@
             }
             Err(problems) => Outcome::Invalid(problems),
         };
+        if let Outcome::Accepted { latest, .. } = &outcome {
+            self.0.snapshot.accept(Update::clone(latest)).await;
+        }
         Response::new(convert::outcome(outcome))
     }
 }
@@ -128,7 +140,7 @@
     ) -> Result<Response<schema::GetReply>, Status> {
         let result = match convert::address(&request.into_inner().address) {
             Err(problems) => Found::Invalid(convert::invalid(&problems)),
-            Ok(address) => match self.0.store.get(&record::key(address)).await {
+            Ok(address) => match self.0.store.get(&key::service(address)).await {
                 Err(fault) => Found::Unavailable(unavailable(fault)),
                 Ok(None) => Found::Missing(schema::Missing {}),
                 Ok(Some(item)) => match Record::from_json(&item.value) {
@@ -148,7 +160,7 @@
     ) -> Result<Response<schema::ListReply>, Status> {
         let deleted = request.into_inner().deleted;
         let mut reply = schema::ListReply::default();
-        let listing = match self.0.store.list(record::PREFIX).await {
+        let listing = match self.0.store.list(key::SERVICES).await {
             Ok(listing) => listing,
             Err(fault) => {
                 reply.unavailable = Some(unavailable(fault));
--- a/roles/app/src/settings/operate.rs
+++ b/roles/app/src/settings/operate.rs
@@ -2,7 +2,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::settings::Log;
+use crate::settings::command::Settings;
+use crate::settings::reader::Reader;
+use crate::settings::table::Role;
 
 /// Settings of `greengagelug operate`.
 #[derive(Clone, Debug)]
@@ -13,8 +15,6 @@
     pub timeout: Duration,
     /// The command and its arguments.
     pub command: Vec<String>,
-    /// What is logged.
-    pub log: Log,
 }
 
 impl Default for Operate {
@@ -23,7 +23,18 @@
             entries: Vec::new(),
             timeout: Duration::from_secs(10),
             command: Vec::new(),
-            log: Log::default(),
+        }
+    }
+}
+
+impl Settings for Operate {
+    const ROLE: Role = Role::Operate;
+
+    fn read(reader: &mut Reader<'_>, rest: &[String]) -> Self {
+        Self {
+            entries: reader.addresses("entries"),
+            timeout: reader.time("timeout"),
+            command: rest.to_vec(),
         }
     }
 }
--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -2,8 +2,11 @@
 //!
 //! Each subcommand prints a table and writes the same figures as data.
 mod gate;
+mod member;
 mod options;
 mod place;
+mod relay;
+mod report;
 mod route;
 mod table;
 mod timing;
@@ -17,7 +20,9 @@
 
 Commands:
   gate    queue disciplines of a gate, and the cost of its decisions
+  member  membership: spreading, detection, loss of a zone, directory
   place   imbalance and latency of the ways to place flows
+  relay   packets a second through an entry, against a bare UDP relay
   route   cost of a routing decision, bytes of a flow
 ";
 
@@ -36,7 +41,9 @@
     let (command, options) = arguments.split_first().ok_or(USAGE)?;
     match command.as_str() {
         "gate" => gate::run(options),
+        "member" => Ok(member::run()?),
         "place" => place::run(options),
+        "relay" => Ok(relay::run()?),
         "route" => route::run(options),
         "--help" | "-h" => {
             print!("{USAGE}");
