Draw the latency through a run, with the series in the report

The demonstration shows one hole: after the replacement of an agent the largest latency of its flows is 1.6 to 2.1 s for a second, in a run whose p99 is else 107 to 152 ms by half second.

--- a/demo.sh
+++ b/demo.sh
@@ -33,7 +33,7 @@
 start() {
     local name=$1
     shift
-    "$@" >"$out/$name.log" 2>&1 &
+    "$@" >>"$out/$name.log" 2>&1 &
     pids[$name]=$!
 }
 
@@ -138,7 +138,7 @@
     local name=$1
     shift
     "$bin/greengagelug" call --name "$name" --duration "$seconds" \
-        --output "$out/$name.json" "$@" >"$out/call-$name.log" 2>&1
+        --output "$out/$name.json" --plot "$out/$name.svg" "$@" >"$out/call-$name.log" 2>&1
 }
 call roster --service "$roster" --flows 200 --rate 450 &
 roster_call=$!
@@ -175,4 +175,5 @@
 echo "== result"
 reports=(--report "$out/roster.json" --report "$out/rota.json")
 "$bin/standin" audit "${reports[@]}" "${backends[@]/#/--backend=}" || broken=$?
+echo "latency through the run: $out/roster.svg and $out/rota.svg"
 exit "$broken"
--- a/roles/app/src/call.rs
+++ b/roles/app/src/call.rs
@@ -10,13 +10,16 @@
 pub mod load;
 mod operation;
 pub mod payload;
+pub mod plot;
 mod report;
+pub mod series;
 
+use std::error::Error;
 use std::fs;
-use std::io;
 use std::process::ExitCode;
 
 use crate::exit;
+use crate::settings;
 
 pub use answer::Answer;
 pub use backoff::Backoff;
@@ -29,7 +32,7 @@
 
 /// Runs the load tool and prints its report.
 #[must_use]
-pub fn main(settings: &crate::settings::Call) -> ExitCode {
+pub fn main(settings: &settings::Call) -> ExitCode {
     let report = match smol::block_on(load::run(settings.clone())) {
         Ok(report) => report,
         Err(error) => {
@@ -38,8 +41,8 @@
         }
     };
     print!("{report}");
-    if let Err(error) = write(&report, &settings.output) {
-        eprintln!("greengagelug call: {error}; check --output");
+    if let Err(error) = write(&report, settings) {
+        eprintln!("greengagelug call: {error}; check --output and --plot");
         return ExitCode::from(exit::FAILED);
     }
     if report.is_broken() {
@@ -48,9 +51,12 @@
     ExitCode::SUCCESS
 }
 
-fn write(report: &Report, output: &str) -> io::Result<()> {
-    if output.is_empty() {
-        return Ok(());
+fn write(report: &Report, settings: &settings::Call) -> Result<(), Box<dyn Error>> {
+    if !settings.output.is_empty() {
+        fs::write(&settings.output, serde_json::to_vec_pretty(report)?)?;
     }
-    fs::write(output, serde_json::to_vec_pretty(report)?)
+    if !settings.plot.is_empty() {
+        plot::save(report, &settings.plot)?;
+    }
+    Ok(())
 }
--- a/roles/app/src/call/load.rs
+++ b/roles/app/src/call/load.rs
@@ -45,6 +45,7 @@
     load.open().await?;
     load.send().await?;
     load.finish().await?;
+    load.report.finish();
     Ok(load.report)
 }
 
@@ -174,7 +175,7 @@
                 // A datagram may be lost: it is repeated.
                 let _ = self.socket.send(datagram).await;
             }
-            self.report.add(&action);
+            self.report.add(self.start.elapsed(), &action);
         }
     }
 
--- a/roles/app/src/call/report.rs
+++ b/roles/app/src/call/report.rs
@@ -10,6 +10,8 @@
 
 use super::Action;
 use super::Ending;
+use super::series::Interval;
+use super::series::Series;
 
 const LARGEST_LATENCY_US: u64 = 600_000_000;
 const LATENCY_DIGITS: u8 = 3;
@@ -57,6 +59,10 @@
     pub max_us: u64,
     /// Names of the requests that were refused as not run.
     pub not_run: Vec<String>,
+    /// What was seen in each interval of the run.
+    pub series: Vec<Interval>,
+    #[serde(skip)]
+    running: Series,
     #[serde(skip)]
     latency: Option<Histogram<u64>>,
 }
@@ -85,15 +91,20 @@
             p99_us: 0,
             max_us: 0,
             not_run: Vec::new(),
+            series: Vec::new(),
+            running: Series::default(),
             latency: Histogram::new_with_max(LARGEST_LATENCY_US, LATENCY_DIGITS).ok(),
         }
     }
 
-    /// Counts what a caller reports.
-    pub fn add(&mut self, action: &Action) {
+    /// Counts what a caller reports at `now`, since the start of the run.
+    pub fn add(&mut self, now: Duration, action: &Action) {
         match action {
             Action::Send(_) => {}
-            Action::Ended(_, ending) => self.add_ending(ending),
+            Action::Ended(_, ending) => {
+                self.running.add(now, ending);
+                self.add_ending(ending);
+            }
             Action::Refused {
                 name,
                 reason,
@@ -113,6 +124,11 @@
         }
     }
 
+    /// Ends the run.
+    pub fn finish(&mut self) {
+        self.series = self.running.finish();
+    }
+
     /// Whether anything happened that is never to happen while only planned
     /// changes are made.
     #[must_use]
--- a/roles/app/src/settings/call.rs
+++ b/roles/app/src/settings/call.rs
@@ -33,6 +33,8 @@
     pub payload: u32,
     /// File that the report is written to as JSON; empty for none.
     pub output: String,
+    /// File that the latency is drawn to as SVG; empty for none.
+    pub plot: String,
     /// Seed of all random choices; 0 takes one from the system.
     pub seed: u64,
 }
@@ -51,6 +53,7 @@
             deadline: Duration::from_secs(5),
             payload: 64,
             output: String::new(),
+            plot: String::new(),
             seed: 0,
         }
     }
@@ -72,6 +75,7 @@
             deadline: reader.time("deadline"),
             payload: reader.number("payload"),
             output: reader.text("output"),
+            plot: reader.text("plot"),
             seed: reader.number("seed"),
         };
         command::no_arguments(reader, rest);
--- a/roles/app/src/settings/table.rs
+++ b/roles/app/src/settings/table.rs
@@ -341,6 +341,14 @@
         default: Preset::Text(""),
         help: "file that the report is written to as JSON; empty for none",
     },
+    Setting {
+        name: "plot",
+        roles: CALL,
+        kind: Kind::Text,
+        unit: "",
+        default: Preset::Text(""),
+        help: "file that the latency through the run is drawn to as SVG; empty for none",
+    },
     Setting {
         name: "seed",
         roles: CALL,
--- a/roles/app/tests/caller.rs
+++ b/roles/app/tests/caller.rs
@@ -490,7 +490,7 @@
         let mut ended = HashMap::new();
         let mut report = Report::new(SERVICE.into());
         for note in &bench.notes {
-            report.add(note);
+            report.add(Duration::ZERO, note);
             if let Action::Ended(operation, _) = note {
                 *ended.entry(*operation).or_insert(0) += 1;
             }
