--- a/roles/agent/src/open.rs
+++ b/roles/agent/src/open.rs
@@ -37,7 +37,8 @@
         let position = usize::from(relay.position);
         let pinned = self
             .pinned(key)
-            .filter(|hop| !relay::visited(&relay, hop) && position + 1 < MAX_HOPS);
+            .filter(|hop| !relay::visited(&relay, hop) && position + 1 < MAX_HOPS)
+            .filter(|_| !relay.settle);
         if let Some(hop) = pinned {
             // The wait keeps the frame's waits in step with its position.
             relay.waits.push(u32::MAX);
