Bound the answers that are handed over, and the retries of a request

One flow's answers could make a part, and all of them a state, larger than a peer keeps, so that the whole hand-over failed; the oldest now become unknown beyond the limits. A backend server that refuses connections could spend the saved-up retry budget on one request; it is tried again twice at most. Retries, cancels and closes, and the cutting into parts, are modules of their own.

--- a/roles/agent/src/leave.rs
+++ b/roles/agent/src/leave.rs
@@ -1,21 +1,15 @@
 //! Planned stop and replacement: finish, hand the flows over, exit.
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flow::State;
-use wire::FlowKey;
 use wire::caller::Reason;
 
 use crate::Action;
 use crate::Agent;
 use crate::agent::Turn;
 use crate::event::JobId;
-use crate::park::Flow;
-use crate::park::Outcome;
 use crate::park::Part;
 use crate::park::Purpose;
-use crate::park::Record;
 use crate::task::End;
 use crate::view::Binding;
 
@@ -225,67 +219,4 @@
             .map(|target| target.control)
             .collect()
     }
-
-    /// The whole state, in parts of bounded size.
-    fn parts(&self, now: Duration, purpose: Purpose) -> Vec<Part> {
-        let mut records = self.final_records(now);
-        let mut parts = vec![Vec::new()];
-        let mut size = usize::MAX;
-        for held in self.flows.iter() {
-            let seen = self.ledger.seen(held.key);
-            let flow = Flow {
-                key: held.key,
-                token: held.token,
-                caller: held.caller,
-                closed: held.phase == flow::table::Phase::Closed,
-                floor: seen.map_or(0, flow::seen::Seen::floor),
-                seen: seen.map(|seen| seen.ids().collect()).unwrap_or_default(),
-                records: records.remove(&held.key).unwrap_or_default(),
-            };
-            if size.saturating_add(flow.bytes()) > self.settings.leave.part_bytes {
-                parts.push(Vec::new());
-                size = 0;
-            }
-            size += flow.bytes();
-            if let Some(part) = parts.last_mut() {
-                part.push(flow);
-            }
-        }
-        let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
-        (0..)
-            .zip(parts)
-            .map(|(index, flows)| Part {
-                owner: self.token,
-                service: self.identity.service,
-                purpose,
-                index,
-                count,
-                flows,
-            })
-            .collect()
-    }
-
-    fn final_records(&self, now: Duration) -> BTreeMap<FlowKey, Vec<Record>> {
-        let mut records: BTreeMap<FlowKey, Vec<Record>> = BTreeMap::new();
-        for entry in self.ledger.iter() {
-            let outcome = match &entry.record.state {
-                State::Done(answer) => Outcome::Answered(answer.bytes().clone()),
-                State::NotRun(refusal) => Outcome::NotRun(refusal.reason.into()),
-                State::Unknown(refusal) => Outcome::Unknown(refusal.reason.into()),
-                State::Recorded | State::Queued | State::Running => {
-                    Outcome::Unknown(Reason::HolderAway.into())
-                }
-            };
-            records.entry(entry.key.flow).or_default().push(Record {
-                request: entry.key.request,
-                idempotent: entry.record.idempotent,
-                remaining: entry.record.deadline.saturating_sub(now),
-                outcome,
-            });
-        }
-        for records in records.values_mut() {
-            records.sort_by_key(|record| record.request);
-        }
-        records
-    }
 }
--- a/roles/agent/src/task.rs
+++ b/roles/agent/src/task.rs
@@ -25,6 +25,7 @@
 use crate::event::JobId;
 use crate::offer;
 use crate::pass::Lent;
+use crate::retry::Elsewhere;
 use crate::status::Counter;
 
 /// A request that is underway.
@@ -41,6 +42,8 @@
     pub(crate) is_uncertain: bool,
     /// The agents that it was passed to.
     pub(crate) tried: Vec<TargetId>,
+    /// How often it was tried again.
+    pub(crate) retries: u8,
 }
 
 /// Who waits for a request.
@@ -96,6 +99,7 @@
             payload: request.payload,
             stage: Stage::New,
             tried: Vec::new(),
+            retries: 0,
         }
     }
 
@@ -113,6 +117,7 @@
             stage: Stage::New,
             is_uncertain: false,
             tried: Vec::new(),
+            retries: 0,
         }
     }
 
@@ -279,57 +284,6 @@
         self.conclude(turn, job, End::Unknown(refusal));
     }
 
-    /// Tries a request again that is known not to have run, or refuses it.
-    pub(crate) fn retry_not_run(
-        &mut self,
-        turn: &mut Turn<'_>,
-        job: JobId,
-        refusal: Refusal,
-        elsewhere: Elsewhere,
-    ) {
-        if !self.may_retry(turn.now, job) {
-            return self.conclude(turn, job, End::NotRun(refusal));
-        }
-        self.counters.add(Counter::RetryNotRun);
-        match elsewhere {
-            _ if self.pass(turn, job) => {}
-            Elsewhere::First if self.leaving.is_none() => self.offer_to_gate(turn, job),
-            _ => self.conclude(turn, job, End::NotRun(refusal)),
-        }
-    }
-
-    /// Tries a request again whose outcome was lost, if it is idempotent.
-    pub(crate) fn retry_unknown(&mut self, turn: &mut Turn<'_>, job: JobId) {
-        let Some(task) = self.tasks.get_mut(&job) else {
-            return;
-        };
-        task.is_uncertain = true;
-        if !task.idempotent || !self.may_retry(turn.now, job) {
-            return self.end_unknown(turn, job, Reason::BackendFailed);
-        }
-        self.counters.add(Counter::RetryIdempotent);
-        if !self.pass(turn, job) {
-            self.offer_to_gate(turn, job);
-        }
-    }
-
-    /// Whether a request may be tried again: it is the holder's, its deadline
-    /// leaves room, and the retry budget pays.
-    fn may_retry(&mut self, now: Duration, job: JobId) -> bool {
-        let has_room = self
-            .tasks
-            .get(&job)
-            .is_some_and(|task| task.is_own() && now + self.settings.pass.room < task.deadline);
-        if !has_room {
-            return false;
-        }
-        let is_paid = self.budget.withdraw();
-        if !is_paid {
-            self.counters.add(Counter::BudgetSpent);
-        }
-        is_paid
-    }
-
     pub(crate) fn release(&mut self, turn: &mut Turn<'_>, released: Vec<Release>) {
         for release in released {
             match release {
@@ -426,15 +380,6 @@
     }
 }
 
-/// Where a request that did not run may be tried again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Elsewhere {
-    /// Only at another backend server.
-    Only,
-    /// At another backend server, or else here.
-    First,
-}
-
 impl From<End> for Outcome {
     fn from(end: End) -> Self {
         match end {
--- a/roles/agent/tests/leaving.rs
+++ b/roles/agent/tests/leaving.rs
@@ -411,3 +411,25 @@
     let outcome = refusal(&mut replaced.world, Reason::FlowUnknown);
     assert_eq!(outcome, Outcome::Unknown);
 }
+
+#[test]
+fn an_answer_too_large_to_hand_over_is_unknown() {
+    let mut settings = settings();
+    settings.leave.part_bytes = 1_000;
+    let mut world = World::new(2, settings, agent::view::Service::default());
+    let token = world.open_at(FLOW, 0);
+    for id in [1, 2] {
+        world.send_along(&request(FLOW, id, token), &[0]);
+        world.answer(&"x".repeat(600));
+    }
+    world.event(0, Event::Replace);
+    world.settle();
+    world.tell_others(0);
+    world.restart(0);
+    world.tell_all();
+    world.replies.clear();
+    world.send_along(&request(FLOW, 1, token), &[0]);
+    assert_eq!(refusal(&mut world, Reason::TableFull), Outcome::Unknown);
+    world.send_along(&request(FLOW, 2, token), &[0]);
+    assert_eq!(world.take_answer(2).unwrap().len(), 600);
+}
--- a/roles/agent/tests/requests.rs
+++ b/roles/agent/tests/requests.rs
@@ -476,6 +476,18 @@
     assert_eq!(outcomes, vec![Outcome::Unknown]);
 }
 
+#[test]
+fn a_request_is_tried_again_twice_at_most() {
+    let mut world = World::bound(1);
+    let token = world.open(FLOW);
+    world.send(&request(FLOW, REQUEST, token));
+    for _ in 0..3 {
+        world.finish(Completion::Failed { ran: false });
+    }
+    assert_refused(&mut world, Reason::BackendFailed, Outcome::NotRun);
+    assert_eq!(world.runs.len(), 3);
+}
+
 #[test]
 fn retries_stop_when_the_budget_is_spent() {
     let mut settings = settings();
