--- a/roles/agent/tests/interleavings.rs
+++ b/roles/agent/tests/interleavings.rs
@@ -62,6 +62,7 @@
     Wait {
         millis: u64,
     },
+    /// Restarts an agent that has exited, or else this one.
     Restart(usize),
     Replace(usize),
     Stop(usize),
@@ -115,8 +116,8 @@
         2 => any::<usize>().prop_map(Step::Lose),
         8 => (any::<usize>(), ending()).prop_map(|(job, result)| Step::Finish { job, result }),
         4 => (1..800_u64).prop_map(|millis| Step::Wait { millis }),
-        1 => (0..AGENTS).prop_map(Step::Restart),
-        1 => (0..AGENTS).prop_map(Step::Replace),
+        2 => (0..AGENTS).prop_map(Step::Restart),
+        2 => (0..AGENTS).prop_map(Step::Replace),
         1 => (0..AGENTS).prop_map(Step::Stop),
         1 => (0..AGENTS).prop_map(Step::Drain),
         1 => (0..AGENTS).prop_map(Step::Resume),
@@ -218,6 +219,8 @@
             Step::Finish { job, result } => self.finish(job, result),
             Step::Wait { millis } => self.wait(Duration::from_millis(millis)),
             Step::Restart(agent) => {
+                let exited = world.agents.iter().position(Option::is_none);
+                let agent = exited.unwrap_or(agent);
                 break_connections(world, agent);
                 world.restart(agent);
                 world.tell_view(agent);
@@ -445,7 +448,7 @@
     fn requests_run_at_most_once(
         service in services(),
         max_bytes in limits(),
-        steps in prop::collection::vec(step(), 1..80),
+        steps in prop::collection::vec(step(), 1..150),
     ) {
         let mut trial = Trial::new(service, max_bytes);
         for step in steps {
