--- a/roles/agent/tests/interleavings.rs
+++ b/roles/agent/tests/interleavings.rs
@@ -65,6 +65,12 @@
     /// Restarts an agent that has exited, or else this one.
     Restart(usize),
     Replace(usize),
+    /// Replaces an agent and starts its successor; the message of this number
+    /// on the way is lost.
+    Succeed {
+        agent: usize,
+        lost: usize,
+    },
     Stop(usize),
     Drain(usize),
     Resume(usize),
@@ -118,6 +124,8 @@
         4 => (1..800_u64).prop_map(|millis| Step::Wait { millis }),
         2 => (0..AGENTS).prop_map(Step::Restart),
         2 => (0..AGENTS).prop_map(Step::Replace),
+        2 => (0..AGENTS, 0..20_usize)
+            .prop_map(|(agent, lost)| Step::Succeed { agent, lost }),
         1 => (0..AGENTS).prop_map(Step::Stop),
         1 => (0..AGENTS).prop_map(Step::Drain),
         1 => (0..AGENTS).prop_map(Step::Resume),
@@ -226,6 +234,7 @@
                 world.tell_view(agent);
             }
             Step::Replace(agent) => world.event(agent, Event::Replace),
+            Step::Succeed { agent, lost } => self.succeed(agent, lost),
             Step::Stop(agent) => world.event(agent, Event::Stop),
             Step::Drain(agent) => world.event(agent, Event::Drain),
             Step::Resume(agent) => world.event(agent, Event::Resume),
@@ -247,6 +256,31 @@
         self.world.event(agent, Event::Frame { from, frame });
     }
 
+    fn succeed(&mut self, agent: usize, lost: usize) {
+        self.world.event(agent, Event::Replace);
+        self.deliver_but(lost);
+        self.wait(Duration::from_secs(6));
+        self.deliver_but(usize::MAX);
+        if self.world.agents[agent].is_none() {
+            self.world.restart(agent);
+            self.world.tell_view(agent);
+            self.deliver_but(lost);
+        }
+    }
+
+    /// Delivers all messages but one.
+    fn deliver_but(&mut self, lost: usize) {
+        let mut number = 0;
+        while let Some(message) = self.world.take_message() {
+            if number == lost {
+                lose(&mut self.world, message);
+            } else {
+                self.world.deliver(message);
+            }
+            number += 1;
+        }
+    }
+
     fn finish(&mut self, job: usize, result: Ending) {
         let Some(running) = take_at(&mut self.world.running, job) else {
             return;
