Give the second load of a test flow keys of its own

Cause: the load with the same seed took the same flow keys; the agents remember closed flows and refused their opens for 40 s, as they must.

--- a/tools/proof/tests/processes.rs
+++ b/tools/proof/tests/processes.rs
@@ -133,7 +133,7 @@
     let address = deployment.address(Service::Rota);
     deployment.until(&["delete", &address])?;
     deployment.until(&["create", &address, "--name", "rota"])?;
-    let again = deployment.load(Service::Rota, 2, SEED)?;
+    let again = deployment.load(Service::Rota, 2, SEED + 1)?;
     breaks_nothing(&deployment.outcome(again)?);
     Ok(())
 }
