--- a/tools/bench/src/place/world.rs
+++ b/tools/bench/src/place/world.rs
@@ -1,4 +1,6 @@
 //! The discrete event program: callers, entries, agents, backend servers.
+mod request;
+
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -6,11 +8,6 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use limit::Class;
-use limit::Finish;
-use limit::Job;
-use limit::Release;
-use limit::Verdict;
 use route::Order;
 use route::hunt;
 use route::hunt::Step;
@@ -21,12 +18,9 @@
 
 use super::outcome::Count;
 use super::outcome::Outcome;
-use super::policy::Key;
-use super::policy::Pass;
 use super::policy::Place;
 use super::policy::Policy;
 use super::server::Server;
-use super::trial::DEADLINE;
 use super::trial::END;
 use super::trial::FAULT_START;
 use super::trial::FLOW_LIFE;
@@ -36,6 +30,7 @@
 use super::trial::Trial;
 use super::trial::WARM;
 use super::trial::Work;
+use request::Request;
 
 const ENTRIES: usize = 3;
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -87,24 +82,6 @@
     life: u32,
 }
 
-#[derive(Debug)]
-struct Request {
-    flow: usize,
-    holder: usize,
-    issued: Duration,
-    /// The other agents to ask, last first.
-    others: Vec<usize>,
-    /// The best wait that another agent named.
-    best: Option<Offer>,
-    asked: Option<usize>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Offer {
-    target: usize,
-    wait: Duration,
-}
-
 /// One run.
 pub struct World {
     trial: Trial,
@@ -305,168 +282,6 @@
         self.plan(pause, Event::Request { flow, life });
     }
 
-    fn request(&mut self, flow: usize, life: u32) {
-        if self.flows[flow].life != life {
-            return;
-        }
-        match self.trial.work {
-            Work::Long { .. } => self.plan_request(flow),
-            Work::Single { .. } => {
-                let holder = self.flows[flow].holder;
-                self.servers[holder].held -= 1;
-            }
-        }
-        let holder = self.flows[flow].holder;
-        self.count.issued += u64::from(self.now >= WARM);
-        self.servers[holder].note_request(self.now);
-        let request = self.requests.len();
-        self.requests.push(Request {
-            flow,
-            holder,
-            issued: self.now,
-            others: Vec::new(),
-            best: None,
-            asked: None,
-        });
-        let gate = &self.servers[holder].gate;
-        let (free, wait) = (gate.free(), gate.expected_wait(self.now));
-        match self.policy.pass {
-            Some(pass) if !free && wait > pass.threshold => {
-                self.requests[request].others = self.others(request, pass);
-                self.ask_next(request);
-            }
-            _ => self.offer(request, holder),
-        }
-    }
-
-    fn others(&self, request: usize, pass: Pass) -> Vec<usize> {
-        let flow = self.requests[request].flow;
-        let own_key = self.flows[flow].key;
-        let key = match pass.key {
-            Key::Flow => own_key,
-            Key::Request => route::hash::mix(own_key, request as u64),
-        };
-        let holder = self.requests[request].holder;
-        let open = self.order.open(key, pass.width + 1).map(index_of);
-        let others = open.filter(|&target| target != holder);
-        let mut others: Vec<usize> = others.take(pass.width).collect();
-        others.reverse();
-        others
-    }
-
-    fn ask_next(&mut self, request: usize) {
-        if let Some(target) = self.requests[request].others.pop() {
-            return self.send(request, target, false);
-        }
-        let holder = self.requests[request].holder;
-        let wait = self.servers[holder].gate.expected_wait(self.now);
-        match self.requests[request].best {
-            Some(best) if best.wait + HOP * 2 < wait => self.send(request, best.target, true),
-            _ => self.offer(request, holder),
-        }
-    }
-
-    fn send(&mut self, request: usize, target: usize, settle: bool) {
-        self.count.messages += u64::from(self.now >= WARM);
-        self.requests[request].asked = Some(target);
-        let ask = Event::Ask {
-            request,
-            target,
-            settle,
-        };
-        self.plan(HOP, ask);
-    }
-
-    fn ask(&mut self, request: usize, target: usize, settle: bool) {
-        let gate = &self.servers[target].gate;
-        if gate.free() || settle {
-            return self.offer(request, target);
-        }
-        self.count.messages += u64::from(self.now >= WARM);
-        let wait = gate.expected_wait(self.now);
-        self.plan(HOP, Event::NotRun { request, wait });
-    }
-
-    fn not_run(&mut self, request: usize, wait: Duration) {
-        let Request {
-            holder,
-            asked,
-            best,
-            ..
-        } = self.requests[request];
-        if self.servers[holder].gate.free() {
-            return self.offer(request, holder);
-        }
-        let better = best.is_none_or(|best| wait < best.wait);
-        if let Some(target) = asked.filter(|_| better) {
-            self.requests[request].best = Some(Offer { target, wait });
-        }
-        self.ask_next(request);
-    }
-
-    fn offer(&mut self, request: usize, target: usize) {
-        let job = Job {
-            id: request as u64,
-            deadline: self.requests[request].issued + DEADLINE,
-            class: Class::Short,
-        };
-        match self.servers[target].gate.offer(self.now, job) {
-            Verdict::Start => self.run_job(request, target),
-            Verdict::Queued => {}
-            Verdict::Refuse { .. } => self.count.refused += u64::from(self.now >= WARM),
-        }
-        self.plan_wake(target);
-    }
-
-    fn run_job(&mut self, request: usize, target: usize) {
-        let time = self.servers[target].draw(self.now, &mut self.random);
-        self.plan(time, Event::Done { request, target });
-    }
-
-    fn done(&mut self, request: usize, target: usize) {
-        let Request { holder, issued, .. } = self.requests[request];
-        let travelled = holder != target;
-        let back = if travelled { HOP } else { Duration::ZERO };
-        let counted = u64::from(self.now >= WARM);
-        self.count.travelled += u64::from(travelled) * counted;
-        self.count.messages += u64::from(travelled) * counted;
-        let latency = (self.now + back).saturating_sub(issued);
-        self.count.answer(self.now, latency);
-        let mut releases = Vec::new();
-        let gate = &mut self.servers[target].gate;
-        gate.finish(self.now, request as u64, Finish::Done, &mut releases);
-        self.release(target, &releases);
-    }
-
-    fn wake(&mut self, target: usize) {
-        self.wakes[target] = None;
-        let mut releases = Vec::new();
-        self.servers[target].gate.expire(self.now, &mut releases);
-        self.release(target, &releases);
-    }
-
-    fn release(&mut self, target: usize, releases: &[Release]) {
-        for release in releases {
-            match *release {
-                Release::Start(id) => {
-                    self.run_job(usize::try_from(id).unwrap_or(usize::MAX), target);
-                }
-                Release::Expire(_) => self.count.refused += u64::from(self.now >= WARM),
-            }
-        }
-        self.plan_wake(target);
-    }
-
-    fn plan_wake(&mut self, target: usize) {
-        let Some(deadline) = self.servers[target].gate.next_deadline() else {
-            return;
-        };
-        if self.wakes[target].is_none_or(|wake| deadline < wake) {
-            self.wakes[target] = Some(deadline);
-            self.plan(deadline.saturating_sub(self.now), Event::Wake(target));
-        }
-    }
-
     fn report(&mut self) {
         for server in &mut self.servers {
             server.report();
