--- a/roles/agent/tests/interleavings.rs
+++ b/roles/agent/tests/interleavings.rs
@@ -62,8 +62,15 @@
     Wait {
         millis: u64,
     },
+    /// Restarts an agent that has exited, or else this one.
     Restart(usize),
     Replace(usize),
+    /// Replaces an agent and starts its successor; the message of this number
+    /// on the way is lost.
+    Succeed {
+        agent: usize,
+        lost: usize,
+    },
     Stop(usize),
     Drain(usize),
     Resume(usize),
@@ -115,8 +122,10 @@
         2 => any::<usize>().prop_map(Step::Lose),
         8 => (any::<usize>(), ending()).prop_map(|(job, result)| Step::Finish { job, result }),
         4 => (1..800_u64).prop_map(|millis| Step::Wait { millis }),
-        1 => (0..AGENTS).prop_map(Step::Restart),
-        1 => (0..AGENTS).prop_map(Step::Replace),
+        2 => (0..AGENTS).prop_map(Step::Restart),
+        2 => (0..AGENTS).prop_map(Step::Replace),
+        2 => (0..AGENTS, 0..20_usize)
+            .prop_map(|(agent, lost)| Step::Succeed { agent, lost }),
         1 => (0..AGENTS).prop_map(Step::Stop),
         1 => (0..AGENTS).prop_map(Step::Drain),
         1 => (0..AGENTS).prop_map(Step::Resume),
@@ -218,11 +227,14 @@
             Step::Finish { job, result } => self.finish(job, result),
             Step::Wait { millis } => self.wait(Duration::from_millis(millis)),
             Step::Restart(agent) => {
+                let exited = world.agents.iter().position(Option::is_none);
+                let agent = exited.unwrap_or(agent);
                 break_connections(world, agent);
                 world.restart(agent);
                 world.tell_view(agent);
             }
             Step::Replace(agent) => world.event(agent, Event::Replace),
+            Step::Succeed { agent, lost } => self.succeed(agent, lost),
             Step::Stop(agent) => world.event(agent, Event::Stop),
             Step::Drain(agent) => world.event(agent, Event::Drain),
             Step::Resume(agent) => world.event(agent, Event::Resume),
@@ -244,6 +256,31 @@
         self.world.event(agent, Event::Frame { from, frame });
     }
 
+    fn succeed(&mut self, agent: usize, lost: usize) {
+        self.world.event(agent, Event::Replace);
+        self.deliver_but(lost);
+        self.wait(Duration::from_secs(6));
+        self.deliver_but(usize::MAX);
+        if self.world.agents[agent].is_none() {
+            self.world.restart(agent);
+            self.world.tell_view(agent);
+            self.deliver_but(lost);
+        }
+    }
+
+    /// Delivers all messages but one.
+    fn deliver_but(&mut self, lost: usize) {
+        let mut number = 0;
+        while let Some(message) = self.world.take_message() {
+            if number == lost {
+                lose(&mut self.world, message);
+            } else {
+                self.world.deliver(message);
+            }
+            number += 1;
+        }
+    }
+
     fn finish(&mut self, job: usize, result: Ending) {
         let Some(running) = take_at(&mut self.world.running, job) else {
             return;
@@ -445,7 +482,7 @@
     fn requests_run_at_most_once(
         service in services(),
         max_bytes in limits(),
-        steps in prop::collection::vec(step(), 1..80),
+        steps in prop::collection::vec(step(), 1..150),
     ) {
         let mut trial = Trial::new(service, max_bytes);
         for step in steps {
--- a/roles/app/src/settings/table.rs
+++ b/roles/app/src/settings/table.rs
@@ -132,10 +132,11 @@
     Setting {
         name: "fabric",
         roles: ENTRY,
-        kind: Kind::Address,
+        kind: Kind::Addresses(0),
         unit: "",
-        default: Preset::Required,
-        help: "UDP address of the fabric, which delivers replies to callers",
+        default: Preset::Text(""),
+        help: "UDP address of a fabric that wraps callers' datagrams; without \
+               one the entry binds the service addresses itself",
     },
     Setting {
         name: "peers",
@@ -341,6 +342,14 @@
         default: Preset::Text(""),
         help: "file that the report is written to as JSON; empty for none",
     },
+    Setting {
+        name: "plot",
+        roles: CALL,
+        kind: Kind::Text,
+        unit: "",
+        default: Preset::Text(""),
+        help: "file that the latency through the run is drawn to as SVG; empty for none",
+    },
     Setting {
         name: "seed",
         roles: CALL,
