--- a/roles/app/src/settings.rs
+++ b/roles/app/src/settings.rs
@@ -3,6 +3,7 @@
 pub mod call;
 pub mod command;
 pub mod entry;
+mod list;
 pub mod operate;
 pub mod reader;
 pub mod shared;
--- a/roles/app/src/settings/entry.rs
+++ b/roles/app/src/settings/entry.rs
@@ -71,7 +71,7 @@
             listen: reader.address("listen", default.listen),
             control: reader.address("control", default.control),
             operator: reader.address("operator", default.operator),
-            fabric: reader.addresses("fabric").into_iter().next(),
+            fabric: reader.optional("fabric"),
             zone: reader.number("zone"),
             peers: reader.addresses("peers"),
             store: reader.address("store", default.store),
--- a/roles/app/src/settings/reader.rs
+++ b/roles/app/src/settings/reader.rs
@@ -109,6 +109,17 @@
         })
     }
 
+    /// Reads an address that may be empty.
+    pub fn optional(&mut self, name: &str) -> Option<SocketAddr> {
+        self.read(name, None, |text, _| match text {
+            "" => Some(None),
+            _ => {
+                let address = text.parse().ok();
+                address.filter(|one| is_reachable(*one)).map(Some)
+            }
+        })
+    }
+
     /// Reads addresses separated by commas.
     pub fn addresses(&mut self, name: &str) -> Vec<SocketAddr> {
         self.read(name, Vec::new(), |text, kind| {
--- a/roles/app/tests/settings.rs
+++ b/roles/app/tests/settings.rs
@@ -61,6 +61,15 @@
     assert_eq!(settings.threads, Entry::default().threads);
 }
 
+#[test]
+fn an_entry_needs_no_fabric() {
+    let line = ENTRY.replace("--fabric 127.0.0.1:4", "");
+    let settings: Entry = run(&format!("{line} --sign-key {KEY}"), &[]);
+    assert_eq!(settings.fabric, None);
+    let settings: Entry = run(&format!("{ENTRY} --sign-key {KEY}"), &[]);
+    assert_eq!(settings.fabric, "127.0.0.1:4".parse().ok());
+}
+
 #[test]
 fn reads_an_agent() {
     let settings: Agent = run(&format!("{AGENT} --sign-key {KEY}"), &[]);
@@ -107,11 +116,12 @@
 
 #[test]
 fn reports_every_error_at_once() {
-    let line = "--listen nowhere --control 127.0.0.1:2 --operator 127.0.0.1:2 --zone 70000 extra";
+    let line = "--listen nowhere --control 127.0.0.1:2 --operator 127.0.0.1:2 \
+        --fabric 127.0.0.1:4,127.0.0.1:5 --zone 70000 extra";
     let errors = errors::<Entry>(line, &["GREENGAGELUG_THREADS=0"]);
     for expected in [
         "--listen does not accept `nowhere`; give IP:PORT (neither 0)",
-        "--fabric is missing; give it or set GREENGAGELUG_FABRIC",
+        "--fabric does not accept `127.0.0.1:4,127.0.0.1:5`; give IP:PORT (neither 0)",
         "--zone does not accept `70000`; give NUMBER (0 to 65535)",
         "--store is missing; give it or set GREENGAGELUG_STORE",
         "--sign-key is missing; give it or set GREENGAGELUG_SIGN_KEY",
