--- a/roles/app/src/settings/reader.rs
+++ b/roles/app/src/settings/reader.rs
@@ -111,12 +111,12 @@
 
     /// Reads an address that may be empty.
     pub fn optional(&mut self, name: &str) -> Option<SocketAddr> {
-        self.read(name, None, |text, _| match text {
-            "" => Some(None),
-            _ => {
-                let address = text.parse().ok();
-                address.filter(|one| is_reachable(*one)).map(Some)
+        self.read(name, None, |text, _| {
+            if text.is_empty() {
+                return Some(None);
             }
+            let address = text.parse().ok();
+            address.filter(|one| is_reachable(*one)).map(Some)
         })
     }
 
