--- a/demo.sh
+++ b/demo.sh
@@ -4,12 +4,15 @@
 #
 #   DEMO_NET      first two numbers of the loopback addresses (127.80)
 #   DEMO_SECONDS  length of the load (12)
+#   DEMO_BINDING  whether requests of the first service need the backend server of
+#                 their flow: bound or independent (independent)
 #   DEMO_FABRIC   faults of the fabric, as "--loss 2 --duplicate 2 --delay-ms 5"
 #   DEMO_OUT      directory of logs and reports (target/demo)
 set -euo pipefail
 cd "$(dirname "$0")"
 
 net=${DEMO_NET:-127.80}
+binding=${DEMO_BINDING:-independent}
 seconds=${DEMO_SECONDS:-12}
 out=${DEMO_OUT:-target/demo}
 read -ra faults <<<"${DEMO_FABRIC:-}"
@@ -128,7 +131,7 @@
 done
 
 echo "== configuring"
-retry 10 operate create "$roster" --name roster --binding independent >/dev/null
+retry 10 operate create "$roster" --name roster --binding "$binding" >/dev/null
 retry 10 operate create "$rota" --name rota --binding independent >/dev/null
 retry 15 ready
 
--- a/protocol/wire/src/gen/greengagelug.caller.v1.rs
+++ b/protocol/wire/src/gen/greengagelug.caller.v1.rs
@@ -84,6 +84,7 @@
 /// Withdraws a request. It may have run already.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Cancel {
+    /// Id of the request to withdraw.
     #[prost(fixed64, tag = "1")]
     pub request: u64,
     /// The token that the request carries.
@@ -93,31 +94,36 @@
 /// Asks again for chunks of an answer that did not arrive.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Fetch {
+    /// Id of the request whose answer is incomplete.
     #[prost(fixed64, tag = "1")]
     pub request: u64,
     /// Indexes of the missing chunks; 64 at most.
     #[prost(uint32, repeated, tag = "2")]
     pub chunks: ::prost::alloc::vec::Vec<u32>,
+    /// The token that the request carried.
     #[prost(bytes = "bytes", tag = "3")]
     pub holder: ::prost::bytes::Bytes,
 }
 /// Ends a flow. Ignored without the token of the Opened packet.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Close {
+    /// The token of the Opened packet.
     #[prost(bytes = "bytes", tag = "1")]
     pub holder: ::prost::bytes::Bytes,
 }
 /// One part of an answer.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Chunk {
+    /// Id of the request that is answered.
     #[prost(fixed64, tag = "1")]
     pub request: u64,
     /// Position of this part, from 0.
     #[prost(uint32, tag = "2")]
     pub index: u32,
-    /// Number of parts of the whole answer.
+    /// Number of parts of the whole answer; the same in each of them.
     #[prost(uint32, tag = "3")]
     pub count: u32,
+    /// Bytes of this part; those of all parts, in order, are the answer.
     #[prost(bytes = "bytes", tag = "4")]
     pub payload: ::prost::bytes::Bytes,
 }
@@ -127,6 +133,7 @@
     /// The request refused, or 0 where the open was.
     #[prost(fixed64, tag = "1")]
     pub request: u64,
+    /// Why it was refused.
     #[prost(enumeration = "Reason", tag = "2")]
     pub reason: i32,
     /// What became of the request.
@@ -143,6 +150,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
+    /// Taken as UNKNOWN.
     Unspecified = 0,
     /// It did not run and never will: a late copy is refused too.
     NotRun = 1,
@@ -175,6 +183,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Reason {
+    /// Not sent.
     Unspecified = 0,
     /// Every backend server that was asked is full.
     Overloaded = 1,
--- a/roles/app/src/call.rs
+++ b/roles/app/src/call.rs
@@ -3,6 +3,26 @@
 //! [`Caller`] is sans-IO: it holds flows open, repeats what is lost, gathers
 //! answers and decides when an operation is over. The load tool around it
 //! paces the operations and owns the socket.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use app::call::Action;
+//! use app::call::Caller;
+//! use app::call::Settings;
+//!
+//! let mut caller = Caller::new(Settings::default());
+//! let flow = caller.open(Duration::ZERO);
+//! caller.start(Duration::ZERO, flow, true);
+//! // The open is sent first; the request waits for its reply.
+//! assert!(matches!(caller.next_action(), Some(Action::Send(_))));
+//! assert_eq!(caller.next_action(), None);
+//! assert_eq!(caller.pending(), 1);
+//! // Without a reply the open is repeated.
+//! let due = caller.next_deadline().expect("a repeat is due");
+//! caller.tick(due);
+//! assert_eq!(caller.next_action(), Some(Action::Repeated));
+//! ```
 mod answer;
 mod backoff;
 mod caller;
