--- a/roles/agent/tests/passing.rs
+++ b/roles/agent/tests/passing.rs
@@ -279,13 +279,19 @@
     let Message::Offer {
         from,
         to,
+        connected,
         mut offer,
     } = take_offer(&mut full.world)
     else {
         panic!("the message should be an offer");
     };
     offer.service = "192.0.2.2:53".parse().unwrap();
-    full.world.deliver(Message::Offer { from, to, offer });
+    full.world.deliver(Message::Offer {
+        from,
+        to,
+        connected,
+        offer,
+    });
     assert_eq!(full.world.runs.len(), 1);
 }
 
--- a/roles/agent/tests/world/mod.rs
+++ b/roles/agent/tests/world/mod.rs
@@ -48,6 +48,8 @@
     Offer {
         from: usize,
         to: SocketAddr,
+        /// Incarnation that the connection leads to, unless none lived.
+        connected: Option<u64>,
         offer: Offer,
     },
     Withdraw {
@@ -263,11 +265,15 @@
                 self.running
                     .retain(|it| it.agent != index || it.job.id != job);
             }
-            Action::Pass { to, offer } => self.messages.push(Message::Offer {
-                from: index,
-                to,
-                offer,
-            }),
+            Action::Pass { to, offer } => {
+                let connected = self.by_address(to).map(|it| self.targets[it].incarnation);
+                self.messages.push(Message::Offer {
+                    from: index,
+                    to,
+                    connected,
+                    offer,
+                });
+            }
             Action::Withdraw { to, offer } => self.messages.push(Message::Withdraw { to, offer }),
             Action::Resolve { call, outcome } => {
                 if let Some(Call::Offer { from, offer }) = self.calls.remove(&call) {
@@ -341,23 +347,12 @@
                     self.event(index, Event::Frame { from, frame });
                 }
             }
-            Message::Offer { from, to, offer } => {
-                let id = offer.id;
-                match self.by_address(to) {
-                    Some(index) => {
-                        let call = self.call(Call::Offer { from, offer: id });
-                        self.event(index, Event::Offered { call, offer });
-                    }
-                    None => self.messages.push(Message::Outcome {
-                        to: from,
-                        offer: id,
-                        outcome: Outcome::NotRun {
-                            reason: offer::Refusal::Unreachable,
-                            retry_after: Duration::ZERO,
-                        },
-                    }),
-                }
-            }
+            Message::Offer {
+                from,
+                to,
+                connected,
+                offer,
+            } => self.deliver_offer(from, to, connected, offer),
             Message::Withdraw { to, offer } => {
                 if let Some(index) = self.by_address(to) {
                     self.event(index, Event::Withdrawn { offer });
@@ -402,6 +397,30 @@
         }
     }
 
+    /// Delivers an offer over the connection that it was sent on.
+    fn deliver_offer(&mut self, from: usize, to: SocketAddr, connected: Option<u64>, offer: Offer) {
+        let id = offer.id;
+        let receiver = self
+            .by_address(to)
+            .filter(|&index| connected == Some(self.targets[index].incarnation));
+        let outcome = match receiver {
+            Some(index) => {
+                let call = self.call(Call::Offer { from, offer: id });
+                return self.event(index, Event::Offered { call, offer });
+            }
+            None if connected.is_none() => Outcome::NotRun {
+                reason: offer::Refusal::Unreachable,
+                retry_after: Duration::ZERO,
+            },
+            None => Outcome::Unknown,
+        };
+        self.messages.push(Message::Outcome {
+            to: from,
+            offer: id,
+            outcome,
+        });
+    }
+
     /// Delivers all messages, in order.
     pub fn settle(&mut self) {
         while !self.messages.is_empty() {
