--- a/roles/agent/src/agent.rs
+++ b/roles/agent/src/agent.rs
@@ -43,6 +43,27 @@
 use crate::view;
 
 /// The agent beside one backend server.
+///
+/// ```
+/// use std::time::Duration;
+/// use agent::Agent;
+/// use agent::Event;
+/// use agent::Settings;
+/// # let target = wire::Target {
+/// #     id: 1,
+/// #     service: "192.0.2.1:53".parse().unwrap(),
+/// #     address: "198.51.100.1:7000".parse().unwrap(),
+/// #     control: "198.51.100.1:7001".parse().unwrap(),
+/// #     zone: 1, incarnation: 1, version: 1, weight: 100, slots: 4,
+/// #     state: wire::target::State::Ready,
+/// # };
+///
+/// let mut agent = Agent::new(Settings::default(), target, 7, Duration::ZERO);
+/// let mut actions = Vec::new();
+/// agent.handle(Duration::from_millis(1), Event::Tick, &mut actions);
+/// assert!(agent.next_deadline().is_some());
+/// assert_eq!(agent.status().flows, 0);
+/// ```
 #[derive(Debug)]
 pub struct Agent {
     /// Time of the last event.
--- a/state/flow/src/ledger.rs
+++ b/state/flow/src/ledger.rs
@@ -87,6 +87,26 @@
 }
 
 /// The requests of the flows that an agent holds.
+///
+/// ```
+/// use std::time::Duration;
+/// use flow::Ledger;
+/// use flow::State;
+/// use flow::ledger::Admission;
+/// use flow::ledger::Settings;
+/// use flow::record::Key;
+///
+/// let now = Duration::ZERO;
+/// let deadline = Duration::from_secs(2);
+/// let key = Key { flow: 42, request: 1 };
+/// let mut ledger = Ledger::new(Settings::default(), 7);
+/// assert_eq!(ledger.admit(key, false, deadline), Admission::New);
+/// assert!(ledger.advance(now, key, State::Running));
+///
+/// // A repeat waits, and the request cannot run again.
+/// assert_eq!(ledger.admit(key, false, deadline), Admission::Pending);
+/// assert!(!ledger.advance(now, key, State::Running));
+/// ```
 #[derive(Debug)]
 pub struct Ledger {
     settings: Settings,
--- a/state/flow/src/table.rs
+++ b/state/flow/src/table.rs
@@ -82,6 +82,25 @@
 }
 
 /// The flows that an agent holds.
+///
+/// ```
+/// use std::time::Duration;
+/// use flow::Table;
+/// use flow::table::Settings;
+/// use wire::Token;
+///
+/// let settings = Settings::default();
+/// let token = Token { target: 1, incarnation: 1 };
+/// let caller = "203.0.113.5:4000".parse().unwrap();
+/// let mut table = Table::new(settings, 7, Duration::ZERO);
+/// table.open(Duration::ZERO, 42, token, caller).unwrap();
+/// table.touch(Duration::from_secs(1), 42);
+/// assert_eq!(table.get(42).unwrap().token, token);
+///
+/// let mut expired = Vec::new();
+/// table.expire(settings.idle * 2, &mut expired);
+/// assert_eq!(expired[0].key, 42);
+/// ```
 #[derive(Debug)]
 pub struct Table {
     settings: Settings,
@@ -122,7 +141,7 @@
     ///
     /// # Errors
     ///
-    /// Any [`Error`]; the open is then to be refused.
+    /// Any [`enum@Error`]; the open is then to be refused.
     pub fn open(
         &mut self,
         now: Duration,
