Say when to come back in every refusal

Refusals at the deadline, and those that were handed over to a peer, told the caller to come back at once, and all of them together. The time is now worked out, with jitter, when the caller is told. The three new tests failed with the change to the agent taken out.

--- a/roles/agent/src/agent.rs
+++ b/roles/agent/src/agent.rs
@@ -347,6 +347,19 @@
         }
     }
 
+    /// When a caller that was refused for a reason should come back, where the
+    /// reason's origin did not say.
+    fn retry_after(&mut self, now: Duration, reason: Reason) -> Duration {
+        let time = match reason {
+            Reason::Cancelled => Duration::ZERO,
+            Reason::Deadline | Reason::Overloaded => {
+                self.gate.expected_wait(now).max(MIN_RETRY_AFTER)
+            }
+            _ => self.settings.leave.away,
+        };
+        self.jitter(time)
+    }
+
     pub(crate) fn reply(&self, turn: &mut Turn<'_>, via: Via, packet: &Packet) {
         let reply = wire::Reply {
             caller: via.caller,
@@ -365,7 +378,11 @@
         outcome: Outcome,
     ) {
         self.counters.refuse(refusal.reason);
-        let retry_after = u32::try_from(refusal.retry_after.as_millis()).unwrap_or(u32::MAX);
+        let retry_after = match refusal.retry_after {
+            Duration::ZERO => self.retry_after(turn.now, refusal.reason),
+            time => time,
+        };
+        let retry_after = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
         let packet = Packet::refuse(
             subject.flow,
             subject.request,
@@ -384,5 +401,8 @@
     pub(crate) request: RequestId,
 }
 
+/// Shortest time after which a caller refused for want of slots comes back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Number of targets no longer in the view that are remembered.
 const MAX_GONE: usize = 1_024;
--- a/roles/agent/tests/leaving.rs
+++ b/roles/agent/tests/leaving.rs
@@ -192,6 +192,23 @@
     assert_eq!(replaced.world.take_answer(1).unwrap(), b"first");
 }
 
+#[test]
+fn a_refusal_that_was_handed_over_says_when_to_come_back() {
+    let mut world = World::bound(3);
+    let token = world.open(FLOW);
+    let holder = holder(token);
+    world.send(&request(FLOW, 1, token));
+    world.event(holder, Event::Replace);
+    world.send(&request(FLOW, 2, token));
+    world.answer("first");
+    world.tell_others(holder);
+    world.replies.clear();
+    world.send(&request(FLOW, 2, token));
+    let refusal = world.take_refusal().unwrap();
+    assert_eq!(refusal.outcome(), Outcome::NotRun);
+    assert!(refusal.retry_after_ms > 0);
+}
+
 #[test]
 fn a_peer_says_nothing_of_new_requests_while_the_holder_is_away() {
     let mut replaced = replaced(3);
--- a/roles/agent/tests/requests.rs
+++ b/roles/agent/tests/requests.rs
@@ -114,6 +114,36 @@
     assert_eq!(world.runs.len(), 1);
 }
 
+#[test]
+fn a_refusal_at_the_deadline_says_when_to_come_back() {
+    let (mut world, token) = busy();
+    world.send(&with_deadline(FLOW, 2, token, 100));
+    world.pass(Duration::from_millis(200));
+    let refusal = world.take_refusal().unwrap();
+    assert!(refusal.retry_after_ms > 0);
+}
+
+#[test]
+fn callers_refused_together_do_not_return_together() {
+    let (mut world, token) = busy();
+    for id in 2..12 {
+        world.send(&with_deadline(FLOW, id, token, 100));
+    }
+    world.pass(Duration::from_millis(200));
+    let mut times: Vec<u32> = world
+        .replies
+        .iter()
+        .filter_map(|packet| match &packet.body {
+            Some(Body::Refusal(refusal)) => Some(refusal.retry_after_ms),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(times.len(), 10);
+    times.sort_unstable();
+    times.dedup();
+    assert!(times.len() > 5, "{times:?}");
+}
+
 #[test]
 fn a_copy_after_not_run_is_refused_too() {
     let (mut world, token) = busy();
--- a/state/flow/src/record.rs
+++ b/state/flow/src/record.rs
@@ -51,7 +51,8 @@
 pub struct Refusal {
     /// Why.
     pub reason: Reason,
-    /// Time to wait before another try.
+    /// Time to wait before another try; zero where it is to be worked out when
+    /// the caller is told.
     pub retry_after: Duration,
 }
 
