--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measures the decisions of greengagelug on one machine.
 //!
 //! Each subcommand prints a table and writes the same figures as data.
+mod gate;
 mod member;
 mod options;
 mod place;
@@ -8,6 +9,7 @@
 mod report;
 mod route;
 mod table;
+mod timing;
 
 use std::env;
 use std::error::Error;
@@ -17,6 +19,7 @@
 Usage: measure COMMAND [OPTIONS]
 
 Commands:
+  gate    queue disciplines of a gate, and the cost of its decisions
   member  membership: spreading, detection, loss of a zone, directory
   place   imbalance and latency of the ways to place flows
   relay   packets a second through an entry, against a bare UDP relay
@@ -37,6 +40,7 @@
 fn run(arguments: &[String]) -> Result<(), Box<dyn Error>> {
     let (command, options) = arguments.split_first().ok_or(USAGE)?;
     match command.as_str() {
+        "gate" => gate::run(options),
         "member" => Ok(member::run()?),
         "place" => place::run(options),
         "relay" => Ok(relay::run()?),
