Read the store by lease in the entry's process

The entry ran a long poll on all services and listed all of them at each change, in every entry. It now runs the reader: two entries of a zone read, all others learn by gossip; an accepted change is spread at once; a stopping entry gives its seat back. store::follow is gone.

--- a/roles/app/src/entry.rs
+++ b/roles/app/src/entry.rs
@@ -3,6 +3,7 @@
 //! Traffic threads relay datagrams; the main thread runs the membership
 //! protocol, follows the configuration and serves the operators.
 pub mod control;
+pub mod reading;
 pub mod status;
 pub mod traffic;
 
@@ -15,6 +16,7 @@
 use arc_swap::ArcSwap;
 use async_channel::Sender;
 use async_io::Timer;
+use config::reader::Event;
 use futures_lite::FutureExt;
 use member::Registry;
 use member::registry::Identity;
@@ -26,6 +28,7 @@
 use crate::clock;
 use crate::entry::control::Control;
 use crate::entry::control::Input;
+use crate::entry::reading::Ranking;
 use crate::entry::traffic::Traffic;
 use crate::metric;
 use crate::metric::Board;
@@ -70,8 +73,14 @@
             .spawn(move || smol::block_on(traffic.run()))?;
     }
     let store = Http::new(store::http::Settings::new(settings.store));
+    let (events_sender, events) = async_channel::unbounded();
     executor
-        .spawn(follow(store.clone(), inputs_sender.clone()))
+        .spawn(reading::run(
+            settings.clone(),
+            store.clone(),
+            events,
+            inputs_sender.clone(),
+        ))
         .detach();
     let context = operator::Context {
         store,
@@ -88,7 +97,7 @@
             settings.metrics,
         ))
         .detach();
-    let stopped = stopped(inputs_sender, settings.stop);
+    let stopped = stopped(inputs_sender, events_sender.clone(), settings.stop);
     let control = Control {
         registry: registry(settings, origin),
         origin,
@@ -97,6 +106,7 @@
         inputs,
         board: Board::default(),
         watch: Watch::default(),
+        ranking: Ranking::new(settings, events_sender),
     };
     executor.run(control.run().or(stopped)).await;
     Ok(())
@@ -120,23 +130,12 @@
     registry
 }
 
-/// Follows the configuration in the platform's store.
-async fn follow(store: Http, control: Sender<Input>) {
-    let (sender, updates) = async_channel::bounded(1);
-    let reading = store::follow::run(store, sender);
-    let passing = async {
-        while let Ok(update) = updates.recv().await {
-            let _ = control.send(Input::Update(update)).await;
-        }
-    };
-    reading.or(passing).await;
-}
-
 /// Waits for SIGTERM, says so to the other entries, and then waits for what is
 /// under way to arrive.
-async fn stopped(control: Sender<Input>, limit: Duration) {
+async fn stopped(control: Sender<Input>, reading: Sender<Event>, limit: Duration) {
     let signals = signal::watch();
     let _ = signals.recv().await;
+    let _ = reading.send(Event::Stop).await;
     let _ = control.send(Input::Leave).await;
     Timer::after(LINGER.min(limit)).await;
 }
--- a/roles/app/src/entry/control.rs
+++ b/roles/app/src/entry/control.rs
@@ -10,17 +10,18 @@
 use async_channel::Sender;
 use async_io::Timer;
 use bytes::Bytes;
+use config::Update;
 use futures_lite::FutureExt;
 use member::Action;
 use member::Message;
 use member::Registry;
 use net::Port;
 use route::Order;
-use store::follow::Update;
 use wire::Frame;
 use wire::ServiceAddress;
 
 use crate::directory;
+use crate::entry::reading::Ranking;
 use crate::entry::status;
 use crate::entry::traffic::Traffic;
 use crate::metric;
@@ -66,6 +67,8 @@
     pub board: Board,
     /// What was last logged of the services.
     pub watch: Watch,
+    /// Tells the reader of the store this entry's rank.
+    pub ranking: Ranking,
 }
 
 impl Control {
@@ -98,6 +101,7 @@
             None => {}
         }
         self.registry.tick(now, actions);
+        self.ranking.tick(now, &self.registry);
         for action in actions.drain(..) {
             let Action::Send { to, message } = action;
             if let Ok(payload) = message.encode() {
--- /dev/null
+++ b/roles/app/src/entry/reading.rs
@@ -0,0 +1,88 @@
+//! Reads the configuration from the platform's store, where this entry has a
+//! seat in its zone.
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use config::Reader;
+use config::reader;
+use config::reader::Event;
+use futures_lite::FutureExt;
+use member::Registry;
+use store::Http;
+use wire::ZoneId;
+
+use crate::entry::control::Input;
+use crate::settings;
+
+/// Time between looks at the rank of this entry.
+const RANK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Tells the reader which rank this entry has among those of its zone.
+pub struct Ranking {
+    own: SocketAddr,
+    zone: ZoneId,
+    rank: usize,
+    due: Duration,
+    events: Sender<Event>,
+}
+
+impl Ranking {
+    /// Starts with the rank that the settings let expect.
+    #[must_use]
+    pub fn new(settings: &settings::Entry, events: Sender<Event>) -> Self {
+        Self {
+            own: settings.listen,
+            zone: settings.zone,
+            rank: first_rank(settings),
+            due: Duration::ZERO,
+            events,
+        }
+    }
+
+    /// Looks at the rank, where that is due.
+    pub fn tick(&mut self, now: Duration, registry: &Registry) {
+        if now < self.due {
+            return;
+        }
+        self.due = now + RANK_INTERVAL;
+        let live: HashSet<SocketAddr> = registry.live_entries().collect();
+        let zone = registry
+            .entries()
+            .filter(|entry| entry.zone == self.zone && live.contains(&entry.address))
+            .map(|entry| entry.address);
+        let rank = reader::rank(self.own, zone);
+        if rank != self.rank && self.events.try_send(Event::Rank(rank)).is_ok() {
+            self.rank = rank;
+        }
+    }
+}
+
+/// Reads the store until told to stop, and hands on what it publishes.
+pub async fn run(
+    settings: settings::Entry,
+    store: Http,
+    events: Receiver<Event>,
+    control: Sender<Input>,
+) {
+    let rank = first_rank(&settings);
+    let reader = Reader::new(
+        reader::Settings::new(settings.zone),
+        rank,
+        fastrand::u64(..),
+    );
+    let (sender, updates) = async_channel::bounded(1);
+    let reading = store::reader::run(store, reader, events, sender);
+    let passing = async {
+        while let Ok(update) = updates.recv().await {
+            let _ = control.send(Input::Update(update)).await;
+        }
+    };
+    reading.or(passing).await;
+}
+
+fn first_rank(settings: &settings::Entry) -> usize {
+    reader::rank(settings.listen, settings.peers.iter().copied())
+}
--- a/roles/app/src/entry/status.rs
+++ b/roles/app/src/entry/status.rs
@@ -8,6 +8,7 @@
 use api::operator::TargetStatus;
 use async_channel::Sender;
 use config::Service;
+use config::Update;
 use member::Registry;
 use member::View;
 use member::view::Member;
@@ -25,6 +26,10 @@
 }
 
 impl Snapshot for Inquiry {
+    async fn accept(&self, update: Update) {
+        let _ = self.control.send(Input::Update(update)).await;
+    }
+
     async fn status(&self) -> StatusReply {
         let (reply, status) = async_channel::bounded(1);
         let _ = self.control.send(Input::Status(reply)).await;
--- a/transport/store/src/lib.rs
+++ b/transport/store/src/lib.rs
@@ -6,7 +6,6 @@
 //! * [`change`] carries out an operator's change.
 pub mod change;
 pub mod count;
-pub mod follow;
 pub mod http;
 pub mod reader;
 mod schema;
