--- a/roles/app/src/entry/reading.rs
+++ b/roles/app/src/entry/reading.rs
@@ -17,6 +17,10 @@
 use crate::entry::control::Input;
 use crate::settings;
 
+/// Time that a reader waits for an answer. Longer than an operator should, so
+/// that a slow store is still read.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Time between looks at the rank of this entry.
 const RANK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -74,7 +78,7 @@
         fastrand::u64(..),
     );
     let (sender, updates) = async_channel::bounded(1);
-    let reading = store::reader::run(store, reader, events, sender);
+    let reading = store::reader::run(store.with_timeout(READ_TIMEOUT), reader, events, sender);
     let passing = async {
         while let Ok(update) = updates.recv().await {
             let _ = control.send(Input::Update(update)).await;
