Observe idle processes of a small deployment

Cause: memory and control bytes of a whole process are asked for, and the crates' slopes say nothing of what a process needs before its first target.

--- a/tools/proof/src/child.rs
+++ b/tools/proof/src/child.rs
@@ -48,6 +48,12 @@
         })
     }
 
+    /// Returns the id of the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
--- a/tools/proof/src/deployment.rs
+++ b/tools/proof/src/deployment.rs
@@ -279,6 +279,16 @@
         Ok(child.signal(signal)?)
     }
 
+    /// Returns the process id of a process.
+    ///
+    /// # Errors
+    ///
+    /// Where there is no such process.
+    pub fn pid(&self, name: &str) -> Result<u32> {
+        let child = self.children.get(name).ok_or("no such process")?;
+        Ok(child.id())
+    }
+
     /// Waits until a process has ended; true where it succeeded.
     ///
     /// # Errors
@@ -458,7 +468,8 @@
 
 /// Path of a binary of the workspace, which is built beside the tests.
 fn program(name: &str) -> PathBuf {
-    let tests = env::current_exe().unwrap_or_default();
-    let folder = tests.ancestors().nth(2).map(PathBuf::from);
+    // Tests and examples lie one folder below the binaries.
+    let this = env::current_exe().unwrap_or_default();
+    let folder = this.ancestors().nth(2).map(PathBuf::from);
     folder.unwrap_or_default().join(name)
 }
