--- a/coordination/member/tests/merge.rs
+++ b/coordination/member/tests/merge.rs
@@ -17,6 +17,7 @@
 use member::record::Suspicion;
 use member::record::report_key;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use wire::Revision;
 use wire::ServiceAddress;
 
@@ -141,7 +142,16 @@
     }
 }
 
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
+    #![proptest_config(config())]
+
     #[test]
     fn a_revision_never_falls(revisions in prop::collection::vec((1..4_u8, 0..20_u64), 1..60)) {
         let mut registry = registry(1);
