--- a/roles/agent/tests/leaving.rs
+++ b/roles/agent/tests/leaving.rs
@@ -192,6 +192,23 @@
     assert_eq!(replaced.world.take_answer(1).unwrap(), b"first");
 }
 
+#[test]
+fn a_refusal_that_was_handed_over_says_when_to_come_back() {
+    let mut world = World::bound(3);
+    let token = world.open(FLOW);
+    let holder = holder(token);
+    world.send(&request(FLOW, 1, token));
+    world.event(holder, Event::Replace);
+    world.send(&request(FLOW, 2, token));
+    world.answer("first");
+    world.tell_others(holder);
+    world.replies.clear();
+    world.send(&request(FLOW, 2, token));
+    let refusal = world.take_refusal().unwrap();
+    assert_eq!(refusal.outcome(), Outcome::NotRun);
+    assert!(refusal.retry_after_ms > 0);
+}
+
 #[test]
 fn a_peer_says_nothing_of_new_requests_while_the_holder_is_away() {
     let mut replaced = replaced(3);
@@ -411,3 +428,25 @@
     let outcome = refusal(&mut replaced.world, Reason::FlowUnknown);
     assert_eq!(outcome, Outcome::Unknown);
 }
+
+#[test]
+fn an_answer_too_large_to_hand_over_is_unknown() {
+    let mut settings = settings();
+    settings.leave.part_bytes = 1_000;
+    let mut world = World::new(2, settings, agent::view::Service::default());
+    let token = world.open_at(FLOW, 0);
+    for id in [1, 2] {
+        world.send_along(&request(FLOW, id, token), &[0]);
+        world.answer(&"x".repeat(600));
+    }
+    world.event(0, Event::Replace);
+    world.settle();
+    world.tell_others(0);
+    world.restart(0);
+    world.tell_all();
+    world.replies.clear();
+    world.send_along(&request(FLOW, 1, token), &[0]);
+    assert_eq!(refusal(&mut world, Reason::TableFull), Outcome::Unknown);
+    world.send_along(&request(FLOW, 2, token), &[0]);
+    assert_eq!(world.take_answer(2).unwrap().len(), 600);
+}
--- a/roles/agent/tests/requests.rs
+++ b/roles/agent/tests/requests.rs
@@ -114,6 +114,36 @@
     assert_eq!(world.runs.len(), 1);
 }
 
+#[test]
+fn a_refusal_at_the_deadline_says_when_to_come_back() {
+    let (mut world, token) = busy();
+    world.send(&with_deadline(FLOW, 2, token, 100));
+    world.pass(Duration::from_millis(200));
+    let refusal = world.take_refusal().unwrap();
+    assert!(refusal.retry_after_ms > 0);
+}
+
+#[test]
+fn callers_refused_together_do_not_return_together() {
+    let (mut world, token) = busy();
+    for id in 2..12 {
+        world.send(&with_deadline(FLOW, id, token, 100));
+    }
+    world.pass(Duration::from_millis(200));
+    let mut times: Vec<u32> = world
+        .replies
+        .iter()
+        .filter_map(|packet| match &packet.body {
+            Some(Body::Refusal(refusal)) => Some(refusal.retry_after_ms),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(times.len(), 10);
+    times.sort_unstable();
+    times.dedup();
+    assert!(times.len() > 5, "{times:?}");
+}
+
 #[test]
 fn a_copy_after_not_run_is_refused_too() {
     let (mut world, token) = busy();
@@ -476,6 +506,18 @@
     assert_eq!(outcomes, vec![Outcome::Unknown]);
 }
 
+#[test]
+fn a_request_is_tried_again_twice_at_most() {
+    let mut world = World::bound(1);
+    let token = world.open(FLOW);
+    world.send(&request(FLOW, REQUEST, token));
+    for _ in 0..3 {
+        world.finish(Completion::Failed { ran: false });
+    }
+    assert_refused(&mut world, Reason::BackendFailed, Outcome::NotRun);
+    assert_eq!(world.runs.len(), 3);
+}
+
 #[test]
 fn retries_stop_when_the_budget_is_spent() {
     let mut settings = settings();
