Remove what was silent for long everywhere, and let it return

Two faults of the retention, found by reading and shown by tests that fail on the code before:

- Each entry counted from when it learned of a silence.
Removal is now a statement: the first entry to reach the retention tells the others, and whoever sends a removed record is told so.
- An agent that was frozen for longer than the retention was refused as removed for as long again, since its incarnation had not changed (a_dropped_process_ returns_after_a_long_freeze).
An agent that was not answered for a minute now announces itself as newer.

Ruled out for the first: longer memory of removals, which only moves the time.

--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -34,6 +34,10 @@
 /// Time between two of these heartbeats.
 const FAREWELL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time without an acknowledgement after which the announcement is made a
+/// newer one, since the older may have been dropped.
+const REANNOUNCE_AFTER: Duration = Duration::from_mins(1);
+
 /// Largest share by which the time between two heartbeats is shortened.
 const JITTER: f64 = 0.1;
 
@@ -54,6 +58,7 @@
     rng: Rng,
     sequence: Sequence,
     announced: Sequence,
+    acknowledged: Duration,
     next_heartbeat: Duration,
     watchers: Watchers,
     view: View,
@@ -87,6 +92,7 @@
             rng,
             sequence: 0,
             announced: 1,
+            acknowledged: now,
             next_heartbeat: now,
             view,
             changed: true,
@@ -104,10 +110,7 @@
         }
         self.target.weight = change.weight.max(1);
         self.target.state = change.state;
-        self.target.version += 1;
-        self.announced = self.sequence + 1;
-        self.changed |= self.view.merge_target(self.target.clone()).is_ok();
-        self.next_heartbeat = now;
+        self.renew(now);
     }
 
     /// Announces that the backend server has left, until its watchers know or
@@ -258,10 +261,24 @@
         }
     }
 
+    /// Makes the announcement a newer one, and sends it with the next tick.
+    fn renew(&mut self, now: Duration) {
+        self.target.version += 1;
+        self.announced = self.sequence + 1;
+        self.changed |= self.view.merge_target(self.target.clone()).is_ok();
+        self.next_heartbeat = now;
+    }
+
     fn ack(&mut self, now: Duration, from: SocketAddr, ack: Ack, actions: &mut Vec<Action>) {
         if ack.incarnation != self.target.incarnation || ack.sequence > self.sequence {
             return self.link.refuse(Refusal::Unexpected);
         }
+        // Who was not heard for long may have been forgotten.
+        let unheard = now.saturating_sub(self.acknowledged);
+        self.acknowledged = now;
+        if unheard > REANNOUNCE_AFTER {
+            self.renew(now);
+        }
         let moved = self.watchers.acknowledge(now, from, ack);
         if !moved.is_empty() {
             self.beat(&moved, actions);
--- a/coordination/member/src/directory.rs
+++ b/coordination/member/src/directory.rs
@@ -38,6 +38,7 @@
 use crate::tree::Tree;
 use crate::zones::Zones;
 use expiry::Dropped;
+use expiry::entry_stamp;
 use verdict::Contest;
 
 /// Changes of targets that are remembered for agents.
@@ -61,6 +62,7 @@
     dropped: BTreeMap<Key, Dropped>,
     stale_hosts: bool,
     generation: u64,
+    now: Duration,
 }
 
 /// An entry and whether it is held to be running.
@@ -123,6 +125,11 @@
 }
 
 impl Directory {
+    /// Tells the time of the events that follow.
+    pub const fn advance(&mut self, now: Duration) {
+        self.now = now;
+    }
+
     /// Takes a record where it is newer than the one held.
     ///
     /// # Errors
@@ -142,6 +149,7 @@
             Record::Entry(entry) => self.merge_entry(key, entry)?,
             Record::Suspicion(suspicion) => self.merge_suspicion(suspicion)?,
             Record::Report(report) => self.merge_report(report)?,
+            Record::Removal(removal) => return self.merge_removal(&removal),
         };
         self.put_slot(key, place, digest);
         Ok(())
@@ -149,7 +157,7 @@
 
     fn merge_target(&mut self, target: Target) -> Result<Place, Refusal> {
         let (id, address, incarnation) = (target.id, target.service, target.incarnation);
-        self.check_dropped(id, incarnation)?;
+        self.check_dropped(id, target.stamp())?;
         let held = self.incarnation(id);
         self.view_mut(address).merge_target(target)?;
         if held.is_some_and(|held| held < incarnation) {
@@ -161,7 +169,7 @@
     }
 
     fn merge_entry(&mut self, key: Key, entry: Entry) -> Result<Place, Refusal> {
-        self.check_dropped(key, entry.incarnation)?;
+        self.check_dropped(key, entry_stamp(&entry))?;
         match self.hosts.get(&key).map(|host| &host.entry) {
             Some(held) if held.incarnation > entry.incarnation => {
                 return Err(Refusal::OldIncarnation);
@@ -205,7 +213,10 @@
     /// The record under a key.
     #[must_use]
     pub fn record(&self, key: Key) -> Option<Record> {
-        Some(match &self.slots.get(&key)?.place {
+        let Some(slot) = self.slots.get(&key) else {
+            return self.dropped_record(key);
+        };
+        Some(match &slot.place {
             Place::Service(index) => Record::Service(self.view_at(*index)?.config.clone()?),
             Place::Target(index) => {
                 let member = self.view_at(*index)?.targets.get(&key)?;
--- a/coordination/member/src/hot.rs
+++ b/coordination/member/src/hot.rs
@@ -23,6 +23,7 @@
     Entry,
     Suspicion,
     Target,
+    Removal,
 }
 
 /// Keys of records and the times that each is still to be sent.
@@ -46,6 +47,7 @@
             Record::Entry(_) => Urgency::Entry,
             Record::Suspicion(_) => Urgency::Suspicion,
             Record::Target(_) => Urgency::Target,
+            Record::Removal(_) => Urgency::Removal,
         };
         let left = match self.sends.len() {
             0..BACKLOG => sends(entries),
--- a/coordination/member/src/record.rs
+++ b/coordination/member/src/record.rs
@@ -96,6 +96,17 @@
     Suspicion(Suspicion),
     /// What an observer says of a zone.
     Report(Report),
+    /// That a process was silent or departed for long, and is forgotten.
+    Removal(Removal),
+}
+
+/// Forgets a target or entry that was silent or departed for long.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Removal {
+    /// Key of the record that is forgotten.
+    pub subject: SubjectId,
+    /// Its position in the history of the process; a newer one stays.
+    pub stamp: wire::target::Stamp,
 }
 
 impl Entry {
@@ -162,6 +173,7 @@
             Self::Entry(entry) => entry_key(entry.address),
             Self::Suspicion(suspicion) => suspicion_key(suspicion.subject, suspicion.observer),
             Self::Report(report) => report_key(report.zone, report.observer),
+            Self::Removal(removal) => removal.subject,
         }
     }
 }
--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -216,10 +216,11 @@
         actions: &mut Vec<Action>,
     ) {
         self.link.receive(now, &message);
+        self.directory.advance(now);
         match message {
             Message::Heartbeat(heartbeat) => self.heartbeat(now, from, heartbeat, actions),
             Message::Probe => self.beat(&[from], actions),
-            Message::Push(push) => self.push(now, push),
+            Message::Push(push) => self.push(now, from, push, actions),
             Message::Offer(offer) => self.offer(now, from, offer, actions),
             Message::Fetch(fetch) => self.fetch(from, &fetch, actions),
             Message::Fragment(fragment) => self.fragment(now, fragment),
@@ -242,7 +243,9 @@
         if now > self.next_round + self.settings.pause() {
             self.link.status.self_doubts += 1;
             self.watches.restart(now, |_| true);
+            self.directory.restart_silences(now);
         }
+        self.directory.advance(now);
         self.next_round = now + self.settings.round;
         self.link.refill(now);
         self.refresh_fleet();
@@ -340,9 +343,7 @@
     fn publish(&mut self, record: &Record) -> bool {
         match self.directory.merge(record.clone()) {
             Ok(()) => {
-                self.hot.heat(record, self.fleet.candidates.len());
-                let earliest = self.last_push + self.settings.pace;
-                self.next_push.get_or_insert(earliest);
+                self.heat(record);
                 true
             }
             Err(reason) => {
@@ -352,6 +353,13 @@
         }
     }
 
+    /// Begins to pass a record on.
+    fn heat(&mut self, record: &Record) {
+        self.hot.heat(record, self.fleet.candidates.len());
+        let earliest = self.last_push + self.settings.pace;
+        self.next_push.get_or_insert(earliest);
+    }
+
     fn judge(&mut self, now: Duration) {
         let lost: BTreeSet<ZoneId> = self.directory.zones().lost().collect();
         let scope = Scope {
@@ -389,7 +397,9 @@
     }
 
     fn expire(&mut self, now: Duration) {
-        self.directory.expire(now, self.settings.retention);
+        for dropped in self.directory.expire(now, self.settings.retention) {
+            self.heat(&dropped);
+        }
         let directory = &self.directory;
         self.watches
             .retain(|subject, _| directory.incarnation(subject).is_some());
--- a/coordination/member/src/registry/spread.rs
+++ b/coordination/member/src/registry/spread.rs
@@ -6,6 +6,7 @@
 use crate::Action;
 use crate::Message;
 use crate::Record;
+use crate::Refusal;
 use crate::fragment;
 use crate::fragment::Fetch;
 use crate::fragment::Fragment;
@@ -62,10 +63,23 @@
         }
     }
 
-    /// Takes records that a peer sent.
-    pub(super) fn push(&mut self, now: Duration, push: Push) {
+    /// Takes records that a peer sent. It learns of those that were dropped.
+    pub(super) fn push(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        push: Push,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut dropped = Vec::new();
         for record in push.records {
-            self.learn(now, record, push.hot);
+            let key = record.key();
+            if self.learn(now, &record, push.hot) == Err(Refusal::Departed) {
+                dropped.extend(self.directory.record(key));
+            }
+        }
+        if !dropped.is_empty() {
+            self.send_records(from, dropped, actions);
         }
     }
 
@@ -118,21 +132,28 @@
         }
     }
 
-    fn learn(&mut self, now: Duration, record: Record, hot: bool) {
-        let suspected = match &record {
+    fn learn(&mut self, now: Duration, record: &Record, hot: bool) -> Result<(), Refusal> {
+        if self.is_own(record) {
+            return Ok(());
+        }
+        let suspected = match record {
             Record::Suspicion(suspicion) => Some(suspicion.subject),
             _ => None,
         };
-        if let Record::Target(target) = &record {
+        if let Record::Target(target) = record {
             self.supersede(now, target.id, target.incarnation);
         }
-        if !self.is_own(&record) {
-            self.take_record(record, hot);
+        let result = self.directory.merge(record.clone());
+        match result {
+            Ok(()) if hot => self.heat(record),
+            Ok(()) => {}
+            Err(reason) => self.link.refuse(reason),
         }
         // A watcher that hears the process says so.
         if let Some(subject) = suspected {
             self.vouch(subject);
         }
+        result
     }
 
     /// The watch on a process moves to its newer incarnation.
@@ -156,18 +177,11 @@
                 entry.address == self.identity.address
                     && entry.incarnation <= self.identity.incarnation
             }
+            Record::Removal(removal) => removal.subject == self.key,
             _ => false,
         }
     }
 
-    fn take_record(&mut self, record: Record, hot: bool) {
-        if hot {
-            self.publish(&record);
-        } else if let Err(reason) = self.directory.merge(record) {
-            self.link.refuse(reason);
-        }
-    }
-
     /// Sends records as bulk, as far as the budget goes.
     pub(super) fn send_records(
         &mut self,
--- a/coordination/member/tests/failure.rs
+++ b/coordination/member/tests/failure.rs
@@ -13,6 +13,7 @@
 use member::message::Push;
 use member::message::Subject;
 use wire::Incarnation;
+use wire::ZoneId;
 
 use crate::net::Net;
 use crate::net::SOON;
@@ -327,3 +328,41 @@
     net.cut = Some(Box::new(move |_, _| rng.borrow_mut().u8(..3) == 0));
     net.run_checked(LONG * 3, nothing_is_silent);
 }
+
+#[test]
+fn what_was_dropped_stays_so_although_entries_learned_of_it_at_other_times() {
+    let mut net = Net::default();
+    net.settings.retention = Duration::from_mins(5);
+    net.populate(4, 3, 3);
+    net.frozen.insert(agent(1));
+    // One entry after the other starts anew, and counts from then on.
+    for number in [2, 3, 4] {
+        net.run(Duration::from_mins(2));
+        net.add_entry(number, ZoneId::from(number % 3), 2);
+    }
+    net.run_until(Duration::from_mins(7), |net| {
+        net.all_see(Health::Down, 0) && net.all_see(Health::Up, 2)
+    });
+    net.run_checked(Duration::from_mins(6), |net| {
+        assert!(net.all_see(Health::Down, 0));
+    });
+}
+
+fn a_dropped_process_returns(incarnation: Option<u64>) {
+    let mut net = Net::default();
+    net.settings.retention = Duration::from_mins(5);
+    net.populate(3, 3, 3);
+    net.frozen.insert(agent(1));
+    net.run(Duration::from_mins(6));
+    assert!(net.all_see(Health::Up, 2) && net.all_see(Health::Down, 0));
+    net.frozen.clear();
+    if let Some(incarnation) = incarnation {
+        net.add_agent(1, 1, incarnation);
+    }
+    net.run_until(SOON, |net| net.all_see(Health::Up, 3));
+}
+
+cases::cases! { a_dropped_process_returns;
+    a_dropped_process_returns_after_a_restart: Some(2),
+    a_dropped_process_returns_after_a_long_freeze: None,
+}
