--- a/demo.sh
+++ b/demo.sh
@@ -64,11 +64,12 @@
         --fabric "$fabric" --zone "$1" --peers "${peers#,}" --store "$platform"
 }
 
-# Starts a backend server and its agent: NUMBER SERVICE ADDRESS SLOTS RUN_TIME_MS
+# Starts a backend server and its agent:
+# NUMBER SERVICE ADDRESS SLOTS RUN_TIME_MS FLAGS...
 target() {
     backends+=("$net.2.$1:8080")
     start "backend-$1" "$bin/standin" backend --listen "$net.2.$1:8080" \
-        --service "$2" --slots "$4" --time-ms "$5" --answer "$6"
+        --service "$2" --slots "$4" --time-ms "$5" "${@:6}"
     agent "$1" "$3" "$4"
 }
 
@@ -120,15 +121,19 @@
 start fabric "$bin/standin" fabric --listen "$fabric" --service "$roster" \
     --service "$rota" --entries-file "$out/entries" --key "$GREENGAGELUG_SIGN_KEY" "${faults[@]}"
 
-number=0
-for time in 20 25 30 40 50 60 80; do
-    number=$((number + 1))
-    target "$number" roster "$roster" 4 "$time" 0
-done
-for time in 30 45 60 90; do
-    number=$((number + 1))
-    target "$number" rota "$rota" 2 "$time" 8000
-done
+# Unequal backend servers: number 2 sheds when full, 5 starts cold, and the
+# second service has long answers.
+target 1 roster "$roster" 4 20
+target 2 roster "$roster" 4 25 --queue 0
+target 3 roster "$roster" 4 30
+target 4 roster "$roster" 4 40
+target 5 roster "$roster" 4 50 --cold-ms 6000
+target 6 roster "$roster" 4 60
+target 7 roster "$roster" 4 80
+target 8 rota "$rota" 2 30 --answer 8000
+target 9 rota "$rota" 2 45 --answer 8000
+target 10 rota "$rota" 2 60 --answer 8000
+target 11 rota "$rota" 2 90 --answer 8000
 
 echo "== configuring"
 retry 10 operate create "$roster" --name roster --binding "$binding" >/dev/null
