--- a/roles/app/src/call/load.rs
+++ b/roles/app/src/call/load.rs
@@ -39,7 +39,8 @@
 ///
 /// # Errors
 ///
-/// Those of the socket.
+/// Those of the socket, and [`ErrorKind::TimedOut`] where no flow could be
+/// opened.
 pub async fn run(settings: Call) -> io::Result<Report> {
     let mut load = Load::new(settings)?;
     load.open().await?;
@@ -91,7 +92,13 @@
             let now = self.now();
             self.until(now + POLL_INTERVAL).await?;
         }
-        Ok(())
+        match self.caller.open_flows() {
+            0 => Err(io::Error::new(
+                ErrorKind::TimedOut,
+                "no flow could be opened",
+            )),
+            _ => Ok(()),
+        }
     }
 
     async fn send(&mut self) -> io::Result<()> {
--- a/roles/app/src/settings/operate.rs
+++ b/roles/app/src/settings/operate.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::settings::Error;
 use crate::settings::command::Settings;
 use crate::settings::reader::Reader;
 use crate::settings::table::Role;
@@ -31,6 +32,9 @@
     const ROLE: Role = Role::Operate;
 
     fn read(reader: &mut Reader<'_>, rest: &[String]) -> Self {
+        if rest.is_empty() {
+            reader.fail(Error::NoCommand);
+        }
         Self {
             entries: reader.addresses("entries"),
             timeout: reader.time("timeout"),
--- a/roles/app/src/settings/reader.rs
+++ b/roles/app/src/settings/reader.rs
@@ -47,6 +47,8 @@
     },
     /// --sign-key and --accept-keys have two keys with the id {0}; give each key its own id
     SameKey(u8),
+    /// no command is given; see `greengagelug help operate` for the commands
+    NoCommand,
     /// `{0}` is not expected; see `greengagelug help` for the flags
     Unexpected(String),
 }
--- a/roles/app/tests/settings.rs
+++ b/roles/app/tests/settings.rs
@@ -104,6 +104,13 @@
     assert_eq!(settings.timeout, Operate::default().timeout);
 }
 
+#[test]
+fn operate_needs_a_command() {
+    let errors = errors::<Operate>("--entries 127.0.0.1:1", &[]);
+    assert_eq!(errors.len(), 1, "{errors:?}");
+    assert!(errors[0].contains("help operate"), "{errors:?}");
+}
+
 #[test]
 fn flag_wins_over_variable() {
     let settings: Call = run(
