--- a/roles/agent/tests/requests.rs
+++ b/roles/agent/tests/requests.rs
@@ -123,6 +123,23 @@
     assert!(refusal.retry_after_ms > 0);
 }
 
+#[test]
+fn times_to_come_back_after_a_deadline_are_spread() {
+    let (mut world, token) = busy();
+    world.send(&with_deadline(FLOW, 2, token, 100));
+    world.pass(Duration::from_millis(200));
+    world.replies.clear();
+    let mut times: Vec<u32> = (0..10)
+        .map(|_| {
+            world.send(&with_deadline(FLOW, 2, token, 100));
+            world.take_refusal().unwrap().retry_after_ms
+        })
+        .collect();
+    times.sort_unstable();
+    times.dedup();
+    assert!(times.len() > 5, "{times:?}");
+}
+
 #[test]
 fn callers_refused_together_do_not_return_together() {
     let (mut world, token) = busy();
