--- a/roles/agent/tests/leaving.rs
+++ b/roles/agent/tests/leaving.rs
@@ -450,3 +450,43 @@
     world.send_along(&request(FLOW, 2, token), &[0]);
     assert_eq!(world.take_answer(2).unwrap().len(), 600);
 }
+
+/// Every agent is replaced in turn while 40 flows are in use.
+#[test]
+fn no_flow_breaks_while_every_agent_is_replaced() {
+    let mut world = World::bound(4);
+    let tokens: Vec<Token> = (1..=40).map(|flow| world.open(flow)).collect();
+    let mut id = 0;
+    for replaced in 0..4 {
+        world.event(replaced, Event::Replace);
+        world.settle();
+        world.tell_others(replaced);
+        world.restart(replaced);
+        world.tell_all();
+        id += 1;
+        for (flow, &token) in (1..).zip(&tokens) {
+            world.send(&request(flow, id, token));
+            world.answer("served");
+            assert_eq!(world.take_answer(id).unwrap(), b"served", "flow {flow}");
+        }
+    }
+    assert_eq!(world.runs.len(), 160);
+}
+
+/// Every agent of an independent service but the last stops for good.
+#[test]
+fn no_independent_flow_breaks_while_agents_stop() {
+    let mut world = World::new(4, settings(), independent());
+    let tokens: Vec<Token> = (1..=40).map(|flow| world.open(flow)).collect();
+    for (stopped, id) in (0..3).zip(1..) {
+        world.event(stopped, Event::Stop);
+        world.settle();
+        assert!(world.exited.contains(&stopped));
+        world.tell_all();
+        for (flow, &token) in (1..).zip(&tokens) {
+            world.send(&request(flow, id, token));
+            world.answer("served");
+            assert_eq!(world.take_answer(id).unwrap(), b"served", "flow {flow}");
+        }
+    }
+}
--- a/roles/agent/tests/world/mod.rs
+++ b/roles/agent/tests/world/mod.rs
@@ -200,10 +200,16 @@
     }
 
     pub fn tell_view(&mut self, index: usize) {
-        let targets = self.targets.clone();
+        let targets = self.live();
         self.tell_view_of(index, targets);
     }
 
+    /// The targets that have not left.
+    pub fn live(&self) -> Vec<Target> {
+        let live = |target: &&Target| target.state != State::Left;
+        self.targets.iter().filter(live).cloned().collect()
+    }
+
     /// Gives an agent a view that differs from that of others.
     pub fn tell_view_of(&mut self, index: usize, targets: Vec<Target>) {
         let service = self.service;
@@ -469,13 +475,7 @@
 
     /// Indexes of the agents in the order of a flow.
     pub fn ranked(&self, flow: u64) -> Vec<usize> {
-        let live: Vec<Target> = self
-            .targets
-            .iter()
-            .filter(|target| target.state != State::Left)
-            .cloned()
-            .collect();
-        let order = route::Order::new(&live);
+        let order = route::Order::new(&self.live());
         order
             .top(flow, self.targets.len())
             .map(|target| usize::try_from(target.id - 1000).unwrap())
