--- a/roles/agent/tests/interleavings.rs
+++ b/roles/agent/tests/interleavings.rs
@@ -2,6 +2,7 @@
 //! replacements: a non-idempotent request runs at most once, nothing runs of
 //! which "not run" was said, and a caller gets the whole answer to its own
 //! request.
+mod steps;
 mod world;
 
 use std::collections::BTreeMap;
@@ -15,6 +16,11 @@
 use agent::view::Service;
 use bytes::Bytes;
 use proptest::prelude::*;
+use steps::AGENTS;
+use steps::Ending;
+use steps::FIRST_IDEMPOTENT;
+use steps::Step;
+use steps::step;
 use wire::Token;
 use wire::caller;
 use wire::caller::Packet;
@@ -22,117 +28,6 @@
 use world::Message;
 use world::World;
 
-const AGENTS: usize = 3;
-const FLOWS: u64 = 2;
-const REQUESTS: u64 = 4;
-
-/// Requests from this id on are idempotent.
-const FIRST_IDEMPOTENT: u64 = 4;
-
-#[derive(Clone, Copy, Debug)]
-enum Step {
-    Open {
-        flow: u64,
-        agent: usize,
-    },
-    Request {
-        flow: u64,
-        request: u64,
-        token: usize,
-        agent: usize,
-        deadline_ms: u32,
-    },
-    Cancel {
-        flow: u64,
-        request: u64,
-        agent: usize,
-    },
-    Close {
-        flow: u64,
-        agent: usize,
-    },
-    Deliver(usize),
-    DeliverAll,
-    Duplicate(usize),
-    Lose(usize),
-    Finish {
-        job: usize,
-        result: Ending,
-    },
-    Wait {
-        millis: u64,
-    },
-    /// Restarts an agent that has exited, or else this one.
-    Restart(usize),
-    Replace(usize),
-    /// Replaces an agent and starts its successor; the message of this number
-    /// on the way is lost.
-    Succeed {
-        agent: usize,
-        lost: usize,
-    },
-    Stop(usize),
-    Drain(usize),
-    Resume(usize),
-    View {
-        agent: usize,
-        without: usize,
-    },
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Ending {
-    Completed,
-    Shed,
-    NotRun,
-    Failed,
-}
-
-fn ending() -> impl Strategy<Value = Ending> {
-    prop_oneof![
-        4 => Just(Ending::Completed),
-        1 => Just(Ending::Shed),
-        1 => Just(Ending::NotRun),
-        1 => Just(Ending::Failed),
-    ]
-}
-
-fn request() -> impl Strategy<Value = Step> {
-    (1..=FLOWS, 1..=REQUESTS, 0..4_usize, 0..AGENTS, 1..4_000_u32).prop_map(
-        |(flow, request, token, agent, deadline_ms)| Step::Request {
-            flow,
-            request,
-            token,
-            agent,
-            deadline_ms,
-        },
-    )
-}
-
-fn step() -> impl Strategy<Value = Step> {
-    prop_oneof![
-        4 => (1..=FLOWS, 0..AGENTS).prop_map(|(flow, agent)| Step::Open { flow, agent }),
-        12 => request(),
-        1 => (1..=FLOWS, 1..=REQUESTS, 0..AGENTS)
-            .prop_map(|(flow, request, agent)| Step::Cancel { flow, request, agent }),
-        1 => (1..=FLOWS, 0..AGENTS).prop_map(|(flow, agent)| Step::Close { flow, agent }),
-        10 => any::<usize>().prop_map(Step::Deliver),
-        6 => Just(Step::DeliverAll),
-        3 => any::<usize>().prop_map(Step::Duplicate),
-        2 => any::<usize>().prop_map(Step::Lose),
-        8 => (any::<usize>(), ending()).prop_map(|(job, result)| Step::Finish { job, result }),
-        4 => (1..800_u64).prop_map(|millis| Step::Wait { millis }),
-        2 => (0..AGENTS).prop_map(Step::Restart),
-        2 => (0..AGENTS).prop_map(Step::Replace),
-        2 => (0..AGENTS, 0..20_usize)
-            .prop_map(|(agent, lost)| Step::Succeed { agent, lost }),
-        1 => (0..AGENTS).prop_map(Step::Stop),
-        1 => (0..AGENTS).prop_map(Step::Drain),
-        1 => (0..AGENTS).prop_map(Step::Resume),
-        2 => (0..AGENTS, 0..AGENTS).prop_map(|(agent, without)| Step::View { agent, without }),
-    ]
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Name {
     flow: u64,
--- a/roles/agent/tests/requests.rs
+++ b/roles/agent/tests/requests.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use agent::Completion;
-use agent::Event;
 use agent::status::Counter;
 use bytes::Bytes;
 use wire::Token;
@@ -15,12 +14,9 @@
 use world::FLOW;
 use world::REQUEST;
 use world::World;
-use world::cancel;
-use world::close;
 use world::fetch;
 use world::holder;
 use world::idempotent;
-use world::open;
 use world::request;
 use world::settings;
 use world::with_deadline;
@@ -207,14 +203,6 @@
     assert_eq!(world.runs[0].agent, 0);
 }
 
-fn named(mut packet: Packet, token: Token, deadline_ms: u32) -> Packet {
-    if let Some(Body::Request(request)) = &mut packet.body {
-        request.holder = token.to_bytes().to_vec().into();
-        request.deadline_ms = deadline_ms;
-    }
-    packet
-}
-
 /// The holder is frozen while a request waits for its slot; what wakes it is
 /// the end of the job before.
 #[test]
@@ -312,127 +300,6 @@
     assert!(world.runs.is_empty());
 }
 
-#[test]
-fn a_cancelled_request_frees_its_slot() {
-    let (mut world, token) = busy();
-    world.send(&request(FLOW, 2, token));
-    world.send(&cancel(FLOW, 1, token));
-    assert_refused(&mut world, Reason::Cancelled, Outcome::Unknown);
-    assert_eq!(world.aborted, vec![world.runs[0].job.id]);
-    assert_eq!(world.runs[1].job.request, 2);
-}
-
-#[test]
-fn a_cancelled_queued_request_never_runs() {
-    let (mut world, token) = busy();
-    world.send(&request(FLOW, 2, token));
-    world.send(&cancel(FLOW, 2, token));
-    assert_refused(&mut world, Reason::Cancelled, Outcome::NotRun);
-    world.answer("first");
-    world.replies.clear();
-    world.send(&request(FLOW, 2, token));
-    assert_refused(&mut world, Reason::Cancelled, Outcome::NotRun);
-    assert_eq!(world.runs.len(), 1);
-}
-
-#[test]
-fn a_cancel_that_overtakes_its_request_stops_it() {
-    let mut world = World::bound(1);
-    let token = world.open(FLOW);
-    world.send(&cancel(FLOW, REQUEST, token));
-    assert_refused(&mut world, Reason::Cancelled, Outcome::Unknown);
-    world.send(&request(FLOW, REQUEST, token));
-    assert_refused(&mut world, Reason::Cancelled, Outcome::Unknown);
-    assert!(world.runs.is_empty());
-}
-
-#[test]
-fn a_result_after_the_cancel_is_ignored() {
-    let (mut world, token) = busy();
-    let job = world.runs[0].job.id;
-    world.send(&cancel(FLOW, 1, token));
-    world.replies.clear();
-    let result = Completion::Completed(Bytes::from_static(b"late"));
-    world.event(0, Event::Finished { job, result });
-    assert!(world.replies.is_empty());
-    world.send(&request(FLOW, 1, token));
-    assert_refused(&mut world, Reason::Cancelled, Outcome::Unknown);
-}
-
-#[test]
-fn a_spoofed_cancel_is_ignored() {
-    let (mut world, token) = busy();
-    let spoofed = Token {
-        incarnation: token.incarnation + 1,
-        ..token
-    };
-    world.send(&cancel(FLOW, 1, spoofed));
-    assert!(world.aborted.is_empty());
-    assert!(world.replies.is_empty());
-    let counters = world.status(0).counters;
-    assert_eq!(counters.get(Counter::SpoofedCancel), 1);
-}
-
-#[test]
-fn a_spoofed_close_is_ignored() {
-    let mut world = World::bound(1);
-    let token = world.open(FLOW);
-    let spoofed = Token {
-        target: token.target,
-        incarnation: 12345,
-    };
-    world.send(&close(FLOW, spoofed));
-    assert!(world.replies.is_empty());
-    let counters = world.status(0).counters;
-    assert_eq!(counters.get(Counter::SpoofedClose), 1);
-    world.send(&request(FLOW, REQUEST, token));
-    assert_eq!(world.runs.len(), 1);
-}
-
-#[test]
-fn a_spoofed_close_that_names_another_target_reaches_nobody() {
-    let mut world = World::bound(3);
-    let token = world.open(FLOW);
-    let other = world.ranked(FLOW)[2];
-    let spoofed = Token {
-        target: world.targets[other].id,
-        incarnation: 1,
-    };
-    world.send(&close(FLOW, spoofed));
-    assert!(world.replies.is_empty());
-    world.send(&request(FLOW, REQUEST, token));
-    assert_eq!(world.runs.len(), 1);
-}
-
-#[test]
-fn a_repeated_close_is_confirmed_again() {
-    let mut world = World::bound(1);
-    let token = world.open(FLOW);
-    for _ in 0..2 {
-        world.send(&close(FLOW, token));
-        let closed = world.replies.pop().and_then(|packet| packet.body);
-        assert!(matches!(closed, Some(Body::Closed(_))));
-    }
-}
-
-/// Copies of the whole life of a flow arrive after its close.
-#[test]
-fn late_copies_do_not_revive_a_closed_flow() {
-    let mut world = World::bound(1);
-    let token = world.open(FLOW);
-    world.send(&request(FLOW, REQUEST, token));
-    world.answer("once");
-    world.send(&close(FLOW, token));
-    world.replies.clear();
-    world.send(&open(FLOW));
-    assert_refused(&mut world, Reason::FlowUnknown, Outcome::NotRun);
-    world.send(&request(FLOW, REQUEST, token));
-    assert_eq!(world.take_answer(REQUEST).unwrap(), b"once");
-    world.send(&request(FLOW, REQUEST + 1, token));
-    assert_refused(&mut world, Reason::FlowUnknown, Outcome::Unknown);
-    assert_eq!(world.runs.len(), 1);
-}
-
 #[test]
 fn an_answer_is_sent_in_chunks_and_fetched_again() {
     let mut world = World::bound(1);
@@ -551,145 +418,10 @@
     assert_eq!(counters.get(Counter::BudgetSpent), 1);
 }
 
-#[test]
-fn an_open_beyond_the_table_limit_is_refused() {
-    let mut settings = settings();
-    settings.flows.capacity = 2;
-    let mut world = World::new(1, settings, agent::view::Service::default());
-    world.open(1);
-    world.open(2);
-    world.send(&open(3));
-    assert_refused(&mut world, Reason::TableFull, Outcome::NotRun);
-    world.pass(Duration::from_mins(1));
-    world.open(3);
-}
-
-#[test]
-fn a_request_beyond_the_record_limit_is_refused() {
-    let mut settings = settings();
-    settings.ledger.max_bytes = flow::ledger::RECORD_BYTES;
-    let mut world = World::new(1, settings, agent::view::Service::default());
-    let token = world.open(FLOW);
-    world.send(&request(FLOW, 1, token));
-    world.send(&request(FLOW, 2, token));
-    assert_refused(&mut world, Reason::TableFull, Outcome::Unknown);
-    assert_eq!(world.runs.len(), 1);
-}
-
-#[test]
-fn a_half_open_flow_expires_sooner() {
-    let mut world = World::bound(1);
-    world.open(1);
-    let token = world.open(2);
-    world.send(&request(2, REQUEST, token));
-    world.answer("used");
-    world.pass(Duration::from_mins(1));
-    assert_eq!(world.status(0).flows, 1);
-    let counters = world.status(0).counters;
-    assert_eq!(counters.get(Counter::HalfOpen), 1);
-}
-
-#[test]
-fn a_flow_with_a_running_feed_outlives_its_idle_time() {
-    let service = agent::view::Service {
-        idle: Duration::from_mins(1),
-        ..agent::view::Service::default()
-    };
-    let mut world = World::new(1, settings(), service);
-    let token = world.open(FLOW);
-    world.send(&with_deadline(FLOW, REQUEST, token, 3_000_000));
-    world.pass(Duration::from_mins(30));
-    world.answer("alert");
-    assert_eq!(world.take_answer(REQUEST).unwrap(), b"alert");
-    world.pass(Duration::from_mins(5));
-    assert_eq!(world.status(0).flows, 0);
-}
-
-#[test]
-fn another_caller_cannot_use_a_flow() {
-    let mut world = World::bound(1);
-    let token = world.open(FLOW);
-    let packets = [
-        open(FLOW),
-        request(FLOW, REQUEST, token),
-        close(FLOW, token),
-    ];
-    for packet in packets {
-        let mut relay = world.relay(&packet);
-        relay.caller = "203.0.113.66:1".parse().unwrap();
-        world.send_relay(relay);
-    }
-    assert!(world.runs.is_empty());
-    assert_eq!(world.status(0).counters.get(Counter::ForeignCaller), 3);
-    world.send(&request(FLOW, REQUEST, token));
-    assert_eq!(world.runs.len(), 1);
-}
-
-#[test]
-fn a_packet_of_another_service_is_dropped() {
-    let mut world = World::bound(1);
-    let token = world.open(FLOW);
-    let mut relay = world.relay(&request(FLOW, REQUEST, token));
-    relay.service = "192.0.2.2:53".parse().unwrap();
-    world.send_relay(relay);
-    assert!(world.runs.is_empty());
-    assert!(world.replies.is_empty());
-    assert_eq!(world.status(0).counters.get(Counter::ForeignService), 1);
-}
-
-struct Bad {
-    packet: Bytes,
-    reason: Reason,
-}
-
-fn is_rejected(bad: Bad) {
-    let mut world = World::bound(1);
-    let mut relay = world.relay(&open(FLOW));
-    relay.packet = bad.packet;
-    world.send_relay(relay);
-    assert_refused(&mut world, bad.reason, Outcome::NotRun);
-    assert_eq!(world.status(0).counters.refused(bad.reason), 1);
-}
-
-fn with_payload(len: usize) -> Bytes {
-    let mut packet = idempotent(FLOW, REQUEST);
+fn named(mut packet: Packet, token: Token, deadline_ms: u32) -> Packet {
     if let Some(Body::Request(request)) = &mut packet.body {
-        request.payload = vec![0; len].into();
+        request.holder = token.to_bytes().to_vec().into();
+        request.deadline_ms = deadline_ms;
     }
-    packet.to_bytes()
-}
-
-cases::cases! { is_rejected;
-    noise_is_rejected: Bad {
-        packet: Bytes::from_static(b"\xff\xff\xff"),
-        reason: Reason::Malformed,
-    },
-    a_truncated_packet_is_rejected: Bad {
-        packet: with_payload(100).slice(..60),
-        reason: Reason::Malformed,
-    },
-    an_oversized_payload_is_rejected: Bad {
-        packet: with_payload(16 * 1024 + 1),
-        reason: Reason::TooLarge,
-    },
-    another_version_is_rejected: Bad {
-        packet: Packet { version: 9, ..open(FLOW) }.to_bytes(),
-        reason: Reason::BadVersion,
-    },
-    request_zero_is_rejected: Bad {
-        packet: idempotent(FLOW, 0).to_bytes(),
-        reason: Reason::Malformed,
-    },
-}
-
-#[test]
-fn a_frame_with_an_impossible_position_is_dropped() {
-    let mut world = World::bound(1);
-    let mut relay = world.relay(&open(FLOW));
-    relay.position = 7;
-    let frame = wire::Frame::Relay(relay);
-    let from = world::entry();
-    world.event(0, Event::Frame { from, frame });
-    assert!(world.replies.is_empty());
-    assert_eq!(world.status(0).counters.get(Counter::MalformedFrame), 1);
+    packet
 }
--- a/roles/agent/tests/world/mod.rs
+++ b/roles/agent/tests/world/mod.rs
@@ -1,6 +1,10 @@
 //! A few agents of one service, and the messages between them, which a test
 //! delivers, repeats, loses and delays as it likes.
-#![allow(dead_code, missing_docs)]
+#![allow(dead_code, missing_docs, unused_imports)]
+mod message;
+mod packet;
+mod relay;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,74 +19,27 @@
 use agent::Settings;
 use agent::View;
 use agent::offer;
-use agent::park;
 use agent::view::Binding;
 use agent::view::Service;
 use bytes::Bytes;
 use wire::Frame;
-use wire::Hop;
-use wire::Relay;
 use wire::Target;
 use wire::Token;
-use wire::caller::Cancel;
-use wire::caller::Close;
-use wire::caller::Fetch;
-use wire::caller::Open;
 use wire::caller::Packet;
-use wire::caller::Refusal;
-use wire::caller::Request;
-use wire::caller::packet::Body;
 use wire::target::State;
 
+pub use message::Message;
+pub use packet::cancel;
+pub use packet::close;
+pub use packet::fetch;
+pub use packet::idempotent;
+pub use packet::open;
+pub use packet::request;
+pub use packet::with_deadline;
+
 pub const FLOW: u64 = 77;
 pub const REQUEST: u64 = 5;
 
-/// A message on its way.
-#[derive(Clone, Debug)]
-pub enum Message {
-    Frame {
-        from: usize,
-        to: SocketAddr,
-        frame: Frame,
-    },
-    Offer {
-        from: usize,
-        to: SocketAddr,
-        /// Incarnation that the connection leads to, unless none lived.
-        connected: Option<u64>,
-        offer: Offer,
-    },
-    Withdraw {
-        to: SocketAddr,
-        offer: offer::Id,
-    },
-    Outcome {
-        to: usize,
-        offer: offer::Id,
-        outcome: Outcome,
-    },
-    Park {
-        from: usize,
-        to: SocketAddr,
-        part: park::Part,
-    },
-    Parked {
-        to: usize,
-        index: u32,
-        accepted: bool,
-    },
-    Claim {
-        from: usize,
-        to: SocketAddr,
-        claim: park::Claim,
-    },
-    Claimed {
-        to: usize,
-        peer: SocketAddr,
-        grant: park::Grant,
-    },
-}
-
 /// A call that waits for an agent's answer.
 #[derive(Clone, Debug)]
 enum Call {
@@ -344,89 +301,6 @@
             .filter(|&index| self.agents[index].is_some())
     }
 
-    /// Delivers one message.
-    pub fn deliver(&mut self, message: Message) {
-        match message {
-            Message::Frame { from, to, frame } => {
-                let from = self.targets[from].address;
-                if let Some(index) = self.by_address(to) {
-                    self.event(index, Event::Frame { from, frame });
-                }
-            }
-            Message::Offer {
-                from,
-                to,
-                connected,
-                offer,
-            } => self.deliver_offer(from, to, connected, offer),
-            Message::Withdraw { to, offer } => {
-                if let Some(index) = self.by_address(to) {
-                    self.event(index, Event::Withdrawn { offer });
-                }
-            }
-            Message::Outcome { to, offer, outcome } => {
-                self.event(to, Event::Passed { offer, outcome });
-            }
-            Message::Park { from, to, part } => {
-                let index = part.index;
-                match self.by_address(to) {
-                    Some(peer) => {
-                        let call = self.call(Call::Park { from, index });
-                        self.event(peer, Event::Park { call, part });
-                    }
-                    None => self.messages.push(Message::Parked {
-                        to: from,
-                        index,
-                        accepted: false,
-                    }),
-                }
-            }
-            Message::Parked {
-                to,
-                index,
-                accepted,
-            } => self.event(to, Event::Parked { index, accepted }),
-            Message::Claim { from, to, claim } => match self.by_address(to) {
-                Some(peer) => {
-                    let call = self.call(Call::Claim { from, peer: to });
-                    self.event(peer, Event::Claim { call, claim });
-                }
-                None => self.messages.push(Message::Claimed {
-                    to: from,
-                    peer: to,
-                    grant: park::Grant::Unreachable,
-                }),
-            },
-            Message::Claimed { to, peer, grant } => {
-                self.event(to, Event::Claimed { peer, grant });
-            }
-        }
-    }
-
-    /// Delivers an offer over the connection that it was sent on.
-    fn deliver_offer(&mut self, from: usize, to: SocketAddr, connected: Option<u64>, offer: Offer) {
-        let id = offer.id;
-        let receiver = self
-            .by_address(to)
-            .filter(|&index| connected == Some(self.targets[index].incarnation));
-        let outcome = match receiver {
-            Some(index) => {
-                let call = self.call(Call::Offer { from, offer: id });
-                return self.event(index, Event::Offered { call, offer });
-            }
-            None if connected.is_none() => Outcome::NotRun {
-                reason: offer::Refusal::Unreachable,
-                retry_after: Duration::ZERO,
-            },
-            None => Outcome::Unknown,
-        };
-        self.messages.push(Message::Outcome {
-            to: from,
-            offer: id,
-            outcome,
-        });
-    }
-
     /// Delivers all messages, in order.
     pub fn settle(&mut self) {
         while !self.messages.is_empty() {
@@ -461,119 +335,6 @@
         }
     }
 
-    fn hop(&self, index: usize) -> Hop {
-        Hop {
-            target: self.targets[index].id,
-            address: self.targets[index].address,
-        }
-    }
-
-    /// Index of the first agent in the order of a flow.
-    pub fn home(&self, flow: u64) -> usize {
-        self.ranked(flow)[0]
-    }
-
-    /// Indexes of the agents in the order of a flow.
-    pub fn ranked(&self, flow: u64) -> Vec<usize> {
-        let order = route::Order::new(&self.live());
-        order
-            .top(flow, self.targets.len())
-            .map(|target| usize::try_from(target.id - 1000).unwrap())
-            .collect()
-    }
-
-    /// A relayed packet, as an entry with the full view makes it.
-    pub fn relay(&self, packet: &Packet) -> Relay {
-        let path = self.ranked(packet.flow);
-        self.relay_along(packet, &path[..path.len().min(3)])
-    }
-
-    /// A relayed packet along the given agents.
-    pub fn relay_along(&self, packet: &Packet, path: &[usize]) -> Relay {
-        Relay {
-            caller: caller(),
-            service: service(),
-            entry: entry(),
-            revision: 1,
-            home: self.hop(path[0]),
-            path: path.iter().map(|&index| self.hop(index)).collect(),
-            position: 0,
-            waits: Vec::new(),
-            settle: false,
-            packet: packet.to_bytes(),
-        }
-    }
-
-    /// Sends a packet through an entry and delivers what follows.
-    pub fn send(&mut self, packet: &Packet) {
-        let relay = self.relay(packet);
-        self.send_relay(relay);
-    }
-
-    pub fn send_along(&mut self, packet: &Packet, path: &[usize]) {
-        let relay = self.relay_along(packet, path);
-        self.send_relay(relay);
-    }
-
-    pub fn send_relay(&mut self, relay: Relay) {
-        let to = relay.path[usize::from(relay.position)].address;
-        if let Some(index) = self.by_address(to) {
-            let frame = Frame::Relay(relay);
-            self.event(
-                index,
-                Event::Frame {
-                    from: entry(),
-                    frame,
-                },
-            );
-        }
-        self.settle();
-    }
-
-    /// Opens a flow and returns its token.
-    pub fn open(&mut self, flow: u64) -> Token {
-        self.send(&open(flow));
-        self.take_opened().expect("the open should be answered")
-    }
-
-    /// Opens a flow at the given agent.
-    pub fn open_at(&mut self, flow: u64, index: usize) -> Token {
-        self.send_along(&open(flow), &[index]);
-        self.take_opened().expect("the open should be answered")
-    }
-
-    pub fn take_opened(&mut self) -> Option<Token> {
-        let replies = std::mem::take(&mut self.replies);
-        replies.iter().find_map(|packet| match &packet.body {
-            Some(Body::Opened(opened)) => Token::from_bytes(&opened.holder),
-            _ => None,
-        })
-    }
-
-    pub fn take_refusal(&mut self) -> Option<Refusal> {
-        let replies = std::mem::take(&mut self.replies);
-        replies.into_iter().find_map(|packet| match packet.body {
-            Some(Body::Refusal(refusal)) => Some(refusal),
-            _ => None,
-        })
-    }
-
-    /// The whole answer to a request among the replies.
-    pub fn take_answer(&mut self, request: u64) -> Option<Vec<u8>> {
-        let replies = std::mem::take(&mut self.replies);
-        let mut chunks = BTreeMap::new();
-        let mut count = None;
-        for packet in replies {
-            if let Some(Body::Chunk(chunk)) = packet.body
-                && chunk.request == request
-            {
-                count = Some(chunk.count as usize);
-                chunks.insert(chunk.index, chunk.payload);
-            }
-        }
-        (count == Some(chunks.len())).then(|| chunks.into_values().flatten().collect())
-    }
-
     /// Finishes the oldest job at a backend server.
     pub fn finish(&mut self, result: Completion) {
         assert!(!self.running.is_empty(), "a job should be running");
@@ -634,61 +395,3 @@
 pub fn holder(token: Token) -> usize {
     usize::try_from(token.target - 1000).unwrap()
 }
-
-pub fn open(flow: u64) -> Packet {
-    Packet::new(flow, Body::Open(Open { attempt: 0 }))
-}
-
-pub fn request(flow: u64, request: u64, token: Token) -> Packet {
-    with_deadline(flow, request, token, 10_000)
-}
-
-pub fn with_deadline(flow: u64, request: u64, token: Token, deadline_ms: u32) -> Packet {
-    Packet::new(
-        flow,
-        Body::Request(Request {
-            request,
-            holder: token.to_bytes().to_vec().into(),
-            idempotent: false,
-            deadline_ms,
-            attempt: 0,
-            payload: Bytes::from_static(b"payload"),
-        }),
-    )
-}
-
-pub fn idempotent(flow: u64, request: u64) -> Packet {
-    Packet::new(
-        flow,
-        Body::Request(Request {
-            request,
-            holder: Bytes::new(),
-            idempotent: true,
-            deadline_ms: 10_000,
-            attempt: 0,
-            payload: Bytes::from_static(b"payload"),
-        }),
-    )
-}
-
-pub fn cancel(flow: u64, request: u64, token: Token) -> Packet {
-    let holder = token.to_bytes().to_vec().into();
-    Packet::new(flow, Body::Cancel(Cancel { request, holder }))
-}
-
-pub fn fetch(flow: u64, request: u64, chunks: Vec<u32>, token: Token) -> Packet {
-    let holder = token.to_bytes().to_vec().into();
-    Packet::new(
-        flow,
-        Body::Fetch(Fetch {
-            request,
-            chunks,
-            holder,
-        }),
-    )
-}
-
-pub fn close(flow: u64, token: Token) -> Packet {
-    let holder = token.to_bytes().to_vec().into();
-    Packet::new(flow, Body::Close(Close { holder }))
-}
