Tell a home that restarted which flows are held here

A home that came back under the same id had lost its pins, and holders told it only at the next renewal, up to 40 s later, since its id had not changed. They compare the incarnation now. Shown by a_home_that_restarts_learns_the_holder_again, which failed before. 8 B a flow.

--- a/roles/agent/src/pinning.rs
+++ b/roles/agent/src/pinning.rs
@@ -11,6 +11,8 @@
 use wire::Frame;
 use wire::Hop;
 use wire::Relay;
+use wire::Target;
+use wire::Token;
 use wire::frame::Pin;
 
 use crate::Agent;
@@ -30,7 +32,8 @@
 /// The rounds over the flow table in which homes are told.
 ///
 /// Each round walks the table in steps. A round after a change of the view
-/// tells only the homes that changed; a regular one renews all pins.
+/// tells only the homes that changed or restarted; a regular one renews all
+/// pins.
 #[derive(Debug)]
 pub(crate) struct Renewal {
     interval: Duration,
@@ -129,8 +132,10 @@
 
     /// Tells the home of a flow that was just opened.
     pub(crate) fn pin_new(&mut self, turn: &mut Turn<'_>, home: Hop, key: FlowKey) {
+        // Where the entry's view is ahead, the home is told again.
+        let told = self.target(home.target).map(token);
         if let Some(flow) = self.flows.get_mut(key) {
-            flow.home = Some(home.target);
+            flow.home = told;
         }
         if home.target != self.identity.id {
             let flows = vec![key];
@@ -142,7 +147,7 @@
     pub(crate) fn unpin(&mut self, turn: &mut Turn<'_>, flows: impl IntoIterator<Item = Flow>) {
         let mut batches = Batches::new();
         for flow in flows {
-            let home = flow.home.and_then(|home| self.target(home));
+            let home = flow.home.and_then(|home| self.target(home.target));
             if let Some(home) = home.filter(|home| home.id != self.identity.id) {
                 batches.entry(home.address).or_default().push(flow.key);
             }
@@ -204,11 +209,11 @@
         let Some(home) = self.order.home(flow.key) else {
             return;
         };
-        let is_new = flow.home != Some(home.id);
+        let is_new = flow.home != Some(token(home));
         if home.id != self.identity.id && (is_new || renews_all) {
             batches.entry(home.address).or_default().push(flow.key);
         }
-        let home = home.id;
+        let home = token(home);
         if let Some(flow) = self.flows.get_mut(flow.key) {
             flow.home = Some(home);
         }
@@ -248,3 +253,11 @@
         self.unpin(turn, live);
     }
 }
+
+/// The incarnation that a target announces.
+const fn token(target: &Target) -> Token {
+    Token {
+        target: target.id,
+        incarnation: target.incarnation,
+    }
+}
--- a/roles/agent/tests/routing.rs
+++ b/roles/agent/tests/routing.rs
@@ -257,6 +257,17 @@
     assert_eq!(world.runs[0].agent, holder(token));
 }
 
+#[test]
+fn a_home_that_restarts_learns_the_holder_again() {
+    let Passed {
+        mut world, home, ..
+    } = passed(4);
+    world.restart(home);
+    world.tell_all();
+    world.pass(Duration::from_secs(1));
+    assert_eq!(world.status(home).pins, 1);
+}
+
 #[test]
 fn pins_are_renewed_while_their_flows_last() {
     let mut world = World::bound(2);
--- a/state/flow/src/table.rs
+++ b/state/flow/src/table.rs
@@ -6,7 +6,6 @@
 use displaydoc::Display;
 use thiserror::Error;
 use wire::FlowKey;
-use wire::TargetId;
 use wire::Token;
 
 use crate::seeded::Seeded;
@@ -55,8 +54,8 @@
     pub phase: Phase,
     /// Requests that are queued or running; a busy flow does not expire.
     pub pending: u32,
-    /// The home that was last told who holds the flow.
-    pub home: Option<TargetId>,
+    /// The incarnation of the home that was last told who holds the flow.
+    pub home: Option<Token>,
 }
 
 /// Where a flow stands.
