Let a round of pins end while the view keeps changing

Each change of the view, such as of a target's weight, started the round over the flow table again at the first slot, so that homes of flows in later slots were not told while changes came faster than the round took. A round goes on from where it is now, for as many slots as the table has.

--- a/roles/agent/src/agent.rs
+++ b/roles/agent/src/agent.rs
@@ -284,7 +284,7 @@
         }
         self.order = Order::new(&self.view.targets);
         self.flows.set_idle(self.view.service.idle);
-        self.renewal.restart(turn.now);
+        self.renewal.restart(turn.now, self.flows.slots());
         self.pin_kept(turn);
         self.start_claim(turn);
     }
--- a/roles/agent/src/claim.rs
+++ b/roles/agent/src/claim.rs
@@ -109,7 +109,7 @@
         self.inherit(turn.now, part);
         if is_last {
             self.claiming = None;
-            self.renewal.restart(turn.now);
+            self.renewal.restart(turn.now, self.flows.slots());
             return;
         }
         if let Some(claiming) = &mut self.claiming {
--- a/roles/agent/src/keep.rs
+++ b/roles/agent/src/keep.rs
@@ -199,7 +199,7 @@
                 for part in self.keep.take(owner) {
                     self.inherit(turn.now, part);
                 }
-                self.renewal.restart(turn.now);
+                self.renewal.restart(turn.now, self.flows.slots());
             }
         }
     }
--- a/roles/agent/src/pinning.rs
+++ b/roles/agent/src/pinning.rs
@@ -44,6 +44,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Round {
     next_slot: usize,
+    /// Slots that are left to be looked at, past the last of which the table
+    /// starts again.
+    slots_left: usize,
     next_step: Duration,
     renews_all: bool,
 }
@@ -58,12 +61,19 @@
         }
     }
 
-    /// Starts a round after a change of the view.
-    pub(crate) fn restart(&mut self, now: Duration) {
-        self.round = Some(Round {
+    /// Starts a round over so many slots after a change of the view. One that
+    /// is underway goes on from where it is, so that frequent changes do not
+    /// keep it at the first slots.
+    pub(crate) fn restart(&mut self, now: Duration, slots: usize) {
+        let round = self.round.unwrap_or(Round {
             next_slot: 0,
+            slots_left: slots,
             next_step: now,
-            renews_all: self.round.is_some_and(|round| round.renews_all),
+            renews_all: false,
+        });
+        self.round = Some(Round {
+            slots_left: slots,
+            ..round
         });
     }
 
@@ -72,14 +82,13 @@
         step.unwrap_or(self.next_round).min(self.next_round)
     }
 
-    fn start_if_due(&mut self, now: Duration) {
+    fn start_if_due(&mut self, now: Duration, slots: usize) {
         if self.next_round <= now {
             self.next_round = now + self.interval;
-            self.round = Some(Round {
-                next_slot: 0,
-                next_step: now,
-                renews_all: true,
-            });
+            self.restart(now, slots);
+            if let Some(round) = &mut self.round {
+                round.renews_all = true;
+            }
         }
     }
 }
@@ -177,7 +186,7 @@
         if self.pins.next_deadline().is_some_and(|at| at <= turn.now) {
             self.pins.expire(turn.now);
         }
-        self.renewal.start_if_due(turn.now);
+        self.renewal.start_if_due(turn.now, self.flows.slots());
         let due = self
             .renewal
             .round
@@ -188,20 +197,26 @@
     }
 
     fn step_round(&mut self, turn: &mut Turn<'_>, round: Round) -> Option<Round> {
-        let flows: Vec<Flow> = self
-            .flows
-            .scan(round.next_slot, STEP_SLOTS)?
-            .copied()
-            .collect();
+        let slots = STEP_SLOTS.min(round.slots_left);
+        if slots == 0 {
+            return None;
+        }
+        let Some(flows) = self.flows.scan(round.next_slot, slots) else {
+            // Past the last slot.
+            let next_slot = 0;
+            return (round.next_slot > 0).then_some(Round { next_slot, ..round });
+        };
+        let flows: Vec<Flow> = flows.copied().collect();
         let mut batches = Batches::new();
         for flow in flows.iter().filter(|flow| flow.phase != Phase::Closed) {
             self.renew_pin(flow, round.renews_all, &mut batches);
         }
         self.send_pins(turn, batches);
         Some(Round {
-            next_slot: round.next_slot + STEP_SLOTS,
+            next_slot: round.next_slot + slots,
+            slots_left: round.slots_left - slots,
             next_step: turn.now + STEP,
-            ..round
+            renews_all: round.renews_all,
         })
     }
 
--- a/roles/agent/tests/routing.rs
+++ b/roles/agent/tests/routing.rs
@@ -268,6 +268,23 @@
     assert_eq!(world.status(home).pins, 1);
 }
 
+/// Each change of the view starts a round; none may keep the one before from
+/// its end.
+#[test]
+fn homes_are_told_while_the_view_keeps_changing() {
+    let mut world = World::bound(2);
+    for flow in 1..=4_000 {
+        world.open_at(flow, 0);
+    }
+    let elsewhere = (1..=4_000).filter(|&flow| world.home(flow) == 1).count();
+    world.restart(1);
+    for _ in 0..20 {
+        world.tell_all();
+        world.pass(Duration::from_millis(40));
+    }
+    assert_eq!(world.status(1).pins, elsewhere);
+}
+
 #[test]
 fn pins_are_renewed_while_their_flows_last() {
     let mut world = World::bound(2);
--- a/state/flow/src/table.rs
+++ b/state/flow/src/table.rs
@@ -264,6 +264,12 @@
         self.wheel.next_deadline()
     }
 
+    /// Number of slots, with and without a flow.
+    #[must_use]
+    pub fn slots(&self) -> usize {
+        self.slots.len()
+    }
+
     /// The flows in the slots from `start` on, `count` slots at most; `None`
     /// past the last slot.
     #[must_use]
