Cut waiting requests before running ones at the end of a stop

Cutting a running request freed its slot for one that waited, which was sent to the backend server and cut at once: its outcome was unknown where it need not have run. Shown by queued_requests_do_not_run_when_the_bound_of_a_stop_is_reached, which failed before (3 runs in place of 1).

--- a/roles/agent/src/leave.rs
+++ b/roles/agent/src/leave.rs
@@ -11,6 +11,7 @@
 use crate::park::Part;
 use crate::park::Purpose;
 use crate::task::End;
+use crate::task::Stage;
 use crate::view::Binding;
 
 /// Time between two tries to send the last part.
@@ -131,8 +132,14 @@
         }
     }
 
+    /// Gives up what is underway, and what waits first, so that no slot that
+    /// becomes free is taken by a request that would be cut at once.
     fn abandon_all(&mut self, turn: &mut Turn<'_>) {
-        while let Some((&job, _)) = self.tasks.first_key_value() {
+        let (waiting, others): (Vec<JobId>, Vec<JobId>) = self
+            .tasks
+            .keys()
+            .partition(|job| matches!(self.tasks[*job].stage, Stage::New | Stage::Queued));
+        for job in waiting.into_iter().chain(others) {
             let refusal = self.refusal(Reason::HolderAway, self.settings.leave.away);
             self.abandon(turn, job, refusal);
         }
--- a/roles/agent/tests/stopping.rs
+++ b/roles/agent/tests/stopping.rs
@@ -116,3 +116,18 @@
         }
     }
 }
+
+#[test]
+fn queued_requests_do_not_run_when_the_bound_of_a_stop_is_reached() {
+    let mut settings = settings();
+    settings.gate.slots = 1;
+    let mut world = World::new(1, settings, agent::view::Service::default());
+    let token = world.open(FLOW);
+    for id in 1..=3 {
+        world.send(&with_deadline(FLOW, id, token, 29_000));
+    }
+    world.event(0, Event::Stop);
+    world.pass(agent::settings::Leave::default().grace);
+    assert_eq!(world.exited, vec![0]);
+    assert_eq!(world.runs.len(), 1);
+}
