--- a/roles/agent/tests/requests.rs
+++ b/roles/agent/tests/requests.rs
@@ -223,6 +223,16 @@
     assert_eq!(refusal.outcome(), Outcome::NotRun);
 }
 
+/// Both the running and the waiting request expire while the holder is frozen.
+#[test]
+fn a_frozen_holder_does_not_run_what_expired_behind_an_expired_request() {
+    let (mut world, token) = busy();
+    world.send(&with_deadline(FLOW, 2, token, 9_000));
+    world.now += Duration::from_mins(1);
+    world.tick();
+    assert_eq!(world.runs.len(), 1);
+}
+
 #[test]
 fn a_running_request_past_its_deadline_is_unknown_and_frees_its_slot() {
     let (mut world, token) = busy();
