Seek services that an entry does not know before refusing them

Cause: an entry that has just started knows no service and answered every packet that was sprayed to it at once with NO_SERVICE; a request under way then ended as unknown, and its flow was given up, although all went well elsewhere. Ruled out: staying silent for a fixed time after the start, which refuses too late what nobody knows and too early what is slow to arrive. Change: an unknown address is sought at the peers (Registry::need) and packets to it are left to the caller's repeats through other entries; it is refused once peers had a second to answer, or at once where it was deleted. A service without targets waits likewise. The router ranks once, not twice, and shortens the path of packets that name a known holder.

--- a/coordination/route/src/order.rs
+++ b/coordination/route/src/order.rs
@@ -86,6 +86,13 @@
         self
     }
 
+    /// Whether some targets take no new flows, so that the first open target
+    /// may not be the first of all.
+    #[must_use]
+    pub const fn has_closed(&self) -> bool {
+        self.positions.len() < self.targets.len()
+    }
+
     /// Finds a target by its id.
     #[must_use]
     pub fn target(&self, id: TargetId) -> Option<&Target> {
--- a/roles/app/src/entry.rs
+++ b/roles/app/src/entry.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod edge;
 pub mod reading;
+pub mod seek;
 pub mod status;
 pub mod traffic;
 
@@ -32,6 +33,7 @@
 use crate::entry::control::Input;
 use crate::entry::edge::Edge;
 use crate::entry::reading::Ranking;
+use crate::entry::seek::Seek;
 use crate::entry::traffic::Traffic;
 use crate::metric;
 use crate::metric::Board;
@@ -110,6 +112,7 @@
         inputs,
         board: Board::default(),
         watch: Watch::default(),
+        seek: Seek::default(),
         ranking: Ranking::new(settings, events_sender),
         listeners: HashMap::new(),
     };
--- a/roles/app/src/entry/control.rs
+++ b/roles/app/src/entry/control.rs
@@ -24,6 +24,8 @@
 
 use crate::directory;
 use crate::entry::reading::Ranking;
+use crate::entry::seek::Seek;
+use crate::entry::seek::Verdict;
 use crate::entry::status;
 use crate::entry::traffic::Traffic;
 use crate::event::Event;
@@ -50,6 +52,8 @@
     Status(Sender<StatusReply>),
     /// The metrics are asked for.
     Metrics(Sender<Vec<Sample>>),
+    /// A caller asks for a service that is not known.
+    Need(ServiceAddress),
     /// The entry is to stop.
     Leave,
 }
@@ -70,6 +74,8 @@
     pub board: Board,
     /// What was last logged of the services.
     pub watch: Watch,
+    /// Searches for services that are not known.
+    pub seek: Seek,
     /// Tells the reader of the store this entry's rank.
     pub ranking: Ranking,
     /// Readers of the service addresses that are bound here.
@@ -99,6 +105,7 @@
                 let samples = self.samples();
                 let _ = reply.try_send(status::describe(&self.registry, &samples));
             }
+            Some(Input::Need(address)) => self.need(now, address),
             Some(Input::Leave) => self.registry.leave(now, actions),
             Some(Input::Metrics(reply)) => {
                 let _ = reply.try_send(self.samples());
@@ -115,10 +122,47 @@
         }
         let changes = self.registry.changes();
         if !changes.is_empty() {
-            self.rebuild(&changes);
+            self.rebuild(now, &changes);
+        }
+        let verdicts = self.seek.due(now);
+        if !verdicts.is_empty() {
+            self.judge(now, &verdicts);
+        }
+    }
+
+    /// Seeks a service, unless it is known to have been deleted.
+    fn need(&mut self, now: Duration, address: ServiceAddress) {
+        if self.is_deleted(&address) {
+            return self.rebuild(now, &[address]);
+        }
+        if self.seek.start(now, address) {
+            self.registry.need(now, address);
         }
     }
 
+    fn is_deleted(&self, address: &ServiceAddress) -> bool {
+        self.registry
+            .service(address)
+            .is_some_and(|view| view.config.is_some() && directory::service(view).is_none())
+    }
+
+    /// Acts on searches that are over.
+    fn judge(&mut self, now: Duration, verdicts: &[Verdict]) {
+        let mut router = self.traffic.router.load().as_ref().clone();
+        let mut known = Vec::new();
+        for verdict in verdicts {
+            match verdict {
+                Verdict::Absent(address) if self.registry.service(address).is_some() => {
+                    known.push(*address);
+                }
+                Verdict::Absent(address) => router.refuse(*address),
+                Verdict::Forgotten(address) => router.forget(*address),
+            }
+        }
+        self.traffic.router.store(Arc::new(router));
+        self.rebuild(now, &known);
+    }
+
     async fn next(&self) -> Option<Input> {
         let now = self.origin.elapsed();
         let due = self.registry.next_deadline().min(now + IDLE);
@@ -153,19 +197,30 @@
     }
 
     /// Replaces the routes of the services that changed.
-    fn rebuild(&mut self, changes: &[ServiceAddress]) {
+    fn rebuild(&mut self, now: Duration, changes: &[ServiceAddress]) {
         let mut router = self.traffic.router.load().as_ref().clone();
         for address in changes {
             let view = self.registry.service(address);
             for event in view.map(|view| self.watch.view(view)).unwrap_or_default() {
                 event.log();
             }
-            if let Some(service) = self.route(*address) {
-                router.insert(service);
-                self.bind(*address);
-            } else {
-                router.remove(*address);
-                self.release(*address);
+            match self.route(*address) {
+                Some(service) if service.order().is_empty() && !self.seek.is_over(*address) => {
+                    // Its targets may not have arrived yet.
+                    self.seek.start(now, *address);
+                }
+                Some(service) => {
+                    if !service.order().is_empty() {
+                        self.seek.found(*address);
+                    }
+                    router.insert(service);
+                    self.bind(*address);
+                }
+                None if self.is_deleted(address) => {
+                    router.refuse(*address);
+                    self.release(*address);
+                }
+                None => {}
             }
         }
         self.traffic.router.store(Arc::new(router));
--- a/roles/app/src/entry/traffic.rs
+++ b/roles/app/src/entry/traffic.rs
@@ -59,6 +59,8 @@
     pub too_large: AtomicU64,
     /// Packets that only the system sends.
     pub direction: AtomicU64,
+    /// Packets to an address that is not known yet.
+    pub sought: AtomicU64,
     /// Packets to an address without a service.
     pub no_service: AtomicU64,
     /// Packets to a service without targets.
@@ -133,6 +135,7 @@
     }
 
     fn relay(&self, sprayed: Sprayed, entry: SocketAddr) {
+        let service = sprayed.service;
         match self.router.load().route(sprayed, entry) {
             Step::Relay { to, relay } => {
                 count(&self.counters.relayed);
@@ -142,7 +145,13 @@
                 count(self.counters.dropped(reason));
                 self.reply(reply);
             }
-            Step::Ignore(reason) => count(self.counters.dropped(reason)),
+            Step::Ignore(reason) => {
+                count(self.counters.dropped(reason));
+                if reason == Drop::Sought {
+                    // Repeats of the caller ask again where the queue is full.
+                    let _ = self.control.try_send(Input::Need(service));
+                }
+            }
         }
     }
 
@@ -176,7 +185,7 @@
 impl Counters {
     /// Returns every counter with its name.
     #[must_use]
-    pub fn all(&self) -> [Named<'_>; 11] {
+    pub fn all(&self) -> [Named<'_>; 12] {
         [
             ("packets.relayed", &self.relayed),
             ("packets.replied", &self.replied),
@@ -184,6 +193,7 @@
             ("refused.version", &self.version),
             ("refused.too_large", &self.too_large),
             ("refused.direction", &self.direction),
+            ("refused.sought", &self.sought),
             ("refused.no_service", &self.no_service),
             ("refused.no_target", &self.no_target),
             ("refused.unexpected_frame", &self.unexpected),
@@ -201,6 +211,7 @@
             Drop::Version => &self.version,
             Drop::TooLarge => &self.too_large,
             Drop::Direction => &self.direction,
+            Drop::Sought => &self.sought,
             Drop::NoService => &self.no_service,
             Drop::NoTarget => &self.no_target,
         }
--- a/roles/entry/src/router.rs
+++ b/roles/entry/src/router.rs
@@ -1,5 +1,6 @@
 //! Maps a caller's datagram to the agent that it goes to.
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -40,6 +41,7 @@
 #[derive(Clone, Default)]
 pub struct Router {
     services: HashMap<ServiceAddress, Arc<Service>>,
+    absent: HashSet<ServiceAddress>,
 }
 
 /// What the entry reads of a caller's packet.
@@ -61,12 +63,20 @@
 impl Router {
     /// Adds a service, or replaces its older view.
     pub fn insert(&mut self, service: Service) {
+        self.absent.remove(&service.address);
         self.services.insert(service.address, Arc::new(service));
     }
 
-    /// Forgets a service; its address is refused from now on.
-    pub fn remove(&mut self, address: ServiceAddress) {
+    /// Forgets what is known of an address; packets to it are to be sought.
+    pub fn forget(&mut self, address: ServiceAddress) {
         self.services.remove(&address);
+        self.absent.remove(&address);
+    }
+
+    /// Refuses an address from now on: it has no service.
+    pub fn refuse(&mut self, address: ServiceAddress) {
+        self.services.remove(&address);
+        self.absent.insert(address);
     }
 
     /// Returns the number of services.
@@ -89,11 +99,14 @@
             Ok(opening) => opening,
             Err(reason) => return unreadable(&sprayed, reason),
         };
-        let Some(service) = self.services.get(&sprayed.service) else {
-            return refuse(&sprayed, &opening, Reason::NoService, Drop::NoService);
+        let service = match self.services.get(&sprayed.service) {
+            Some(service) => service,
+            None if self.absent.contains(&sprayed.service) => {
+                return refuse(&sprayed, &opening, Reason::NoService, Drop::NoService);
+            }
+            None => return Step::Ignore(Drop::Sought),
         };
-        let path = path(service, &opening);
-        let home = service.order().top(opening.flow, 1).next();
+        let Ranking { path, home } = rank(service, &opening);
         match (path.first(), home) {
             (Some(first), Some(home)) => Step::Relay {
                 to: first.address,
@@ -102,7 +115,7 @@
                     service: sprayed.service,
                     entry,
                     revision: service.revision,
-                    home: hop(home),
+                    home,
                     path,
                     position: 0,
                     waits: Vec::new(),
@@ -115,29 +128,47 @@
     }
 }
 
-/// Chooses the agents that a packet visits.
+/// The agents that a packet visits, and the keeper of its flow's pin.
+struct Ranking {
+    path: Vec<Hop>,
+    home: Option<Hop>,
+}
+
+/// Ranks the agents of a service for a packet.
 ///
-/// The first repeats follow the same path. Later ones start further along it,
-/// because the first agent may be dead and not yet known to be.
-fn path(service: &Service, opening: &Opening) -> Vec<Hop> {
+/// A token leads to its holder; the agents know the rest of the order.
+fn rank(service: &Service, opening: &Opening) -> Ranking {
     let order = service.order();
-    let mut path: Vec<Hop> = match opening.kind {
-        Kind::Open => order.open(opening.flow, service.hunt).map(hop).collect(),
-        Kind::Continue => order.top(opening.flow, CONTINUE_PATH).map(hop).collect(),
-    };
-    let skip = opening.attempt.saturating_sub(PATIENT_ATTEMPTS - 1) as usize;
-    if let length @ 2.. = path.len() {
-        path.rotate_left(skip % length);
-    }
     let holder = opening
         .holder
         .and_then(|token| service.target(token.target))
         .map(hop);
+    let mut path: Vec<Hop> = match (opening.kind, holder) {
+        (Kind::Open, _) => order.open(opening.flow, service.hunt).map(hop).collect(),
+        (Kind::Continue, Some(_)) if opening.attempt < PATIENT_ATTEMPTS => {
+            order.top(opening.flow, 1).map(hop).collect()
+        }
+        (Kind::Continue, _) => order.top(opening.flow, CONTINUE_PATH).map(hop).collect(),
+    };
+    let home = match opening.kind {
+        Kind::Open if order.has_closed() => order.top(opening.flow, 1).next().map(hop),
+        Kind::Open | Kind::Continue => path.first().copied(),
+    };
+    skip_silent(&mut path, opening.attempt);
     if let Some(holder) = holder {
         path.retain(|hop| hop.target != holder.target);
         path.insert(0, holder);
     }
-    path
+    Ranking { path, home }
+}
+
+/// Lets late repeats start further along the path, because the first agent may
+/// be dead and not yet known to be.
+fn skip_silent(path: &mut [Hop], attempt: u32) {
+    let skip = attempt.saturating_sub(PATIENT_ATTEMPTS - 1) as usize;
+    if let length @ 2.. = path.len() {
+        path.rotate_left(skip % length);
+    }
 }
 
 fn hop(target: &Target) -> Hop {
--- a/roles/entry/src/step.rs
+++ b/roles/entry/src/step.rs
@@ -36,6 +36,8 @@
     TooLarge,
     /// It is a packet that only the system sends.
     Direction,
+    /// Nothing is known of this address yet; peers are to be asked.
+    Sought,
     /// No service has this address.
     NoService,
     /// The service has no target.
--- a/tools/proof/tests/processes.rs
+++ b/tools/proof/tests/processes.rs
@@ -51,6 +51,21 @@
     Ok(())
 }
 
+#[test]
+fn a_cold_entry_that_gets_packets_at_once_breaks_no_flow() -> Result {
+    let mut deployment = Deployment::start(112, Some(&[]))?;
+    let load = deployment.load(Service::Roster, SECONDS, SEED)?;
+    deployment.fault("mode=down")?;
+    for _ in 0..3 {
+        pause(2);
+        deployment.signal("entry-2", Signal::Kill)?;
+        deployment.ended("entry-2")?;
+        deployment.start_entry(2)?;
+    }
+    breaks_nothing(&deployment.outcome(load)?);
+    Ok(())
+}
+
 #[test]
 fn a_frozen_entry_breaks_no_flow() -> Result {
     let deployment = Deployment::start(102, Some(&[]))?;
