--- a/roles/agent/src/pinning.rs
+++ b/roles/agent/src/pinning.rs
@@ -11,6 +11,8 @@
 use wire::Frame;
 use wire::Hop;
 use wire::Relay;
+use wire::Target;
+use wire::Token;
 use wire::frame::Pin;
 
 use crate::Agent;
@@ -30,7 +32,8 @@
 /// The rounds over the flow table in which homes are told.
 ///
 /// Each round walks the table in steps. A round after a change of the view
-/// tells only the homes that changed; a regular one renews all pins.
+/// tells only the homes that changed or restarted; a regular one renews all
+/// pins.
 #[derive(Debug)]
 pub(crate) struct Renewal {
     interval: Duration,
@@ -41,6 +44,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Round {
     next_slot: usize,
+    /// Slots that are left to be looked at, past the last of which the table
+    /// starts again.
+    slots_left: usize,
     next_step: Duration,
     renews_all: bool,
 }
@@ -55,12 +61,19 @@
         }
     }
 
-    /// Starts a round after a change of the view.
-    pub(crate) fn restart(&mut self, now: Duration) {
-        self.round = Some(Round {
+    /// Starts a round over so many slots after a change of the view. One that
+    /// is underway goes on from where it is, so that frequent changes do not
+    /// keep it at the first slots.
+    pub(crate) fn restart(&mut self, now: Duration, slots: usize) {
+        let round = self.round.unwrap_or(Round {
             next_slot: 0,
+            slots_left: slots,
             next_step: now,
-            renews_all: self.round.is_some_and(|round| round.renews_all),
+            renews_all: false,
+        });
+        self.round = Some(Round {
+            slots_left: slots,
+            ..round
         });
     }
 
@@ -69,14 +82,13 @@
         step.unwrap_or(self.next_round).min(self.next_round)
     }
 
-    fn start_if_due(&mut self, now: Duration) {
+    fn start_if_due(&mut self, now: Duration, slots: usize) {
         if self.next_round <= now {
             self.next_round = now + self.interval;
-            self.round = Some(Round {
-                next_slot: 0,
-                next_step: now,
-                renews_all: true,
-            });
+            self.restart(now, slots);
+            if let Some(round) = &mut self.round {
+                round.renews_all = true;
+            }
         }
     }
 }
@@ -129,8 +141,10 @@
 
     /// Tells the home of a flow that was just opened.
     pub(crate) fn pin_new(&mut self, turn: &mut Turn<'_>, home: Hop, key: FlowKey) {
+        // Where the entry's view is ahead, the home is told again.
+        let told = self.target(home.target).map(token);
         if let Some(flow) = self.flows.get_mut(key) {
-            flow.home = Some(home.target);
+            flow.home = told;
         }
         if home.target != self.identity.id {
             let flows = vec![key];
@@ -142,7 +156,7 @@
     pub(crate) fn unpin(&mut self, turn: &mut Turn<'_>, flows: impl IntoIterator<Item = Flow>) {
         let mut batches = Batches::new();
         for flow in flows {
-            let home = flow.home.and_then(|home| self.target(home));
+            let home = flow.home.and_then(|home| self.target(home.target));
             if let Some(home) = home.filter(|home| home.id != self.identity.id) {
                 batches.entry(home.address).or_default().push(flow.key);
             }
@@ -172,7 +186,7 @@
         if self.pins.next_deadline().is_some_and(|at| at <= turn.now) {
             self.pins.expire(turn.now);
         }
-        self.renewal.start_if_due(turn.now);
+        self.renewal.start_if_due(turn.now, self.flows.slots());
         let due = self
             .renewal
             .round
@@ -183,20 +197,26 @@
     }
 
     fn step_round(&mut self, turn: &mut Turn<'_>, round: Round) -> Option<Round> {
-        let flows: Vec<Flow> = self
-            .flows
-            .scan(round.next_slot, STEP_SLOTS)?
-            .copied()
-            .collect();
+        let slots = STEP_SLOTS.min(round.slots_left);
+        if slots == 0 {
+            return None;
+        }
+        let Some(flows) = self.flows.scan(round.next_slot, slots) else {
+            // Past the last slot.
+            let next_slot = 0;
+            return (round.next_slot > 0).then_some(Round { next_slot, ..round });
+        };
+        let flows: Vec<Flow> = flows.copied().collect();
         let mut batches = Batches::new();
         for flow in flows.iter().filter(|flow| flow.phase != Phase::Closed) {
             self.renew_pin(flow, round.renews_all, &mut batches);
         }
         self.send_pins(turn, batches);
         Some(Round {
-            next_slot: round.next_slot + STEP_SLOTS,
+            next_slot: round.next_slot + slots,
+            slots_left: round.slots_left - slots,
             next_step: turn.now + STEP,
-            ..round
+            renews_all: round.renews_all,
         })
     }
 
@@ -204,11 +224,11 @@
         let Some(home) = self.order.home(flow.key) else {
             return;
         };
-        let is_new = flow.home != Some(home.id);
+        let is_new = flow.home != Some(token(home));
         if home.id != self.identity.id && (is_new || renews_all) {
             batches.entry(home.address).or_default().push(flow.key);
         }
-        let home = home.id;
+        let home = token(home);
         if let Some(flow) = self.flows.get_mut(flow.key) {
             flow.home = Some(home);
         }
@@ -248,3 +268,11 @@
         self.unpin(turn, live);
     }
 }
+
+/// The incarnation that a target announces.
+const fn token(target: &Target) -> Token {
+    Token {
+        target: target.id,
+        incarnation: target.incarnation,
+    }
+}
--- a/state/flow/src/table.rs
+++ b/state/flow/src/table.rs
@@ -6,7 +6,6 @@
 use displaydoc::Display;
 use thiserror::Error;
 use wire::FlowKey;
-use wire::TargetId;
 use wire::Token;
 
 use crate::seeded::Seeded;
@@ -55,8 +54,8 @@
     pub phase: Phase,
     /// Requests that are queued or running; a busy flow does not expire.
     pub pending: u32,
-    /// The home that was last told who holds the flow.
-    pub home: Option<TargetId>,
+    /// The incarnation of the home that was last told who holds the flow.
+    pub home: Option<Token>,
 }
 
 /// Where a flow stands.
@@ -265,6 +264,12 @@
         self.wheel.next_deadline()
     }
 
+    /// Number of slots, with and without a flow.
+    #[must_use]
+    pub fn slots(&self) -> usize {
+        self.slots.len()
+    }
+
     /// The flows in the slots from `start` on, `count` slots at most; `None`
     /// past the last slot.
     #[must_use]
