Spread the callers that a flood tells to come back

Cause: the limit of retry_after was applied after the jitter, so that every caller beyond it was told the same 30 s: 9025 of 10,000 within one tenth of a second (a_flood_is_not_told_to_return_together, shown failing before the change). The limit now leaves room for the jitter: those beyond it are spread from 20 to 30 s, fewer than 200 in any tenth.

--- a/state/limit/src/gate.rs
+++ b/state/limit/src/gate.rs
@@ -306,12 +306,14 @@
     fn refuse(&mut self, now: Duration, reason: Reason) -> Verdict {
         let turn = self.service_time(now) / u32::from(self.short_slots());
         let start = self.promised.max(now + self.expected_wait(now)) + turn;
-        self.promised = start.min(now + self.settings.max_retry_after);
+        // The limit leaves room for the jitter, which spreads those beyond it.
+        let limit = self.settings.max_retry_after.div_f64(1.0 + RETRY_JITTER);
+        self.promised = start.min(now + limit);
         let jitter = 1.0 + RETRY_JITTER * self.random.f64();
         let retry_after = self.promised.saturating_sub(now).mul_f64(jitter);
         Verdict::Refuse {
             reason,
-            retry_after: retry_after.min(self.settings.max_retry_after),
+            retry_after,
         }
     }
 
--- a/state/limit/tests/gate.rs
+++ b/state/limit/tests/gate.rs
@@ -1,4 +1,5 @@
 //! The gate's promises: slots, deadlines, classes, pauses, learned capacity.
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -158,6 +159,24 @@
     assert!(latest <= Duration::from_secs(30), "{latest:?}");
 }
 
+#[test]
+fn a_flood_is_not_told_to_return_together() {
+    let mut warm = Warm::new(settings(2));
+    let mut told: HashMap<u128, usize> = HashMap::new();
+    for id in 0..10_000 {
+        if let Verdict::Refuse { retry_after, .. } = warm.offer(id, Class::Short, FAR) {
+            assert!(retry_after <= Duration::from_secs(30));
+            *told.entry(retry_after.as_millis() / 100).or_default() += 1;
+        }
+    }
+    let most = told.values().max().copied().unwrap_or_default();
+    // The last ones are spread over 10 s, 100 in each tenth of a second.
+    assert!(
+        most < 200,
+        "{most} return within the same tenth of a second"
+    );
+}
+
 #[test]
 fn long_jobs_leave_the_reserve_of_short_ones() {
     let mut warm = Warm::new(settings(4));
