--- a/roles/app/src/settings/agent.rs
+++ b/roles/app/src/settings/agent.rs
@@ -79,13 +79,25 @@
         };
         command::distinct(
             reader,
-            ("control", settings.control),
-            ("backend", settings.backend),
+            command::Named {
+                flag: "control",
+                address: settings.control,
+            },
+            command::Named {
+                flag: "backend",
+                address: settings.backend,
+            },
         );
         command::distinct(
             reader,
-            ("listen", settings.listen),
-            ("service", settings.service),
+            command::Named {
+                flag: "listen",
+                address: settings.listen,
+            },
+            command::Named {
+                flag: "service",
+                address: settings.service,
+            },
         );
         command::no_arguments(reader, rest);
         settings
--- a/roles/app/src/settings/command.rs
+++ b/roles/app/src/settings/command.rs
@@ -189,12 +189,21 @@
     Keys { sign, accept }
 }
 
+/// An address and the flag that gave it.
+#[derive(Clone, Copy, Debug)]
+pub struct Named<'a> {
+    /// Name of the flag.
+    pub flag: &'a str,
+    /// The address.
+    pub address: SocketAddr,
+}
+
 /// Checks that two addresses of one transport differ.
-pub fn distinct(reader: &mut Reader<'_>, first: (&str, SocketAddr), second: (&str, SocketAddr)) {
-    if first.1 == second.1 && first.1.port() != 0 {
+pub fn distinct(reader: &mut Reader<'_>, first: Named<'_>, second: Named<'_>) {
+    if first.address == second.address && first.address.port() != 0 {
         reader.fail(Error::SameAddress {
-            first: format!("--{}", first.0),
-            second: format!("--{}", second.0),
+            first: format!("--{}", first.flag),
+            second: format!("--{}", second.flag),
         });
     }
 }
--- a/roles/app/src/settings/entry.rs
+++ b/roles/app/src/settings/entry.rs
@@ -83,11 +83,27 @@
         };
         command::distinct(
             reader,
-            ("control", settings.control),
-            ("operator", settings.operator),
+            command::Named {
+                flag: "control",
+                address: settings.control,
+            },
+            command::Named {
+                flag: "operator",
+                address: settings.operator,
+            },
         );
         if let Some(fabric) = settings.fabric {
-            command::distinct(reader, ("listen", settings.listen), ("fabric", fabric));
+            command::distinct(
+                reader,
+                command::Named {
+                    flag: "listen",
+                    address: settings.listen,
+                },
+                command::Named {
+                    flag: "fabric",
+                    address: fabric,
+                },
+            );
         }
         command::no_arguments(reader, rest);
         settings
