--- a/roles/app/src/call/caller.rs
+++ b/roles/app/src/call/caller.rs
@@ -23,8 +23,6 @@
 /// Behaviour of a caller.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Flows that are held open.
-    pub flows: usize,
     /// Name that the service's backend servers echo; empty to accept any.
     pub service: String,
     /// How long an operation may take.
@@ -46,7 +44,6 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            flows: 1,
             service: String::new(),
             deadline: Duration::from_secs(5),
             payload: 64,
--- a/roles/app/src/call/load.rs
+++ b/roles/app/src/call/load.rs
@@ -59,7 +59,6 @@
             seed => seed,
         };
         let caller = Caller::new(Settings {
-            flows: settings.flows as usize,
             service: settings.name.clone(),
             deadline: settings.deadline,
             payload: settings.payload as usize,
@@ -72,7 +71,7 @@
         };
         Ok(Self {
             caller,
-            report: Report::new(name),
+            report: Report::new(name, seed),
             socket,
             random: fastrand::Rng::with_seed(seed.wrapping_add(1)),
             start: Instant::now(),
--- a/roles/app/src/call/report.rs
+++ b/roles/app/src/call/report.rs
@@ -23,6 +23,8 @@
 pub struct Report {
     /// Name of the service.
     pub service: String,
+    /// Seed of all random choices.
+    pub seed: u64,
     /// Operations that were started.
     pub sent: u64,
     /// Operations whose right answer arrived whole.
@@ -70,9 +72,10 @@
 impl Report {
     /// Creates an empty report on a service.
     #[must_use]
-    pub fn new(service: String) -> Self {
+    pub fn new(service: String, seed: u64) -> Self {
         Self {
             service,
+            seed,
             sent: 0,
             answered: 0,
             refused: BTreeMap::new(),
@@ -165,6 +168,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut row = |name: &str, value: &str| writeln!(formatter, "{name:<16} {value}");
         row("service", &self.service)?;
+        row("seed", &self.seed.to_string())?;
         row("sent", &self.sent.to_string())?;
         row("answered", &self.answered.to_string())?;
         row("refused", &reasons(&self.refused))?;
--- a/roles/app/tests/caller.rs
+++ b/roles/app/tests/caller.rs
@@ -488,7 +488,7 @@
         }
         prop_assert!(bench.now <= Settings::default().deadline);
         let mut ended = HashMap::new();
-        let mut report = Report::new(SERVICE.into());
+        let mut report = Report::new(SERVICE.into(), seed);
         for note in &bench.notes {
             report.add(Duration::ZERO, note);
             if let Action::Ended(operation, _) = note {
