Pass single requests by the measured threshold; end superseded processes

Cause: the agent passed requests at an expected wait of 5 ms, which nobody measured; the placement measurements choose four round trips (12 ms across zones). A process that thaws after its successor has started went on as if it were heard. A run whose deadline had passed could still be sent.

--- a/roles/agent/src/pass.rs
+++ b/roles/agent/src/pass.rs
@@ -7,6 +7,7 @@
 
 use flow::State;
 use flow::record::Refusal;
+use route::hunt;
 use wire::Target;
 use wire::caller::Reason;
 
@@ -34,8 +35,8 @@
 impl Agent {
     /// Whether a request that comes now is better run elsewhere.
     pub(crate) fn prefers_passing(&self, now: Duration) -> bool {
-        let is_full =
-            !self.gate.free() && self.gate.expected_wait(now) > self.settings.pass.threshold;
+        let wait = self.gate.expected_wait(now);
+        let is_full = !self.gate.free() && hunt::pass_pays(wait, self.settings.pass.round_trip);
         is_full || self.draining || self.leaving.is_some()
     }
 
--- a/roles/agent/src/settings.rs
+++ b/roles/agent/src/settings.rs
@@ -1,6 +1,8 @@
 //! Settings of an agent.
 use std::time::Duration;
 
+use route::hunt;
+
 /// Settings of an agent, with those of its parts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -30,8 +32,9 @@
 /// Passing of single requests between the agents of an independent service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pass {
-    /// Expected wait at this agent above which a request is passed.
-    pub threshold: Duration,
+    /// Round trip to another agent of the service, across zones; a request is
+    /// passed where the wait here pays for it, as [`hunt::pass_pays`] says.
+    pub round_trip: Duration,
     /// Number of agents that one request is passed to, one at a time.
     pub tries: usize,
     /// Smallest time until the deadline for another try.
@@ -83,8 +86,8 @@
 impl Default for Pass {
     fn default() -> Self {
         Self {
-            threshold: Duration::from_millis(5),
-            tries: 2,
+            round_trip: Duration::from_millis(3),
+            tries: hunt::PASS_WIDTH,
             room: Duration::from_millis(20),
             max_offers: 20_000,
             max_offer_bytes: 8 * 1024 * 1024,
--- a/roles/app/src/agent.rs
+++ b/roles/app/src/agent.rs
@@ -105,6 +105,7 @@
         worker: inputs_sender.clone(),
         drained: false,
         changed: false,
+        superseded: false,
     };
     let core = Agent::new(
         ::agent::Settings {
--- a/roles/app/src/agent/control.rs
+++ b/roles/app/src/agent/control.rs
@@ -22,6 +22,7 @@
 
 use crate::agent;
 use crate::directory;
+use crate::event;
 
 /// Longest sleep while nothing is due.
 const IDLE: Duration = Duration::from_millis(250);
@@ -69,6 +70,8 @@
     pub drained: bool,
     /// Whether the core has not been told of the last change.
     pub changed: bool,
+    /// Whether a newer agent stands beside the backend server.
+    pub superseded: bool,
 }
 
 impl Control {
@@ -101,9 +104,21 @@
             if self.announcer.finished() {
                 return;
             }
+            self.stop_if_superseded().await;
         }
     }
 
+    /// Lets the core finish what it has once a newer agent stands beside the
+    /// backend server, as after a long freeze of this one.
+    async fn stop_if_superseded(&mut self) {
+        let Some(incarnation) = self.announcer.successor().filter(|_| !self.superseded) else {
+            return;
+        };
+        self.superseded = true;
+        event::Event::Superseded { incarnation }.log();
+        let _ = self.worker.send(::agent::Event::Stop.into()).await;
+    }
+
     /// Whether an entry has told of all other agents, or had the time to. The
     /// core asks the peers of its first view for the flows of its predecessor,
     /// so that view must be whole.
--- a/roles/app/src/agent/worker.rs
+++ b/roles/app/src/agent/worker.rs
@@ -331,7 +331,9 @@
     match result {
         Ok(answer) => Completion::Completed(answer),
         Err(backend::Error::Shed { retry_after }) => Completion::Shed { retry_after },
-        Err(backend::Error::Unreachable) => Completion::Failed { ran: false },
+        Err(backend::Error::Unreachable | backend::Error::Expired) => {
+            Completion::Failed { ran: false }
+        }
         Err(backend::Error::TooLarge) => Completion::TooLarge,
         Err(backend::Error::Broken | backend::Error::Timeout | backend::Error::Status(_)) => {
             Completion::Failed { ran: true }
--- a/roles/app/src/entry/control.rs
+++ b/roles/app/src/entry/control.rs
@@ -83,12 +83,15 @@
 }
 
 impl Control {
-    /// Runs until dropped.
+    /// Runs until dropped, or until a newer process has this one's place.
     pub async fn run(mut self) {
         let mut actions = Vec::new();
-        loop {
+        while self.registry.successor().is_none() {
             self.turn(&mut actions).await;
         }
+        if let Some(incarnation) = self.registry.successor() {
+            Event::Superseded { incarnation }.log();
+        }
     }
 
     async fn turn(&mut self, actions: &mut Vec<Action>) {
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use log::Level;
+use wire::Incarnation;
 use wire::Revision;
 use wire::ServiceAddress;
 use wire::TargetId;
@@ -112,6 +113,9 @@
         "backend server {target} of service {service} takes no new flows", "nothing";
     3004 Info TargetLeft { service: ServiceAddress, target: TargetId }
         "backend server {target} of service {service} has left", "nothing";
+    3005 Error Superseded { incarnation: Incarnation }
+        "a newer process of incarnation {incarnation} has this one's place; this one ends",
+        "run one process at an address, and look at why this one was frozen";
 }
 
 impl Event {
--- a/transport/net/src/backend.rs
+++ b/transport/net/src/backend.rs
@@ -58,6 +58,8 @@
 pub enum Error {
     /// the backend server cannot be reached; start it or correct the backend address
     Unreachable,
+    /// the deadline passed before the request was sent; allow more time
+    Expired,
     /// the backend server sheds load; ask again later
     Shed {
         /// When to come back.
@@ -89,9 +91,12 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Unreachable`] and [`Error::Shed`] say that the request did not
-    /// run; after any other error it may have run.
+    /// [`Error::Unreachable`], [`Error::Expired`] and [`Error::Shed`] say that
+    /// the request did not run; after any other error it may have run.
     pub async fn run(&self, run: Run) -> Result<Bytes, Error> {
+        if run.timeout.is_zero() {
+            return Err(Error::Expired);
+        }
         let timeout = async {
             Timer::after(run.timeout).await;
             Err(Error::Timeout)
