--- /dev/null
+++ b/tools/proof/examples/inforce.rs
@@ -0,0 +1,44 @@
+//! Time until a change of configuration is in force at every entry:
+//! `cargo run --release -p proof --example inforce`.
+use std::error::Error;
+use std::time::Duration;
+use std::time::Instant;
+
+use proof::Deployment;
+use proof::Service;
+
+/// Changes that are made, one after the other.
+const CHANGES: usize = 20;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let deployment = Deployment::start(121, Some(&[]))?;
+    let address = deployment.address(Service::Roster);
+    let mut times = Vec::with_capacity(CHANGES);
+    for change in 0..CHANGES {
+        let hunt = (change % 3 + 1).to_string();
+        let accepted = deployment.until(&["update", &address, "--hunt", &hunt])?;
+        let revision = revision(&accepted).ok_or("no revision was printed")?;
+        let begun = Instant::now();
+        let line = format!("in force: {address} revision {revision}");
+        while !deployment.all_entries_say(&line) {}
+        times.push(begun.elapsed());
+    }
+    times.sort();
+    let median = times[CHANGES / 2].as_millis();
+    let largest = times.last().map_or(0, Duration::as_millis);
+    println!(
+        "{CHANGES} changes in force at 3 entries after {median} ms (median), {largest} ms (largest)"
+    );
+    Ok(())
+}
+
+/// Reads the revision out of what `operate` printed.
+fn revision(printed: &str) -> Option<u64> {
+    let mut words = printed.split_whitespace();
+    words.find(|word| *word == "revision")?;
+    let digits = words.next()?;
+    digits
+        .trim_matches(|letter: char| !letter.is_ascii_digit())
+        .parse()
+        .ok()
+}
--- a/tools/proof/src/deployment.rs
+++ b/tools/proof/src/deployment.rs
@@ -421,20 +421,32 @@
         Err("the deployment did not get ready".into())
     }
 
+    /// Whether every entry prints a line that begins so in its status.
+    #[must_use]
+    pub fn all_entries_say(&self, line: &str) -> bool {
+        (1..=ENTRIES).all(|entry| {
+            let status = self.status(entry);
+            status.lines().any(|printed| printed.starts_with(line))
+        })
+    }
+
     /// Number of targets that are ready at an entry.
     fn ready_at(&self, entry: u8) -> usize {
-        let status = Command::new(program("greengagelug"))
-            .args(["operate", "--entries", &self.ip(1, entry, 7002), "status"])
-            .output();
-        let Ok(status) = status else {
-            return 0;
-        };
-        String::from_utf8_lossy(&status.stdout)
+        self.status(entry)
             .lines()
             .filter(|line| line.starts_with("target: ") && line.contains(" ready"))
             .count()
     }
 
+    /// What an entry says of the system; empty where it does not answer.
+    fn status(&self, entry: u8) -> String {
+        Command::new(program("greengagelug"))
+            .args(["operate", "--entries", &self.ip(1, entry, 7002), "status"])
+            .output()
+            .map(|output| String::from_utf8_lossy(&output.stdout).into_owned())
+            .unwrap_or_default()
+    }
+
     /// Address that callers of a service send to.
     #[must_use]
     pub fn address(&self, service: Service) -> String {
