--- a/coordination/route/src/pin.rs
+++ b/coordination/route/src/pin.rs
@@ -251,19 +251,18 @@
         let Some(slot) = slots.get_mut(&due.flow) else {
             return;
         };
+        if slot.listed != wrapped(bucket) {
+            return;
+        }
         let ahead = slot.expiry.wrapping_sub(wrapped(bucket));
-        match () {
-            () if slot.listed != wrapped(bucket) => {}
-            () if ahead == 0 => {
-                self.holders.release(slot.holder);
-                slots.remove(&due.flow);
-                self.len -= 1;
-            }
-            () => {
-                slot.listed = slot.expiry;
-                self.list(bucket + u64::from(ahead), due);
-            }
+        if ahead > 0 {
+            slot.listed = slot.expiry;
+            self.list(bucket + u64::from(ahead), due);
+            return;
         }
+        self.holders.release(slot.holder);
+        slots.remove(&due.flow);
+        self.len -= 1;
     }
 
     fn list(&mut self, bucket: u64, due: Due) {
--- a/roles/agent/src/keep.rs
+++ b/roles/agent/src/keep.rs
@@ -117,18 +117,20 @@
             expiry,
         });
         let is_sound = kept.owner == owner && kept.count == part.count && part.index < part.count;
-        match () {
-            () if !is_sound || part.index > kept.received => false,
-            () if part.index < kept.received => true,
-            () if self.bytes + part.bytes() > max_bytes => false,
-            () => {
-                kept.received += 1;
-                kept.expiry = expiry;
-                self.bytes += part.bytes();
-                kept.parts.push(part);
-                true
-            }
+        if !is_sound || part.index > kept.received {
+            return false;
+        }
+        if part.index < kept.received {
+            return true;
+        }
+        if self.bytes + part.bytes() > max_bytes {
+            return false;
         }
+        kept.received += 1;
+        kept.expiry = expiry;
+        self.bytes += part.bytes();
+        kept.parts.push(part);
+        true
     }
 
     /// Makes the flows of a whole state known.
--- a/roles/agent/src/offered.rs
+++ b/roles/agent/src/offered.rs
@@ -106,13 +106,7 @@
     fn take_offer(&mut self, turn: &mut Turn<'_>, call: CallId, offer: Offer) {
         let id = offer.id;
         let forget_at = turn.now + offer.remaining + self.settings.ledger.late_copy;
-        let refusal = match () {
-            () if offer.service != self.identity.service => Some(Refusal::Unreachable),
-            () if !self.takes_flows() => Some(Refusal::Draining),
-            () if !self.gate.free() => Some(Refusal::Overloaded),
-            () => None,
-        };
-        if let Some(reason) = refusal {
+        if let Some(reason) = self.refuses_offer(&offer) {
             self.counters.add(Counter::OfferRefused);
             let retry_after = self.gate.expected_wait(turn.now);
             let outcome = Outcome::NotRun {
@@ -133,6 +127,17 @@
         self.start(turn, task);
     }
 
+    /// Why this agent does not take an offer, if it does not.
+    fn refuses_offer(&self, offer: &Offer) -> Option<Refusal> {
+        if offer.service != self.identity.service {
+            return Some(Refusal::Unreachable);
+        }
+        if !self.takes_flows() {
+            return Some(Refusal::Draining);
+        }
+        (!self.gate.free()).then_some(Refusal::Overloaded)
+    }
+
     pub(crate) fn on_withdrawn(&mut self, turn: &mut Turn<'_>, id: offer::Id) {
         match self.offers.entries.get(&id) {
             Some(&Entry::Running { job, .. }) => {
--- a/roles/agent/src/task.rs
+++ b/roles/agent/src/task.rs
@@ -143,15 +143,19 @@
         let may_pass = task.is_own();
         let expired = task.deadline <= turn.now;
         self.tasks.insert(job, task);
-        match () {
-            () if expired => {
-                let refusal = self.refusal(Reason::Deadline, Duration::ZERO);
-                self.conclude(turn, job, End::NotRun(refusal));
-            }
-            () if may_pass && self.prefers_passing(turn.now) && self.pass(turn, job) => {}
-            () if may_pass && self.leaving.is_some() => self.refuse_leaving(turn, job),
-            () => self.offer_to_gate(turn, job),
+        if expired {
+            let refusal = self.refusal(Reason::Deadline, Duration::ZERO);
+            self.conclude(turn, job, End::NotRun(refusal));
+            return job;
+        }
+        if may_pass && self.prefers_passing(turn.now) && self.pass(turn, job) {
+            return job;
+        }
+        if may_pass && self.leaving.is_some() {
+            self.refuse_leaving(turn, job);
+            return job;
         }
+        self.offer_to_gate(turn, job);
         job
     }
 
--- a/roles/agent/tests/closing.rs
+++ b/roles/agent/tests/closing.rs
@@ -12,28 +12,12 @@
 use world::FLOW;
 use world::REQUEST;
 use world::World;
+use world::assert_refused;
+use world::busy;
 use world::cancel;
 use world::close;
 use world::open;
 use world::request;
-use world::settings;
-
-fn assert_refused(world: &mut World, reason: Reason, outcome: Outcome) {
-    let refusal = world.take_refusal().expect("a refusal should be sent");
-    assert_eq!(refusal.reason(), reason);
-    assert_eq!(refusal.outcome(), outcome);
-}
-
-/// A world of one agent with one slot, which is taken by request 1.
-fn busy() -> (World, Token) {
-    let mut settings = settings();
-    settings.gate.slots = 1;
-    let mut world = World::new(1, settings, agent::view::Service::default());
-    let token = world.open(FLOW);
-    world.send(&request(FLOW, 1, token));
-    assert_eq!(world.runs.len(), 1);
-    (world, token)
-}
 
 #[test]
 fn a_cancelled_request_frees_its_slot() {
--- a/roles/agent/tests/world/mod.rs
+++ b/roles/agent/tests/world/mod.rs
@@ -25,7 +25,9 @@
 use wire::Frame;
 use wire::Target;
 use wire::Token;
+use wire::caller;
 use wire::caller::Packet;
+use wire::caller::Reason;
 use wire::target::State;
 
 pub use message::Message;
@@ -395,3 +397,21 @@
 pub fn holder(token: Token) -> usize {
     usize::try_from(token.target - 1000).unwrap()
 }
+
+/// Checks that a caller was refused, and how.
+pub fn assert_refused(world: &mut World, reason: Reason, outcome: caller::Outcome) {
+    let refusal = world.take_refusal().expect("a refusal should be sent");
+    assert_eq!(refusal.reason(), reason);
+    assert_eq!(refusal.outcome(), outcome);
+}
+
+/// A world of one agent with one slot, which is taken by request 1.
+pub fn busy() -> (World, Token) {
+    let mut settings = settings();
+    settings.gate.slots = 1;
+    let mut world = World::new(1, settings, Service::default());
+    let token = world.open(FLOW);
+    world.send(&request(FLOW, 1, token));
+    assert_eq!(world.runs.len(), 1);
+    (world, token)
+}
--- a/state/flow/src/table.rs
+++ b/state/flow/src/table.rs
@@ -174,10 +174,11 @@
     /// [`Error::Full`] at the table's limit, [`Error::Taken`] where the flow is
     /// held already.
     pub fn insert(&mut self, flow: Flow) -> Result<Flow, Error> {
-        match () {
-            () if self.index.contains_key(&flow.key) => return Err(Error::Taken),
-            () if self.is_full() => return Err(Error::Full),
-            () => {}
+        if self.index.contains_key(&flow.key) {
+            return Err(Error::Taken);
+        }
+        if self.is_full() {
+            return Err(Error::Full);
         }
         let slot = self.free.pop().unwrap_or_else(|| {
             self.slots.push(None);
