Give a request that must not run twice a connection of its own

Cause: the client took idle connections for every request; a backend server that closes one at that moment leaves open whether the request ran, and a non-idempotent request then ends as unknown although nothing went wrong. Ruled out: asking again, which may run it twice. Change: only idempotent requests reuse connections. Conclusion: one local connection more for each such request.

--- a/transport/net/src/backend.rs
+++ b/transport/net/src/backend.rs
@@ -106,7 +106,7 @@
 
     async fn exchange(&self, run: &Run) -> Result<Bytes, Error> {
         let mut request = request(self.backend, run);
-        let mut sender = self.sender().await?;
+        let mut sender = self.sender(run.idempotent).await?;
         let response = loop {
             match sender.try_send_request(request).await {
                 Ok(response) => break response,
@@ -144,8 +144,12 @@
     }
 
     /// Takes an idle connection that is still open, or makes a new one.
-    async fn sender(&self) -> Result<Sender, Error> {
-        while let Some(mut sender) = self.take_idle() {
+    ///
+    /// The backend server may close an idle connection at the moment it is used
+    /// again, which leaves open whether the request ran. A request that must not
+    /// run twice gets a connection of its own.
+    async fn sender(&self, idempotent: bool) -> Result<Sender, Error> {
+        while let Some(mut sender) = self.take_idle(idempotent) {
             if sender.ready().await.is_ok() {
                 return Ok(sender);
             }
@@ -153,7 +157,10 @@
         self.connect().await
     }
 
-    fn take_idle(&self) -> Option<Sender> {
+    fn take_idle(&self, idempotent: bool) -> Option<Sender> {
+        if !idempotent {
+            return None;
+        }
         self.idle.borrow_mut().pop()
     }
 
