Split the agent's traffic thread into what feeds the core and what it asks for

Cause: one function of 70 lines and a file with two jobs. Change: worker takes what arrives, shell carries out; start builds its parts by name.

--- a/roles/app/src/agent.rs
+++ b/roles/app/src/agent.rs
@@ -4,6 +4,7 @@
 //! runs the membership protocol and serves the calls of peers.
 pub mod control;
 pub mod peer;
+pub mod shell;
 pub mod worker;
 
 use std::io;
@@ -26,6 +27,8 @@
 use wire::id::target_id;
 use wire::target::State;
 
+use crate::agent::shell::Shell;
+use crate::agent::worker::Worker;
 use crate::clock;
 use crate::metric;
 use crate::settings;
@@ -91,13 +94,7 @@
     .detach();
 
     let control = control::Control {
-        announcer: Announcer::new(
-            member::Settings::default(),
-            target.clone(),
-            settings.seeds.clone(),
-            fastrand::u64(..),
-            origin.elapsed(),
-        ),
+        announcer: announcer(settings, &target, origin),
         origin,
         port: port.clone(),
         target: target.id,
@@ -107,28 +104,30 @@
         changed: false,
         superseded: false,
     };
-    let core = Agent::new(
-        ::agent::Settings {
-            leave: leave(settings.stop),
-            ..::agent::Settings::default()
-        },
-        target,
-        fastrand::u64(..),
-        origin.elapsed(),
-    );
-    let worker = worker::Worker {
-        core,
-        origin,
-        port: port.clone(),
-        backend: backend::Client::new(settings.backend, config::service::MAX_ANSWER_BYTES as usize),
-        peers: peer::Pool::new(seal),
-        inputs,
-        inputs_sender,
-        control: control_sender.clone(),
-    };
+    let core = core(settings, target, origin);
+    let client = backend::Client::new(settings.backend, config::service::MAX_ANSWER_BYTES as usize);
+    let pool = peer::Pool::new(seal);
+    let sender = control_sender.clone();
+    let traffic_port = port.clone();
     let traffic = thread::Builder::new()
         .name("traffic".to_string())
         .spawn(move || {
+            let shell = Shell::new(
+                traffic_port.clone(),
+                origin,
+                client,
+                pool,
+                inputs_sender,
+                sender.clone(),
+            );
+            let worker = Worker {
+                core,
+                origin,
+                port: traffic_port,
+                inputs,
+                control: sender,
+                shell,
+            };
             let result = smol::block_on(worker::run(worker));
             let _ = control_sender.send_blocking(control::Input::Leave);
             smol::spawn(listen(port, control_sender)).detach();
@@ -138,6 +137,24 @@
     traffic.join().unwrap_or(Ok(()))
 }
 
+fn announcer(settings: &settings::Agent, target: &Target, origin: Instant) -> Announcer {
+    Announcer::new(
+        member::Settings::default(),
+        target.clone(),
+        settings.seeds.clone(),
+        fastrand::u64(..),
+        origin.elapsed(),
+    )
+}
+
+fn core(settings: &settings::Agent, target: Target, origin: Instant) -> Agent {
+    let settings = ::agent::Settings {
+        leave: leave(settings.stop),
+        ..::agent::Settings::default()
+    };
+    Agent::new(settings, target, fastrand::u64(..), origin.elapsed())
+}
+
 /// Takes the answers to the farewell, once the traffic thread has ended.
 async fn listen(port: Port, control: Sender<control::Input>) {
     let mut receiver = port.receiver();
--- /dev/null
+++ b/roles/app/src/agent/shell.rs
@@ -0,0 +1,226 @@
+//! Carries out what an agent's core decides.
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use ::agent::Action;
+use ::agent::Completion;
+use ::agent::Event;
+use ::agent::Job;
+use ::agent::Offer;
+use ::agent::Outcome;
+use ::agent::event::CallId;
+use ::agent::event::JobId;
+use ::agent::offer;
+use ::agent::park;
+use async_channel::Sender;
+use net::Port;
+use net::backend;
+use smol::LocalExecutor;
+use smol::Task;
+
+use crate::agent::Input;
+use crate::agent::control;
+use crate::agent::peer;
+use crate::agent::peer::Answer;
+use crate::agent::peer::Call;
+use crate::agent::peer::Failure;
+
+/// Longest wait for a peer that keeps, gives or withdraws something.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Carries out what the core decides.
+pub struct Shell {
+    /// Runs the tasks of the backend server's connections and of calls.
+    pub(super) executor: Rc<LocalExecutor<'static>>,
+    port: Port,
+    origin: Instant,
+    backend: Rc<backend::Client>,
+    peers: Rc<peer::Pool>,
+    inputs: Sender<Input>,
+    control: Sender<control::Input>,
+    jobs: HashMap<JobId, Task<()>>,
+    calls: HashMap<CallId, Sender<Answer>>,
+    next_call: CallId,
+}
+
+impl Shell {
+    /// Carries out actions with a backend server and connections to peers.
+    /// `inputs` is told what becomes of them; `origin` is that of the core's
+    /// time.
+    #[must_use]
+    pub fn new(
+        port: Port,
+        origin: Instant,
+        backend: backend::Client,
+        peers: peer::Pool,
+        inputs: Sender<Input>,
+        control: Sender<control::Input>,
+    ) -> Self {
+        Self {
+            executor: Rc::new(LocalExecutor::new()),
+            port,
+            origin,
+            backend: Rc::new(backend),
+            peers: Rc::new(peers),
+            inputs,
+            control,
+            jobs: HashMap::new(),
+            calls: HashMap::new(),
+            next_call: 0,
+        }
+    }
+
+    /// Turns an input into an event; calls of peers wait for their answer.
+    pub fn event(&mut self, input: Input) -> Event {
+        match input {
+            Input::Event(event) => {
+                if let Event::Finished { job, .. } = &event {
+                    self.jobs.remove(job);
+                }
+                event
+            }
+            Input::Call { call, reply } => {
+                self.next_call += 1;
+                let id = self.next_call;
+                if let Call::Withdraw(offer) = call {
+                    let _ = reply.try_send(Answer::Withdrawn);
+                    return Event::Withdrawn { offer };
+                }
+                self.calls.insert(id, reply);
+                match call {
+                    Call::Offer(offer) => Event::Offered { call: id, offer },
+                    Call::Park(part) => Event::Park { call: id, part },
+                    Call::Claim(claim) => Event::Claim { call: id, claim },
+                    Call::Withdraw(offer) => Event::Withdrawn { offer },
+                }
+            }
+            Input::Status(_) => Event::Tick,
+        }
+    }
+
+    /// Carries out an action; false where the process is to end.
+    pub fn perform(&mut self, action: Action) -> bool {
+        match action {
+            Action::Send { to, frame } => self.port.send(to, &frame),
+            Action::Run(job) => self.run(job),
+            Action::Abort { job } => drop(self.jobs.remove(&job)),
+            Action::Pass { to, offer } => self.pass(to, offer),
+            Action::Withdraw { to, offer } => self.call(to, Call::Withdraw(offer), |_| None),
+            Action::Resolve { call, outcome } => self.answer(call, Answer::Offer(outcome)),
+            Action::Parked { call, accepted } => self.answer(call, Answer::Parked(accepted)),
+            Action::Claimed { call, grant } => self.answer(call, Answer::Claimed(grant)),
+            Action::Park { to, part } => self.park(to, part),
+            Action::Claim { to, claim } => self.claim(to, claim),
+            Action::Announce { state, weight } => {
+                let change = control::Input::Announce { state, weight };
+                let _ = self.control.try_send(change);
+            }
+            Action::Exit => return false,
+        }
+        true
+    }
+
+    fn run(&mut self, job: Job) {
+        let backend = Rc::clone(&self.backend);
+        let inputs = self.inputs.clone();
+        let id = job.id;
+        let run = backend::Run {
+            request: job.request,
+            idempotent: job.idempotent,
+            timeout: job.deadline.saturating_sub(self.origin.elapsed()),
+            payload: job.payload,
+        };
+        let task = self.executor.spawn(async move {
+            let result = completion(backend.run(run).await);
+            let event = Event::Finished { job: id, result };
+            let _ = inputs.send(Input::Event(event)).await;
+        });
+        self.jobs.insert(id, task);
+    }
+
+    fn answer(&mut self, call: CallId, answer: Answer) {
+        if let Some(reply) = self.calls.remove(&call) {
+            let _ = reply.try_send(answer);
+        }
+    }
+
+    fn pass(&self, to: SocketAddr, offer: Offer) {
+        let id = offer.id;
+        let timeout = offer.remaining;
+        let call = Call::Offer(offer);
+        self.call_within(to, call, timeout, move |result| {
+            let outcome = match result {
+                Ok(Answer::Offer(outcome)) => outcome,
+                Err(Failure::Unsent) => Outcome::NotRun {
+                    reason: offer::Refusal::Unreachable,
+                    retry_after: CALL_TIMEOUT,
+                },
+                _ => Outcome::Unknown,
+            };
+            Some(Event::Passed { offer: id, outcome })
+        });
+    }
+
+    fn park(&self, to: SocketAddr, part: park::Part) {
+        let index = part.index;
+        self.call(to, Call::Park(part), move |result| {
+            let accepted = matches!(result, Ok(Answer::Parked(true)));
+            Some(Event::Parked { index, accepted })
+        });
+    }
+
+    fn claim(&self, to: SocketAddr, claim: park::Claim) {
+        self.call(to, Call::Claim(claim), move |result| {
+            let grant = match result {
+                Ok(Answer::Claimed(grant)) => grant,
+                _ => park::Grant::Unreachable,
+            };
+            Some(Event::Claimed { peer: to, grant })
+        });
+    }
+
+    fn call(
+        &self,
+        to: SocketAddr,
+        call: Call,
+        done: impl FnOnce(Result<Answer, Failure>) -> Option<Event> + 'static,
+    ) {
+        self.call_within(to, call, CALL_TIMEOUT, done);
+    }
+
+    fn call_within(
+        &self,
+        to: SocketAddr,
+        call: Call,
+        timeout: Duration,
+        done: impl FnOnce(Result<Answer, Failure>) -> Option<Event> + 'static,
+    ) {
+        let peers = Rc::clone(&self.peers);
+        let inputs = self.inputs.clone();
+        self.executor
+            .spawn(async move {
+                let result = peers.call(to, &call, timeout).await;
+                if let Some(event) = done(result) {
+                    let _ = inputs.send(Input::Event(event)).await;
+                }
+            })
+            .detach();
+    }
+}
+
+fn completion(result: Result<bytes::Bytes, backend::Error>) -> Completion {
+    match result {
+        Ok(answer) => Completion::Completed(answer),
+        Err(backend::Error::Shed { retry_after }) => Completion::Shed { retry_after },
+        Err(backend::Error::Unreachable | backend::Error::Expired) => {
+            Completion::Failed { ran: false }
+        }
+        Err(backend::Error::TooLarge) => Completion::TooLarge,
+        Err(backend::Error::Broken | backend::Error::Timeout | backend::Error::Status(_)) => {
+            Completion::Failed { ran: true }
+        }
+    }
+}
