--- a/coordination/member/src/record.rs
+++ b/coordination/member/src/record.rs
@@ -37,8 +37,6 @@
 pub struct Entry {
     /// UDP address for frames.
     pub address: SocketAddr,
-    /// TCP address for calls between processes.
-    pub control: SocketAddr,
     /// Availability zone of the host.
     pub zone: ZoneId,
     /// Start time of the process; orders its statements.
--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -47,8 +47,6 @@
 pub struct Identity {
     /// UDP address for frames, from which this process also sends.
     pub address: SocketAddr,
-    /// TCP address for calls between processes.
-    pub control: SocketAddr,
     /// Availability zone of the host.
     pub zone: ZoneId,
     /// Start time of the process.
@@ -63,7 +61,6 @@
 /// let address = "10.0.0.1:7000".parse()?;
 /// let identity = member::Identity {
 ///     address,
-///     control: address,
 ///     zone: 1,
 ///     incarnation: 1,
 /// };
@@ -332,7 +329,6 @@
     fn own_record(&self, left: bool) -> Record {
         Record::Entry(Entry {
             address: self.identity.address,
-            control: self.identity.control,
             zone: self.identity.zone,
             incarnation: self.identity.incarnation,
             left,
--- a/coordination/member/src/registry/heartbeat.rs
+++ b/coordination/member/src/registry/heartbeat.rs
@@ -254,7 +254,6 @@
             let heartbeat = Heartbeat {
                 subject: Subject::Entry(Entry {
                     address: self.identity.address,
-                    control: self.identity.control,
                     zone: self.identity.zone,
                     incarnation: self.identity.incarnation,
                     left: has_left,
--- a/demo.sh
+++ b/demo.sh
@@ -60,7 +60,7 @@
     local peers
     peers=$(printf ",$net.1.%d:7000" 1 2 3)
     start "entry-$1" "$bin/greengagelug" entry --listen "$net.1.$1:7000" \
-        --control "$net.1.$1:7001" --operator "$net.1.$1:7002" \
+        --operator "$net.1.$1:7002" \
         --fabric "$fabric" --zone "$1" --peers "${peers#,}" --store "$platform"
 }
 
--- a/roles/app/src/entry.rs
+++ b/roles/app/src/entry.rs
@@ -123,7 +123,6 @@
 fn registry(settings: &settings::Entry, origin: Instant) -> Registry {
     let identity = Identity {
         address: settings.listen,
-        control: settings.control,
         zone: settings.zone,
         incarnation: clock::incarnation(),
     };
--- a/roles/app/src/settings/command.rs
+++ b/roles/app/src/settings/command.rs
@@ -147,8 +147,8 @@
 const fn example(role: Role) -> &'static str {
     match role {
         Role::Entry => {
-            "greengagelug entry --listen 10.0.0.1:7000 --control 10.0.0.1:7001 \
-             --operator 10.0.0.1:7002 --fabric 10.0.0.250:7000 --zone 1 \
+            "greengagelug entry --listen 10.0.0.1:7000 --operator 10.0.0.1:7002 \
+             --fabric 10.0.0.250:7000 --zone 1 \
              --peers 10.0.0.2:7000 --store 10.0.0.200:8000"
         }
         Role::Agent => {
--- a/roles/app/src/settings/entry.rs
+++ b/roles/app/src/settings/entry.rs
@@ -17,8 +17,6 @@
 pub struct Entry {
     /// UDP address for frames and sprayed packets; others reach it here.
     pub listen: SocketAddr,
-    /// TCP address for calls between processes.
-    pub control: SocketAddr,
     /// TCP address of the operators' RPC (gRPC).
     pub operator: SocketAddr,
     /// UDP address of a fabric that wraps callers' datagrams; without one the
@@ -47,7 +45,6 @@
         let unset = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         Self {
             listen: unset,
-            control: unset,
             operator: unset,
             fabric: None,
             zone: 0,
@@ -69,7 +66,6 @@
         let default = Self::default();
         let settings = Self {
             listen: reader.address("listen", default.listen),
-            control: reader.address("control", default.control),
             operator: reader.address("operator", default.operator),
             fabric: reader.optional("fabric"),
             zone: reader.number("zone"),
@@ -81,17 +77,6 @@
             metrics: reader.time("metrics-interval"),
             log: command::log(reader),
         };
-        command::distinct(
-            reader,
-            command::Named {
-                flag: "control",
-                address: settings.control,
-            },
-            command::Named {
-                flag: "operator",
-                address: settings.operator,
-            },
-        );
         if let Some(fabric) = settings.fabric {
             command::distinct(
                 reader,
--- a/roles/app/src/settings/list.rs
+++ b/roles/app/src/settings/list.rs
@@ -24,11 +24,11 @@
     },
     Setting {
         name: "control",
-        roles: DAEMONS,
+        roles: AGENT,
         kind: Kind::Address,
         unit: "",
         default: Preset::Required,
-        help: "TCP address for calls between processes",
+        help: "TCP address for calls between agents",
     },
     Setting {
         name: "operator",
