Let a keeper of another agent's state wait for its successor

The agent that kept the flows of a replaced neighbour was replaced itself before the neighbour's successor had claimed them, and took them along; a successor also passed over keepers that had begun to leave. Ruled out: handing kept state on to a third agent, which two processes could then hold at once. Change: an agent that leaves waits, within the bound of its stop, until what it keeps is claimed; a successor asks twice as many peers, leaving ones included. The test over real processes replaces the agents of a bound service too. Shown: a_keeper_that_leaves_waits_for_the_successor fails before ([2, 0] had exited, not [2]).

--- a/roles/agent/src/claim.rs
+++ b/roles/agent/src/claim.rs
@@ -54,7 +54,7 @@
 impl Agent {
     /// Asks the peers of the first view.
     pub(crate) fn start_claim(&mut self, turn: &mut Turn<'_>) {
-        let peers = self.peers();
+        let peers = self.possible_keepers();
         let claim = self.claim(0);
         let Some(claiming) = &mut self.claiming else {
             return;
--- a/roles/agent/src/keep.rs
+++ b/roles/agent/src/keep.rs
@@ -48,9 +48,22 @@
     received: u32,
     parts: Vec<Part>,
     claimed_by: Option<Incarnation>,
+    /// Number of parts that the successor was given.
+    granted: u32,
     expiry: Duration,
 }
 
+impl Kept {
+    fn is_whole(&self) -> bool {
+        self.received == self.count
+    }
+
+    /// Whether parts wait here for a successor.
+    fn is_awaited(&self) -> bool {
+        self.is_whole() && !self.parts.is_empty() && self.granted < self.count
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Position {
     owner: TargetId,
@@ -72,6 +85,11 @@
             .is_some_and(|kept| kept.claimed_by.is_none())
     }
 
+    /// Whether a successor has still to claim what is kept for it.
+    pub(crate) fn awaits_successor(&self) -> bool {
+        self.states.values().any(Kept::is_awaited)
+    }
+
     pub(crate) fn next_deadline(&self) -> Option<Duration> {
         self.states.values().map(|kept| kept.expiry).min()
     }
@@ -114,6 +132,7 @@
             received: 0,
             parts: Vec::new(),
             claimed_by: None,
+            granted: 0,
             expiry,
         });
         let is_sound = kept.owner == owner && kept.count == part.count && part.index < part.count;
@@ -160,7 +179,7 @@
         let Some(kept) = self.states.get_mut(&claim.target) else {
             return Grant::Nothing;
         };
-        let is_whole = kept.received == kept.count;
+        let is_whole = kept.is_whole();
         let is_successor = claim.incarnation > kept.owner.incarnation
             && kept.claimed_by.is_none_or(|it| it == claim.incarnation);
         let part = usize::try_from(claim.index)
@@ -169,6 +188,7 @@
         match part {
             Some(part) if is_whole && is_successor => {
                 kept.claimed_by = Some(claim.incarnation);
+                kept.granted = kept.granted.max(claim.index + 1);
                 Grant::Part(part.clone())
             }
             _ => Grant::Nothing,
@@ -208,7 +228,7 @@
 
     fn is_whole(&self, owner: TargetId) -> bool {
         let kept = self.keep.states.get(&owner);
-        kept.is_some_and(|kept| kept.received == kept.count)
+        kept.is_some_and(Kept::is_whole)
     }
 
     pub(crate) fn on_claim(&mut self, turn: &mut Turn<'_>, call: CallId, claim: Claim) {
--- a/roles/agent/src/leave.rs
+++ b/roles/agent/src/leave.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use wire::caller::Reason;
+use wire::target::State;
 
 use crate::Action;
 use crate::Agent;
@@ -17,6 +18,9 @@
 /// Time between two tries to send the last part.
 const RESEND: Duration = Duration::from_millis(200);
 
+/// Peers that a successor asks, over those that its predecessor did.
+const CLAIM_FACTOR: usize = 2;
+
 /// How far an agent is on its way out.
 #[derive(Debug)]
 pub(crate) enum Leaving {
@@ -104,10 +108,16 @@
         self.conclude(turn, job, End::NotRun(refusal));
     }
 
-    /// Goes on once nothing is underway.
+    /// Goes on once nothing is underway and no successor of another agent has
+    /// still to claim what is kept here, or once the time for that is over.
     pub(crate) fn leave_when_finished(&mut self, turn: &mut Turn<'_>) {
         let then = match self.leaving {
-            Some(Leaving::Finishing { then, .. }) if self.tasks.is_empty() => then,
+            Some(Leaving::Finishing { until, then })
+                if self.tasks.is_empty()
+                    && (until <= turn.now || !self.keep.awaits_successor()) =>
+            {
+                then
+            }
             _ => return,
         };
         match then {
@@ -147,7 +157,7 @@
 
     fn begin_handover(&mut self, turn: &mut Turn<'_>, purpose: Purpose) {
         let parts = self.parts(turn.now, purpose);
-        let peers = self.peers();
+        let peers = self.keepers();
         if parts.len() == 1 || peers.is_empty() {
             return self.exit(turn);
         }
@@ -201,25 +211,35 @@
     fn exit(&mut self, turn: &mut Turn<'_>) {
         self.leaving = Some(Leaving::Gone);
         turn.push(Action::Announce {
-            state: wire::target::State::Left,
+            state: State::Left,
             weight: self.gate.weight(),
         });
         turn.push(Action::Exit);
     }
 
-    /// Control addresses of the peers that keep state for each other, in an
-    /// order that depends on their ids alone, so that an agent and its
-    /// successor ask the same ones.
-    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
+    /// Control addresses of the peers that an agent leaves its state with, in an
+    /// order that depends on their ids alone, so that an agent and its successor
+    /// ask the same ones.
+    fn keepers(&self) -> Vec<SocketAddr> {
+        self.peers(self.settings.leave.peers, |state| state == State::Ready)
+    }
+
+    /// Control addresses of the peers that may have the state of a predecessor.
+    /// Since it was left with one of them, some may have begun to leave, and
+    /// others have come.
+    pub(crate) fn possible_keepers(&self) -> Vec<SocketAddr> {
+        let count = self.settings.leave.peers * CLAIM_FACTOR;
+        self.peers(count, |state| state != State::Left)
+    }
+
+    fn peers(&self, count: usize, accepts: impl Fn(State) -> bool) -> Vec<SocketAddr> {
         let mut peers: Vec<&wire::Target> = self
             .view
             .targets
             .iter()
-            .filter(|target| target.id != self.identity.id)
-            .filter(|target| target.state == wire::target::State::Ready)
+            .filter(|target| target.id != self.identity.id && accepts(target.state))
             .collect();
         peers.sort_by_key(|target| target.id.wrapping_sub(self.identity.id));
-        let count = self.settings.leave.peers;
         peers
             .iter()
             .take(count)
--- a/roles/agent/tests/replacing.rs
+++ b/roles/agent/tests/replacing.rs
@@ -390,3 +390,41 @@
     }
     assert_eq!(world.runs.len(), 160);
 }
+
+/// The agent that keeps the state of a replaced one.
+fn keeper(world: &World, gone: usize) -> usize {
+    (0..3)
+        .filter(|&index| index != gone)
+        .find(|&index| world.status(index).parked > 0)
+        .expect("a peer keeps the flows")
+}
+
+#[test]
+fn a_keeper_that_leaves_waits_for_the_successor() {
+    let mut replaced = replaced(3);
+    let keeper = keeper(&replaced.world, replaced.holder);
+    replaced.world.event(keeper, Event::Replace);
+    replaced.world.settle();
+    assert_eq!(replaced.world.exited, vec![replaced.holder]);
+    replaced.succeed();
+    replaced.world.settle();
+    assert_eq!(replaced.world.exited, vec![replaced.holder, keeper]);
+    let Replaced {
+        mut world,
+        token,
+        holder,
+    } = replaced;
+    world.send(&request(FLOW, 2, token));
+    assert_eq!(world.runs[1].agent, holder);
+    world.answer("second");
+    assert_eq!(world.take_answer(2).unwrap(), b"second");
+}
+
+#[test]
+fn a_keeper_waits_no_longer_than_its_own_stop_may_take() {
+    let mut replaced = replaced(3);
+    let keeper = keeper(&replaced.world, replaced.holder);
+    replaced.world.event(keeper, Event::Replace);
+    replaced.world.pass(Duration::from_mins(1));
+    assert_eq!(replaced.world.exited, vec![replaced.holder, keeper]);
+}
--- a/tools/proof/src/deployment.rs
+++ b/tools/proof/src/deployment.rs
@@ -33,9 +33,9 @@
 /// A service of the deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Service {
-    /// Four backend servers of unequal speed.
+    /// Four backend servers of unequal speed; independent.
     Roster,
-    /// Two backend servers.
+    /// Two backend servers; bound.
     Rota,
 }
 
@@ -71,6 +71,13 @@
         }
     }
 
+    const fn binding(self) -> &'static str {
+        match self {
+            Self::Roster => "independent",
+            Self::Rota => "bound",
+        }
+    }
+
     const fn host(self) -> u8 {
         match self {
             Self::Roster => 1,
@@ -109,20 +116,31 @@
         };
         deployment.start_all(fabric)?;
         for service in [Service::Roster, Service::Rota] {
-            let address = deployment.address(service);
-            deployment.until(&[
-                "create",
-                &address,
-                "--name",
-                service.name(),
-                "--binding",
-                "independent",
-            ])?;
+            deployment.create(service)?;
         }
         deployment.wait_ready(6)?;
         Ok(deployment)
     }
 
+    /// Creates the configuration of a service.
+    ///
+    /// # Errors
+    ///
+    /// Where no entry accepts it.
+    pub fn create(&self, service: Service) -> Result<()> {
+        let address = self.address(service);
+        let binding = service.binding();
+        self.until(&[
+            "create",
+            &address,
+            "--name",
+            service.name(),
+            "--binding",
+            binding,
+        ])?;
+        Ok(())
+    }
+
     fn start_all(&mut self, fabric: Option<&[&str]>) -> Result<()> {
         let store = self.ip(0, 1, 8500);
         self.spawn("platform", "standin", &["platform", "--listen", &store])?;
--- a/tools/proof/tests/processes.rs
+++ b/tools/proof/tests/processes.rs
@@ -147,7 +147,7 @@
     breaks_nothing(&deployment.outcome(rota)?);
     let address = deployment.address(Service::Rota);
     deployment.until(&["delete", &address])?;
-    deployment.until(&["create", &address, "--name", "rota"])?;
+    deployment.create(Service::Rota)?;
     let again = deployment.load(Service::Rota, 2, SEED + 1)?;
     breaks_nothing(&deployment.outcome(again)?);
     Ok(())
@@ -157,6 +157,7 @@
 fn a_restart_of_every_process_in_turn_breaks_no_flow() -> Result {
     let mut deployment = Deployment::start(107, Some(&[]))?;
     let load = deployment.load(Service::Roster, 5 * SECONDS, SEED)?;
+    let bound = deployment.load(Service::Rota, 5 * SECONDS, SEED)?;
     pause(2);
     for entry in 1..=3 {
         let others: Vec<u8> = (1..=3).filter(|other| *other != entry).collect();
@@ -168,7 +169,8 @@
         deployment.wait_ready(6)?;
         deployment.fabric_sprays_over(&[1, 2, 3])?;
     }
-    for target in 1..=4 {
+    // Each is replaced before its neighbour's successor has surely claimed.
+    for target in 1..=6 {
         let name = format!("agent-{target}");
         deployment.signal(&name, Signal::Replace)?;
         assert!(deployment.ended(&name)?, "{name} stopped badly");
@@ -176,6 +178,7 @@
         deployment.wait_ready(6)?;
     }
     breaks_nothing(&deployment.outcome(load)?);
+    breaks_nothing(&deployment.outcome(bound)?);
     Ok(())
 }
 
