Place bound flows by expected wait and load of the held flows

Cause: an open was taken by the first agent with a free slot, whatever the flows that this agent held would ask for next. A free slot says little about long flows of uneven rates, and the requests of a bound flow queue where it is held.

Change: limit::Load keeps the request rate of the held flows, decayed over 5 s, O(1) per request, without a clock. A bid is the expected wait plus that rate over the weight times 100 ms, so that Relay.waits still carries it. An agent with a free slot and less than 1 ms of load takes an open at once; otherwise the open visits its path and settles at the least bid. Independent services bid no load and place as before.

Tests: the routing case many_requests_of_a_bound_flow failed with the load bid forced to zero, and passes now.

--- a/coordination/route/src/hunt.rs
+++ b/coordination/route/src/hunt.rs
@@ -1,8 +1,10 @@
 //! Moves an open along the first agents of its order until one takes it.
 //!
-//! Each agent on the path takes the open if it has a free slot, or notes its
-//! expected wait and passes it on. After the last, the open goes to the agent
-//! with the least wait, which takes it or refuses it at once.
+//! Each agent on the path takes the open if it has a free slot and its held
+//! flows put no load on it, or notes its bid and passes it on. After the last,
+//! the open goes to the agent with the least bid, which takes it or refuses it at
+//! once. A bid is the expected wait and the load of the held flows; the load
+//! counts only where requests are bound to the holder.
 use std::time::Duration;
 
 use wire::Relay;
@@ -42,6 +44,22 @@
     pub free: bool,
     /// Expected wait for a slot.
     pub wait: Duration,
+    /// What the load of the held flows adds; zero where the requests of a flow
+    /// may run elsewhere.
+    pub load: Duration,
+}
+
+/// Load below which an agent with a free slot takes an open at once.
+pub const LIGHT: Duration = Duration::from_millis(1);
+
+impl Bid {
+    fn takes_at_once(self) -> bool {
+        self.free && self.load < LIGHT
+    }
+
+    fn total(self) -> Duration {
+        self.wait.saturating_add(self.load)
+    }
 }
 
 /// What an agent does with an open.
@@ -72,9 +90,9 @@
         position < relay.path.len() && relay.path.len() <= MAX_HOPS && relay.waits.len() == visited;
     match () {
         () if !sound => Step::Refuse,
-        () if bid.free || relay.settle => Step::Take,
+        () if bid.takes_at_once() || relay.settle => Step::Take,
         () => {
-            relay.waits.push(millis(bid.wait));
+            relay.waits.push(millis(bid.total()));
             advance(relay)
         }
     }
@@ -95,7 +113,7 @@
     Step::Forward(relay)
 }
 
-/// Index of the least wait, the first of equals.
+/// Index of the least bid, the first of equals.
 fn least(waits: &[u32]) -> u8 {
     (0..)
         .zip(waits)
--- a/coordination/route/tests/hunt.rs
+++ b/coordination/route/tests/hunt.rs
@@ -46,6 +46,7 @@
         let full = Bid {
             free: false,
             wait: Duration::MAX,
+            load: Duration::ZERO,
         };
         let bid = bids.get(usize::from(position)).copied().unwrap_or(full);
         relay = match hunt::step(relay, bid) {
@@ -61,15 +62,42 @@
 const FREE: Bid = Bid {
     free: true,
     wait: Duration::ZERO,
+    load: Duration::ZERO,
 };
 
 const fn busy(millis: u64) -> Bid {
     Bid {
         free: false,
         wait: Duration::from_millis(millis),
+        load: Duration::ZERO,
     }
 }
 
+/// The bid of an agent with a free slot for a bound flow.
+const fn loaded(millis: u64) -> Bid {
+    Bid {
+        free: true,
+        wait: Duration::ZERO,
+        load: Duration::from_millis(millis),
+    }
+}
+
+/// The bid of an agent without a free slot for a bound flow.
+const fn queued(wait: u64, load: u64) -> Bid {
+    Bid {
+        free: false,
+        wait: Duration::from_millis(wait),
+        load: Duration::from_millis(load),
+    }
+}
+
+/// The bid of an agent that takes no flows.
+const CLOSED: Bid = Bid {
+    free: false,
+    wait: Duration::MAX,
+    load: Duration::MAX,
+};
+
 struct Hunt {
     bids: [Bid; 3],
     end: End,
@@ -84,6 +112,11 @@
     the_last_that_is_free: &Hunt { bids: [busy(1), busy(1), FREE], end: End::Taken { position: 2, hops: 2 } },
     the_least_wait: &Hunt { bids: [busy(30), busy(10), busy(20)], end: End::Taken { position: 1, hops: 3 } },
     the_last_with_the_least_wait: &Hunt { bids: [busy(30), busy(20), busy(10)], end: End::Taken { position: 2, hops: 2 } },
+    the_least_load_although_the_first_is_free: &Hunt { bids: [loaded(90), loaded(80), loaded(10)], end: End::Taken { position: 2, hops: 2 } },
+    the_first_that_is_free_without_load: &Hunt { bids: [loaded(90), loaded(0), loaded(0)], end: End::Taken { position: 1, hops: 1 } },
+    the_first_of_equal_loads: &Hunt { bids: [loaded(5), loaded(5), loaded(5)], end: End::Taken { position: 0, hops: 3 } },
+    the_least_sum_of_wait_and_load: &Hunt { bids: [queued(30, 10), queued(5, 20), loaded(60)], end: End::Taken { position: 1, hops: 3 } },
+    the_only_that_takes_flows: &Hunt { bids: [CLOSED, loaded(4_000_000), CLOSED], end: End::Taken { position: 1, hops: 3 } },
     the_first_of_equal_waits: &Hunt { bids: [busy(10), busy(10), busy(10)], end: End::Taken { position: 0, hops: 3 } },
 }
 
@@ -119,9 +152,21 @@
     (any::<bool>(), 0_u64..10_000).prop_map(|(free, wait)| Bid {
         free,
         wait: Duration::from_millis(wait),
+        load: Duration::ZERO,
     })
 }
 
+fn loaded_bid() -> impl Strategy<Value = Bid> {
+    (bid(), 1_u64..10_000).prop_map(|(bid, load)| Bid {
+        load: Duration::from_millis(load),
+        ..bid
+    })
+}
+
+fn any_bid() -> impl Strategy<Value = Bid> {
+    prop_oneof![bid(), loaded_bid(), Just(CLOSED)]
+}
+
 proptest! {
     /// An open ends at the first free agent, else at the least wait.
     #[test]
@@ -138,6 +183,34 @@
         }
     }
 
+    /// An open of loaded agents visits its whole path and ends at the least bid.
+    #[test]
+    fn an_open_of_loaded_agents_ends_at_the_least_bid(bids in vec(loaded_bid(), 1..=MAX_HOPS)) {
+        let total = |bid: &Bid| bid.wait + bid.load;
+        let least = bids.iter().enumerate().min_by_key(|(_, bid)| total(bid)).map(|(index, _)| index);
+        let least = u8::try_from(least.unwrap()).unwrap();
+        match walk(relay(bids.len()), &bids) {
+            End::Taken { position, hops } => {
+                prop_assert_eq!(position, least);
+                prop_assert!((bids.len() - 1..=bids.len()).contains(&hops));
+            }
+            End::Refused { .. } => prop_assert!(false, "a sound frame is taken"),
+        }
+    }
+
+    /// A settled open is taken or refused, never forwarded, whatever the bid.
+    #[test]
+    fn a_settled_open_goes_no_further(
+        path in 0_usize..20,
+        position in any::<u8>(),
+        waits in vec(any::<u32>(), 0..20),
+        bid in any_bid(),
+    ) {
+        let relay = Relay { position, waits, settle: true, ..relay(path) };
+        let step = hunt::step(relay, bid);
+        prop_assert!(matches!(step, Step::Take | Step::Refuse), "{:?}", step);
+    }
+
     /// No frame, however made, travels for ever or grows beyond its path.
     #[test]
     fn no_frame_travels_without_end(
@@ -145,10 +218,11 @@
         position in any::<u8>(),
         waits in vec(any::<u32>(), 0..20),
         settle in any::<bool>(),
-        bids in vec(bid(), 0..20),
+        bids in vec(any_bid(), 0..20),
+        first in any_bid(),
     ) {
         let relay = Relay { position, waits, settle, ..relay(path) };
-        if let Step::Forward(next) = hunt::step(relay.clone(), busy(1)) {
+        if let Step::Forward(next) = hunt::step(relay.clone(), first) {
             prop_assert!(next.waits.len() <= next.path.len());
             prop_assert!(usize::from(next.position) < next.path.len());
         }
--- a/roles/agent/src/agent.rs
+++ b/roles/agent/src/agent.rs
@@ -11,6 +11,7 @@
 use flow::record::Refusal;
 use limit::Budget;
 use limit::Gate;
+use limit::Load;
 use route::Order;
 use route::pin;
 use wire::FlowKey;
@@ -81,6 +82,8 @@
     pub(crate) ledger: Ledger,
     pub(crate) pins: pin::Table,
     pub(crate) gate: Gate,
+    /// Load of the flows held here.
+    pub(crate) load: Load,
     pub(crate) budget: Budget,
     pub(crate) tasks: BTreeMap<JobId, Task>,
     /// The task of each request of a flow that is held here.
@@ -151,6 +154,7 @@
             ledger: Ledger::new(settings.ledger, random.u64(..)),
             pins: pin::Table::new(settings.pins),
             gate: Gate::new(settings.gate, now),
+            load: Load::new(settings.load, now),
             budget: Budget::new(settings.retries),
             tasks: BTreeMap::new(),
             by_request: HashMap::new(),
--- a/roles/agent/src/open.rs
+++ b/roles/agent/src/open.rs
@@ -22,6 +22,7 @@
 use crate::relay;
 use crate::relay::Place;
 use crate::status::Counter;
+use crate::view::Binding;
 
 impl Agent {
     pub(crate) fn on_open(&mut self, turn: &mut Turn<'_>, relay: Relay, key: FlowKey) {
@@ -62,11 +63,17 @@
             return Bid {
                 free: false,
                 wait: Duration::MAX,
+                load: Duration::ZERO,
             };
         }
+        let load = match self.view.service.binding {
+            Binding::Bound => self.load.bid(now, self.gate.weight()),
+            Binding::Independent => Duration::ZERO,
+        };
         Bid {
             free: self.gate.free(),
             wait: self.gate.expected_wait(now),
+            load,
         }
     }
 
--- a/roles/agent/src/request.rs
+++ b/roles/agent/src/request.rs
@@ -111,6 +111,9 @@
             Admission::New => {
                 self.counters.add(Counter::Request);
                 self.budget.deposit();
+                if flow.phase == Phase::Open {
+                    self.load.request(turn.now);
+                }
                 let task = Task::new(Origin::Caller(via), key, request, deadline);
                 self.start(turn, task);
             }
--- a/roles/agent/src/settings.rs
+++ b/roles/agent/src/settings.rs
@@ -14,6 +14,8 @@
     pub pins: route::pin::Settings,
     /// Slots and queue of the backend server.
     pub gate: limit::Settings,
+    /// Load of the flows held, which bids for bound flows count.
+    pub load: limit::load::Settings,
     /// Share of requests that may be tried again inside the system.
     pub retries: limit::budget::Settings,
     /// Passing of single requests between agents.
@@ -73,6 +75,7 @@
             ledger: flow::ledger::Settings::default(),
             pins: route::pin::Settings::default(),
             gate: limit::Settings::default(),
+            load: limit::load::Settings::default(),
             retries: limit::budget::Settings::default(),
             pass: Pass::default(),
             leave: Leave::default(),
--- a/roles/agent/tests/routing.rs
+++ b/roles/agent/tests/routing.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use agent::status::Counter;
+use agent::view::Service;
 use wire::Frame;
 use wire::Token;
 use wire::caller::Outcome;
@@ -18,8 +19,10 @@
 use world::fetch;
 use world::holder;
 use world::idempotent;
+use world::independent;
 use world::open;
 use world::request;
+use world::settings;
 
 /// A flow that is held by the second of its order, and its home.
 struct Passed {
@@ -53,6 +56,36 @@
     assert_eq!(passed.world.status(passed.home).pins, 1);
 }
 
+/// Requests that the home of [`FLOW`] has answered, and the flows they came on.
+struct Past {
+    service: Service,
+    flows: u64,
+    requests: u64,
+    /// Rank of the agent that holds [`FLOW`], opened while all slots are free.
+    rank: usize,
+}
+
+fn an_open_after(past: &Past) {
+    let mut world = World::new(4, settings(), past.service);
+    let home = world.home(FLOW);
+    for flow in 1..=past.flows {
+        let token = world.open_at(flow, home);
+        for id in 1..=past.requests {
+            world.send_along(&request(flow, id, token), &[home]);
+            world.answer("done");
+        }
+    }
+    assert!(world.running.is_empty());
+    let holder = holder(world.open(FLOW));
+    assert_eq!(holder, world.ranked(FLOW)[past.rank]);
+}
+
+cases::cases! { an_open_after;
+    many_requests_of_a_bound_flow: &Past { service: Service::default(), flows: 1, requests: 20, rank: 1 },
+    many_requests_of_an_independent_flow: &Past { service: independent(), flows: 1, requests: 20, rank: 0 },
+    many_flows_of_one_request: &Past { service: Service::default(), flows: 20, requests: 1, rank: 0 },
+}
+
 #[test]
 fn a_repeated_open_finds_the_holder() {
     let mut passed = passed(4);
--- a/tools/bench/src/place/plot.rs
+++ b/tools/bench/src/place/plot.rs
@@ -11,7 +11,7 @@
 const SIZE: (u32, u32) = (900, 420);
 const FONT: (&str, u32) = ("sans-serif", 14);
 const TITLE: (&str, u32) = ("sans-serif", 18);
-const COLOURS: [RGBColor; 6] = [BLUE, RED, GREEN, MAGENTA, BLACK, CYAN];
+const COLOURS: [RGBColor; 7] = [BLUE, RED, GREEN, MAGENTA, BLACK, CYAN, YELLOW];
 
 /// Trial that the latency through a slow-down is drawn from.
 const SLOW_TRIAL: &str = "roster single slow";
--- a/tools/bench/src/place/policy.rs
+++ b/tools/bench/src/place/policy.rs
@@ -37,11 +37,10 @@
     Slots,
     /// Held flows over capacity.
     Held,
-    /// Measured load over capacity.
+    /// Load of the held flows over capacity.
     Load,
-    /// Measured load over capacity, and the load expected of new flows.
-    Forecast,
-    /// The expected wait, and the measured load over capacity.
+    /// The expected wait and the load of the held flows, as agents do for bound
+    /// flows.
     Blend,
 }
 
--- a/tools/bench/src/place/server.rs
+++ b/tools/bench/src/place/server.rs
@@ -3,7 +3,9 @@
 
 use fastrand::Rng;
 use limit::Gate;
+use limit::Load;
 use limit::Settings;
+use limit::load;
 use limit::queue::Discipline;
 use route::hunt::Bid;
 
@@ -41,31 +43,6 @@
     seed: u64,
 }
 
-/// Requests a second of the held flows, smoothed.
-#[derive(Debug, Default)]
-struct Load {
-    rate: f64,
-    updated: Duration,
-    /// Flows opened lately, whose requests the rate does not yet show.
-    fresh: f64,
-}
-
-/// Wait that a target at its capacity adds to a blended bid.
-const LOAD_COST: Duration = Duration::from_millis(100);
-
-/// Time over which the load is smoothed.
-const SMOOTHING: Duration = Duration::from_secs(5);
-
-impl Load {
-    fn decay(&mut self, now: Duration) {
-        let age = now.saturating_sub(self.updated).as_secs_f64();
-        let keep = (-age / SMOOTHING.as_secs_f64()).exp();
-        self.rate *= keep;
-        self.fresh *= keep;
-        self.updated = now;
-    }
-}
-
 impl Server {
     /// Creates a cold server.
     pub fn new(index: usize, fleet: Fleet, fault: Fault, seed: u64) -> Self {
@@ -79,7 +56,7 @@
             weight: gate.weight(),
             gate,
             busy: 0.0,
-            load: Load::default(),
+            load: Load::new(load::Settings::default(), Duration::ZERO),
             slots: fleet.slots,
             mean: fast + (slow - fast) * place,
             fault,
@@ -112,20 +89,17 @@
     /// Replaces the agent's knowledge, as a restart does.
     pub fn restart(&mut self, now: Duration) {
         self.gate = gate(self.slots, self.seed, now);
-        self.load = Load::default();
+        self.load = Load::new(load::Settings::default(), now);
     }
 
-    /// Notes a request of a held flow.
+    /// Notes a request of a held flow that has had another before.
     pub fn note_request(&mut self, now: Duration) {
-        self.load.decay(now);
-        self.load.rate += 1.0 / SMOOTHING.as_secs_f64();
+        self.load.request(now);
     }
 
     /// Notes that a flow is held here from now on.
-    pub fn note_open(&mut self, now: Duration) {
+    pub fn note_open(&mut self) {
         self.held += 1;
-        self.load.decay(now);
-        self.load.fresh += 1.0;
     }
 
     /// What the load endpoint says.
@@ -138,35 +112,20 @@
     }
 
     /// What the agent bids for an open.
-    pub fn bid(&mut self, now: Duration, signal: Signal) -> Bid {
-        self.load.decay(now);
-        let weight = f64::from(self.gate.weight());
+    pub fn bid(&self, now: Duration, signal: Signal) -> Bid {
+        let weight = self.gate.weight();
+        let wait = self.gate.expected_wait(now);
+        let load = self.load.bid(now, weight);
         #[allow(clippy::cast_precision_loss)]
-        let held = self.held as f64;
-        let flow = if held > 0.0 {
-            self.load.rate / held
-        } else {
-            0.0
+        let held = Duration::from_secs_f64(self.held as f64 / f64::from(weight));
+        let (wait, load) = match signal {
+            Signal::Slots => (wait, Duration::ZERO),
+            Signal::Held => (Duration::ZERO, held),
+            Signal::Load => (Duration::ZERO, load),
+            Signal::Blend => (wait, load),
         };
-        let score = match signal {
-            Signal::Slots => {
-                return Bid {
-                    free: self.gate.free(),
-                    wait: self.gate.expected_wait(now),
-                };
-            }
-            Signal::Held => held / weight,
-            Signal::Load => self.load.rate / weight,
-            Signal::Forecast => (self.load.rate + self.load.fresh * flow) / weight,
-            Signal::Blend => {
-                let wait = self.gate.expected_wait(now).as_secs_f64();
-                wait + self.load.rate / weight * LOAD_COST.as_secs_f64()
-            }
-        };
-        Bid {
-            free: false,
-            wait: Duration::from_secs_f64(score),
-        }
+        let free = self.gate.free() && matches!(signal, Signal::Slots | Signal::Blend);
+        Bid { free, wait, load }
     }
 
     fn slow(&self, now: Duration) -> bool {
--- a/tools/bench/src/place/trial.rs
+++ b/tools/bench/src/place/trial.rs
@@ -20,6 +20,8 @@
     pub work: Work,
     /// What goes wrong.
     pub fault: Fault,
+    /// Offered load over the capacity of all targets.
+    pub load: f64,
     /// The policies.
     pub policies: Vec<Policy>,
 }
@@ -47,8 +49,12 @@
 /// Mean service time of the slowest target.
 pub const SLOWEST: Duration = Duration::from_millis(80);
 
-/// Offered load over the capacity of all targets.
-pub const LOAD: f64 = 0.85;
+/// Offered load over the capacity of all targets, but for one trial.
+const LOAD: f64 = 0.85;
+
+/// Offered load over the capacity of all targets of the trial with spare
+/// capacity.
+const SPARE_LOAD: f64 = 0.57;
 
 /// Length of a run.
 pub const END: Duration = Duration::from_mins(3);
@@ -130,6 +136,10 @@
     let few = Work::Long { flows: 200 };
     let gap = Work::Single { gap: ROUND_TRIP };
     let roster = |kind, work, fault, policies| trial("roster", kind, ROSTER, work, fault, policies);
+    trials.push(Trial {
+        load: SPARE_LOAD,
+        ..roster("spare few bound", few, Fault::None, bounds())
+    });
     trials.extend([
         roster("few bound", few, Fault::None, bounds()),
         roster("few independent", few, Fault::None, passes()),
@@ -184,6 +194,7 @@
         fleet,
         work,
         fault,
+        load: LOAD,
         policies,
     }
 }
@@ -200,13 +211,17 @@
 
 fn singles() -> Vec<Policy> {
     let hunts = (2..=4).map(|width| Policy::bound(hunt(width, Signal::Slots)));
-    baselines().into_iter().chain(hunts).collect()
+    let bound = Policy::bound(hunt(3, Signal::Blend));
+    baselines()
+        .into_iter()
+        .chain(hunts)
+        .chain([bound])
+        .collect()
 }
 
 fn bounds() -> Vec<Policy> {
     let slots = [2, 3, 5].map(|width| hunt(width, Signal::Slots));
-    let signals = [Signal::Held, Signal::Load, Signal::Forecast, Signal::Blend];
-    let signals = signals.map(|signal| hunt(3, signal));
+    let signals = [Signal::Held, Signal::Load, Signal::Blend].map(|signal| hunt(3, signal));
     let hunts = slots.into_iter().chain(signals).map(Policy::bound);
     baselines().into_iter().chain(hunts).collect()
 }
--- a/tools/bench/src/place/world.rs
+++ b/tools/bench/src/place/world.rs
@@ -26,7 +26,6 @@
 use super::trial::FLOW_LIFE;
 use super::trial::Fault;
 use super::trial::HOP;
-use super::trial::LOAD;
 use super::trial::Trial;
 use super::trial::WARM;
 use super::trial::Work;
@@ -80,6 +79,8 @@
     holder: usize,
     rate: f64,
     life: u32,
+    /// Whether a request has come in this life.
+    asked: bool,
 }
 
 /// One run.
@@ -152,7 +153,7 @@
 
     /// Load that all callers together offer, in requests a second.
     fn offered(&self) -> f64 {
-        self.servers.iter().map(Server::capacity).sum::<f64>() * LOAD
+        self.servers.iter().map(Server::capacity).sum::<f64>() * self.trial.load
     }
 
     fn open_single(&mut self) {
@@ -163,6 +164,7 @@
             holder: 0,
             rate: 0.0,
             life: 0,
+            asked: false,
         });
         let pause = self.exponential(1.0 / self.offered());
         self.plan(pause, Event::Open(flow));
@@ -180,6 +182,7 @@
                 holder: 0,
                 rate: weight / sum * offered,
                 life: 0,
+                asked: false,
             });
             let pause = RAMP.mul_f64(self.random.f64());
             self.plan(pause, Event::Open(flow));
@@ -256,7 +259,7 @@
 
     fn hold(&mut self, flow: usize, holder: usize) {
         self.flows[flow].holder = holder;
-        self.servers[holder].note_open(self.now);
+        self.servers[holder].note_open();
         match self.trial.work {
             Work::Single { gap } if gap.is_zero() => self.request(flow, 0),
             Work::Single { gap } => self.plan(gap, Event::Request { flow, life: 0 }),
@@ -272,6 +275,7 @@
         let holder = self.flows[flow].holder;
         self.servers[holder].held -= 1;
         self.flows[flow].life += 1;
+        self.flows[flow].asked = false;
         self.flows[flow].key = self.random.u64(..);
         self.open(flow);
     }
--- a/tools/bench/src/place/world/request.rs
+++ b/tools/bench/src/place/world/request.rs
@@ -50,7 +50,9 @@
         }
         let holder = self.flows[flow].holder;
         self.count.issued += u64::from(self.now >= WARM);
-        self.servers[holder].note_request(self.now);
+        if std::mem::replace(&mut self.flows[flow].asked, true) {
+            self.servers[holder].note_request(self.now);
+        }
         let request = self.requests.len();
         self.requests.push(Request {
             flow,
