Let an agent that leaves wait for a peer that takes its flows

Ruled out: exiting later in every case, since a peer is mostly there. Change: within the bound of its handover an agent asks the peers that are there again, at a pause; an answer that comes when no peer is asked is passed over (the interleavings found that it panicked). Shown: an_agent_without_a_peer_waits_for_one fails before ([1] had exited, not []) and passes now.

--- a/roles/agent/src/leave.rs
+++ b/roles/agent/src/leave.rs
@@ -15,7 +15,7 @@
 use crate::task::Stage;
 use crate::view::Binding;
 
-/// Time between two tries to send the last part.
+/// Time between two tries to send the last part, or to find a peer.
 const RESEND: Duration = Duration::from_millis(200);
 
 /// Peers that a successor asks, over those that its predecessor did.
@@ -157,10 +157,10 @@
 
     fn begin_handover(&mut self, turn: &mut Turn<'_>, purpose: Purpose) {
         let parts = self.parts(turn.now, purpose);
-        let peers = self.keepers();
-        if parts.len() == 1 || peers.is_empty() {
+        if parts.len() == 1 {
             return self.exit(turn);
         }
+        let peers = self.keepers();
         self.leaving = Some(Leaving::HandingOver(Handover {
             parts,
             index: 0,
@@ -171,17 +171,23 @@
         self.send_part(turn);
     }
 
+    /// Sends the part that is next. While no peer takes the state, those that
+    /// are there are asked again: the only one may be starting.
     fn send_part(&mut self, turn: &mut Turn<'_>) {
+        let keepers = self.keepers();
         let Some(Leaving::HandingOver(handover)) = &mut self.leaving else {
             return;
         };
+        if handover.peers.is_empty() {
+            handover.peers = keepers;
+        }
         handover.resend = None;
         match (handover.peers.first(), handover.parts.get(handover.index)) {
             (Some(&to), Some(part)) => turn.push(Action::Park {
                 to,
                 part: part.clone(),
             }),
-            _ => self.exit(turn),
+            _ => handover.resend = Some(turn.now + RESEND),
         }
     }
 
@@ -189,7 +195,7 @@
         let Some(Leaving::HandingOver(handover)) = &mut self.leaving else {
             return;
         };
-        if usize::try_from(index) != Ok(handover.index) {
+        if handover.peers.is_empty() || usize::try_from(index) != Ok(handover.index) {
             return;
         }
         let is_last = handover.index + 1 == handover.parts.len();
@@ -203,6 +209,10 @@
             false => {
                 handover.peers.remove(0);
                 handover.index = 0;
+                if handover.peers.is_empty() {
+                    handover.resend = Some(turn.now + RESEND);
+                    return;
+                }
             }
         }
         self.send_part(turn);
--- a/roles/agent/tests/replacing.rs
+++ b/roles/agent/tests/replacing.rs
@@ -428,3 +428,31 @@
     replaced.world.pass(Duration::from_mins(1));
     assert_eq!(replaced.world.exited, vec![replaced.holder, keeper]);
 }
+
+#[test]
+fn an_agent_without_a_peer_waits_for_one() {
+    let mut world = World::bound(2);
+    let token = world.open(FLOW);
+    let holder = holder(token);
+    world.tell_view_of(holder, vec![world.targets[holder].clone()]);
+    world.event(holder, Event::Replace);
+    world.settle();
+    assert_eq!(world.exited, vec![]);
+    world.tell_all();
+    world.pass(Duration::from_secs(1));
+    assert_eq!(world.exited, vec![holder]);
+    world.tell_others(holder);
+    world.restart(holder);
+    world.tell_all();
+    world.send(&request(FLOW, 2, token));
+    assert_eq!(world.runs[0].agent, holder);
+}
+
+#[test]
+fn an_agent_that_stays_without_a_peer_exits_within_its_bound() {
+    let mut world = World::bound(1);
+    world.open(FLOW);
+    world.event(0, Event::Replace);
+    world.pass(Duration::from_mins(1));
+    assert_eq!(world.exited, vec![0]);
+}
