--- a/coordination/route/src/hunt.rs
+++ b/coordination/route/src/hunt.rs
@@ -88,14 +88,14 @@
     };
     let sound =
         position < relay.path.len() && relay.path.len() <= MAX_HOPS && relay.waits.len() == visited;
-    match () {
-        () if !sound => Step::Refuse,
-        () if bid.takes_at_once() || relay.settle => Step::Take,
-        () => {
-            relay.waits.push(millis(bid.total()));
-            advance(relay)
-        }
+    if !sound {
+        return Step::Refuse;
     }
+    if bid.takes_at_once() || relay.settle {
+        return Step::Take;
+    }
+    relay.waits.push(millis(bid.total()));
+    advance(relay)
 }
 
 fn advance(mut relay: Relay) -> Step {
--- a/roles/agent/src/open.rs
+++ b/roles/agent/src/open.rs
@@ -78,17 +78,22 @@
     }
 
     fn take_or_refuse(&mut self, turn: &mut Turn<'_>, relay: &Relay, key: FlowKey) {
-        let wait = self.gate.expected_wait(turn.now);
-        match () {
-            () if self.claiming.is_some() => {
-                self.refuse_open(turn, relay, key, Reason::HolderAway);
-            }
-            () if !self.takes_flows() => self.refuse_open(turn, relay, key, Reason::Draining),
-            () if wait > self.view.service.queue_limit => {
-                self.refuse_open(turn, relay, key, Reason::Overloaded);
-            }
-            () => self.take(turn, relay, key),
+        match self.refuses_flows(turn.now) {
+            Some(reason) => self.refuse_open(turn, relay, key, reason),
+            None => self.take(turn, relay, key),
+        }
+    }
+
+    /// Why this agent takes no flow now, if it takes none.
+    fn refuses_flows(&self, now: Duration) -> Option<Reason> {
+        if self.claiming.is_some() {
+            return Some(Reason::HolderAway);
+        }
+        if !self.takes_flows() {
+            return Some(Reason::Draining);
         }
+        let wait = self.gate.expected_wait(now);
+        (wait > self.view.service.queue_limit).then_some(Reason::Overloaded)
     }
 
     fn take(&mut self, turn: &mut Turn<'_>, relay: &Relay, key: FlowKey) {
--- a/roles/agent/src/pass.rs
+++ b/roles/agent/src/pass.rs
@@ -127,13 +127,13 @@
         if let Some(task) = self.tasks.get_mut(&job) {
             task.stage = Stage::New;
         }
-        match () {
-            () if !self.prefers_passing(turn.now) => self.offer_to_gate(turn, job),
-            () if self.leaving.is_some() => {
-                self.retry_not_run(turn, job, refusal, Elsewhere::Only);
-            }
-            () => self.retry_not_run_or_queue(turn, job),
+        if !self.prefers_passing(turn.now) {
+            return self.offer_to_gate(turn, job);
+        }
+        if self.leaving.is_some() {
+            return self.retry_not_run(turn, job, refusal, Elsewhere::Only);
         }
+        self.retry_not_run_or_queue(turn, job);
     }
 
     /// Passes on within the retry budget; otherwise the request queues here.
--- a/state/limit/src/gate.rs
+++ b/state/limit/src/gate.rs
@@ -178,33 +178,44 @@
     /// Offers a job: it starts, waits, or is refused at once.
     pub fn offer(&mut self, now: Duration, job: Job) -> Verdict {
         self.now = now;
-        let wait = self.wait(now, job.class, job.deadline);
-        let due = now + wait + self.margin(now, job.class);
-        let verdict = match () {
-            () if self.contains(job.id) => Verdict::Refuse {
-                reason: Reason::Duplicate,
-                retry_after: Duration::ZERO,
-            },
-            () if job.deadline <= now => self.refuse(now, Reason::Deadline),
-            () if self.free_for(job.class) => {
-                self.start(now, job);
-                Verdict::Start
-            }
-            () if job.deadline <= now + self.pause.rest(now) => self.refuse(now, Reason::Paused),
-            () if job.deadline < due => self.refuse(now, Reason::Deadline),
-            () if wait > self.max_wait(now, job.class) => self.refuse(now, Reason::Full),
-            () if self.queue(job.class).len() >= self.settings.max_queue => {
-                self.refuse(now, Reason::Full)
-            }
-            () => {
-                self.queue_mut(job.class).push(job);
-                Verdict::Queued
-            }
-        };
+        let verdict = self.judge(now, job);
+        match verdict {
+            Verdict::Start => self.start(now, job),
+            Verdict::Queued => self.queue_mut(job.class).push(job),
+            Verdict::Refuse { .. } => {}
+        }
         self.learn(now);
         verdict
     }
 
+    fn judge(&mut self, now: Duration, job: Job) -> Verdict {
+        if self.contains(job.id) {
+            return Verdict::Refuse {
+                reason: Reason::Duplicate,
+                retry_after: Duration::ZERO,
+            };
+        }
+        if job.deadline <= now {
+            return self.refuse(now, Reason::Deadline);
+        }
+        let wait = self.wait(now, job.class, job.deadline);
+        let due = now + wait + self.margin(now, job.class);
+        if self.free_for(job.class) {
+            return Verdict::Start;
+        }
+        if job.deadline <= now + self.pause.rest(now) {
+            return self.refuse(now, Reason::Paused);
+        }
+        if job.deadline < due {
+            return self.refuse(now, Reason::Deadline);
+        }
+        let is_full = self.queue(job.class).len() >= self.settings.max_queue;
+        if is_full || wait > self.max_wait(now, job.class) {
+            return self.refuse(now, Reason::Full);
+        }
+        Verdict::Queued
+    }
+
     /// Frees the slot of a job that ended, and starts others. A job that does
     /// not run is ignored.
     pub fn finish(&mut self, now: Duration, id: JobId, end: Finish, out: &mut Vec<Release>) {
--- /dev/null
+++ b/tools/proof/examples/latency.rs
@@ -0,0 +1,58 @@
+//! Latency of the path against direct calls to a backend server:
+//! `cargo run --release -p proof --example latency`.
+use std::error::Error;
+use std::time::Duration;
+use std::time::Instant;
+
+use net::backend::Client;
+use net::backend::Run;
+use proof::Deployment;
+use proof::Service;
+
+/// Direct calls, one after the other.
+const CALLS: u64 = 500;
+
+/// Seconds of load through the path.
+const SECONDS: u32 = 10;
+
+/// Largest answer that is taken, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let mut deployment = Deployment::start(122, Some(&[]))?;
+    for target in 1..=4 {
+        let name = format!("backend-{target}");
+        deployment.signal(&name, proof::Signal::Kill)?;
+        deployment.ended(&name)?;
+        deployment.start_backend_with(Service::Roster, target, 0)?;
+    }
+    let load = deployment.load(Service::Roster, SECONDS, 1)?;
+    let path = deployment.outcome(load)?.finding.report;
+    let direct = smol::block_on(direct(deployment.backend(1).parse()?))?;
+    let median = direct[direct.len() / 2];
+    let tail = direct[direct.len() * 99 / 100];
+    println!("| way | p50 us | p99 us |");
+    println!("|---|--:|--:|");
+    println!("| direct | {} | {} |", median.as_micros(), tail.as_micros());
+    println!("| through the system | {} | {} |", path.p50_us, path.p99_us);
+    Ok(())
+}
+
+/// Times of calls to one backend server, in order.
+async fn direct(backend: std::net::SocketAddr) -> Result<Vec<Duration>, net::backend::Error> {
+    let client = Client::new(backend, MAX_ANSWER_BYTES);
+    let mut times = Vec::new();
+    for request in 1..=CALLS {
+        let begun = Instant::now();
+        let run = Run {
+            request,
+            idempotent: request % 2 == 0,
+            timeout: Duration::from_secs(5),
+            payload: vec![0; 64].into(),
+        };
+        client.run(run).await?;
+        times.push(begun.elapsed());
+    }
+    times.sort();
+    Ok(times)
+}
--- a/tools/proof/src/deployment.rs
+++ b/tools/proof/src/deployment.rs
@@ -209,7 +209,17 @@
     }
 
     fn start_backend(&mut self, service: Service, target: u8) -> Result<()> {
-        let time = (u32::from(target) * 10 + 10).to_string();
+        self.start_backend_with(service, target, u32::from(target) * 10 + 10)
+    }
+
+    /// Starts a backend server that runs a request for so many milliseconds on
+    /// average.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    pub fn start_backend_with(&mut self, service: Service, target: u8, time_ms: u32) -> Result<()> {
+        let time = time_ms.to_string();
         let flags = [
             "backend",
             "--listen",
@@ -463,6 +473,12 @@
             .unwrap_or_default()
     }
 
+    /// HTTP address of a backend server.
+    #[must_use]
+    pub fn backend(&self, target: u8) -> String {
+        self.ip(2, target, 8080)
+    }
+
     /// Address that callers of a service send to.
     #[must_use]
     pub fn address(&self, service: Service) -> String {
