Tell homes of adopted flows at once

After a planned stop the entries route round the stopped agent within milliseconds, but the other agents hear of the stop with their next heartbeat. Until then the new home of an adopted flow had no pin, and handed packets to the stopped agent. The adopting peer now pins adopted flows at the homes they have without the former holder, as it did for kept ones.

--- a/roles/agent/src/keep.rs
+++ b/roles/agent/src/keep.rs
@@ -11,6 +11,7 @@
 use flow::State;
 use flow::record;
 use flow::record::Refusal;
+use flow::table::Phase;
 use wire::FlowKey;
 use wire::Incarnation;
 use wire::Relay;
@@ -29,6 +30,7 @@
 use crate::park::Part;
 use crate::park::Purpose;
 use crate::park::Record;
+use crate::pinning::Batches;
 use crate::relay;
 use crate::status::Counter;
 
@@ -196,9 +198,12 @@
                 self.pin_kept(turn);
             }
             Purpose::Adopt => {
-                for part in self.keep.take(owner) {
+                let parts = self.keep.take(owner);
+                let flows: Vec<FlowKey> = parts.iter().flat_map(Part::keys).collect();
+                for part in parts {
                     self.inherit(turn.now, part);
                 }
+                self.pin_adopted(turn, owner, flows);
                 self.renewal.restart(turn.now, self.flows.slots());
             }
         }
@@ -216,26 +221,43 @@
 
     /// Tells the homes of kept flows to send packets here.
     pub(crate) fn pin_kept(&mut self, turn: &mut Turn<'_>) {
-        let mut batches = BTreeMap::new();
+        let mut batches = Batches::new();
         for kept in self.keep.states.values() {
             if kept.received < kept.count || kept.claimed_by.is_some() {
                 continue;
             }
-            for flow in kept.parts.iter().flat_map(|part| &part.flows) {
-                let home = self
-                    .order
-                    .top(flow.key, 2)
-                    .find(|home| home.id != kept.owner.target)
-                    .filter(|home| home.id != self.identity.id);
-                if let Some(home) = home {
-                    let batch: &mut Vec<FlowKey> = batches.entry(home.address).or_default();
-                    batch.push(flow.key);
-                }
+            for flow in kept.parts.iter().flat_map(Part::keys) {
+                self.pin_without(kept.owner.target, flow, &mut batches);
             }
         }
         self.send_pins(turn, batches);
     }
 
+    /// Tells the homes that adopted flows have once their former holder has
+    /// left. Entries may know of that before the agents do.
+    fn pin_adopted(&mut self, turn: &mut Turn<'_>, owner: TargetId, flows: Vec<FlowKey>) {
+        let mut batches = Batches::new();
+        for flow in flows {
+            let held = self.flows.get(flow);
+            if held.is_some_and(|held| held.phase != Phase::Closed) {
+                self.pin_without(owner, flow, &mut batches);
+            }
+        }
+        self.send_pins(turn, batches);
+    }
+
+    /// Adds a flow to those that the home it has without `owner` is told of.
+    fn pin_without(&self, owner: TargetId, flow: FlowKey, batches: &mut Batches) {
+        let home = self
+            .order
+            .top(flow, 2)
+            .find(|home| home.id != owner)
+            .filter(|home| home.id != self.identity.id);
+        if let Some(home) = home {
+            batches.entry(home.address).or_default().push(flow);
+        }
+    }
+
     /// Answers a packet of a kept flow from its record. Without one nothing is
     /// said, so that the caller repeats until the successor is there.
     pub(crate) fn answer_kept(
--- a/roles/agent/src/park.rs
+++ b/roles/agent/src/park.rs
@@ -130,6 +130,10 @@
     pub fn bytes(&self) -> usize {
         FLOW_BYTES + self.flows.iter().map(Flow::bytes).sum::<usize>()
     }
+
+    pub(crate) fn keys(&self) -> impl Iterator<Item = FlowKey> {
+        self.flows.iter().map(|flow| flow.key)
+    }
 }
 
 impl Flow {
--- a/roles/agent/src/pinning.rs
+++ b/roles/agent/src/pinning.rs
@@ -94,7 +94,7 @@
 }
 
 /// Flows by the address of their homes.
-type Batches = BTreeMap<SocketAddr, Vec<FlowKey>>;
+pub(crate) type Batches = BTreeMap<SocketAddr, Vec<FlowKey>>;
 
 impl Agent {
     pub(crate) fn on_pin(&mut self, turn: &mut Turn<'_>, pin: &Pin) {
--- a/roles/agent/tests/stopping.rs
+++ b/roles/agent/tests/stopping.rs
@@ -117,6 +117,28 @@
     }
 }
 
+/// Entries learn of a stop before the other agents do.
+#[test]
+fn adopted_flows_are_found_before_the_agents_know_of_the_stop() {
+    let mut world = World::new(5, settings(), independent());
+    let tokens: Vec<Token> = (1..=40).map(|flow| world.open(flow)).collect();
+    let stopped = holder(tokens[0]);
+    world.event(stopped, Event::Stop);
+    world.settle();
+    assert_eq!(world.exited, vec![stopped]);
+    let mut unserved = Vec::new();
+    for (flow, &token) in (1..).zip(&tokens) {
+        world.send(&request(flow, REQUEST, token));
+        if world.running.is_empty() {
+            unserved.push(flow);
+            continue;
+        }
+        world.answer("served");
+        assert_eq!(world.take_answer(REQUEST).unwrap(), b"served");
+    }
+    assert_eq!(unserved, Vec::<u64>::new());
+}
+
 #[test]
 fn queued_requests_do_not_run_when_the_bound_of_a_stop_is_reached() {
     let mut settings = settings();
