--- a/roles/agent/src/leave.rs
+++ b/roles/agent/src/leave.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use wire::caller::Reason;
+use wire::target::State;
 
 use crate::Action;
 use crate::Agent;
@@ -14,9 +15,12 @@
 use crate::task::Stage;
 use crate::view::Binding;
 
-/// Time between two tries to send the last part.
+/// Time between two tries to send the last part, or to find a peer.
 const RESEND: Duration = Duration::from_millis(200);
 
+/// Peers that a successor asks, over those that its predecessor did.
+const CLAIM_FACTOR: usize = 2;
+
 /// How far an agent is on its way out.
 #[derive(Debug)]
 pub(crate) enum Leaving {
@@ -104,10 +108,16 @@
         self.conclude(turn, job, End::NotRun(refusal));
     }
 
-    /// Goes on once nothing is underway.
+    /// Goes on once nothing is underway and no successor of another agent has
+    /// still to claim what is kept here, or once the time for that is over.
     pub(crate) fn leave_when_finished(&mut self, turn: &mut Turn<'_>) {
         let then = match self.leaving {
-            Some(Leaving::Finishing { then, .. }) if self.tasks.is_empty() => then,
+            Some(Leaving::Finishing { until, then })
+                if self.tasks.is_empty()
+                    && (until <= turn.now || !self.keep.awaits_successor()) =>
+            {
+                then
+            }
             _ => return,
         };
         match then {
@@ -147,10 +157,10 @@
 
     fn begin_handover(&mut self, turn: &mut Turn<'_>, purpose: Purpose) {
         let parts = self.parts(turn.now, purpose);
-        let peers = self.peers();
-        if parts.len() == 1 || peers.is_empty() {
+        if parts.len() == 1 {
             return self.exit(turn);
         }
+        let peers = self.keepers();
         self.leaving = Some(Leaving::HandingOver(Handover {
             parts,
             index: 0,
@@ -161,17 +171,23 @@
         self.send_part(turn);
     }
 
+    /// Sends the part that is next. While no peer takes the state, those that
+    /// are there are asked again: the only one may be starting.
     fn send_part(&mut self, turn: &mut Turn<'_>) {
+        let keepers = self.keepers();
         let Some(Leaving::HandingOver(handover)) = &mut self.leaving else {
             return;
         };
+        if handover.peers.is_empty() {
+            handover.peers = keepers;
+        }
         handover.resend = None;
         match (handover.peers.first(), handover.parts.get(handover.index)) {
             (Some(&to), Some(part)) => turn.push(Action::Park {
                 to,
                 part: part.clone(),
             }),
-            _ => self.exit(turn),
+            _ => handover.resend = Some(turn.now + RESEND),
         }
     }
 
@@ -179,7 +195,7 @@
         let Some(Leaving::HandingOver(handover)) = &mut self.leaving else {
             return;
         };
-        if usize::try_from(index) != Ok(handover.index) {
+        if handover.peers.is_empty() || usize::try_from(index) != Ok(handover.index) {
             return;
         }
         let is_last = handover.index + 1 == handover.parts.len();
@@ -193,6 +209,10 @@
             false => {
                 handover.peers.remove(0);
                 handover.index = 0;
+                if handover.peers.is_empty() {
+                    handover.resend = Some(turn.now + RESEND);
+                    return;
+                }
             }
         }
         self.send_part(turn);
@@ -201,25 +221,35 @@
     fn exit(&mut self, turn: &mut Turn<'_>) {
         self.leaving = Some(Leaving::Gone);
         turn.push(Action::Announce {
-            state: wire::target::State::Left,
+            state: State::Left,
             weight: self.gate.weight(),
         });
         turn.push(Action::Exit);
     }
 
-    /// Control addresses of the peers that keep state for each other, in an
-    /// order that depends on their ids alone, so that an agent and its
-    /// successor ask the same ones.
-    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
+    /// Control addresses of the peers that an agent leaves its state with, in an
+    /// order that depends on their ids alone, so that an agent and its successor
+    /// ask the same ones.
+    fn keepers(&self) -> Vec<SocketAddr> {
+        self.peers(self.settings.leave.peers, |state| state == State::Ready)
+    }
+
+    /// Control addresses of the peers that may have the state of a predecessor.
+    /// Since it was left with one of them, some may have begun to leave, and
+    /// others have come.
+    pub(crate) fn possible_keepers(&self) -> Vec<SocketAddr> {
+        let count = self.settings.leave.peers * CLAIM_FACTOR;
+        self.peers(count, |state| state != State::Left)
+    }
+
+    fn peers(&self, count: usize, accepts: impl Fn(State) -> bool) -> Vec<SocketAddr> {
         let mut peers: Vec<&wire::Target> = self
             .view
             .targets
             .iter()
-            .filter(|target| target.id != self.identity.id)
-            .filter(|target| target.state == wire::target::State::Ready)
+            .filter(|target| target.id != self.identity.id && accepts(target.state))
             .collect();
         peers.sort_by_key(|target| target.id.wrapping_sub(self.identity.id));
-        let count = self.settings.leave.peers;
         peers
             .iter()
             .take(count)
--- a/roles/agent/tests/replacing.rs
+++ b/roles/agent/tests/replacing.rs
@@ -390,3 +390,69 @@
     }
     assert_eq!(world.runs.len(), 160);
 }
+
+/// The agent that keeps the state of a replaced one.
+fn keeper(world: &World, gone: usize) -> usize {
+    (0..3)
+        .filter(|&index| index != gone)
+        .find(|&index| world.status(index).parked > 0)
+        .expect("a peer keeps the flows")
+}
+
+#[test]
+fn a_keeper_that_leaves_waits_for_the_successor() {
+    let mut replaced = replaced(3);
+    let keeper = keeper(&replaced.world, replaced.holder);
+    replaced.world.event(keeper, Event::Replace);
+    replaced.world.settle();
+    assert_eq!(replaced.world.exited, vec![replaced.holder]);
+    replaced.succeed();
+    replaced.world.settle();
+    assert_eq!(replaced.world.exited, vec![replaced.holder, keeper]);
+    let Replaced {
+        mut world,
+        token,
+        holder,
+    } = replaced;
+    world.send(&request(FLOW, 2, token));
+    assert_eq!(world.runs[1].agent, holder);
+    world.answer("second");
+    assert_eq!(world.take_answer(2).unwrap(), b"second");
+}
+
+#[test]
+fn a_keeper_waits_no_longer_than_its_own_stop_may_take() {
+    let mut replaced = replaced(3);
+    let keeper = keeper(&replaced.world, replaced.holder);
+    replaced.world.event(keeper, Event::Replace);
+    replaced.world.pass(Duration::from_mins(1));
+    assert_eq!(replaced.world.exited, vec![replaced.holder, keeper]);
+}
+
+#[test]
+fn an_agent_without_a_peer_waits_for_one() {
+    let mut world = World::bound(2);
+    let token = world.open(FLOW);
+    let holder = holder(token);
+    world.tell_view_of(holder, vec![world.targets[holder].clone()]);
+    world.event(holder, Event::Replace);
+    world.settle();
+    assert_eq!(world.exited, vec![]);
+    world.tell_all();
+    world.pass(Duration::from_secs(1));
+    assert_eq!(world.exited, vec![holder]);
+    world.tell_others(holder);
+    world.restart(holder);
+    world.tell_all();
+    world.send(&request(FLOW, 2, token));
+    assert_eq!(world.runs[0].agent, holder);
+}
+
+#[test]
+fn an_agent_that_stays_without_a_peer_exits_within_its_bound() {
+    let mut world = World::bound(1);
+    world.open(FLOW);
+    world.event(0, Event::Replace);
+    world.pass(Duration::from_mins(1));
+    assert_eq!(world.exited, vec![0]);
+}
--- a/tools/proof/src/deployment.rs
+++ b/tools/proof/src/deployment.rs
@@ -33,9 +33,9 @@
 /// A service of the deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Service {
-    /// Four backend servers of unequal speed.
+    /// Four backend servers of unequal speed; independent.
     Roster,
-    /// Two backend servers.
+    /// Two backend servers; bound.
     Rota,
 }
 
@@ -71,6 +71,13 @@
         }
     }
 
+    const fn binding(self) -> &'static str {
+        match self {
+            Self::Roster => "independent",
+            Self::Rota => "bound",
+        }
+    }
+
     const fn host(self) -> u8 {
         match self {
             Self::Roster => 1,
@@ -109,20 +116,31 @@
         };
         deployment.start_all(fabric)?;
         for service in [Service::Roster, Service::Rota] {
-            let address = deployment.address(service);
-            deployment.until(&[
-                "create",
-                &address,
-                "--name",
-                service.name(),
-                "--binding",
-                "independent",
-            ])?;
+            deployment.create(service)?;
         }
         deployment.wait_ready(6)?;
         Ok(deployment)
     }
 
+    /// Creates the configuration of a service.
+    ///
+    /// # Errors
+    ///
+    /// Where no entry accepts it.
+    pub fn create(&self, service: Service) -> Result<()> {
+        let address = self.address(service);
+        let binding = service.binding();
+        self.until(&[
+            "create",
+            &address,
+            "--name",
+            service.name(),
+            "--binding",
+            binding,
+        ])?;
+        Ok(())
+    }
+
     fn start_all(&mut self, fabric: Option<&[&str]>) -> Result<()> {
         let store = self.ip(0, 1, 8500);
         self.spawn("platform", "standin", &["platform", "--listen", &store])?;
@@ -191,7 +209,17 @@
     }
 
     fn start_backend(&mut self, service: Service, target: u8) -> Result<()> {
-        let time = (u32::from(target) * 10 + 10).to_string();
+        self.start_backend_with(service, target, u32::from(target) * 10 + 10)
+    }
+
+    /// Starts a backend server that runs a request for so many milliseconds on
+    /// average.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    pub fn start_backend_with(&mut self, service: Service, target: u8, time_ms: u32) -> Result<()> {
+        let time = time_ms.to_string();
         let flags = [
             "backend",
             "--listen",
@@ -419,20 +447,38 @@
         Err("the deployment did not get ready".into())
     }
 
+    /// Whether every entry prints a line that begins so in its status.
+    #[must_use]
+    pub fn all_entries_say(&self, line: &str) -> bool {
+        (1..=ENTRIES).all(|entry| {
+            let status = self.status(entry);
+            status.lines().any(|printed| printed.starts_with(line))
+        })
+    }
+
     /// Number of targets that are ready at an entry.
     fn ready_at(&self, entry: u8) -> usize {
-        let status = Command::new(program("greengagelug"))
-            .args(["operate", "--entries", &self.ip(1, entry, 7002), "status"])
-            .output();
-        let Ok(status) = status else {
-            return 0;
-        };
-        String::from_utf8_lossy(&status.stdout)
+        self.status(entry)
             .lines()
             .filter(|line| line.starts_with("target: ") && line.contains(" ready"))
             .count()
     }
 
+    /// What an entry says of the system; empty where it does not answer.
+    fn status(&self, entry: u8) -> String {
+        Command::new(program("greengagelug"))
+            .args(["operate", "--entries", &self.ip(1, entry, 7002), "status"])
+            .output()
+            .map(|output| String::from_utf8_lossy(&output.stdout).into_owned())
+            .unwrap_or_default()
+    }
+
+    /// HTTP address of a backend server.
+    #[must_use]
+    pub fn backend(&self, target: u8) -> String {
+        self.ip(2, target, 8080)
+    }
+
     /// Address that callers of a service send to.
     #[must_use]
     pub fn address(&self, service: Service) -> String {
