Give the services of a test deployment a module of their own

Change: moved as they were. Measured: lints clean; entries_that_bind_the_service_addresses_serve_them passes.

--- a/tools/proof/src/deployment.rs
+++ b/tools/proof/src/deployment.rs
@@ -18,6 +18,7 @@
 use standin::audit::fetch;
 
 use crate::Child;
+use crate::Service;
 use crate::Signal;
 
 /// Entries of a deployment.
@@ -30,15 +31,6 @@
 /// What went wrong around a deployment.
 pub type Result<T> = std::result::Result<T, Box<dyn Error>>;
 
-/// A service of the deployment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Service {
-    /// Four backend servers of unequal speed; independent.
-    Roster,
-    /// Two backend servers; bound.
-    Rota,
-}
-
 /// A load that runs.
 pub struct Load {
     service: Service,
@@ -63,37 +55,6 @@
     wrapped: bool,
 }
 
-impl Service {
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Roster => "roster",
-            Self::Rota => "rota",
-        }
-    }
-
-    const fn binding(self) -> &'static str {
-        match self {
-            Self::Roster => "independent",
-            Self::Rota => "bound",
-        }
-    }
-
-    const fn host(self) -> u8 {
-        match self {
-            Self::Roster => 1,
-            Self::Rota => 2,
-        }
-    }
-
-    /// Numbers of its backend servers.
-    const fn targets(self) -> std::ops::RangeInclusive<u8> {
-        match self {
-            Self::Roster => 1..=4,
-            Self::Rota => 5..=6,
-        }
-    }
-}
-
 impl Deployment {
     /// Starts a deployment on the loopback addresses below 127.`number`, and
     /// waits until every entry knows all targets and services. `fabric` are
--- a/tools/proof/src/lib.rs
+++ b/tools/proof/src/lib.rs
@@ -6,10 +6,11 @@
 //! with the value.
 mod child;
 mod deployment;
+mod service;
 
 pub use child::Child;
 pub use child::Signal;
 pub use deployment::Deployment;
 pub use deployment::Load;
 pub use deployment::Outcome;
-pub use deployment::Service;
+pub use service::Service;
