--- a/roles/app/src/entry/control.rs
+++ b/roles/app/src/entry/control.rs
@@ -163,7 +163,9 @@
             }
         }
         self.traffic.router.store(Arc::new(router));
-        self.rebuild(now, &known);
+        if !known.is_empty() {
+            self.rebuild(now, &known);
+        }
     }
 
     async fn next(&self) -> Option<Input> {
