--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -133,6 +133,15 @@
         self.successor
     }
 
+    /// Takes a larger incarnation than any known of the same backend server. For
+    /// a process that is the only one beside it, and whose clock went back.
+    pub fn outrank(&mut self, now: Duration) {
+        if let Some(successor) = self.successor.take() {
+            self.target.incarnation = successor + 1;
+            self.renew(now);
+        }
+    }
+
     /// True once nothing is left to announce after [`Self::leave`].
     #[must_use]
     pub fn finished(&self) -> bool {
--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -303,6 +303,15 @@
         held.filter(|held| *held > self.identity.incarnation)
     }
 
+    /// Takes a larger incarnation than any known at this address. For a process
+    /// that is the only one at its address, and whose clock went back.
+    pub fn outrank(&mut self) {
+        if let Some(successor) = self.successor() {
+            self.identity.incarnation = successor + 1;
+            self.publish(&self.own_record(false));
+        }
+    }
+
     /// Digest of all records; equal in directories that agree.
     #[must_use]
     pub fn digest(&self) -> u64 {
--- a/protocol/wire/src/frame.rs
+++ b/protocol/wire/src/frame.rs
@@ -10,6 +10,7 @@
 use crate::ServiceAddress;
 use crate::TargetId;
 use crate::Token;
+use crate::Transit;
 
 /// Largest number of agents that one relayed packet visits.
 pub const MAX_HOPS: usize = 8;
@@ -35,6 +36,8 @@
     Control(Bytes),
     /// A datagram of a caller, handed over by the fabric.
     Sprayed(Sprayed),
+    /// A packet that is carried unread, or a message about its flow.
+    Transit(Transit),
 }
 
 /// A caller's packet on its way along the agents of a service.
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -4,13 +4,16 @@
 //! * [`caller`] holds the schema of the datagrams that callers send.
 //! * [`Frame`] is one datagram between two processes of the system, encoded by
 //!   [`Seal`], which authenticates it.
+//! * [`Segment`] is what is read of a packet that is carried unchanged.
 //! * [`Target`] describes one backend server as its agent announces it.
 pub mod caller;
 pub mod frame;
 pub mod id;
 pub mod seal;
+pub mod segment;
 pub mod target;
 pub mod token;
+pub mod transit;
 
 pub use frame::Frame;
 pub use frame::Hop;
@@ -24,5 +27,8 @@
 pub use id::TargetId;
 pub use id::ZoneId;
 pub use seal::Seal;
+pub use segment::FlowId;
+pub use segment::Segment;
 pub use target::Target;
 pub use token::Token;
+pub use transit::Transit;
--- /dev/null
+++ b/protocol/wire/src/transit.rs
@@ -0,0 +1,124 @@
+//! Frames that carry the packets of callers unread between entries and agents.
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Hop;
+use crate::TargetId;
+use crate::segment::FlowId;
+
+const MICROS_PER_SECOND: u32 = 1_000_000;
+
+/// A frame about a carried flow.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Transit {
+    /// An opening packet on its way along some agents.
+    Open(Open),
+    /// A packet for the agent that is believed to hold its flow.
+    Carry(Carry),
+    /// A packet whose holder is not known: only the holder delivers it.
+    Seek(Carry),
+    /// Names the holder of a flow.
+    Held(Held),
+    /// Returns a packet whose flow the agent does not hold.
+    Absent(Absent),
+}
+
+/// An opening packet on its way along some agents.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Open {
+    /// The entry that is told who holds the flow.
+    pub entry: SocketAddr,
+    /// Agents to visit, in order.
+    pub path: Vec<Hop>,
+    /// Index in `path` of the agent that this frame is addressed to.
+    pub position: u8,
+    /// Bid of each agent that passed the packet on, in milliseconds.
+    pub bids: Vec<u32>,
+    /// True once all agents have bid: this one takes the flow or refuses it.
+    pub is_settled: bool,
+    /// Longest wait for a slot that is of use to the caller, in milliseconds.
+    pub patience_ms: u32,
+    /// The caller's packet.
+    pub packet: Bytes,
+}
+
+/// A packet for a flow that is open or opening.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Carry {
+    /// The backend server that the frame is meant for.
+    pub target: TargetId,
+    /// The entry that the packet came through.
+    pub entry: SocketAddr,
+    /// The caller's packet.
+    pub packet: Bytes,
+}
+
+/// Names the holder of a flow.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The flow.
+    pub flow: FlowId,
+    /// The holder, and where its agent is.
+    pub holder: Hop,
+    /// The holder's load.
+    pub load: Load,
+}
+
+/// Returns a packet whose flow the agent does not hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Absent {
+    /// The flow.
+    pub flow: FlowId,
+    /// The backend server that does not hold the flow.
+    pub target: TargetId,
+    /// The caller's packet.
+    pub packet: Bytes,
+}
+
+/// Load of a backend server, as its agent sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that run or wait.
+    pub running: u16,
+    /// Requests that run at a time.
+    pub slots: u16,
+    /// Mean service time of a request, in microseconds.
+    pub service_us: u32,
+    /// Work that the held flows are expected to bring, as a wait in
+    /// microseconds.
+    pub held_us: u32,
+}
+
+impl Load {
+    /// Expected wait of a request that comes now, before it begins to run.
+    #[must_use]
+    pub fn wait(&self) -> Duration {
+        let ahead = self.running.saturating_add(1).saturating_sub(self.slots);
+        self.service_time() * u32::from(ahead) / u32::from(self.slots.max(1))
+    }
+
+    /// Requests that can be served in a second, at least 1.
+    #[must_use]
+    pub fn rate(&self) -> u32 {
+        let service_us = self.service_us.max(1);
+        u32::from(self.slots)
+            .saturating_mul(MICROS_PER_SECOND / service_us)
+            .max(1)
+    }
+
+    /// Mean service time of a request.
+    #[must_use]
+    pub const fn service_time(&self) -> Duration {
+        Duration::from_micros(self.service_us as u64)
+    }
+
+    /// Work that the held flows are expected to bring, as a wait.
+    #[must_use]
+    pub const fn held(&self) -> Duration {
+        Duration::from_micros(self.held_us as u64)
+    }
+}
--- a/roles/agent/src/agent.rs
+++ b/roles/agent/src/agent.rs
@@ -266,7 +266,7 @@
             Frame::Relay(relay) => self.on_relay(turn, relay),
             Frame::Pin(pin) => self.on_pin(turn, &pin),
             Frame::Unpin(pin) => self.on_unpin(&pin),
-            Frame::Reply(_) | Frame::Control(_) | Frame::Sprayed(_) => {
+            Frame::Reply(_) | Frame::Control(_) | Frame::Sprayed(_) | Frame::Transit(_) => {
                 self.counters.add(Counter::UnexpectedFrame);
             }
         }
--- /dev/null
+++ b/roles/app/src/carried.rs
@@ -0,0 +1,4 @@
+//! What gateways and sidecars have in common.
+pub mod event;
+pub mod reader;
+pub mod ready;
--- /dev/null
+++ b/roles/app/src/carried/event.rs
@@ -0,0 +1,1 @@
+//! Events of carried flows.
--- a/roles/app/src/entry/traffic.rs
+++ b/roles/app/src/entry/traffic.rs
@@ -128,7 +128,7 @@
             Frame::Sprayed(sprayed) => self.relay(sprayed, entry),
             Frame::Reply(reply) => self.reply(reply),
             Frame::Control(payload) => self.control(received.from, payload),
-            Frame::Relay(_) | Frame::Pin(_) | Frame::Unpin(_) => {
+            Frame::Relay(_) | Frame::Pin(_) | Frame::Unpin(_) | Frame::Transit(_) => {
                 count(&self.counters.unexpected);
             }
         }
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -91,8 +91,8 @@
 }
 
 events! {
-    1001 Info Starting { role: String, listen: SocketAddr }
-        "{role} starts on {listen}", "nothing";
+    1001 Info Starting { role: String }
+        "{role} starts", "nothing";
     1002 Info Stopped { role: String }
         "{role} has stopped", "nothing";
     1003 Error Failed { role: String, error: String }
--- /dev/null
+++ b/roles/app/src/gateway/announcements.rs
@@ -0,0 +1,31 @@
+//! Answers backend servers that reach a gateway in place of their sidecar.
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ::http::StatusCode;
+use net::http;
+use net::http::Answer;
+use smol::Executor;
+use smol::net::TcpListener;
+
+/// Serves the address for announcements. A gateway stands beside no backend
+/// server, so that its answer sends the caller on to another process.
+///
+/// # Errors
+///
+/// The operating system's error where the address cannot be bound.
+pub async fn serve(address: SocketAddr, executor: &Arc<Executor<'static>>) -> io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    let answer = |question: http::Question| async move {
+        log::warn!("an announcement came to a gateway: {}", question.path);
+        Answer {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            content_type: "text/plain",
+            body: "ask the sidecar on your own host\n".to_owned(),
+        }
+    };
+    let serving = http::serve(listener, Arc::clone(executor), answer);
+    executor.spawn(serving).detach();
+    Ok(())
+}
--- /dev/null
+++ b/roles/app/src/gateway/follow.rs
@@ -0,0 +1,44 @@
+//! Follows the configuration in the platform's store.
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use async_channel::Sender;
+use async_io::Timer;
+use config::Follow;
+use config::follow::Action;
+use config::follow::Change;
+use config::follow::Event;
+use config::follow::Settings;
+use platform::document;
+use store::Store;
+
+use crate::gateway::control::Input;
+
+/// Follows the configuration until the control thread has ended.
+pub async fn run(store: impl Store, control: Sender<Input>, is_confirmed: Arc<AtomicBool>) {
+    let origin = Instant::now();
+    let mut follow = Follow::new(Settings::default(), document::KEY, fastrand::u64(..));
+    loop {
+        let event = match follow.next() {
+            Action::Read => Event::Read(store.get(follow.key()).await),
+            Action::Watch { since, wait } => {
+                Event::Watched(store.watch(follow.key(), since, wait).await)
+            }
+        };
+        let outcome = follow.handle(origin.elapsed(), event);
+        is_confirmed.store(follow.is_confirmed(origin.elapsed()), Ordering::Relaxed);
+        match outcome.change {
+            Some(Change::Lost(fault)) => log::warn!("the store is lost: {fault}"),
+            Some(Change::Regained) => log::info!("the store answers again"),
+            None => {}
+        }
+        if let Some(item) = outcome.value
+            && control.send(Input::Document(item.value)).await.is_err()
+        {
+            return;
+        }
+        Timer::after(outcome.pause).await;
+    }
+}
--- /dev/null
+++ b/roles/app/src/gateway/presence.rs
@@ -0,0 +1,39 @@
+//! Keeps the gateway listed in the platform's store, and finds the others.
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use async_channel::Sender;
+use async_io::Timer;
+use config::Presence;
+use config::presence::Action;
+use config::presence::Event;
+use config::presence::Settings;
+use platform::name;
+use store::Store;
+
+use crate::gateway::control::Input;
+
+/// Keeps the gateway listed until the control thread has ended.
+pub async fn run(store: impl Store, own: SocketAddr, control: Sender<Input>) {
+    let origin = Instant::now();
+    let key = name::entry_key(own);
+    let mut presence = Presence::new(Settings::default(), key, fastrand::u64(..), origin.elapsed());
+    while !control.is_closed() {
+        let event = match presence.next(origin.elapsed()) {
+            Action::Sleep(pause) => {
+                Timer::after(pause).await;
+                continue;
+            }
+            Action::List => Event::Listed(store.list_stale(name::ENTRIES).await),
+            Action::Grant(ttl) => Event::Granted(store.grant(ttl).await),
+            Action::Acquire(lease) => Event::Acquired(store.acquire(presence.key(), &lease).await),
+            Action::Renew(lease) => Event::Renewed(store.keep_alive(&lease).await),
+        };
+        let listed = presence.handle(origin.elapsed(), event);
+        let peers: Vec<SocketAddr> = listed.iter().filter_map(|key| name::entry(key)).collect();
+        if !peers.is_empty() {
+            // A full queue is tried again with the next reading.
+            let _ = control.try_send(Input::Peers(peers));
+        }
+    }
+}
--- /dev/null
+++ b/roles/app/src/gateway/routes.rs
@@ -0,0 +1,86 @@
+//! Builds the routes of a gateway from what the membership protocol knows.
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::Ipv6Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use forward::Routes;
+use forward::routes::Table;
+use member::Health;
+use member::Registry;
+use member::View;
+use platform::document;
+use wire::ServiceAddress;
+use wire::Target;
+use wire::target::State;
+
+/// The record under which the entries pass on the whole configuration.
+pub const DOCUMENT: ServiceAddress = SocketAddr::new(IpAddr::V6(Ipv6Addr::UNSPECIFIED), 1);
+
+/// Keeps the routes that were built last.
+#[derive(Default)]
+pub struct Builder {
+    routes: Routes,
+}
+
+impl Builder {
+    /// Takes what changed; the routes as they are now.
+    pub fn update(&mut self, registry: &Registry, changes: &[ServiceAddress]) -> Arc<Routes> {
+        for address in changes {
+            let view = registry.service(address);
+            if *address == DOCUMENT {
+                self.document(view);
+            } else {
+                let targets = view.map(targets).unwrap_or_default();
+                self.routes.targets.insert(*address, Arc::new(targets));
+            }
+        }
+        Arc::new(self.routes.clone())
+    }
+
+    /// Says whether the configuration is known to be the newest; `None` where
+    /// nothing changed.
+    pub fn confirm(&mut self, is_confirmed: bool) -> Option<Arc<Routes>> {
+        if self.routes.is_confirmed == is_confirmed {
+            return None;
+        }
+        self.routes.is_confirmed = is_confirmed;
+        Some(Arc::new(self.routes.clone()))
+    }
+
+    /// Whether callers can be served.
+    pub fn is_ready(&self) -> bool {
+        self.routes.table.version > 0
+    }
+
+    fn document(&mut self, view: Option<&View>) {
+        let Some(record) = view.and_then(|view| view.config.as_ref()) else {
+            return;
+        };
+        match document::decode(&record.body) {
+            Ok(table) => self.routes.table = Arc::new(table),
+            Err(error) => log::error!("a configuration cannot be read: {error}"),
+        }
+    }
+
+    /// The configuration that is in force.
+    pub fn table(&self) -> &Table {
+        &self.routes.table
+    }
+
+    /// The services whose backend servers are known.
+    pub fn targets(&self) -> &HashMap<ServiceAddress, Arc<Vec<Target>>> {
+        &self.routes.targets
+    }
+}
+
+fn targets(view: &View) -> Vec<Target> {
+    view.targets
+        .values()
+        .filter(|member| member.health != Health::Down)
+        .filter(|member| member.target.state != State::Left)
+        .map(|member| member.target.clone())
+        .collect()
+}
--- a/roles/app/src/lib.rs
+++ b/roles/app/src/lib.rs
@@ -1,15 +1,18 @@
 //! The parts of the `greengagelug` binary: settings, logs, metrics and roles.
 pub mod agent;
 pub mod call;
+pub mod carried;
 pub mod clock;
 pub mod directory;
 pub mod entry;
 pub mod event;
 pub mod exit;
+pub mod gateway;
 pub mod help;
 pub mod logger;
 pub mod metric;
 pub mod operator;
 pub mod settings;
+pub mod sidecar;
 pub mod signal;
 pub mod watch;
--- a/roles/app/src/main.rs
+++ b/roles/app/src/main.rs
@@ -1,6 +1,5 @@
-//! `greengagelug entry|agent|operate|call|help`.
+//! `greengagelug entry|agent|gateway|sidecar|operate|call|help`.
 use std::io;
-use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -9,6 +8,7 @@
 use app::entry;
 use app::event::Event;
 use app::exit;
+use app::gateway;
 use app::help;
 use app::logger;
 use app::operator;
@@ -18,6 +18,7 @@
 use app::settings::command;
 use app::settings::command::Settings;
 use app::settings::table::Role;
+use app::sidecar;
 use smol::Executor;
 
 fn main() -> ExitCode {
@@ -27,6 +28,8 @@
     match role.as_str() {
         "entry" => start(&args, entry),
         "agent" => start(&args, agent),
+        "gateway" => start(&args, gateway),
+        "sidecar" => start(&args, sidecar),
         "operate" => start(&args, operate),
         "call" => start(&args, call::main),
         "help" | "--help" | "" => help::main(&args),
@@ -60,15 +63,19 @@
 }
 
 fn entry(settings: &settings::Entry) -> ExitCode {
-    daemon(Role::Entry, settings.listen, settings.log, || {
-        entry::run(settings)
-    })
+    daemon(Role::Entry, settings.log, || entry::run(settings))
 }
 
 fn agent(settings: &settings::Agent) -> ExitCode {
-    daemon(Role::Agent, settings.listen, settings.log, || {
-        agent::run(settings)
-    })
+    daemon(Role::Agent, settings.log, || agent::run(settings))
+}
+
+fn gateway(settings: &settings::Gateway) -> ExitCode {
+    daemon(Role::Gateway, settings.0.log, || gateway::run(settings))
+}
+
+fn sidecar(settings: &settings::Sidecar) -> ExitCode {
+    daemon(Role::Sidecar, settings.0.log, || sidecar::run(settings))
 }
 
 fn operate(settings: &settings::Operate) -> ExitCode {
@@ -92,22 +99,13 @@
 }
 
 /// Runs a daemon with a log.
-fn daemon(
-    role: Role,
-    listen: SocketAddr,
-    log: Log,
-    run: impl FnOnce() -> io::Result<()>,
-) -> ExitCode {
+fn daemon(role: Role, log: Log, run: impl FnOnce() -> io::Result<()>) -> ExitCode {
     let role = role.name().to_owned();
     if let Err(error) = logger::start(log) {
         eprintln!("greengagelug {role}: {error}");
         return ExitCode::from(exit::FAILED);
     }
-    let starting = Event::Starting {
-        role: role.clone(),
-        listen,
-    };
-    starting.log();
+    Event::Starting { role: role.clone() }.log();
     match run() {
         Ok(()) => {
             Event::Stopped { role }.log();
--- a/roles/app/src/settings/command.rs
+++ b/roles/app/src/settings/command.rs
@@ -70,7 +70,7 @@
     );
     let commands = match role {
         Role::Operate => format!("\n{}\n", crate::operator::args::USAGE),
-        Role::Entry | Role::Agent | Role::Call => String::new(),
+        _ => String::new(),
     };
     let notes = "Each flag can be given as an environment variable instead: --entries as \
         GREENGAGELUG_ENTRIES. The flag wins.\n";
@@ -132,6 +132,8 @@
     match role {
         Role::Entry => "Receives callers' datagrams from the fabric and relays them to agents.",
         Role::Agent => "Stands beside a backend server, announces it and runs its requests.",
+        Role::Gateway => "Receives callers' packets and carries them unread to sidecars.",
+        Role::Sidecar => "Stands beside a backend server and hands it packets unread.",
         Role::Operate => "Changes and shows the configuration.",
         Role::Call => "Calls a service with a bounded load and reports what happened.",
     }
@@ -140,7 +142,7 @@
 const fn arguments(role: Role) -> &'static str {
     match role {
         Role::Operate => " COMMAND [ARGUMENTS]",
-        Role::Entry | Role::Agent | Role::Call => "",
+        _ => "",
     }
 }
 
@@ -156,6 +158,8 @@
              --service 10.9.0.1:5000 --backend 127.0.0.1:8080 --zone 1 \
              --seeds 10.0.0.1:7000,10.0.0.2:7000"
         }
+        Role::Gateway => "greengagelug gateway --boot /etc/greengagelug/boot.json",
+        Role::Sidecar => "greengagelug sidecar --boot /etc/greengagelug/boot.json",
         Role::Operate => "greengagelug operate --entries 10.0.0.1:7002 status",
         Role::Call => {
             "greengagelug call --service 10.9.0.1:5000 --flows 200 --rate 100 --duration 15"
--- a/roles/app/src/settings/list.rs
+++ b/roles/app/src/settings/list.rs
@@ -7,6 +7,8 @@
 use super::table::Unit;
 
 const DAEMONS: &[Role] = &[Role::Entry, Role::Agent];
+const CARRIERS: &[Role] = &[Role::Gateway, Role::Sidecar];
+const ALL_DAEMONS: &[Role] = &[Role::Entry, Role::Agent, Role::Gateway, Role::Sidecar];
 const ENTRY: &[Role] = &[Role::Entry];
 const AGENT: &[Role] = &[Role::Agent];
 const OPERATE: &[Role] = &[Role::Operate];
@@ -14,6 +16,14 @@
 
 /// All settings, in the order of the help.
 pub const SETTINGS: &[Setting] = &[
+    Setting {
+        name: "boot",
+        roles: CARRIERS,
+        kind: Kind::Text,
+        unit: "",
+        default: Preset::Required,
+        help: "path of the settings file that the platform writes for the process",
+    },
     Setting {
         name: "listen",
         roles: DAEMONS,
@@ -128,7 +138,7 @@
     },
     Setting {
         name: "sign-key",
-        roles: DAEMONS,
+        roles: ALL_DAEMONS,
         kind: Kind::Key,
         unit: "",
         default: Preset::Required,
@@ -136,7 +146,7 @@
     },
     Setting {
         name: "accept-keys",
-        roles: DAEMONS,
+        roles: ALL_DAEMONS,
         kind: Kind::Keys,
         unit: "",
         default: Preset::Text(""),
@@ -272,7 +282,7 @@
     },
     Setting {
         name: "metrics-interval",
-        roles: DAEMONS,
+        roles: ALL_DAEMONS,
         kind: Kind::Time {
             unit: Unit::Seconds,
             min: 0,
@@ -284,7 +294,7 @@
     },
     Setting {
         name: "log-format",
-        roles: DAEMONS,
+        roles: ALL_DAEMONS,
         kind: Kind::Choice(&["readable", "json"]),
         unit: "",
         default: Preset::Text("readable"),
@@ -292,7 +302,7 @@
     },
     Setting {
         name: "log-level",
-        roles: DAEMONS,
+        roles: ALL_DAEMONS,
         kind: Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
         unit: "",
         default: Preset::Text("info"),
--- a/roles/app/src/settings/table.rs
+++ b/roles/app/src/settings/table.rs
@@ -11,6 +11,10 @@
     Entry,
     /// `greengagelug agent`.
     Agent,
+    /// `greengagelug gateway`.
+    Gateway,
+    /// `greengagelug sidecar`.
+    Sidecar,
     /// `greengagelug operate`.
     Operate,
     /// `greengagelug call`.
@@ -111,7 +115,14 @@
 
 impl Role {
     /// All roles, in the order of the help.
-    pub const ALL: [Self; 4] = [Self::Entry, Self::Agent, Self::Operate, Self::Call];
+    pub const ALL: [Self; 6] = [
+        Self::Entry,
+        Self::Agent,
+        Self::Gateway,
+        Self::Sidecar,
+        Self::Operate,
+        Self::Call,
+    ];
 
     /// The word on the command line.
     #[must_use]
@@ -119,6 +130,8 @@
         match self {
             Self::Entry => "entry",
             Self::Agent => "agent",
+            Self::Gateway => "gateway",
+            Self::Sidecar => "sidecar",
             Self::Operate => "operate",
             Self::Call => "call",
         }
--- /dev/null
+++ b/roles/app/src/sidecar/control.rs
@@ -0,0 +1,201 @@
+//! The control thread of a sidecar: announces the backend server.
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use bytes::Bytes;
+use forward::agent::Backend;
+use forward::agent::Event;
+use forward::agent::State;
+use futures_lite::FutureExt;
+use member::Action;
+use member::Announcer;
+use member::Message;
+use member::announcer::Change;
+use net::Port;
+use wire::Frame;
+use wire::Hop;
+use wire::Target;
+use wire::ZoneId;
+use wire::target;
+
+use crate::clock;
+use crate::sidecar::seeds;
+use crate::sidecar::traffic::Traffic;
+
+/// Longest sleep while nothing is due.
+const IDLE: Duration = Duration::from_millis(250);
+
+/// Weight that is announced for each slot. Entries go by the load that they are
+/// told with each flow.
+const WEIGHT_PER_SLOT: u32 = 20;
+
+/// What the control thread is told.
+pub enum Input {
+    /// A message of the membership protocol arrived.
+    Message {
+        /// UDP address of the sender.
+        from: SocketAddr,
+        /// The encoded message.
+        payload: Bytes,
+    },
+    /// The backend server announced itself.
+    Backend(Backend),
+    /// A backend server ends.
+    End {
+        /// Its name.
+        name: String,
+    },
+    /// The process is to stop.
+    Stop,
+}
+
+/// What the control thread works with.
+pub struct Control {
+    /// Entries to announce to.
+    pub seeds: Vec<SocketAddr>,
+    /// The membership protocol, once the backend server is known.
+    pub announcer: Option<Announcer>,
+    /// Origin of the time.
+    pub origin: Instant,
+    /// The port for frames, shared with the traffic threads.
+    pub port: Port,
+    /// What carries the packets.
+    pub traffic: Arc<Traffic>,
+    /// Where others reach this process.
+    pub own: Hop,
+    /// Availability zone of the host.
+    pub zone: ZoneId,
+    /// What arrives from other threads and tasks.
+    pub inputs: Receiver<Input>,
+    /// What the backend server told last.
+    pub backend: Option<Backend>,
+    /// The platform's store.
+    pub store: platform::Client,
+}
+
+impl Control {
+    /// Runs until dropped.
+    pub async fn run(mut self, host: &platform::Settings) {
+        let mut actions = Vec::new();
+        loop {
+            if self.seeds.is_empty() {
+                self.seeds = seeds::gather(&self.store, host).await;
+            }
+            self.turn(&mut actions).await;
+        }
+    }
+
+    async fn turn(&mut self, actions: &mut Vec<Action>) {
+        let input = self.next().await;
+        let now = self.origin.elapsed();
+        match input {
+            Some(Input::Message { from, payload }) => self.message(now, from, &payload, actions),
+            Some(Input::Backend(backend)) => self.backend(now, backend),
+            Some(Input::End { name }) => self.end(&name),
+            Some(Input::Stop) => self.traffic.handle(Event::Stop),
+            None => {}
+        }
+        self.announce(now);
+        if let Some(announcer) = &mut self.announcer {
+            announcer.outrank(now);
+            announcer.tick(now, actions);
+        }
+        for action in actions.drain(..) {
+            let Action::Send { to, message } = action;
+            match message.encode() {
+                Ok(payload) => self.port.send(to, &Frame::Control(payload)),
+                Err(error) => log::warn!("a message to {to} was not sent: {error}"),
+            }
+        }
+    }
+
+    fn message(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        payload: &Bytes,
+        actions: &mut Vec<Action>,
+    ) {
+        match (Message::decode(payload), &mut self.announcer) {
+            (Ok(message), Some(announcer)) => announcer.handle(now, from, message, actions),
+            (Ok(_), None) => {}
+            (Err(error), _) => log::debug!("a message of {from} cannot be read: {error}"),
+        }
+    }
+
+    /// Takes an announcement of the backend server, unless it is older than the
+    /// last.
+    fn backend(&mut self, now: Duration, backend: Backend) {
+        let held = self.backend.as_ref();
+        if held.is_some_and(|held| backend.is_older_than(held)) {
+            return log::info!("an older announcement of {} was dropped", backend.name);
+        }
+        self.traffic.handle(Event::Backend(backend.clone()));
+        let is_new = held.is_none_or(|held| held.target != backend.target);
+        if is_new {
+            self.announcer = Some(self.announcer_of(now, &backend));
+        }
+        self.backend = Some(backend);
+    }
+
+    fn announcer_of(&self, now: Duration, backend: &Backend) -> Announcer {
+        let target = Target {
+            id: backend.target,
+            service: backend.service,
+            address: self.own.address,
+            control: self.own.address,
+            zone: self.zone,
+            incarnation: clock::incarnation(),
+            version: 0,
+            weight: u32::from(backend.slots).max(1) * WEIGHT_PER_SLOT,
+            slots: backend.slots,
+            state: state(backend.state == State::Ready),
+        };
+        let settings = member::Settings::default();
+        Announcer::new(settings, target, self.seeds.clone(), fastrand::u64(..), now)
+    }
+
+    /// Notes that the backend server ends.
+    fn end(&mut self, name: &str) {
+        if let Some(held) = &mut self.backend
+            && held.name == name
+        {
+            held.state = State::Gone;
+            self.traffic.handle(Event::Gone);
+        }
+    }
+
+    /// Announces whether the backend server takes new flows.
+    fn announce(&mut self, now: Duration) {
+        let Some(announcer) = &mut self.announcer else {
+            return;
+        };
+        let weight = announcer.target().weight;
+        let state = state(self.traffic.is_open());
+        announcer.announce(now, Change { weight, state });
+    }
+
+    async fn next(&self) -> Option<Input> {
+        let now = self.origin.elapsed();
+        let due = self.announcer.as_ref().map(Announcer::next_deadline);
+        let due = due.unwrap_or(now + IDLE).min(now + IDLE);
+        let tick = async {
+            Timer::at(self.origin + due).await;
+            None
+        };
+        let input = async { self.inputs.recv().await.ok() };
+        input.or(tick).await
+    }
+}
+
+const fn state(is_open: bool) -> target::State {
+    if is_open {
+        target::State::Ready
+    } else {
+        target::State::Draining
+    }
+}
--- /dev/null
+++ b/roles/forward/src/agent.rs
@@ -0,0 +1,538 @@
+//! The agent's side: hands a backend server the packets of the flows that it
+//! holds, and decides which new flows it takes.
+//!
+//! A backend server knows which flows it holds and hands back any other packet.
+//! An agent that has just started relies on that: it delivers one packet of a
+//! flow that it does not know and learns from what comes back.
+mod action;
+mod backend;
+mod bid;
+mod flow;
+mod memory;
+mod settings;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use limit::Load;
+use limit::Occupancy;
+use wire::FlowId;
+use wire::Hop;
+use wire::Segment;
+use wire::Transit;
+use wire::segment::Kind;
+use wire::transit;
+use wire::transit::Absent;
+use wire::transit::Carry;
+use wire::transit::Held;
+use wire::transit::Open;
+
+pub use action::Action;
+pub use action::Drop;
+pub use action::Refusal;
+pub use backend::Backend;
+pub use backend::State;
+use bid::Verdict;
+use flow::Flow;
+use memory::Memory;
+pub use settings::Settings;
+
+/// What happens to an agent.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// An opening packet arrived from an entry or another agent.
+    Open {
+        /// The frame.
+        open: Open,
+        /// Header of its packet.
+        segment: Segment,
+    },
+    /// A packet of a flow that the backend server is believed to hold.
+    Carry {
+        /// The frame.
+        carry: Carry,
+        /// Header of its packet.
+        segment: Segment,
+    },
+    /// A packet of a flow whose holder is not known.
+    Seek {
+        /// The frame.
+        carry: Carry,
+        /// Header of its packet.
+        segment: Segment,
+    },
+    /// The backend server sent a packet, or handed one back.
+    Server {
+        /// Its header.
+        segment: Segment,
+        /// All of it.
+        packet: Bytes,
+    },
+    /// The backend server told its state.
+    Backend(Backend),
+    /// The backend server said that it ends.
+    Gone,
+    /// The process is to stop.
+    Stop,
+    /// Time passed.
+    Tick,
+}
+
+/// The decisions of an agent.
+#[derive(Debug)]
+pub struct Agent {
+    settings: Settings,
+    own: Hop,
+    started: Duration,
+    /// Whether the backend server may hold flows from before this process.
+    has_past: bool,
+    backend: Option<Backend>,
+    heard: Duration,
+    /// When the backend server was first sent an opening packet that it has not
+    /// reacted to.
+    unanswered: Option<Duration>,
+    is_stopping: bool,
+    occupancy: Occupancy,
+    load: Load,
+    flows: HashMap<FlowId, Flow>,
+    passed: Memory<Open>,
+    probes: Memory<Probe>,
+    absent: Memory<()>,
+    dead: Memory<()>,
+    next_sweep: Duration,
+}
+
+/// A packet delivered to learn whether the backend server holds its flow.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    entry: SocketAddr,
+}
+
+impl Agent {
+    /// Starts without a backend server. `has_past` is false where no process
+    /// can have stood beside the backend server before.
+    #[must_use]
+    pub fn new(settings: Settings, own: Hop, has_past: bool, now: Duration) -> Self {
+        Self {
+            own,
+            started: now,
+            has_past,
+            backend: None,
+            heard: now,
+            unanswered: None,
+            is_stopping: false,
+            occupancy: Occupancy::new(1, settings.service_time),
+            load: Load::new(settings.load, now),
+            flows: HashMap::new(),
+            passed: Memory::new(settings.linger),
+            probes: Memory::new(settings.linger),
+            absent: Memory::new(settings.oldest_flow),
+            dead: Memory::new(settings.oldest_flow),
+            next_sweep: now + settings.sweep,
+            settings,
+        }
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Open { open, segment } => self.open(now, open, segment, actions),
+            Event::Carry { carry, segment } => self.carry(now, carry, segment, actions),
+            Event::Seek { carry, segment } => self.seek(now, carry, segment, actions),
+            Event::Server { segment, packet } if segment.is_returned => {
+                self.unanswered = None;
+                self.returned(now, segment, packet, actions);
+            }
+            Event::Server { segment, packet } => {
+                self.unanswered = None;
+                self.sent(now, segment, packet, actions);
+            }
+            Event::Backend(backend) => self.state(now, backend, actions),
+            Event::Gone => self.gone(now, actions),
+            Event::Stop => self.is_stopping = true,
+            Event::Tick => {}
+        }
+        if now >= self.next_sweep {
+            self.next_sweep = now + self.settings.sweep;
+            self.sweep(now, actions);
+        }
+    }
+
+    /// When to give the next [`Event::Tick`].
+    #[must_use]
+    pub const fn next_deadline(&self) -> Duration {
+        self.next_sweep
+    }
+
+    /// Whether new flows are taken.
+    #[must_use]
+    pub fn takes_flows(&self, now: Duration) -> bool {
+        let has_room = self.flows.len() < self.settings.max_flows;
+        let is_mute = self
+            .unanswered
+            .is_some_and(|since| now >= since + self.settings.mute);
+        self.is_open(now) && has_room && !is_mute
+    }
+
+    /// Whether the backend server is ready and was heard of lately.
+    #[must_use]
+    pub fn is_open(&self, now: Duration) -> bool {
+        let is_heard = now < self.heard + self.settings.silence;
+        let is_ready = self
+            .backend
+            .as_ref()
+            .is_some_and(|backend| backend.state == State::Ready);
+        is_ready && is_heard && !self.is_stopping
+    }
+
+    /// Whether any request runs or waits.
+    #[must_use]
+    pub const fn is_busy(&self) -> bool {
+        self.occupancy.running() > 0
+    }
+
+    /// Number of flows that are held.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// True where no flow is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    /// The load, to be told to entries.
+    #[must_use]
+    pub fn load(&self, now: Duration) -> transit::Load {
+        let own = self.occupancy.load();
+        let held = self.load.bid(now, own.rate());
+        transit::Load {
+            held_us: u32::try_from(held.as_micros()).unwrap_or(u32::MAX),
+            ..own
+        }
+    }
+
+    fn open(&mut self, now: Duration, open: Open, segment: Segment, actions: &mut Vec<Action>) {
+        let flow = segment.from_caller();
+        if let Some(held) = self.flows.get_mut(&flow) {
+            held.used = now;
+            held.entry = Some(open.entry);
+            actions.push(Action::Deliver(open.packet));
+            return self.tell(now, flow, open.entry, actions);
+        }
+        if let Some(passed) = self.passed.get(now, &flow) {
+            return pass(passed.clone(), actions);
+        }
+        let bid = self.bid(now);
+        match bid::decide(open, bid) {
+            Verdict::Take(open) => self.take(now, flow, open, bid, actions),
+            Verdict::Pass(open) => {
+                self.passed.insert(now, flow, open.clone());
+                actions.push(Action::Passed {
+                    flow,
+                    bid,
+                    to: open.path[usize::from(open.position)].target,
+                    is_settled: open.is_settled,
+                });
+                pass(open, actions);
+            }
+            Verdict::Refuse(open) => actions.push(Action::Reset {
+                flow,
+                sequence: segment.acknowledged,
+                reason: Refusal::NoSlot,
+                bids: open.bids,
+            }),
+        }
+    }
+
+    /// The expected wait of a new flow here, or `None` where none is taken.
+    fn bid(&self, now: Duration) -> Option<Duration> {
+        let load = self.load(now);
+        self.takes_flows(now).then(|| load.wait() + load.held())
+    }
+
+    fn take(
+        &mut self,
+        now: Duration,
+        flow: FlowId,
+        open: Open,
+        bid: Option<Duration>,
+        actions: &mut Vec<Action>,
+    ) {
+        actions.push(Action::Taken {
+            flow,
+            bid: bid.unwrap_or_default(),
+            running: self.occupancy.running(),
+            held: self.flows.len(),
+            entry: open.entry,
+        });
+        let start = self.occupancy.begin(now);
+        self.unanswered.get_or_insert(now);
+        let entry = open.entry;
+        actions.push(Action::Deliver(open.packet.clone()));
+        self.flows.insert(flow, Flow::opening(now, start, open));
+        self.tell(now, flow, entry, actions);
+    }
+
+    /// Names this agent as the holder of a flow.
+    fn tell(&self, now: Duration, flow: FlowId, entry: SocketAddr, actions: &mut Vec<Action>) {
+        let held = Held {
+            flow,
+            holder: self.own,
+            load: self.load(now),
+        };
+        actions.push(Action::Send {
+            to: entry,
+            transit: Transit::Held(held),
+        });
+    }
+
+    fn carry(&mut self, now: Duration, carry: Carry, segment: Segment, actions: &mut Vec<Action>) {
+        let flow = segment.from_caller();
+        if carry.target != self.own.target {
+            return self.not_here(flow, carry, actions);
+        }
+        if self.flows.contains_key(&flow) {
+            return self.deliver(now, flow, carry, segment, actions);
+        }
+        if let Some(open) = self.passed.get(now, &flow) {
+            let to = open.path[usize::from(open.position)];
+            let carry = Carry {
+                target: to.target,
+                ..carry
+            };
+            return actions.push(Action::Send {
+                to: to.address,
+                transit: Transit::Carry(carry),
+            });
+        }
+        self.probe(now, flow, carry, segment, actions);
+    }
+
+    fn seek(&mut self, now: Duration, carry: Carry, segment: Segment, actions: &mut Vec<Action>) {
+        let flow = segment.from_caller();
+        if carry.target != self.own.target {
+            return self.not_here(flow, carry, actions);
+        }
+        if self.flows.contains_key(&flow) {
+            let entry = carry.entry;
+            self.deliver(now, flow, carry, segment, actions);
+            return self.tell(now, flow, entry, actions);
+        }
+        self.probe(now, flow, carry, segment, actions);
+    }
+
+    /// Delivers a packet of a flow that is held.
+    fn deliver(
+        &mut self,
+        now: Duration,
+        flow: FlowId,
+        carry: Carry,
+        segment: Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(held) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        held.entry = Some(carry.entry);
+        if held.caller_sent(now, &segment, &mut self.occupancy) {
+            self.load.request(now);
+        }
+        actions.push(Action::Deliver(carry.packet));
+    }
+
+    /// Delivers a packet of an unknown flow, where the backend server may hold
+    /// it from before this process started. Each flow is tried once.
+    fn probe(
+        &mut self,
+        now: Duration,
+        flow: FlowId,
+        carry: Carry,
+        segment: Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.dead.get(now, &flow).is_some() {
+            return self.ended(flow, segment, actions);
+        }
+        let may_hold = self.has_past && now < self.started + self.settings.oldest_flow;
+        if !may_hold || self.absent.get(now, &flow).is_some() {
+            return self.not_here(flow, carry, actions);
+        }
+        if self.probes.get(now, &flow).is_some() {
+            return actions.push(Action::Dropped(Drop::Probing));
+        }
+        let probe = Probe { entry: carry.entry };
+        self.probes.insert(now, flow, probe);
+        actions.push(Action::Probed { flow });
+        actions.push(Action::Deliver(carry.packet));
+    }
+
+    /// Tells the caller that the backend server of its flow has ended.
+    fn ended(&self, flow: FlowId, segment: Segment, actions: &mut Vec<Action>) {
+        if segment.kind != Kind::Reset {
+            actions.push(Action::Reset {
+                flow,
+                sequence: segment.acknowledged,
+                reason: Refusal::ServerEnded,
+                bids: Vec::new(),
+            });
+        }
+    }
+
+    fn not_here(&self, flow: FlowId, carry: Carry, actions: &mut Vec<Action>) {
+        actions.push(Action::Send {
+            to: carry.entry,
+            transit: Transit::Absent(Absent {
+                flow,
+                target: carry.target,
+                packet: carry.packet,
+            }),
+        });
+    }
+
+    /// Takes a packet that the backend server handed back.
+    fn returned(
+        &mut self,
+        now: Duration,
+        segment: Segment,
+        packet: Bytes,
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = segment.from_caller();
+        let probe = self.probes.remove(&flow);
+        let held = self.flows.remove(&flow);
+        if held.as_ref().is_some_and(|flow| flow.start.is_some()) {
+            self.occupancy.release(now);
+        }
+        if segment.kind == Kind::Open {
+            return self.unaccepted(now, flow, segment, held, packet, actions);
+        }
+        self.absent.insert(now, flow, ());
+        actions.push(Action::Returned {
+            flow,
+            was_held: held.is_some(),
+        });
+        let entry = probe
+            .map(|probe| probe.entry)
+            .or(held.and_then(|flow| flow.entry));
+        if let Some(entry) = entry {
+            let carry = Carry {
+                target: self.own.target,
+                entry,
+                packet,
+            };
+            self.not_here(flow, carry, actions);
+        }
+    }
+
+    /// Passes on an opening packet that the backend server did not accept.
+    fn unaccepted(
+        &mut self,
+        now: Duration,
+        flow: FlowId,
+        segment: Segment,
+        held: Option<Flow>,
+        packet: Bytes,
+        actions: &mut Vec<Action>,
+    ) {
+        let open = held.and_then(|flow| flow.open);
+        match open.map(|open| bid::decide(Open { packet, ..open }, None)) {
+            Some(Verdict::Pass(open)) => {
+                self.passed.insert(now, flow, open.clone());
+                pass(open, actions);
+            }
+            Some(Verdict::Take(open) | Verdict::Refuse(open)) => actions.push(Action::Reset {
+                flow,
+                sequence: segment.acknowledged,
+                reason: Refusal::NotAccepted,
+                bids: open.bids,
+            }),
+            None => {}
+        }
+    }
+
+    /// Takes a packet that the backend server sent to a caller.
+    fn sent(&mut self, now: Duration, segment: Segment, packet: Bytes, actions: &mut Vec<Action>) {
+        let flow = segment.from_server();
+        let probe = self.probes.remove(&flow);
+        let held = self.flows.entry(flow).or_insert_with(|| Flow::found(now));
+        held.server_sent(now, &segment, &mut self.occupancy);
+        actions.push(Action::ToCaller {
+            caller: flow.caller,
+            packet,
+        });
+        if let Some(probe) = probe {
+            held.entry = Some(probe.entry);
+            self.tell(now, flow, probe.entry, actions);
+        }
+    }
+
+    /// Takes what the backend server tells of itself; what an earlier one said
+    /// is no longer true.
+    fn state(&mut self, now: Duration, backend: Backend, actions: &mut Vec<Action>) {
+        if let Some(held) = &self.backend {
+            if backend.is_older_than(held) {
+                return actions.push(Action::Dropped(Drop::OldAnnouncement));
+            }
+            if backend.start != held.start {
+                self.gone(now, actions);
+            }
+        }
+        self.heard = now;
+        self.unanswered = None;
+        self.own.target = backend.target;
+        self.occupancy.set_slots(backend.slots);
+        self.backend = Some(backend);
+    }
+
+    /// Gives up the flows of a backend server that has ended.
+    fn gone(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if let Some(backend) = &mut self.backend {
+            backend.state = State::Gone;
+        }
+        if !self.flows.is_empty() {
+            actions.push(Action::Ended {
+                flows: self.flows.len(),
+            });
+        }
+        for (flow, held) in self.flows.drain() {
+            if held.start.is_some() {
+                self.occupancy.release(now);
+            }
+            self.dead.insert(now, flow, ());
+        }
+        self.probes.clear();
+    }
+
+    fn sweep(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let settings = &self.settings;
+        let occupancy = &mut self.occupancy;
+        self.flows.retain(|_, flow| {
+            flow.expire_reservation(now, settings.reservation, occupancy);
+            let keep = !flow.is_over(now, settings.linger, settings.idle);
+            if !keep && flow.start.take().is_some() {
+                occupancy.release(now);
+            }
+            keep
+        });
+        self.passed.expire(now);
+        self.absent.expire(now);
+        self.dead.expire(now);
+        // A probe that was neither returned nor answered reached its flow.
+        for (flow, probe) in self.probes.take_older(now, settings.probe) {
+            self.flows.insert(flow, Flow::found(now));
+            self.tell(now, flow, probe.entry, actions);
+        }
+    }
+}
+
+fn pass(open: Open, actions: &mut Vec<Action>) {
+    actions.push(Action::Send {
+        to: open.path[usize::from(open.position)].address,
+        transit: Transit::Open(open),
+    });
+}
--- /dev/null
+++ b/roles/forward/src/agent/action.rs
@@ -0,0 +1,104 @@
+//! What an agent asks of its process.
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use bytes::Bytes;
+use wire::FlowId;
+use wire::TargetId;
+use wire::Transit;
+
+/// What an agent asks of its process, and what it decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Hand a packet to the backend server.
+    Deliver(Bytes),
+    /// Send a packet of the backend server to a caller.
+    ToCaller {
+        /// The caller.
+        caller: SocketAddrV4,
+        /// The packet.
+        packet: Bytes,
+    },
+    /// Send a frame to an entry or agent.
+    Send {
+        /// Its UDP address.
+        to: SocketAddr,
+        /// The frame.
+        transit: Transit,
+    },
+    /// Tell the caller that its flow is refused or has ended.
+    Reset {
+        /// The flow.
+        flow: FlowId,
+        /// Position in the stream that the caller expects next.
+        sequence: u32,
+        /// Why.
+        reason: Refusal,
+        /// Bids of the agents that were asked, in milliseconds.
+        bids: Vec<u32>,
+    },
+    /// A new flow was taken.
+    Taken {
+        /// The flow.
+        flow: FlowId,
+        /// Its expected wait.
+        bid: Duration,
+        /// Requests that ran or waited before it.
+        running: u16,
+        /// Flows held before it.
+        held: usize,
+        /// The entry that it came through.
+        entry: SocketAddr,
+    },
+    /// A new flow was passed to another agent.
+    Passed {
+        /// The flow.
+        flow: FlowId,
+        /// Its expected wait here, or none where no flows are taken.
+        bid: Option<Duration>,
+        /// The backend server of the agent that it goes to.
+        to: TargetId,
+        /// Whether that agent is to take or refuse it.
+        is_settled: bool,
+    },
+    /// A packet was delivered to learn whether its flow is held.
+    Probed {
+        /// The flow.
+        flow: FlowId,
+    },
+    /// The backend server handed a packet back.
+    Returned {
+        /// The flow.
+        flow: FlowId,
+        /// Whether the flow was believed to be held.
+        was_held: bool,
+    },
+    /// The backend server has ended, and its flows with it.
+    Ended {
+        /// Flows that it held.
+        flows: usize,
+    },
+    /// Something was dropped.
+    Dropped(Drop),
+}
+
+/// Why a flow was refused, or has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// No agent expects to serve it within the caller's time.
+    NoSlot,
+    /// No backend server accepted it.
+    NotAccepted,
+    /// Its backend server has ended.
+    ServerEnded,
+}
+
+/// Why something was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Drop {
+    /// Another packet of the flow is being tried at the backend server.
+    Probing,
+    /// An announcement is older than one that is known.
+    OldAnnouncement,
+}
--- /dev/null
+++ b/roles/forward/src/agent/bid.rs
@@ -0,0 +1,69 @@
+//! Decides where an opening packet ends.
+//!
+//! Answers the load of many short flows on few slots: the first agent with a
+//! free slot takes a flow; where all are busy, the one that will be free first.
+use std::time::Duration;
+
+use wire::transit::Open;
+
+/// Bid of an agent that takes no flows.
+pub const NONE: u32 = u32::MAX;
+
+/// Expected wait up to which an agent takes a flow without asking others.
+/// About the time that passing it on takes.
+const NO_WAIT: Duration = Duration::from_millis(2);
+
+/// What becomes of an opening packet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is taken here.
+    Take(Open),
+    /// It goes to the agent at its position.
+    Pass(Open),
+    /// No agent on its path can serve it in time.
+    Refuse(Open),
+}
+
+/// Decides where an opening packet goes, given the expected wait here, or
+/// `None` where no flows are taken.
+#[must_use]
+pub fn decide(mut open: Open, bid: Option<Duration>) -> Verdict {
+    let bid_ms = bid.map_or(NONE, |bid| {
+        u32::try_from(bid.as_millis()).unwrap_or(NONE - 1)
+    });
+    match bid {
+        Some(bid) if bid <= NO_WAIT => return Verdict::Take(open),
+        Some(_) if open.is_settled && bid_ms <= open.patience_ms => return Verdict::Take(open),
+        // The agent that was to take it no longer can: the next best is asked.
+        _ if open.is_settled => {
+            if let Some(own) = open.bids.get_mut(usize::from(open.position)) {
+                *own = NONE;
+            }
+        }
+        _ => open.bids.push(bid_ms),
+    }
+    if open.bids.len() < open.path.len() {
+        open.position = u8::try_from(open.bids.len()).unwrap_or(u8::MAX);
+        return Verdict::Pass(open);
+    }
+    settle(open)
+}
+
+/// Chooses the least bid once all agents have bid.
+fn settle(mut open: Open) -> Verdict {
+    let bids = open.bids.iter().enumerate();
+    let least = bids.min_by_key(|(_, bid)| **bid);
+    match least {
+        Some((place, bid)) if *bid <= open.patience_ms => {
+            let is_here = !open.is_settled && place + 1 == open.path.len();
+            open.position = u8::try_from(place).unwrap_or(u8::MAX);
+            open.is_settled = true;
+            if is_here {
+                Verdict::Take(open)
+            } else {
+                Verdict::Pass(open)
+            }
+        }
+        _ => Verdict::Refuse(open),
+    }
+}
--- /dev/null
+++ b/roles/forward/src/agent/flow.rs
@@ -0,0 +1,124 @@
+//! What an agent knows of a flow that its backend server holds.
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use limit::Occupancy;
+use limit::occupancy::Start;
+use wire::Segment;
+use wire::segment::Kind;
+use wire::transit::Open;
+
+/// A flow that the backend server holds.
+#[derive(Debug)]
+pub struct Flow {
+    /// The entry that its last packet came through.
+    pub entry: Option<SocketAddr>,
+    /// The request under way, or the slot kept for the first.
+    pub start: Option<Start>,
+    /// The opening frame, until the backend server accepts the flow.
+    pub open: Option<Open>,
+    /// When its last packet came.
+    pub used: Duration,
+    /// Whether `start` only keeps a slot for a request that is yet to come.
+    is_reserved: bool,
+    /// Requests seen so far.
+    requests: u32,
+    has_caller_ended: bool,
+    has_server_ended: bool,
+}
+
+impl Flow {
+    /// A flow whose opening packet goes to the backend server now.
+    pub fn opening(now: Duration, start: Start, open: Open) -> Self {
+        Self {
+            entry: Some(open.entry),
+            start: Some(start),
+            open: Some(open),
+            is_reserved: true,
+            ..Self::found(now)
+        }
+    }
+
+    /// A flow that the backend server turned out to hold.
+    pub const fn found(now: Duration) -> Self {
+        Self {
+            entry: None,
+            start: None,
+            open: None,
+            used: now,
+            is_reserved: false,
+            requests: 0,
+            has_caller_ended: false,
+            has_server_ended: false,
+        }
+    }
+
+    /// Notes a packet of the caller; true where it begins a request that is not
+    /// the flow's first.
+    pub fn caller_sent(
+        &mut self,
+        now: Duration,
+        segment: &Segment,
+        occupancy: &mut Occupancy,
+    ) -> bool {
+        self.used = now;
+        self.has_caller_ended |= matches!(segment.kind, Kind::Close | Kind::Reset);
+        if segment.kind == Kind::Reset {
+            self.end_request(now, occupancy);
+        }
+        let begins = segment.length > 0 && (self.start.is_none() || self.is_reserved);
+        if !begins {
+            return false;
+        }
+        if self.is_reserved {
+            self.is_reserved = false;
+            self.start = self.start.map(|start| start.moved(now));
+        } else {
+            self.start = Some(occupancy.begin(now));
+        }
+        self.requests = self.requests.saturating_add(1);
+        self.requests > 1
+    }
+
+    /// Notes a packet of the backend server. The first with content after a
+    /// request means that the request has been worked on.
+    pub fn server_sent(&mut self, now: Duration, segment: &Segment, occupancy: &mut Occupancy) {
+        self.used = now;
+        self.open = None;
+        self.has_server_ended |= matches!(segment.kind, Kind::Close | Kind::Reset);
+        match self.start {
+            Some(start) if segment.length > 0 && !self.is_reserved => {
+                occupancy.finish(now, start);
+                self.start = None;
+            }
+            _ if segment.kind == Kind::Reset => self.end_request(now, occupancy),
+            _ => {}
+        }
+    }
+
+    /// Gives up the slot that was kept for a request that does not come.
+    pub fn expire_reservation(
+        &mut self,
+        now: Duration,
+        limit: Duration,
+        occupancy: &mut Occupancy,
+    ) {
+        if self.is_reserved && now >= self.used + limit {
+            self.end_request(now, occupancy);
+        }
+    }
+
+    /// Whether the flow has ended and nothing more of it is expected.
+    pub fn is_over(&self, now: Duration, linger: Duration, idle: Duration) -> bool {
+        let has_ended = self.has_caller_ended && self.has_server_ended;
+        let limit = if has_ended { linger } else { idle };
+        now >= self.used + limit
+    }
+
+    fn end_request(&mut self, now: Duration, occupancy: &mut Occupancy) {
+        self.is_reserved = false;
+        if self.start.take().is_some() {
+            occupancy.release(now);
+        }
+    }
+}
--- /dev/null
+++ b/roles/forward/src/agent/settings.rs
@@ -0,0 +1,52 @@
+//! Settings of an agent that carries flows unread.
+use std::time::Duration;
+
+use limit::load;
+
+/// Settings of an agent that carries flows unread.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Service time of requests until some have shown it.
+    pub service_time: Duration,
+    /// How the load of held flows is estimated.
+    pub load: load::Settings,
+    /// Flows that the backend server holds at most.
+    pub max_flows: usize,
+    /// Time without an announcement after which the backend server takes no new
+    /// flows. Shorter than the time after which its address may serve another
+    /// service.
+    pub silence: Duration,
+    /// Time without any reaction to an opening packet after which it takes none.
+    pub mute: Duration,
+    /// Time for which a slot is kept for the first request of a flow.
+    pub reservation: Duration,
+    /// Time without a reaction after which a packet of an unknown flow counts as
+    /// accepted.
+    pub probe: Duration,
+    /// Age that no flow exceeds.
+    pub oldest_flow: Duration,
+    /// Time for which a flow without packets is remembered.
+    pub idle: Duration,
+    /// Time for which a flow that has ended or was passed on is remembered.
+    pub linger: Duration,
+    /// Time between two looks for flows to forget.
+    pub sweep: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            service_time: Duration::from_millis(20),
+            load: load::Settings::default(),
+            max_flows: 2_000,
+            silence: Duration::from_millis(1_900),
+            mute: Duration::from_millis(150),
+            reservation: Duration::from_millis(500),
+            probe: Duration::from_millis(50),
+            oldest_flow: Duration::from_secs(60),
+            idle: Duration::from_secs(60),
+            linger: Duration::from_secs(4),
+            sweep: Duration::from_millis(100),
+        }
+    }
+}
--- /dev/null
+++ b/roles/forward/src/entry.rs
@@ -0,0 +1,457 @@
+//! The entry's side: finds the agent that holds, or is to take, each flow.
+//!
+//! What an entry remembers of a flow only saves a search. Any other entry, also
+//! one that has just started, finds the holder by asking the agents of the
+//! service.
+mod action;
+mod flow;
+mod settings;
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use route::Place;
+use wire::FlowId;
+use wire::Hop;
+use wire::Segment;
+use wire::Target;
+use wire::TargetId;
+use wire::Transit;
+use wire::ZoneId;
+use wire::segment::Kind;
+use wire::transit::Absent;
+use wire::transit::Carry;
+use wire::transit::Held;
+use wire::transit::Open;
+
+use crate::Routes;
+pub use action::Action;
+pub use action::Drop;
+pub use action::Refusal;
+use flow::Flow;
+use flow::Phase;
+pub use settings::Settings;
+
+/// What happens to an entry.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A packet of a caller arrived.
+    Packet {
+        /// Its header.
+        segment: Segment,
+        /// All of it.
+        packet: Bytes,
+    },
+    /// An agent names the holder of a flow.
+    Held(Held),
+    /// An agent returns a packet whose flow it does not hold.
+    Absent(Absent),
+    /// The routes or the known backend servers changed.
+    Routes(Arc<Routes>),
+    /// Time passed.
+    Tick,
+}
+
+/// The decisions of an entry.
+#[derive(Debug)]
+pub struct Entry {
+    settings: Settings,
+    address: SocketAddr,
+    routes: Arc<Routes>,
+    flows: HashMap<FlowId, Flow>,
+    place: Place,
+    started: Duration,
+    next_sweep: Duration,
+}
+
+/// A packet on its way through the decisions.
+struct Passing<'a> {
+    now: Duration,
+    segment: Segment,
+    packet: Bytes,
+    actions: &'a mut Vec<Action>,
+}
+
+impl Entry {
+    /// Starts without routes. Agents answer to `address`.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        address: SocketAddr,
+        zone: ZoneId,
+        seed: u64,
+        now: Duration,
+    ) -> Self {
+        Self {
+            place: Place::new(settings.place, zone, seed),
+            address,
+            routes: Arc::default(),
+            flows: HashMap::new(),
+            started: now,
+            next_sweep: now + settings.sweep,
+            settings,
+        }
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Packet { segment, packet } => {
+                let passing = Passing {
+                    now,
+                    segment,
+                    packet,
+                    actions,
+                };
+                self.packet(passing);
+            }
+            Event::Held(held) => self.held(now, &held, actions),
+            Event::Absent(absent) => self.absent(now, absent, actions),
+            Event::Routes(routes) => self.replace(routes),
+            Event::Tick => {}
+        }
+        if now >= self.next_sweep {
+            self.next_sweep = now + self.settings.sweep;
+            self.sweep(now);
+        }
+    }
+
+    /// When to give the next [`Event::Tick`].
+    #[must_use]
+    pub const fn next_deadline(&self) -> Duration {
+        self.next_sweep
+    }
+
+    /// Number of flows that are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// True where no flow is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    fn replace(&mut self, routes: Arc<Routes>) {
+        let targets = routes.targets.values().flat_map(|targets| targets.iter());
+        let known: HashSet<TargetId> = targets.map(|target| target.id).collect();
+        self.place.retain(|target| known.contains(&target));
+        self.routes = routes;
+    }
+
+    fn packet(&mut self, passing: Passing<'_>) {
+        let routes = Arc::clone(&self.routes);
+        let is_routed = routes.route(passing.segment.destination).is_some();
+        match passing.segment.kind {
+            _ if !is_routed => self.unrouted(passing),
+            Kind::Open => self.open(&routes, passing),
+            Kind::Accept => passing.actions.push(Action::Dropped(Drop::Direction)),
+            Kind::Data | Kind::Close | Kind::Reset => self.carry(&routes, passing),
+        }
+    }
+
+    /// Answers a packet to an address without a route. While the configuration
+    /// may have changed unseen, callers are left to repeat.
+    fn unrouted(&mut self, passing: Passing<'_>) {
+        let segment = passing.segment;
+        let flow = segment.from_caller();
+        self.flows.remove(&flow);
+        match segment.kind {
+            Kind::Reset => {}
+            _ if !self.routes.is_confirmed => {
+                passing.actions.push(Action::Dropped(Drop::Unconfirmed));
+            }
+            _ => passing.actions.push(Action::Reset {
+                flow,
+                sequence: segment.acknowledged,
+                reason: Refusal::NoRoute,
+            }),
+        }
+    }
+
+    /// Sends an opening packet to the agents that would answer soonest, or its
+    /// copy where the packet itself went.
+    fn open(&mut self, routes: &Routes, passing: Passing<'_>) {
+        let flow = passing.segment.from_caller();
+        let mut tried = Vec::new();
+        match self.flows.get_mut(&flow).map(|flow| &mut flow.phase) {
+            Some(Phase::Held(holder)) => {
+                let holder = *holder;
+                return self.send(holder, passing);
+            }
+            Some(Phase::Opening(opening)) if passing.now < opening.sent + self.settings.answer => {
+                let first = opening.path[0];
+                tried.clone_from(&opening.tried);
+                return self.send_open(routes, vec![first], tried, passing);
+            }
+            Some(Phase::Opening(opening)) => {
+                let first = opening.path[0].target;
+                tried.clone_from(&opening.tried);
+                tried.push(first);
+                self.place.distrust(passing.now, first);
+            }
+            _ => {}
+        }
+        let path = self.path(routes, &passing, &tried);
+        if path.is_empty() {
+            return self.unserved(routes, passing);
+        }
+        self.send_open(routes, path, tried, passing);
+    }
+
+    /// The agents that an opening packet visits.
+    fn path(&mut self, routes: &Routes, passing: &Passing<'_>, tried: &[TargetId]) -> Vec<Hop> {
+        let flow = passing.segment.from_caller();
+        let route = routes.route(flow.service);
+        let Some(service) = route.and_then(|route| route.service(&flow)) else {
+            return Vec::new();
+        };
+        let untried = routes
+            .open(service)
+            .filter(|target| !tried.contains(&target.id));
+        let ranked = self.place.rank(passing.now, untried, self.settings.hunt);
+        let ranked = if ranked.is_empty() {
+            let all = routes.open(service);
+            self.place.rank(passing.now, all, self.settings.hunt)
+        } else {
+            ranked
+        };
+        ranked.into_iter().map(hop).collect()
+    }
+
+    /// Refuses a flow for which there is no backend server. A young entry may
+    /// not know them yet.
+    fn unserved(&mut self, routes: &Routes, passing: Passing<'_>) {
+        let is_young = passing.now < self.started + self.settings.warm_up;
+        let flow = passing.segment.from_caller();
+        let is_known = routes
+            .route(flow.service)
+            .is_some_and(|route| routes.holders(route).next().is_some());
+        let action = if is_young && !is_known {
+            Action::Dropped(Drop::Young)
+        } else {
+            Action::Reset {
+                flow,
+                sequence: passing.segment.acknowledged,
+                reason: Refusal::NoServer,
+            }
+        };
+        passing.actions.push(action);
+    }
+
+    fn send_open(
+        &mut self,
+        routes: &Routes,
+        path: Vec<Hop>,
+        tried: Vec<TargetId>,
+        passing: Passing<'_>,
+    ) {
+        let flow = passing.segment.from_caller();
+        let first = path[0];
+        let timeout = routes.route(flow.service).map(|route| route.timeout);
+        let patience = timeout.unwrap_or_default().as_millis();
+        self.place.sent(first.target);
+        let is_first = !self.flows.contains_key(&flow);
+        if is_first {
+            passing.actions.push(Action::Opened {
+                flow,
+                first: first.target,
+                version: routes.table.version,
+            });
+        }
+        self.remember(
+            passing.now,
+            flow,
+            Phase::Opening(flow::Opening {
+                path: path.clone(),
+                tried,
+                sent: passing.now,
+            }),
+        );
+        passing.actions.push(Action::Send {
+            to: first.address,
+            transit: Transit::Open(Open {
+                entry: self.address,
+                path,
+                position: 0,
+                bids: Vec::new(),
+                is_settled: false,
+                patience_ms: u32::try_from(patience).unwrap_or(u32::MAX),
+                packet: passing.packet,
+            }),
+        });
+    }
+
+    /// Sends a packet to the agent that holds its flow, or searches for it.
+    fn carry(&mut self, routes: &Routes, passing: Passing<'_>) {
+        let flow = passing.segment.from_caller();
+        let Some(held) = self.flows.get_mut(&flow) else {
+            return self.seek(routes, &HashSet::new(), passing);
+        };
+        held.used = passing.now;
+        held.is_closing |= matches!(passing.segment.kind, Kind::Close | Kind::Reset);
+        match &mut held.phase {
+            Phase::Held(holder) => {
+                let holder = *holder;
+                self.send(holder, passing);
+            }
+            Phase::Opening(opening) => {
+                let first = opening.path[0];
+                self.send(first, passing);
+            }
+            Phase::Seeking(seeking) if passing.now < seeking.sent + self.settings.answer => {
+                if !seeking.wait(passing.packet) {
+                    passing.actions.push(Action::Dropped(Drop::Crowded));
+                }
+            }
+            Phase::Seeking(seeking) => {
+                let absent = std::mem::take(&mut seeking.absent);
+                self.seek(routes, &absent, passing);
+            }
+            Phase::Lost => passing.actions.push(Action::Dropped(Drop::Lost)),
+        }
+    }
+
+    fn send(&self, holder: Hop, passing: Passing<'_>) {
+        passing.actions.push(Action::Send {
+            to: holder.address,
+            transit: Transit::Carry(Carry {
+                target: holder.target,
+                entry: self.address,
+                packet: passing.packet,
+            }),
+        });
+    }
+
+    /// Asks all agents that may hold a flow, but those that said they do not.
+    fn seek(&mut self, routes: &Routes, absent: &HashSet<TargetId>, passing: Passing<'_>) {
+        let flow = passing.segment.from_caller();
+        let Some(route) = routes.route(flow.service) else {
+            return;
+        };
+        let asked: Vec<&Target> = routes
+            .holders(route)
+            .filter(|target| !absent.contains(&target.id))
+            .collect();
+        let count = asked.len();
+        for target in asked {
+            passing.actions.push(Action::Send {
+                to: target.address,
+                transit: Transit::Seek(Carry {
+                    target: target.id,
+                    entry: self.address,
+                    packet: passing.packet.clone(),
+                }),
+            });
+        }
+        passing.actions.push(Action::Sought { flow, asked: count });
+        let seeking = flow::Seeking::new(passing.now, count, absent.clone());
+        self.remember(passing.now, flow, Phase::Seeking(seeking));
+    }
+
+    fn held(&mut self, now: Duration, held: &Held, actions: &mut Vec<Action>) {
+        self.place.learn(now, held.holder.target, held.load);
+        let before = self.flows.remove(&held.flow);
+        let is_closing = before.as_ref().is_some_and(|flow| flow.is_closing);
+        self.remember(now, held.flow, Phase::Held(held.holder));
+        if let Some(flow) = self.flows.get_mut(&held.flow) {
+            flow.is_closing = is_closing;
+        }
+        let Some(Phase::Seeking(seeking)) = before.map(|flow| flow.phase) else {
+            return;
+        };
+        actions.push(Action::Found {
+            flow: held.flow,
+            holder: held.holder.target,
+            took: now.saturating_sub(seeking.sent),
+        });
+        for packet in seeking.waiting {
+            actions.push(Action::Send {
+                to: held.holder.address,
+                transit: Transit::Carry(Carry {
+                    target: held.holder.target,
+                    entry: self.address,
+                    packet,
+                }),
+            });
+        }
+    }
+
+    /// Searches on for the holder of a flow, or gives the search up once all
+    /// have answered.
+    fn absent(&mut self, now: Duration, absent: Absent, actions: &mut Vec<Action>) {
+        let Some(held) = self.flows.get_mut(&absent.flow) else {
+            return;
+        };
+        match &mut held.phase {
+            Phase::Seeking(seeking) => {
+                if seeking.answered(absent.target) {
+                    held.phase = Phase::Lost;
+                    held.used = now;
+                    actions.push(Action::Vanished { flow: absent.flow });
+                }
+            }
+            Phase::Held(holder) if holder.target == absent.target => {
+                let routes = Arc::clone(&self.routes);
+                let passing = Passing {
+                    now,
+                    segment: absent_segment(&absent),
+                    packet: absent.packet,
+                    actions,
+                };
+                self.seek(&routes, &HashSet::from([absent.target]), passing);
+            }
+            Phase::Held(_) | Phase::Opening(_) | Phase::Lost => {}
+        }
+    }
+
+    /// Remembers a flow; a full table remembers no more, which costs searches.
+    fn remember(&mut self, now: Duration, flow: FlowId, phase: Phase) {
+        let is_full = self.flows.len() >= self.settings.max_flows;
+        if is_full && !self.flows.contains_key(&flow) {
+            return;
+        }
+        self.flows.insert(flow, Flow::new(now, phase));
+    }
+
+    fn sweep(&mut self, now: Duration) {
+        let settings = &self.settings;
+        let idle = self.routes.table.idle_timeout.max(settings.least_idle);
+        self.flows.retain(|_, flow| {
+            let limit = match &flow.phase {
+                Phase::Held(_) if flow.is_closing => settings.linger,
+                Phase::Held(_) => idle,
+                Phase::Opening(_) | Phase::Seeking(_) => settings.linger,
+                Phase::Lost => settings.forget_lost,
+            };
+            now < flow.used + limit
+        });
+    }
+}
+
+fn hop(target: &Target) -> Hop {
+    Hop {
+        target: target.id,
+        address: target.address,
+    }
+}
+
+/// What a search needs of a returned packet's header.
+const fn absent_segment(absent: &Absent) -> Segment {
+    Segment {
+        source: absent.flow.caller,
+        destination: absent.flow.service,
+        kind: Kind::Data,
+        is_returned: false,
+        sequence: 0,
+        acknowledged: 0,
+        length: 0,
+        mark: 0,
+    }
+}
--- /dev/null
+++ b/roles/forward/src/entry/action.rs
@@ -0,0 +1,85 @@
+//! What an entry asks of its process.
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wire::FlowId;
+use wire::Revision;
+use wire::TargetId;
+use wire::Transit;
+
+/// What an entry asks of its process, and what it decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a frame to an agent.
+    Send {
+        /// UDP address of the agent.
+        to: SocketAddr,
+        /// The frame.
+        transit: Transit,
+    },
+    /// Tell the caller that its flow is refused; no request of it has run.
+    Reset {
+        /// The flow.
+        flow: FlowId,
+        /// Position in the stream that the caller expects next.
+        sequence: u32,
+        /// Why.
+        reason: Refusal,
+    },
+    /// A new flow was sent to an agent.
+    Opened {
+        /// The flow.
+        flow: FlowId,
+        /// The first backend server on its path.
+        first: TargetId,
+        /// Version of the configuration that decided it.
+        version: Revision,
+    },
+    /// The holder of a flow is searched for.
+    Sought {
+        /// The flow.
+        flow: FlowId,
+        /// Agents that were asked.
+        asked: usize,
+    },
+    /// A search has found the holder of a flow.
+    Found {
+        /// The flow.
+        flow: FlowId,
+        /// The holder.
+        holder: TargetId,
+        /// Time since it was last asked for.
+        took: Duration,
+    },
+    /// Nobody holds a flow.
+    Vanished {
+        /// The flow.
+        flow: FlowId,
+    },
+    /// A packet was dropped.
+    Dropped(Drop),
+}
+
+/// Why a flow was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// Its address has no route.
+    NoRoute,
+    /// The service has no backend server that takes flows.
+    NoServer,
+}
+
+/// Why a packet was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Drop {
+    /// Only backend servers send it.
+    Direction,
+    /// There is no route, but the configuration may have changed unseen.
+    Unconfirmed,
+    /// The entry has just started and knows no backend server yet.
+    Young,
+    /// Too many packets wait for the holder of their flow to be found.
+    Crowded,
+    /// Nobody holds the flow.
+    Lost,
+}
--- /dev/null
+++ b/roles/forward/src/entry/settings.rs
@@ -0,0 +1,45 @@
+//! Settings of an entry that carries flows unread.
+use std::time::Duration;
+
+use route::place;
+
+/// Settings of an entry that carries flows unread.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// How backend servers are ranked for new flows.
+    pub place: place::Settings,
+    /// Agents that an opening packet visits before one settles it.
+    pub hunt: usize,
+    /// Time without an answer after which an agent counts as not answering.
+    /// Shorter than the time after which callers repeat an opening packet.
+    pub answer: Duration,
+    /// Time after the start in which not every backend server may be known.
+    pub warm_up: Duration,
+    /// Flows that are remembered; each takes some 150 bytes.
+    pub max_flows: usize,
+    /// Least time for which a silent flow is remembered.
+    pub least_idle: Duration,
+    /// Time for which a flow that opens, closes or is searched for is
+    /// remembered.
+    pub linger: Duration,
+    /// Time before a flow that nobody holds is searched for again.
+    pub forget_lost: Duration,
+    /// Time between two looks for flows to forget.
+    pub sweep: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            place: place::Settings::default(),
+            hunt: 3,
+            answer: Duration::from_millis(150),
+            warm_up: Duration::from_secs(3),
+            max_flows: 65_536,
+            least_idle: Duration::from_secs(20),
+            linger: Duration::from_secs(4),
+            forget_lost: Duration::from_secs(1),
+            sweep: Duration::from_secs(1),
+        }
+    }
+}
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Admits work to a backend server within its slots and the caller's deadline.
 //!
 //! * [`Gate`] holds the slots and the queue of one backend server.
+//! * [`Occupancy`] tells how long work that is only seen from outside would wait.
 //! * [`Budget`] bounds retries to a share of first tries.
 //! * [`Backoff`] spaces retries.
 //!
@@ -11,6 +12,7 @@
 pub mod gate;
 pub mod job;
 pub mod load;
+pub mod occupancy;
 pub mod pause;
 pub mod queue;
 pub mod share;
@@ -27,3 +29,4 @@
 pub use job::Release;
 pub use job::Verdict;
 pub use load::Load;
+pub use occupancy::Occupancy;
--- a/transport/net/src/port.rs
+++ b/transport/net/src/port.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use async_io::Async;
 use socket2::Domain;
-use socket2::Socket;
 use socket2::Type;
 use wire::Frame;
 use wire::Seal;
@@ -18,14 +18,26 @@
 /// Bytes of the kernel's buffer for datagrams not yet read.
 const RECEIVE_BUFFER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Longest time that sending a datagram may wait for room in the kernel.
+const SEND_TIMEOUT: Duration = Duration::from_millis(1);
+
 /// A UDP port that carries authenticated frames. Clones share the socket.
 #[derive(Clone)]
 pub struct Port {
-    socket: Arc<Async<UdpSocket>>,
+    socket: Socket,
     seal: Arc<Seal>,
     counters: Arc<Counters>,
 }
 
+/// How the socket of a port is waited for.
+#[derive(Clone)]
+enum Socket {
+    /// By the executor's reactor.
+    Async(Arc<Async<UdpSocket>>),
+    /// By the thread that reads, for some time at most.
+    Blocking(Arc<UdpSocket>),
+}
+
 /// Reads the frames of a port into a buffer of its own, one for each thread.
 pub struct Receiver {
     port: Port,
@@ -75,6 +87,23 @@
     pub frame: Frame,
 }
 
+impl Socket {
+    fn get(&self) -> &UdpSocket {
+        match self {
+            Self::Async(socket) => socket.get_ref(),
+            Self::Blocking(socket) => socket,
+        }
+    }
+
+    async fn readable(&self) -> io::Result<()> {
+        match self {
+            Self::Async(socket) => socket.readable().await,
+            // The next read waits.
+            Self::Blocking(_) => Ok(()),
+        }
+    }
+}
+
 impl Port {
     /// Binds `address`.
     ///
@@ -85,7 +114,25 @@
         let socket = open(address)?;
         socket.bind(&address.into())?;
         Ok(Self {
-            socket: Arc::new(Async::new(socket.into())?),
+            socket: Socket::Async(Arc::new(Async::new(socket.into())?)),
+            seal,
+            counters: Arc::default(),
+        })
+    }
+
+    /// Binds `address` for a thread that does nothing else than read it, which
+    /// costs one system call a datagram. A read returns after `wait` at most.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error where the address cannot be bound.
+    pub fn bind_blocking(
+        address: SocketAddr,
+        seal: Arc<Seal>,
+        wait: Duration,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            socket: Socket::Blocking(Arc::new(blocking(address, wait)?)),
             seal,
             counters: Arc::default(),
         })
@@ -97,7 +144,7 @@
     ///
     /// The operating system's error.
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
-        self.socket.get_ref().local_addr()
+        self.socket.get().local_addr()
     }
 
     /// Returns the counters.
@@ -122,7 +169,7 @@
             add(&self.counters.send_failed, 1);
             return;
         };
-        match self.socket.get_ref().send_to(&datagram, to) {
+        match self.socket.get().send_to(&datagram, to) {
             Ok(length) => {
                 add(&self.counters.sent, 1);
                 add(&self.counters.sent_bytes, length);
@@ -191,7 +238,7 @@
     ///
     /// `WouldBlock` where none has arrived, or the operating system's error.
     pub fn try_receive(&mut self) -> io::Result<Option<Received>> {
-        let (length, from) = match self.port.socket.get_ref().recv_from(&mut self.buffer) {
+        let (length, from) = match self.port.socket.get().recv_from(&mut self.buffer) {
             Ok(received) => received,
             // A former peer's port is closed; UDP reports it on the next call.
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Ok(None),
@@ -209,6 +256,20 @@
     }
 }
 
+/// Binds an address for a thread that does nothing else than read it. A read
+/// returns after `wait` at most.
+///
+/// # Errors
+///
+/// The operating system's error where the address cannot be bound.
+pub fn blocking(address: SocketAddr, wait: Duration) -> io::Result<UdpSocket> {
+    let socket = open(address)?;
+    socket.set_read_timeout(Some(wait))?;
+    socket.set_write_timeout(Some(SEND_TIMEOUT))?;
+    socket.bind(&address.into())?;
+    Ok(socket.into())
+}
+
 /// Binds a service address for the datagrams of callers. Several processes may
 /// bind it, so that one can take over from another.
 ///
@@ -222,8 +283,8 @@
     Async::new(socket.into())
 }
 
-fn open(address: SocketAddr) -> io::Result<Socket> {
-    let socket = Socket::new(Domain::for_address(address), Type::DGRAM, None)?;
+fn open(address: SocketAddr) -> io::Result<socket2::Socket> {
+    let socket = socket2::Socket::new(Domain::for_address(address), Type::DGRAM, None)?;
     // The kernel caps the size at its own limit.
     socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     Ok(socket)
--- a/transport/store/src/count.rs
+++ b/transport/store/src/count.rs
@@ -23,10 +23,14 @@
 
 /// The kind of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Kind {
+pub enum Kind {
+    /// A read of one key or several.
     Read,
+    /// A write on condition.
     Write,
+    /// A read that waits for a change.
     Watch,
+    /// A call about a lease.
     Lease,
 }
 
--- a/transport/store/src/http.rs
+++ b/transport/store/src/http.rs
@@ -18,6 +18,7 @@
 use http::Request;
 use http::StatusCode;
 use http::header::CONNECTION;
+use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -40,6 +41,7 @@
 use crate::count::Kind;
 use crate::schema;
 
+const JSON: &str = "application/json";
 const INDEX_HEADER: &str = "x-consul-index";
 
 /// Settings of the client.
@@ -72,10 +74,28 @@
     counter: Arc<Counter>,
 }
 
-struct Answer {
-    status: StatusCode,
-    index: Revision,
-    body: Bytes,
+/// An answer of the store, whatever its status.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The revision that its headers name, or 0.
+    pub index: Revision,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// One call of the store.
+#[derive(Clone, Debug)]
+pub struct Call<'a> {
+    /// What it is counted as.
+    pub kind: Kind,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: &'a str,
+    /// Body, empty for none.
+    pub body: Vec<u8>,
 }
 
 impl Http {
@@ -102,6 +122,27 @@
         self.counter.snapshot()
     }
 
+    /// Makes one call and returns the answer, whatever its status. A call that
+    /// the store answers only after `wait` has that much more time.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] where there is no answer.
+    pub async fn request(&self, call: Call<'_>, wait: Duration) -> Result<Answer, Fault> {
+        self.counter.call(call.kind);
+        let maybe_applied = call.method != Method::GET;
+        let expire = async {
+            Timer::after(self.settings.timeout + wait).await;
+            Err(Fault::Lost { maybe_applied })
+        };
+        let exchange = self.exchange(call.method, call.path, call.body);
+        let answer = exchange.or(expire).await;
+        if answer.is_err() {
+            self.counter.fail();
+        }
+        answer
+    }
+
     async fn call(
         &self,
         kind: Kind,
@@ -110,14 +151,14 @@
         body: Vec<u8>,
         wait: Duration,
     ) -> Result<Answer, Fault> {
-        self.counter.call(kind);
         let maybe_applied = method != Method::GET;
-        let expire = async {
-            Timer::after(self.settings.timeout + wait).await;
-            Err(Fault::Lost { maybe_applied })
+        let call = Call {
+            kind,
+            method,
+            path,
+            body,
         };
-        let answer = self.exchange(method, path, body).or(expire).await;
-        let answer = answer.and_then(|answer| check(answer, maybe_applied));
+        let answer = check(self.request(call, wait).await?, maybe_applied);
         if answer.is_err() {
             self.counter.fail();
         }
@@ -131,6 +172,7 @@
             .uri(path)
             .header(HOST, self.settings.address.to_string())
             .header(CONNECTION, "close")
+            .header(CONTENT_TYPE, JSON)
             .body(Full::new(Bytes::from(body)))
             .map_err(|_| Fault::Malformed)?;
         let stream = TcpStream::connect(self.settings.address)
@@ -204,6 +246,12 @@
         Ok(listing(pairs, index))
     }
 
+    async fn list_stale(&self, prefix: &str) -> Result<Listing, Fault> {
+        let path = format!("/v1/kv/{prefix}?recurse&stale");
+        let (pairs, index) = self.read(Kind::Read, &path, Duration::ZERO).await?;
+        Ok(listing(pairs, index))
+    }
+
     async fn watch(&self, prefix: &str, since: Revision, wait: Duration) -> Result<Listing, Fault> {
         let wait_ms = wait.as_millis();
         let path = format!("/v1/kv/{prefix}?recurse&index={since}&wait={wait_ms}ms");
--- a/transport/store/src/lib.rs
+++ b/transport/store/src/lib.rs
@@ -50,6 +50,10 @@
     /// Reads all keys under a prefix.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Listing, Fault>> + Send;
 
+    /// Reads all keys under a prefix from any replica: cheaper, and possibly
+    /// seconds old.
+    fn list_stale(&self, prefix: &str) -> impl Future<Output = Result<Listing, Fault>> + Send;
+
     /// Waits until something under a prefix changes after `since`, then reads
     /// all keys under it. Returns after `wait` where nothing changed.
     fn watch(
