Take a settled opening packet where it was passed on before

Change: a settled frame is decided anew; the load of held flows counts among bids and no longer forbids a free slot.

--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -34,6 +34,7 @@
 pub use action::Refusal;
 pub use backend::Backend;
 pub use backend::State;
+pub use bid::Bid;
 use bid::Verdict;
 use flow::Flow;
 use memory::Memory;
@@ -224,8 +225,9 @@
             actions.push(Action::Deliver(open.packet));
             return self.tell(now, flow, open.entry, actions);
         }
-        if let Some(passed) = self.passed.get(now, &flow) {
-            return pass(passed.clone(), actions);
+        match self.passed.get(now, &flow) {
+            Some(passed) if !open.is_settled => return pass(passed.clone(), actions),
+            _ => {}
         }
         let bid = self.bid(now);
         match bid::decide(open, bid) {
@@ -250,9 +252,12 @@
     }
 
     /// The expected wait of a new flow here, or `None` where none is taken.
-    fn bid(&self, now: Duration) -> Option<Duration> {
+    fn bid(&self, now: Duration) -> Option<Bid> {
         let load = self.load(now);
-        self.takes_flows(now).then(|| load.wait() + load.held())
+        self.takes_flows(now).then(|| Bid {
+            wait: load.wait(),
+            held: load.held(),
+        })
     }
 
     fn take(
@@ -260,7 +265,7 @@
         now: Duration,
         flow: FlowId,
         open: Open,
-        bid: Option<Duration>,
+        bid: Option<Bid>,
         actions: &mut Vec<Action>,
     ) {
         actions.push(Action::Taken {
@@ -275,6 +280,7 @@
         let entry = open.entry;
         actions.push(Action::Deliver(open.packet.clone()));
         self.flows.insert(flow, Flow::opening(now, start, open));
+        self.passed.remove(&flow);
         self.tell(now, flow, entry, actions);
     }
 
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -1,13 +1,14 @@
 //! What an agent asks of its process.
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
-use std::time::Duration;
 
 use bytes::Bytes;
 use wire::FlowId;
 use wire::TargetId;
 use wire::Transit;
 
+use super::Bid;
+
 /// What an agent asks of its process, and what it decided.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -43,7 +44,7 @@
         /// The flow.
         flow: FlowId,
         /// Its expected wait.
-        bid: Duration,
+        bid: Bid,
         /// Requests that ran or waited before it.
         running: u16,
         /// Flows held before it.
@@ -56,7 +57,7 @@
         /// The flow.
         flow: FlowId,
         /// Its expected wait here, or none where no flows are taken.
-        bid: Option<Duration>,
+        bid: Option<Bid>,
         /// The backend server of the agent that it goes to.
         to: TargetId,
         /// Whether that agent is to take or refuse it.
--- a/roles/forward/src/agent/bid.rs
+++ b/roles/forward/src/agent/bid.rs
@@ -24,16 +24,31 @@
     Refuse(Open),
 }
 
-/// Decides where an opening packet goes, given the expected wait here, or
-/// `None` where no flows are taken.
+/// What a new flow can expect of a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Bid {
+    /// Expected wait of its first request.
+    pub wait: Duration,
+    /// Expected wait through the requests of other flows, later.
+    pub held: Duration,
+}
+
+impl Bid {
+    /// The bid as a number of milliseconds.
+    fn millis(self) -> u32 {
+        let sum = self.wait + self.held;
+        u32::try_from(sum.as_millis()).unwrap_or(NONE - 1)
+    }
+}
+
+/// Decides where an opening packet goes, given the bid here, or `None` where no
+/// flows are taken.
 #[must_use]
-pub fn decide(mut open: Open, bid: Option<Duration>) -> Verdict {
-    let bid_ms = bid.map_or(NONE, |bid| {
-        u32::try_from(bid.as_millis()).unwrap_or(NONE - 1)
-    });
+pub fn decide(mut open: Open, bid: Option<Bid>) -> Verdict {
+    let bid_ms = bid.map_or(NONE, Bid::millis);
     match bid {
-        Some(bid) if bid <= NO_WAIT => return Verdict::Take(open),
-        Some(_) if open.is_settled && bid_ms <= open.patience_ms => return Verdict::Take(open),
+        Some(bid) if bid.wait <= NO_WAIT => return Verdict::Take(open),
+        Some(bid) if open.is_settled && bid.wait <= patience(&open) => return Verdict::Take(open),
         // The agent that was to take it no longer can: the next best is asked.
         _ if open.is_settled => {
             if let Some(own) = open.bids.get_mut(usize::from(open.position)) {
@@ -67,3 +82,7 @@
         _ => Verdict::Refuse(open),
     }
 }
+
+const fn patience(open: &Open) -> Duration {
+    Duration::from_millis(open.patience_ms as u64)
+}
--- /dev/null
+++ b/roles/forward/tests/agent.rs
@@ -0,0 +1,229 @@
+//! The agent's side: which flows it takes, and where packets go.
+mod common;
+
+use std::time::Duration;
+
+use common::*;
+use forward::Agent;
+use forward::agent::Action;
+use forward::agent::Event;
+use forward::agent::Settings;
+use forward::agent::State;
+use wire::TargetId;
+use wire::Transit;
+use wire::segment::Kind;
+use wire::transit::Open;
+
+const OWN: TargetId = 1;
+
+/// An agent whose backend server is ready.
+fn ready(has_past: bool) -> Agent {
+    let mut agent = Agent::new(Settings::default(), hop(OWN), has_past, ms(0));
+    handle(&mut agent, ms(0), Event::Backend(backend(OWN, 1, 1, State::Ready)));
+    agent
+}
+
+fn handle(agent: &mut Agent, now: Duration, event: Event) -> Vec<Action> {
+    let mut actions = Vec::new();
+    agent.handle(now, event, &mut actions);
+    actions
+}
+
+fn open_at(agent: &mut Agent, now: Duration, port: u16, open: Open) -> Vec<Action> {
+    let segment = from_caller(port, Kind::Open, 0);
+    handle(agent, now, Event::Open { open, segment })
+}
+
+fn delivers(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Deliver(_)))
+}
+
+fn passed(actions: &[Action]) -> Option<&Open> {
+    actions.iter().find_map(|action| match action {
+        Action::Send {
+            transit: Transit::Open(open),
+            ..
+        } => Some(open),
+        _ => None,
+    })
+}
+
+/// Fills both slots.
+fn fill(agent: &mut Agent, now: Duration) {
+    for port in [1, 2] {
+        assert!(delivers(&open_at(agent, now, port, open(&[OWN]))));
+    }
+}
+
+#[test]
+fn a_free_slot_takes_a_flow_and_says_so() {
+    let mut agent = ready(false);
+    let actions = open_at(&mut agent, ms(1), 9, open(&[OWN, 2]));
+    assert!(delivers(&actions));
+    let told = actions.iter().any(|action| {
+        matches!(action, Action::Send { to, transit: Transit::Held(held) }
+            if *to == entry() && held.holder == hop(OWN))
+    });
+    assert!(told, "{actions:?}");
+}
+
+#[test]
+fn a_busy_agent_passes_a_flow_on_with_its_bid() {
+    let mut agent = ready(false);
+    fill(&mut agent, ms(1));
+    let actions = open_at(&mut agent, ms(1), 9, open(&[OWN, 2]));
+    let open = passed(&actions).unwrap();
+    assert_eq!((open.position, open.bids.len()), (1, 1));
+}
+
+/// The agent had passed the flow on; it comes back since no other bid less.
+#[test]
+fn a_settled_flow_is_taken_by_an_agent_that_passed_it_before() {
+    let mut agent = ready(false);
+    fill(&mut agent, ms(1));
+    let first = open_at(&mut agent, ms(1), 9, open(&[OWN, 2]));
+    let settled = Open {
+        position: 0,
+        bids: vec![20, 40],
+        is_settled: true,
+        ..passed(&first).unwrap().clone()
+    };
+    let actions = open_at(&mut agent, ms(3), 9, settled);
+    assert!(delivers(&actions), "{actions:?}");
+}
+
+#[test]
+fn a_copy_follows_the_flow_that_was_passed_on() {
+    let mut agent = ready(false);
+    fill(&mut agent, ms(1));
+    open_at(&mut agent, ms(1), 9, open(&[OWN, 2]));
+    let actions = open_at(&mut agent, ms(200), 9, open(&[OWN]));
+    assert_eq!(passed(&actions).unwrap().path[1], hop(2));
+}
+
+#[test]
+fn nobody_with_a_slot_in_time_refuses_at_once() {
+    let mut agent = ready(false);
+    fill(&mut agent, ms(1));
+    let hasty = Open {
+        patience_ms: 1,
+        ..open(&[OWN])
+    };
+    let actions = open_at(&mut agent, ms(1), 9, hasty);
+    assert!(matches!(actions[..], [Action::Reset { .. }]), "{actions:?}");
+}
+
+#[test]
+fn a_flow_that_is_not_accepted_goes_to_the_next_agent() {
+    let mut agent = ready(false);
+    open_at(&mut agent, ms(1), 9, open(&[OWN, 2]));
+    let event = Event::Server {
+        segment: returned(9, Kind::Open),
+        packet: packet(),
+    };
+    let actions = handle(&mut agent, ms(2), event);
+    assert_eq!(passed(&actions).unwrap().position, 1);
+}
+
+#[test]
+fn a_draining_server_gets_no_flows_and_keeps_those_it_has() {
+    let mut agent = ready(false);
+    open_at(&mut agent, ms(1), 9, open(&[OWN, 2]));
+    let draining = backend(OWN, 1, 2, State::Draining);
+    handle(&mut agent, ms(2), Event::Backend(draining));
+    let opened = open_at(&mut agent, ms(3), 10, open(&[OWN, 2]));
+    assert!(passed(&opened).is_some());
+    let event = Event::Carry {
+        carry: carry(OWN),
+        segment: from_caller(9, Kind::Data, 100),
+    };
+    assert!(delivers(&handle(&mut agent, ms(3), event)));
+}
+
+#[test]
+fn a_silent_server_gets_no_flows() {
+    let mut agent = ready(false);
+    let late = Settings::default().silence + ms(1);
+    let actions = open_at(&mut agent, late, 9, open(&[OWN, 2]));
+    assert!(passed(&actions).is_some());
+}
+
+#[test]
+fn an_older_announcement_changes_nothing() {
+    let mut agent = ready(false);
+    handle(&mut agent, ms(1), Event::Backend(backend(OWN, 2, 1, State::Ready)));
+    handle(&mut agent, ms(2), Event::Backend(backend(OWN, 1, 9, State::Draining)));
+    assert!(agent.takes_flows(ms(3)));
+}
+
+#[test]
+fn flows_of_a_server_that_ended_are_reset() {
+    let mut agent = ready(false);
+    open_at(&mut agent, ms(1), 9, open(&[OWN]));
+    handle(&mut agent, ms(2), Event::Backend(backend(OWN, 2, 1, State::Ready)));
+    let event = Event::Carry {
+        carry: carry(OWN),
+        segment: from_caller(9, Kind::Data, 100),
+    };
+    let actions = handle(&mut agent, ms(3), event);
+    assert!(matches!(actions[..], [Action::Reset { .. }]), "{actions:?}");
+}
+
+fn seek(agent: &mut Agent, now: Duration, port: u16) -> Vec<Action> {
+    let event = Event::Seek {
+        carry: carry(OWN),
+        segment: from_caller(port, Kind::Data, 0),
+    };
+    handle(agent, now, event)
+}
+
+fn is_absent(actions: &[Action]) -> bool {
+    actions
+        .iter()
+        .any(|action| matches!(action, Action::Send { transit: Transit::Absent(_), .. }))
+}
+
+#[test]
+fn an_agent_with_a_past_tries_an_unknown_flow_once() {
+    let mut agent = ready(true);
+    assert!(delivers(&seek(&mut agent, ms(1), 9)));
+    let event = Event::Server {
+        segment: returned(9, Kind::Data),
+        packet: packet(),
+    };
+    assert!(is_absent(&handle(&mut agent, ms(2), event)));
+    let again = seek(&mut agent, ms(300), 9);
+    assert!(is_absent(&again) && !delivers(&again), "{again:?}");
+}
+
+#[test]
+fn an_agent_without_a_past_tries_none() {
+    let mut agent = ready(false);
+    let actions = seek(&mut agent, ms(1), 9);
+    assert!(is_absent(&actions) && !delivers(&actions), "{actions:?}");
+}
+
+#[test]
+fn an_unknown_flow_that_its_server_answers_is_held() {
+    let mut agent = ready(true);
+    seek(&mut agent, ms(1), 9);
+    let event = Event::Server {
+        segment: from_server(9, Kind::Data, 50),
+        packet: packet(),
+    };
+    let actions = handle(&mut agent, ms(2), event);
+    let told = |action: &Action| matches!(action, Action::Send { transit: Transit::Held(_), .. });
+    assert!(actions.iter().any(told), "{actions:?}");
+}
+
+/// A frame for another backend server at this address.
+#[test]
+fn a_packet_for_another_server_is_not_delivered() {
+    let mut agent = ready(true);
+    let event = Event::Carry {
+        carry: carry(7),
+        segment: from_caller(9, Kind::Data, 100),
+    };
+    let actions = handle(&mut agent, ms(1), event);
+    assert!(is_absent(&actions) && !delivers(&actions), "{actions:?}");
+}
--- /dev/null
+++ b/roles/forward/tests/common/mod.rs
@@ -0,0 +1,115 @@
+//! Builds the events of the cores under test.
+#![allow(dead_code)]
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use bytes::Bytes;
+use forward::agent::Backend;
+use forward::agent::State;
+use wire::Hop;
+use wire::Segment;
+use wire::ServiceAddress;
+use wire::TargetId;
+use wire::segment::Kind;
+use wire::transit::Carry;
+use wire::transit::Open;
+
+pub const CALLER: &str = "100.64.0.7:40001";
+pub const SERVICE: &str = "198.18.0.1:443";
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn entry() -> SocketAddr {
+    "10.1.0.1:7000".parse().unwrap()
+}
+
+pub fn service() -> ServiceAddress {
+    "[fd00::1]:1".parse().unwrap()
+}
+
+/// The agent beside a backend server.
+pub fn hop(target: TargetId) -> Hop {
+    Hop {
+        target,
+        address: SocketAddr::from(([10, 2, 0, u8::try_from(target).unwrap()], 7000)),
+    }
+}
+
+pub fn caller(port: u16) -> SocketAddrV4 {
+    let caller: SocketAddrV4 = CALLER.parse().unwrap();
+    SocketAddrV4::new(*caller.ip(), port)
+}
+
+/// A packet of the caller at a port.
+pub fn from_caller(port: u16, kind: Kind, length: u16) -> Segment {
+    Segment {
+        source: caller(port),
+        destination: SERVICE.parse().unwrap(),
+        kind,
+        is_returned: false,
+        sequence: 1,
+        acknowledged: 0,
+        length,
+        mark: 0,
+    }
+}
+
+/// A packet of the backend server to the caller at a port.
+pub fn from_server(port: u16, kind: Kind, length: u16) -> Segment {
+    let forth = from_caller(port, kind, length);
+    Segment {
+        source: forth.destination,
+        destination: forth.source,
+        ..forth
+    }
+}
+
+/// A packet of the caller that the backend server handed back.
+pub fn returned(port: u16, kind: Kind) -> Segment {
+    Segment {
+        is_returned: true,
+        ..from_caller(port, kind, 0)
+    }
+}
+
+pub fn packet() -> Bytes {
+    Bytes::from_static(b"packet")
+}
+
+/// An opening frame for the first agent of a path.
+pub fn open(path: &[TargetId]) -> Open {
+    Open {
+        entry: entry(),
+        path: path.iter().copied().map(hop).collect(),
+        position: 0,
+        bids: Vec::new(),
+        is_settled: false,
+        patience_ms: 1_000,
+        packet: packet(),
+    }
+}
+
+pub fn carry(target: TargetId) -> Carry {
+    Carry {
+        target,
+        entry: entry(),
+        packet: packet(),
+    }
+}
+
+/// What a backend server with two slots tells of itself.
+pub fn backend(target: TargetId, start: u64, sequence: u64, state: State) -> Backend {
+    Backend {
+        name: format!("server-{target}-{start}"),
+        service: service(),
+        target,
+        start,
+        sequence,
+        slots: 2,
+        state,
+        warm_up: Duration::ZERO,
+    }
+}
