Count held flows by their number until they have shown a rate; forget lost requests

Change: limit::Held counts idle flows at the mean rate of flows; a request without an answer frees its slot after the route's timeout; a random time is added to each rank; a server gets slots and six requests at most.

--- a/coordination/route/src/place.rs
+++ b/coordination/route/src/place.rs
@@ -21,6 +21,8 @@
     pub crossing: Duration,
     /// Service time assumed of a backend server that has not told its own.
     pub service_time: Duration,
+    /// Largest random time that is added to each expectation.
+    pub spread: Duration,
     /// Time for which a backend server that did not answer is ranked last.
     pub distrust: Duration,
 }
@@ -30,6 +32,7 @@
         Self {
             crossing: Duration::from_millis(12),
             service_time: Duration::from_millis(20),
+            spread: Duration::from_millis(10),
             distrust: Duration::from_secs(2),
         }
     }
@@ -101,13 +104,15 @@
         targets: impl Iterator<Item = &'a Target>,
         count: usize,
     ) -> Vec<&'a Target> {
-        let mut ranked: Vec<(bool, Duration, u32, &Target)> = targets
+        let mut ranked: Vec<(bool, Duration, &Target)> = targets
             .map(|target| {
                 let (is_distrusted, cost) = self.cost(now, target);
-                (is_distrusted, cost, self.random.u32(..), target)
+                // Entries that know the same do not all choose the same.
+                let spread = self.settings.spread.mul_f64(self.random.f64());
+                (is_distrusted, cost + spread, target)
             })
             .collect();
-        ranked.sort_unstable_by_key(|(is_distrusted, cost, tie, _)| (*is_distrusted, *cost, *tie));
+        ranked.sort_unstable_by_key(|(is_distrusted, cost, _)| (*is_distrusted, *cost));
         ranked.truncate(count);
         ranked.into_iter().map(|(.., target)| target).collect()
     }
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use limit::Load;
+use limit::Held;
 use limit::Occupancy;
 use wire::FlowId;
 use wire::Hop;
@@ -26,7 +26,6 @@
 use wire::transit;
 use wire::transit::Absent;
 use wire::transit::Carry;
-use wire::transit::Held;
 use wire::transit::Open;
 
 pub use action::Action;
@@ -96,7 +95,7 @@
     unanswered: Option<Duration>,
     is_stopping: bool,
     occupancy: Occupancy,
-    load: Load,
+    held: Held,
     flows: HashMap<FlowId, Flow>,
     passed: Memory<Open>,
     probes: Memory<Probe>,
@@ -125,7 +124,7 @@
             unanswered: None,
             is_stopping: false,
             occupancy: Occupancy::new(1, settings.service_time),
-            load: Load::new(settings.load, now),
+            held: Held::new(settings.held, now),
             flows: HashMap::new(),
             passed: Memory::new(settings.linger),
             probes: Memory::new(settings.linger),
@@ -170,7 +169,9 @@
     /// Whether new flows are taken.
     #[must_use]
     pub fn takes_flows(&self, now: Duration) -> bool {
-        let has_room = self.flows.len() < self.settings.max_flows;
+        let running = self.occupancy.running();
+        let has_room = self.flows.len() < self.settings.max_flows
+            && running < self.occupancy.slots() + self.settings.queue;
         let is_mute = self
             .unanswered
             .is_some_and(|since| now >= since + self.settings.mute);
@@ -210,7 +211,7 @@
     #[must_use]
     pub fn load(&self, now: Duration) -> transit::Load {
         let own = self.occupancy.load();
-        let held = self.load.bid(now, own.rate());
+        let held = self.held.bid(now, own.rate());
         transit::Load {
             held_us: u32::try_from(held.as_micros()).unwrap_or(u32::MAX),
             ..own
@@ -286,7 +287,7 @@
 
     /// Names this agent as the holder of a flow.
     fn tell(&self, now: Duration, flow: FlowId, entry: SocketAddr, actions: &mut Vec<Action>) {
-        let held = Held {
+        let held = transit::Held {
             flow,
             holder: self.own,
             load: self.load(now),
@@ -346,7 +347,7 @@
         };
         held.entry = Some(carry.entry);
         if held.caller_sent(now, &segment, &mut self.occupancy) {
-            self.load.request(now);
+            self.held.request(now);
         }
         actions.push(Action::Deliver(carry.packet));
     }
@@ -518,13 +519,15 @@
         let settings = &self.settings;
         let occupancy = &mut self.occupancy;
         self.flows.retain(|_, flow| {
-            flow.expire_reservation(now, settings.reservation, occupancy);
+            flow.expire_request(now, settings.reservation, occupancy);
             let keep = !flow.is_over(now, settings.linger, settings.idle);
             if !keep && flow.start.take().is_some() {
                 occupancy.release(now);
             }
             keep
         });
+        let idle = self.flows.values().filter(|flow| flow.is_idle()).count();
+        self.held.observe(now, u32::try_from(idle).unwrap_or(u32::MAX));
         self.passed.expire(now);
         self.absent.expire(now);
         self.dead.expire(now);
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -8,6 +8,9 @@
 use wire::segment::Kind;
 use wire::transit::Open;
 
+/// Longest time that a request may take, where its route is not known.
+const UNKNOWN_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A flow that the backend server holds.
 #[derive(Debug)]
 pub struct Flow {
@@ -19,6 +22,10 @@
     pub open: Option<Open>,
     /// When its last packet came.
     pub used: Duration,
+    /// Longest time that a request of the flow may take.
+    timeout: Duration,
+    /// When the request under way was last heard of, if any.
+    begun: Duration,
     /// Whether `start` only keeps a slot for a request that is yet to come.
     is_reserved: bool,
     /// Requests seen so far.
@@ -33,6 +40,7 @@
         Self {
             entry: Some(open.entry),
             start: Some(start),
+            timeout: Duration::from_millis(u64::from(open.patience_ms)),
             open: Some(open),
             is_reserved: true,
             ..Self::found(now)
@@ -46,6 +54,8 @@
             start: None,
             open: None,
             used: now,
+            timeout: UNKNOWN_TIMEOUT,
+            begun: now,
             is_reserved: false,
             requests: 0,
             has_caller_ended: false,
@@ -76,6 +86,7 @@
         } else {
             self.start = Some(occupancy.begin(now));
         }
+        self.begun = now;
         self.requests = self.requests.saturating_add(1);
         self.requests > 1
     }
@@ -96,18 +107,27 @@
         }
     }
 
-    /// Gives up the slot that was kept for a request that does not come.
-    pub fn expire_reservation(
-        &mut self,
-        now: Duration,
-        limit: Duration,
-        occupancy: &mut Occupancy,
-    ) {
-        if self.is_reserved && now >= self.used + limit {
+    /// Gives up the slot of a request that does not come, or whose caller has
+    /// given up waiting.
+    pub fn expire_request(&mut self, now: Duration, reserved: Duration, occupancy: &mut Occupancy) {
+        let limit = if self.is_reserved {
+            reserved
+        } else {
+            self.timeout
+        };
+        if self.start.is_some() && now >= self.begun + limit {
             self.end_request(now, occupancy);
         }
     }
 
+    /// Whether the flow is kept open between two requests.
+    pub const fn is_idle(&self) -> bool {
+        self.requests > 0
+            && self.start.is_none()
+            && !self.has_caller_ended
+            && !self.has_server_ended
+    }
+
     /// Whether the flow has ended and nothing more of it is expected.
     pub fn is_over(&self, now: Duration, linger: Duration, idle: Duration) -> bool {
         let has_ended = self.has_caller_ended && self.has_server_ended;
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of an agent that carries flows unread.
 use std::time::Duration;
 
-use limit::load;
+use limit::held;
 
 /// Settings of an agent that carries flows unread.
 #[derive(Clone, Debug, PartialEq)]
@@ -9,7 +9,10 @@
     /// Service time of requests until some have shown it.
     pub service_time: Duration,
     /// How the load of held flows is estimated.
-    pub load: load::Settings,
+    pub held: held::Settings,
+    /// Requests beyond its slots that the backend server is sent at a time. It
+    /// rejects what does not fit into its own short queue.
+    pub queue: u16,
     /// Flows that the backend server holds at most.
     pub max_flows: usize,
     /// Time without an announcement after which the backend server takes no new
@@ -37,7 +40,8 @@
     fn default() -> Self {
         Self {
             service_time: Duration::from_millis(20),
-            load: load::Settings::default(),
+            held: held::Settings::default(),
+            queue: 6,
             max_flows: 2_000,
             silence: Duration::from_millis(1_900),
             mute: Duration::from_millis(150),
--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -227,3 +227,19 @@
     let actions = handle(&mut agent, ms(1), event);
     assert!(is_absent(&actions) && !delivers(&actions), "{actions:?}");
 }
+
+/// A caller that has given up says nothing; its request counts no longer.
+#[test]
+fn a_request_without_an_answer_frees_its_slot_after_the_timeout() {
+    let mut agent = ready(false);
+    open_at(&mut agent, ms(1), 9, open(&[OWN]));
+    let event = Event::Carry {
+        carry: carry(OWN),
+        segment: from_caller(9, Kind::Data, 100),
+    };
+    handle(&mut agent, ms(5), event);
+    handle(&mut agent, ms(900), Event::Tick);
+    assert!(agent.is_busy());
+    handle(&mut agent, ms(1_200), Event::Tick);
+    assert!(!agent.is_busy());
+}
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Admits work to a backend server within its slots and the caller's deadline.
 //!
 //! * [`Gate`] holds the slots and the queue of one backend server.
+//! * [`Held`] estimates the work that held flows will bring.
 //! * [`Occupancy`] tells how long work that is only seen from outside would wait.
 //! * [`Budget`] bounds retries to a share of first tries.
 //! * [`Backoff`] spaces retries.
@@ -10,6 +11,7 @@
 pub mod budget;
 pub mod capacity;
 pub mod gate;
+pub mod held;
 pub mod job;
 pub mod load;
 pub mod occupancy;
@@ -21,6 +23,7 @@
 pub use budget::Budget;
 pub use gate::Gate;
 pub use gate::Settings;
+pub use held::Held;
 pub use job::Class;
 pub use job::Finish;
 pub use job::Job;
--- a/state/limit/src/occupancy.rs
+++ b/state/limit/src/occupancy.rs
@@ -107,6 +107,12 @@
         self.running
     }
 
+    /// Requests that run at a time.
+    #[must_use]
+    pub const fn slots(&self) -> u16 {
+        self.slots
+    }
+
     /// Mean service time of the latest requests.
     #[must_use]
     pub fn service_time(&self) -> Duration {
