Search for holders in the own zone first, and try packets only once all agents are known

Cause: FLOW broke on the grown site: a gateway that had just started knew 13 of 39 agents for up to 4 s (it asked for a service only while it knew none of its servers), and new agents, which had never held a flow, tried its packets at their servers; an agent counted silence as acceptance. Change: a reaction of the server makes a holder, silence does not; two tries a flow and agent; tries only once a gateway has agreed with a peer and no new agent came for 400 ms; an agent that hears a server's first announcement has no past; only holders answer a search; sidecars announce themselves before their server does; all services are asked for.

--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -91,6 +91,7 @@
     audited: Key,
     asked: BTreeSet<Key>,
     is_behind: bool,
+    has_agreed: bool,
     is_doubtful: bool,
     next_round: Duration,
     last_push: Duration,
@@ -149,6 +150,7 @@
             audited: 0,
             asked: BTreeSet::new(),
             is_behind: false,
+            has_agreed: false,
             is_doubtful: false,
             next_round: now,
             last_push: Duration::ZERO,
@@ -312,6 +314,12 @@
         }
     }
 
+    /// True once another entry has held the same records as this one.
+    #[must_use]
+    pub const fn has_agreed(&self) -> bool {
+        self.has_agreed
+    }
+
     /// Digest of all records; equal in directories that agree.
     #[must_use]
     pub fn digest(&self) -> u64 {
--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -53,6 +53,9 @@
     pub target: TargetId,
     /// The entry that the packet came through.
     pub entry: SocketAddr,
+    /// Whether an agent that cannot know may try the packet at its backend
+    /// server, which hands back what it does not hold.
+    pub may_try: bool,
     /// The caller's packet.
     pub packet: Bytes,
 }
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -11,6 +11,7 @@
 mod routes;
 mod traffic;
 
+use std::collections::BTreeSet;
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -104,6 +105,7 @@
         is_confirmed,
         is_ready: Arc::clone(&is_ready),
         seeds: host.seed_frames(),
+        needed: BTreeSet::new(),
         watch: crate::watch::Watch::default(),
     };
     let stopped = stopped(sender, is_ready);
@@ -121,6 +123,7 @@
     let settings = member::Settings::default();
     let mut registry = Registry::new(settings, identity, fastrand::u64(..), now);
     registry.join(now, &host.seed_frames());
+    registry.need(now, routes::DOCUMENT);
     registry
 }
 
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -10,6 +10,7 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use bytes::Bytes;
+use forward::Routes;
 use forward::entry::Event;
 use futures_lite::FutureExt;
 use member::Action;
@@ -18,6 +19,7 @@
 use net::Port;
 use platform::document;
 use wire::Frame;
+use wire::ServiceAddress;
 
 use crate::gateway::routes;
 use crate::gateway::routes::Builder;
@@ -64,6 +66,8 @@
     pub is_ready: Arc<AtomicBool>,
     /// The entries that the settings name.
     pub seeds: Vec<SocketAddr>,
+    /// Services that other entries were asked for.
+    pub needed: BTreeSet<ServiceAddress>,
     /// What was last logged of the services.
     pub watch: Watch,
 }
@@ -99,29 +103,47 @@
                 Err(error) => log::warn!("a message to {to} was not sent: {error}"),
             }
         }
-        self.publish();
+        self.publish(now);
     }
 
     /// Gives the traffic threads the routes where they changed.
-    fn publish(&mut self) {
+    fn publish(&mut self, now: Duration) {
         let changes = self.registry.changes();
         if !changes.is_empty() {
-            let views = changes.iter().filter_map(|address| self.registry.service(address));
+            let views = changes
+                .iter()
+                .filter_map(|address| self.registry.service(address));
             for event in views.flat_map(|view| self.watch.view(view)) {
                 event.log();
             }
             let routes = self.builder.update(&self.registry, &changes);
+            if changes.contains(&routes::DOCUMENT) {
+                self.need_services(now, &routes);
+            }
             self.traffic.handle(Event::Routes(routes));
             if self.builder.is_ready() {
                 self.is_ready.store(true, Ordering::Relaxed);
             }
         }
         let is_confirmed = self.is_confirmed.load(Ordering::Relaxed);
-        if let Some(routes) = self.builder.confirm(is_confirmed) {
+        let is_complete = self.registry.has_agreed();
+        if let Some(routes) = self.builder.confirm(is_confirmed, is_complete) {
             self.traffic.handle(Event::Routes(routes));
         }
     }
 
+    /// Asks other entries for the backend servers of services that are new here.
+    fn need_services(&mut self, now: Duration, routes: &Routes) {
+        let routed = routes.table.routes.values();
+        let shares = routed.flat_map(|route| &route.shares);
+        let services: BTreeSet<ServiceAddress> = shares.map(|share| share.service).collect();
+        for service in services {
+            if self.needed.insert(service) {
+                self.registry.need(now, service);
+            }
+        }
+    }
+
     /// Takes the entries that the store lists, unless all are known.
     fn join(&mut self, now: Duration, listed: &[SocketAddr]) {
         let known: BTreeSet<SocketAddr> = self.registry.live_entries().collect();
--- a/roles/app/src/gateway/presence.rs
+++ b/roles/app/src/gateway/presence.rs
@@ -17,7 +17,12 @@
 pub async fn run(store: impl Store, own: SocketAddr, control: Sender<Input>) {
     let origin = Instant::now();
     let key = name::entry_key(own);
-    let mut presence = Presence::new(Settings::default(), key, fastrand::u64(..), origin.elapsed());
+    let mut presence = Presence::new(
+        Settings::default(),
+        key,
+        fastrand::u64(..),
+        origin.elapsed(),
+    );
     while !control.is_closed() {
         let event = match presence.next(origin.elapsed()) {
             Action::Sleep(pause) => {
--- a/roles/app/src/gateway/routes.rs
+++ b/roles/app/src/gateway/routes.rs
@@ -1,13 +1,10 @@
 //! Builds the routes of a gateway from what the membership protocol knows.
-use std::collections::HashMap;
 use std::net::IpAddr;
 use std::net::Ipv6Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use forward::Routes;
-use forward::routes::Table;
 use member::Health;
 use member::Registry;
 use member::View;
@@ -40,13 +37,15 @@
         Arc::new(self.routes.clone())
     }
 
-    /// Says whether the configuration is known to be the newest; `None` where
-    /// nothing changed.
-    pub fn confirm(&mut self, is_confirmed: bool) -> Option<Arc<Routes>> {
-        if self.routes.is_confirmed == is_confirmed {
+    /// Says whether the configuration is known to be the newest, and the backend
+    /// servers to be complete; `None` where nothing changed.
+    pub fn confirm(&mut self, is_confirmed: bool, is_complete: bool) -> Option<Arc<Routes>> {
+        let before = (self.routes.is_confirmed, self.routes.is_complete);
+        if before == (is_confirmed, is_complete) {
             return None;
         }
         self.routes.is_confirmed = is_confirmed;
+        self.routes.is_complete = is_complete;
         Some(Arc::new(self.routes.clone()))
     }
 
@@ -64,16 +63,6 @@
             Err(error) => log::error!("a configuration cannot be read: {error}"),
         }
     }
-
-    /// The configuration that is in force.
-    pub fn table(&self) -> &Table {
-        &self.routes.table
-    }
-
-    /// The services whose backend servers are known.
-    pub fn targets(&self) -> &HashMap<ServiceAddress, Arc<Vec<Target>>> {
-        &self.routes.targets
-    }
 }
 
 fn targets(view: &View) -> Vec<Target> {
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -87,7 +87,9 @@
             Frame::Control(payload) => {
                 let from = received.from;
                 // A full control thread loses messages, as a network does.
-                let _ = self.control.try_send(control::Input::Message { from, payload });
+                let _ = self
+                    .control
+                    .try_send(control::Input::Message { from, payload });
             }
             _ => log::debug!("a frame that no gateway takes came from {}", received.from),
         }
--- a/roles/app/src/sidecar/announcements.rs
+++ b/roles/app/src/sidecar/announcements.rs
@@ -32,7 +32,10 @@
             let call = announcement::decode(&question.method, &question.path, &question.body);
             let input = call.and_then(|call| input(call, backend));
             let Some(input) = input else {
-                log::warn!("a call to {} tells of no backend server here", question.path);
+                log::warn!(
+                    "a call to {} tells of no backend server here",
+                    question.path
+                );
                 return acknowledge(StatusCode::BAD_REQUEST);
             };
             match control.send(input).await {
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -16,9 +16,12 @@
 use member::Message;
 use member::announcer::Change;
 use net::Port;
+use platform::name;
 use wire::Frame;
 use wire::Hop;
+use wire::ServiceAddress;
 use wire::Target;
+use wire::TargetId;
 use wire::ZoneId;
 use wire::target;
 
@@ -81,6 +84,7 @@
     /// Runs until dropped.
     pub async fn run(mut self, host: &platform::Settings) {
         let mut actions = Vec::new();
+        self.announce_early(self.origin.elapsed(), host);
         loop {
             if self.seeds.is_empty() {
                 self.seeds = seeds::gather(&self.store, host).await;
@@ -135,25 +139,45 @@
             return log::info!("an older announcement of {} was dropped", backend.name);
         }
         self.traffic.handle(Event::Backend(backend.clone()));
-        let is_new = held.is_none_or(|held| held.target != backend.target);
-        if is_new {
-            self.announcer = Some(self.announcer_of(now, &backend));
+        let announced = self
+            .announcer
+            .as_ref()
+            .map(|announcer| announcer.target().id);
+        if announced != Some(backend.target) {
+            let (service, target, slots) = (backend.service, backend.target, backend.slots);
+            self.announcer = Some(self.announcer_of(now, service, target, slots));
         }
         self.backend = Some(backend);
     }
 
-    fn announcer_of(&self, now: Duration, backend: &Backend) -> Announcer {
+    /// Announces the backend server that the settings name as taking no flows:
+    /// it may hold some, and entries ask only agents that they know.
+    pub fn announce_early(&mut self, now: Duration, host: &platform::Settings) {
+        let Some(service) = host.service.as_ref() else {
+            return;
+        };
+        let service = name::service(service);
+        self.announcer = Some(self.announcer_of(now, service, self.own.target, 1));
+    }
+
+    fn announcer_of(
+        &self,
+        now: Duration,
+        service: ServiceAddress,
+        id: TargetId,
+        slots: u16,
+    ) -> Announcer {
         let target = Target {
-            id: backend.target,
-            service: backend.service,
+            id,
+            service,
             address: self.own.address,
             control: self.own.address,
             zone: self.zone,
             incarnation: clock::incarnation(),
             version: 0,
-            weight: u32::from(backend.slots).max(1) * WEIGHT_PER_SLOT,
-            slots: backend.slots,
-            state: state(backend.state == State::Ready),
+            weight: u32::from(slots).max(1) * WEIGHT_PER_SLOT,
+            slots,
+            state: state(false),
         };
         let settings = member::Settings::default();
         Announcer::new(settings, target, self.seeds.clone(), fastrand::u64(..), now)
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -64,7 +64,8 @@
     /// Gives the core an event, and does what it asks.
     pub fn handle(&self, event: Event) {
         let mut actions = Vec::new();
-        self.lock().handle(self.origin.elapsed(), event, &mut actions);
+        self.lock()
+            .handle(self.origin.elapsed(), event, &mut actions);
         for action in actions {
             self.perform(action);
         }
@@ -101,7 +102,9 @@
             Frame::Control(payload) => {
                 let from = received.from;
                 // A full control thread loses messages, as a network does.
-                let _ = self.control.try_send(control::Input::Message { from, payload });
+                let _ = self
+                    .control
+                    .try_send(control::Input::Message { from, payload });
                 return;
             }
             _ => return log::debug!("a frame that no sidecar takes came from {}", received.from),
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -108,8 +108,18 @@
 #[derive(Clone, Copy, Debug)]
 struct Probe {
     entry: SocketAddr,
+    at: Duration,
+    tries: u8,
 }
 
+/// Number of the first announcement of a backend server. Who hears it knows of
+/// all flows that the backend server ever had.
+const FIRST_SEQUENCE: u64 = 1;
+
+/// Packets of one unknown flow that the backend server is given to learn whether
+/// it holds the flow.
+const MAX_TRIES: u8 = 2;
+
 impl Agent {
     /// Starts without a backend server. `has_past` is false where no process
     /// can have stood beside the backend server before.
@@ -127,7 +137,7 @@
             held: Held::new(settings.held, now),
             flows: HashMap::new(),
             passed: Memory::new(settings.linger),
-            probes: Memory::new(settings.linger),
+            probes: Memory::new(settings.oldest_flow),
             absent: Memory::new(settings.oldest_flow),
             dead: Memory::new(settings.oldest_flow),
             next_sweep: now + settings.sweep,
@@ -156,7 +166,7 @@
         }
         if now >= self.next_sweep {
             self.next_sweep = now + self.settings.sweep;
-            self.sweep(now, actions);
+            self.sweep(now);
         }
     }
 
@@ -317,20 +327,40 @@
                 transit: Transit::Carry(carry),
             });
         }
-        self.probe(now, flow, carry, segment, actions);
+        if self.dead.get(now, &flow).is_some() {
+            return self.ended(flow, segment, actions);
+        }
+        if self.may_hold(now, &flow) {
+            self.probe(now, flow, carry, actions);
+        } else {
+            self.not_here(flow, carry, actions);
+        }
     }
 
+    /// Whether the backend server may hold an unknown flow from before this
+    /// process started.
+    fn may_hold(&self, now: Duration, flow: &FlowId) -> bool {
+        self.has_past
+            && now < self.started + self.settings.oldest_flow
+            && self.absent.get(now, flow).is_none()
+            && self.dead.get(now, flow).is_none()
+    }
+
+    /// Takes a packet whose holder is not known. Who does not hold the flow says
+    /// nothing, which saves an answer from each of many agents.
     fn seek(&mut self, now: Duration, carry: Carry, segment: Segment, actions: &mut Vec<Action>) {
         let flow = segment.from_caller();
         if carry.target != self.own.target {
-            return self.not_here(flow, carry, actions);
+            return;
         }
         if self.flows.contains_key(&flow) {
             let entry = carry.entry;
             self.deliver(now, flow, carry, segment, actions);
             return self.tell(now, flow, entry, actions);
         }
-        self.probe(now, flow, carry, segment, actions);
+        if self.may_hold(now, &flow) && carry.may_try {
+            self.probe(now, flow, carry, actions);
+        }
     }
 
     /// Delivers a packet of a flow that is held.
@@ -352,27 +382,19 @@
         actions.push(Action::Deliver(carry.packet));
     }
 
-    /// Delivers a packet of an unknown flow, where the backend server may hold
-    /// it from before this process started. Each flow is tried once.
-    fn probe(
-        &mut self,
-        now: Duration,
-        flow: FlowId,
-        carry: Carry,
-        segment: Segment,
-        actions: &mut Vec<Action>,
-    ) {
-        if self.dead.get(now, &flow).is_some() {
-            return self.ended(flow, segment, actions);
-        }
-        let may_hold = self.has_past && now < self.started + self.settings.oldest_flow;
-        if !may_hold || self.absent.get(now, &flow).is_some() {
-            return self.not_here(flow, carry, actions);
-        }
-        if self.probes.get(now, &flow).is_some() {
+    /// Delivers a packet of an unknown flow to learn whether it is held.
+    fn probe(&mut self, now: Duration, flow: FlowId, carry: Carry, actions: &mut Vec<Action>) {
+        let before = self.probes.get(now, &flow).copied();
+        let is_waiting = before
+            .is_some_and(|probe| probe.tries >= MAX_TRIES || now < probe.at + self.settings.probe);
+        if is_waiting {
             return actions.push(Action::Dropped(Drop::Probing));
         }
-        let probe = Probe { entry: carry.entry };
+        let probe = Probe {
+            entry: carry.entry,
+            at: now,
+            tries: before.map_or(1, |probe| probe.tries + 1),
+        };
         self.probes.insert(now, flow, probe);
         actions.push(Action::Probed { flow });
         actions.push(Action::Deliver(carry.packet));
@@ -430,6 +452,7 @@
             let carry = Carry {
                 target: self.own.target,
                 entry,
+                may_try: false,
                 packet,
             };
             self.not_here(flow, carry, actions);
@@ -489,6 +512,9 @@
                 self.gone(now, actions);
             }
         }
+        if self.backend.is_none() && backend.sequence <= FIRST_SEQUENCE {
+            self.has_past = false;
+        }
         self.heard = now;
         self.unanswered = None;
         self.own.target = backend.target;
@@ -515,7 +541,7 @@
         self.probes.clear();
     }
 
-    fn sweep(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    fn sweep(&mut self, now: Duration) {
         let settings = &self.settings;
         let occupancy = &mut self.occupancy;
         self.flows.retain(|_, flow| {
@@ -527,15 +553,12 @@
             keep
         });
         let idle = self.flows.values().filter(|flow| flow.is_idle()).count();
-        self.held.observe(now, u32::try_from(idle).unwrap_or(u32::MAX));
+        self.held
+            .observe(now, u32::try_from(idle).unwrap_or(u32::MAX));
         self.passed.expire(now);
         self.absent.expire(now);
         self.dead.expire(now);
-        // A probe that was neither returned nor answered reached its flow.
-        for (flow, probe) in self.probes.take_older(now, settings.probe) {
-            self.flows.insert(flow, Flow::found(now));
-            self.tell(now, flow, probe.entry, actions);
-        }
+        self.probes.expire(now);
     }
 }
 
--- a/roles/forward/src/agent/memory.rs
+++ b/roles/forward/src/agent/memory.rs
@@ -57,10 +57,4 @@
         let lifetime = self.lifetime;
         self.items.retain(|_, item| now < item.at + lifetime);
     }
-
-    /// Takes out what is at least this old.
-    pub fn take_older(&mut self, now: Duration, age: Duration) -> Vec<(FlowId, T)> {
-        let old = self.items.extract_if(|_, item| now >= item.at + age);
-        old.map(|(flow, item)| (flow, item.value)).collect()
-    }
 }
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -23,8 +23,8 @@
     pub mute: Duration,
     /// Time for which a slot is kept for the first request of a flow.
     pub reservation: Duration,
-    /// Time without a reaction after which a packet of an unknown flow counts as
-    /// accepted.
+    /// Time without a reaction after which another packet of an unknown flow is
+    /// tried.
     pub probe: Duration,
     /// Age that no flow exceeds.
     pub oldest_flow: Duration,
@@ -46,7 +46,7 @@
             silence: Duration::from_millis(1_900),
             mute: Duration::from_millis(150),
             reservation: Duration::from_millis(500),
-            probe: Duration::from_millis(50),
+            probe: Duration::from_secs(1),
             oldest_flow: Duration::from_secs(60),
             idle: Duration::from_secs(60),
             linger: Duration::from_secs(4),
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -9,6 +9,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +35,7 @@
 pub use action::Refusal;
 use flow::Flow;
 use flow::Phase;
+use flow::Stage;
 pub use settings::Settings;
 
 /// What happens to an entry.
@@ -61,10 +63,17 @@
 pub struct Entry {
     settings: Settings,
     address: SocketAddr,
+    zone: ZoneId,
     routes: Arc<Routes>,
     flows: HashMap<FlowId, Flow>,
     place: Place,
     started: Duration,
+    known: HashSet<TargetId>,
+    /// When a backend server was last heard of for the first time.
+    grown: Duration,
+    /// Flows whose holder is searched for, in the order in which agents were
+    /// asked.
+    searches: VecDeque<FlowId>,
     next_sweep: Duration,
 }
 
@@ -89,9 +98,13 @@
         Self {
             place: Place::new(settings.place, zone, seed),
             address,
+            zone,
             routes: Arc::default(),
             flows: HashMap::new(),
             started: now,
+            known: HashSet::new(),
+            grown: now,
+            searches: VecDeque::new(),
             next_sweep: now + settings.sweep,
             settings,
         }
@@ -111,9 +124,10 @@
             }
             Event::Held(held) => self.held(now, &held, actions),
             Event::Absent(absent) => self.absent(now, absent, actions),
-            Event::Routes(routes) => self.replace(routes),
+            Event::Routes(routes) => self.replace(now, routes),
             Event::Tick => {}
         }
+        self.search_on(now, actions);
         if now >= self.next_sweep {
             self.next_sweep = now + self.settings.sweep;
             self.sweep(now);
@@ -138,13 +152,27 @@
         self.flows.is_empty()
     }
 
-    fn replace(&mut self, routes: Arc<Routes>) {
+    fn replace(&mut self, now: Duration, routes: Arc<Routes>) {
         let targets = routes.targets.values().flat_map(|targets| targets.iter());
         let known: HashSet<TargetId> = targets.map(|target| target.id).collect();
+        if !known.is_subset(&self.known) {
+            self.grown = now;
+        }
         self.place.retain(|target| known.contains(&target));
+        self.known = known;
         self.routes = routes;
     }
 
+    /// Whether all agents are likely to be known, so that a packet which each
+    /// may try reaches the holder too.
+    fn knows_all(&self, now: Duration) -> bool {
+        let settings = &self.settings;
+        let is_complete = self.routes.is_complete || now >= self.started + settings.warm_up;
+        is_complete
+            && now >= self.started + settings.first_view
+            && now >= self.grown + settings.quiet
+    }
+
     fn packet(&mut self, passing: Passing<'_>) {
         let routes = Arc::clone(&self.routes);
         let is_routed = routes.route(passing.segment.destination).is_some();
@@ -292,7 +320,7 @@
     fn carry(&mut self, routes: &Routes, passing: Passing<'_>) {
         let flow = passing.segment.from_caller();
         let Some(held) = self.flows.get_mut(&flow) else {
-            return self.seek(routes, &HashSet::new(), passing);
+            return self.seek(routes, None, passing);
         };
         held.used = passing.now;
         held.is_closing |= matches!(passing.segment.kind, Kind::Close | Kind::Reset);
@@ -305,15 +333,11 @@
                 let first = opening.path[0];
                 self.send(first, passing);
             }
-            Phase::Seeking(seeking) if passing.now < seeking.sent + self.settings.answer => {
+            Phase::Seeking(seeking) => {
                 if !seeking.wait(passing.packet) {
                     passing.actions.push(Action::Dropped(Drop::Crowded));
                 }
             }
-            Phase::Seeking(seeking) => {
-                let absent = std::mem::take(&mut seeking.absent);
-                self.seek(routes, &absent, passing);
-            }
             Phase::Lost => passing.actions.push(Action::Dropped(Drop::Lost)),
         }
     }
@@ -324,35 +348,109 @@
             transit: Transit::Carry(Carry {
                 target: holder.target,
                 entry: self.address,
+                may_try: true,
                 packet: passing.packet,
             }),
         });
     }
 
-    /// Asks all agents that may hold a flow, but those that said they do not.
-    fn seek(&mut self, routes: &Routes, absent: &HashSet<TargetId>, passing: Passing<'_>) {
+    /// Searches for the holder of a flow, which is not `absent`: in the own
+    /// availability zone first.
+    fn seek(&mut self, routes: &Routes, absent: Option<TargetId>, passing: Passing<'_>) {
         let flow = passing.segment.from_caller();
+        let seeking = flow::Seeking {
+            stage: Stage::Near,
+            sent: passing.now,
+            packet: passing.packet,
+            may_try: self.knows_all(passing.now),
+            absent,
+            waiting: Vec::new(),
+        };
+        self.ask(routes, flow, &seeking, passing.actions);
+        self.searches.push_back(flow);
+        self.remember(passing.now, flow, Phase::Seeking(seeking));
+    }
+
+    /// Asks the agents of a stage of a search.
+    fn ask(
+        &self,
+        routes: &Routes,
+        flow: FlowId,
+        seeking: &flow::Seeking,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(route) = routes.route(flow.service) else {
             return;
         };
-        let asked: Vec<&Target> = routes
-            .holders(route)
-            .filter(|target| !absent.contains(&target.id))
-            .collect();
-        let count = asked.len();
-        for target in asked {
-            passing.actions.push(Action::Send {
+        let is_near = seeking.stage == Stage::Near;
+        let mut asked = 0;
+        for target in routes.holders(route) {
+            let is_asked = (target.zone == self.zone) == is_near;
+            if !is_asked || seeking.absent == Some(target.id) {
+                continue;
+            }
+            asked += 1;
+            actions.push(Action::Send {
                 to: target.address,
                 transit: Transit::Seek(Carry {
                     target: target.id,
                     entry: self.address,
-                    packet: passing.packet.clone(),
+                    may_try: seeking.may_try,
+                    packet: seeking.packet.clone(),
                 }),
             });
         }
-        passing.actions.push(Action::Sought { flow, asked: count });
-        let seeking = flow::Seeking::new(passing.now, count, absent.clone());
-        self.remember(passing.now, flow, Phase::Seeking(seeking));
+        actions.push(Action::Sought {
+            flow,
+            asked,
+            may_try: seeking.may_try,
+        });
+    }
+
+    /// Takes the searches further that have had no answer.
+    fn search_on(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let routes = Arc::clone(&self.routes);
+        let knows_all = self.knows_all(now);
+        while let Some(flow) = self.searches.front().copied() {
+            let Some(held) = self.flows.get_mut(&flow) else {
+                self.searches.pop_front();
+                continue;
+            };
+            let Phase::Seeking(seeking) = &mut held.phase else {
+                self.searches.pop_front();
+                continue;
+            };
+            let wait = match seeking.stage {
+                Stage::Near => self.settings.near,
+                Stage::Far => self.settings.answer,
+            };
+            if now < seeking.sent + wait {
+                return;
+            }
+            self.searches.pop_front();
+            seeking.sent = now;
+            match seeking.stage {
+                Stage::Near => seeking.stage = Stage::Far,
+                Stage::Far if !seeking.may_try => {
+                    seeking.stage = Stage::Near;
+                    seeking.may_try = knows_all;
+                }
+                Stage::Far => {
+                    held.phase = Phase::Lost;
+                    held.used = now;
+                    actions.push(Action::Vanished { flow });
+                    continue;
+                }
+            }
+            // Until all agents are known, those that know their flows were asked.
+            let asks_again = seeking.stage == Stage::Far || seeking.may_try;
+            self.searches.push_back(flow);
+            if asks_again
+                && let Some(Phase::Seeking(seeking)) = self.flows.get(&flow).map(|held| &held.phase)
+            {
+                self.ask(&routes, flow, seeking, actions);
+            }
+        }
     }
 
     fn held(&mut self, now: Duration, held: &Held, actions: &mut Vec<Action>) {
@@ -377,6 +475,7 @@
                 transit: Transit::Carry(Carry {
                     target: held.holder.target,
                     entry: self.address,
+                    may_try: true,
                     packet,
                 }),
             });
@@ -390,24 +489,17 @@
             return;
         };
         match &mut held.phase {
-            Phase::Seeking(seeking) => {
-                if seeking.answered(absent.target) {
-                    held.phase = Phase::Lost;
-                    held.used = now;
-                    actions.push(Action::Vanished { flow: absent.flow });
-                }
-            }
             Phase::Held(holder) if holder.target == absent.target => {
                 let routes = Arc::clone(&self.routes);
                 let passing = Passing {
                     now,
-                    segment: absent_segment(&absent),
+                    segment: header(&absent.flow),
                     packet: absent.packet,
                     actions,
                 };
-                self.seek(&routes, &HashSet::from([absent.target]), passing);
+                self.seek(&routes, Some(absent.target), passing);
             }
-            Phase::Held(_) | Phase::Opening(_) | Phase::Lost => {}
+            Phase::Held(_) | Phase::Opening(_) | Phase::Seeking(_) | Phase::Lost => {}
         }
     }
 
@@ -442,11 +534,11 @@
     }
 }
 
-/// What a search needs of a returned packet's header.
-const fn absent_segment(absent: &Absent) -> Segment {
+/// What a search needs of a packet's header.
+const fn header(flow: &FlowId) -> Segment {
     Segment {
-        source: absent.flow.caller,
-        destination: absent.flow.service,
+        source: flow.caller,
+        destination: flow.service,
         kind: Kind::Data,
         is_returned: false,
         sequence: 0,
--- a/roles/forward/src/entry/action.rs
+++ b/roles/forward/src/entry/action.rs
@@ -41,6 +41,8 @@
         flow: FlowId,
         /// Agents that were asked.
         asked: usize,
+        /// Whether agents that cannot know may try the packet.
+        may_try: bool,
     },
     /// A search has found the holder of a flow.
     Found {
--- a/roles/forward/src/entry/flow.rs
+++ b/roles/forward/src/entry/flow.rs
@@ -1,5 +1,4 @@
 //! What an entry remembers of a flow.
-use std::collections::HashSet;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -48,16 +47,29 @@
 /// A search for the holder of a flow.
 #[derive(Debug)]
 pub struct Seeking {
+    /// Who was asked last.
+    pub stage: Stage,
     /// When agents were last asked.
     pub sent: Duration,
-    /// Agents that have not answered.
-    unanswered: usize,
-    /// Backend servers that do not hold the flow.
-    pub absent: HashSet<TargetId>,
+    /// The packet that agents are asked with; the holder delivers it.
+    pub packet: Bytes,
+    /// Whether agents may try it at their backend servers.
+    pub may_try: bool,
+    /// A backend server that does not hold the flow.
+    pub absent: Option<TargetId>,
     /// Packets to be sent once the holder is known.
     pub waiting: Vec<Bytes>,
 }
 
+/// Who is asked for a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// The agents of the entry's own availability zone, where most flows are.
+    Near,
+    /// All others.
+    Far,
+}
+
 impl Flow {
     /// A flow whose packet came now.
     pub const fn new(now: Duration, phase: Phase) -> Self {
@@ -70,16 +82,6 @@
 }
 
 impl Seeking {
-    /// A search in which `asked` agents were asked.
-    pub const fn new(now: Duration, asked: usize, absent: HashSet<TargetId>) -> Self {
-        Self {
-            sent: now,
-            unanswered: asked,
-            absent,
-            waiting: Vec::new(),
-        }
-    }
-
     /// Keeps a packet for the holder; false where too many wait.
     pub fn wait(&mut self, packet: Bytes) -> bool {
         let has_room = self.waiting.len() < MAX_WAITING;
@@ -88,13 +90,4 @@
         }
         has_room
     }
-
-    /// Notes that a backend server does not hold the flow; true where that was
-    /// the last to answer.
-    pub fn answered(&mut self, target: TargetId) -> bool {
-        if self.absent.insert(target) {
-            self.unanswered = self.unanswered.saturating_sub(1);
-        }
-        self.unanswered == 0
-    }
 }
--- a/roles/forward/src/entry/settings.rs
+++ b/roles/forward/src/entry/settings.rs
@@ -13,8 +13,15 @@
     /// Time without an answer after which an agent counts as not answering.
     /// Shorter than the time after which callers repeat an opening packet.
     pub answer: Duration,
+    /// Time after which a search goes on beyond the own availability zone. A few
+    /// round trips within it.
+    pub near: Duration,
     /// Time after the start in which not every backend server may be known.
     pub warm_up: Duration,
+    /// Time after the start in which the agents are not all known.
+    pub first_view: Duration,
+    /// Time without a new agent after which all are taken to be known.
+    pub quiet: Duration,
     /// Flows that are remembered; each takes some 150 bytes.
     pub max_flows: usize,
     /// Least time for which a silent flow is remembered.
@@ -34,7 +41,10 @@
             place: place::Settings::default(),
             hunt: 3,
             answer: Duration::from_millis(150),
+            near: Duration::from_millis(30),
             warm_up: Duration::from_secs(3),
+            first_view: Duration::from_millis(600),
+            quiet: Duration::from_millis(400),
             max_flows: 65_536,
             least_idle: Duration::from_secs(20),
             linger: Duration::from_secs(4),
--- a/roles/forward/src/routes.rs
+++ b/roles/forward/src/routes.rs
@@ -52,6 +52,8 @@
     /// True while the configuration is known to be the newest, so that a missing
     /// route may be told to callers.
     pub is_confirmed: bool,
+    /// True once another entry has known the same backend servers.
+    pub is_complete: bool,
     /// The backend servers of each service, without those that have left.
     pub targets: HashMap<ServiceAddress, Arc<Vec<Target>>>,
 }
@@ -60,7 +62,11 @@
     /// The service that a new flow goes to: each flow always has the same one.
     #[must_use]
     pub fn service(&self, flow: &FlowId) -> Option<ServiceAddress> {
-        let sum: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let sum: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
         let place = u64::from(flow.service.port());
         let mut left = mix(flow.caller_key(), place).checked_rem(sum)?;
         for share in &self.shares {
--- a/roles/forward/tests/common/mod.rs
+++ b/roles/forward/tests/common/mod.rs
@@ -96,6 +96,7 @@
     Carry {
         target,
         entry: entry(),
+        may_try: true,
         packet: packet(),
     }
 }
--- a/transport/net/src/http.rs
+++ b/transport/net/src/http.rs
@@ -72,7 +72,9 @@
         let (stream, _) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(error) => {
-                log::warn!("a connection was not accepted: {error}; raise the limit of descriptors");
+                log::warn!(
+                    "a connection was not accepted: {error}; raise the limit of descriptors"
+                );
                 Timer::after(ACCEPT_PAUSE).await;
                 continue;
             }
--- a/transport/net/src/port.rs
+++ b/transport/net/src/port.rs
@@ -126,11 +126,7 @@
     /// # Errors
     ///
     /// The operating system's error where the address cannot be bound.
-    pub fn bind_blocking(
-        address: SocketAddr,
-        seal: Arc<Seal>,
-        wait: Duration,
-    ) -> io::Result<Self> {
+    pub fn bind_blocking(address: SocketAddr, seal: Arc<Seal>, wait: Duration) -> io::Result<Self> {
         Ok(Self {
             socket: Socket::Blocking(Arc::new(blocking(address, wait)?)),
             seal,
