Tell entries the load where a flow was passed on; leave for good beside a server that ended

Cause: after a kill of all processes gateways kept choosing agents that had no room, since only those that take a flow told their load; a sidecar whose server had ended stayed listed until it was held down, and was asked in each search; tries waited up to 3 s for two directories to agree. Change: Busy frames; the reason why an agent takes no flows; State::Left at the stop beside an ended server; an answer of an asked peer completes the directory; compact log lines on a thread of their own, numbered events with a bounded rate, metrics with histograms.

--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -91,7 +91,9 @@
     audited: Key,
     asked: BTreeSet<Key>,
     is_behind: bool,
-    has_agreed: bool,
+    /// Peers that were asked for a service.
+    asked_peers: BTreeSet<SocketAddr>,
+    is_told: bool,
     is_doubtful: bool,
     next_round: Duration,
     last_push: Duration,
@@ -150,7 +152,8 @@
             audited: 0,
             asked: BTreeSet::new(),
             is_behind: false,
-            has_agreed: false,
+            asked_peers: BTreeSet::new(),
+            is_told: false,
             is_doubtful: false,
             next_round: now,
             last_push: Duration::ZERO,
@@ -219,7 +222,10 @@
         match message {
             Message::Heartbeat(heartbeat) => self.heartbeat(now, from, heartbeat, actions),
             Message::Probe => self.beat(&[from], actions),
-            Message::Push(push) => self.push(now, from, push, actions),
+            Message::Push(push) => {
+                self.is_told |= !push.hot && self.asked_peers.contains(&from);
+                self.push(now, from, push, actions);
+            }
             Message::Offer(offer) => self.offer(now, from, offer, actions),
             Message::Fetch(fetch) => self.fetch(from, &fetch, actions),
             Message::Fragment(fragment) => self.fragment(now, fragment),
@@ -314,10 +320,10 @@
         }
     }
 
-    /// True once another entry has held the same records as this one.
+    /// True once an entry that was asked for a service has told what it knows.
     #[must_use]
-    pub const fn has_agreed(&self) -> bool {
-        self.has_agreed
+    pub const fn is_told(&self) -> bool {
+        self.is_told
     }
 
     /// Digest of all records; equal in directories that agree.
--- a/coordination/member/src/registry/repair.rs
+++ b/coordination/member/src/registry/repair.rs
@@ -80,7 +80,6 @@
         let pairs = (0..).zip(own.iter().zip(&compare.digests));
         let differing = pairs.filter(|(_, (own, other))| own != other);
         let mut children: Vec<Node> = differing.map(|(number, _)| node.child(number)).collect();
-        self.has_agreed |= node == Node::ROOT && children.is_empty();
         self.rng.shuffle(&mut children);
         let limit = match node.level + 1 {
             LEAF_LEVEL => MAX_LEAVES,
@@ -184,6 +183,7 @@
             for peer in &peers {
                 self.link.send(*peer, Message::Need(address), actions);
             }
+            self.asked_peers.extend(&peers);
         }
     }
 
--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -25,6 +25,8 @@
     Held(Held),
     /// Returns a packet whose flow the agent does not hold.
     Absent(Absent),
+    /// Tells the load of a backend server that did not take a flow.
+    Busy(Busy),
 }
 
 /// An opening packet on its way along some agents.
@@ -82,6 +84,15 @@
     pub packet: Bytes,
 }
 
+/// Tells the load of a backend server that did not take a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Busy {
+    /// The backend server.
+    pub target: TargetId,
+    /// Its load.
+    pub load: Load,
+}
+
 /// Load of a backend server, as its agent sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
--- a/roles/app/src/carried.rs
+++ b/roles/app/src/carried.rs
@@ -2,3 +2,4 @@
 pub mod event;
 pub mod reader;
 pub mod ready;
+pub mod report;
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -91,19 +91,37 @@
 }
 
 events! {
-    1001 Info Starting { role: String }
-        "{role} starts", "nothing";
+    1001 Info Starting { role: String, listen: SocketAddr }
+        "{role} starts on {listen}", "nothing";
     1002 Info Stopped { role: String }
         "{role} has stopped", "nothing";
     1003 Error Failed { role: String, error: String }
         "{role} failed: {error}", "check the addresses in the settings";
     1004 Info Metrics { samples: String }
         "metrics: {samples}", "nothing";
+    1005 Info CarrierStarting { role: String, host: String, zone: String, frames: SocketAddr }
+        "{role} starts on {host} in {zone}, frames on {frames}", "nothing";
+    1006 Info Stopping { role: String }
+        "{role} was told to stop and takes no new flows", "nothing";
+    1007 Info Reloading { role: String }
+        "{role} was told that its settings changed; they count from the next start", "nothing";
+    1008 Info Unlogged { lines: u64 }
+        "{lines} log lines were dropped since the last line like this", "nothing; the counters have them all";
     2001 Info InForce { service: ServiceAddress, revision: Revision }
         "revision {revision} of service {service} is in force here", "nothing";
     2002 Error NotBound { service: ServiceAddress, error: String }
         "the address of service {service} cannot be bound: {error}",
         "give the host that address and restart the entry, or set --fabric";
+    2003 Info ConfigInForce { version: Revision, routes: usize }
+        "version {version} of the configuration with {routes} routes is in force here", "nothing";
+    2004 Error ConfigUnreadable { error: String }
+        "a configuration cannot be read: {error}", "look at what the operators wrote last";
+    2005 Warn StoreLost { fault: String }
+        "the store is lost: {fault}", "look at the platform's key-value service; flows go on";
+    2006 Info StoreRegained { }
+        "the store answers again", "nothing";
+    2007 Info Listed { key: String }
+        "the store lists this process under {key}", "nothing";
     3001 Info TargetUp { service: ServiceAddress, target: TargetId }
         "backend server {target} of service {service} takes work", "nothing";
     3002 Warn TargetDown { service: ServiceAddress, target: TargetId }
@@ -116,6 +134,37 @@
     3005 Error Superseded { incarnation: Incarnation }
         "a newer process of incarnation {incarnation} has this one's place; this one ends",
         "run one process at an address, and look at why this one was frozen";
+    3006 Warn NotAnAnnouncement { path: String }
+        "a call to {path} tells of no backend server here", "look at what calls this address";
+    3007 Info Announced { server: String, state: String, sequence: u64 }
+        "backend server {server} is {state} by its announcement {sequence}", "nothing";
+    3008 Info OldAnnouncement { server: String, sequence: u64 }
+        "announcement {sequence} of {server} is older than the last and was dropped", "nothing";
+    4001 Info FlowOpened { flow: String, first: TargetId, version: Revision, count: usize }
+        "flow {flow} goes to {first} and {count} more by version {version}", "nothing";
+    4002 Info FlowTaken { flow: String, wait_us: u128, held_us: u128, running: u16, held: usize, entry: SocketAddr }
+        "flow {flow} is taken: expected wait {wait_us} us, later {held_us} us, {running} requests, {held} flows, through {entry}",
+        "nothing";
+    4003 Info FlowPassed { flow: String, bid: String, to: TargetId, settled: bool }
+        "flow {flow} is passed to {to}: bid here {bid}, settled {settled}", "nothing";
+    4004 Warn FlowReset { flow: String, reason: String, detail: String }
+        "flow {flow} is reset: {reason}, {detail}",
+        "no route: look at the configuration; no slot or no server: look at the load";
+    4005 Info FlowSought { flow: String, asked: usize, may_try: bool }
+        "the holder of flow {flow} is searched for at {asked} agents, tries allowed {may_try}", "nothing";
+    4006 Info FlowFound { flow: String, holder: TargetId, took_us: u128 }
+        "flow {flow} is held by {holder}, found after {took_us} us", "nothing";
+    4007 Warn FlowLost { flow: String }
+        "nobody says to hold flow {flow}; its packets are dropped for a second",
+        "look for an agent that stopped beside a running backend server";
+    4008 Info FlowTried { flow: String }
+        "a packet of flow {flow} is tried at the backend server", "nothing";
+    4009 Info FlowReturned { flow: String, was_held: bool }
+        "the backend server handed back a packet of flow {flow}, believed held {was_held}", "nothing";
+    4010 Info PacketDropped { reason: String }
+        "a packet was dropped: {reason}", "nothing";
+    5001 Warn ServerEnded { flows: usize }
+        "the backend server has ended with {flows} flows", "nothing where that was planned";
 }
 
 impl Event {
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -13,6 +13,7 @@
 
 use std::collections::BTreeSet;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -32,12 +33,17 @@
 
 use crate::carried::reader;
 use crate::carried::ready;
+use crate::carried::report::Report;
 use crate::clock;
+use crate::event::Event;
 use crate::gateway::control::Control;
 use crate::gateway::control::Input;
 use crate::gateway::routes::Builder;
 use crate::gateway::traffic::Traffic;
+use crate::metric;
+use crate::metric::Board;
 use crate::settings;
+use crate::settings::table::Role;
 use crate::signal;
 use crate::signal::Signal;
 
@@ -74,7 +80,10 @@
         fastrand::u64(..),
         origin.elapsed(),
     );
+    let board = Board::default();
+    let report = Report::new(&board).map_err(io::Error::other)?;
     let traffic = Arc::new(Traffic {
+        report,
         core: Mutex::new(core),
         origin,
         port: port.clone(),
@@ -88,7 +97,19 @@
     if let Some(address) = host.listen.announcements {
         announcements::serve(address, &executor).await?;
     }
-    let store = platform::Client::new(Http::new(store::http::Settings::new(host.store)));
+    let http = Http::new(store::http::Settings::new(host.store));
+    let store = platform::Client::new(http.clone());
+    let metrics = SocketAddr::new(host.address, settings.0.metrics_port);
+    let shared = Arc::clone(&traffic);
+    let read = move |board: &mut Board| shared.publish(board, &http.counts());
+    metric::carried::serve(metrics, &executor, read, board).await?;
+    let starting = Event::CarrierStarting {
+        role: Role::Gateway.name().to_owned(),
+        host: host.host.clone(),
+        zone: host.zone.clone(),
+        frames,
+    };
+    starting.log();
     let is_confirmed = Arc::new(AtomicBool::new(false));
     let following = follow::run(store.clone(), sender.clone(), Arc::clone(&is_confirmed));
     executor.spawn(following).detach();
@@ -134,10 +155,14 @@
     while let Ok(signal) = signals.recv().await {
         match signal {
             Signal::Stop => break,
-            // The settings that may change do not concern a running gateway.
-            Signal::Replace => {}
+            Signal::Replace => {
+                let role = Role::Gateway.name().to_owned();
+                Event::Reloading { role }.log();
+            }
         }
     }
+    let role = Role::Gateway.name().to_owned();
+    Event::Stopping { role }.log();
     is_ready.store(false, Ordering::Relaxed);
     let _ = control.send(Input::Leave).await;
     Timer::after(LINGER).await;
--- a/roles/app/src/gateway/announcements.rs
+++ b/roles/app/src/gateway/announcements.rs
@@ -9,6 +9,8 @@
 use smol::Executor;
 use smol::net::TcpListener;
 
+use crate::event::Event;
+
 /// Serves the address for announcements. A gateway stands beside no backend
 /// server, so that its answer sends the caller on to another process.
 ///
@@ -18,7 +20,8 @@
 pub async fn serve(address: SocketAddr, executor: &Arc<Executor<'static>>) -> io::Result<()> {
     let listener = TcpListener::bind(address).await?;
     let answer = |question: http::Question| async move {
-        log::warn!("an announcement came to a gateway: {}", question.path);
+        let path = question.path;
+        Event::NotAnAnnouncement { path }.log();
         Answer {
             status: StatusCode::SERVICE_UNAVAILABLE,
             content_type: "text/plain",
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -21,6 +21,7 @@
 use wire::Frame;
 use wire::ServiceAddress;
 
+use crate::event::Event as LogEvent;
 use crate::gateway::routes;
 use crate::gateway::routes::Builder;
 use crate::gateway::traffic::Traffic;
@@ -110,14 +111,16 @@
     fn publish(&mut self, now: Duration) {
         let changes = self.registry.changes();
         if !changes.is_empty() {
-            let views = changes
-                .iter()
-                .filter_map(|address| self.registry.service(address));
-            for event in views.flat_map(|view| self.watch.view(view)) {
-                event.log();
-            }
+            self.log_changes(&changes);
             let routes = self.builder.update(&self.registry, &changes);
             if changes.contains(&routes::DOCUMENT) {
+                let version = routes.table.version;
+                let routes_count = routes.table.routes.len();
+                LogEvent::ConfigInForce {
+                    version,
+                    routes: routes_count,
+                }
+                .log();
                 self.need_services(now, &routes);
             }
             self.traffic.handle(Event::Routes(routes));
@@ -126,12 +129,26 @@
             }
         }
         let is_confirmed = self.is_confirmed.load(Ordering::Relaxed);
-        let is_complete = self.registry.has_agreed();
+        let is_complete = self.registry.is_told();
         if let Some(routes) = self.builder.confirm(is_confirmed, is_complete) {
             self.traffic.handle(Event::Routes(routes));
         }
     }
 
+    /// Logs what changed of the backend servers, at a bounded rate: a cold start
+    /// changes all of them at once.
+    fn log_changes(&mut self, changes: &[ServiceAddress]) {
+        let services = changes
+            .iter()
+            .filter(|address| **address != routes::DOCUMENT);
+        for view in services.filter_map(|address| self.registry.service(address)) {
+            for event in self.watch.view(view) {
+                let now = self.origin.elapsed();
+                self.traffic.report.journal.log(now, &event);
+            }
+        }
+    }
+
     /// Asks other entries for the backend servers of services that are new here.
     fn need_services(&mut self, now: Duration, routes: &Routes) {
         let routed = routes.table.routes.values();
@@ -169,7 +186,10 @@
     fn put(&mut self, now: Duration, bytes: Vec<u8>) {
         let version = match document::decode(&bytes) {
             Ok(table) => table.version,
-            Err(error) => return log::error!("a configuration cannot be read: {error}"),
+            Err(error) => {
+                let error = error.to_string();
+                return LogEvent::ConfigUnreadable { error }.log();
+            }
         };
         let service = member::Service {
             address: routes::DOCUMENT,
--- a/roles/app/src/gateway/follow.rs
+++ b/roles/app/src/gateway/follow.rs
@@ -14,6 +14,7 @@
 use platform::document;
 use store::Store;
 
+use crate::event::Event as LogEvent;
 use crate::gateway::control::Input;
 
 /// Follows the configuration until the control thread has ended.
@@ -30,8 +31,11 @@
         let outcome = follow.handle(origin.elapsed(), event);
         is_confirmed.store(follow.is_confirmed(origin.elapsed()), Ordering::Relaxed);
         match outcome.change {
-            Some(Change::Lost(fault)) => log::warn!("the store is lost: {fault}"),
-            Some(Change::Regained) => log::info!("the store answers again"),
+            Some(Change::Lost(fault)) => {
+                let fault = fault.to_string();
+                LogEvent::StoreLost { fault }.log();
+            }
+            Some(Change::Regained) => LogEvent::StoreRegained {}.log(),
             None => {}
         }
         if let Some(item) = outcome.value
--- a/roles/app/src/gateway/presence.rs
+++ b/roles/app/src/gateway/presence.rs
@@ -11,6 +11,7 @@
 use platform::name;
 use store::Store;
 
+use crate::event::Event as LogEvent;
 use crate::gateway::control::Input;
 
 /// Keeps the gateway listed until the control thread has ended.
@@ -34,6 +35,10 @@
             Action::Acquire(lease) => Event::Acquired(store.acquire(presence.key(), &lease).await),
             Action::Renew(lease) => Event::Renewed(store.keep_alive(&lease).await),
         };
+        if event == Event::Acquired(Ok(true)) {
+            let key = presence.key().to_owned();
+            LogEvent::Listed { key }.log();
+        }
         let listed = presence.handle(origin.elapsed(), event);
         let peers: Vec<SocketAddr> = listed.iter().filter_map(|key| name::entry(key)).collect();
         if !peers.is_empty() {
--- a/roles/app/src/main.rs
+++ b/roles/app/src/main.rs
@@ -1,5 +1,6 @@
 //! `greengagelug entry|agent|gateway|sidecar|operate|call|help`.
 use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -63,19 +64,27 @@
 }
 
 fn entry(settings: &settings::Entry) -> ExitCode {
-    daemon(Role::Entry, settings.log, || entry::run(settings))
+    daemon(Role::Entry, Some(settings.listen), settings.log, || {
+        entry::run(settings)
+    })
 }
 
 fn agent(settings: &settings::Agent) -> ExitCode {
-    daemon(Role::Agent, settings.log, || agent::run(settings))
+    daemon(Role::Agent, Some(settings.listen), settings.log, || {
+        agent::run(settings)
+    })
 }
 
 fn gateway(settings: &settings::Gateway) -> ExitCode {
-    daemon(Role::Gateway, settings.0.log, || gateway::run(settings))
+    daemon(Role::Gateway, None, settings.0.log, || {
+        gateway::run(settings)
+    })
 }
 
 fn sidecar(settings: &settings::Sidecar) -> ExitCode {
-    daemon(Role::Sidecar, settings.0.log, || sidecar::run(settings))
+    daemon(Role::Sidecar, None, settings.0.log, || {
+        sidecar::run(settings)
+    })
 }
 
 fn operate(settings: &settings::Operate) -> ExitCode {
@@ -99,21 +108,32 @@
 }
 
 /// Runs a daemon with a log.
-fn daemon(role: Role, log: Log, run: impl FnOnce() -> io::Result<()>) -> ExitCode {
+fn daemon(
+    role: Role,
+    listen: Option<SocketAddr>,
+    log: Log,
+    run: impl FnOnce() -> io::Result<()>,
+) -> ExitCode {
     let role = role.name().to_owned();
     if let Err(error) = logger::start(log) {
         eprintln!("greengagelug {role}: {error}");
         return ExitCode::from(exit::FAILED);
     }
-    Event::Starting { role: role.clone() }.log();
+    // A carrier tells where it runs once it has read the platform's file.
+    if let Some(listen) = listen {
+        let role = role.clone();
+        Event::Starting { role, listen }.log();
+    }
     match run() {
         Ok(()) => {
             Event::Stopped { role }.log();
+            logger::flush();
             ExitCode::SUCCESS
         }
         Err(error) => {
             let error = error.to_string();
             Event::Failed { role, error }.log();
+            logger::flush();
             ExitCode::from(exit::FAILED)
         }
     }
--- a/roles/app/src/metric.rs
+++ b/roles/app/src/metric.rs
@@ -5,9 +5,11 @@
 //! read.
 pub mod agent;
 mod board;
+pub mod carried;
 pub mod entry;
 mod reader;
 mod table;
+mod text;
 
 use std::fmt::Write;
 use std::sync::Arc;
@@ -17,6 +19,7 @@
 
 use displaydoc::Display;
 use opentelemetry::KeyValue;
+use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::error::OTelSdkError;
@@ -29,6 +32,7 @@
 pub use table::Kind;
 pub use table::METRICS;
 pub use table::Metric;
+pub use text::text;
 
 use crate::event::Event;
 
@@ -39,6 +43,12 @@
 /// How often the instruments are read without being asked.
 const READ_INTERVAL: Duration = Duration::from_mins(1);
 
+/// Upper bounds of the buckets of histograms, in microseconds: three a decade.
+const BOUNDS_US: &[u32] = &[
+    100, 200, 500, 1_000, 2_000, 5_000, 10_000, 20_000, 50_000, 100_000, 200_000, 500_000,
+    1_000_000, 2_000_000, 5_000_000,
+];
+
 /// Attribute that tells refusals, retries and drops apart.
 pub const REASON: &str = "reason";
 
@@ -108,6 +118,7 @@
                     .with_callback(move |observer| observer.observe(read(), &attributes))
                     .build();
             }
+            Kind::Histogram => return Err(Error::Unknown(name.into())),
             Kind::Gauge => {
                 self.meter
                     .u64_observable_gauge(metric.name)
@@ -133,6 +144,24 @@
         Ok(cell)
     }
 
+    /// Returns the histogram of a metric of the table.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] where the table has no such metric.
+    pub fn histogram(&self, name: &str) -> Result<Histogram<u64>, Error> {
+        let metric = METRICS.iter().find(|metric| metric.name == name);
+        let metric = metric.filter(|metric| metric.kind == Kind::Histogram);
+        let metric = metric.ok_or_else(|| Error::Unknown(name.into()))?;
+        Ok(self
+            .meter
+            .u64_histogram(metric.name)
+            .with_unit(metric.unit)
+            .with_description(metric.help)
+            .with_boundaries(BOUNDS_US.iter().map(|bound| f64::from(*bound)).collect())
+            .build())
+    }
+
     /// Reads all instruments, ordered by name and reason.
     ///
     /// # Errors
@@ -170,6 +199,7 @@
         let kind = match metric.kind {
             Kind::Counter => "counter",
             Kind::Gauge => "gauge",
+            Kind::Histogram => "histogram",
         };
         // Writing to a String cannot fail.
         let _ = writeln!(
--- a/roles/app/src/metric/board.rs
+++ b/roles/app/src/metric/board.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use opentelemetry::metrics::Histogram;
+
 use super::Error;
 use super::Metrics;
 use super::Sample;
@@ -51,6 +53,15 @@
         self.set(name, "", u64::try_from(size).unwrap_or(u64::MAX))
     }
 
+    /// Returns the histogram of a metric of the table.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] where the table has no such metric.
+    pub fn histogram(&self, name: &str) -> Result<Histogram<u64>, Error> {
+        self.metrics.histogram(name)
+    }
+
     /// Reads all metrics, ordered by name and reason.
     ///
     /// # Errors
--- a/roles/app/src/metric/reader.rs
+++ b/roles/app/src/metric/reader.rs
@@ -9,6 +9,7 @@
 use opentelemetry_sdk::error::OTelSdkResult;
 use opentelemetry_sdk::metrics::Temporality;
 use opentelemetry_sdk::metrics::data::AggregatedMetrics;
+use opentelemetry_sdk::metrics::data::HistogramDataPoint;
 use opentelemetry_sdk::metrics::data::Metric;
 use opentelemetry_sdk::metrics::data::MetricData;
 use opentelemetry_sdk::metrics::data::ResourceMetrics;
@@ -17,6 +18,12 @@
 
 use super::REASON;
 
+/// Last part of the name of a histogram's buckets.
+pub(super) const BUCKET: &str = "bucket";
+
+/// Upper bound of the last bucket.
+const INFINITY: &str = "+Inf";
+
 /// The value of a metric at one time.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Sample {
@@ -91,11 +98,37 @@
             .data_points()
             .map(|point| sample(metric.name(), point.attributes(), point.value()))
             .collect(),
+        AggregatedMetrics::U64(MetricData::Histogram(histogram)) => histogram
+            .data_points()
+            .flat_map(|point| buckets(metric.name(), point))
+            .collect(),
         // No other kinds are in the table.
         _ => Vec::new(),
     }
 }
 
+/// The cumulative counts of a histogram, by upper bound, with their sum.
+fn buckets(name: &str, point: &HistogramDataPoint<u64>) -> Vec<Sample> {
+    let mut sum = 0;
+    let bounds = point.bounds().map(|bound| format!("{bound}"));
+    let bounds = bounds.chain([INFINITY.to_owned()]);
+    let counts = point.bucket_counts().zip(bounds);
+    let named = |part: &str, reason: String, value| Sample {
+        name: format!("{name}.{part}"),
+        reason,
+        value,
+    };
+    let mut samples: Vec<Sample> = counts
+        .map(|(count, bound)| {
+            sum += count;
+            named(BUCKET, bound, sum)
+        })
+        .collect();
+    samples.push(named("sum", String::new(), point.sum()));
+    samples.push(named("count", String::new(), point.count()));
+    samples
+}
+
 fn sample<'a>(
     name: &str,
     mut attributes: impl Iterator<Item = &'a KeyValue>,
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -7,6 +7,8 @@
     Counter,
     /// Rises and falls.
     Gauge,
+    /// Counts values in buckets.
+    Histogram,
 }
 
 /// One metric of the table.
@@ -42,6 +44,16 @@
     }
 }
 
+const fn histogram(name: &'static str, unit: &'static str, help: &'static str) -> Metric {
+    let kind = Kind::Histogram;
+    Metric {
+        name,
+        kind,
+        unit,
+        help,
+    }
+}
+
 /// All metrics.
 #[rustfmt::skip]
 pub const METRICS: &[Metric] = &[
@@ -93,5 +105,25 @@
     counter("retries.refused", "{request}", "tries that were not made, by reason"),
     counter("offers.taken", "{request}", "requests of other agents that were taken"),
     counter("offers.refused", "{request}", "requests of other agents that were refused"),
+    // Gateways and sidecars.
+    counter("carried.flows.opened", "{flow}", "flows that a gateway sent to an agent"),
+    counter("carried.flows.taken", "{flow}", "flows that a sidecar gave its backend server"),
+    counter("carried.flows.passed", "{flow}", "opening packets that a sidecar passed to another"),
+    counter("carried.flows.reset", "{flow}", "flows that were refused or ended, by reason"),
+    counter("carried.searches", "{flow}", "searches for the holder of a flow"),
+    counter("carried.searches.ended", "{flow}", "searches that ended, by outcome"),
+    counter("carried.tries", "{packet}", "packets of unknown flows tried at the backend server"),
+    counter("carried.returned", "{packet}", "packets that the backend server handed back"),
+    counter("carried.packets", "{packet}", "packets carried, by direction"),
+    counter("carried.dropped", "{packet}", "packets dropped, by reason"),
+    counter("carried.servers.ended", "{server}", "backend servers that ended beside a sidecar"),
+    gauge("carried.flows", "{flow}", "flows that are remembered or held"),
+    gauge("carried.version", "1", "version of the configuration in force"),
+    gauge("carried.running", "{request}", "requests that run or wait at the backend server"),
+    gauge("store.calls", "{call}", "calls of the store, by kind"),
+    histogram("carried.open.time", "us", "from an opening packet to the word of its holder"),
+    histogram("carried.search.time", "us", "from a search to the word of the holder"),
+    histogram("carried.request.time", "us", "from a request to the first packet of its answer"),
+    // Agents.
     gauge("weight", "{request}/s", "learned capacity, as announced"),
 ];
--- a/roles/app/src/settings/carrier.rs
+++ b/roles/app/src/settings/carrier.rs
@@ -1,6 +1,5 @@
 //! Settings of `greengagelug gateway` and `greengagelug sidecar`.
 use std::path::PathBuf;
-use std::time::Duration;
 
 use crate::settings::Keys;
 use crate::settings::Log;
@@ -16,8 +15,8 @@
     pub boot: PathBuf,
     /// Keys shared by the processes of the installation.
     pub keys: Keys,
-    /// Time between two log lines with all metrics; zero for none.
-    pub metrics: Duration,
+    /// TCP port on which the metrics are served, on the host's address.
+    pub metrics_port: u16,
     /// What is logged.
     pub log: Log,
 }
@@ -50,7 +49,7 @@
     let carrier = Carrier {
         boot: reader.text("boot").into(),
         keys: command::keys(reader),
-        metrics: reader.time("metrics-interval"),
+        metrics_port: reader.number("metrics-port"),
         log: command::log(reader),
     };
     command::no_arguments(reader, rest);
--- a/roles/app/src/settings/list.rs
+++ b/roles/app/src/settings/list.rs
@@ -282,7 +282,7 @@
     },
     Setting {
         name: "metrics-interval",
-        roles: ALL_DAEMONS,
+        roles: DAEMONS,
         kind: Kind::Time {
             unit: Unit::Seconds,
             min: 0,
@@ -292,13 +292,24 @@
         default: Preset::Text("60"),
         help: "time between two log lines with all metrics; 0 writes none",
     },
+    Setting {
+        name: "metrics-port",
+        roles: CARRIERS,
+        kind: Kind::Number {
+            min: 1,
+            max: u16::MAX as u64,
+        },
+        unit: "",
+        default: Preset::Text("9464"),
+        help: "TCP port on which the metrics are served, under /metrics",
+    },
     Setting {
         name: "log-format",
         roles: ALL_DAEMONS,
-        kind: Kind::Choice(&["readable", "json"]),
+        kind: Kind::Choice(&["readable", "json", "compact"]),
         unit: "",
         default: Preset::Text("readable"),
-        help: "form of the log lines",
+        help: "form of the log lines; compact ones go to the standard output",
     },
     Setting {
         name: "log-level",
--- a/roles/app/src/settings/shared.rs
+++ b/roles/app/src/settings/shared.rs
@@ -13,6 +13,8 @@
     Readable,
     /// One JSON object a line.
     Json,
+    /// One short JSON object a line, on the standard output.
+    Compact,
 }
 
 /// What is logged, and how.
@@ -70,6 +72,7 @@
         match text {
             "readable" => Ok(Self::Readable),
             "json" => Ok(Self::Json),
+            "compact" => Ok(Self::Compact),
             _ => Err(()),
         }
     }
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -10,6 +10,7 @@
 mod traffic;
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -28,7 +29,12 @@
 
 use crate::carried::reader;
 use crate::carried::ready;
+use crate::carried::report::Report;
+use crate::event::Event;
+use crate::metric;
+use crate::metric::Board;
 use crate::settings;
+use crate::settings::table::Role;
 use crate::sidecar::control::Control;
 use crate::sidecar::control::Input;
 use crate::sidecar::traffic::Traffic;
@@ -82,7 +88,10 @@
         address: host.frames(),
     };
     let core = Agent::new(core(&host), own, !host.is_first_start, origin.elapsed());
+    let board = Board::default();
+    let report = Report::new(&board).map_err(io::Error::other)?;
     let traffic = Arc::new(Traffic {
+        report,
         core: Mutex::new(core),
         origin,
         port: port.clone(),
@@ -97,7 +106,19 @@
     if let Some(address) = host.listen.announcements {
         announcements::serve(address, backend, &executor, sender.clone()).await?;
     }
-    let store = platform::Client::new(Http::new(store::http::Settings::new(host.store)));
+    let http = Http::new(store::http::Settings::new(host.store));
+    let store = platform::Client::new(http.clone());
+    let metrics = SocketAddr::new(host.address, settings.0.metrics_port);
+    let shared = Arc::clone(&traffic);
+    let read = move |board: &mut Board| shared.publish(board, &http.counts());
+    metric::carried::serve(metrics, &executor, read, board).await?;
+    let starting = Event::CarrierStarting {
+        role: Role::Sidecar.name().to_owned(),
+        host: host.host.clone(),
+        zone: host.zone.clone(),
+        frames: host.frames(),
+    };
+    starting.log();
     let seeds = seeds::gather(&store, &host).await;
     let control = Control {
         seeds,
@@ -133,9 +154,14 @@
         match signal {
             Signal::Stop => break,
             // What may change in the settings comes with the announcements.
-            Signal::Replace => {}
+            Signal::Replace => {
+                let role = Role::Sidecar.name().to_owned();
+                Event::Reloading { role }.log();
+            }
         }
     }
+    let role = Role::Sidecar.name().to_owned();
+    Event::Stopping { role }.log();
     let _ = control.send(Input::Stop).await;
     Timer::after(NOTICE).await;
     let asked = Instant::now();
--- a/roles/app/src/sidecar/announcements.rs
+++ b/roles/app/src/sidecar/announcements.rs
@@ -12,6 +12,7 @@
 use smol::Executor;
 use smol::net::TcpListener;
 
+use crate::event::Event;
 use crate::sidecar::control::Input;
 
 /// Serves the address for announcements.
@@ -32,10 +33,8 @@
             let call = announcement::decode(&question.method, &question.path, &question.body);
             let input = call.and_then(|call| input(call, backend));
             let Some(input) = input else {
-                log::warn!(
-                    "a call to {} tells of no backend server here",
-                    question.path
-                );
+                let path = question.path;
+                Event::NotAnAnnouncement { path }.log();
                 return acknowledge(StatusCode::BAD_REQUEST);
             };
             match control.send(input).await {
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -26,6 +26,7 @@
 use wire::target;
 
 use crate::clock;
+use crate::event::Event as LogEvent;
 use crate::sidecar::seeds;
 use crate::sidecar::traffic::Traffic;
 
@@ -100,7 +101,7 @@
             Some(Input::Message { from, payload }) => self.message(now, from, &payload, actions),
             Some(Input::Backend(backend)) => self.backend(now, backend),
             Some(Input::End { name }) => self.end(&name),
-            Some(Input::Stop) => self.traffic.handle(Event::Stop),
+            Some(Input::Stop) => self.stop(now),
             None => {}
         }
         self.announce(now);
@@ -136,7 +137,18 @@
     fn backend(&mut self, now: Duration, backend: Backend) {
         let held = self.backend.as_ref();
         if held.is_some_and(|held| backend.is_older_than(held)) {
-            return log::info!("an older announcement of {} was dropped", backend.name);
+            let (server, sequence) = (backend.name, backend.sequence);
+            return LogEvent::OldAnnouncement { server, sequence }.log();
+        }
+        let is_news =
+            held.is_none_or(|held| (&held.name, held.state) != (&backend.name, backend.state));
+        if is_news {
+            let announced = LogEvent::Announced {
+                server: backend.name.clone(),
+                state: format!("{:?}", backend.state).to_lowercase(),
+                sequence: backend.sequence,
+            };
+            announced.log();
         }
         self.traffic.handle(Event::Backend(backend.clone()));
         let announced = self
@@ -193,6 +205,18 @@
         }
     }
 
+    /// Takes no new flows; leaves for good where the backend server has ended.
+    fn stop(&mut self, now: Duration) {
+        self.traffic.handle(Event::Stop);
+        let has_ended = self
+            .backend
+            .as_ref()
+            .is_some_and(|backend| backend.state == State::Gone);
+        if let Some(announcer) = self.announcer.as_mut().filter(|_| has_ended) {
+            announcer.leave(now);
+        }
+    }
+
     /// Announces whether the backend server takes new flows.
     fn announce(&mut self, now: Duration) {
         let Some(announcer) = &mut self.announcer else {
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -29,6 +29,7 @@
 use wire::transit::Open;
 
 pub use action::Action;
+pub use action::Closed;
 pub use action::Drop;
 pub use action::Refusal;
 pub use backend::Backend;
@@ -176,27 +177,31 @@
         self.next_sweep
     }
 
-    /// Whether new flows are taken.
+    /// Why no new flows are taken, if so.
     #[must_use]
-    pub fn takes_flows(&self, now: Duration) -> bool {
-        let running = self.occupancy.running();
-        let has_room = self.flows.len() < self.settings.max_flows
-            && running < self.occupancy.slots() + self.settings.queue;
-        let is_mute = self
-            .unanswered
-            .is_some_and(|since| now >= since + self.settings.mute);
-        self.is_open(now) && has_room && !is_mute
+    pub fn closed(&self, now: Duration) -> Option<Closed> {
+        let settings = &self.settings;
+        let most = self.occupancy.slots() + settings.queue;
+        let mute = self.unanswered.map(|since| since + settings.mute);
+        match &self.backend {
+            _ if self.is_stopping => Some(Closed::Stopping),
+            None => Some(Closed::Unknown),
+            Some(backend) if backend.state != State::Ready => Some(Closed::NotReady),
+            Some(_) if now >= self.heard + settings.silence => Some(Closed::Silent),
+            Some(_) if mute.is_some_and(|mute| now >= mute) => Some(Closed::Mute),
+            Some(_) if self.flows.len() >= settings.max_flows => Some(Closed::Flows),
+            Some(_) if self.occupancy.running() >= most => Some(Closed::Queue),
+            Some(_) => None,
+        }
     }
 
     /// Whether the backend server is ready and was heard of lately.
     #[must_use]
     pub fn is_open(&self, now: Duration) -> bool {
-        let is_heard = now < self.heard + self.settings.silence;
-        let is_ready = self
-            .backend
-            .as_ref()
-            .is_some_and(|backend| backend.state == State::Ready);
-        is_ready && is_heard && !self.is_stopping
+        matches!(
+            self.closed(now),
+            None | Some(Closed::Mute | Closed::Flows | Closed::Queue)
+        )
     }
 
     /// Whether any request runs or waits.
@@ -205,6 +210,12 @@
         self.occupancy.running() > 0
     }
 
+    /// Requests that run or wait.
+    #[must_use]
+    pub const fn running(&self) -> u16 {
+        self.occupancy.running()
+    }
+
     /// Number of flows that are held.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -241,8 +252,8 @@
             _ => {}
         }
         let bid = self.bid(now);
-        match bid::decide(open, bid) {
-            Verdict::Take(open) => self.take(now, flow, open, bid, actions),
+        match bid::decide(open, bid.ok()) {
+            Verdict::Take(open) => self.take(now, flow, open, bid.unwrap_or_default(), actions),
             Verdict::Pass(open) => {
                 self.passed.insert(now, flow, open.clone());
                 actions.push(Action::Passed {
@@ -251,6 +262,7 @@
                     to: open.path[usize::from(open.position)].target,
                     is_settled: open.is_settled,
                 });
+                self.tell_busy(now, open.entry, actions);
                 pass(open, actions);
             }
             Verdict::Refuse(open) => actions.push(Action::Reset {
@@ -262,13 +274,16 @@
         }
     }
 
-    /// The expected wait of a new flow here, or `None` where none is taken.
-    fn bid(&self, now: Duration) -> Option<Bid> {
+    /// What a new flow can expect here, or why none is taken.
+    fn bid(&self, now: Duration) -> Result<Bid, Closed> {
         let load = self.load(now);
-        self.takes_flows(now).then(|| Bid {
-            wait: load.wait(),
-            held: load.held(),
-        })
+        match self.closed(now) {
+            Some(reason) => Err(reason),
+            None => Ok(Bid {
+                wait: load.wait(),
+                held: load.held(),
+            }),
+        }
     }
 
     fn take(
@@ -276,12 +291,12 @@
         now: Duration,
         flow: FlowId,
         open: Open,
-        bid: Option<Bid>,
+        bid: Bid,
         actions: &mut Vec<Action>,
     ) {
         actions.push(Action::Taken {
             flow,
-            bid: bid.unwrap_or_default(),
+            bid,
             running: self.occupancy.running(),
             held: self.flows.len(),
             entry: open.entry,
@@ -308,6 +323,19 @@
         });
     }
 
+    /// Tells an entry that its view of the load here is too good.
+    fn tell_busy(&self, now: Duration, entry: SocketAddr, actions: &mut Vec<Action>) {
+        let mut load = self.load(now);
+        if self.closed(now).is_some() {
+            load.running = load.running.max(load.slots + self.settings.queue);
+        }
+        let target = self.own.target;
+        actions.push(Action::Send {
+            to: entry,
+            transit: Transit::Busy(transit::Busy { target, load }),
+        });
+    }
+
     fn carry(&mut self, now: Duration, carry: Carry, segment: Segment, actions: &mut Vec<Action>) {
         let flow = segment.from_caller();
         if carry.target != self.own.target {
@@ -490,7 +518,9 @@
         let flow = segment.from_server();
         let probe = self.probes.remove(&flow);
         let held = self.flows.entry(flow).or_insert_with(|| Flow::found(now));
-        held.server_sent(now, &segment, &mut self.occupancy);
+        if let Some(took) = held.server_sent(now, &segment, &mut self.occupancy) {
+            actions.push(Action::Answered { took });
+        }
         actions.push(Action::ToCaller {
             caller: flow.caller,
             packet,
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -1,6 +1,7 @@
 //! What an agent asks of its process.
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use bytes::Bytes;
 use wire::FlowId;
@@ -52,12 +53,17 @@
         /// The entry that it came through.
         entry: SocketAddr,
     },
+    /// The backend server began to answer a request.
+    Answered {
+        /// Time since the request.
+        took: Duration,
+    },
     /// A new flow was passed to another agent.
     Passed {
         /// The flow.
         flow: FlowId,
-        /// Its expected wait here, or none where no flows are taken.
-        bid: Option<Bid>,
+        /// What it could expect here, or why none are taken.
+        bid: Result<Bid, Closed>,
         /// The backend server of the agent that it goes to.
         to: TargetId,
         /// Whether that agent is to take or refuse it.
@@ -84,6 +90,25 @@
     Dropped(Drop),
 }
 
+/// Why an agent takes no new flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Closed {
+    /// The process is to stop.
+    Stopping,
+    /// The backend server has not announced itself yet.
+    Unknown,
+    /// The backend server drains or has ended.
+    NotReady,
+    /// The backend server was not heard of for too long.
+    Silent,
+    /// The backend server did not react to an opening packet.
+    Mute,
+    /// The backend server holds as many flows as it can.
+    Flows,
+    /// The backend server's queue is full.
+    Queue,
+}
+
 /// Why a flow was refused, or has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -92,8 +92,13 @@
     }
 
     /// Notes a packet of the backend server. The first with content after a
-    /// request means that the request has been worked on.
-    pub fn server_sent(&mut self, now: Duration, segment: &Segment, occupancy: &mut Occupancy) {
+    /// request means that the request has been worked on; the time that took.
+    pub fn server_sent(
+        &mut self,
+        now: Duration,
+        segment: &Segment,
+        occupancy: &mut Occupancy,
+    ) -> Option<Duration> {
         self.used = now;
         self.open = None;
         self.has_server_ended |= matches!(segment.kind, Kind::Close | Kind::Reset);
@@ -101,9 +106,13 @@
             Some(start) if segment.length > 0 && !self.is_reserved => {
                 occupancy.finish(now, start);
                 self.start = None;
+                Some(now.saturating_sub(self.begun))
+            }
+            _ if segment.kind == Kind::Reset => {
+                self.end_request(now, occupancy);
+                None
             }
-            _ if segment.kind == Kind::Reset => self.end_request(now, occupancy),
-            _ => {}
+            _ => None,
         }
     }
 
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -18,6 +18,7 @@
 use route::Place;
 use wire::FlowId;
 use wire::Hop;
+use wire::Revision;
 use wire::Segment;
 use wire::Target;
 use wire::TargetId;
@@ -25,6 +26,7 @@
 use wire::ZoneId;
 use wire::segment::Kind;
 use wire::transit::Absent;
+use wire::transit::Busy;
 use wire::transit::Carry;
 use wire::transit::Held;
 use wire::transit::Open;
@@ -52,6 +54,8 @@
     Held(Held),
     /// An agent returns a packet whose flow it does not hold.
     Absent(Absent),
+    /// An agent tells its load.
+    Busy(Busy),
     /// The routes or the known backend servers changed.
     Routes(Arc<Routes>),
     /// Time passed.
@@ -124,6 +128,7 @@
             }
             Event::Held(held) => self.held(now, &held, actions),
             Event::Absent(absent) => self.absent(now, absent, actions),
+            Event::Busy(busy) => self.place.learn(now, busy.target, busy.load),
             Event::Routes(routes) => self.replace(now, routes),
             Event::Tick => {}
         }
@@ -140,6 +145,12 @@
         self.next_sweep
     }
 
+    /// Version of the configuration in force; 0 before the first.
+    #[must_use]
+    pub fn version(&self) -> Revision {
+        self.routes.table.version
+    }
+
     /// Number of flows that are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -167,7 +178,7 @@
     /// may try reaches the holder too.
     fn knows_all(&self, now: Duration) -> bool {
         let settings = &self.settings;
-        let is_complete = self.routes.is_complete || now >= self.started + settings.warm_up;
+        let is_complete = self.routes.is_complete || now >= self.started + settings.untold;
         is_complete
             && now >= self.started + settings.first_view
             && now >= self.grown + settings.quiet
@@ -290,6 +301,7 @@
             passing.actions.push(Action::Opened {
                 flow,
                 first: first.target,
+                hops: path.len(),
                 version: routes.table.version,
             });
         }
@@ -461,8 +473,13 @@
         if let Some(flow) = self.flows.get_mut(&held.flow) {
             flow.is_closing = is_closing;
         }
-        let Some(Phase::Seeking(seeking)) = before.map(|flow| flow.phase) else {
-            return;
+        let seeking = match before.map(|flow| flow.phase) {
+            Some(Phase::Seeking(seeking)) => seeking,
+            Some(Phase::Opening(opening)) => {
+                let took = now.saturating_sub(opening.sent);
+                return actions.push(Action::Accepted { took });
+            }
+            _ => return,
         };
         actions.push(Action::Found {
             flow: held.flow,
--- a/roles/forward/src/entry/action.rs
+++ b/roles/forward/src/entry/action.rs
@@ -32,9 +32,16 @@
         flow: FlowId,
         /// The first backend server on its path.
         first: TargetId,
+        /// Number of agents on the path.
+        hops: usize,
         /// Version of the configuration that decided it.
         version: Revision,
     },
+    /// An agent took a flow that was sent to it.
+    Accepted {
+        /// Time since its opening packet was last sent.
+        took: Duration,
+    },
     /// The holder of a flow is searched for.
     Sought {
         /// The flow.
--- a/roles/forward/src/entry/settings.rs
+++ b/roles/forward/src/entry/settings.rs
@@ -20,6 +20,9 @@
     pub warm_up: Duration,
     /// Time after the start in which the agents are not all known.
     pub first_view: Duration,
+    /// Time after the start after which the agents are taken to be known although
+    /// no other entry has told of them.
+    pub untold: Duration,
     /// Time without a new agent after which all are taken to be known.
     pub quiet: Duration,
     /// Flows that are remembered; each takes some 150 bytes.
@@ -44,6 +47,7 @@
             near: Duration::from_millis(30),
             warm_up: Duration::from_secs(3),
             first_view: Duration::from_millis(600),
+            untold: Duration::from_millis(1_500),
             quiet: Duration::from_millis(400),
             max_flows: 65_536,
             least_idle: Duration::from_secs(20),
--- a/roles/forward/src/routes.rs
+++ b/roles/forward/src/routes.rs
@@ -52,7 +52,7 @@
     /// True while the configuration is known to be the newest, so that a missing
     /// route may be told to callers.
     pub is_confirmed: bool,
-    /// True once another entry has known the same backend servers.
+    /// True once another entry has told which backend servers it knows.
     pub is_complete: bool,
     /// The backend servers of each service, without those that have left.
     pub targets: HashMap<ServiceAddress, Arc<Vec<Target>>>,
--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -167,7 +167,7 @@
         ms(2),
         Event::Backend(backend(OWN, 1, 9, State::Draining)),
     );
-    assert!(agent.takes_flows(ms(3)));
+    assert_eq!(agent.closed(ms(3)), None);
 }
 
 #[test]
