Hold no slot for repeats of requests that were answered before

Cause: an agent that had just started took a caller's repeat of an answered request for a new one, which kept a slot for 5 s; queues looked full (600 refusals a second for 4 s). Change: content counts once by its position; the first content of a flow from before the process keeps a slot for half a second at most. Two tests that failed first.

--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -26,10 +26,15 @@
     timeout: Duration,
     /// When the request under way was last heard of, if any.
     begun: Duration,
-    /// Whether `start` only keeps a slot for a request that is yet to come.
+    /// Whether the flow is older than this process.
+    is_found: bool,
+    /// Whether `start` keeps a slot for a request that is yet to come, or that
+    /// may be none.
     is_reserved: bool,
     /// Requests seen so far.
     requests: u32,
+    /// Position after the caller's last content, once any was seen.
+    position: Option<u32>,
     has_caller_ended: bool,
     has_server_ended: bool,
 }
@@ -43,6 +48,7 @@
             timeout: Duration::from_millis(u64::from(open.patience_ms)),
             open: Some(open),
             is_reserved: true,
+            is_found: false,
             ..Self::found(now)
         }
     }
@@ -56,8 +62,10 @@
             used: now,
             timeout: UNKNOWN_TIMEOUT,
             begun: now,
+            is_found: true,
             is_reserved: false,
             requests: 0,
+            position: None,
             has_caller_ended: false,
             has_server_ended: false,
         }
@@ -76,21 +84,38 @@
         if segment.kind == Kind::Reset {
             self.end_request(now, occupancy);
         }
-        let begins = segment.length > 0 && (self.start.is_none() || self.is_reserved);
+        let is_new = self.advance(segment);
+        let begins = is_new && (self.start.is_none() || self.is_reserved);
         if !begins {
             return false;
         }
-        if self.is_reserved {
-            self.is_reserved = false;
-            self.start = self.start.map(|start| start.moved(now));
-        } else {
+        if self.start.is_none() {
             self.start = Some(occupancy.begin(now));
         }
+        self.start = self.start.map(|start| start.moved(now));
+        // The first content of a flow from before this process may be a repeat.
+        self.is_reserved = self.is_found && self.requests == 0;
         self.begun = now;
         self.requests = self.requests.saturating_add(1);
         self.requests > 1
     }
 
+    /// Notes the position of the caller's content; true where it is new.
+    fn advance(&mut self, segment: &Segment) -> bool {
+        if segment.length == 0 {
+            return false;
+        }
+        let end = segment.sequence.wrapping_add(u32::from(segment.length));
+        let is_new = match self.position {
+            Some(position) => is_ahead(end, position),
+            None => true,
+        };
+        if is_new {
+            self.position = Some(end);
+        }
+        is_new
+    }
+
     /// Notes a packet of the backend server. The first with content after a
     /// request means that the request has been worked on; the time that took.
     pub fn server_sent(
@@ -103,9 +128,10 @@
         self.open = None;
         self.has_server_ended |= matches!(segment.kind, Kind::Close | Kind::Reset);
         match self.start {
-            Some(start) if segment.length > 0 && !self.is_reserved => {
+            Some(start) if segment.length > 0 && self.requests > 0 => {
                 occupancy.finish(now, start);
                 self.start = None;
+                self.is_reserved = false;
                 Some(now.saturating_sub(self.begun))
             }
             _ if segment.kind == Kind::Reset => {
@@ -151,3 +177,9 @@
         }
     }
 }
+
+/// Whether one position in a stream is after another; positions wrap around.
+const fn is_ahead(one: u32, other: u32) -> bool {
+    let distance = one.wrapping_sub(other);
+    distance != 0 && distance <= u32::MAX / 2
+}
--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -319,3 +319,40 @@
     );
     assert_eq!(seek(&mut agent, ms(1), 9), []);
 }
+
+/// The caller repeats what its server has answered before this process started.
+#[test]
+fn a_request_of_an_unknown_past_frees_its_slot_soon() {
+    let mut agent = ready(true);
+    let sent = Event::Server {
+        segment: from_server(9, Kind::Data, 0),
+        packet: packet(),
+    };
+    handle(&mut agent, ms(1), sent);
+    let event = Event::Carry {
+        carry: carry(OWN),
+        segment: from_caller(9, Kind::Data, 100),
+    };
+    handle(&mut agent, ms(2), event);
+    handle(&mut agent, ms(700), Event::Tick);
+    assert!(!agent.is_busy());
+}
+
+#[test]
+fn a_repeated_packet_is_no_new_request() {
+    let mut agent = ready(false);
+    open_at(&mut agent, ms(1), 9, open(&[OWN]));
+    let request = || Event::Carry {
+        carry: carry(OWN),
+        segment: from_caller(9, Kind::Data, 100),
+    };
+    handle(&mut agent, ms(2), request());
+    let answer = Event::Server {
+        segment: from_server(9, Kind::Data, 50),
+        packet: packet(),
+    };
+    handle(&mut agent, ms(20), answer);
+    assert!(!agent.is_busy());
+    handle(&mut agent, ms(200), request());
+    assert!(!agent.is_busy());
+}
