--- a/coordination/config/src/presence.rs
+++ b/coordination/config/src/presence.rs
@@ -109,12 +109,12 @@
     pub fn next(&self, now: Duration) -> Action {
         let renewal = self.renewed + self.settings.ttl / RENEWALS;
         match &self.lease {
-            _ if now < self.paused_until => Action::Sleep(self.paused_until - now),
+            _ if now < self.paused_until => Action::Sleep(self.paused_until.saturating_sub(now)),
             _ if now >= self.next_check => Action::List,
             None => Action::Grant(self.settings.ttl),
             Some(lease) if !self.is_listed => Action::Acquire(lease.clone()),
             Some(lease) if now >= renewal => Action::Renew(lease.clone()),
-            Some(_) => Action::Sleep(self.next_check.min(renewal) - now),
+            Some(_) => Action::Sleep(self.next_check.min(renewal).saturating_sub(now)),
         }
     }
 
--- /dev/null
+++ b/coordination/config/tests/follow.rs
@@ -0,0 +1,132 @@
+//! Following one key of the store, through its faults.
+use std::time::Duration;
+
+use config::Fault;
+use config::Follow;
+use config::Item;
+use config::Listing;
+use config::follow::Action;
+use config::follow::Change;
+use config::follow::Event;
+use config::follow::Settings;
+
+const KEY: &str = "settings";
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn item(revision: u64) -> Item {
+    Item {
+        key: KEY.to_owned(),
+        value: revision.to_string().into_bytes(),
+        revision,
+    }
+}
+
+fn follow() -> Follow {
+    Follow::new(Settings::default(), KEY, 1)
+}
+
+fn changed(revision: u64) -> Event {
+    Event::Watched(Ok(Listing {
+        items: vec![item(revision)],
+        index: revision,
+    }))
+}
+
+fn unchanged(index: u64) -> Event {
+    Event::Watched(Ok(Listing {
+        items: Vec::new(),
+        index,
+    }))
+}
+
+/// A follower that has read revision 5.
+fn reading() -> Follow {
+    let mut follow = follow();
+    assert_eq!(follow.next(), Action::Read);
+    let outcome = follow.handle(ms(0), Event::Read(Ok(Some(item(5)))));
+    assert_eq!(outcome.value, Some(item(5)));
+    follow
+}
+
+fn since(follow: &Follow) -> Option<u64> {
+    match follow.next() {
+        Action::Watch { since, .. } => Some(since),
+        Action::Read => None,
+    }
+}
+
+#[test]
+fn a_change_is_published_once() {
+    let mut follow = reading();
+    assert_eq!(since(&follow), Some(5));
+    assert_eq!(follow.handle(ms(1), changed(8)).value, Some(item(8)));
+    assert_eq!(since(&follow), Some(8));
+    assert_eq!(follow.handle(ms(2), changed(8)).value, None);
+}
+
+#[test]
+fn a_quiet_watch_moves_on() {
+    let mut follow = reading();
+    assert_eq!(follow.handle(ms(1), unchanged(40)).value, None);
+    assert_eq!(since(&follow), Some(40));
+}
+
+#[test]
+fn an_older_value_never_comes_back() {
+    let mut follow = reading();
+    follow.handle(ms(1), changed(9));
+    assert_eq!(follow.handle(ms(2), changed(7)).value, None);
+    follow.handle(ms(3), Event::Watched(Err(Fault::Unreachable)));
+    assert_eq!(
+        follow.handle(ms(4), Event::Read(Ok(Some(item(6))))).value,
+        None
+    );
+}
+
+/// What a cut watch may have hidden is read.
+#[test]
+fn a_failed_watch_is_followed_by_a_read() {
+    let mut follow = reading();
+    let outcome = follow.handle(ms(1), Event::Watched(Err(Fault::Malformed)));
+    assert_eq!(outcome.change, Some(Change::Lost(Fault::Malformed)));
+    assert!(outcome.pause > Duration::ZERO);
+    assert_eq!(follow.next(), Action::Read);
+}
+
+#[test]
+fn pauses_grow_to_their_limit_and_the_return_is_told_once() {
+    let mut follow = reading();
+    let mut longest = Duration::ZERO;
+    for _ in 0..20 {
+        let outcome = follow.handle(ms(1), Event::Read(Err(Fault::Unreachable)));
+        longest = longest.max(outcome.pause);
+    }
+    let settings = Settings::default();
+    assert!(longest > settings.backoff.max / 2 && longest <= settings.backoff.max);
+    let back = follow.handle(ms(2), Event::Read(Ok(Some(item(5)))));
+    assert_eq!(
+        (back.change, back.pause),
+        (Some(Change::Regained), Duration::ZERO)
+    );
+    assert_eq!(follow.handle(ms(3), unchanged(6)).change, None);
+}
+
+#[test]
+fn a_value_is_confirmed_only_for_a_while() {
+    let mut follow = reading();
+    assert!(follow.is_confirmed(ms(100)));
+    assert!(!follow.is_confirmed(Settings::default().confirmed));
+    follow.handle(ms(5_000), unchanged(6));
+    assert!(follow.is_confirmed(ms(5_100)));
+}
+
+#[test]
+fn a_missing_key_is_read_again_after_a_pause() {
+    let mut follow = follow();
+    let outcome = follow.handle(ms(0), Event::Read(Ok(None)));
+    assert!(outcome.pause > Duration::ZERO && outcome.value.is_none());
+    assert_eq!(follow.next(), Action::Read);
+}
--- a/roles/app/src/carried/reader.rs
+++ b/roles/app/src/carried/reader.rs
@@ -70,7 +70,7 @@
     let read = move || {
         loop {
             match receiver.try_receive() {
-                Ok(Some(received)) => handle(Input::Arrived(received)),
+                Ok(Some(frame)) => handle(Input::Arrived(frame)),
                 // What could not be read is counted by the port.
                 Ok(None) => {}
                 Err(error) if is_quiet(&error) => handle(Input::Quiet),
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -52,7 +52,7 @@
 
 /// Time that a stopping gateway goes on carrying packets, so that the platform
 /// sends them elsewhere first: four of its questions whether it takes traffic.
-const LINGER: Duration = Duration::from_millis(2_000);
+const LINGER: Duration = Duration::from_secs(2);
 
 /// Runs the gateway until it has stopped.
 ///
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -151,8 +151,8 @@
 
     /// Asks other entries for the backend servers of services that are new here.
     fn need_services(&mut self, now: Duration, routes: &Routes) {
-        let routed = routes.table.routes.values();
-        let shares = routed.flat_map(|route| &route.shares);
+        let all = routes.table.routes.values();
+        let shares = all.flat_map(|route| &route.shares);
         let services: BTreeSet<ServiceAddress> = shares.map(|share| share.service).collect();
         for service in services {
             if self.needed.insert(service) {
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -133,7 +133,8 @@
         store,
     };
     let stopped = stopped(sender, traffic);
-    executor.run(control.run(&host).or(stopped)).await;
+    let control = Box::pin(control.run(&host));
+    executor.run(control.or(stopped)).await;
     Ok(())
 }
 
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -173,12 +173,12 @@
                 bids,
             } => self.reset(&flow, sequence, reason, &bids),
             Action::Answered { took } => record(&self.report.request_time, took),
-            decision => self.decided(decision),
+            decision => self.decided(&decision),
         }
     }
 
     /// Counts and logs a decision that has been carried out.
-    fn decided(&self, decision: Action) {
+    fn decided(&self, decision: &Action) {
         let counts = &self.report.counts;
         match decision {
             Action::Taken {
@@ -190,12 +190,12 @@
             } => {
                 counts.add("carried.flows.taken", "");
                 self.log(&log::Event::FlowTaken {
-                    flow: name(&flow),
+                    flow: name(flow),
                     wait_us: bid.wait.as_micros(),
                     held_us: bid.held.as_micros(),
-                    running,
-                    held,
-                    entry,
+                    running: *running,
+                    held: *held,
+                    entry: *entry,
                 });
             }
             Action::Passed {
@@ -210,24 +210,26 @@
                     Err(closed) => format!("{closed:?}").to_lowercase(),
                 };
                 self.log(&log::Event::FlowPassed {
-                    flow: name(&flow),
+                    flow: name(flow),
                     bid,
-                    to,
-                    settled: is_settled,
+                    to: *to,
+                    settled: *is_settled,
                 });
             }
             Action::Probed { flow } => {
                 counts.add("carried.tries", "");
-                let flow = name(&flow);
+                let flow = name(flow);
                 self.log(&log::Event::FlowTried { flow });
             }
             Action::Returned { flow, was_held } => {
                 counts.add("carried.returned", "");
-                let flow = name(&flow);
+                let flow = name(flow);
+                let was_held = *was_held;
                 self.log(&log::Event::FlowReturned { flow, was_held });
             }
             Action::Ended { flows } => {
                 counts.add("carried.servers.ended", "");
+                let flows = *flows;
                 self.log(&log::Event::ServerEnded { flows });
             }
             Action::Dropped(Drop::Probing) => self.drop_packet("probing"),
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -9,7 +9,9 @@
 mod bid;
 mod flow;
 mod memory;
+mod opening;
 mod settings;
+mod unknown;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -24,7 +26,6 @@
 use wire::Transit;
 use wire::segment::Kind;
 use wire::transit;
-use wire::transit::Absent;
 use wire::transit::Carry;
 use wire::transit::Open;
 
@@ -35,10 +36,11 @@
 pub use backend::Backend;
 pub use backend::State;
 pub use bid::Bid;
-use bid::Verdict;
 use flow::Flow;
 use memory::Memory;
 pub use settings::Settings;
+use unknown::ended;
+use unknown::not_here;
 
 /// What happens to an agent.
 #[derive(Clone, Debug)]
@@ -239,107 +241,10 @@
         }
     }
 
-    fn open(&mut self, now: Duration, open: Open, segment: Segment, actions: &mut Vec<Action>) {
-        let flow = segment.from_caller();
-        if let Some(held) = self.flows.get_mut(&flow) {
-            held.used = now;
-            held.entry = Some(open.entry);
-            actions.push(Action::Deliver(open.packet));
-            return self.tell(now, flow, open.entry, actions);
-        }
-        match self.passed.get(now, &flow) {
-            Some(passed) if !open.is_settled => return pass(passed.clone(), actions),
-            _ => {}
-        }
-        let bid = self.bid(now);
-        match bid::decide(open, bid.ok()) {
-            Verdict::Take(open) => self.take(now, flow, open, bid.unwrap_or_default(), actions),
-            Verdict::Pass(open) => {
-                self.passed.insert(now, flow, open.clone());
-                actions.push(Action::Passed {
-                    flow,
-                    bid,
-                    to: open.path[usize::from(open.position)].target,
-                    is_settled: open.is_settled,
-                });
-                self.tell_busy(now, open.entry, actions);
-                pass(open, actions);
-            }
-            Verdict::Refuse(open) => actions.push(Action::Reset {
-                flow,
-                sequence: segment.acknowledged,
-                reason: Refusal::NoSlot,
-                bids: open.bids,
-            }),
-        }
-    }
-
-    /// What a new flow can expect here, or why none is taken.
-    fn bid(&self, now: Duration) -> Result<Bid, Closed> {
-        let load = self.load(now);
-        match self.closed(now) {
-            Some(reason) => Err(reason),
-            None => Ok(Bid {
-                wait: load.wait(),
-                held: load.held(),
-            }),
-        }
-    }
-
-    fn take(
-        &mut self,
-        now: Duration,
-        flow: FlowId,
-        open: Open,
-        bid: Bid,
-        actions: &mut Vec<Action>,
-    ) {
-        actions.push(Action::Taken {
-            flow,
-            bid,
-            running: self.occupancy.running(),
-            held: self.flows.len(),
-            entry: open.entry,
-        });
-        let start = self.occupancy.begin(now);
-        self.unanswered.get_or_insert(now);
-        let entry = open.entry;
-        actions.push(Action::Deliver(open.packet.clone()));
-        self.flows.insert(flow, Flow::opening(now, start, open));
-        self.passed.remove(&flow);
-        self.tell(now, flow, entry, actions);
-    }
-
-    /// Names this agent as the holder of a flow.
-    fn tell(&self, now: Duration, flow: FlowId, entry: SocketAddr, actions: &mut Vec<Action>) {
-        let held = transit::Held {
-            flow,
-            holder: self.own,
-            load: self.load(now),
-        };
-        actions.push(Action::Send {
-            to: entry,
-            transit: Transit::Held(held),
-        });
-    }
-
-    /// Tells an entry that its view of the load here is too good.
-    fn tell_busy(&self, now: Duration, entry: SocketAddr, actions: &mut Vec<Action>) {
-        let mut load = self.load(now);
-        if self.closed(now).is_some() {
-            load.running = load.running.max(load.slots + self.settings.queue);
-        }
-        let target = self.own.target;
-        actions.push(Action::Send {
-            to: entry,
-            transit: Transit::Busy(transit::Busy { target, load }),
-        });
-    }
-
     fn carry(&mut self, now: Duration, carry: Carry, segment: Segment, actions: &mut Vec<Action>) {
         let flow = segment.from_caller();
         if carry.target != self.own.target {
-            return self.not_here(flow, carry, actions);
+            return not_here(flow, carry, actions);
         }
         if self.flows.contains_key(&flow) {
             return self.deliver(now, flow, carry, segment, actions);
@@ -356,38 +261,12 @@
             });
         }
         if self.dead.get(now, &flow).is_some() {
-            return self.ended(flow, segment, actions);
+            return ended(flow, &segment, actions);
         }
         if self.may_hold(now, &flow) {
             self.probe(now, flow, carry, actions);
         } else {
-            self.not_here(flow, carry, actions);
-        }
-    }
-
-    /// Whether the backend server may hold an unknown flow from before this
-    /// process started.
-    fn may_hold(&self, now: Duration, flow: &FlowId) -> bool {
-        self.has_past
-            && now < self.started + self.settings.oldest_flow
-            && self.absent.get(now, flow).is_none()
-            && self.dead.get(now, flow).is_none()
-    }
-
-    /// Takes a packet whose holder is not known. Who does not hold the flow says
-    /// nothing, which saves an answer from each of many agents.
-    fn seek(&mut self, now: Duration, carry: Carry, segment: Segment, actions: &mut Vec<Action>) {
-        let flow = segment.from_caller();
-        if carry.target != self.own.target {
-            return;
-        }
-        if self.flows.contains_key(&flow) {
-            let entry = carry.entry;
-            self.deliver(now, flow, carry, segment, actions);
-            return self.tell(now, flow, entry, actions);
-        }
-        if self.may_hold(now, &flow) && carry.may_try {
-            self.probe(now, flow, carry, actions);
+            not_here(flow, carry, actions);
         }
     }
 
@@ -410,47 +289,6 @@
         actions.push(Action::Deliver(carry.packet));
     }
 
-    /// Delivers a packet of an unknown flow to learn whether it is held.
-    fn probe(&mut self, now: Duration, flow: FlowId, carry: Carry, actions: &mut Vec<Action>) {
-        let before = self.probes.get(now, &flow).copied();
-        let is_waiting = before
-            .is_some_and(|probe| probe.tries >= MAX_TRIES || now < probe.at + self.settings.probe);
-        if is_waiting {
-            return actions.push(Action::Dropped(Drop::Probing));
-        }
-        let probe = Probe {
-            entry: carry.entry,
-            at: now,
-            tries: before.map_or(1, |probe| probe.tries + 1),
-        };
-        self.probes.insert(now, flow, probe);
-        actions.push(Action::Probed { flow });
-        actions.push(Action::Deliver(carry.packet));
-    }
-
-    /// Tells the caller that the backend server of its flow has ended.
-    fn ended(&self, flow: FlowId, segment: Segment, actions: &mut Vec<Action>) {
-        if segment.kind != Kind::Reset {
-            actions.push(Action::Reset {
-                flow,
-                sequence: segment.acknowledged,
-                reason: Refusal::ServerEnded,
-                bids: Vec::new(),
-            });
-        }
-    }
-
-    fn not_here(&self, flow: FlowId, carry: Carry, actions: &mut Vec<Action>) {
-        actions.push(Action::Send {
-            to: carry.entry,
-            transit: Transit::Absent(Absent {
-                flow,
-                target: carry.target,
-                packet: carry.packet,
-            }),
-        });
-    }
-
     /// Takes a packet that the backend server handed back.
     fn returned(
         &mut self,
@@ -483,33 +321,7 @@
                 may_try: false,
                 packet,
             };
-            self.not_here(flow, carry, actions);
-        }
-    }
-
-    /// Passes on an opening packet that the backend server did not accept.
-    fn unaccepted(
-        &mut self,
-        now: Duration,
-        flow: FlowId,
-        segment: Segment,
-        held: Option<Flow>,
-        packet: Bytes,
-        actions: &mut Vec<Action>,
-    ) {
-        let open = held.and_then(|flow| flow.open);
-        match open.map(|open| bid::decide(Open { packet, ..open }, None)) {
-            Some(Verdict::Pass(open)) => {
-                self.passed.insert(now, flow, open.clone());
-                pass(open, actions);
-            }
-            Some(Verdict::Take(open) | Verdict::Refuse(open)) => actions.push(Action::Reset {
-                flow,
-                sequence: segment.acknowledged,
-                reason: Refusal::NotAccepted,
-                bids: open.bids,
-            }),
-            None => {}
+            not_here(flow, carry, actions);
         }
     }
 
@@ -591,10 +403,3 @@
         self.probes.expire(now);
     }
 }
-
-fn pass(open: Open, actions: &mut Vec<Action>) {
-    actions.push(Action::Send {
-        to: open.path[usize::from(open.position)].address,
-        transit: Transit::Open(open),
-    });
-}
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -26,8 +26,7 @@
     timeout: Duration,
     /// When the request under way was last heard of, if any.
     begun: Duration,
-    /// Whether the flow is older than this process.
-    is_found: bool,
+    origin: Origin,
     /// Whether `start` keeps a slot for a request that is yet to come, or that
     /// may be none.
     is_reserved: bool,
@@ -39,6 +38,15 @@
     has_server_ended: bool,
 }
 
+/// Whether all of a flow was seen here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// It was opened through this process.
+    Taken,
+    /// It is older than this process.
+    Found,
+}
+
 impl Flow {
     /// A flow whose opening packet goes to the backend server now.
     pub fn opening(now: Duration, start: Start, open: Open) -> Self {
@@ -48,7 +56,7 @@
             timeout: Duration::from_millis(u64::from(open.patience_ms)),
             open: Some(open),
             is_reserved: true,
-            is_found: false,
+            origin: Origin::Taken,
             ..Self::found(now)
         }
     }
@@ -62,7 +70,7 @@
             used: now,
             timeout: UNKNOWN_TIMEOUT,
             begun: now,
-            is_found: true,
+            origin: Origin::Found,
             is_reserved: false,
             requests: 0,
             position: None,
@@ -94,7 +102,7 @@
         }
         self.start = self.start.map(|start| start.moved(now));
         // The first content of a flow from before this process may be a repeat.
-        self.is_reserved = self.is_found && self.requests == 0;
+        self.is_reserved = self.origin == Origin::Found && self.requests == 0;
         self.begun = now;
         self.requests = self.requests.saturating_add(1);
         self.requests > 1
--- /dev/null
+++ b/roles/forward/src/agent/opening.rs
@@ -0,0 +1,163 @@
+//! Takes new flows, or passes them on.
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use wire::FlowId;
+use wire::Segment;
+use wire::Transit;
+use wire::transit;
+use wire::transit::Open;
+
+use super::Action;
+use super::Agent;
+use super::Bid;
+use super::Closed;
+use super::Refusal;
+use super::bid;
+use super::bid::Verdict;
+use super::flow::Flow;
+
+impl Agent {
+    pub(super) fn open(
+        &mut self,
+        now: Duration,
+        open: Open,
+        segment: Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = segment.from_caller();
+        if let Some(held) = self.flows.get_mut(&flow) {
+            held.used = now;
+            held.entry = Some(open.entry);
+            actions.push(Action::Deliver(open.packet));
+            return self.tell(now, flow, open.entry, actions);
+        }
+        match self.passed.get(now, &flow) {
+            Some(passed) if !open.is_settled => return pass(passed.clone(), actions),
+            _ => {}
+        }
+        let bid = self.bid(now);
+        match bid::decide(open, bid.ok()) {
+            Verdict::Take(open) => self.take(now, flow, open, bid.unwrap_or_default(), actions),
+            Verdict::Pass(open) => {
+                self.passed.insert(now, flow, open.clone());
+                actions.push(Action::Passed {
+                    flow,
+                    bid,
+                    to: open.path[usize::from(open.position)].target,
+                    is_settled: open.is_settled,
+                });
+                self.tell_busy(now, open.entry, actions);
+                pass(open, actions);
+            }
+            Verdict::Refuse(open) => actions.push(Action::Reset {
+                flow,
+                sequence: segment.acknowledged,
+                reason: Refusal::NoSlot,
+                bids: open.bids,
+            }),
+        }
+    }
+
+    /// What a new flow can expect here, or why none is taken.
+    fn bid(&self, now: Duration) -> Result<Bid, Closed> {
+        let load = self.load(now);
+        match self.closed(now) {
+            Some(reason) => Err(reason),
+            None => Ok(Bid {
+                wait: load.wait(),
+                held: load.held(),
+            }),
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: Duration,
+        flow: FlowId,
+        open: Open,
+        bid: Bid,
+        actions: &mut Vec<Action>,
+    ) {
+        actions.push(Action::Taken {
+            flow,
+            bid,
+            running: self.occupancy.running(),
+            held: self.flows.len(),
+            entry: open.entry,
+        });
+        let start = self.occupancy.begin(now);
+        self.unanswered.get_or_insert(now);
+        let entry = open.entry;
+        actions.push(Action::Deliver(open.packet.clone()));
+        self.flows.insert(flow, Flow::opening(now, start, open));
+        self.passed.remove(&flow);
+        self.tell(now, flow, entry, actions);
+    }
+
+    /// Names this agent as the holder of a flow.
+    pub(super) fn tell(
+        &self,
+        now: Duration,
+        flow: FlowId,
+        entry: SocketAddr,
+        actions: &mut Vec<Action>,
+    ) {
+        let held = transit::Held {
+            flow,
+            holder: self.own,
+            load: self.load(now),
+        };
+        actions.push(Action::Send {
+            to: entry,
+            transit: Transit::Held(held),
+        });
+    }
+
+    /// Tells an entry that its view of the load here is too good.
+    fn tell_busy(&self, now: Duration, entry: SocketAddr, actions: &mut Vec<Action>) {
+        let mut load = self.load(now);
+        if self.closed(now).is_some() {
+            load.running = load.running.max(load.slots + self.settings.queue);
+        }
+        let target = self.own.target;
+        actions.push(Action::Send {
+            to: entry,
+            transit: Transit::Busy(transit::Busy { target, load }),
+        });
+    }
+
+    /// Passes on an opening packet that the backend server did not accept.
+    pub(super) fn unaccepted(
+        &mut self,
+        now: Duration,
+        flow: FlowId,
+        segment: Segment,
+        held: Option<Flow>,
+        packet: Bytes,
+        actions: &mut Vec<Action>,
+    ) {
+        let open = held.and_then(|flow| flow.open);
+        match open.map(|open| bid::decide(Open { packet, ..open }, None)) {
+            Some(Verdict::Pass(open)) => {
+                self.passed.insert(now, flow, open.clone());
+                pass(open, actions);
+            }
+            Some(Verdict::Take(open) | Verdict::Refuse(open)) => actions.push(Action::Reset {
+                flow,
+                sequence: segment.acknowledged,
+                reason: Refusal::NotAccepted,
+                bids: open.bids,
+            }),
+            None => {}
+        }
+    }
+}
+
+fn pass(open: Open, actions: &mut Vec<Action>) {
+    actions.push(Action::Send {
+        to: open.path[usize::from(open.position)].address,
+        transit: Transit::Open(open),
+    });
+}
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -47,8 +47,8 @@
             mute: Duration::from_millis(150),
             reservation: Duration::from_millis(500),
             probe: Duration::from_secs(1),
-            oldest_flow: Duration::from_secs(60),
-            idle: Duration::from_secs(60),
+            oldest_flow: Duration::from_mins(1),
+            idle: Duration::from_mins(1),
             linger: Duration::from_secs(4),
             sweep: Duration::from_millis(100),
         }
--- /dev/null
+++ b/roles/forward/src/agent/unknown.rs
@@ -0,0 +1,98 @@
+//! Finds out whether the backend server holds flows from before this process.
+use std::time::Duration;
+
+use wire::FlowId;
+use wire::Segment;
+use wire::Transit;
+use wire::segment::Kind;
+use wire::transit::Absent;
+use wire::transit::Carry;
+
+use super::Action;
+use super::Agent;
+use super::Drop;
+use super::MAX_TRIES;
+use super::Probe;
+use super::Refusal;
+
+impl Agent {
+    /// Whether the backend server may hold an unknown flow from before this
+    /// process started.
+    pub(super) fn may_hold(&self, now: Duration, flow: &FlowId) -> bool {
+        self.has_past
+            && now < self.started + self.settings.oldest_flow
+            && self.absent.get(now, flow).is_none()
+            && self.dead.get(now, flow).is_none()
+    }
+
+    /// Takes a packet whose holder is not known. Who does not hold the flow says
+    /// nothing, which saves an answer from each of many agents.
+    pub(super) fn seek(
+        &mut self,
+        now: Duration,
+        carry: Carry,
+        segment: Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = segment.from_caller();
+        if carry.target != self.own.target {
+            return;
+        }
+        if self.flows.contains_key(&flow) {
+            let entry = carry.entry;
+            self.deliver(now, flow, carry, segment, actions);
+            return self.tell(now, flow, entry, actions);
+        }
+        if self.may_hold(now, &flow) && carry.may_try {
+            self.probe(now, flow, carry, actions);
+        }
+    }
+
+    /// Delivers a packet of an unknown flow to learn whether it is held.
+    pub(super) fn probe(
+        &mut self,
+        now: Duration,
+        flow: FlowId,
+        carry: Carry,
+        actions: &mut Vec<Action>,
+    ) {
+        let before = self.probes.get(now, &flow).copied();
+        let is_waiting = before
+            .is_some_and(|probe| probe.tries >= MAX_TRIES || now < probe.at + self.settings.probe);
+        if is_waiting {
+            return actions.push(Action::Dropped(Drop::Probing));
+        }
+        let probe = Probe {
+            entry: carry.entry,
+            at: now,
+            tries: before.map_or(1, |probe| probe.tries + 1),
+        };
+        self.probes.insert(now, flow, probe);
+        actions.push(Action::Probed { flow });
+        actions.push(Action::Deliver(carry.packet));
+    }
+}
+
+/// Tells the caller that the backend server of its flow has ended.
+pub(super) fn ended(flow: FlowId, segment: &Segment, actions: &mut Vec<Action>) {
+    if segment.kind != Kind::Reset {
+        actions.push(Action::Reset {
+            flow,
+            sequence: segment.acknowledged,
+            reason: Refusal::ServerEnded,
+            bids: Vec::new(),
+        });
+    }
+}
+
+/// Returns a packet to its entry, which searches on.
+pub(super) fn not_here(flow: FlowId, carry: Carry, actions: &mut Vec<Action>) {
+    actions.push(Action::Send {
+        to: carry.entry,
+        transit: Transit::Absent(Absent {
+            flow,
+            target: carry.target,
+            packet: carry.packet,
+        }),
+    });
+}
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -5,6 +5,7 @@
 //! service.
 mod action;
 mod flow;
+mod search;
 mod settings;
 
 use std::collections::HashMap;
@@ -37,7 +38,6 @@
 pub use action::Refusal;
 use flow::Flow;
 use flow::Phase;
-use flow::Stage;
 pub use settings::Settings;
 
 /// What happens to an entry.
@@ -188,7 +188,7 @@
         let routes = Arc::clone(&self.routes);
         let is_routed = routes.route(passing.segment.destination).is_some();
         match passing.segment.kind {
-            _ if !is_routed => self.unrouted(passing),
+            _ if !is_routed => self.unrouted(&passing.segment, passing.actions),
             Kind::Open => self.open(&routes, passing),
             Kind::Accept => passing.actions.push(Action::Dropped(Drop::Direction)),
             Kind::Data | Kind::Close | Kind::Reset => self.carry(&routes, passing),
@@ -197,16 +197,15 @@
 
     /// Answers a packet to an address without a route. While the configuration
     /// may have changed unseen, callers are left to repeat.
-    fn unrouted(&mut self, passing: Passing<'_>) {
-        let segment = passing.segment;
+    fn unrouted(&mut self, segment: &Segment, actions: &mut Vec<Action>) {
         let flow = segment.from_caller();
         self.flows.remove(&flow);
         match segment.kind {
             Kind::Reset => {}
             _ if !self.routes.is_confirmed => {
-                passing.actions.push(Action::Dropped(Drop::Unconfirmed));
+                actions.push(Action::Dropped(Drop::Unconfirmed));
             }
-            _ => passing.actions.push(Action::Reset {
+            _ => actions.push(Action::Reset {
                 flow,
                 sequence: segment.acknowledged,
                 reason: Refusal::NoRoute,
@@ -239,7 +238,7 @@
         }
         let path = self.path(routes, &passing, &tried);
         if path.is_empty() {
-            return self.unserved(routes, passing);
+            return self.unserved(routes, &passing.segment, passing.now, passing.actions);
         }
         self.send_open(routes, path, tried, passing);
     }
@@ -266,22 +265,27 @@
 
     /// Refuses a flow for which there is no backend server. A young entry may
     /// not know them yet.
-    fn unserved(&mut self, routes: &Routes, passing: Passing<'_>) {
-        let is_young = passing.now < self.started + self.settings.warm_up;
-        let flow = passing.segment.from_caller();
+    fn unserved(
+        &self,
+        routes: &Routes,
+        segment: &Segment,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_young = now < self.started + self.settings.warm_up;
+        let flow = segment.from_caller();
         let is_known = routes
             .route(flow.service)
             .is_some_and(|route| routes.holders(route).next().is_some());
-        let action = if is_young && !is_known {
+        actions.push(if is_young && !is_known {
             Action::Dropped(Drop::Young)
         } else {
             Action::Reset {
                 flow,
-                sequence: passing.segment.acknowledged,
+                sequence: segment.acknowledged,
                 reason: Refusal::NoServer,
             }
-        };
-        passing.actions.push(action);
+        });
     }
 
     fn send_open(
@@ -366,105 +370,6 @@
         });
     }
 
-    /// Searches for the holder of a flow, which is not `absent`: in the own
-    /// availability zone first.
-    fn seek(&mut self, routes: &Routes, absent: Option<TargetId>, passing: Passing<'_>) {
-        let flow = passing.segment.from_caller();
-        let seeking = flow::Seeking {
-            stage: Stage::Near,
-            sent: passing.now,
-            packet: passing.packet,
-            may_try: self.knows_all(passing.now),
-            absent,
-            waiting: Vec::new(),
-        };
-        self.ask(routes, flow, &seeking, passing.actions);
-        self.searches.push_back(flow);
-        self.remember(passing.now, flow, Phase::Seeking(seeking));
-    }
-
-    /// Asks the agents of a stage of a search.
-    fn ask(
-        &self,
-        routes: &Routes,
-        flow: FlowId,
-        seeking: &flow::Seeking,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(route) = routes.route(flow.service) else {
-            return;
-        };
-        let is_near = seeking.stage == Stage::Near;
-        let mut asked = 0;
-        for target in routes.holders(route) {
-            let is_asked = (target.zone == self.zone) == is_near;
-            if !is_asked || seeking.absent == Some(target.id) {
-                continue;
-            }
-            asked += 1;
-            actions.push(Action::Send {
-                to: target.address,
-                transit: Transit::Seek(Carry {
-                    target: target.id,
-                    entry: self.address,
-                    may_try: seeking.may_try,
-                    packet: seeking.packet.clone(),
-                }),
-            });
-        }
-        actions.push(Action::Sought {
-            flow,
-            asked,
-            may_try: seeking.may_try,
-        });
-    }
-
-    /// Takes the searches further that have had no answer.
-    fn search_on(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let routes = Arc::clone(&self.routes);
-        let knows_all = self.knows_all(now);
-        while let Some(flow) = self.searches.front().copied() {
-            let Some(held) = self.flows.get_mut(&flow) else {
-                self.searches.pop_front();
-                continue;
-            };
-            let Phase::Seeking(seeking) = &mut held.phase else {
-                self.searches.pop_front();
-                continue;
-            };
-            let wait = match seeking.stage {
-                Stage::Near => self.settings.near,
-                Stage::Far => self.settings.answer,
-            };
-            if now < seeking.sent + wait {
-                return;
-            }
-            self.searches.pop_front();
-            seeking.sent = now;
-            match seeking.stage {
-                Stage::Near => seeking.stage = Stage::Far,
-                Stage::Far if !seeking.may_try => {
-                    seeking.stage = Stage::Near;
-                    seeking.may_try = knows_all;
-                }
-                Stage::Far => {
-                    held.phase = Phase::Lost;
-                    held.used = now;
-                    actions.push(Action::Vanished { flow });
-                    continue;
-                }
-            }
-            // Until all agents are known, those that know their flows were asked.
-            let asks_again = seeking.stage == Stage::Far || seeking.may_try;
-            self.searches.push_back(flow);
-            if asks_again
-                && let Some(Phase::Seeking(seeking)) = self.flows.get(&flow).map(|held| &held.phase)
-            {
-                self.ask(&routes, flow, seeking, actions);
-            }
-        }
-    }
-
     fn held(&mut self, now: Duration, held: &Held, actions: &mut Vec<Action>) {
         self.place.learn(now, held.holder.target, held.load);
         let before = self.flows.remove(&held.flow);
--- /dev/null
+++ b/roles/forward/tests/entry.rs
@@ -0,0 +1,321 @@
+//! The entry's side: which agent gets which packet.
+mod common;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::*;
+use forward::Entry;
+use forward::Route;
+use forward::Routes;
+use forward::entry::Action;
+use forward::entry::Drop;
+use forward::entry::Event;
+use forward::entry::Refusal;
+use forward::entry::Settings;
+use forward::routes::Share;
+use forward::routes::Table;
+use wire::FlowId;
+use wire::Target;
+use wire::TargetId;
+use wire::Transit;
+use wire::ZoneId;
+use wire::segment::Kind;
+use wire::target::State;
+use wire::transit;
+use wire::transit::Load;
+
+const HERE: ZoneId = 1;
+const THERE: ZoneId = 2;
+
+fn target(id: TargetId, zone: ZoneId, state: State) -> Target {
+    Target {
+        id,
+        service: service(),
+        address: hop(id).address,
+        control: hop(id).address,
+        zone,
+        incarnation: 1,
+        version: 1,
+        weight: 100,
+        slots: 2,
+        state,
+    }
+}
+
+fn routes(targets: Vec<Target>) -> Arc<Routes> {
+    let route = Route {
+        shares: vec![Share {
+            service: service(),
+            weight: 1,
+        }],
+        timeout: Duration::from_secs(1),
+        objective: ms(100),
+        priority: 1,
+    };
+    Arc::new(Routes {
+        table: Arc::new(Table {
+            version: 1,
+            routes: HashMap::from([(SERVICE.parse().unwrap(), route)]),
+            idle_timeout: Duration::from_secs(15),
+        }),
+        is_confirmed: true,
+        is_complete: true,
+        targets: HashMap::from([(service(), Arc::new(targets))]),
+    })
+}
+
+/// Time by which the agents are taken to be known.
+fn later() -> Duration {
+    let settings = Settings::default();
+    settings.first_view.max(settings.quiet)
+}
+
+fn entry_with(targets: Vec<Target>) -> Entry {
+    let mut core = Entry::new(Settings::default(), entry(), HERE, 1, ms(0));
+    handle(&mut core, ms(0), Event::Routes(routes(targets)));
+    core
+}
+
+fn two_zones() -> Vec<Target> {
+    vec![
+        target(1, HERE, State::Ready),
+        target(2, HERE, State::Ready),
+        target(3, THERE, State::Ready),
+    ]
+}
+
+fn handle(core: &mut Entry, now: Duration, event: Event) -> Vec<Action> {
+    let mut actions = Vec::new();
+    core.handle(now, event, &mut actions);
+    actions
+}
+
+fn send(core: &mut Entry, now: Duration, kind: Kind) -> Vec<Action> {
+    let segment = from_caller(9, kind, 0);
+    let packet = packet();
+    handle(core, now, Event::Packet { segment, packet })
+}
+
+fn copy(core: &mut Entry, now: Duration) -> Vec<Action> {
+    let segment = wire::Segment {
+        acknowledged: 1,
+        ..from_caller(9, Kind::Open, 0)
+    };
+    let packet = packet();
+    handle(core, now, Event::Packet { segment, packet })
+}
+
+fn flow() -> FlowId {
+    from_caller(9, Kind::Data, 0).from_caller()
+}
+
+fn held(core: &mut Entry, now: Duration, target: TargetId) -> Vec<Action> {
+    let held = transit::Held {
+        flow: flow(),
+        holder: hop(target),
+        load: Load::default(),
+    };
+    handle(core, now, Event::Held(held))
+}
+
+/// The backend servers whose agents get a frame, by its kind.
+fn sent(actions: &[Action], is_kind: impl Fn(&Transit) -> bool) -> Vec<TargetId> {
+    let sent = actions.iter().filter_map(|action| match action {
+        Action::Send { to, transit } if is_kind(transit) => Some(*to),
+        _ => None,
+    });
+    let mut targets: Vec<TargetId> = sent
+        .filter_map(|to| (1..=9).find(|id| hop(*id).address == to))
+        .collect();
+    targets.sort_unstable();
+    targets
+}
+
+fn opened(actions: &[Action]) -> Vec<TargetId> {
+    sent(actions, |transit| matches!(transit, Transit::Open(_)))
+}
+
+fn carried(actions: &[Action]) -> Vec<TargetId> {
+    sent(actions, |transit| matches!(transit, Transit::Carry(_)))
+}
+
+fn sought(actions: &[Action]) -> Vec<TargetId> {
+    sent(actions, |transit| matches!(transit, Transit::Seek(_)))
+}
+
+#[test]
+fn a_flow_opens_in_the_own_zone_and_stays_with_its_holder() {
+    let mut core = entry_with(two_zones());
+    let first = opened(&send(&mut core, ms(1), Kind::Open));
+    assert!(first == [1] || first == [2], "{first:?}");
+    held(&mut core, ms(2), 3);
+    assert_eq!(carried(&send(&mut core, ms(3), Kind::Data)), [3]);
+}
+
+#[test]
+fn a_packet_before_the_answer_follows_the_opening_packet() {
+    let mut core = entry_with(two_zones());
+    let first = opened(&send(&mut core, ms(1), Kind::Open));
+    assert_eq!(carried(&send(&mut core, ms(2), Kind::Data)), first);
+}
+
+#[test]
+fn a_copy_goes_where_the_opening_packet_went() {
+    let mut core = entry_with(two_zones());
+    send(&mut core, ms(1), Kind::Open);
+    held(&mut core, ms(2), 3);
+    assert_eq!(carried(&copy(&mut core, ms(200))), [3]);
+}
+
+#[test]
+fn a_copy_avoids_an_agent_that_did_not_answer() {
+    let mut core = entry_with(two_zones());
+    let first = opened(&send(&mut core, ms(1), Kind::Open));
+    let second = opened(&copy(&mut core, ms(201)));
+    assert_ne!(first, second);
+}
+
+#[test]
+fn draining_servers_get_no_flows() {
+    let targets = vec![
+        target(1, HERE, State::Draining),
+        target(2, THERE, State::Ready),
+    ];
+    let mut core = entry_with(targets);
+    assert_eq!(opened(&send(&mut core, ms(1), Kind::Open)), [2]);
+}
+
+#[test]
+fn without_a_server_a_flow_is_refused_at_once() {
+    let mut core = entry_with(vec![target(1, HERE, State::Draining)]);
+    let actions = send(&mut core, ms(1), Kind::Open);
+    let refused = matches!(
+        actions[..],
+        [Action::Reset {
+            reason: Refusal::NoServer,
+            ..
+        }]
+    );
+    assert!(refused, "{actions:?}");
+}
+
+/// A young entry that knows no server yet leaves the caller to repeat.
+#[test]
+fn a_young_entry_without_servers_refuses_nothing() {
+    let mut core = entry_with(Vec::new());
+    let actions = send(&mut core, ms(1), Kind::Open);
+    assert_eq!(actions, [Action::Dropped(Drop::Young)]);
+}
+
+#[test]
+fn an_address_without_a_route_is_refused_only_while_confirmed() {
+    let mut core = Entry::new(Settings::default(), entry(), HERE, 1, ms(0));
+    let actions = send(&mut core, ms(1), Kind::Open);
+    assert_eq!(actions, [Action::Dropped(Drop::Unconfirmed)]);
+    let empty = Routes {
+        is_confirmed: true,
+        ..Routes::default()
+    };
+    handle(&mut core, ms(2), Event::Routes(Arc::new(empty)));
+    let actions = send(&mut core, ms(3), Kind::Open);
+    assert!(matches!(actions[..], [Action::Reset { .. }]), "{actions:?}");
+}
+
+#[test]
+fn an_unknown_flow_is_sought_near_and_then_far() {
+    let mut core = entry_with(two_zones());
+    assert_eq!(sought(&send(&mut core, later(), Kind::Data)), [1, 2]);
+    let far = later() + Settings::default().near;
+    assert_eq!(sought(&handle(&mut core, far, Event::Tick)), [3]);
+}
+
+#[test]
+fn packets_wait_for_the_holder_that_is_sought() {
+    let mut core = entry_with(two_zones());
+    send(&mut core, later(), Kind::Data);
+    assert_eq!(send(&mut core, later(), Kind::Data), []);
+    assert_eq!(carried(&held(&mut core, later() + ms(5), 2)), [2]);
+    assert_eq!(carried(&send(&mut core, later() + ms(6), Kind::Data)), [2]);
+}
+
+#[test]
+fn a_flow_that_nobody_holds_is_dropped_without_a_reset() {
+    let mut core = entry_with(two_zones());
+    send(&mut core, later(), Kind::Data);
+    let mut actions = Vec::new();
+    for step in 1..10 {
+        actions.extend(handle(&mut core, later() + ms(50 * step), Event::Tick));
+    }
+    let reset = actions
+        .iter()
+        .any(|action| matches!(action, Action::Reset { .. }));
+    assert!(!reset, "{actions:?}");
+    let lost = later() + ms(500);
+    assert_eq!(
+        send(&mut core, lost, Kind::Data),
+        [Action::Dropped(Drop::Lost)]
+    );
+}
+
+/// Tries must reach the holder too, which may not be known yet.
+#[test]
+fn tries_wait_until_all_agents_are_known() {
+    let may_try = |actions: &[Action]| {
+        sent(
+            actions,
+            |transit| matches!(transit, Transit::Seek(carry) if carry.may_try),
+        )
+    };
+    let mut core = entry_with(two_zones());
+    assert_eq!(may_try(&send(&mut core, ms(100), Kind::Data)), []);
+    let mut tried = Vec::new();
+    for time in (100..1_500).step_by(50) {
+        tried.extend(may_try(&handle(&mut core, ms(time), Event::Tick)));
+        assert!(ms(time) >= later() || tried.is_empty(), "at {time} ms");
+    }
+    tried.sort_unstable();
+    assert_eq!(tried, [1, 2, 3]);
+}
+
+#[test]
+fn a_new_agent_delays_tries() {
+    let mut core = entry_with(two_zones());
+    let mut more = two_zones();
+    more.push(target(4, HERE, State::Draining));
+    handle(&mut core, later(), Event::Routes(routes(more)));
+    let actions = send(&mut core, later() + ms(1), Kind::Data);
+    let tries = sent(
+        &actions,
+        |transit| matches!(transit, Transit::Seek(carry) if carry.may_try),
+    );
+    assert_eq!(tries, []);
+    assert_eq!(sought(&actions), [1, 2, 4]);
+}
+
+#[test]
+fn a_holder_that_denies_a_flow_is_left_out_of_its_search() {
+    let mut core = entry_with(two_zones());
+    send(&mut core, ms(1), Kind::Open);
+    held(&mut core, ms(2), 1);
+    let absent = transit::Absent {
+        flow: flow(),
+        target: 1,
+        packet: packet(),
+    };
+    assert_eq!(
+        sought(&handle(&mut core, later(), Event::Absent(absent))),
+        [2]
+    );
+}
+
+#[test]
+fn flows_are_forgotten_once_they_are_idle() {
+    let mut core = entry_with(two_zones());
+    send(&mut core, ms(1), Kind::Open);
+    held(&mut core, ms(2), 1);
+    assert_eq!(core.len(), 1);
+    handle(&mut core, Duration::from_mins(1), Event::Tick);
+    assert!(core.is_empty());
+}
--- /dev/null
+++ b/roles/forward/tests/world/mod.rs
@@ -0,0 +1,525 @@
+//! A deployment of cores in memory: callers with long flows, entries, agents and
+//! backend servers that hold flows, under restarts.
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fastrand::Rng;
+use forward::Agent;
+use forward::Entry;
+use forward::Route;
+use forward::Routes;
+use forward::agent;
+use forward::agent::State;
+use forward::entry;
+use forward::routes::Share;
+use forward::routes::Table;
+use wire::FlowId;
+use wire::Segment;
+use wire::Target;
+use wire::TargetId;
+use wire::Transit;
+use wire::segment::Kind;
+use wire::target;
+
+use crate::common::backend;
+use crate::common::hop;
+use crate::common::ms;
+use crate::common::service;
+
+/// Time of a datagram between two processes.
+const WAY: Duration = Duration::from_millis(1);
+
+/// Time between two ticks of a process.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time after which a caller sends a packet again.
+const REPEAT: Duration = Duration::from_millis(200);
+
+/// What arrives somewhere.
+enum Event {
+    AtEntry(usize, Segment),
+    EntryFrame(usize, Transit),
+    AtAgent(TargetId, Transit),
+    AtServer(TargetId, Segment),
+    FromServer(TargetId, Segment),
+    AtCaller(Segment, bool),
+    Send(FlowId, u32, u32),
+    Announce(TargetId),
+    Tick,
+}
+
+/// What a caller knows of its flow.
+#[derive(Default)]
+struct Caller {
+    /// Requests sent, and the last that was answered.
+    sent: u32,
+    answered: u32,
+    is_open: bool,
+    /// Rises when the flow opens, which ends the copies of its opening packet.
+    phase: u32,
+}
+
+/// A deployment in memory.
+pub struct World {
+    pub now: Duration,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: HashMap<u64, Event>,
+    count: u64,
+    rng: Rng,
+    entries: Vec<Entry>,
+    agents: HashMap<TargetId, Agent>,
+    /// The flows that each backend server holds.
+    servers: HashMap<TargetId, HashSet<FlowId>>,
+    sequences: HashMap<TargetId, u64>,
+    callers: HashMap<FlowId, Caller>,
+    /// Packets at servers that do not hold their flow, since its own got one.
+    astray: HashMap<FlowId, (u32, Duration)>,
+    /// What went wrong.
+    pub faults: Vec<String>,
+}
+
+impl World {
+    pub fn new(entries: usize, servers: u64, seed: u64) -> Self {
+        let mut world = Self {
+            now: Duration::ZERO,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            count: 0,
+            rng: Rng::with_seed(seed),
+            entries: Vec::new(),
+            agents: HashMap::new(),
+            servers: HashMap::new(),
+            sequences: HashMap::new(),
+            callers: HashMap::new(),
+            astray: HashMap::new(),
+            faults: Vec::new(),
+        };
+        for id in 1..=servers {
+            world.servers.insert(id, HashSet::new());
+            world.sequences.insert(id, 10);
+            world.start_agent(id, false);
+        }
+        for _ in 0..entries {
+            let entry = world.new_entry();
+            world.entries.push(entry);
+        }
+        world.at(Duration::ZERO, Event::Tick);
+        world
+    }
+
+    /// Opens flows that each bring a request a second.
+    pub fn open_flows(&mut self, count: u16) {
+        for number in 0..count {
+            let caller = format!("100.64.{}.{}:4000", number / 250, number % 250 + 1);
+            let flow = FlowId {
+                caller: caller.parse().unwrap(),
+                service: crate::common::SERVICE.parse().unwrap(),
+            };
+            self.callers.insert(flow, Caller::default());
+            let start = ms(self.rng.u64(0..1_000));
+            self.at(start, Event::Send(flow, 0, 0));
+        }
+    }
+
+    pub fn run_until(&mut self, end: Duration) {
+        while let Some(Reverse((time, number))) = self.queue.pop() {
+            if time > end {
+                self.queue.push(Reverse((time, number)));
+                break;
+            }
+            self.now = time;
+            let event = self.events.remove(&number).unwrap();
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    pub fn restart_entry(&mut self, number: usize) {
+        self.entries[number] = self.new_entry();
+    }
+
+    /// Starts the agent anew beside its living backend server.
+    pub fn restart_agent(&mut self, id: TargetId) {
+        self.start_agent(id, true);
+    }
+
+    /// Adds a backend server that has never held a flow.
+    pub fn add_server(&mut self, id: TargetId) {
+        self.servers.insert(id, HashSet::new());
+        self.sequences.insert(id, 0);
+        self.start_agent(id, true);
+        self.publish();
+    }
+
+    /// Flows with a request that was not answered.
+    pub fn waiting(&self) -> usize {
+        let callers = self.callers.values();
+        callers
+            .filter(|caller| caller.answered < caller.sent)
+            .count()
+    }
+
+    pub fn open_count(&self) -> usize {
+        self.callers
+            .values()
+            .filter(|caller| caller.is_open)
+            .count()
+    }
+
+    fn new_entry(&self) -> Entry {
+        let settings = entry::Settings::default();
+        // Answers go to the entry that the flow's caller is sent to now.
+        let address = crate::common::entry();
+        let mut entry = Entry::new(settings, address, 1, 1, self.now);
+        entry.handle(
+            self.now,
+            entry::Event::Routes(self.routes()),
+            &mut Vec::new(),
+        );
+        entry
+    }
+
+    fn start_agent(&mut self, id: TargetId, has_past: bool) {
+        let settings = agent::Settings::default();
+        self.agents
+            .insert(id, Agent::new(settings, hop(id), has_past, self.now));
+        let wait = if has_past {
+            ms(self.rng.u64(0..1_000))
+        } else {
+            Duration::ZERO
+        };
+        self.at(wait, Event::Announce(id));
+    }
+
+    fn routes(&self) -> Arc<Routes> {
+        let target = |id: &TargetId| Target {
+            id: *id,
+            service: service(),
+            address: hop(*id).address,
+            control: hop(*id).address,
+            zone: if id.is_multiple_of(2) { 1 } else { 2 },
+            incarnation: 1,
+            version: 1,
+            weight: 100,
+            slots: 2,
+            state: target::State::Ready,
+        };
+        let route = Route {
+            shares: vec![Share {
+                service: service(),
+                weight: 1,
+            }],
+            timeout: Duration::from_secs(1),
+            objective: ms(100),
+            priority: 1,
+        };
+        Arc::new(Routes {
+            table: Arc::new(Table {
+                version: 1,
+                routes: HashMap::from([(crate::common::SERVICE.parse().unwrap(), route)]),
+                idle_timeout: Duration::from_secs(30),
+            }),
+            is_confirmed: true,
+            is_complete: true,
+            targets: HashMap::from([(
+                service(),
+                Arc::new(self.servers.keys().map(target).collect()),
+            )]),
+        })
+    }
+
+    fn publish(&mut self) {
+        let routes = self.routes();
+        for number in 0..self.entries.len() {
+            let mut actions = Vec::new();
+            let event = entry::Event::Routes(Arc::clone(&routes));
+            self.entries[number].handle(self.now, event, &mut actions);
+            self.entry_actions(actions);
+        }
+    }
+
+    fn at(&mut self, wait: Duration, event: Event) {
+        self.count += 1;
+        self.events.insert(self.count, event);
+        self.queue.push(Reverse((self.now + wait, self.count)));
+    }
+
+    /// The entry that the fabric sends a flow's packets to.
+    fn entry_of(&mut self, flow: &FlowId) -> usize {
+        let count = u64::try_from(self.entries.len()).unwrap();
+        usize::try_from(flow.caller_key() % count).unwrap()
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Send(flow, tries, phase) if phase == self.callers[&flow].phase => {
+                self.send(flow, tries);
+            }
+            Event::Send(..) => {}
+            Event::AtEntry(number, segment) => {
+                let packet = encode(&segment);
+                let event = entry::Event::Packet { segment, packet };
+                self.tell_entry(number, event);
+            }
+            Event::EntryFrame(number, transit) => match transit {
+                Transit::Held(held) => self.tell_entry(number, entry::Event::Held(held)),
+                Transit::Absent(absent) => self.tell_entry(number, entry::Event::Absent(absent)),
+                Transit::Busy(busy) => self.tell_entry(number, entry::Event::Busy(busy)),
+                Transit::Open(_) | Transit::Carry(_) | Transit::Seek(_) => {}
+            },
+            Event::AtAgent(id, transit) => {
+                let event = match transit {
+                    Transit::Open(open) => {
+                        let segment = decode(&open.packet);
+                        agent::Event::Open { open, segment }
+                    }
+                    Transit::Carry(carry) => {
+                        let segment = decode(&carry.packet);
+                        agent::Event::Carry { carry, segment }
+                    }
+                    Transit::Seek(carry) => {
+                        let segment = decode(&carry.packet);
+                        agent::Event::Seek { carry, segment }
+                    }
+                    _ => return,
+                };
+                self.tell_agent(id, event);
+            }
+            Event::AtServer(id, segment) => self.at_server(id, segment),
+            Event::FromServer(id, segment) => {
+                let packet = encode(&segment);
+                self.tell_agent(id, agent::Event::Server { segment, packet });
+            }
+            Event::AtCaller(segment, is_ours) => self.at_caller(&segment, is_ours),
+            Event::Announce(id) => {
+                let sequence = self.sequences.get_mut(&id).unwrap();
+                *sequence += 1;
+                let told = backend(id, 1, *sequence, State::Ready);
+                self.tell_agent(id, agent::Event::Backend(told));
+                self.at(Duration::from_secs(1), Event::Announce(id));
+            }
+            Event::Tick => {
+                for number in 0..self.entries.len() {
+                    self.tell_entry(number, entry::Event::Tick);
+                }
+                let ids: Vec<TargetId> = self.agents.keys().copied().collect();
+                for id in ids {
+                    self.tell_agent(id, agent::Event::Tick);
+                }
+                self.at(TICK, Event::Tick);
+            }
+        }
+    }
+
+    /// A caller sends its next request, or the last one again.
+    fn send(&mut self, flow: FlowId, tries: u32) {
+        let caller = self.callers.get_mut(&flow).unwrap();
+        if tries == 0 && caller.is_open {
+            caller.sent += 1;
+        }
+        let is_done = tries > 0 && caller.is_open && caller.answered == caller.sent;
+        let kind = if caller.is_open {
+            Kind::Data
+        } else {
+            Kind::Open
+        };
+        let (sent, phase, next) = (caller.sent, caller.phase, Duration::from_secs(1));
+        if is_done {
+            return self.at(
+                next.saturating_sub(REPEAT * tries),
+                Event::Send(flow, 0, phase),
+            );
+        }
+        let segment = Segment {
+            source: flow.caller,
+            destination: flow.service,
+            kind,
+            is_returned: false,
+            sequence: sent * 100,
+            acknowledged: if kind == Kind::Open { tries } else { 0 },
+            length: if kind == Kind::Data { 100 } else { 0 },
+            mark: 0,
+        };
+        let entry = self.entry_of(&flow);
+        self.at(WAY, Event::AtEntry(entry, segment));
+        let wait = REPEAT * 2_u32.pow(tries.min(3));
+        self.at(wait, Event::Send(flow, tries + 1, phase));
+    }
+
+    fn at_caller(&mut self, segment: &Segment, is_ours: bool) {
+        let flow = segment.from_server();
+        let caller = self.callers.get_mut(&flow).unwrap();
+        match segment.kind {
+            Kind::Accept if !caller.is_open => {
+                caller.is_open = true;
+                caller.phase += 1;
+                let phase = caller.phase;
+                self.at(Duration::ZERO, Event::Send(flow, 0, phase));
+            }
+            Kind::Reset if is_ours && caller.is_open => {
+                self.faults
+                    .push(format!("{:?}: {flow:?} was reset while open", self.now));
+            }
+            _ => caller.answered = caller.answered.max(segment.sequence / 100),
+        }
+    }
+
+    fn at_server(&mut self, id: TargetId, segment: Segment) {
+        let flow = segment.from_caller();
+        let holds = self.servers[&id].contains(&flow);
+        self.watch(id, &flow, holds, segment.kind);
+        let answer = |kind, length| Segment {
+            source: flow.service,
+            destination: flow.caller,
+            kind,
+            length,
+            ..segment
+        };
+        match segment.kind {
+            Kind::Open => {
+                self.servers.get_mut(&id).unwrap().insert(flow);
+                self.at(ms(1), Event::FromServer(id, answer(Kind::Accept, 0)));
+            }
+            _ if holds => self.at(ms(15), Event::FromServer(id, answer(Kind::Data, 50))),
+            _ => {
+                let returned = Segment {
+                    is_returned: true,
+                    ..segment
+                };
+                self.at(ms(1), Event::FromServer(id, returned));
+            }
+        }
+    }
+
+    /// Checks that no flow has three packets elsewhere and none at its own
+    /// server for two seconds.
+    fn watch(&mut self, id: TargetId, flow: &FlowId, holds: bool, kind: Kind) {
+        let is_open = self.callers[flow].is_open;
+        let is_held = self
+            .servers
+            .iter()
+            .any(|(other, flows)| *other != id && flows.contains(flow));
+        if holds || kind == Kind::Open || !is_open || !is_held {
+            self.astray.remove(flow);
+            return;
+        }
+        let now = self.now;
+        let (count, since) = self.astray.entry(*flow).or_insert((0, now));
+        *count += 1;
+        if *count >= 3 && now >= *since + Duration::from_secs(2) {
+            self.faults
+                .push(format!("{now:?}: {flow:?} went to others only"));
+        }
+    }
+
+    fn tell_entry(&mut self, number: usize, event: entry::Event) {
+        let mut actions = Vec::new();
+        self.entries[number].handle(self.now, event, &mut actions);
+        self.entry_actions(actions);
+    }
+
+    fn entry_actions(&mut self, actions: Vec<entry::Action>) {
+        for action in actions {
+            match action {
+                entry::Action::Send { to, transit } => self.frame(to, transit),
+                entry::Action::Reset { flow, .. } => self.reset(flow),
+                _ => {}
+            }
+        }
+    }
+
+    fn tell_agent(&mut self, id: TargetId, event: agent::Event) {
+        let mut actions = Vec::new();
+        let agent = self.agents.get_mut(&id).unwrap();
+        agent.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                agent::Action::Deliver(packet) => {
+                    self.at(ms(0), Event::AtServer(id, decode(&packet)));
+                }
+                agent::Action::ToCaller { packet, .. } => {
+                    self.at(WAY, Event::AtCaller(decode(&packet), false));
+                }
+                agent::Action::Send { to, transit } => self.frame(to, transit),
+                agent::Action::Reset { flow, .. } => self.reset(flow),
+                _ => {}
+            }
+        }
+    }
+
+    fn reset(&mut self, flow: FlowId) {
+        let segment = Segment {
+            source: flow.service,
+            destination: flow.caller,
+            kind: Kind::Reset,
+            is_returned: false,
+            sequence: 0,
+            acknowledged: 0,
+            length: 0,
+            mark: 0,
+        };
+        self.at(WAY, Event::AtCaller(segment, true));
+    }
+
+    fn frame(&mut self, to: SocketAddr, transit: Transit) {
+        let id = self
+            .agents
+            .keys()
+            .copied()
+            .find(|id| hop(*id).address == to);
+        match (id, &transit) {
+            (Some(id), _) => self.at(WAY, Event::AtAgent(id, transit)),
+            (None, Transit::Held(held)) => {
+                let entry = self.entry_of(&held.flow);
+                self.at(WAY, Event::EntryFrame(entry, transit));
+            }
+            (None, Transit::Absent(absent)) => {
+                let entry = self.entry_of(&absent.flow);
+                self.at(WAY, Event::EntryFrame(entry, transit));
+            }
+            (None, _) => {}
+        }
+    }
+}
+
+/// The header of a packet stands for all of it.
+fn encode(segment: &Segment) -> Bytes {
+    let kind = match segment.kind {
+        Kind::Open => 0,
+        Kind::Accept => 1,
+        Kind::Data => 2,
+        Kind::Close => 3,
+        Kind::Reset => 4,
+    };
+    Bytes::from(format!(
+        "{} {} {kind} {} {} {}",
+        segment.source, segment.destination, segment.sequence, segment.acknowledged, segment.length
+    ))
+}
+
+fn decode(packet: &Bytes) -> Segment {
+    let text = std::str::from_utf8(packet).unwrap();
+    let parts: Vec<&str> = text.split(' ').collect();
+    Segment {
+        source: parts[0].parse().unwrap(),
+        destination: parts[1].parse().unwrap(),
+        kind: match parts[2] {
+            "0" => Kind::Open,
+            "1" => Kind::Accept,
+            "2" => Kind::Data,
+            "3" => Kind::Close,
+            _ => Kind::Reset,
+        },
+        is_returned: false,
+        sequence: parts[3].parse().unwrap(),
+        acknowledged: parts[4].parse().unwrap(),
+        length: parts[5].parse().unwrap(),
+        mark: 0,
+    }
+}
