--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -106,7 +106,7 @@
     1007 Info Reloading { role: String }
         "{role} was told that its settings changed; they count from the next start", "nothing";
     1008 Info Unlogged { lines: u64 }
-        "{lines} log lines were dropped since the last line like this", "nothing; the counters have them all";
+        "{lines} log lines were dropped since the last line like this", "nothing";
     2001 Info InForce { service: ServiceAddress, revision: Revision }
         "revision {revision} of service {service} is in force here", "nothing";
     2002 Error NotBound { service: ServiceAddress, error: String }
