Take a server that may have lived before to be ready until it announces itself

Cause: after a power loss of all machines a sidecar took no flow until the next announcement of its server, 0.6 s on average and 1.2 s at most. Change: a sidecar that is not of the first start takes flows for at most two and a half announcement intervals before it hears one; a server that does not react to an opening packet within 150 ms gets no more.

--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -141,6 +141,7 @@
 fn core(host: &platform::Settings) -> Settings {
     let heard = host.heartbeat_ms.mul_f64(SILENT_HEARTBEATS);
     Settings {
+        assumed: heard,
         silence: heard.min(host.reuse_s.mul_f64(SILENCE_SHARE)),
         oldest_flow: host.oldest_flow_s,
         ..Settings::default()
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -162,8 +162,8 @@
         self.backend = Some(backend);
     }
 
-    /// Announces the backend server that the settings name as taking no flows:
-    /// it may hold some, and entries ask only agents that they know.
+    /// Announces the backend server that the settings name before it announces
+    /// itself: it may hold flows, and entries ask only agents that they know.
     pub fn announce_early(&mut self, now: Duration, host: &platform::Settings) {
         let Some(service) = host.service.as_ref() else {
             return;
@@ -189,7 +189,7 @@
             version: 0,
             weight: u32::from(slots).max(1) * WEIGHT_PER_SLOT,
             slots,
-            state: state(false),
+            state: state(self.traffic.is_open()),
         };
         let settings = member::Settings::default();
         Announcer::new(settings, target, self.seeds.clone(), fastrand::u64(..), now)
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -136,7 +136,7 @@
             heard: now,
             unanswered: None,
             is_stopping: false,
-            occupancy: Occupancy::new(1, settings.service_time),
+            occupancy: Occupancy::new(settings.assumed_slots, settings.service_time),
             held: Held::new(settings.held, now),
             flows: HashMap::new(),
             passed: Memory::new(settings.linger),
@@ -187,16 +187,23 @@
         let mute = self.unanswered.map(|since| since + settings.mute);
         match &self.backend {
             _ if self.is_stopping => Some(Closed::Stopping),
-            None => Some(Closed::Unknown),
+            None if !self.assumes_ready(now) => Some(Closed::Unknown),
             Some(backend) if backend.state != State::Ready => Some(Closed::NotReady),
             Some(_) if now >= self.heard + settings.silence => Some(Closed::Silent),
-            Some(_) if mute.is_some_and(|mute| now >= mute) => Some(Closed::Mute),
-            Some(_) if self.flows.len() >= settings.max_flows => Some(Closed::Flows),
-            Some(_) if self.occupancy.running() >= most => Some(Closed::Queue),
-            Some(_) => None,
+            _ if mute.is_some_and(|mute| now >= mute) => Some(Closed::Mute),
+            _ if self.flows.len() >= settings.max_flows => Some(Closed::Flows),
+            _ if self.occupancy.running() >= most => Some(Closed::Queue),
+            _ => None,
         }
     }
 
+    /// Whether the backend server is taken to be ready before it has announced
+    /// itself to this process: one that lives beside a process that was killed
+    /// serves on.
+    fn assumes_ready(&self, now: Duration) -> bool {
+        self.has_past && now < self.started + self.settings.assumed
+    }
+
     /// Whether the backend server is ready and was heard of lately.
     #[must_use]
     pub fn is_open(&self, now: Duration) -> bool {
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -15,6 +15,11 @@
     pub queue: u16,
     /// Flows that the backend server holds at most.
     pub max_flows: usize,
+    /// Time after the start in which a backend server that may have lived before
+    /// is taken to be ready. At least the time between two announcements.
+    pub assumed: Duration,
+    /// Slots of a backend server until it states them.
+    pub assumed_slots: u16,
     /// Time without an announcement after which the backend server takes no new
     /// flows. Shorter than the time after which its address may serve another
     /// service.
@@ -43,6 +48,8 @@
             held: held::Settings::default(),
             queue: 6,
             max_flows: 2_000,
+            assumed: Duration::from_secs(2),
+            assumed_slots: 2,
             silence: Duration::from_millis(1_900),
             mute: Duration::from_millis(150),
             reservation: Duration::from_millis(500),
--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -6,6 +6,7 @@
 use common::*;
 use forward::Agent;
 use forward::agent::Action;
+use forward::agent::Closed;
 use forward::agent::Event;
 use forward::agent::Settings;
 use forward::agent::State;
@@ -356,3 +357,26 @@
     handle(&mut agent, ms(200), request());
     assert!(!agent.is_busy());
 }
+
+/// A backend server that lives beside a killed process serves on at once.
+#[test]
+fn a_server_that_may_have_lived_before_is_taken_to_be_ready_for_a_while() {
+    let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
+    assert!(delivers(&open_at(&mut agent, ms(1), 9, open(&[OWN]))));
+    let late = Settings::default().assumed;
+    assert_eq!(agent.closed(late), Some(Closed::Unknown));
+}
+
+#[test]
+fn a_server_that_does_not_react_is_not_taken_to_be_ready() {
+    let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
+    open_at(&mut agent, ms(1), 9, open(&[OWN]));
+    let mute = ms(1) + Settings::default().mute;
+    assert_eq!(agent.closed(mute), Some(Closed::Mute));
+}
+
+#[test]
+fn a_server_of_the_first_start_is_waited_for() {
+    let agent = Agent::new(Settings::default(), hop(OWN), false, ms(0));
+    assert_eq!(agent.closed(ms(1)), Some(Closed::Unknown));
+}
