--- /dev/null
+++ b/roles/forward/examples/cost.rs
@@ -0,0 +1,240 @@
+//! Prints what a carried flow costs a gateway and a sidecar: processor time of the
+//! decisions for each packet, and memory for each flow.
+use std::collections::HashMap;
+use std::fs;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use forward::Agent;
+use forward::Entry;
+use forward::Route;
+use forward::Routes;
+use forward::agent;
+use forward::agent::Backend;
+use forward::agent::State;
+use forward::entry;
+use forward::routes::Share;
+use forward::routes::Table;
+use wire::FlowId;
+use wire::Hop;
+use wire::Segment;
+use wire::Target;
+use wire::segment::Kind;
+use wire::target;
+use wire::transit;
+use wire::transit::Carry;
+use wire::transit::Load;
+use wire::transit::Open;
+
+/// Flows that are held at a time.
+const FLOWS: u32 = 50_000;
+
+/// Backend servers of the service, as planned.
+const SERVERS: u64 = 13;
+
+/// Packets of each flow that are carried.
+const PACKETS: u32 = 20;
+
+const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+fn main() {
+    gateway();
+    sidecar();
+}
+
+fn gateway() {
+    let address = SocketAddr::from(([10, 1, 0, 1], 7000));
+    let mut core = Entry::new(entry::Settings::default(), address, 1, 1, Duration::ZERO);
+    let mut actions = Vec::new();
+    let event = entry::Event::Routes(routes());
+    core.handle(Duration::ZERO, event, &mut actions);
+    let before = resident();
+    let opened = time(FLOWS, |number| {
+        let packet = Bytes::from_static(b"packet");
+        let segment = segment(number, Kind::Open);
+        core.handle(
+            Duration::ZERO,
+            entry::Event::Packet { segment, packet },
+            &mut actions,
+        );
+        let held = transit::Held {
+            flow: flow(number),
+            holder: hop(1 + u64::from(number) % SERVERS),
+            load: Load::default(),
+        };
+        core.handle(Duration::ZERO, entry::Event::Held(held), &mut actions);
+        actions.clear();
+    });
+    let bytes = resident().saturating_sub(before) / u64::from(FLOWS);
+    let carried = time(FLOWS * PACKETS, |number| {
+        let packet = Bytes::from_static(b"packet");
+        let segment = segment(number % FLOWS, Kind::Data);
+        core.handle(
+            Duration::ZERO,
+            entry::Event::Packet { segment, packet },
+            &mut actions,
+        );
+        actions.clear();
+    });
+    println!("gateway: {bytes} B a flow, {opened} ns to open one, {carried} ns a packet");
+}
+
+fn sidecar() {
+    let settings = agent::Settings {
+        max_flows: FLOWS as usize,
+        queue: u16::MAX - 2,
+        ..agent::Settings::default()
+    };
+    let mut core = Agent::new(settings, hop(1), false, Duration::ZERO);
+    let mut actions = Vec::new();
+    let backend = Backend {
+        name: "server".into(),
+        service: "[fd00::1]:1".parse().expect("an address"),
+        target: 1,
+        start: 1,
+        sequence: 1,
+        slots: 2,
+        state: State::Ready,
+        warm_up: Duration::ZERO,
+    };
+    core.handle(Duration::ZERO, agent::Event::Backend(backend), &mut actions);
+    let before = resident();
+    let opened = time(FLOWS, |number| {
+        let open = Open {
+            entry: SocketAddr::from(([10, 1, 0, 1], 7000)),
+            path: vec![hop(1)],
+            position: 0,
+            bids: Vec::new(),
+            is_settled: true,
+            patience_ms: u32::MAX,
+            packet: Bytes::from_static(b"packet"),
+        };
+        let segment_open = segment(number, Kind::Open);
+        let event = agent::Event::Open {
+            open,
+            segment: segment_open,
+        };
+        core.handle(Duration::ZERO, event, &mut actions);
+        answer(&mut core, number, Kind::Accept, &mut actions);
+        actions.clear();
+    });
+    let bytes = resident().saturating_sub(before) / u64::from(FLOWS);
+    let carried = time(FLOWS * PACKETS, |number| {
+        let number = number % FLOWS;
+        let carry = Carry {
+            target: 1,
+            entry: SocketAddr::from(([10, 1, 0, 1], 7000)),
+            may_try: true,
+            packet: Bytes::from_static(b"packet"),
+        };
+        let segment = segment(number, Kind::Data);
+        core.handle(
+            Duration::ZERO,
+            agent::Event::Carry { carry, segment },
+            &mut actions,
+        );
+        answer(&mut core, number, Kind::Data, &mut actions);
+        actions.clear();
+    });
+    println!(
+        "sidecar: {bytes} B a flow, {opened} ns to open one, {carried} ns a packet and its answer"
+    );
+}
+
+fn answer(core: &mut Agent, number: u32, kind: Kind, actions: &mut Vec<agent::Action>) {
+    let forth = segment(number, kind);
+    let segment = Segment {
+        source: forth.destination,
+        destination: forth.source,
+        ..forth
+    };
+    let packet = Bytes::from_static(b"packet");
+    core.handle(
+        Duration::ZERO,
+        agent::Event::Server { segment, packet },
+        actions,
+    );
+}
+
+/// Nanoseconds of one call.
+fn time(count: u32, mut call: impl FnMut(u32)) -> u128 {
+    let start = Instant::now();
+    for number in 0..count {
+        call(number);
+    }
+    start.elapsed().as_nanos() / u128::from(count)
+}
+
+/// Memory of the process in bytes.
+fn resident() -> u64 {
+    let status = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = status
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0) * 4_096
+}
+
+fn flow(number: u32) -> FlowId {
+    segment(number, Kind::Data).from_caller()
+}
+
+fn segment(number: u32, kind: Kind) -> Segment {
+    let caller = Ipv4Addr::from_bits(0x6440_0000 + number / 50_000);
+    let port = 1_024 + u16::try_from(number % 50_000).unwrap_or_default();
+    Segment {
+        source: SocketAddrV4::new(caller, port),
+        destination: SERVICE,
+        kind,
+        is_returned: false,
+        sequence: 1,
+        acknowledged: 0,
+        length: 0,
+        mark: 0,
+    }
+}
+
+fn hop(target: u64) -> Hop {
+    let host = u8::try_from(target).unwrap_or(u8::MAX);
+    Hop {
+        target,
+        address: SocketAddr::from(([10, 2, 0, host], 7000)),
+    }
+}
+
+fn routes() -> Arc<Routes> {
+    let service = "[fd00::1]:1".parse().expect("an address");
+    let targets = (1..=SERVERS).map(|id| Target {
+        id,
+        service,
+        address: hop(id).address,
+        control: hop(id).address,
+        zone: 1,
+        incarnation: 1,
+        version: 1,
+        weight: 100,
+        slots: 2,
+        state: target::State::Ready,
+    });
+    let route = Route {
+        shares: vec![Share { service, weight: 1 }],
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        priority: 1,
+    };
+    Arc::new(Routes {
+        table: Arc::new(Table {
+            version: 1,
+            routes: HashMap::from([(SERVICE, route)]),
+            idle_timeout: Duration::from_secs(15),
+        }),
+        is_confirmed: true,
+        is_complete: true,
+        targets: HashMap::from([(service, Arc::new(targets.collect()))]),
+    })
+}
