--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -380,3 +380,112 @@
     let agent = Agent::new(Settings::default(), hop(OWN), false, ms(0));
     assert_eq!(agent.closed(ms(1)), Some(Closed::Unknown));
 }
+
+/// Takes as many flows as the backend server is sent at a time, and one more.
+fn overfilled(agent: &mut Agent, now: Duration) -> Vec<Action> {
+    let most = 2 + Settings::default().queue;
+    for port in 1..=most {
+        assert!(delivers(&open_at(agent, now, port, settled(&[OWN]))));
+    }
+    open_at(agent, now, 99, settled(&[OWN]))
+}
+
+fn settled(path: &[TargetId]) -> Open {
+    Open {
+        is_settled: true,
+        bids: vec![0; path.len()],
+        ..open(path)
+    }
+}
+
+/// Requests that come at once wait beside the slot that will free.
+#[test]
+fn a_flow_waits_for_room_and_is_handed_over_once_there_is_some() {
+    let mut agent = ready(false);
+    let actions = overfilled(&mut agent, ms(1));
+    assert!(!delivers(&actions), "{actions:?}");
+    let request = Event::Carry {
+        carry: carry(OWN),
+        segment: from_caller(1, Kind::Data, 100),
+    };
+    handle(&mut agent, ms(2), request);
+    let answer = Event::Server {
+        segment: from_server(1, Kind::Data, 50),
+        packet: packet(),
+    };
+    assert!(delivers(&handle(&mut agent, ms(20), answer)));
+}
+
+#[test]
+fn a_copy_of_a_waiting_packet_waits_too() {
+    let mut agent = ready(false);
+    overfilled(&mut agent, ms(1));
+    let actions = open_at(&mut agent, ms(201), 99, open(&[OWN]));
+    assert!(!delivers(&actions), "{actions:?}");
+}
+
+#[test]
+fn a_caller_that_gave_up_waiting_gets_no_slot() {
+    let mut agent = ready(false);
+    overfilled(&mut agent, ms(1));
+    let event = Event::Carry {
+        carry: carry(OWN),
+        segment: from_caller(99, Kind::Reset, 0),
+    };
+    handle(&mut agent, ms(2), event);
+    let late = handle(&mut agent, ms(700), Event::Tick);
+    assert!(!delivers(&late), "{late:?}");
+}
+
+/// A queue that stands is kept within the objective; the rest are refused at
+/// once.
+#[test]
+fn a_queue_that_stands_refuses_what_would_be_late() {
+    let mut agent = ready(false);
+    overfilled(&mut agent, ms(1));
+    let is_refused = |agent: &mut Agent, time: u64, port: u16| {
+        let actions = open_at(agent, ms(time), port, settled(&[OWN]));
+        actions
+            .iter()
+            .any(|action| matches!(action, Action::Reset { .. }))
+    };
+    let burst = (0..30)
+        .filter(|port| is_refused(&mut agent, 2, 200 + port))
+        .count();
+    assert_eq!(burst, 0);
+    let mut agent = ready(false);
+    overfilled(&mut agent, ms(1));
+    for time in (100..1_050).step_by(100) {
+        handle(
+            &mut agent,
+            ms(time),
+            Event::Backend(backend(OWN, 1, 6 + time, State::Ready)),
+        );
+        for port in 1..=8 {
+            let event = Event::Carry {
+                carry: carry(OWN),
+                segment: wire::Segment {
+                    sequence: u32::try_from(time).unwrap() * 100,
+                    ..from_caller(port, Kind::Data, 100)
+                },
+            };
+            handle(&mut agent, ms(time), event);
+        }
+    }
+    let standing = (0..30)
+        .filter(|port| is_refused(&mut agent, 1_050, 300 + port))
+        .count();
+    assert!(standing > 0, "none was refused");
+}
+
+#[test]
+fn what_waits_for_a_server_that_went_mute_goes_elsewhere() {
+    let mut agent = ready(false);
+    let most = 2 + Settings::default().queue;
+    for port in 1..=most {
+        open_at(&mut agent, ms(1), port, settled(&[OWN, 2]));
+    }
+    open_at(&mut agent, ms(1), 99, settled(&[OWN, 2]));
+    let actions = handle(&mut agent, ms(300), Event::Tick);
+    assert_eq!(passed(&actions).unwrap().position, 1);
+}
