--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -44,8 +44,6 @@
     pub is_settled: bool,
     /// Longest wait for a slot that is of use to the caller, in milliseconds.
     pub patience_ms: u32,
-    /// Time within which an answer is of full use to the caller, in milliseconds.
-    pub objective_ms: u32,
     /// The caller's packet.
     pub packet: Bytes,
 }
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -232,7 +232,6 @@
                 let flows = *flows;
                 self.log(&log::Event::ServerEnded { flows });
             }
-            Action::Dropped(Drop::GivenUp) => self.drop_packet("given_up"),
             Action::Dropped(Drop::Probing) => self.drop_packet("probing"),
             Action::Dropped(Drop::OldAnnouncement) => self.drop_packet("old_announcement"),
             Action::Deliver(_)
--- a/roles/forward/examples/cost.rs
+++ b/roles/forward/examples/cost.rs
@@ -112,7 +112,6 @@
             bids: Vec::new(),
             is_settled: true,
             patience_ms: u32::MAX,
-            objective_ms: u32::MAX,
             packet: Bytes::from_static(b"packet"),
         };
         let segment_open = segment(number, Kind::Open);
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -14,14 +14,12 @@
 mod unknown;
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use limit::Held;
 use limit::Occupancy;
-use limit::Standing;
 use wire::FlowId;
 use wire::Hop;
 use wire::Segment;
@@ -104,9 +102,6 @@
     flows: HashMap<FlowId, Flow>,
     passed: Memory<Open>,
     probes: Memory<Probe>,
-    /// Flows whose opening packet waits for room at the backend server.
-    waiting: VecDeque<FlowId>,
-    standing: Standing,
     absent: Memory<()>,
     dead: Memory<()>,
     next_sweep: Duration,
@@ -146,8 +141,6 @@
             flows: HashMap::new(),
             passed: Memory::new(settings.linger),
             probes: Memory::new(settings.oldest_flow),
-            waiting: VecDeque::new(),
-            standing: Standing::new(settings.standing),
             absent: Memory::new(settings.oldest_flow),
             dead: Memory::new(settings.oldest_flow),
             next_sweep: now + settings.sweep,
@@ -177,9 +170,7 @@
         if now >= self.next_sweep {
             self.next_sweep = now + self.settings.sweep;
             self.sweep(now);
-            self.give_up_waiting(now, actions);
         }
-        self.admit(now, actions);
     }
 
     /// When to give the next [`Event::Tick`].
@@ -192,6 +183,7 @@
     #[must_use]
     pub fn closed(&self, now: Duration) -> Option<Closed> {
         let settings = &self.settings;
+        let most = self.occupancy.slots() + settings.queue;
         let mute = self.unanswered.map(|since| since + settings.mute);
         match &self.backend {
             _ if self.is_stopping => Some(Closed::Stopping),
@@ -200,7 +192,7 @@
             Some(_) if now >= self.heard + settings.silence => Some(Closed::Silent),
             _ if mute.is_some_and(|mute| now >= mute) => Some(Closed::Mute),
             _ if self.flows.len() >= settings.max_flows => Some(Closed::Flows),
-            _ if self.waiting.len() >= settings.max_waiting => Some(Closed::Queue),
+            _ if self.occupancy.running() >= most => Some(Closed::Queue),
             _ => None,
         }
     }
@@ -223,8 +215,8 @@
 
     /// Whether any request runs or waits.
     #[must_use]
-    pub fn is_busy(&self) -> bool {
-        self.occupancy.running() > 0 || !self.waiting.is_empty()
+    pub const fn is_busy(&self) -> bool {
+        self.occupancy.running() > 0
     }
 
     /// Requests that run or wait.
@@ -250,9 +242,7 @@
     pub fn load(&self, now: Duration) -> transit::Load {
         let own = self.occupancy.load();
         let held = self.held.bid(now, own.rate());
-        let waiting = u16::try_from(self.waiting.len()).unwrap_or(u16::MAX);
         transit::Load {
-            running: own.running.saturating_add(waiting),
             held_us: u32::try_from(held.as_micros()).unwrap_or(u32::MAX),
             ..own
         }
@@ -300,11 +290,6 @@
             return;
         };
         held.entry = Some(carry.entry);
-        if held.is_waiting() {
-            // Only a caller that gives up sends anything before it is accepted.
-            self.flows.remove(&flow);
-            return actions.push(Action::Dropped(Drop::GivenUp));
-        }
         if held.caller_sent(now, &segment, &mut self.occupancy) {
             self.held.request(now);
         }
@@ -403,7 +388,6 @@
             self.dead.insert(now, flow, ());
         }
         self.probes.clear();
-        self.waiting.clear();
     }
 
     fn sweep(&mut self, now: Duration) {
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -123,8 +123,6 @@
 /// Why something was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Drop {
-    /// The caller had given up an opening packet before there was room for it.
-    GivenUp,
     /// Another packet of the flow is being tried at the backend server.
     Probing,
     /// An announcement is older than one that is known.
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -2,7 +2,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use limit::Occupancy;
 use limit::occupancy::Start;
 use wire::Segment;
@@ -42,8 +41,6 @@
 /// Whether all of a flow was seen here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
-    /// Its opening packet waits in this process.
-    Waiting,
     /// It was opened through this process.
     Taken,
     /// It is older than this process.
@@ -51,33 +48,19 @@
 }
 
 impl Flow {
-    /// A flow whose opening packet waits for room at the backend server.
-    pub fn waiting(now: Duration, open: Open) -> Self {
+    /// A flow whose opening packet goes to the backend server now.
+    pub fn opening(now: Duration, start: Start, open: Open) -> Self {
         Self {
             entry: Some(open.entry),
+            start: Some(start),
             timeout: Duration::from_millis(u64::from(open.patience_ms)),
             open: Some(open),
-            origin: Origin::Waiting,
+            is_reserved: true,
+            origin: Origin::Taken,
             ..Self::found(now)
         }
     }
 
-    /// Whether the opening packet waits for room.
-    pub fn is_waiting(&self) -> bool {
-        self.origin == Origin::Waiting
-    }
-
-    /// Keeps a slot for the first request; the opening packet for the backend
-    /// server.
-    pub fn admit(&mut self, now: Duration, start: Start) -> Option<Bytes> {
-        self.origin = Origin::Taken;
-        self.start = Some(start);
-        self.is_reserved = true;
-        self.begun = now;
-        self.used = now;
-        self.open.as_ref().map(|open| open.packet.clone())
-    }
-
     /// A flow that the backend server turned out to hold.
     pub const fn found(now: Duration) -> Self {
         Self {
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -2,7 +2,6 @@
 use std::time::Duration;
 
 use limit::held;
-use limit::standing;
 
 /// Settings of an agent that carries flows unread.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,12 +13,6 @@
     /// Requests beyond its slots that the backend server is sent at a time. It
     /// rejects what does not fit into its own short queue.
     pub queue: u16,
-    /// Flows whose opening packet may wait for room.
-    pub max_waiting: usize,
-    /// Time after which a caller has given up an opening packet.
-    pub opening: Duration,
-    /// How a burst is told from a load that stays.
-    pub standing: standing::Settings,
     /// Flows that the backend server holds at most.
     pub max_flows: usize,
     /// Time after the start in which a backend server that may have lived before
@@ -54,9 +47,6 @@
             service_time: Duration::from_millis(20),
             held: held::Settings::default(),
             queue: 6,
-            max_waiting: 128,
-            opening: Duration::from_millis(1_400),
-            standing: standing::Settings::default(),
             max_flows: 2_000,
             assumed: Duration::from_secs(2),
             assumed_slots: 2,
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -297,9 +297,8 @@
     ) {
         let flow = passing.segment.from_caller();
         let first = path[0];
-        let route = routes.route(flow.service);
-        let patience = route.map_or(Duration::ZERO, |route| route.timeout);
-        let objective = route.map_or(Duration::ZERO, |route| route.objective);
+        let timeout = routes.route(flow.service).map(|route| route.timeout);
+        let patience = timeout.unwrap_or_default().as_millis();
         self.place.sent(first.target);
         let is_first = !self.flows.contains_key(&flow);
         if is_first {
@@ -327,8 +326,7 @@
                 position: 0,
                 bids: Vec::new(),
                 is_settled: false,
-                patience_ms: millis(patience),
-                objective_ms: millis(objective),
+                patience_ms: u32::try_from(patience).unwrap_or(u32::MAX),
                 packet: passing.packet,
             }),
         });
@@ -471,7 +469,3 @@
         mark: 0,
     }
 }
-
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/roles/forward/tests/common/mod.rs
+++ b/roles/forward/tests/common/mod.rs
@@ -88,7 +88,6 @@
         bids: Vec::new(),
         is_settled: false,
         patience_ms: 1_000,
-        objective_ms: 100,
         packet: packet(),
     }
 }
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -3,7 +3,6 @@
 //! * [`Gate`] holds the slots and the queue of one backend server.
 //! * [`Held`] estimates the work that held flows will bring.
 //! * [`Occupancy`] tells how long work that is only seen from outside would wait.
-//! * [`Standing`] tells a burst from a load that stays.
 //! * [`Budget`] bounds retries to a share of first tries.
 //! * [`Backoff`] spaces retries.
 //!
@@ -19,7 +18,6 @@
 pub mod pause;
 pub mod queue;
 pub mod share;
-pub mod standing;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
@@ -35,4 +33,3 @@
 pub use job::Verdict;
 pub use load::Load;
 pub use occupancy::Occupancy;
-pub use standing::Standing;
