Deliver nothing to a server whose acceptance the caller did not answer

Change: a sidecar knows the position at which its server accepted; a packet that answers another is returned to the gateway, which searches on, and the flow is forgotten here. Ruled out: a reset of our own (the sidecar logged none). Test: a_packet_that_answers_another_server_is_not_delivered failed first; the flows in memory now accept at positions of their own.

--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -290,6 +290,12 @@
             return;
         };
         held.entry = Some(carry.entry);
+        if held.is_elsewhere(&segment) {
+            held.end_request(now, &mut self.occupancy);
+            self.flows.remove(&flow);
+            self.absent.insert(now, flow, ());
+            return not_here(flow, carry, actions);
+        }
         if held.caller_sent(now, &segment, &mut self.occupancy) {
             self.held.request(now);
         }
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -26,7 +26,7 @@
     timeout: Duration,
     /// When the request under way was last heard of, if any.
     begun: Duration,
-    origin: Origin,
+    handshake: Handshake,
     /// Whether `start` keeps a slot for a request that is yet to come, or that
     /// may be none.
     is_reserved: bool,
@@ -38,15 +38,23 @@
     has_server_ended: bool,
 }
 
-/// Whether all of a flow was seen here.
+/// How far the opening of a flow has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Origin {
-    /// It was opened through this process.
-    Taken,
-    /// It is older than this process.
-    Found,
+enum Handshake {
+    /// The flow is older than this process.
+    Unseen,
+    /// The opening packet went to the backend server.
+    Sent,
+    /// The backend server accepted it, at this position of its stream.
+    Accepted(u32),
+    /// The caller answered the backend server.
+    Done,
 }
 
+/// Distance between a backend server's position and what the caller may have
+/// acknowledged of it. Far less than between the positions of two servers.
+const WINDOW: u32 = 128 * 1024;
+
 impl Flow {
     /// A flow whose opening packet goes to the backend server now.
     pub fn opening(now: Duration, start: Start, open: Open) -> Self {
@@ -56,7 +64,7 @@
             timeout: Duration::from_millis(u64::from(open.patience_ms)),
             open: Some(open),
             is_reserved: true,
-            origin: Origin::Taken,
+            handshake: Handshake::Sent,
             ..Self::found(now)
         }
     }
@@ -70,7 +78,7 @@
             used: now,
             timeout: UNKNOWN_TIMEOUT,
             begun: now,
-            origin: Origin::Found,
+            handshake: Handshake::Unseen,
             is_reserved: false,
             requests: 0,
             position: None,
@@ -79,6 +87,22 @@
         }
     }
 
+    /// Whether a packet of the caller belongs to a flow that opened at another
+    /// backend server, although the opening packet came here too.
+    pub fn is_elsewhere(&mut self, segment: &Segment) -> bool {
+        match self.handshake {
+            Handshake::Unseen | Handshake::Done => false,
+            Handshake::Sent => segment.kind != Kind::Reset,
+            Handshake::Accepted(position) => {
+                let is_ours = segment.acknowledged.wrapping_sub(position) <= WINDOW;
+                if is_ours {
+                    self.handshake = Handshake::Done;
+                }
+                !is_ours && segment.kind != Kind::Reset
+            }
+        }
+    }
+
     /// Notes a packet of the caller; true where it begins a request that is not
     /// the flow's first.
     pub fn caller_sent(
@@ -102,7 +126,7 @@
         }
         self.start = self.start.map(|start| start.moved(now));
         // The first content of a flow from before this process may be a repeat.
-        self.is_reserved = self.origin == Origin::Found && self.requests == 0;
+        self.is_reserved = self.handshake == Handshake::Unseen && self.requests == 0;
         self.begun = now;
         self.requests = self.requests.saturating_add(1);
         self.requests > 1
@@ -134,6 +158,9 @@
     ) -> Option<Duration> {
         self.used = now;
         self.open = None;
+        if segment.kind == Kind::Accept && self.handshake == Handshake::Sent {
+            self.handshake = Handshake::Accepted(segment.sequence);
+        }
         self.has_server_ended |= matches!(segment.kind, Kind::Close | Kind::Reset);
         match self.start {
             Some(start) if segment.length > 0 && self.requests > 0 => {
@@ -178,7 +205,8 @@
         now >= self.used + limit
     }
 
-    fn end_request(&mut self, now: Duration, occupancy: &mut Occupancy) {
+    /// Gives up the request or the slot kept for one.
+    pub fn end_request(&mut self, now: Duration, occupancy: &mut Occupancy) {
         self.is_reserved = false;
         if self.start.take().is_some() {
             occupancy.release(now);
--- a/roles/forward/src/agent/unknown.rs
+++ b/roles/forward/src/agent/unknown.rs
@@ -41,7 +41,10 @@
         if self.flows.contains_key(&flow) {
             let entry = carry.entry;
             self.deliver(now, flow, carry, segment, actions);
-            return self.tell(now, flow, entry, actions);
+            if self.flows.contains_key(&flow) {
+                self.tell(now, flow, entry, actions);
+            }
+            return;
         }
         if self.may_hold(now, &flow) && carry.may_try {
             self.probe(now, flow, carry, actions);
--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -39,6 +39,15 @@
     handle(agent, now, Event::Open { open, segment })
 }
 
+/// The backend server accepts a flow.
+fn accept(agent: &mut Agent, now: Duration, port: u16) {
+    let event = Event::Server {
+        segment: from_server(port, Kind::Accept, 0),
+        packet: packet(),
+    };
+    handle(agent, now, event);
+}
+
 fn delivers(actions: &[Action]) -> bool {
     actions
         .iter()
@@ -136,6 +145,7 @@
 fn a_draining_server_gets_no_flows_and_keeps_those_it_has() {
     let mut agent = ready(false);
     open_at(&mut agent, ms(1), 9, open(&[OWN, 2]));
+    accept(&mut agent, ms(1), 9);
     let draining = backend(OWN, 1, 6, State::Draining);
     handle(&mut agent, ms(2), Event::Backend(draining));
     let opened = open_at(&mut agent, ms(3), 10, open(&[OWN, 2]));
@@ -265,6 +275,7 @@
 fn a_request_without_an_answer_frees_its_slot_after_the_timeout() {
     let mut agent = ready(false);
     open_at(&mut agent, ms(1), 9, open(&[OWN]));
+    accept(&mut agent, ms(1), 9);
     let event = Event::Carry {
         carry: carry(OWN),
         segment: from_caller(9, Kind::Data, 100),
@@ -343,6 +354,7 @@
 fn a_repeated_packet_is_no_new_request() {
     let mut agent = ready(false);
     open_at(&mut agent, ms(1), 9, open(&[OWN]));
+    accept(&mut agent, ms(1), 9);
     let request = || Event::Carry {
         carry: carry(OWN),
         segment: from_caller(9, Kind::Data, 100),
@@ -380,3 +392,40 @@
     let agent = Agent::new(Settings::default(), hop(OWN), false, ms(0));
     assert_eq!(agent.closed(ms(1)), Some(Closed::Unknown));
 }
+
+/// The caller's packet with this acknowledgement, once the server has accepted
+/// the flow at position 5,000.
+fn first_packet(acknowledged: u32) -> Vec<Action> {
+    let mut agent = ready(true);
+    open_at(&mut agent, ms(1), 9, open(&[OWN]));
+    let accept = Event::Server {
+        segment: wire::Segment {
+            sequence: 5_000,
+            ..from_server(9, Kind::Accept, 0)
+        },
+        packet: packet(),
+    };
+    handle(&mut agent, ms(2), accept);
+    let event = Event::Carry {
+        carry: carry(OWN),
+        segment: wire::Segment {
+            acknowledged,
+            ..from_caller(9, Kind::Data, 0)
+        },
+    };
+    let mut actions = handle(&mut agent, ms(10), event);
+    actions.extend(seek(&mut agent, ms(11), 9));
+    actions
+}
+
+#[test]
+fn a_packet_that_answers_this_server_opens_the_flow() {
+    assert!(delivers(&first_packet(5_001)));
+}
+
+/// A copy of the opening packet came here after another server had taken it.
+#[test]
+fn a_packet_that_answers_another_server_is_not_delivered() {
+    let actions = first_packet(900_000_000);
+    assert!(is_absent(&actions) && !delivers(&actions), "{actions:?}");
+}
--- a/roles/forward/tests/common/mod.rs
+++ b/roles/forward/tests/common/mod.rs
@@ -51,7 +51,8 @@
         kind,
         is_returned: false,
         sequence: 1,
-        acknowledged: 0,
+        // The position at which `from_server` accepts.
+        acknowledged: u32::from(kind != Kind::Open),
         length,
         mark: 0,
     }
--- a/roles/forward/tests/world/mod.rs
+++ b/roles/forward/tests/world/mod.rs
@@ -61,6 +61,8 @@
     sent: u32,
     answered: u32,
     is_open: bool,
+    /// Position of the server that accepted the flow.
+    position: u32,
     /// Rises when the flow opens, which ends the copies of its opening packet.
     phase: u32,
 }
@@ -330,6 +332,7 @@
             Kind::Open
         };
         let (sent, phase, next) = (caller.sent, caller.phase, Duration::from_secs(1));
+        let position = caller.position;
         if is_done {
             return self.at(
                 next.saturating_sub(REPEAT * tries),
@@ -342,7 +345,7 @@
             kind,
             is_returned: false,
             sequence: sent * 100,
-            acknowledged: if kind == Kind::Open { tries } else { 0 },
+            acknowledged: if kind == Kind::Open { tries } else { position },
             length: if kind == Kind::Data { 100 } else { 0 },
             mark: 0,
         };
@@ -358,6 +361,7 @@
         match segment.kind {
             Kind::Accept if !caller.is_open => {
                 caller.is_open = true;
+                caller.position = segment.sequence;
                 caller.phase += 1;
                 let phase = caller.phase;
                 self.at(Duration::ZERO, Event::Send(flow, 0, phase));
@@ -366,6 +370,7 @@
                 self.faults
                     .push(format!("{:?}: {flow:?} was reset while open", self.now));
             }
+            Kind::Accept => {}
             _ => caller.answered = caller.answered.max(segment.sequence / 100),
         }
     }
@@ -384,7 +389,16 @@
         match segment.kind {
             Kind::Open => {
                 self.servers.get_mut(&id).unwrap().insert(flow);
-                self.at(ms(1), Event::FromServer(id, answer(Kind::Accept, 0)));
+                let accept = Segment {
+                    sequence: position(id),
+                    ..answer(Kind::Accept, 0)
+                };
+                self.at(ms(1), Event::FromServer(id, accept));
+            }
+            _ if holds && segment.acknowledged != position(id) => {
+                self.faults.push(format!(
+                    "{flow:?} is reset by a server that it opened at too"
+                ));
             }
             _ if holds => self.at(ms(15), Event::FromServer(id, answer(Kind::Data, 50))),
             _ => {
@@ -488,6 +502,11 @@
     }
 }
 
+/// Position at which a backend server accepts flows.
+fn position(id: TargetId) -> u32 {
+    u32::try_from(id).unwrap() * 10_000_000
+}
+
 /// The header of a packet stands for all of it.
 fn encode(segment: &Segment) -> Bytes {
     let kind = match segment.kind {
