--- a/transport/net/src/http.rs
+++ b/transport/net/src/http.rs
@@ -39,6 +39,8 @@
     pub method: Method,
     /// Path without its query.
     pub path: String,
+    /// Query, empty for none.
+    pub query: String,
     /// Body.
     pub body: Bytes,
 }
@@ -130,6 +132,7 @@
     let question = Question {
         method: head.method,
         path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or_default().to_owned(),
         body: body.to_bytes(),
     };
     response(answer(question).await)
