--- a/coordination/member/tests/failure.rs
+++ b/coordination/member/tests/failure.rs
@@ -366,3 +366,22 @@
     a_dropped_process_returns_after_a_restart: Some(2),
     a_dropped_process_returns_after_a_long_freeze: None,
 }
+
+/// The clock of a host went back while its process restarted.
+#[test]
+fn a_process_alone_at_its_address_outranks_what_is_known_of_it() {
+    let mut net = region(4, 4, 4);
+    net.agents.remove(&agent(1));
+    net.entries.remove(&entry(1));
+    net.add_agent(1, 1, 0);
+    net.add_entry(1, 1, 0);
+    net.run(SOON);
+    let now = net.now;
+    assert_eq!(net.agents[&agent(1)].successor(), Some(1));
+    net.agents.get_mut(&agent(1)).unwrap().outrank(now);
+    net.entries.get_mut(&entry(1)).unwrap().outrank();
+    net.run(SOON);
+    assert_eq!(net.agents[&agent(1)].successor(), None);
+    assert_eq!(net.entries[&entry(1)].successor(), None);
+    nothing_is_silent(&net);
+}
--- a/roles/app/tests/metric.rs
+++ b/roles/app/tests/metric.rs
@@ -103,3 +103,41 @@
     let samples = [sample("port.refused", "bad_tag", 3), sample("flows", "", 1)];
     assert_eq!(metric::line(&samples), "port.refused{bad_tag}=3 flows=1");
 }
+
+#[test]
+fn a_histogram_is_written_with_its_buckets() {
+    let board = Board::default();
+    let histogram = board.histogram("carried.open.time").unwrap();
+    for time in [150, 150, 3_000] {
+        histogram.record(time, &[]);
+    }
+    let text = metric::text(&board.read().unwrap());
+    for line in [
+        "# TYPE greengagelug_carried_open_time histogram",
+        "greengagelug_carried_open_time_bucket{le=\"100\"} 0",
+        "greengagelug_carried_open_time_bucket{le=\"200\"} 2",
+        "greengagelug_carried_open_time_bucket{le=\"+Inf\"} 3",
+        "greengagelug_carried_open_time_sum 3300",
+        "greengagelug_carried_open_time_count 3",
+    ] {
+        assert!(
+            text.lines().any(|other| other == line),
+            "{line} is not in\n{text}"
+        );
+    }
+}
+
+#[test]
+fn counters_are_written_with_their_reason() {
+    let mut board = Board::default();
+    board.set("carried.flows.reset", "no_slot", 4).unwrap();
+    let text = metric::text(&board.read().unwrap());
+    let line = "greengagelug_carried_flows_reset{reason=\"no_slot\"} 4";
+    assert!(text.contains(line), "{text}");
+}
+
+#[test]
+fn a_counter_is_no_histogram() {
+    let result = Board::default().histogram("carried.dropped");
+    assert!(matches!(result, Err(Error::Unknown(_))));
+}
