One link for the sockets, log and metrics of gateways and sidecars; one deployment for tests

Cause: both processes sent, logged, counted and stopped by code of their own that was the same. Change: carried::link and carried::lifecycle; behaviour stays as it is.

--- /dev/null
+++ b/roles/app/src/carried/lifecycle.rs
@@ -0,0 +1,29 @@
+//! The start and the stop of a gateway or sidecar.
+use crate::event::Event;
+use crate::settings::table::Role;
+use crate::signal;
+use crate::signal::Signal;
+
+/// Logs that the process has started.
+pub fn started(role: Role, host: &platform::Settings) {
+    let starting = Event::CarrierStarting {
+        role: role.name().to_owned(),
+        host: host.host.clone(),
+        zone: host.zone.clone(),
+        frames: host.frames(),
+    };
+    starting.log();
+}
+
+/// Waits for SIGTERM. What may change in the settings of a running process comes
+/// with the configuration and the announcements, so that SIGHUP is only logged.
+pub async fn stop_requested(role: Role) {
+    let signals = signal::watch();
+    while let Ok(signal) = signals.recv().await {
+        let role = role.name().to_owned();
+        match signal {
+            Signal::Stop => return Event::Stopping { role }.log(),
+            Signal::Replace => Event::Reloading { role }.log(),
+        }
+    }
+}
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -31,11 +31,12 @@
 use smol::Executor;
 use store::Http;
 
+use crate::carried::lifecycle;
+use crate::carried::link::Link;
 use crate::carried::reader;
 use crate::carried::ready;
 use crate::carried::report::Report;
 use crate::clock;
-use crate::event::Event;
 use crate::gateway::control::Control;
 use crate::gateway::control::Input;
 use crate::gateway::routes::Builder;
@@ -44,8 +45,6 @@
 use crate::metric::Board;
 use crate::settings;
 use crate::settings::table::Role;
-use crate::signal;
-use crate::signal::Signal;
 
 /// Control messages that wait for the control thread.
 const CONTROL_QUEUE: usize = 4 * 1024;
@@ -83,12 +82,14 @@
     let board = Board::default();
     let report = Report::new(&board).map_err(io::Error::other)?;
     let traffic = Arc::new(Traffic {
-        report,
         core: Mutex::new(core),
-        origin,
-        port: port.clone(),
-        callers: callers.try_clone()?,
-        caller_port: host.caller_port(),
+        link: Link {
+            origin,
+            port: port.clone(),
+            socket: callers.try_clone()?,
+            caller_port: host.caller_port(),
+            report,
+        },
         control: sender.clone(),
     });
     traffic::start(&traffic, callers)?;
@@ -103,13 +104,7 @@
     let shared = Arc::clone(&traffic);
     let read = move |board: &mut Board| shared.publish(board, &http.counts());
     metric::carried::serve(metrics, &executor, read, board).await?;
-    let starting = Event::CarrierStarting {
-        role: Role::Gateway.name().to_owned(),
-        host: host.host.clone(),
-        zone: host.zone.clone(),
-        frames,
-    };
-    starting.log();
+    lifecycle::started(Role::Gateway, &host);
     let is_confirmed = Arc::new(AtomicBool::new(false));
     let following = follow::run(store.clone(), sender.clone(), Arc::clone(&is_confirmed));
     executor.spawn(following).detach();
@@ -151,18 +146,7 @@
 /// Waits for SIGTERM, tells the platform and the other entries, and then lets
 /// the packets under way arrive.
 async fn stopped(control: Sender<Input>, is_ready: Arc<AtomicBool>) {
-    let signals = signal::watch();
-    while let Ok(signal) = signals.recv().await {
-        match signal {
-            Signal::Stop => break,
-            Signal::Replace => {
-                let role = Role::Gateway.name().to_owned();
-                Event::Reloading { role }.log();
-            }
-        }
-    }
-    let role = Role::Gateway.name().to_owned();
-    Event::Stopping { role }.log();
+    lifecycle::stop_requested(Role::Gateway).await;
     is_ready.store(false, Ordering::Relaxed);
     let _ = control.send(Input::Leave).await;
     Timer::after(LINGER).await;
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -143,8 +143,7 @@
             .filter(|address| **address != routes::DOCUMENT);
         for view in services.filter_map(|address| self.registry.service(address)) {
             for event in self.watch.view(view) {
-                let now = self.origin.elapsed();
-                self.traffic.report.journal.log(now, &event);
+                self.traffic.link.log(&event);
             }
         }
     }
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -1,11 +1,9 @@
 //! Carries packets between callers and agents.
 use std::io;
-use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::time::Instant;
 
 use async_channel::Sender;
 use bytes::Bytes;
@@ -14,39 +12,28 @@
 use forward::entry::Drop;
 use forward::entry::Event;
 use forward::entry::Refusal;
-use net::Port;
 use net::port::Received;
 use platform::packet;
 use store::Counts as Calls;
-use wire::FlowId;
 use wire::Frame;
 use wire::Transit;
 
 use crate::carried::event::flow as name;
+use crate::carried::link::Link;
 use crate::carried::reader;
 use crate::carried::reader::Input;
-use crate::carried::report::Report;
 use crate::event as log;
 use crate::gateway::control;
 use crate::metric;
 use crate::metric::Board;
-use crate::metric::carried::publish_calls;
 use crate::metric::carried::record;
 
 /// What the threads of a gateway share.
 pub struct Traffic {
     /// The decisions.
     pub core: Mutex<Entry>,
-    /// Origin of the core's time.
-    pub origin: Instant,
-    /// The port for frames.
-    pub port: Port,
-    /// The socket for callers' packets.
-    pub callers: UdpSocket,
-    /// UDP port on which callers are reached.
-    pub caller_port: u16,
-    /// The log and the metrics.
-    pub report: Report,
+    /// What packets and frames are sent with.
+    pub link: Link,
     /// Where control messages go; they are dropped while it is full.
     pub control: Sender<control::Input>,
 }
@@ -64,7 +51,7 @@
         }
     })?;
     let shared = Arc::clone(traffic);
-    reader::spawn_frames("frames", &traffic.port, move |input| match input {
+    reader::spawn_frames("frames", &traffic.link.port, move |input| match input {
         Input::Arrived(received) => shared.frame(received),
         Input::Quiet => shared.handle(Event::Tick),
     })
@@ -77,7 +64,7 @@
         self.core
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .handle(self.origin.elapsed(), event, &mut actions);
+            .handle(self.link.now(), event, &mut actions);
         for action in actions {
             self.perform(action);
         }
@@ -89,21 +76,20 @@
     ///
     /// [`metric::Error::Unknown`] where a metric is not in the table.
     pub fn publish(&self, board: &mut Board, calls: &Calls) -> Result<(), metric::Error> {
-        self.report.counts.publish(board)?;
-        publish_calls(board, calls)?;
+        self.link.publish(board, calls)?;
         let core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
         board.set_size("carried.flows", core.len())?;
         board.set("carried.version", "", core.version())
     }
 
     fn packet(&self, packet: &[u8]) {
-        self.report.counts.add("carried.packets", "from_caller");
+        self.link.count("carried.packets", "from_caller");
         match packet::decode(packet) {
             Ok(segment) => self.handle(Event::Packet {
                 segment,
                 packet: Bytes::copy_from_slice(packet),
             }),
-            Err(error) => self.drop_packet(error.name()),
+            Err(error) => self.link.drop_packet(error.name()),
         }
     }
 
@@ -116,89 +102,67 @@
                 let from = received.from;
                 let message = control::Input::Message { from, payload };
                 if self.control.try_send(message).is_err() {
-                    self.drop_packet("control_full");
+                    self.link.drop_packet("control_full");
                 }
             }
-            _ => self.drop_packet("unexpected"),
+            _ => self.link.drop_packet("unexpected"),
         }
     }
 
-    fn drop_packet(&self, reason: &'static str) {
-        self.report.counts.add("carried.dropped", reason);
-        let reason = reason.to_owned();
-        self.log(&log::Event::PacketDropped { reason });
-    }
-
-    fn log(&self, event: &log::Event) {
-        self.report.journal.log(self.origin.elapsed(), event);
-    }
-
     fn perform(&self, action: Action) {
-        let counts = &self.report.counts;
+        let link = &self.link;
         match action {
-            Action::Send { to, transit } => self.port.send(to, &Frame::Transit(transit)),
+            Action::Send { to, transit } => link.frame(to, transit),
             Action::Reset {
                 flow,
                 sequence,
                 reason,
-            } => self.reset(&flow, sequence, reason),
+            } => {
+                let detail = "decided here".to_owned();
+                link.reset(&flow, sequence, refused(reason), detail);
+            }
             Action::Opened {
                 flow,
                 first,
                 hops,
                 version,
             } => {
-                counts.add("carried.flows.opened", "");
-                self.log(&log::Event::FlowOpened {
+                link.count("carried.flows.opened", "");
+                self.link.log(&log::Event::FlowOpened {
                     flow: name(&flow),
                     first,
                     version,
                     count: hops.saturating_sub(1),
                 });
             }
-            Action::Accepted { took } => record(&self.report.open_time, took),
+            Action::Accepted { took } => record(&link.report.open_time, took),
             Action::Sought {
                 flow,
                 asked,
                 may_try,
             } => {
-                counts.add("carried.searches", "");
-                self.log(&log::Event::FlowSought {
+                link.count("carried.searches", "");
+                self.link.log(&log::Event::FlowSought {
                     flow: name(&flow),
                     asked,
                     may_try,
                 });
             }
             Action::Found { flow, holder, took } => {
-                counts.add("carried.searches.ended", "found");
-                record(&self.report.search_time, took);
-                self.log(&log::Event::FlowFound {
+                link.count("carried.searches.ended", "found");
+                record(&link.report.search_time, took);
+                self.link.log(&log::Event::FlowFound {
                     flow: name(&flow),
                     holder,
                     took_us: took.as_micros(),
                 });
             }
             Action::Vanished { flow } => {
-                counts.add("carried.searches.ended", "lost");
+                link.count("carried.searches.ended", "lost");
                 let flow = name(&flow);
-                self.log(&log::Event::FlowLost { flow });
+                self.link.log(&log::Event::FlowLost { flow });
             }
-            Action::Dropped(reason) => self.drop_packet(dropped(reason)),
-        }
-    }
-
-    fn reset(&self, flow: &FlowId, sequence: u32, reason: Refusal) {
-        let reason = refused(reason);
-        self.report.counts.add("carried.flows.reset", reason);
-        self.log(&log::Event::FlowReset {
-            flow: name(flow),
-            reason: reason.to_owned(),
-            detail: "decided here".to_owned(),
-        });
-        let caller = SocketAddr::from((*flow.caller.ip(), self.caller_port));
-        if let Err(error) = self.callers.send_to(&packet::reset(flow, sequence), caller) {
-            ::log::debug!("a reset was not sent: {error}");
-            self.report.counts.add("carried.dropped", "not_sent");
+            Action::Dropped(reason) => self.link.drop_packet(dropped(reason)),
         }
     }
 }
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -27,10 +27,11 @@
 use store::Http;
 use wire::Hop;
 
+use crate::carried::lifecycle;
+use crate::carried::link::Link;
 use crate::carried::reader;
 use crate::carried::ready;
 use crate::carried::report::Report;
-use crate::event::Event;
 use crate::metric;
 use crate::metric::Board;
 use crate::settings;
@@ -38,8 +39,6 @@
 use crate::sidecar::control::Control;
 use crate::sidecar::control::Input;
 use crate::sidecar::traffic::Traffic;
-use crate::signal;
-use crate::signal::Signal;
 
 /// Control messages that wait for the control thread.
 const CONTROL_QUEUE: usize = 1024;
@@ -91,13 +90,15 @@
     let board = Board::default();
     let report = Report::new(&board).map_err(io::Error::other)?;
     let traffic = Arc::new(Traffic {
-        report,
         core: Mutex::new(core),
-        origin,
-        port: port.clone(),
-        servers: socket.try_clone()?,
+        link: Link {
+            origin,
+            port: port.clone(),
+            socket: socket.try_clone()?,
+            caller_port: host.caller_port(),
+            report,
+        },
         backend,
-        caller_port: host.caller_port(),
         control: sender.clone(),
     });
     traffic::start(&traffic, socket)?;
@@ -112,13 +113,7 @@
     let shared = Arc::clone(&traffic);
     let read = move |board: &mut Board| shared.publish(board, &http.counts());
     metric::carried::serve(metrics, &executor, read, board).await?;
-    let starting = Event::CarrierStarting {
-        role: Role::Sidecar.name().to_owned(),
-        host: host.host.clone(),
-        zone: host.zone.clone(),
-        frames: host.frames(),
-    };
-    starting.log();
+    lifecycle::started(Role::Sidecar, &host);
     let seeds = seeds::gather(&store, &host).await;
     let control = Control {
         seeds,
@@ -151,19 +146,7 @@
 /// Waits for SIGTERM, lets entries send new flows elsewhere, and then lets the
 /// requests under way end.
 async fn stopped(control: Sender<Input>, traffic: Arc<Traffic>) {
-    let signals = signal::watch();
-    while let Ok(signal) = signals.recv().await {
-        match signal {
-            Signal::Stop => break,
-            // What may change in the settings comes with the announcements.
-            Signal::Replace => {
-                let role = Role::Sidecar.name().to_owned();
-                Event::Reloading { role }.log();
-            }
-        }
-    }
-    let role = Role::Sidecar.name().to_owned();
-    Event::Stopping { role }.log();
+    lifecycle::stop_requested(Role::Sidecar).await;
     let _ = control.send(Input::Stop).await;
     Timer::after(NOTICE).await;
     let asked = Instant::now();
--- a/roles/forward/tests/common/mod.rs
+++ b/roles/forward/tests/common/mod.rs
@@ -1,17 +1,26 @@
 //! Builds the events of the cores under test.
 #![allow(dead_code)]
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use forward::Route;
+use forward::Routes;
 use forward::agent::Backend;
 use forward::agent::State;
+use forward::routes::Share;
+use forward::routes::Table;
 use wire::Hop;
 use wire::Segment;
 use wire::ServiceAddress;
+use wire::Target;
 use wire::TargetId;
+use wire::ZoneId;
 use wire::segment::Kind;
+use wire::target;
 use wire::transit::Carry;
 use wire::transit::Open;
 
@@ -115,3 +124,41 @@
         warm_up: Duration::ZERO,
     }
 }
+
+pub fn target(id: TargetId, zone: ZoneId, state: target::State) -> Target {
+    Target {
+        id,
+        service: service(),
+        address: hop(id).address,
+        control: hop(id).address,
+        zone,
+        incarnation: 1,
+        version: 1,
+        weight: 100,
+        slots: 2,
+        state,
+    }
+}
+
+/// A deployment with one route and these backend servers.
+pub fn routes(targets: Vec<Target>) -> Arc<Routes> {
+    let route = Route {
+        shares: vec![Share {
+            service: service(),
+            weight: 1,
+        }],
+        timeout: Duration::from_secs(1),
+        objective: ms(100),
+        priority: 1,
+    };
+    Arc::new(Routes {
+        table: Arc::new(Table {
+            version: 1,
+            routes: HashMap::from([(SERVICE.parse().unwrap(), route)]),
+            idle_timeout: Duration::from_secs(15),
+        }),
+        is_confirmed: true,
+        is_complete: true,
+        targets: HashMap::from([(service(), Arc::new(targets))]),
+    })
+}
--- a/roles/forward/tests/entry.rs
+++ b/roles/forward/tests/entry.rs
@@ -1,21 +1,17 @@
 //! The entry's side: which agent gets which packet.
 mod common;
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use common::*;
 use forward::Entry;
-use forward::Route;
 use forward::Routes;
 use forward::entry::Action;
 use forward::entry::Drop;
 use forward::entry::Event;
 use forward::entry::Refusal;
 use forward::entry::Settings;
-use forward::routes::Share;
-use forward::routes::Table;
 use wire::FlowId;
 use wire::Target;
 use wire::TargetId;
@@ -29,43 +25,6 @@
 const HERE: ZoneId = 1;
 const THERE: ZoneId = 2;
 
-fn target(id: TargetId, zone: ZoneId, state: State) -> Target {
-    Target {
-        id,
-        service: service(),
-        address: hop(id).address,
-        control: hop(id).address,
-        zone,
-        incarnation: 1,
-        version: 1,
-        weight: 100,
-        slots: 2,
-        state,
-    }
-}
-
-fn routes(targets: Vec<Target>) -> Arc<Routes> {
-    let route = Route {
-        shares: vec![Share {
-            service: service(),
-            weight: 1,
-        }],
-        timeout: Duration::from_secs(1),
-        objective: ms(100),
-        priority: 1,
-    };
-    Arc::new(Routes {
-        table: Arc::new(Table {
-            version: 1,
-            routes: HashMap::from([(SERVICE.parse().unwrap(), route)]),
-            idle_timeout: Duration::from_secs(15),
-        }),
-        is_confirmed: true,
-        is_complete: true,
-        targets: HashMap::from([(service(), Arc::new(targets))]),
-    })
-}
-
 /// Time by which the agents are taken to be known.
 fn later() -> Duration {
     let settings = Settings::default();
--- a/roles/forward/tests/world/mod.rs
+++ b/roles/forward/tests/world/mod.rs
@@ -12,16 +12,12 @@
 use fastrand::Rng;
 use forward::Agent;
 use forward::Entry;
-use forward::Route;
 use forward::Routes;
 use forward::agent;
 use forward::agent::State;
 use forward::entry;
-use forward::routes::Share;
-use forward::routes::Table;
 use wire::FlowId;
 use wire::Segment;
-use wire::Target;
 use wire::TargetId;
 use wire::Transit;
 use wire::segment::Kind;
@@ -30,7 +26,8 @@
 use crate::common::backend;
 use crate::common::hop;
 use crate::common::ms;
-use crate::common::service;
+use crate::common::routes;
+use crate::common::target;
 
 /// Time of a datagram between two processes.
 const WAY: Duration = Duration::from_millis(1);
@@ -200,40 +197,12 @@
     }
 
     fn routes(&self) -> Arc<Routes> {
-        let target = |id: &TargetId| Target {
-            id: *id,
-            service: service(),
-            address: hop(*id).address,
-            control: hop(*id).address,
-            zone: if id.is_multiple_of(2) { 1 } else { 2 },
-            incarnation: 1,
-            version: 1,
-            weight: 100,
-            slots: 2,
-            state: target::State::Ready,
-        };
-        let route = Route {
-            shares: vec![Share {
-                service: service(),
-                weight: 1,
-            }],
-            timeout: Duration::from_secs(1),
-            objective: ms(100),
-            priority: 1,
-        };
-        Arc::new(Routes {
-            table: Arc::new(Table {
-                version: 1,
-                routes: HashMap::from([(crate::common::SERVICE.parse().unwrap(), route)]),
-                idle_timeout: Duration::from_secs(30),
-            }),
-            is_confirmed: true,
-            is_complete: true,
-            targets: HashMap::from([(
-                service(),
-                Arc::new(self.servers.keys().map(target).collect()),
-            )]),
-        })
+        let ids = self.servers.keys();
+        let zone = |id: u64| if id.is_multiple_of(2) { 1 } else { 2 };
+        routes(
+            ids.map(|id| target(*id, zone(*id), target::State::Ready))
+                .collect(),
+        )
     }
 
     fn publish(&mut self) {
