--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -10,8 +10,9 @@
     pub service_time: Duration,
     /// How the load of held flows is estimated.
     pub held: held::Settings,
-    /// Requests beyond its slots that the backend server is sent at a time. It
-    /// rejects what does not fit into its own short queue.
+    /// Requests beyond those that run that the backend server is sent at a time,
+    /// for each slot. It rejects what does not fit into its own short queue, and
+    /// says that it has not run.
     pub queue: u16,
     /// Flows that the backend server holds at most.
     pub max_flows: usize,
@@ -46,10 +47,10 @@
         Self {
             service_time: Duration::from_millis(20),
             held: held::Settings::default(),
-            queue: 6,
+            queue: 3,
             max_flows: 2_000,
             assumed: Duration::from_secs(2),
-            assumed_slots: 2,
+            assumed_slots: 4,
             silence: Duration::from_millis(1_900),
             mute: Duration::from_millis(150),
             reservation: Duration::from_millis(500),
