--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -183,7 +183,7 @@
     #[must_use]
     pub fn closed(&self, now: Duration) -> Option<Closed> {
         let settings = &self.settings;
-        let most = self.most_running();
+        let most = self.occupancy.slots() + settings.queue;
         let mute = self.unanswered.map(|since| since + settings.mute);
         match &self.backend {
             _ if self.is_stopping => Some(Closed::Stopping),
@@ -197,13 +197,6 @@
         }
     }
 
-    /// Requests that the backend server is sent at a time.
-    const fn most_running(&self) -> u16 {
-        self.occupancy
-            .slots()
-            .saturating_mul(self.settings.queue.saturating_add(1))
-    }
-
     /// Whether the backend server is taken to be ready before it has announced
     /// itself to this process: one that lives beside a process that was killed
     /// serves on.
--- a/roles/forward/src/agent/opening.rs
+++ b/roles/forward/src/agent/opening.rs
@@ -119,7 +119,7 @@
     fn tell_busy(&self, now: Duration, entry: SocketAddr, actions: &mut Vec<Action>) {
         let mut load = self.load(now);
         if self.closed(now).is_some() {
-            load.running = load.running.max(self.most_running());
+            load.running = load.running.max(load.slots + self.settings.queue);
         }
         let target = self.own.target;
         actions.push(Action::Send {
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -10,9 +10,8 @@
     pub service_time: Duration,
     /// How the load of held flows is estimated.
     pub held: held::Settings,
-    /// Requests beyond those that run that the backend server is sent at a time,
-    /// for each slot. It rejects what does not fit into its own short queue, and
-    /// says that it has not run.
+    /// Requests beyond its slots that the backend server is sent at a time. It
+    /// rejects what does not fit into its own short queue.
     pub queue: u16,
     /// Flows that the backend server holds at most.
     pub max_flows: usize,
@@ -47,10 +46,10 @@
         Self {
             service_time: Duration::from_millis(20),
             held: held::Settings::default(),
-            queue: 3,
+            queue: 6,
             max_flows: 2_000,
             assumed: Duration::from_secs(2),
-            assumed_slots: 4,
+            assumed_slots: 2,
             silence: Duration::from_millis(1_900),
             mute: Duration::from_millis(150),
             reservation: Duration::from_millis(500),
