--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -248,6 +248,7 @@
         }
     }
 
+    /// Takes a packet that an entry believes to belong here.
     fn carry(&mut self, now: Duration, carry: Carry, segment: Segment, actions: &mut Vec<Action>) {
         let flow = segment.from_caller();
         if carry.target != self.own.target {
@@ -396,6 +397,7 @@
         self.probes.clear();
     }
 
+    /// Forgets what is over.
     fn sweep(&mut self, now: Duration) {
         let settings = &self.settings;
         let occupancy = &mut self.occupancy;
--- a/roles/forward/src/agent/opening.rs
+++ b/roles/forward/src/agent/opening.rs
@@ -20,6 +20,8 @@
 use super::flow::Flow;
 
 impl Agent {
+    /// Takes a new flow, passes it on, or refuses it. A copy of an opening packet
+    /// follows the first one.
     pub(super) fn open(
         &mut self,
         now: Duration,
@@ -77,6 +79,7 @@
         }
     }
 
+    /// Hands a new flow to the backend server and says so to its entry.
     fn take(
         &mut self,
         now: Duration,
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -163,6 +163,7 @@
         self.flows.is_empty()
     }
 
+    /// Takes new routes and backend servers.
     fn replace(&mut self, now: Duration, routes: Arc<Routes>) {
         let targets = routes.targets.values().flat_map(|targets| targets.iter());
         let known: HashSet<TargetId> = targets.map(|target| target.id).collect();
@@ -292,6 +293,7 @@
         });
     }
 
+    /// Sends an opening packet to the first of some agents.
     fn send_open(
         &mut self,
         routes: &Routes,
@@ -362,6 +364,7 @@
         }
     }
 
+    /// Sends a packet to the holder of its flow.
     fn send(&self, holder: Hop, passing: Passing<'_>) {
         passing.actions.push(Action::Send {
             to: holder.address,
@@ -374,6 +377,7 @@
         });
     }
 
+    /// Notes the holder of a flow, and sends it what waits for it.
     fn held(&mut self, now: Duration, held: &Held, actions: &mut Vec<Action>) {
         self.place.learn(now, held.holder.target, held.load);
         let before = self.flows.remove(&held.flow);
@@ -438,6 +442,7 @@
         self.flows.insert(flow, Flow::new(now, phase));
     }
 
+    /// Forgets flows that are over or idle.
     fn sweep(&mut self, now: Duration) {
         let settings = &self.settings;
         let idle = self.routes.table.idle_timeout.max(settings.least_idle);
