Leave out two unused methods, and the look at searches where there are none

Cause: next_deadline of both cores was called by nobody, since the reading threads tick; each packet at a gateway took a reference to the routes though nothing was searched for. Change: removed; an early return. Behaviour stays as it is. Checked: lints of forward and app, tests of forward (54 pass).

--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -173,12 +173,6 @@
         }
     }
 
-    /// When to give the next [`Event::Tick`].
-    #[must_use]
-    pub const fn next_deadline(&self) -> Duration {
-        self.next_sweep
-    }
-
     /// Why no new flows are taken, if so.
     #[must_use]
     pub fn closed(&self, now: Duration) -> Option<Closed> {
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -139,12 +139,6 @@
         }
     }
 
-    /// When to give the next [`Event::Tick`].
-    #[must_use]
-    pub const fn next_deadline(&self) -> Duration {
-        self.next_sweep
-    }
-
     /// Version of the configuration in force; 0 before the first.
     #[must_use]
     pub fn version(&self) -> Revision {
--- a/roles/forward/src/entry/search.rs
+++ b/roles/forward/src/entry/search.rs
@@ -71,6 +71,9 @@
 
     /// Takes the searches further that have had no answer.
     pub(super) fn search_on(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.searches.is_empty() {
+            return;
+        }
         let routes = Arc::clone(&self.routes);
         let knows_all = self.knows_all(now);
         while let Some(flow) = self.searches.front().copied() {
