Flows that ended with everything else are denied; signals and entries early in a start

With the store away, SIGTERM ended it at once, and nobody knew it for as long as the call took. Now signals are watched first, the announcements go to the entries of the settings at once, and what the store lists is added later (member registry entries_that_are_found_later_are_announced_to_at_once failed before). Ruled out: a signal that was lost (the log shows the start 0.75 s earlier and no event 1006).

The log shows why: callers go on using long flows whose backend servers are gone, nobody holds them, and each request on them waits for its deadline (4,635 tries ended so). Now backend servers that started together with a young entry say that they surely do not hold such a flow; once all of its service say so, and none is held to be down, the caller gets a reset and opens a new flow. A holder that has started anew since it took a flow ends it at once. A caller that repeats no longer puts off the next search (forward flows loss_of_power_*: 968 of 1,000 requests waited before, fewer than 100 after 3 s now; entry a_flow_that_nobody_held_is_searched_for_again_*).

--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -102,6 +102,14 @@
         }
     }
 
+    /// Takes further entries that may be announced to, at once where none has
+    /// answered yet.
+    pub fn know(&mut self, now: Duration, entries: &[SocketAddr]) {
+        if self.watchers.know(now, entries, &mut self.rng) {
+            self.next_heartbeat = now;
+        }
+    }
+
     /// Announces a change of the backend server with the next tick.
     pub fn announce(&mut self, now: Duration, change: Change) {
         let is_same = (self.target.weight, self.target.state) == (change.weight, change.state);
--- a/coordination/member/src/announcer/watchers.rs
+++ b/coordination/member/src/announcer/watchers.rs
@@ -71,6 +71,22 @@
         watchers
     }
 
+    /// Takes further seeds; true where no watcher has answered yet.
+    pub fn know(&mut self, now: Duration, entries: &[SocketAddr], rng: &mut Rng) -> bool {
+        for entry in entries {
+            if !self.seeds.contains(entry) {
+                self.seeds.push(*entry);
+            }
+        }
+        if self.current.is_empty() {
+            let mut first = self.seeds.clone();
+            rng.shuffle(&mut first);
+            first.truncate(self.settings.watchers);
+            self.adopt(now, &first);
+        }
+        !self.current.iter().any(|held| held.digest.is_some())
+    }
+
     /// The watchers.
     #[must_use]
     pub fn addresses(&self) -> Vec<SocketAddr> {
--- a/coordination/member/tests/registry.rs
+++ b/coordination/member/tests/registry.rs
@@ -1,9 +1,11 @@
 //! Announcing, spreading and leaving among a few processes.
 mod net;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use member::Action;
 use member::Announcer;
 use member::Health;
 use member::Message;
@@ -19,6 +21,7 @@
 use crate::net::entry;
 use crate::net::region;
 use crate::net::roster;
+use crate::net::target;
 
 fn config(revision: u64, len: usize) -> Service {
     Service {
@@ -188,6 +191,24 @@
     assert_eq!(net.agents[&fresh].view().targets.len(), 8);
 }
 
+/// The entries that an agent was started with may all be gone.
+#[test]
+fn entries_that_are_found_later_are_announced_to_at_once() {
+    let net = region(3, 0, 1);
+    let gone: Vec<SocketAddr> = (101..=103).map(entry).collect();
+    let now = net.now;
+    let alone = target(2, 0, 1);
+    let mut announcer = Announcer::new(net.settings.clone(), alone, gone, 1, now);
+    announcer.tick(now, &mut Vec::new());
+    announcer.know(now, &[entry(1)]);
+    let mut actions = Vec::new();
+    announcer.tick(now, &mut actions);
+    let told = actions
+        .iter()
+        .any(|Action::Send { to, .. }| *to == entry(1));
+    assert!(told, "{actions:?}");
+}
+
 /// A caller that waits for the deadline must not spin.
 #[test]
 fn a_finished_agent_is_not_due_at_once() {
--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -23,7 +23,7 @@
     Seek(Carry),
     /// Names the holder of a flow.
     Held(Held),
-    /// Returns a packet whose flow the agent does not hold.
+    /// Says that an agent does not hold a flow, or returns its packet.
     Absent(Absent),
     /// Tells the load of a backend server that did not take a flow.
     Busy(Busy),
@@ -58,6 +58,9 @@
     /// Whether an agent that cannot know may try the packet at its backend
     /// server, which hands back what it does not hold.
     pub may_try: bool,
+    /// An agent that is asked and surely does not hold the flow says so where its
+    /// backend server has run for this time at most, in milliseconds.
+    pub denied_below_ms: u32,
     /// The caller's packet.
     pub packet: Bytes,
 }
@@ -73,14 +76,19 @@
     pub load: Load,
 }
 
-/// Returns a packet whose flow the agent does not hold.
+/// Says that an agent does not hold a flow.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Absent {
     /// The flow.
     pub flow: FlowId,
     /// The backend server that does not hold the flow.
     pub target: TargetId,
-    /// The caller's packet.
+    /// Position up to which the caller has received.
+    pub acknowledged: u32,
+    /// Longest time for which the backend server can have run, in milliseconds,
+    /// where it surely does not hold the flow.
+    pub age_ms: Option<u32>,
+    /// The caller's packet; empty where the entry has it still.
     pub packet: Bytes,
 }
 
--- a/roles/app/src/carried/lifecycle.rs
+++ b/roles/app/src/carried/lifecycle.rs
@@ -1,7 +1,8 @@
 //! The start and the stop of a gateway or sidecar.
+use async_channel::Receiver;
+
 use crate::event::Event;
 use crate::settings::table::Role;
-use crate::signal;
 use crate::signal::Signal;
 
 /// Logs that the process has started.
@@ -17,8 +18,7 @@
 
 /// Waits for SIGTERM. What may change in the settings of a running process comes
 /// with the configuration and the announcements, so that SIGHUP is only logged.
-pub async fn stop_requested(role: Role) {
-    let signals = signal::watch();
+pub async fn stop_requested(role: Role, signals: Receiver<Signal>) {
     while let Ok(signal) = signals.recv().await {
         let role = role.name().to_owned();
         match signal {
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -154,8 +154,8 @@
         "the holder of flow {flow} is searched for at {asked} agents, tries allowed {may_try}", "nothing";
     4006 Info FlowFound { flow: String, holder: TargetId, took_us: u128 }
         "flow {flow} is held by {holder}, found after {took_us} us", "nothing";
-    4007 Warn FlowLost { flow: String }
-        "nobody says to hold flow {flow}; its packets are dropped for a second",
+    4007 Warn FlowLost { flow: String, denied: usize, holders: usize, knows_all: bool }
+        "nobody says to hold flow {flow}; {denied} of {holders} agents deny it, all known {knows_all}; its packets are dropped for a while",
         "look for an agent that stopped beside a running backend server";
     4008 Info FlowTried { flow: String }
         "a packet of flow {flow} is tried at the backend server", "nothing";
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -21,6 +21,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_channel::Receiver;
 use async_channel::Sender;
 use async_io::Timer;
 use forward::Entry;
@@ -45,6 +46,8 @@
 use crate::metric::Board;
 use crate::settings;
 use crate::settings::table::Role;
+use crate::signal;
+use crate::signal::Signal;
 
 /// Control messages that wait for the control thread.
 const CONTROL_QUEUE: usize = 4 * 1024;
@@ -65,6 +68,8 @@
 }
 
 async fn start(settings: &settings::Gateway, host: platform::Settings) -> io::Result<()> {
+    // A signal may come before the process is ready to act on it.
+    let signals = signal::watch();
     let origin = Instant::now();
     let executor = Arc::new(Executor::new());
     let seal = Arc::new(settings.0.keys.seal());
@@ -125,7 +130,7 @@
         needed: BTreeSet::new(),
         watch: crate::watch::Watch::default(),
     };
-    let stopped = stopped(sender, is_ready);
+    let stopped = stopped(signals, sender, is_ready);
     executor.run(control.run().or(stopped)).await;
     Ok(())
 }
@@ -146,8 +151,8 @@
 
 /// Waits for SIGTERM, tells the platform and the other entries, and then lets
 /// the packets under way arrive.
-async fn stopped(control: Sender<Input>, is_ready: Arc<AtomicBool>) {
-    lifecycle::stop_requested(Role::Gateway).await;
+async fn stopped(signals: Receiver<Signal>, control: Sender<Input>, is_ready: Arc<AtomicBool>) {
+    lifecycle::stop_requested(Role::Gateway, signals).await;
     is_ready.store(false, Ordering::Relaxed);
     let _ = control.send(Input::Leave).await;
     Timer::after(LINGER).await;
--- a/roles/app/src/gateway/routes.rs
+++ b/roles/app/src/gateway/routes.rs
@@ -31,6 +31,11 @@
                 self.document(view);
             } else {
                 let targets = view.map(targets).unwrap_or_default();
+                if view.is_some_and(has_silent) {
+                    self.routes.silent.insert(*address);
+                } else {
+                    self.routes.silent.remove(address);
+                }
                 self.routes.targets.insert(*address, Arc::new(targets));
             }
         }
@@ -73,3 +78,9 @@
         .map(|member| member.target.clone())
         .collect()
 }
+
+/// Whether a backend server is held to be down that has not said that it left.
+fn has_silent(view: &View) -> bool {
+    let mut members = view.targets.values();
+    members.any(|member| member.health == Health::Down && member.target.state != State::Left)
+}
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -157,10 +157,19 @@
                     took_us: took.as_micros(),
                 });
             }
-            Action::Vanished { flow } => {
+            Action::Vanished {
+                flow,
+                denied,
+                holders,
+                knows_all,
+            } => {
                 link.count("carried.searches.ended", "lost");
-                let flow = name(&flow);
-                self.link.log(&log::Event::FlowLost { flow });
+                self.link.log(&log::Event::FlowLost {
+                    flow: name(&flow),
+                    denied,
+                    holders,
+                    knows_all,
+                });
             }
             Action::Dropped(reason) => self.link.drop_packet(dropped(reason)),
         }
@@ -171,6 +180,7 @@
     match reason {
         Refusal::NoRoute => "no_route",
         Refusal::NoServer => "no_server",
+        Refusal::ServerEnded => "server_ended",
     }
 }
 
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_channel::Receiver;
 use async_channel::Sender;
 use async_io::Timer;
 use forward::Agent;
@@ -39,6 +40,8 @@
 use crate::sidecar::control::Control;
 use crate::sidecar::control::Input;
 use crate::sidecar::traffic::Traffic;
+use crate::signal;
+use crate::signal::Signal;
 
 /// Control messages that wait for the control thread.
 const CONTROL_QUEUE: usize = 1024;
@@ -56,6 +59,9 @@
 /// which a silent backend server counts as gone.
 const SILENCE_SHARE: f64 = 0.9;
 
+/// How much longer than stated the time between two announcements may be.
+const LONGEST_HEARTBEAT: f64 = 1.25;
+
 /// Announcements in a row that may be late before a backend server counts as
 /// silent.
 const SILENT_HEARTBEATS: f64 = 2.5;
@@ -72,6 +78,8 @@
 }
 
 async fn start(settings: &settings::Sidecar, host: platform::Settings) -> io::Result<()> {
+    // A signal may come before the process is ready to act on it.
+    let signals = signal::watch();
     let origin = Instant::now();
     let executor = Arc::new(Executor::new());
     let seal = Arc::new(settings.0.keys.seal());
@@ -115,9 +123,10 @@
     let read = move |board: &mut Board| shared.publish(board, &http.counts());
     metric::carried::serve(metrics, &executor, read, board).await?;
     lifecycle::started(Role::Sidecar, &host);
-    let seeds = seeds::gather(&store, &host).await;
+    let finding = seeds::find(store, host.clone(), sender.clone());
+    executor.spawn(finding).detach();
     let control = Control {
-        seeds,
+        seeds: host.seed_frames(),
         announcer: None,
         origin,
         port,
@@ -126,9 +135,8 @@
         zone: host.zone_id(),
         inputs,
         backend: None,
-        store,
     };
-    let stopped = stopped(sender, traffic);
+    let stopped = stopped(signals, sender, traffic);
     let control = Box::pin(control.run(&host));
     executor.run(control.or(stopped)).await;
     Ok(())
@@ -138,6 +146,7 @@
     let heard = host.heartbeat_ms.mul_f64(SILENT_HEARTBEATS);
     Settings {
         assumed: heard,
+        heartbeat: host.heartbeat_ms.mul_f64(LONGEST_HEARTBEAT),
         silence: heard.min(host.reuse_s.mul_f64(SILENCE_SHARE)),
         oldest_flow: host.oldest_flow_s,
         ..Settings::default()
@@ -146,8 +155,8 @@
 
 /// Waits for SIGTERM, lets entries send new flows elsewhere, and then lets the
 /// requests under way end.
-async fn stopped(control: Sender<Input>, traffic: Arc<Traffic>) {
-    lifecycle::stop_requested(Role::Sidecar).await;
+async fn stopped(signals: Receiver<Signal>, control: Sender<Input>, traffic: Arc<Traffic>) {
+    lifecycle::stop_requested(Role::Sidecar, signals).await;
     let _ = control.send(Input::Stop).await;
     Timer::after(NOTICE).await;
     let asked = Instant::now();
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -28,7 +28,6 @@
 
 use crate::clock;
 use crate::event::Event as LogEvent;
-use crate::sidecar::seeds;
 use crate::sidecar::traffic::Traffic;
 
 /// Longest sleep while nothing is due.
@@ -54,6 +53,8 @@
         /// Its name.
         name: String,
     },
+    /// Entries that the store lists.
+    Entries(Vec<SocketAddr>),
     /// The process is to stop.
     Stop,
 }
@@ -78,8 +79,6 @@
     pub inputs: Receiver<Input>,
     /// What the backend server told last.
     pub backend: Option<Backend>,
-    /// The platform's store.
-    pub store: platform::Client,
 }
 
 impl Control {
@@ -88,9 +87,6 @@
         let mut actions = Vec::new();
         self.announce_early(self.origin.elapsed(), host);
         loop {
-            if self.seeds.is_empty() {
-                self.seeds = seeds::gather(&self.store, host).await;
-            }
             self.turn(&mut actions).await;
             // Messages that never cease must not keep a stop from being seen.
             yield_now().await;
@@ -104,6 +100,7 @@
             Some(Input::Message { from, payload }) => self.message(now, from, &payload, actions),
             Some(Input::Backend(backend)) => self.backend(now, backend),
             Some(Input::End { name }) => self.end(&name),
+            Some(Input::Entries(entries)) => self.know(now, entries),
             Some(Input::Stop) => self.stop(now),
             None => {}
         }
@@ -198,6 +195,18 @@
         Announcer::new(settings, target, self.seeds.clone(), fastrand::u64(..), now)
     }
 
+    /// Announces to further entries where those that are known do not answer.
+    fn know(&mut self, now: Duration, entries: Vec<SocketAddr>) {
+        if let Some(announcer) = &mut self.announcer {
+            announcer.know(now, &entries);
+        }
+        for entry in entries {
+            if !self.seeds.contains(&entry) {
+                self.seeds.push(entry);
+            }
+        }
+    }
+
     /// Notes that the backend server ends.
     fn end(&mut self, name: &str) {
         if let Some(held) = &mut self.backend
--- a/roles/forward/examples/cost.rs
+++ b/roles/forward/examples/cost.rs
@@ -129,6 +129,7 @@
         let carry = Carry {
             target: 1,
             entry: SocketAddr::from(([10, 1, 0, 1], 7000)),
+            denied_below_ms: 0,
             may_try: true,
             packet: Bytes::from_static(b"packet"),
         };
@@ -228,6 +229,7 @@
         priority: 1,
     };
     Arc::new(Routes {
+        silent: std::collections::HashSet::new(),
         table: Arc::new(Table {
             version: 1,
             routes: HashMap::from([(SERVICE, route)]),
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -93,6 +93,10 @@
     has_past: bool,
     backend: Option<Backend>,
     heard: Duration,
+    /// When the start of the backend server was first heard of, and the longest
+    /// time for which it can have run then.
+    first_heard: Duration,
+    age_then: Duration,
     /// When the backend server was first sent an opening packet that it has not
     /// reacted to.
     unanswered: Option<Duration>,
@@ -134,6 +138,8 @@
             has_past,
             backend: None,
             heard: now,
+            first_heard: now,
+            age_then: Duration::ZERO,
             unanswered: None,
             is_stopping: false,
             occupancy: Occupancy::new(settings.assumed_slots, settings.service_time),
@@ -231,6 +237,13 @@
         self.flows.is_empty()
     }
 
+    /// Longest time for which the backend server can have run; its announcements
+    /// count its time.
+    fn age(&self, now: Duration) -> Option<Duration> {
+        self.backend.as_ref()?;
+        Some(self.age_then + now.saturating_sub(self.first_heard))
+    }
+
     /// The load, to be told to entries.
     #[must_use]
     pub fn load(&self, now: Duration) -> transit::Load {
@@ -246,7 +259,7 @@
     fn carry(&mut self, now: Duration, carry: Carry, segment: Segment, actions: &mut Vec<Action>) {
         let flow = segment.from_caller();
         if carry.target != self.own.target {
-            return not_here(flow, carry, actions);
+            return not_here(flow, carry, &segment, None, actions);
         }
         if self.flows.contains_key(&flow) {
             return self.deliver(now, flow, carry, segment, actions);
@@ -266,10 +279,10 @@
             return ended(flow, &segment, actions);
         }
         if self.may_hold(now, &flow) {
-            self.probe(now, flow, carry, actions);
-        } else {
-            not_here(flow, carry, actions);
+            return self.probe(now, flow, carry, actions);
         }
+        let age = self.age(now);
+        not_here(flow, carry, &segment, age, actions);
     }
 
     /// Delivers a packet of a flow that is held.
@@ -289,7 +302,7 @@
             held.end_request(now, &mut self.occupancy);
             self.flows.remove(&flow);
             self.absent.insert(now, flow, ());
-            return not_here(flow, carry, actions);
+            return not_here(flow, carry, &segment, None, actions);
         }
         if held.caller_sent(now, &segment, &mut self.occupancy) {
             self.held.request(now);
@@ -327,9 +340,11 @@
                 target: self.own.target,
                 entry,
                 may_try: false,
+                denied_below_ms: 0,
                 packet,
             };
-            not_here(flow, carry, actions);
+            let age = self.age(now);
+            not_here(flow, carry, &segment, age, actions);
         }
     }
 
@@ -360,11 +375,22 @@
             }
             if backend.start != held.start {
                 self.gone(now, actions);
+                // This process hears of all flows of a start that it saw begin.
+                self.has_past = false;
             }
         }
         if self.backend.is_none() && backend.sequence <= FIRST_SEQUENCE {
             self.has_past = false;
         }
+        let is_new = self
+            .backend
+            .as_ref()
+            .is_none_or(|held| held.start != backend.start);
+        if is_new {
+            self.first_heard = now;
+            let sent = u32::try_from(backend.sequence).unwrap_or(u32::MAX);
+            self.age_then = self.settings.heartbeat.saturating_mul(sent);
+        }
         self.heard = now;
         self.unanswered = None;
         self.own.target = backend.target;
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -20,6 +20,8 @@
     pub assumed: Duration,
     /// Slots of a backend server until it states them.
     pub assumed_slots: u16,
+    /// Longest time between two announcements.
+    pub heartbeat: Duration,
     /// Time without an announcement after which the backend server takes no new
     /// flows. Shorter than the time after which its address may serve another
     /// service.
@@ -52,6 +54,7 @@
             max_flows: 2_000,
             assumed: Duration::from_secs(2),
             assumed_slots: 2,
+            heartbeat: Duration::from_secs(1),
             silence: Duration::from_millis(1_900),
             mute: Duration::from_millis(150),
             refusal: Duration::from_millis(100),
--- a/roles/forward/src/agent/unknown.rs
+++ b/roles/forward/src/agent/unknown.rs
@@ -1,6 +1,7 @@
 //! Finds out whether the backend server holds flows from before this process.
 use std::time::Duration;
 
+use bytes::Bytes;
 use wire::FlowId;
 use wire::Segment;
 use wire::Transit;
@@ -46,8 +47,23 @@
             }
             return;
         }
-        if self.may_hold(now, &flow) && carry.may_try {
-            self.probe(now, flow, carry, actions);
+        if self.dead.get(now, &flow).is_some() {
+            return ended(flow, &segment, actions);
+        }
+        let may_hold = self.may_hold(now, &flow);
+        match self.age(now) {
+            _ if may_hold && carry.may_try => self.probe(now, flow, carry, actions),
+            Some(age) if !may_hold && millis(age) <= carry.denied_below_ms => {
+                let packet = Bytes::new();
+                not_here(
+                    flow,
+                    Carry { packet, ..carry },
+                    &segment,
+                    Some(age),
+                    actions,
+                );
+            }
+            _ => {}
         }
     }
 
@@ -88,14 +104,27 @@
     }
 }
 
-/// Returns a packet to its entry, which searches on.
-pub(super) fn not_here(flow: FlowId, carry: Carry, actions: &mut Vec<Action>) {
+/// Says to an entry that a flow is not held here, or returns its packet for
+/// which the entry searches on.
+pub(super) fn not_here(
+    flow: FlowId,
+    carry: Carry,
+    segment: &Segment,
+    age: Option<Duration>,
+    actions: &mut Vec<Action>,
+) {
     actions.push(Action::Send {
         to: carry.entry,
         transit: Transit::Absent(Absent {
             flow,
             target: carry.target,
+            acknowledged: segment.acknowledged,
+            age_ms: age.filter(|_| segment.kind != Kind::Reset).map(millis),
             packet: carry.packet,
         }),
     });
 }
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -338,6 +338,10 @@
         let Some(held) = self.flows.get_mut(&flow) else {
             return self.seek(routes, None, passing);
         };
+        let is_lost = matches!(held.phase, Phase::Lost);
+        if is_lost && passing.now >= held.since + self.settings.forget_lost {
+            return self.seek(routes, None, passing);
+        }
         held.used = passing.now;
         held.is_closing |= matches!(passing.segment.kind, Kind::Close | Kind::Reset);
         match &mut held.phase {
@@ -366,6 +370,7 @@
                 target: holder.target,
                 entry: self.address,
                 may_try: true,
+                denied_below_ms: 0,
                 packet: passing.packet,
             }),
         });
@@ -376,9 +381,14 @@
         self.place.learn(now, held.holder.target, held.load);
         let before = self.flows.remove(&held.flow);
         let is_closing = before.as_ref().is_some_and(|flow| flow.is_closing);
+        let since = before.as_ref().and_then(|flow| match flow.phase {
+            Phase::Held(holder) if holder.target == held.holder.target => Some(flow.since),
+            _ => None,
+        });
         self.remember(now, held.flow, Phase::Held(held.holder));
         if let Some(flow) = self.flows.get_mut(&held.flow) {
             flow.is_closing = is_closing;
+            flow.since = since.unwrap_or(now);
         }
         let seeking = match before.map(|flow| flow.phase) {
             Some(Phase::Seeking(seeking)) => seeking,
@@ -400,6 +410,7 @@
                     target: held.holder.target,
                     entry: self.address,
                     may_try: true,
+                    denied_below_ms: 0,
                     packet,
                 }),
             });
@@ -409,21 +420,33 @@
     /// Searches on for the holder of a flow, or gives the search up once all
     /// have answered.
     fn absent(&mut self, now: Duration, absent: Absent, actions: &mut Vec<Action>) {
-        let Some(held) = self.flows.get_mut(&absent.flow) else {
+        let Some(held) = self.flows.get(&absent.flow) else {
             return;
         };
-        match &mut held.phase {
+        let known = now.saturating_sub(held.since);
+        match &held.phase {
             Phase::Held(holder) if holder.target == absent.target => {
+                let age = absent.age_ms.map(u64::from).map(Duration::from_millis);
+                if age.is_some_and(|age| age < known) {
+                    // The holder's backend server has started anew since.
+                    self.flows.remove(&absent.flow);
+                    return actions.push(search::ended(absent.flow, absent.acknowledged));
+                }
                 let routes = Arc::clone(&self.routes);
+                let segment = Segment {
+                    acknowledged: absent.acknowledged,
+                    ..header(&absent.flow)
+                };
                 let passing = Passing {
                     now,
-                    segment: header(&absent.flow),
+                    segment,
                     packet: absent.packet,
                     actions,
                 };
                 self.seek(&routes, Some(absent.target), passing);
             }
-            Phase::Held(_) | Phase::Opening(_) | Phase::Seeking(_) | Phase::Lost => {}
+            Phase::Seeking(_) => self.denied(now, &absent, actions),
+            Phase::Held(_) | Phase::Opening(_) | Phase::Lost => {}
         }
     }
 
--- a/roles/forward/src/entry/action.rs
+++ b/roles/forward/src/entry/action.rs
@@ -17,7 +17,7 @@
         /// The frame.
         transit: Transit,
     },
-    /// Tell the caller that its flow is refused; no request of it has run.
+    /// Tell the caller that its flow is refused or has ended.
     Reset {
         /// The flow.
         flow: FlowId,
@@ -60,10 +60,16 @@
         /// Time since it was last asked for.
         took: Duration,
     },
-    /// Nobody holds a flow.
+    /// Nobody says to hold a flow.
     Vanished {
         /// The flow.
         flow: FlowId,
+        /// Agents that surely do not hold it.
+        denied: usize,
+        /// Agents that may hold flows of its route.
+        holders: usize,
+        /// Whether no other agent may be.
+        knows_all: bool,
     },
     /// A packet was dropped.
     Dropped(Drop),
@@ -76,6 +82,8 @@
     NoRoute,
     /// The service has no backend server that takes flows.
     NoServer,
+    /// The backend server of the flow has ended.
+    ServerEnded,
 }
 
 /// Why a packet was dropped.
--- a/roles/forward/src/entry/flow.rs
+++ b/roles/forward/src/entry/flow.rs
@@ -16,6 +16,8 @@
     pub phase: Phase,
     /// When its last packet came.
     pub used: Duration,
+    /// Since when the same holder is known, or none was found.
+    pub since: Duration,
     /// Whether the caller has ended it.
     pub is_closing: bool,
 }
@@ -57,6 +59,10 @@
     pub may_try: bool,
     /// A backend server that does not hold the flow.
     pub absent: Option<TargetId>,
+    /// Backend servers that surely do not, and are no older than the entry.
+    pub denied: Vec<TargetId>,
+    /// Position up to which the caller has received.
+    pub acknowledged: u32,
     /// Packets to be sent once the holder is known.
     pub waiting: Vec<Bytes>,
 }
@@ -76,6 +82,7 @@
         Self {
             phase,
             used: now,
+            since: now,
             is_closing: false,
         }
     }
--- a/roles/forward/src/entry/search.rs
+++ b/roles/forward/src/entry/search.rs
@@ -5,11 +5,13 @@
 use wire::FlowId;
 use wire::TargetId;
 use wire::Transit;
+use wire::transit::Absent;
 use wire::transit::Carry;
 
 use super::Action;
 use super::Entry;
 use super::Passing;
+use super::Refusal;
 use super::flow;
 use super::flow::Phase;
 use super::flow::Stage;
@@ -26,6 +28,8 @@
             packet: passing.packet,
             may_try: self.knows_all(passing.now),
             absent,
+            denied: Vec::new(),
+            acknowledged: passing.segment.acknowledged,
             waiting: Vec::new(),
         };
         self.ask(routes, flow, &seeking, passing.actions);
@@ -58,6 +62,7 @@
                     target: target.id,
                     entry: self.address,
                     may_try: seeking.may_try,
+                    denied_below_ms: self.denied_below_ms(seeking.sent),
                     packet: seeking.packet.clone(),
                 }),
             });
@@ -69,6 +74,46 @@
         });
     }
 
+    /// Time up to which backend servers have started with this entry or after it,
+    /// so that flows which the entry does not know are not theirs. Zero for an
+    /// entry that is older than any flow which its callers may have forgotten.
+    fn denied_below_ms(&self, now: Duration) -> u32 {
+        let age = now.saturating_sub(self.started);
+        if age > self.settings.anew {
+            return 0;
+        }
+        let limit = age + self.settings.together;
+        u32::try_from(limit.as_millis()).unwrap_or(u32::MAX)
+    }
+
+    /// Notes that a backend server surely does not hold a flow. Where all of its
+    /// service say so, and none is older than this entry, the flow has ended with
+    /// its backend server, and the caller is told.
+    pub(super) fn denied(&mut self, now: Duration, absent: &Absent, actions: &mut Vec<Action>) {
+        let limit = self.denied_below_ms(now);
+        let is_anew = absent.age_ms.is_some_and(|age| age <= limit);
+        let knows_all = self.knows_all(now);
+        let flow = absent.flow;
+        let Some(Phase::Seeking(seeking)) = self.flows.get_mut(&flow).map(|held| &mut held.phase)
+        else {
+            return;
+        };
+        if !is_anew || seeking.denied.contains(&absent.target) {
+            return;
+        }
+        seeking.denied.push(absent.target);
+        let Some(route) = self.routes.route(flow.service) else {
+            return;
+        };
+        let has_silent = self.routes.has_silent(route);
+        let mut holders = self.routes.holders(route);
+        if knows_all && !has_silent && holders.all(|one| seeking.denied.contains(&one.id)) {
+            let sequence = seeking.acknowledged;
+            self.flows.remove(&flow);
+            actions.push(ended(flow, sequence));
+        }
+    }
+
     /// Takes the searches further that have had no answer.
     pub(super) fn search_on(&mut self, now: Duration, actions: &mut Vec<Action>) {
         if self.searches.is_empty() {
@@ -101,9 +146,17 @@
                     seeking.may_try = knows_all;
                 }
                 Stage::Far => {
+                    let route = routes.route(flow.service);
+                    let has_silent = route.is_some_and(|route| routes.has_silent(route));
+                    actions.push(Action::Vanished {
+                        flow,
+                        denied: seeking.denied.len(),
+                        holders: route.map_or(0, |route| routes.holders(route).count()),
+                        knows_all: knows_all && !has_silent,
+                    });
                     held.phase = Phase::Lost;
                     held.used = now;
-                    actions.push(Action::Vanished { flow });
+                    held.since = now;
                     continue;
                 }
             }
@@ -118,3 +171,12 @@
         }
     }
 }
+
+/// Tells the caller that its flow has ended with its backend server.
+pub(super) const fn ended(flow: FlowId, sequence: u32) -> Action {
+    Action::Reset {
+        flow,
+        sequence,
+        reason: Refusal::ServerEnded,
+    }
+}
--- a/roles/forward/src/routes.rs
+++ b/roles/forward/src/routes.rs
@@ -1,5 +1,6 @@
 //! Which backend servers the flows to an address may go to.
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,6 +57,9 @@
     pub is_complete: bool,
     /// The backend servers of each service, without those that have left.
     pub targets: HashMap<ServiceAddress, Arc<Vec<Target>>>,
+    /// Services with backend servers that are held to be down, but may be only
+    /// cut off.
+    pub silent: HashSet<ServiceAddress>,
 }
 
 impl Route {
@@ -99,6 +103,13 @@
         targets.into_iter().flat_map(|targets| targets.iter())
     }
 
+    /// Whether a backend server of a route is held to be down.
+    #[must_use]
+    pub fn has_silent(&self, route: &Route) -> bool {
+        let mut shares = route.shares.iter();
+        shares.any(|share| self.silent.contains(&share.service))
+    }
+
     /// All backend servers that may hold a flow of a route.
     pub fn holders<'a>(&'a self, route: &'a Route) -> impl Iterator<Item = &'a Target> {
         let shares = route.shares.iter();
--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -119,6 +119,77 @@
     assert!(!delivers(&alone), "{alone:?}");
 }
 
+/// An entry that started together with the backend servers asks for a flow.
+fn ask(agent: &mut Agent, now: Duration, below: Duration) -> Vec<Action> {
+    let asked = wire::transit::Carry {
+        denied_below_ms: u32::try_from(below.as_millis()).unwrap(),
+        may_try: false,
+        ..carry(OWN)
+    };
+    let segment = from_caller(9, Kind::Data, 100);
+    handle(
+        agent,
+        now,
+        Event::Seek {
+            carry: asked,
+            segment,
+        },
+    )
+}
+
+fn denies(actions: &[Action]) -> bool {
+    actions.iter().any(|action| {
+        matches!(action, Action::Send { transit: Transit::Absent(absent), .. }
+            if absent.age_ms.is_some() && absent.packet.is_empty())
+    })
+}
+
+/// An agent beside a backend server that told its first announcement.
+fn anew() -> Agent {
+    let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
+    let first = backend(OWN, 1, 1, State::Ready);
+    handle(&mut agent, ms(0), Event::Backend(first));
+    agent
+}
+
+#[test]
+fn a_server_that_started_with_the_entry_denies_an_unknown_flow() {
+    let mut agent = anew();
+    assert!(denies(&ask(&mut agent, ms(1_000), ms(4_000))));
+}
+
+#[test]
+fn a_server_that_is_older_than_the_entry_says_nothing() {
+    let mut agent = anew();
+    assert_eq!(ask(&mut agent, ms(9_000), ms(4_000)), []);
+}
+
+#[test]
+fn a_server_that_may_hold_a_flow_says_nothing() {
+    let mut agent = ready(true);
+    assert_eq!(ask(&mut agent, ms(1), ms(60_000)), []);
+}
+
+/// A process that lived through the start of its backend server knows all of
+/// its flows.
+#[test]
+fn a_restarted_server_denies_the_flows_of_the_one_before() {
+    let mut agent = ready(true);
+    let next = backend(OWN, 2, 1, State::Ready);
+    handle(&mut agent, ms(5_000), Event::Backend(next));
+    assert!(denies(&ask(&mut agent, ms(5_100), ms(4_000))));
+}
+
+#[test]
+fn a_flow_that_ended_with_its_server_is_reset_also_where_it_is_sought() {
+    let mut agent = ready(false);
+    open_at(&mut agent, ms(1), 9, open(&[OWN]));
+    accept(&mut agent, ms(2), 9);
+    handle(&mut agent, ms(3), Event::Gone);
+    let actions = ask(&mut agent, ms(4), ms(0));
+    assert!(matches!(actions[..], [Action::Reset { .. }]), "{actions:?}");
+}
+
 #[test]
 fn a_copy_follows_the_flow_that_was_passed_on() {
     let mut agent = ready(false);
--- a/roles/forward/tests/common/mod.rs
+++ b/roles/forward/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Builds the events of the cores under test.
 #![allow(dead_code)]
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -107,6 +108,7 @@
         target,
         entry: entry(),
         may_try: true,
+        denied_below_ms: 0,
         packet: packet(),
     }
 }
@@ -160,5 +162,6 @@
         is_confirmed: true,
         is_complete: true,
         targets: HashMap::from([(service(), Arc::new(targets))]),
+        silent: HashSet::new(),
     })
 }
--- a/roles/forward/tests/entry.rs
+++ b/roles/forward/tests/entry.rs
@@ -261,6 +261,8 @@
     let absent = transit::Absent {
         flow: flow(),
         target: 1,
+        acknowledged: 0,
+        age_ms: None,
         packet: packet(),
     };
     assert_eq!(
@@ -269,6 +271,130 @@
     );
 }
 
+/// Callers repeat their packets; each repeat must not put the next search off.
+#[test]
+fn a_flow_that_nobody_held_is_searched_for_again_while_its_caller_repeats() {
+    let mut core = entry_with(two_zones());
+    let start = later();
+    send(&mut core, start, Kind::Data);
+    for wait in [40, 300] {
+        handle(&mut core, start + ms(wait), Event::Tick);
+    }
+    let lost = start + ms(300);
+    let step = Settings::default().forget_lost / 2;
+    assert_eq!(sought(&send(&mut core, lost + step, Kind::Data)), []);
+    assert_eq!(
+        sought(&send(&mut core, lost + 2 * step, Kind::Data)),
+        [1, 2]
+    );
+}
+
+/// Says that a backend server which has run for so long surely does not hold the
+/// flow.
+fn deny(core: &mut Entry, now: Duration, target: TargetId, age: Duration) -> Vec<Action> {
+    let absent = transit::Absent {
+        flow: flow(),
+        target,
+        acknowledged: 77,
+        age_ms: u32::try_from(age.as_millis()).ok(),
+        packet: packet(),
+    };
+    handle(core, now, Event::Absent(absent))
+}
+
+fn resets(actions: &[Action]) -> bool {
+    actions.iter().any(|action| {
+        matches!(action, Action::Reset { reason, sequence: 77 | 1, .. }
+            if *reason == Refusal::ServerEnded)
+    })
+}
+
+/// A search by an entry that started a second ago.
+fn searching(routes: &Arc<Routes>) -> Entry {
+    let mut core = Entry::new(Settings::default(), entry(), HERE, 1, ms(0));
+    handle(&mut core, ms(0), Event::Routes(Arc::clone(routes)));
+    let near = sought(&send(&mut core, ms(1_000), Kind::Data));
+    let far = sought(&handle(&mut core, ms(1_050), Event::Tick));
+    assert_eq!((near, far), (vec![1, 2], vec![3]));
+    core
+}
+
+#[test]
+fn a_flow_that_ended_with_everything_else_is_reset_once_all_deny_it() {
+    let mut core = searching(&routes(two_zones()));
+    assert!(!resets(&deny(&mut core, ms(1_052), 1, ms(500))));
+    assert!(!resets(&deny(&mut core, ms(1_052), 1, ms(500))));
+    assert!(!resets(&deny(&mut core, ms(1_053), 2, ms(2_500))));
+    assert!(resets(&deny(&mut core, ms(1_054), 3, ms(900))));
+}
+
+#[test]
+fn a_flow_is_not_reset_where_a_server_is_older_than_the_entry() {
+    let mut core = searching(&routes(two_zones()));
+    deny(&mut core, ms(1_052), 1, ms(500));
+    deny(&mut core, ms(1_053), 2, ms(60_000));
+    assert!(!resets(&deny(&mut core, ms(1_054), 3, ms(900))));
+}
+
+#[test]
+fn a_flow_is_not_reset_while_a_server_may_be_cut_off() {
+    let known = Arc::unwrap_or_clone(routes(two_zones()));
+    let routes = Routes {
+        silent: [service()].into(),
+        ..known
+    };
+    let mut core = searching(&Arc::new(routes));
+    for target in 1..=3 {
+        assert!(!resets(&deny(&mut core, ms(1_052), target, ms(500))));
+    }
+}
+
+#[test]
+fn a_flow_is_not_reset_while_agents_are_still_found() {
+    let mut core = searching(&routes(two_zones()));
+    deny(&mut core, ms(1_052), 1, ms(500));
+    let mut more = two_zones();
+    more.push(target(4, HERE, State::Ready));
+    handle(&mut core, ms(1_053), Event::Routes(routes(more)));
+    for target in 1..=4 {
+        assert!(!resets(&deny(&mut core, ms(1_054), target, ms(500))));
+    }
+}
+
+#[test]
+fn an_old_entry_asks_for_no_denials() {
+    let mut core = entry_with(two_zones());
+    let now = Settings::default().anew + ms(1);
+    let actions = send(&mut core, now, Kind::Data);
+    let asks = sent(
+        &actions,
+        |transit| matches!(transit, Transit::Seek(carry) if carry.denied_below_ms > 0),
+    );
+    assert_eq!(asks, []);
+}
+
+#[test]
+fn a_flow_is_reset_once_its_holder_has_started_anew() {
+    let mut core = entry_with(two_zones());
+    send(&mut core, ms(1), Kind::Open);
+    held(&mut core, ms(2), 1);
+    assert!(
+        !resets(&deny(&mut core, ms(5_000), 2, ms(500))),
+        "not its holder"
+    );
+    assert!(resets(&deny(&mut core, ms(5_000), 1, ms(500))));
+}
+
+#[test]
+fn a_flow_is_searched_for_where_its_holder_is_older_than_it() {
+    let mut core = entry_with(two_zones());
+    send(&mut core, ms(1), Kind::Open);
+    held(&mut core, ms(2), 1);
+    let actions = deny(&mut core, ms(5_000), 1, ms(60_000));
+    assert!(!resets(&actions));
+    assert_eq!(sought(&actions), [2]);
+}
+
 #[test]
 fn flows_are_forgotten_once_they_are_idle() {
     let mut core = entry_with(two_zones());
--- a/roles/forward/tests/flows.rs
+++ b/roles/forward/tests/flows.rs
@@ -76,6 +76,26 @@
     ends_well(world);
 }
 
+/// Callers hold flows whose backend servers are gone: they are told so, and open
+/// new ones.
+fn tells_callers_after_a_loss_of_power(seed: u64) {
+    let mut world = settled(seed);
+    world.lose_power();
+    let soon = world.now + Duration::from_secs(3);
+    world.run_until(soon);
+    assert_eq!(world.faults, Vec::<String>::new());
+    let waiting = world.waiting();
+    assert!(
+        waiting <= usize::from(FLOWS) / 10,
+        "{waiting} requests wait"
+    );
+}
+
+cases::cases! { tells_callers_after_a_loss_of_power;
+    loss_of_power_seed_1: 1,
+    loss_of_power_seed_2: 2,
+}
+
 cases::cases! { survives_a_roll_of_the_entries;
     roll_of_entries_seed_1: 1,
     roll_of_entries_seed_2: 2,
--- a/roles/forward/tests/world/mod.rs
+++ b/roles/forward/tests/world/mod.rs
@@ -76,6 +76,8 @@
     /// The flows that each backend server holds.
     servers: HashMap<TargetId, HashSet<FlowId>>,
     sequences: HashMap<TargetId, u64>,
+    /// Number of the start of each backend server.
+    starts: HashMap<TargetId, u64>,
     callers: HashMap<FlowId, Caller>,
     /// Packets at servers that do not hold their flow, since its own got one.
     astray: HashMap<FlowId, (u32, Duration)>,
@@ -95,6 +97,7 @@
             agents: HashMap::new(),
             servers: HashMap::new(),
             sequences: HashMap::new(),
+            starts: HashMap::new(),
             callers: HashMap::new(),
             astray: HashMap::new(),
             faults: Vec::new(),
@@ -148,6 +151,20 @@
         self.start_agent(id, true);
     }
 
+    /// Every host loses power: nobody remembers anything but the callers.
+    pub fn lose_power(&mut self) {
+        let ids: Vec<TargetId> = self.servers.keys().copied().collect();
+        for id in ids {
+            self.servers.insert(id, HashSet::new());
+            self.sequences.insert(id, 0);
+            *self.starts.entry(id).or_default() += 1;
+            self.start_agent(id, true);
+        }
+        for number in 0..self.entries.len() {
+            self.restart_entry(number);
+        }
+    }
+
     /// Adds a backend server that has never held a flow.
     pub fn add_server(&mut self, id: TargetId) {
         self.servers.insert(id, HashSet::new());
@@ -271,7 +288,8 @@
             Event::Announce(id) => {
                 let sequence = self.sequences.get_mut(&id).unwrap();
                 *sequence += 1;
-                let told = backend(id, 1, *sequence, State::Ready);
+                let start = self.starts.get(&id).copied().unwrap_or_default();
+                let told = backend(id, 1 + start, *sequence, State::Ready);
                 self.tell_agent(id, agent::Event::Backend(told));
                 self.at(Duration::from_secs(1), Event::Announce(id));
             }
@@ -336,8 +354,15 @@
                 self.at(Duration::ZERO, Event::Send(flow, 0, phase));
             }
             Kind::Reset if is_ours && caller.is_open => {
-                self.faults
-                    .push(format!("{:?}: {flow:?} was reset while open", self.now));
+                if self.servers.values().any(|flows| flows.contains(&flow)) {
+                    self.faults
+                        .push(format!("{:?}: {flow:?} was reset while open", self.now));
+                }
+                // The caller opens it anew.
+                caller.is_open = false;
+                caller.phase += 1;
+                let phase = caller.phase;
+                self.at(Duration::ZERO, Event::Send(flow, 0, phase));
             }
             Kind::Accept => {}
             _ => caller.answered = caller.answered.max(segment.sequence / 100),
