One sidecar searches for a flow among all others; gateways send one frame

Cause: after a loss of power, gateways with weak links and little processor time searched for each flow that callers still used with 39 frames and took as many answers: their membership did not fill up (24 to 30 of 39 agents known for seconds, also with no processor time charged), requests came late, and no search collected all denials.

Change: a gateway asks one sidecar of the service, another one after 150 ms, three at most. The sidecar asks all others and says once that nobody holds the flow; the holder answers the gateway itself. The age of a backend server, which decides whether its denial counts, is taken from its first announcement, not from before it: with the heartbeat added, a third of the gateways got no denials at all.

Ruled out: that services with silent backend servers held it back (event 4012 shows all known and 0, 1, 17 or 38 of 39 denials, always the same number at one gateway).

--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -19,12 +19,16 @@
     Open(Open),
     /// A packet for the agent that is believed to hold its flow.
     Carry(Carry),
+    /// A packet whose holder an agent is to find among those of its service.
+    Search(Search),
     /// A packet whose holder is not known: only the holder delivers it.
-    Seek(Carry),
+    Seek(Seek),
     /// Names the holder of a flow.
     Held(Held),
     /// Says that an agent does not hold a flow, or returns its packet.
     Absent(Absent),
+    /// Says that no agent of a service holds a flow.
+    Nobody(Nobody),
     /// Tells the load of a backend server that did not take a flow.
     Busy(Busy),
 }
@@ -55,14 +59,50 @@
     pub target: TargetId,
     /// The entry that the packet came through.
     pub entry: SocketAddr,
+    /// The caller's packet.
+    pub packet: Bytes,
+}
+
+/// A packet whose holder an agent is to find among those of its service, so that
+/// the entry sends one frame and not one to each of them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Search {
+    /// The backend server whose agent searches.
+    pub target: TargetId,
+    /// The entry that the packet came through; the holder names itself to it.
+    pub entry: SocketAddr,
+    /// How the agents are asked.
+    pub terms: Terms,
+    /// Agents of the service that the entry knows.
+    pub known: u16,
+    /// The caller's packet.
+    pub packet: Bytes,
+}
+
+/// A packet whose holder is not known: only the holder delivers it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seek {
+    /// The backend server that the frame is meant for.
+    pub target: TargetId,
+    /// The entry that the packet came through; the holder names itself to it.
+    pub entry: SocketAddr,
+    /// The agent that searches; who surely does not hold the flow says so to it.
+    pub asker: SocketAddr,
+    /// How the agent is asked.
+    pub terms: Terms,
+    /// The caller's packet.
+    pub packet: Bytes,
+}
+
+/// How agents are asked whether they hold a flow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Terms {
     /// Whether an agent that cannot know may try the packet at its backend
     /// server, which hands back what it does not hold.
     pub may_try: bool,
-    /// An agent that is asked and surely does not hold the flow says so where its
-    /// backend server has run for this time at most, in milliseconds.
+    /// An agent that surely does not hold the flow says so where its backend
+    /// server has run for this time at most, in milliseconds.
     pub denied_below_ms: u32,
-    /// The caller's packet.
-    pub packet: Bytes,
 }
 
 /// Names the holder of a flow.
@@ -88,10 +128,21 @@
     /// Longest time for which the backend server can have run, in milliseconds,
     /// where it surely does not hold the flow.
     pub age_ms: Option<u32>,
-    /// The caller's packet; empty where the entry has it still.
+    /// The caller's packet; empty in the answer to a [`Seek`].
     pub packet: Bytes,
 }
 
+/// Says that no agent of a service holds a flow, which has ended therefore.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Nobody {
+    /// The flow.
+    pub flow: FlowId,
+    /// The backend server whose agent has searched.
+    pub target: TargetId,
+    /// Position up to which the caller has received.
+    pub acknowledged: u32,
+}
+
 /// Tells the load of a backend server that did not take a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Busy {
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -150,12 +150,12 @@
     4004 Warn FlowReset { flow: String, reason: String, detail: String }
         "flow {flow} is reset: {reason}, {detail}",
         "no route: look at the configuration; no slot or no server: look at the load";
-    4005 Info FlowSought { flow: String, asked: usize, may_try: bool }
-        "the holder of flow {flow} is searched for at {asked} agents, tries allowed {may_try}", "nothing";
+    4005 Info FlowSought { flow: String, searcher: TargetId, known: usize, may_try: bool, below_ms: u32 }
+        "the agent of {searcher} searches for the holder of flow {flow} among {known} agents, tries allowed {may_try}, denials below {below_ms} ms", "nothing";
     4006 Info FlowFound { flow: String, holder: TargetId, took_us: u128 }
         "flow {flow} is held by {holder}, found after {took_us} us", "nothing";
-    4007 Warn FlowLost { flow: String, denied: usize, holders: usize, knows_all: bool }
-        "nobody says to hold flow {flow}; {denied} of {holders} agents deny it, all known {knows_all}; its packets are dropped for a while",
+    4007 Warn FlowLost { flow: String, rounds: u8 }
+        "nobody says to hold flow {flow} after {rounds} searches; its packets are dropped for a while",
         "look for an agent that stopped beside a running backend server";
     4008 Info FlowTried { flow: String }
         "a packet of flow {flow} is tried at the backend server", "nothing";
@@ -163,6 +163,10 @@
         "the backend server handed back a packet of flow {flow}, believed held {was_held}", "nothing";
     4010 Info PacketDropped { reason: String }
         "a packet was dropped: {reason}", "nothing";
+    4011 Info FlowUnheld { flow: String, agents: usize, took_us: u128 }
+        "none of {agents} agents holds flow {flow}, known after {took_us} us", "nothing";
+    4012 Info FlowUndecided { flow: String, denied: usize, agents: usize, is_complete: bool }
+        "{denied} of {agents} agents deny flow {flow}, all known {is_complete}; none is known to hold it", "nothing";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing where that was planned";
 }
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -97,6 +97,7 @@
         match received.frame {
             Frame::Transit(Transit::Held(held)) => self.handle(Event::Held(held)),
             Frame::Transit(Transit::Absent(absent)) => self.handle(Event::Absent(absent)),
+            Frame::Transit(Transit::Nobody(nobody)) => self.handle(Event::Nobody(nobody)),
             Frame::Transit(Transit::Busy(busy)) => self.handle(Event::Busy(busy)),
             Frame::Control(payload) => {
                 let from = received.from;
@@ -138,14 +139,17 @@
             Action::Accepted { took } => record(&link.report.open_time, took),
             Action::Sought {
                 flow,
-                asked,
-                may_try,
+                searcher,
+                known,
+                terms,
             } => {
                 link.count("carried.searches", "");
                 self.link.log(&log::Event::FlowSought {
                     flow: name(&flow),
-                    asked,
-                    may_try,
+                    searcher,
+                    known,
+                    may_try: terms.may_try,
+                    below_ms: terms.denied_below_ms,
                 });
             }
             Action::Found { flow, holder, took } => {
@@ -157,18 +161,11 @@
                     took_us: took.as_micros(),
                 });
             }
-            Action::Vanished {
-                flow,
-                denied,
-                holders,
-                knows_all,
-            } => {
+            Action::Vanished { flow, rounds } => {
                 link.count("carried.searches.ended", "lost");
                 self.link.log(&log::Event::FlowLost {
                     flow: name(&flow),
-                    denied,
-                    holders,
-                    knows_all,
+                    rounds,
                 });
             }
             Action::Dropped(reason) => self.link.drop_packet(dropped(reason)),
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -9,11 +9,13 @@
 use bytes::Bytes;
 use forward::agent::Backend;
 use forward::agent::Event;
+use forward::agent::Others;
 use forward::agent::State;
 use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
 use member::Action;
 use member::Announcer;
+use member::Health;
 use member::Message;
 use member::announcer::Change;
 use net::Port;
@@ -108,6 +110,10 @@
         if let Some(announcer) = &mut self.announcer {
             announcer.outrank(now);
             announcer.tick(now, actions);
+            if announcer.changed() {
+                let others = others(announcer);
+                self.traffic.handle(Event::Others(others));
+            }
         }
         for action in actions.drain(..) {
             let Action::Send { to, message } = action;
@@ -252,6 +258,29 @@
     }
 }
 
+/// The other agents of the service.
+fn others(announcer: &Announcer) -> Others {
+    let own = announcer.target().id;
+    let members = || {
+        let members = announcer.view().targets.values();
+        members.filter(move |member| {
+            member.target.id != own && member.target.state != target::State::Left
+        })
+    };
+    let may_hold = members().filter(|member| member.health != Health::Down);
+    Others {
+        hops: Arc::new(may_hold.map(|member| hop(&member.target)).collect()),
+        has_silent: members().any(|member| member.health == Health::Down),
+    }
+}
+
+fn hop(target: &Target) -> Hop {
+    Hop {
+        target: target.id,
+        address: target.address,
+    }
+}
+
 const fn state(is_open: bool) -> target::State {
     if is_open {
         target::State::Ready
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -206,12 +206,35 @@
                 let was_held = *was_held;
                 self.link.log(&log::Event::FlowReturned { flow, was_held });
             }
+            Action::Unheld { flow, agents, took } => {
+                link.count("carried.searches.ended", "nobody");
+                self.link.log(&log::Event::FlowUnheld {
+                    flow: name(flow),
+                    agents: *agents,
+                    took_us: took.as_micros(),
+                });
+            }
+            Action::Undecided {
+                flow,
+                denied,
+                agents,
+                is_complete,
+            } => {
+                link.count("carried.searches.ended", "undecided");
+                self.link.log(&log::Event::FlowUndecided {
+                    flow: name(flow),
+                    denied: *denied,
+                    agents: *agents,
+                    is_complete: *is_complete,
+                });
+            }
             Action::Ended { flows } => {
                 link.count("carried.servers.ended", "");
                 let flows = *flows;
                 self.link.log(&log::Event::ServerEnded { flows });
             }
             Action::Dropped(Drop::RefusedCopy) => self.link.drop_packet("refused_copy"),
+            Action::Dropped(Drop::Searches) => self.link.drop_packet("searches"),
             Action::Dropped(Drop::Probing) => self.link.drop_packet("probing"),
             Action::Dropped(Drop::OldAnnouncement) => self.link.drop_packet("old_announcement"),
             Action::Deliver(_)
@@ -243,10 +266,15 @@
             let segment = packet::decode(&carry.packet)?;
             Some(Event::Carry { carry, segment })
         }
-        Transit::Seek(carry) => {
-            let segment = packet::decode(&carry.packet)?;
-            Some(Event::Seek { carry, segment })
+        Transit::Search(search) => {
+            let segment = packet::decode(&search.packet)?;
+            Some(Event::Search { search, segment })
+        }
+        Transit::Seek(seek) => {
+            let segment = packet::decode(&seek.packet)?;
+            Some(Event::Seek { seek, segment })
         }
-        Transit::Held(_) | Transit::Absent(_) | Transit::Busy(_) => None,
+        Transit::Absent(absent) => Some(Event::Denied(absent)),
+        Transit::Held(_) | Transit::Nobody(_) | Transit::Busy(_) => None,
     })
 }
--- a/roles/forward/examples/cost.rs
+++ b/roles/forward/examples/cost.rs
@@ -129,8 +129,7 @@
         let carry = Carry {
             target: 1,
             entry: SocketAddr::from(([10, 1, 0, 1], 7000)),
-            denied_below_ms: 0,
-            may_try: true,
+
             packet: Bytes::from_static(b"packet"),
         };
         let segment = segment(number, Kind::Data);
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -10,6 +10,7 @@
 mod flow;
 mod memory;
 mod opening;
+mod quest;
 mod settings;
 mod unknown;
 
@@ -26,8 +27,11 @@
 use wire::Transit;
 use wire::segment::Kind;
 use wire::transit;
+use wire::transit::Absent;
 use wire::transit::Carry;
 use wire::transit::Open;
+use wire::transit::Search;
+use wire::transit::Seek;
 
 pub use action::Action;
 pub use action::Closed;
@@ -38,6 +42,8 @@
 pub use bid::Bid;
 use flow::Flow;
 use memory::Memory;
+pub use quest::Others;
+use quest::Quest;
 pub use settings::Settings;
 use unknown::ended;
 use unknown::not_here;
@@ -59,13 +65,24 @@
         /// Header of its packet.
         segment: Segment,
     },
+    /// A packet of a flow whose holder is to be found.
+    Search {
+        /// The frame.
+        search: Search,
+        /// Header of its packet.
+        segment: Segment,
+    },
     /// A packet of a flow whose holder is not known.
     Seek {
         /// The frame.
-        carry: Carry,
+        seek: Seek,
         /// Header of its packet.
         segment: Segment,
     },
+    /// Another agent surely does not hold a flow that is searched for here.
+    Denied(Absent),
+    /// The other agents of the service changed.
+    Others(Others),
     /// The backend server sent a packet, or handed one back.
     Server {
         /// Its header.
@@ -108,6 +125,8 @@
     probes: Memory<Probe>,
     absent: Memory<()>,
     dead: Memory<()>,
+    others: Others,
+    quests: HashMap<FlowId, Quest>,
     next_sweep: Duration,
 }
 
@@ -115,6 +134,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Probe {
     entry: SocketAddr,
+    /// Who is told that the flow is not held: the entry, or an agent that
+    /// searches.
+    asker: SocketAddr,
     at: Duration,
     tries: u8,
 }
@@ -149,6 +171,8 @@
             probes: Memory::new(settings.oldest_flow),
             absent: Memory::new(settings.oldest_flow),
             dead: Memory::new(settings.oldest_flow),
+            others: Others::default(),
+            quests: HashMap::new(),
             next_sweep: now + settings.sweep,
             settings,
         }
@@ -159,7 +183,10 @@
         match event {
             Event::Open { open, segment } => self.open(now, open, segment, actions),
             Event::Carry { carry, segment } => self.carry(now, carry, segment, actions),
-            Event::Seek { carry, segment } => self.seek(now, carry, segment, actions),
+            Event::Search { search, segment } => self.search(now, search, segment, actions),
+            Event::Seek { seek, segment } => self.seek(now, seek, segment, actions),
+            Event::Denied(absent) => self.denied(now, &absent, actions),
+            Event::Others(others) => self.others = others,
             Event::Server { segment, packet } if segment.is_returned => {
                 self.unanswered = None;
                 self.returned(now, segment, packet, actions);
@@ -175,7 +202,7 @@
         }
         if now >= self.next_sweep {
             self.next_sweep = now + self.settings.sweep;
-            self.sweep(now);
+            self.sweep(now, actions);
         }
     }
 
@@ -279,7 +306,8 @@
             return ended(flow, &segment, actions);
         }
         if self.may_hold(now, &flow) {
-            return self.probe(now, flow, carry, actions);
+            let asker = carry.entry;
+            return self.probe(now, flow, carry, asker, actions);
         }
         let age = self.age(now);
         not_here(flow, carry, &segment, age, actions);
@@ -332,20 +360,22 @@
             flow,
             was_held: held.is_some(),
         });
-        let entry = probe
-            .map(|probe| probe.entry)
+        let asker = probe
+            .map(|probe| probe.asker)
             .or(held.and_then(|flow| flow.entry));
-        if let Some(entry) = entry {
-            let carry = Carry {
-                target: self.own.target,
-                entry,
-                may_try: false,
-                denied_below_ms: 0,
-                packet,
-            };
-            let age = self.age(now);
-            not_here(flow, carry, &segment, age, actions);
+        let Some(asker) = asker else {
+            return;
+        };
+        let age = self.age(now);
+        if asker == self.own.address {
+            return self.denied_here(now, flow, actions);
         }
+        let carry = Carry {
+            target: self.own.target,
+            entry: asker,
+            packet,
+        };
+        not_here(flow, carry, &segment, age, actions);
     }
 
     /// Takes a packet that the backend server sent to a caller.
@@ -388,8 +418,10 @@
             .is_none_or(|held| held.start != backend.start);
         if is_new {
             self.first_heard = now;
-            let sent = u32::try_from(backend.sequence).unwrap_or(u32::MAX);
-            self.age_then = self.settings.heartbeat.saturating_mul(sent);
+            // The first announcement is sent with the start.
+            let before = backend.sequence.saturating_sub(FIRST_SEQUENCE);
+            let before = u32::try_from(before).unwrap_or(u32::MAX);
+            self.age_then = self.settings.heartbeat.saturating_mul(before);
         }
         self.heard = now;
         self.unanswered = None;
@@ -418,7 +450,7 @@
     }
 
     /// Forgets what is over.
-    fn sweep(&mut self, now: Duration) {
+    fn sweep(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let settings = &self.settings;
         let occupancy = &mut self.occupancy;
         self.flows.retain(|_, flow| {
@@ -436,5 +468,6 @@
         self.absent.expire(now);
         self.dead.expire(now);
         self.probes.expire(now);
+        self.expire_quests(now, actions);
     }
 }
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -81,6 +81,27 @@
         /// Whether the flow was believed to be held.
         was_held: bool,
     },
+    /// No agent of the service holds a flow that was searched for here.
+    Unheld {
+        /// The flow.
+        flow: FlowId,
+        /// Agents that deny it.
+        agents: usize,
+        /// Time that the search took.
+        took: Duration,
+    },
+    /// A search here has ended with neither a holder nor the certainty that there
+    /// is none.
+    Undecided {
+        /// The flow.
+        flow: FlowId,
+        /// Agents that deny it.
+        denied: usize,
+        /// Agents of the service.
+        agents: usize,
+        /// Whether no other agent may hold it.
+        is_complete: bool,
+    },
     /// The backend server has ended, and its flows with it.
     Ended {
         /// Flows that it held.
@@ -129,6 +150,8 @@
     /// No server can take the flow, which may be open by another copy of its
     /// opening packet.
     RefusedCopy,
+    /// Too many searches are under way.
+    Searches,
     /// Another packet of the flow is being tried at the backend server.
     Probing,
     /// An announcement is older than one that is known.
--- /dev/null
+++ b/roles/forward/src/agent/quest.rs
@@ -0,0 +1,172 @@
+//! Searches for the holder of a flow among the agents of the service, for an
+//! entry that does not know it.
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wire::FlowId;
+use wire::Hop;
+use wire::Segment;
+use wire::TargetId;
+use wire::Transit;
+use wire::transit::Absent;
+use wire::transit::Nobody;
+use wire::transit::Search;
+use wire::transit::Seek;
+
+use super::Action;
+use super::Agent;
+use super::Drop;
+
+/// Searches of one agent at a time; others find their entry asking elsewhere.
+const MAX_QUESTS: usize = 4 * 1024;
+
+/// The other agents of the service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Others {
+    /// Those that may hold flows.
+    pub hops: Arc<Vec<Hop>>,
+    /// Whether one is held to be down that may be only cut off.
+    pub has_silent: bool,
+}
+
+/// A search under way.
+#[derive(Debug)]
+pub(super) struct Quest {
+    at: Duration,
+    entry: SocketAddr,
+    acknowledged: u32,
+    /// Time for which a backend server has run at most whose denial counts.
+    below_ms: u32,
+    /// Whether as many agents are known here as at the entry.
+    is_complete: bool,
+    /// Backend servers that surely do not hold the flow.
+    denied: Vec<TargetId>,
+}
+
+impl Agent {
+    /// Asks all other agents of the service for the holder of a flow.
+    pub(super) fn search(
+        &mut self,
+        now: Duration,
+        search: Search,
+        segment: Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = segment.from_caller();
+        if search.target != self.own.target {
+            return;
+        }
+        if self.quests.len() >= MAX_QUESTS {
+            return actions.push(Action::Dropped(Drop::Searches));
+        }
+        let known = self.others.hops.len() + 1;
+        let knows_all = known >= usize::from(search.known);
+        let is_complete = knows_all && !self.others.has_silent;
+        let mut terms = search.terms;
+        terms.may_try &= knows_all;
+        let quest = Quest {
+            at: now,
+            entry: search.entry,
+            acknowledged: segment.acknowledged,
+            below_ms: terms.denied_below_ms,
+            is_complete,
+            denied: Vec::new(),
+        };
+        self.quests.insert(flow, quest);
+        let seek = Seek {
+            target: search.target,
+            entry: search.entry,
+            asker: self.own.address,
+            terms,
+            packet: search.packet,
+        };
+        let is_held = self.flows.contains_key(&flow);
+        let age = self.unheld(now, seek.clone(), segment, actions);
+        if is_held || self.dead.get(now, &flow).is_some() {
+            self.quests.remove(&flow);
+            return;
+        }
+        for hop in self.others.hops.iter() {
+            actions.push(Action::Send {
+                to: hop.address,
+                transit: Transit::Seek(Seek {
+                    target: hop.target,
+                    ..seek.clone()
+                }),
+            });
+        }
+        if age.is_some() {
+            self.denied_here(now, flow, actions);
+        }
+    }
+
+    /// Notes that another agent does not hold a flow.
+    pub(super) fn denied(&mut self, now: Duration, absent: &Absent, actions: &mut Vec<Action>) {
+        self.deny(now, absent.flow, absent.target, absent.age_ms, actions);
+    }
+
+    /// Notes that the backend server here does not hold a flow.
+    pub(super) fn denied_here(&mut self, now: Duration, flow: FlowId, actions: &mut Vec<Action>) {
+        let age = self.age(now).map(super::unknown::millis);
+        self.deny(now, flow, self.own.target, age, actions);
+    }
+
+    /// Tells the entry once nobody holds the flow.
+    fn deny(
+        &mut self,
+        now: Duration,
+        flow: FlowId,
+        target: TargetId,
+        age_ms: Option<u32>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(quest) = self.quests.get_mut(&flow) else {
+            return;
+        };
+        let is_young = age_ms.is_some_and(|age| age <= quest.below_ms);
+        if !is_young || quest.denied.contains(&target) {
+            return;
+        }
+        quest.denied.push(target);
+        let mut others = self.others.hops.iter();
+        let is_denied = quest.denied.contains(&self.own.target)
+            && others.all(|hop| quest.denied.contains(&hop.target));
+        if !is_denied || !quest.is_complete {
+            return;
+        }
+        actions.push(Action::Unheld {
+            flow,
+            agents: quest.denied.len(),
+            took: now.saturating_sub(quest.at),
+        });
+        actions.push(Action::Send {
+            to: quest.entry,
+            transit: Transit::Nobody(Nobody {
+                flow,
+                target: self.own.target,
+                acknowledged: quest.acknowledged,
+            }),
+        });
+        self.quests.remove(&flow);
+    }
+
+    /// Forgets searches that nobody waits for any more.
+    pub(super) fn expire_quests(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let limit = self.settings.quest;
+        let agents = self.others.hops.len() + 1;
+        self.quests.retain(|flow, quest| {
+            let is_waiting = now < quest.at + limit;
+            // A search that wants no denials ends with its holder or with none.
+            if !is_waiting && quest.below_ms > 0 {
+                actions.push(Action::Undecided {
+                    flow: *flow,
+                    denied: quest.denied.len(),
+                    agents,
+                    is_complete: quest.is_complete,
+                });
+            }
+            is_waiting
+        });
+    }
+}
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -35,6 +35,8 @@
     /// Time without a reaction after which another packet of an unknown flow is
     /// tried.
     pub probe: Duration,
+    /// Time for which answers to a search are waited for.
+    pub quest: Duration,
     /// Age that no flow exceeds.
     pub oldest_flow: Duration,
     /// Time for which a flow without packets is remembered.
@@ -60,6 +62,7 @@
             refusal: Duration::from_millis(100),
             reservation: Duration::from_millis(500),
             probe: Duration::from_secs(1),
+            quest: Duration::from_millis(500),
             oldest_flow: Duration::from_mins(1),
             idle: Duration::from_mins(1),
             linger: Duration::from_secs(4),
--- a/roles/forward/src/agent/unknown.rs
+++ b/roles/forward/src/agent/unknown.rs
@@ -1,4 +1,5 @@
 //! Finds out whether the backend server holds flows from before this process.
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 use wire::segment::Kind;
 use wire::transit::Absent;
 use wire::transit::Carry;
+use wire::transit::Seek;
 
 use super::Action;
 use super::Agent;
@@ -27,44 +29,67 @@
     }
 
     /// Takes a packet whose holder is not known. Who does not hold the flow says
-    /// nothing, which saves an answer from each of many agents.
+    /// nothing, which saves an answer from each of many agents, unless its
+    /// backend server is young enough for the answer to say something.
     pub(super) fn seek(
         &mut self,
         now: Duration,
-        carry: Carry,
+        seek: Seek,
         segment: Segment,
         actions: &mut Vec<Action>,
     ) {
         let flow = segment.from_caller();
-        if carry.target != self.own.target {
+        if seek.target != self.own.target {
             return;
         }
+        let (target, asker) = (seek.target, seek.asker);
+        let Some(age) = self.unheld(now, seek, segment, actions) else {
+            return;
+        };
+        let carry = Carry {
+            target,
+            entry: asker,
+            packet: Bytes::new(),
+        };
+        not_here(flow, carry, &segment, Some(age), actions);
+    }
+
+    /// Delivers or tries a packet whose holder is not known; the age of the
+    /// backend server where it surely does not hold the flow and is young.
+    pub(super) fn unheld(
+        &mut self,
+        now: Duration,
+        seek: Seek,
+        segment: Segment,
+        actions: &mut Vec<Action>,
+    ) -> Option<Duration> {
+        let flow = segment.from_caller();
+        let Seek { asker, terms, .. } = seek;
+        let carry = Carry {
+            target: seek.target,
+            entry: seek.entry,
+            packet: seek.packet,
+        };
         if self.flows.contains_key(&flow) {
             let entry = carry.entry;
             self.deliver(now, flow, carry, segment, actions);
             if self.flows.contains_key(&flow) {
                 self.tell(now, flow, entry, actions);
             }
-            return;
+            return None;
         }
         if self.dead.get(now, &flow).is_some() {
-            return ended(flow, &segment, actions);
+            ended(flow, &segment, actions);
+            return None;
         }
-        let may_hold = self.may_hold(now, &flow);
-        match self.age(now) {
-            _ if may_hold && carry.may_try => self.probe(now, flow, carry, actions),
-            Some(age) if !may_hold && millis(age) <= carry.denied_below_ms => {
-                let packet = Bytes::new();
-                not_here(
-                    flow,
-                    Carry { packet, ..carry },
-                    &segment,
-                    Some(age),
-                    actions,
-                );
+        if self.may_hold(now, &flow) {
+            if terms.may_try {
+                self.probe(now, flow, carry, asker, actions);
             }
-            _ => {}
+            return None;
         }
+        let age = self.age(now)?;
+        (millis(age) <= terms.denied_below_ms).then_some(age)
     }
 
     /// Delivers a packet of an unknown flow to learn whether it is held.
@@ -73,6 +98,7 @@
         now: Duration,
         flow: FlowId,
         carry: Carry,
+        asker: SocketAddr,
         actions: &mut Vec<Action>,
     ) {
         let before = self.probes.get(now, &flow).copied();
@@ -83,6 +109,7 @@
         }
         let probe = Probe {
             entry: carry.entry,
+            asker,
             at: now,
             tries: before.map_or(1, |probe| probe.tries + 1),
         };
@@ -125,6 +152,6 @@
     });
 }
 
-fn millis(time: Duration) -> u32 {
+pub(super) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -1,8 +1,8 @@
 //! The entry's side: finds the agent that holds, or is to take, each flow.
 //!
 //! What an entry remembers of a flow only saves a search. Any other entry, also
-//! one that has just started, finds the holder by asking the agents of the
-//! service.
+//! one that has just started, finds the holder by asking one agent of the
+//! service, which asks all others.
 mod action;
 mod flow;
 mod search;
@@ -30,6 +30,7 @@
 use wire::transit::Busy;
 use wire::transit::Carry;
 use wire::transit::Held;
+use wire::transit::Nobody;
 use wire::transit::Open;
 
 use crate::Routes;
@@ -54,6 +55,8 @@
     Held(Held),
     /// An agent returns a packet whose flow it does not hold.
     Absent(Absent),
+    /// No agent of a service holds a flow.
+    Nobody(Nobody),
     /// An agent tells its load.
     Busy(Busy),
     /// The routes or the known backend servers changed.
@@ -78,6 +81,7 @@
     /// Flows whose holder is searched for, in the order in which agents were
     /// asked.
     searches: VecDeque<FlowId>,
+    random: fastrand::Rng,
     next_sweep: Duration,
 }
 
@@ -101,6 +105,7 @@
     ) -> Self {
         Self {
             place: Place::new(settings.place, zone, seed),
+            random: fastrand::Rng::with_seed(seed),
             address,
             zone,
             routes: Arc::default(),
@@ -128,6 +133,7 @@
             }
             Event::Held(held) => self.held(now, &held, actions),
             Event::Absent(absent) => self.absent(now, absent, actions),
+            Event::Nobody(nobody) => self.nobody(now, nobody, actions),
             Event::Busy(busy) => self.place.learn(now, busy.target, busy.load),
             Event::Routes(routes) => self.replace(now, routes),
             Event::Tick => {}
@@ -369,8 +375,6 @@
             transit: Transit::Carry(Carry {
                 target: holder.target,
                 entry: self.address,
-                may_try: true,
-                denied_below_ms: 0,
                 packet: passing.packet,
             }),
         });
@@ -409,8 +413,6 @@
                 transit: Transit::Carry(Carry {
                     target: held.holder.target,
                     entry: self.address,
-                    may_try: true,
-                    denied_below_ms: 0,
                     packet,
                 }),
             });
@@ -445,8 +447,7 @@
                 };
                 self.seek(&routes, Some(absent.target), passing);
             }
-            Phase::Seeking(_) => self.denied(now, &absent, actions),
-            Phase::Held(_) | Phase::Opening(_) | Phase::Lost => {}
+            Phase::Held(_) | Phase::Opening(_) | Phase::Seeking(_) | Phase::Lost => {}
         }
     }
 
--- a/roles/forward/src/entry/action.rs
+++ b/roles/forward/src/entry/action.rs
@@ -6,6 +6,7 @@
 use wire::Revision;
 use wire::TargetId;
 use wire::Transit;
+use wire::transit::Terms;
 
 /// What an entry asks of its process, and what it decided.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,10 +47,12 @@
     Sought {
         /// The flow.
         flow: FlowId,
-        /// Agents that were asked.
-        asked: usize,
-        /// Whether agents that cannot know may try the packet.
-        may_try: bool,
+        /// The backend server whose agent searches.
+        searcher: TargetId,
+        /// Agents that are known of its service.
+        known: usize,
+        /// How agents are asked.
+        terms: Terms,
     },
     /// A search has found the holder of a flow.
     Found {
@@ -64,12 +67,8 @@
     Vanished {
         /// The flow.
         flow: FlowId,
-        /// Agents that surely do not hold it.
-        denied: usize,
-        /// Agents that may hold flows of its route.
-        holders: usize,
-        /// Whether no other agent may be.
-        knows_all: bool,
+        /// Agents that were asked in turn to search.
+        rounds: u8,
     },
     /// A packet was dropped.
     Dropped(Drop),
--- a/roles/forward/src/entry/flow.rs
+++ b/roles/forward/src/entry/flow.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use wire::Hop;
+use wire::ServiceAddress;
 use wire::TargetId;
 
 /// Packets of one flow that wait for its holder to be found. Each end has at
@@ -49,33 +50,22 @@
 /// A search for the holder of a flow.
 #[derive(Debug)]
 pub struct Seeking {
-    /// Who was asked last.
-    pub stage: Stage,
-    /// When agents were last asked.
+    /// When agents were last asked to search.
     pub sent: Duration,
     /// The packet that agents are asked with; the holder delivers it.
     pub packet: Bytes,
-    /// Whether agents may try it at their backend servers.
-    pub may_try: bool,
-    /// A backend server that does not hold the flow.
-    pub absent: Option<TargetId>,
-    /// Backend servers that surely do not, and are no older than the entry.
-    pub denied: Vec<TargetId>,
     /// Position up to which the caller has received.
     pub acknowledged: u32,
+    /// Backend servers whose agents were asked to search, or deny the flow.
+    pub tried: Vec<TargetId>,
+    /// How often agents were asked to search.
+    pub rounds: u8,
+    /// Services of which no agent holds the flow.
+    pub nobody: Vec<ServiceAddress>,
     /// Packets to be sent once the holder is known.
     pub waiting: Vec<Bytes>,
 }
 
-/// Who is asked for a flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// The agents of the entry's own availability zone, where most flows are.
-    Near,
-    /// All others.
-    Far,
-}
-
 impl Flow {
     /// A flow whose packet came now.
     pub const fn new(now: Duration, phase: Phase) -> Self {
--- a/roles/forward/src/entry/search.rs
+++ b/roles/forward/src/entry/search.rs
@@ -1,12 +1,18 @@
 //! Searches for the holders of flows that this entry does not know.
+//!
+//! An entry may be weak, and after a failure it searches for many flows at once:
+//! one agent of each service is asked to search among all others.
 use std::sync::Arc;
 use std::time::Duration;
 
 use wire::FlowId;
+use wire::ServiceAddress;
+use wire::Target;
 use wire::TargetId;
 use wire::Transit;
-use wire::transit::Absent;
-use wire::transit::Carry;
+use wire::transit::Nobody;
+use wire::transit::Search;
+use wire::transit::Terms;
 
 use super::Action;
 use super::Entry;
@@ -14,64 +20,99 @@
 use super::Refusal;
 use super::flow;
 use super::flow::Phase;
-use super::flow::Stage;
+use crate::Route;
 use crate::Routes;
 
+/// Agents of one service that are asked in turn to search for a flow.
+const MAX_ROUNDS: u8 = 3;
+
 impl Entry {
-    /// Searches for the holder of a flow, which is not `absent`: in the own
-    /// availability zone first.
+    /// Searches for the holder of a flow, which is not `absent`.
     pub(super) fn seek(&mut self, routes: &Routes, absent: Option<TargetId>, passing: Passing<'_>) {
         let flow = passing.segment.from_caller();
-        let seeking = flow::Seeking {
-            stage: Stage::Near,
+        let mut seeking = flow::Seeking {
             sent: passing.now,
             packet: passing.packet,
-            may_try: self.knows_all(passing.now),
-            absent,
-            denied: Vec::new(),
             acknowledged: passing.segment.acknowledged,
+            tried: absent.into_iter().collect(),
+            rounds: 0,
+            nobody: Vec::new(),
             waiting: Vec::new(),
         };
-        self.ask(routes, flow, &seeking, passing.actions);
+        self.ask(routes, passing.now, flow, &mut seeking, passing.actions);
         self.searches.push_back(flow);
         self.remember(passing.now, flow, Phase::Seeking(seeking));
     }
 
-    /// Asks the agents of a stage of a search.
+    /// Asks one agent of each service to search.
     fn ask(
-        &self,
+        &mut self,
         routes: &Routes,
+        now: Duration,
         flow: FlowId,
-        seeking: &flow::Seeking,
+        seeking: &mut flow::Seeking,
         actions: &mut Vec<Action>,
     ) {
         let Some(route) = routes.route(flow.service) else {
             return;
         };
-        let is_near = seeking.stage == Stage::Near;
-        let mut asked = 0;
-        for target in routes.holders(route) {
-            let is_asked = (target.zone == self.zone) == is_near;
-            if !is_asked || seeking.absent == Some(target.id) {
+        seeking.rounds += 1;
+        let terms = self.terms(now, route);
+        for share in &route.shares {
+            let known = routes.all(share.service).count();
+            let Some(searcher) = self.searcher(routes, share.service, &seeking.tried) else {
                 continue;
-            }
-            asked += 1;
+            };
+            seeking.tried.push(searcher.id);
             actions.push(Action::Send {
-                to: target.address,
-                transit: Transit::Seek(Carry {
-                    target: target.id,
+                to: searcher.address,
+                transit: Transit::Search(Search {
+                    target: searcher.id,
                     entry: self.address,
-                    may_try: seeking.may_try,
-                    denied_below_ms: self.denied_below_ms(seeking.sent),
+                    terms,
+                    known: u16::try_from(known).unwrap_or(u16::MAX),
                     packet: seeking.packet.clone(),
                 }),
             });
+            actions.push(Action::Sought {
+                flow,
+                searcher: searcher.id,
+                known,
+                terms,
+            });
+        }
+    }
+
+    /// The agent that is to search in a service: one of the own availability zone
+    /// that was not asked before, where there is one.
+    fn searcher<'a>(
+        &mut self,
+        routes: &'a Routes,
+        service: ServiceAddress,
+        tried: &[TargetId],
+    ) -> Option<&'a Target> {
+        let random = &mut self.random;
+        let zone = self.zone;
+        routes
+            .all(service)
+            .map(|target| (tried.contains(&target.id), target.zone != zone, target))
+            .min_by_key(|(is_tried, is_far, _)| (*is_tried, *is_far, random.u32(..)))
+            .map(|(.., target)| target)
+    }
+
+    /// How agents are asked. Denials say something only once all agents are
+    /// known, and none is held to be down that may be only cut off.
+    fn terms(&self, now: Duration, route: &Route) -> Terms {
+        let may_try = self.knows_all(now);
+        let is_sure = may_try && !self.routes.has_silent(route);
+        Terms {
+            may_try,
+            denied_below_ms: if is_sure {
+                self.denied_below_ms(now)
+            } else {
+                0
+            },
         }
-        actions.push(Action::Sought {
-            flow,
-            asked,
-            may_try: seeking.may_try,
-        });
     }
 
     /// Time up to which backend servers have started with this entry or after it,
@@ -86,28 +127,31 @@
         u32::try_from(limit.as_millis()).unwrap_or(u32::MAX)
     }
 
-    /// Notes that a backend server surely does not hold a flow. Where all of its
-    /// service say so, and none is older than this entry, the flow has ended with
-    /// its backend server, and the caller is told.
-    pub(super) fn denied(&mut self, now: Duration, absent: &Absent, actions: &mut Vec<Action>) {
-        let limit = self.denied_below_ms(now);
-        let is_anew = absent.age_ms.is_some_and(|age| age <= limit);
-        let knows_all = self.knows_all(now);
-        let flow = absent.flow;
+    /// Notes that nobody of a service holds a flow. Where that holds for all
+    /// services of its route, it has ended with its backend server, and the
+    /// caller is told.
+    pub(super) fn nobody(&mut self, now: Duration, nobody: Nobody, actions: &mut Vec<Action>) {
+        let routes = Arc::clone(&self.routes);
+        let flow = nobody.flow;
+        let Some(route) = routes.route(flow.service) else {
+            return;
+        };
+        let is_sure = self.terms(now, route).denied_below_ms > 0;
         let Some(Phase::Seeking(seeking)) = self.flows.get_mut(&flow).map(|held| &mut held.phase)
         else {
             return;
         };
-        if !is_anew || seeking.denied.contains(&absent.target) {
-            return;
-        }
-        seeking.denied.push(absent.target);
-        let Some(route) = self.routes.route(flow.service) else {
+        let mut shares = route.shares.iter();
+        let of = shares.find(|share| {
+            let mut targets = routes.all(share.service);
+            targets.any(|target| target.id == nobody.target)
+        });
+        let Some(share) = of.filter(|_| is_sure) else {
             return;
         };
-        let has_silent = self.routes.has_silent(route);
-        let mut holders = self.routes.holders(route);
-        if knows_all && !has_silent && holders.all(|one| seeking.denied.contains(&one.id)) {
+        seeking.nobody.push(share.service);
+        let mut shares = route.shares.iter();
+        if shares.all(|share| seeking.nobody.contains(&share.service)) {
             let sequence = seeking.acknowledged;
             self.flows.remove(&flow);
             actions.push(ended(flow, sequence));
@@ -120,7 +164,6 @@
             return;
         }
         let routes = Arc::clone(&self.routes);
-        let knows_all = self.knows_all(now);
         while let Some(flow) = self.searches.front().copied() {
             let Some(held) = self.flows.get_mut(&flow) else {
                 self.searches.pop_front();
@@ -130,44 +173,27 @@
                 self.searches.pop_front();
                 continue;
             };
-            let wait = match seeking.stage {
-                Stage::Near => self.settings.near,
-                Stage::Far => self.settings.answer,
-            };
-            if now < seeking.sent + wait {
+            if now < seeking.sent + self.settings.answer {
                 return;
             }
             self.searches.pop_front();
-            seeking.sent = now;
-            match seeking.stage {
-                Stage::Near => seeking.stage = Stage::Far,
-                Stage::Far if !seeking.may_try => {
-                    seeking.stage = Stage::Near;
-                    seeking.may_try = knows_all;
-                }
-                Stage::Far => {
-                    let route = routes.route(flow.service);
-                    let has_silent = route.is_some_and(|route| routes.has_silent(route));
-                    actions.push(Action::Vanished {
-                        flow,
-                        denied: seeking.denied.len(),
-                        holders: route.map_or(0, |route| routes.holders(route).count()),
-                        knows_all: knows_all && !has_silent,
-                    });
-                    held.phase = Phase::Lost;
-                    held.used = now;
-                    held.since = now;
-                    continue;
-                }
+            if seeking.rounds >= MAX_ROUNDS {
+                let rounds = seeking.rounds;
+                held.phase = Phase::Lost;
+                held.used = now;
+                held.since = now;
+                actions.push(Action::Vanished { flow, rounds });
+                continue;
             }
-            // Until all agents are known, those that know their flows were asked.
-            let asks_again = seeking.stage == Stage::Far || seeking.may_try;
-            self.searches.push_back(flow);
-            if asks_again
-                && let Some(Phase::Seeking(seeking)) = self.flows.get(&flow).map(|held| &held.phase)
-            {
-                self.ask(&routes, flow, seeking, actions);
+            let Some(mut held) = self.flows.remove(&flow) else {
+                continue;
+            };
+            if let Phase::Seeking(seeking) = &mut held.phase {
+                seeking.sent = now;
+                self.ask(&routes, now, flow, seeking, actions);
             }
+            self.flows.insert(flow, held);
+            self.searches.push_back(flow);
         }
     }
 }
--- a/roles/forward/src/entry/settings.rs
+++ b/roles/forward/src/entry/settings.rs
@@ -13,9 +13,6 @@
     /// Time without an answer after which an agent counts as not answering.
     /// Shorter than the time after which callers repeat an opening packet.
     pub answer: Duration,
-    /// Time after which a search goes on beyond the own availability zone. A few
-    /// round trips within it.
-    pub near: Duration,
     /// Time after the start in which not every backend server may be known.
     pub warm_up: Duration,
     /// Time after the start in which the agents are not all known.
@@ -50,7 +47,6 @@
             place: place::Settings::default(),
             hunt: 3,
             answer: Duration::from_millis(150),
-            near: Duration::from_millis(30),
             warm_up: Duration::from_secs(3),
             first_view: Duration::from_millis(600),
             untold: Duration::from_millis(1_500),
--- a/roles/forward/tests/common/mod.rs
+++ b/roles/forward/tests/common/mod.rs
@@ -107,8 +107,6 @@
     Carry {
         target,
         entry: entry(),
-        may_try: true,
-        denied_below_ms: 0,
         packet: packet(),
     }
 }
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -69,6 +69,7 @@
         "where logs are kept of runs that break",
         "PATH",
     );
+    options.optflag("", "keep", "keeps all logs");
     options.optflag("", "kinds", "prints all kinds of trouble");
     options.optflag("", "help", "prints this");
     options
@@ -149,7 +150,7 @@
     println!("  {:?}", result.judge.counts);
     stdout().flush()?;
     let is_kept = result.judge.breaches.is_empty();
-    if is_kept {
+    if is_kept && !matches.opt_present("keep") {
         fs::remove_dir_all(&plan.folder)?;
     } else {
         println!("  logs: {}", plan.folder.display());
