Three causes of broken flows and requests: failing servers, lost words, tries

All of a service failing alike still serve. Answers that are errors cannot be told from others: unread.

Now a holder counts as started anew only where it names another start than when it took the flow, and flows that were passed on are followed for as long as they are used (agent a_flow_that_was_passed_on_is_followed_* failed first).

Flows that an agent passed on are not tried there any more (agent a_flow_that_was_passed_on_is_not_tried_here failed first).

--- a/coordination/route/src/place.rs
+++ b/coordination/route/src/place.rs
@@ -133,7 +133,7 @@
         } else {
             self.settings.crossing
         };
-        let cost = load.wait() + load.service_time() + load.held() + way;
+        let cost = load.wait() + load.service_time() + load.held() + load.risk() + way;
         (now < seen.distrusted_until, cost)
     }
 }
--- a/coordination/route/tests/place.rs
+++ b/coordination/route/tests/place.rs
@@ -38,6 +38,7 @@
         slots: 2,
         service_us: service_ms * 1_000,
         held_us: 0,
+        risk_us: 0,
     }
 }
 
--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -112,6 +112,8 @@
     pub flow: FlowId,
     /// The holder, and where its agent is.
     pub holder: Hop,
+    /// When the holder's backend server started, by its own clock, if known.
+    pub start: Option<u64>,
     /// The holder's load.
     pub load: Load,
 }
@@ -128,6 +130,8 @@
     /// Longest time for which the backend server can have run, in milliseconds,
     /// where it surely does not hold the flow.
     pub age_ms: Option<u32>,
+    /// When it started, by its own clock, likewise.
+    pub start: Option<u64>,
     /// The caller's packet; empty in the answer to a [`Seek`].
     pub packet: Bytes,
 }
@@ -164,6 +168,9 @@
     /// Work that the held flows are expected to bring, as a wait in
     /// microseconds.
     pub held_us: u32,
+    /// What a request is expected to lose through failures, as a wait in
+    /// microseconds.
+    pub risk_us: u32,
 }
 
 impl Load {
@@ -189,6 +196,12 @@
         Duration::from_micros(self.service_us as u64)
     }
 
+    /// What a request is expected to lose through failures, as a wait.
+    #[must_use]
+    pub const fn risk(&self) -> Duration {
+        Duration::from_micros(self.risk_us as u64)
+    }
+
     /// Work that the held flows are expected to bring, as a wait.
     #[must_use]
     pub const fn held(&self) -> Duration {
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -142,8 +142,8 @@
         "announcement {sequence} of {server} is older than the last and was dropped", "nothing";
     4001 Info FlowOpened { flow: String, first: TargetId, version: Revision, count: usize }
         "flow {flow} goes to {first} and {count} more by version {version}", "nothing";
-    4002 Info FlowTaken { flow: String, wait_us: u128, held_us: u128, running: u16, held: usize, entry: SocketAddr }
-        "flow {flow} is taken: expected wait {wait_us} us, later {held_us} us, {running} requests, {held} flows, through {entry}",
+    4002 Info FlowTaken { flow: String, wait_us: u128, held_us: u128, risk_us: u128, running: u16, held: usize, entry: SocketAddr }
+        "flow {flow} is taken: expected wait {wait_us} us, later {held_us} us, through failures {risk_us} us, {running} requests, {held} flows, through {entry}",
         "nothing";
     4003 Info FlowPassed { flow: String, bid: String, to: TargetId, settled: bool }
         "flow {flow} is passed to {to}: bid here {bid}, settled {settled}", "nothing";
@@ -167,6 +167,8 @@
         "none of {agents} agents holds flow {flow}, known after {took_us} us", "nothing";
     4012 Info FlowUndecided { flow: String, denied: usize, agents: usize, is_complete: bool }
         "{denied} of {agents} agents deny flow {flow}, all known {is_complete}; none is known to hold it", "nothing";
+    4013 Warn RequestFailed { flow: String }
+        "the backend server reset a request of flow {flow}, or did not answer it in its time", "look at the backend server's own log";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing where that was planned";
 }
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -110,6 +110,7 @@
     counter("carried.flows.taken", "{flow}", "flows that a sidecar gave its backend server"),
     counter("carried.flows.passed", "{flow}", "opening packets that a sidecar passed to another"),
     counter("carried.flows.reset", "{flow}", "flows that were refused or ended, by reason"),
+    counter("carried.requests.failed", "{request}", "requests that a backend server reset or did not answer in time"),
     counter("carried.searches", "{flow}", "searches for the holder of a flow"),
     counter("carried.searches.ended", "{flow}", "searches that ended, by outcome"),
     counter("carried.tries", "{packet}", "packets of unknown flows tried at the backend server"),
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -172,6 +172,7 @@
                     flow: name(flow),
                     wait_us: bid.wait.as_micros(),
                     held_us: bid.held.as_micros(),
+                    risk_us: bid.risk.as_micros(),
                     running: *running,
                     held: *held,
                     entry: *entry,
@@ -185,7 +186,7 @@
             } => {
                 link.count("carried.flows.passed", "");
                 let bid = match bid {
-                    Ok(bid) => format!("{} us", (bid.wait + bid.held).as_micros()),
+                    Ok(bid) => format!("{} us", (bid.wait + bid.held + bid.risk).as_micros()),
                     Err(closed) => format!("{closed:?}").to_lowercase(),
                 };
                 self.link.log(&log::Event::FlowPassed {
@@ -195,6 +196,11 @@
                     settled: *is_settled,
                 });
             }
+            Action::Failed { flow } => {
+                link.count("carried.requests.failed", "");
+                let flow = name(flow);
+                self.link.log(&log::Event::RequestFailed { flow });
+            }
             Action::Probed { flow } => {
                 link.count("carried.tries", "");
                 let flow = name(flow);
--- a/roles/forward/examples/cost.rs
+++ b/roles/forward/examples/cost.rs
@@ -64,6 +64,7 @@
         );
         let held = transit::Held {
             flow: flow(number),
+            start: None,
             holder: hop(1 + u64::from(number) % SERVERS),
             load: Load::default(),
         };
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -21,6 +21,7 @@
 use bytes::Bytes;
 use limit::Held;
 use limit::Occupancy;
+use limit::Risk;
 use wire::FlowId;
 use wire::Hop;
 use wire::Segment;
@@ -41,10 +42,12 @@
 pub use backend::State;
 pub use bid::Bid;
 use flow::Flow;
+use flow::Progress;
 use memory::Memory;
 pub use quest::Others;
 use quest::Quest;
 pub use settings::Settings;
+use unknown::Evidence;
 use unknown::ended;
 use unknown::not_here;
 
@@ -120,6 +123,7 @@
     is_stopping: bool,
     occupancy: Occupancy,
     held: Held,
+    risk: Risk,
     flows: HashMap<FlowId, Flow>,
     passed: Memory<Open>,
     probes: Memory<Probe>,
@@ -166,6 +170,7 @@
             is_stopping: false,
             occupancy: Occupancy::new(settings.assumed_slots, settings.service_time),
             held: Held::new(settings.held, now),
+            risk: Risk::new(settings.risk, now),
             flows: HashMap::new(),
             passed: Memory::new(settings.linger),
             probes: Memory::new(settings.oldest_flow),
@@ -264,6 +269,17 @@
         self.flows.is_empty()
     }
 
+    /// What proves that the backend server does not hold a flow.
+    fn evidence(&self, now: Duration) -> Option<Evidence> {
+        let (age, start) = (self.age(now)?, self.start()?);
+        Some(Evidence { age, start })
+    }
+
+    /// When the backend server started, by its own clock, if it said so.
+    fn start(&self) -> Option<backend::Start> {
+        self.backend.as_ref().map(|backend| backend.start)
+    }
+
     /// Longest time for which the backend server can have run; its announcements
     /// count its time.
     fn age(&self, now: Duration) -> Option<Duration> {
@@ -276,8 +292,10 @@
     pub fn load(&self, now: Duration) -> transit::Load {
         let own = self.occupancy.load();
         let held = self.held.bid(now, own.rate());
+        let micros = |time: Duration| u32::try_from(time.as_micros()).unwrap_or(u32::MAX);
         transit::Load {
-            held_us: u32::try_from(held.as_micros()).unwrap_or(u32::MAX),
+            held_us: micros(held),
+            risk_us: micros(self.risk.wait(now)),
             ..own
         }
     }
@@ -291,7 +309,7 @@
         if self.flows.contains_key(&flow) {
             return self.deliver(now, flow, carry, segment, actions);
         }
-        if let Some(open) = self.passed.get(now, &flow) {
+        if let Some(open) = self.passed.renew(now, &flow) {
             let to = open.path[usize::from(open.position)];
             let carry = Carry {
                 target: to.target,
@@ -309,8 +327,7 @@
             let asker = carry.entry;
             return self.probe(now, flow, carry, asker, actions);
         }
-        let age = self.age(now);
-        not_here(flow, carry, &segment, age, actions);
+        not_here(flow, carry, &segment, self.evidence(now), actions);
     }
 
     /// Delivers a packet of a flow that is held.
@@ -332,8 +349,10 @@
             self.absent.insert(now, flow, ());
             return not_here(flow, carry, &segment, None, actions);
         }
-        if held.caller_sent(now, &segment, &mut self.occupancy) {
-            self.held.request(now);
+        match held.caller_sent(now, &segment, &mut self.occupancy) {
+            Some(Progress::Begun) => self.held.request(now),
+            Some(Progress::Failed) => self.risk.failed(now),
+            Some(Progress::Answered(_)) | None => {}
         }
         actions.push(Action::Deliver(carry.packet));
     }
@@ -366,7 +385,6 @@
         let Some(asker) = asker else {
             return;
         };
-        let age = self.age(now);
         if asker == self.own.address {
             return self.denied_here(now, flow, actions);
         }
@@ -375,7 +393,7 @@
             entry: asker,
             packet,
         };
-        not_here(flow, carry, &segment, age, actions);
+        not_here(flow, carry, &segment, self.evidence(now), actions);
     }
 
     /// Takes a packet that the backend server sent to a caller.
@@ -383,8 +401,16 @@
         let flow = segment.from_server();
         let probe = self.probes.remove(&flow);
         let held = self.flows.entry(flow).or_insert_with(|| Flow::found(now));
-        if let Some(took) = held.server_sent(now, &segment, &mut self.occupancy) {
-            actions.push(Action::Answered { took });
+        match held.server_sent(now, &segment, &mut self.occupancy) {
+            Some(Progress::Answered(took)) => {
+                self.risk.answered(now);
+                actions.push(Action::Answered { took });
+            }
+            Some(Progress::Failed) => {
+                self.risk.failed(now);
+                actions.push(Action::Failed { flow });
+            }
+            Some(Progress::Begun) | None => {}
         }
         actions.push(Action::ToCaller {
             caller: flow.caller,
@@ -405,6 +431,7 @@
             }
             if backend.start != held.start {
                 self.gone(now, actions);
+                self.risk = Risk::new(self.settings.risk, now);
                 // This process hears of all flows of a start that it saw begin.
                 self.has_past = false;
             }
@@ -453,8 +480,12 @@
     fn sweep(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let settings = &self.settings;
         let occupancy = &mut self.occupancy;
-        self.flows.retain(|_, flow| {
-            flow.expire_request(now, settings.reservation, occupancy);
+        let risk = &mut self.risk;
+        self.flows.retain(|id, flow| {
+            if flow.expire_request(now, settings.reservation, occupancy) {
+                risk.failed(now);
+                actions.push(Action::Failed { flow: *id });
+            }
             let keep = !flow.is_over(now, settings.linger, settings.idle);
             if !keep && flow.start.take().is_some() {
                 occupancy.release(now);
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -58,6 +58,11 @@
         /// Time since the request.
         took: Duration,
     },
+    /// The backend server reset a request, or did not answer it in its time.
+    Failed {
+        /// The flow.
+        flow: FlowId,
+    },
     /// A new flow was passed to another agent.
     Passed {
         /// The flow.
--- a/roles/forward/src/agent/bid.rs
+++ b/roles/forward/src/agent/bid.rs
@@ -13,6 +13,9 @@
 /// About the time that passing it on takes.
 const NO_WAIT: Duration = Duration::from_millis(2);
 
+/// Expected loss up to which it does not either: a failure in fifty requests.
+const NO_RISK: Duration = Duration::from_millis(20);
+
 /// What becomes of an opening packet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -31,12 +34,14 @@
     pub wait: Duration,
     /// Expected wait through the requests of other flows, later.
     pub held: Duration,
+    /// What the request is expected to lose through failures.
+    pub risk: Duration,
 }
 
 impl Bid {
     /// The bid as a number of milliseconds.
     fn millis(self) -> u32 {
-        let sum = self.wait + self.held;
+        let sum = self.wait + self.held + self.risk;
         u32::try_from(sum.as_millis()).unwrap_or(NONE - 1)
     }
 }
@@ -47,7 +52,7 @@
 pub fn decide(mut open: Open, bid: Option<Bid>) -> Verdict {
     let bid_ms = bid.map_or(NONE, Bid::millis);
     match bid {
-        Some(bid) if bid.wait <= NO_WAIT => return Verdict::Take(open),
+        Some(bid) if bid.wait <= NO_WAIT && bid.risk <= NO_RISK => return Verdict::Take(open),
         Some(bid) if open.is_settled && bid.wait <= patience(&open) => return Verdict::Take(open),
         // The agent that was to take it no longer can: the next best is asked.
         _ if open.is_settled => {
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -38,6 +38,17 @@
     has_server_ended: bool,
 }
 
+/// What a packet, or the time, has made of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// It is another request of a flow that has had one before.
+    Begun,
+    /// The backend server began to answer it, so long after it came.
+    Answered(Duration),
+    /// The backend server reset it, or did not answer it in its time.
+    Failed,
+}
+
 /// How far the opening of a flow has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Handshake {
@@ -103,23 +114,26 @@
         }
     }
 
-    /// Notes a packet of the caller; true where it begins a request that is not
-    /// the flow's first.
+    /// Notes a packet of the caller: it may begin a request, or give one up that
+    /// took too long.
     pub fn caller_sent(
         &mut self,
         now: Duration,
         segment: &Segment,
         occupancy: &mut Occupancy,
-    ) -> bool {
+    ) -> Option<Progress> {
         self.used = now;
         self.has_caller_ended |= matches!(segment.kind, Kind::Close | Kind::Reset);
         if segment.kind == Kind::Reset {
+            let is_late = now >= self.begun + self.timeout / 2;
+            let is_failed = self.is_under_way() && is_late;
             self.end_request(now, occupancy);
+            return is_failed.then_some(Progress::Failed);
         }
         let is_new = self.advance(segment);
         let begins = is_new && (self.start.is_none() || self.is_reserved);
         if !begins {
-            return false;
+            return None;
         }
         if self.start.is_none() {
             self.start = Some(occupancy.begin(now));
@@ -129,7 +143,7 @@
         self.is_reserved = self.handshake == Handshake::Unseen && self.requests == 0;
         self.begun = now;
         self.requests = self.requests.saturating_add(1);
-        self.requests > 1
+        (self.requests > 1).then_some(Progress::Begun)
     }
 
     /// Notes the position of the caller's content; true where it is new.
@@ -149,13 +163,13 @@
     }
 
     /// Notes a packet of the backend server. The first with content after a
-    /// request means that the request has been worked on; the time that took.
+    /// request means that the request has been worked on.
     pub fn server_sent(
         &mut self,
         now: Duration,
         segment: &Segment,
         occupancy: &mut Occupancy,
-    ) -> Option<Duration> {
+    ) -> Option<Progress> {
         self.used = now;
         self.open = None;
         if segment.kind == Kind::Accept && self.handshake == Handshake::Sent {
@@ -167,27 +181,41 @@
                 occupancy.finish(now, start);
                 self.start = None;
                 self.is_reserved = false;
-                Some(now.saturating_sub(self.begun))
+                Some(Progress::Answered(now.saturating_sub(self.begun)))
             }
             _ if segment.kind == Kind::Reset => {
+                let is_failed = self.is_under_way();
                 self.end_request(now, occupancy);
-                None
+                is_failed.then_some(Progress::Failed)
             }
             _ => None,
         }
     }
 
     /// Gives up the slot of a request that does not come, or whose caller has
-    /// given up waiting.
-    pub fn expire_request(&mut self, now: Duration, reserved: Duration, occupancy: &mut Occupancy) {
+    /// given up waiting; true where it was not answered.
+    pub fn expire_request(
+        &mut self,
+        now: Duration,
+        reserved: Duration,
+        occupancy: &mut Occupancy,
+    ) -> bool {
         let limit = if self.is_reserved {
             reserved
         } else {
             self.timeout
         };
-        if self.start.is_some() && now >= self.begun + limit {
+        let is_over = self.start.is_some() && now >= self.begun + limit;
+        let is_failed = is_over && self.is_under_way();
+        if is_over {
             self.end_request(now, occupancy);
         }
+        is_failed
+    }
+
+    /// Whether a request was sent that is not answered yet.
+    const fn is_under_way(&self) -> bool {
+        self.start.is_some() && !self.is_reserved
     }
 
     /// Whether the flow is kept open between two requests.
--- a/roles/forward/src/agent/opening.rs
+++ b/roles/forward/src/agent/opening.rs
@@ -84,6 +84,7 @@
             None => Ok(Bid {
                 wait: load.wait(),
                 held: load.held(),
+                risk: load.risk(),
             }),
         }
     }
@@ -124,6 +125,7 @@
         let held = transit::Held {
             flow,
             holder: self.own,
+            start: self.start(),
             load: self.load(now),
         };
         actions.push(Action::Send {
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use limit::held;
+use limit::risk;
 
 /// Settings of an agent that carries flows unread.
 #[derive(Clone, Debug, PartialEq)]
@@ -10,6 +11,8 @@
     pub service_time: Duration,
     /// How the load of held flows is estimated.
     pub held: held::Settings,
+    /// How the likelihood of failures is estimated.
+    pub risk: risk::Settings,
     /// Requests beyond its slots that the backend server is sent at a time. It
     /// rejects what does not fit into its own short queue.
     pub queue: u16,
@@ -52,6 +55,7 @@
         Self {
             service_time: Duration::from_millis(20),
             held: held::Settings::default(),
+            risk: risk::Settings::default(),
             queue: 6,
             max_flows: 2_000,
             assumed: Duration::from_secs(2),
--- a/roles/forward/src/agent/unknown.rs
+++ b/roles/forward/src/agent/unknown.rs
@@ -17,6 +17,16 @@
 use super::MAX_TRIES;
 use super::Probe;
 use super::Refusal;
+use super::backend::Start;
+
+/// What proves that a backend server does not hold a flow.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Evidence {
+    /// Longest time for which it can have run.
+    pub age: Duration,
+    /// When it started, by its own clock.
+    pub start: Start,
+}
 
 impl Agent {
     /// Whether the backend server may hold an unknown flow from before this
@@ -25,6 +35,7 @@
         self.has_past
             && now < self.started + self.settings.oldest_flow
             && self.absent.get(now, flow).is_none()
+            && self.passed.get(now, flow).is_none()
             && self.dead.get(now, flow).is_none()
     }
 
@@ -43,15 +54,15 @@
             return;
         }
         let (target, asker) = (seek.target, seek.asker);
-        let Some(age) = self.unheld(now, seek, segment, actions) else {
+        if self.unheld(now, seek, segment, actions).is_none() {
             return;
-        };
+        }
         let carry = Carry {
             target,
             entry: asker,
             packet: Bytes::new(),
         };
-        not_here(flow, carry, &segment, Some(age), actions);
+        not_here(flow, carry, &segment, self.evidence(now), actions);
     }
 
     /// Delivers or tries a packet whose holder is not known; the age of the
@@ -137,16 +148,19 @@
     flow: FlowId,
     carry: Carry,
     segment: &Segment,
-    age: Option<Duration>,
+    evidence: Option<Evidence>,
     actions: &mut Vec<Action>,
 ) {
+    // Nobody waits for an answer to a reset.
+    let evidence = evidence.filter(|_| segment.kind != Kind::Reset);
     actions.push(Action::Send {
         to: carry.entry,
         transit: Transit::Absent(Absent {
             flow,
             target: carry.target,
             acknowledged: segment.acknowledged,
-            age_ms: age.filter(|_| segment.kind != Kind::Reset).map(millis),
+            age_ms: evidence.map(|evidence| millis(evidence.age)),
+            start: evidence.map(|evidence| evidence.start),
             packet: carry.packet,
         }),
     });
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -385,14 +385,10 @@
         self.place.learn(now, held.holder.target, held.load);
         let before = self.flows.remove(&held.flow);
         let is_closing = before.as_ref().is_some_and(|flow| flow.is_closing);
-        let since = before.as_ref().and_then(|flow| match flow.phase {
-            Phase::Held(holder) if holder.target == held.holder.target => Some(flow.since),
-            _ => None,
-        });
         self.remember(now, held.flow, Phase::Held(held.holder));
         if let Some(flow) = self.flows.get_mut(&held.flow) {
             flow.is_closing = is_closing;
-            flow.since = since.unwrap_or(now);
+            flow.start = held.start;
         }
         let seeking = match before.map(|flow| flow.phase) {
             Some(Phase::Seeking(seeking)) => seeking,
@@ -425,11 +421,10 @@
         let Some(held) = self.flows.get(&absent.flow) else {
             return;
         };
-        let known = now.saturating_sub(held.since);
         match &held.phase {
             Phase::Held(holder) if holder.target == absent.target => {
-                let age = absent.age_ms.map(u64::from).map(Duration::from_millis);
-                if age.is_some_and(|age| age < known) {
+                let is_known = held.start.is_some() && absent.start.is_some();
+                if is_known && absent.start != held.start {
                     // The holder's backend server has started anew since.
                     self.flows.remove(&absent.flow);
                     return actions.push(search::ended(absent.flow, absent.acknowledged));
--- a/roles/forward/src/entry/flow.rs
+++ b/roles/forward/src/entry/flow.rs
@@ -17,8 +17,10 @@
     pub phase: Phase,
     /// When its last packet came.
     pub used: Duration,
-    /// Since when the same holder is known, or none was found.
+    /// Since when it is in its phase.
     pub since: Duration,
+    /// When the holder's backend server started, if it said so.
+    pub start: Option<u64>,
     /// Whether the caller has ended it.
     pub is_closing: bool,
 }
@@ -73,6 +75,7 @@
             phase,
             used: now,
             since: now,
+            start: None,
             is_closing: false,
         }
     }
--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -238,6 +238,7 @@
         target,
         acknowledged: 1,
         age_ms: Some(age_ms),
+        start: Some(1),
         packet: bytes::Bytes::new(),
     };
     handle(agent, now, Event::Denied(absent))
@@ -335,6 +336,27 @@
     assert_eq!(passed(&actions).unwrap().path[1], hop(2));
 }
 
+/// The word of the agent that took it may have been lost.
+#[test]
+fn a_flow_that_was_passed_on_is_followed_as_long_as_it_is_used() {
+    let mut agent = ready(false);
+    fill(&mut agent, ms(1));
+    open_at(&mut agent, ms(1), 9, open(&[OWN, 2]));
+    let step = Settings::default().linger / 2;
+    for number in 1..=5 {
+        let event = Event::Carry {
+            carry: carry(OWN),
+            segment: from_caller(9, Kind::Data, 100),
+        };
+        let actions = handle(&mut agent, ms(1) + step * number, event);
+        let followed = actions.iter().any(|action| {
+            matches!(action, Action::Send { to, transit: Transit::Carry(_) }
+                if *to == hop(2).address)
+        });
+        assert!(followed, "{number}: {actions:?}");
+    }
+}
+
 #[test]
 fn nobody_with_a_slot_in_time_refuses_at_once() {
     let mut agent = ready(false);
@@ -518,6 +540,20 @@
     assert!(agent.is_empty());
 }
 
+/// The flow opened elsewhere; a backend server that saw its opening packet may
+/// answer a later one with a reset.
+#[test]
+fn a_flow_that_was_passed_on_is_not_tried_here() {
+    let mut agent = ready(true);
+    open_at(&mut agent, ms(1), 9, open(&[OWN, 2]));
+    let event = Event::Server {
+        segment: returned(9, Kind::Open),
+        packet: packet(),
+    };
+    assert!(passed(&handle(&mut agent, ms(2), event)).is_some());
+    assert!(!delivers(&seek(&mut agent, ms(20), 9)));
+}
+
 /// Three packets at a server that does not hold the flow would break it.
 #[test]
 fn an_unknown_flow_is_tried_twice_at_most() {
--- a/roles/forward/tests/common/mod.rs
+++ b/roles/forward/tests/common/mod.rs
@@ -163,3 +163,40 @@
         silent: HashSet::new(),
     })
 }
+
+/// The header of a packet stands for all of it.
+pub fn encode(segment: &Segment) -> Bytes {
+    let kind = match segment.kind {
+        Kind::Open => 0,
+        Kind::Accept => 1,
+        Kind::Data => 2,
+        Kind::Close => 3,
+        Kind::Reset => 4,
+    };
+    Bytes::from(format!(
+        "{} {} {kind} {} {} {}",
+        segment.source, segment.destination, segment.sequence, segment.acknowledged, segment.length
+    ))
+}
+
+/// Reads such a packet.
+pub fn decode(packet: &Bytes) -> Segment {
+    let text = std::str::from_utf8(packet).unwrap();
+    let parts: Vec<&str> = text.split(' ').collect();
+    Segment {
+        source: parts[0].parse().unwrap(),
+        destination: parts[1].parse().unwrap(),
+        kind: match parts[2] {
+            "0" => Kind::Open,
+            "1" => Kind::Accept,
+            "2" => Kind::Data,
+            "3" => Kind::Close,
+            _ => Kind::Reset,
+        },
+        is_returned: false,
+        sequence: parts[3].parse().unwrap(),
+        acknowledged: parts[4].parse().unwrap(),
+        length: parts[5].parse().unwrap(),
+        mark: 0,
+    }
+}
--- a/roles/forward/tests/entry.rs
+++ b/roles/forward/tests/entry.rs
@@ -29,6 +29,9 @@
 const HERE: ZoneId = 1;
 const THERE: ZoneId = 2;
 
+/// The start of the backend servers that hold flows.
+const STARTED: u64 = 7;
+
 /// Time by which the agents are taken to be known.
 fn later() -> Duration {
     let settings = Settings::default();
@@ -78,6 +81,7 @@
     let held = transit::Held {
         flow: flow(),
         holder: hop(target),
+        start: Some(STARTED),
         load: Load::default(),
     };
     handle(core, now, Event::Held(held))
@@ -278,6 +282,7 @@
         target: 1,
         acknowledged: 0,
         age_ms: None,
+        start: None,
         packet: packet(),
     };
     assert_eq!(
@@ -305,14 +310,14 @@
     );
 }
 
-/// Says that a backend server which has run for so long surely does not hold the
-/// flow.
-fn deny(core: &mut Entry, now: Duration, target: TargetId, age: Duration) -> Vec<Action> {
+/// Says that the start of a backend server surely does not hold the flow.
+fn deny(core: &mut Entry, now: Duration, target: TargetId, start: u64) -> Vec<Action> {
     let absent = transit::Absent {
         flow: flow(),
         target,
         acknowledged: 77,
-        age_ms: u32::try_from(age.as_millis()).ok(),
+        age_ms: Some(500),
+        start: Some(start),
         packet: packet(),
     };
     handle(core, now, Event::Absent(absent))
@@ -409,19 +414,22 @@
     let mut core = entry_with(two_zones());
     send(&mut core, ms(1), Kind::Open);
     held(&mut core, ms(2), 1);
+    let anew = STARTED + 1;
     assert!(
-        !resets(&deny(&mut core, ms(5_000), 2, ms(500))),
+        !resets(&deny(&mut core, ms(5_000), 2, anew)),
         "not its holder"
     );
-    assert!(resets(&deny(&mut core, ms(5_000), 1, ms(500))));
+    assert!(resets(&deny(&mut core, ms(5_000), 1, anew)));
 }
 
+/// An agent may take a flow, find that its backend server does not accept it, and
+/// pass it on: what it said first is no evidence that it ever held the flow.
 #[test]
-fn a_flow_is_searched_for_where_its_holder_is_older_than_it() {
+fn a_flow_is_searched_for_where_its_holder_has_not_started_anew() {
     let mut core = entry_with(two_zones());
     send(&mut core, ms(1), Kind::Open);
     held(&mut core, ms(2), 1);
-    let actions = deny(&mut core, ms(5_000), 1, ms(60_000));
+    let actions = deny(&mut core, ms(5_000), 1, STARTED);
     assert!(!resets(&actions));
     assert_eq!(sought(&actions), [2], "the other one here");
 }
--- a/roles/forward/tests/world/mod.rs
+++ b/roles/forward/tests/world/mod.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use fastrand::Rng;
 use forward::Agent;
 use forward::Entry;
@@ -24,6 +23,8 @@
 use wire::target;
 
 use crate::common::backend;
+use crate::common::decode;
+use crate::common::encode;
 use crate::common::hop;
 use crate::common::ms;
 use crate::common::routes;
@@ -526,39 +527,3 @@
 fn position(id: TargetId) -> u32 {
     u32::try_from(id).unwrap() * 10_000_000
 }
-
-/// The header of a packet stands for all of it.
-fn encode(segment: &Segment) -> Bytes {
-    let kind = match segment.kind {
-        Kind::Open => 0,
-        Kind::Accept => 1,
-        Kind::Data => 2,
-        Kind::Close => 3,
-        Kind::Reset => 4,
-    };
-    Bytes::from(format!(
-        "{} {} {kind} {} {} {}",
-        segment.source, segment.destination, segment.sequence, segment.acknowledged, segment.length
-    ))
-}
-
-fn decode(packet: &Bytes) -> Segment {
-    let text = std::str::from_utf8(packet).unwrap();
-    let parts: Vec<&str> = text.split(' ').collect();
-    Segment {
-        source: parts[0].parse().unwrap(),
-        destination: parts[1].parse().unwrap(),
-        kind: match parts[2] {
-            "0" => Kind::Open,
-            "1" => Kind::Accept,
-            "2" => Kind::Data,
-            "3" => Kind::Close,
-            _ => Kind::Reset,
-        },
-        is_returned: false,
-        sequence: parts[3].parse().unwrap(),
-        acknowledged: parts[4].parse().unwrap(),
-        length: parts[5].parse().unwrap(),
-        mark: 0,
-    }
-}
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`Gate`] holds the slots and the queue of one backend server.
 //! * [`Held`] estimates the work that held flows will bring.
 //! * [`Occupancy`] tells how long work that is only seen from outside would wait.
+//! * [`Risk`] estimates how likely a backend server fails a request.
 //! * [`Budget`] bounds retries to a share of first tries.
 //! * [`Backoff`] spaces retries.
 //!
@@ -17,6 +18,7 @@
 pub mod occupancy;
 pub mod pause;
 pub mod queue;
+pub mod risk;
 pub mod share;
 
 pub use backoff::Backoff;
@@ -33,3 +35,4 @@
 pub use job::Verdict;
 pub use load::Load;
 pub use occupancy::Occupancy;
+pub use risk::Risk;
--- a/state/limit/src/occupancy.rs
+++ b/state/limit/src/occupancy.rs
@@ -98,6 +98,7 @@
             slots: self.slots,
             service_us: u32::try_from(self.service_time().as_micros()).unwrap_or(u32::MAX),
             held_us: 0,
+            risk_us: 0,
         }
     }
 
