--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -330,11 +330,19 @@
             let world = &mut *world.borrow_mut();
             let now = world.now();
             for host in 0..world.hosts.len() {
-                let ended = world.hosts[host].has_ended_unasked();
-                if ended && world.hosts[host].is_calm_since(now, Cause::Planned) {
+                if !world.hosts[host].has_ended_unasked() {
+                    continue;
+                }
+                world.judge.count("processes that ended by themselves");
+                if world.hosts[host].is_calm_since(now, Cause::Planned) {
                     let text = format!("the process of host {host} ended by itself");
                     world.judge.breach(Promise::Process, now, text);
                 }
+                // The platform starts such a process again.
+                if let Err(error) = world.hosts[host].start() {
+                    let text = format!("host {host} did not start again: {error}");
+                    world.judge.breach(Promise::Process, now, text);
+                }
             }
         }
         Timer::after(WATCH).await;
