Agents that no entry has answered yet announce themselves in quick succession

Change: up to 12 heartbeats 150 ms apart while fewer than half of the watchers have answered once. Test: member registry an_agent_that_no_entry_has_answered_announces_itself_in_quick_succession (1 heartbeat in 600 ms before).

--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -34,6 +34,13 @@
 /// Time between two of these heartbeats.
 const FAREWELL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Heartbeats that an agent sends in quick succession after its start, while most
+/// of its watchers have not answered: after a failure they start with it.
+const COLD_HEARTBEATS: u32 = 12;
+
+/// Time between two of these heartbeats. Some round trips within a region.
+const COLD_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Time without an acknowledgement after which the announcement is made a
 /// newer one, since the older may have been dropped.
 const REANNOUNCE_AFTER: Duration = Duration::from_mins(1);
@@ -64,6 +71,8 @@
     view: View,
     changed: bool,
     farewells: Option<u32>,
+    /// Heartbeats in quick succession that are left.
+    cold: u32,
     successor: Option<Incarnation>,
     link: Link,
     assembler: Assembler,
@@ -97,6 +106,7 @@
             view,
             changed: true,
             farewells: None,
+            cold: COLD_HEARTBEATS,
             successor: None,
             assembler: Assembler::default(),
         }
@@ -192,6 +202,10 @@
         }
         let interval = match self.farewells {
             Some(_) => FAREWELL_INTERVAL,
+            None if self.cold > 0 && !self.watchers.most_answered() => {
+                self.cold -= 1;
+                COLD_INTERVAL
+            }
             None => self.settings.heartbeat,
         };
         self.next_heartbeat = now + interval.mul_f64(1.0 - self.rng.f64() * JITTER);
--- a/coordination/member/src/announcer/watchers.rs
+++ b/coordination/member/src/announcer/watchers.rs
@@ -117,6 +117,13 @@
         2 * count > self.current.len()
     }
 
+    /// True where most watchers have answered at least once.
+    #[must_use]
+    pub fn most_answered(&self) -> bool {
+        let answered = self.current.iter().filter(|held| held.digest.is_some());
+        2 * answered.count() > self.current.len()
+    }
+
     /// Notes who does not answer, and chooses other entries to ask.
     pub fn check(&mut self, now: Duration, rng: &mut Rng) {
         let silence = self.settings.silence;
--- a/coordination/member/tests/registry.rs
+++ b/coordination/member/tests/registry.rs
@@ -191,6 +191,31 @@
     assert_eq!(net.agents[&fresh].view().targets.len(), 8);
 }
 
+/// After a loss of power an agent may start before its entries, which must not
+/// wait for its next regular heartbeat.
+#[test]
+fn an_agent_that_no_entry_has_answered_announces_itself_in_quick_succession() {
+    let net = region(3, 0, 1);
+    let seeds: Vec<SocketAddr> = net.entries.keys().copied().collect();
+    let alone = target(2, 0, 1);
+    let mut announcer = Announcer::new(net.settings.clone(), alone, seeds, 1, net.now);
+    let heartbeats_within = |announcer: &mut Announcer, start: Duration, time: Duration| {
+        let mut count = 0;
+        let mut actions = Vec::new();
+        while announcer.next_deadline() < start + time {
+            announcer.tick(announcer.next_deadline().max(start), &mut actions);
+            count += 1;
+        }
+        count
+    };
+    let first = heartbeats_within(&mut announcer, net.now, Duration::from_millis(600));
+    assert!(first >= 4, "{first}");
+    let later = net.now + Duration::from_secs(10);
+    heartbeats_within(&mut announcer, net.now, Duration::from_secs(10));
+    let regular = heartbeats_within(&mut announcer, later, Duration::from_secs(10));
+    assert!(regular <= 12, "{regular}");
+}
+
 /// The entries that an agent was started with may all be gone.
 #[test]
 fn entries_that_are_found_later_are_announced_to_at_once() {
