Who passed a flow on tells its entry where; the agent's file is split

Now the agent that passed the flow on names the next one to the entry with the first packet that comes after it, and remembers as briefly as before.

What the backend server sends and tells has its own file, agent/server.rs.

--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -114,8 +114,8 @@
     pub holder: Hop,
     /// When the holder's backend server started, by its own clock, if known.
     pub start: Option<u64>,
-    /// The holder's load.
-    pub load: Load,
+    /// The holder's load, where it says so itself.
+    pub load: Option<Load>,
 }
 
 /// Says that an agent does not hold a flow.
--- a/roles/forward/examples/cost.rs
+++ b/roles/forward/examples/cost.rs
@@ -66,7 +66,7 @@
             flow: flow(number),
             start: None,
             holder: hop(1 + u64::from(number) % SERVERS),
-            load: Load::default(),
+            load: Some(Load::default()),
         };
         core.handle(Duration::ZERO, entry::Event::Held(held), &mut actions);
         actions.clear();
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -11,6 +11,7 @@
 mod memory;
 mod opening;
 mod quest;
+mod server;
 mod settings;
 mod unknown;
 
@@ -26,7 +27,6 @@
 use wire::Hop;
 use wire::Segment;
 use wire::Transit;
-use wire::segment::Kind;
 use wire::transit;
 use wire::transit::Absent;
 use wire::transit::Carry;
@@ -47,7 +47,6 @@
 pub use quest::Others;
 use quest::Quest;
 pub use settings::Settings;
-use unknown::Evidence;
 use unknown::ended;
 use unknown::not_here;
 
@@ -269,24 +268,6 @@
         self.flows.is_empty()
     }
 
-    /// What proves that the backend server does not hold a flow.
-    fn evidence(&self, now: Duration) -> Option<Evidence> {
-        let (age, start) = (self.age(now)?, self.start()?);
-        Some(Evidence { age, start })
-    }
-
-    /// When the backend server started, by its own clock, if it said so.
-    fn start(&self) -> Option<backend::Start> {
-        self.backend.as_ref().map(|backend| backend.start)
-    }
-
-    /// Longest time for which the backend server can have run; its announcements
-    /// count its time.
-    fn age(&self, now: Duration) -> Option<Duration> {
-        self.backend.as_ref()?;
-        Some(self.age_then + now.saturating_sub(self.first_heard))
-    }
-
     /// The load, to be told to entries.
     #[must_use]
     pub fn load(&self, now: Duration) -> transit::Load {
@@ -309,16 +290,9 @@
         if self.flows.contains_key(&flow) {
             return self.deliver(now, flow, carry, segment, actions);
         }
-        if let Some(open) = self.passed.renew(now, &flow) {
+        if let Some(open) = self.passed.get(now, &flow) {
             let to = open.path[usize::from(open.position)];
-            let carry = Carry {
-                target: to.target,
-                ..carry
-            };
-            return actions.push(Action::Send {
-                to: to.address,
-                transit: Transit::Carry(carry),
-            });
+            return follow(flow, to, carry, actions);
         }
         if self.dead.get(now, &flow).is_some() {
             return ended(flow, &segment, actions);
@@ -357,125 +331,6 @@
         actions.push(Action::Deliver(carry.packet));
     }
 
-    /// Takes a packet that the backend server handed back.
-    fn returned(
-        &mut self,
-        now: Duration,
-        segment: Segment,
-        packet: Bytes,
-        actions: &mut Vec<Action>,
-    ) {
-        let flow = segment.from_caller();
-        let probe = self.probes.remove(&flow);
-        let held = self.flows.remove(&flow);
-        if held.as_ref().is_some_and(|flow| flow.start.is_some()) {
-            self.occupancy.release(now);
-        }
-        if segment.kind == Kind::Open {
-            return self.unaccepted(now, flow, segment, held, packet, actions);
-        }
-        self.absent.insert(now, flow, ());
-        actions.push(Action::Returned {
-            flow,
-            was_held: held.is_some(),
-        });
-        let asker = probe
-            .map(|probe| probe.asker)
-            .or(held.and_then(|flow| flow.entry));
-        let Some(asker) = asker else {
-            return;
-        };
-        if asker == self.own.address {
-            return self.denied_here(now, flow, actions);
-        }
-        let carry = Carry {
-            target: self.own.target,
-            entry: asker,
-            packet,
-        };
-        not_here(flow, carry, &segment, self.evidence(now), actions);
-    }
-
-    /// Takes a packet that the backend server sent to a caller.
-    fn sent(&mut self, now: Duration, segment: Segment, packet: Bytes, actions: &mut Vec<Action>) {
-        let flow = segment.from_server();
-        let probe = self.probes.remove(&flow);
-        let held = self.flows.entry(flow).or_insert_with(|| Flow::found(now));
-        match held.server_sent(now, &segment, &mut self.occupancy) {
-            Some(Progress::Answered(took)) => {
-                self.risk.answered(now);
-                actions.push(Action::Answered { took });
-            }
-            Some(Progress::Failed) => {
-                self.risk.failed(now);
-                actions.push(Action::Failed { flow });
-            }
-            Some(Progress::Begun) | None => {}
-        }
-        actions.push(Action::ToCaller {
-            caller: flow.caller,
-            packet,
-        });
-        if let Some(probe) = probe {
-            held.entry = Some(probe.entry);
-            self.tell(now, flow, probe.entry, actions);
-        }
-    }
-
-    /// Takes what the backend server tells of itself; what an earlier one said
-    /// is no longer true.
-    fn state(&mut self, now: Duration, backend: Backend, actions: &mut Vec<Action>) {
-        if let Some(held) = &self.backend {
-            if backend.is_older_than(held) {
-                return actions.push(Action::Dropped(Drop::OldAnnouncement));
-            }
-            if backend.start != held.start {
-                self.gone(now, actions);
-                self.risk = Risk::new(self.settings.risk, now);
-                // This process hears of all flows of a start that it saw begin.
-                self.has_past = false;
-            }
-        }
-        if self.backend.is_none() && backend.sequence <= FIRST_SEQUENCE {
-            self.has_past = false;
-        }
-        let is_new = self
-            .backend
-            .as_ref()
-            .is_none_or(|held| held.start != backend.start);
-        if is_new {
-            self.first_heard = now;
-            // The first announcement is sent with the start.
-            let before = backend.sequence.saturating_sub(FIRST_SEQUENCE);
-            let before = u32::try_from(before).unwrap_or(u32::MAX);
-            self.age_then = self.settings.heartbeat.saturating_mul(before);
-        }
-        self.heard = now;
-        self.unanswered = None;
-        self.own.target = backend.target;
-        self.occupancy.set_slots(backend.slots);
-        self.backend = Some(backend);
-    }
-
-    /// Gives up the flows of a backend server that has ended.
-    fn gone(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        if let Some(backend) = &mut self.backend {
-            backend.state = State::Gone;
-        }
-        if !self.flows.is_empty() {
-            actions.push(Action::Ended {
-                flows: self.flows.len(),
-            });
-        }
-        for (flow, held) in self.flows.drain() {
-            if held.start.is_some() {
-                self.occupancy.release(now);
-            }
-            self.dead.insert(now, flow, ());
-        }
-        self.probes.clear();
-    }
-
     /// Forgets what is over.
     fn sweep(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let settings = &self.settings;
@@ -502,3 +357,26 @@
         self.expire_quests(now, actions);
     }
 }
+
+/// Sends a packet after its flow, which was passed on, and tells the entry where:
+/// the word of the agent that took it may have been lost.
+fn follow(flow: FlowId, to: Hop, carry: Carry, actions: &mut Vec<Action>) {
+    let held = transit::Held {
+        flow,
+        holder: to,
+        start: None,
+        load: None,
+    };
+    actions.push(Action::Send {
+        to: carry.entry,
+        transit: Transit::Held(held),
+    });
+    let carry = Carry {
+        target: to.target,
+        ..carry
+    };
+    actions.push(Action::Send {
+        to: to.address,
+        transit: Transit::Carry(carry),
+    });
+}
--- a/roles/forward/src/agent/memory.rs
+++ b/roles/forward/src/agent/memory.rs
@@ -42,16 +42,6 @@
         (now < item.at + self.lifetime).then_some(&item.value)
     }
 
-    /// What is remembered of a flow, which is remembered anew.
-    pub fn renew(&mut self, now: Duration, flow: &FlowId) -> Option<&T> {
-        let item = self.items.get_mut(flow)?;
-        if now >= item.at + self.lifetime {
-            return None;
-        }
-        item.at = now;
-        Some(&item.value)
-    }
-
     /// Forgets a flow.
     pub fn remove(&mut self, flow: &FlowId) -> Option<T> {
         self.items.remove(flow).map(|item| item.value)
--- a/roles/forward/src/agent/opening.rs
+++ b/roles/forward/src/agent/opening.rs
@@ -126,7 +126,7 @@
             flow,
             holder: self.own,
             start: self.start(),
-            load: self.load(now),
+            load: Some(self.load(now)),
         };
         actions.push(Action::Send {
             to: entry,
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -382,7 +382,9 @@
 
     /// Notes the holder of a flow, and sends it what waits for it.
     fn held(&mut self, now: Duration, held: &Held, actions: &mut Vec<Action>) {
-        self.place.learn(now, held.holder.target, held.load);
+        if let Some(load) = held.load {
+            self.place.learn(now, held.holder.target, load);
+        }
         let before = self.flows.remove(&held.flow);
         let is_closing = before.as_ref().is_some_and(|flow| flow.is_closing);
         self.remember(now, held.flow, Phase::Held(held.holder));
