--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -28,7 +28,7 @@
     /// Says that an agent does not hold a flow, or returns its packet.
     Absent(Absent),
     /// Says that no agent of a service holds a flow.
-    Nobody(Nobody),
+    Unheld(Unheld),
     /// Tells the load of a backend server that did not take a flow.
     Busy(Busy),
 }
@@ -102,7 +102,7 @@
     pub may_try: bool,
     /// An agent that surely does not hold the flow says so where its backend
     /// server has run for this time at most, in milliseconds.
-    pub denied_below_ms: u32,
+    pub max_age_ms: u32,
 }
 
 /// Names the holder of a flow.
@@ -138,7 +138,7 @@
 
 /// Says that no agent of a service holds a flow, which has ended therefore.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Nobody {
+pub struct Unheld {
     /// The flow.
     pub flow: FlowId,
     /// The backend server whose agent has searched.
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -150,8 +150,8 @@
     4004 Warn FlowReset { flow: String, reason: String, detail: String }
         "flow {flow} is reset: {reason}, {detail}",
         "no route: look at the configuration; no slot or no server: look at the load";
-    4005 Info FlowSought { flow: String, searcher: TargetId, known: usize, may_try: bool, below_ms: u32 }
-        "the agent of {searcher} searches for the holder of flow {flow} among {known} agents, tries allowed {may_try}, denials below {below_ms} ms", "nothing";
+    4005 Info FlowSought { flow: String, searcher: TargetId, known: usize, may_try: bool, max_age_ms: u32 }
+        "the agent of {searcher} searches for the holder of flow {flow} among {known} agents, tries allowed {may_try}, denials of backend servers up to {max_age_ms} ms old", "nothing";
     4006 Info FlowFound { flow: String, holder: TargetId, took_us: u128 }
         "flow {flow} is held by {holder}, found after {took_us} us", "nothing";
     4007 Warn FlowLost { flow: String, rounds: u8 }
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -97,7 +97,7 @@
         match received.frame {
             Frame::Transit(Transit::Held(held)) => self.handle(Event::Held(held)),
             Frame::Transit(Transit::Absent(absent)) => self.handle(Event::Absent(absent)),
-            Frame::Transit(Transit::Nobody(nobody)) => self.handle(Event::Nobody(nobody)),
+            Frame::Transit(Transit::Unheld(unheld)) => self.handle(Event::Unheld(unheld)),
             Frame::Transit(Transit::Busy(busy)) => self.handle(Event::Busy(busy)),
             Frame::Control(payload) => {
                 let from = received.from;
@@ -149,7 +149,7 @@
                     searcher,
                     known,
                     may_try: terms.may_try,
-                    below_ms: terms.denied_below_ms,
+                    max_age_ms: terms.max_age_ms,
                 });
             }
             Action::Found { flow, holder, took } => {
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use forward::agent::Backend;
 use forward::agent::Event;
-use forward::agent::Others;
+use forward::agent::Peers;
 use forward::agent::State;
 use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
@@ -111,8 +111,8 @@
             announcer.outrank(now);
             announcer.tick(now, actions);
             if announcer.changed() {
-                let others = others(announcer);
-                self.traffic.handle(Event::Others(others));
+                let peers = peers(announcer);
+                self.traffic.handle(Event::Peers(peers));
             }
         }
         for action in actions.drain(..) {
@@ -259,7 +259,7 @@
 }
 
 /// The other agents of the service.
-fn others(announcer: &Announcer) -> Others {
+fn peers(announcer: &Announcer) -> Peers {
     let own = announcer.target().id;
     let members = || {
         let members = announcer.view().targets.values();
@@ -268,7 +268,7 @@
         })
     };
     let may_hold = members().filter(|member| member.health != Health::Down);
-    Others {
+    Peers {
         hops: Arc::new(may_hold.map(|member| hop(&member.target)).collect()),
         has_silent: members().any(|member| member.health == Health::Down),
     }
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -281,6 +281,6 @@
             Some(Event::Seek { seek, segment })
         }
         Transit::Absent(absent) => Some(Event::Denied(absent)),
-        Transit::Held(_) | Transit::Nobody(_) | Transit::Busy(_) => None,
+        Transit::Held(_) | Transit::Unheld(_) | Transit::Busy(_) => None,
     })
 }
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -10,7 +10,7 @@
 mod flow;
 mod memory;
 mod opening;
-mod quest;
+mod query;
 mod server;
 mod settings;
 mod unknown;
@@ -44,8 +44,8 @@
 use flow::Flow;
 use flow::Progress;
 use memory::Memory;
-pub use quest::Others;
-use quest::Quest;
+pub use query::Peers;
+use query::Query;
 pub use settings::Settings;
 use unknown::ended;
 use unknown::not_here;
@@ -84,7 +84,7 @@
     /// Another agent surely does not hold a flow that is searched for here.
     Denied(Absent),
     /// The other agents of the service changed.
-    Others(Others),
+    Peers(Peers),
     /// The backend server sent a packet, or handed one back.
     Server {
         /// Its header.
@@ -128,8 +128,8 @@
     probes: Memory<Probe>,
     absent: Memory<()>,
     dead: Memory<()>,
-    others: Others,
-    quests: HashMap<FlowId, Quest>,
+    peers: Peers,
+    queries: HashMap<FlowId, Query>,
     next_sweep: Duration,
 }
 
@@ -175,8 +175,8 @@
             probes: Memory::new(settings.oldest_flow),
             absent: Memory::new(settings.oldest_flow),
             dead: Memory::new(settings.oldest_flow),
-            others: Others::default(),
-            quests: HashMap::new(),
+            peers: Peers::default(),
+            queries: HashMap::new(),
             next_sweep: now + settings.sweep,
             settings,
         }
@@ -190,7 +190,7 @@
             Event::Search { search, segment } => self.search(now, search, segment, actions),
             Event::Seek { seek, segment } => self.seek(now, seek, segment, actions),
             Event::Denied(absent) => self.denied(now, &absent, actions),
-            Event::Others(others) => self.others = others,
+            Event::Peers(peers) => self.peers = peers,
             Event::Server { segment, packet } if segment.is_returned => {
                 self.unanswered = None;
                 self.returned(now, segment, packet, actions);
@@ -354,7 +354,7 @@
         self.absent.expire(now);
         self.dead.expire(now);
         self.probes.expire(now);
-        self.expire_quests(now, actions);
+        self.expire_queries(now, actions);
     }
 }
 
--- a/roles/forward/src/agent/quest.rs
+++ b/roles/forward/src/agent/query.rs
@@ -10,20 +10,20 @@
 use wire::TargetId;
 use wire::Transit;
 use wire::transit::Absent;
-use wire::transit::Nobody;
 use wire::transit::Search;
 use wire::transit::Seek;
+use wire::transit::Unheld;
 
 use super::Action;
 use super::Agent;
 use super::Drop;
 
 /// Searches of one agent at a time; others find their entry asking elsewhere.
-const MAX_QUESTS: usize = 4 * 1024;
+const MAX_QUERIES: usize = 4 * 1024;
 
 /// The other agents of the service.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Others {
+pub struct Peers {
     /// Those that may hold flows.
     pub hops: Arc<Vec<Hop>>,
     /// Whether one is held to be down that may be only cut off.
@@ -32,12 +32,12 @@
 
 /// A search under way.
 #[derive(Debug)]
-pub(super) struct Quest {
+pub(super) struct Query {
     at: Duration,
     entry: SocketAddr,
     acknowledged: u32,
     /// Time for which a backend server has run at most whose denial counts.
-    below_ms: u32,
+    max_age_ms: u32,
     /// Whether as many agents are known here as at the entry.
     is_complete: bool,
     /// Backend servers that surely do not hold the flow.
@@ -57,23 +57,23 @@
         if search.target != self.own.target {
             return;
         }
-        if self.quests.len() >= MAX_QUESTS {
+        if self.queries.len() >= MAX_QUERIES {
             return actions.push(Action::Dropped(Drop::Searches));
         }
-        let known = self.others.hops.len() + 1;
+        let known = self.peers.hops.len() + 1;
         let knows_all = known >= usize::from(search.known);
-        let is_complete = knows_all && !self.others.has_silent;
+        let is_complete = knows_all && !self.peers.has_silent;
         let mut terms = search.terms;
         terms.may_try &= knows_all;
-        let quest = Quest {
+        let query = Query {
             at: now,
             entry: search.entry,
             acknowledged: segment.acknowledged,
-            below_ms: terms.denied_below_ms,
+            max_age_ms: terms.max_age_ms,
             is_complete,
             denied: Vec::new(),
         };
-        self.quests.insert(flow, quest);
+        self.queries.insert(flow, query);
         let seek = Seek {
             target: search.target,
             entry: search.entry,
@@ -82,12 +82,12 @@
             packet: search.packet,
         };
         let is_held = self.flows.contains_key(&flow);
-        let age = self.unheld(now, seek.clone(), segment, actions);
+        let age = self.ask_here(now, seek.clone(), segment, actions);
         if is_held || self.dead.get(now, &flow).is_some() {
-            self.quests.remove(&flow);
+            self.queries.remove(&flow);
             return;
         }
-        for hop in self.others.hops.iter() {
+        for hop in self.peers.hops.iter() {
             actions.push(Action::Send {
                 to: hop.address,
                 transit: Transit::Seek(Seek {
@@ -121,49 +121,49 @@
         age_ms: Option<u32>,
         actions: &mut Vec<Action>,
     ) {
-        let Some(quest) = self.quests.get_mut(&flow) else {
+        let Some(query) = self.queries.get_mut(&flow) else {
             return;
         };
-        let is_young = age_ms.is_some_and(|age| age <= quest.below_ms);
-        if !is_young || quest.denied.contains(&target) {
+        let is_young = age_ms.is_some_and(|age| age <= query.max_age_ms);
+        if !is_young || query.denied.contains(&target) {
             return;
         }
-        quest.denied.push(target);
-        let mut others = self.others.hops.iter();
-        let is_denied = quest.denied.contains(&self.own.target)
-            && others.all(|hop| quest.denied.contains(&hop.target));
-        if !is_denied || !quest.is_complete {
+        query.denied.push(target);
+        let mut others = self.peers.hops.iter();
+        let is_denied = query.denied.contains(&self.own.target)
+            && others.all(|hop| query.denied.contains(&hop.target));
+        if !is_denied || !query.is_complete {
             return;
         }
         actions.push(Action::Unheld {
             flow,
-            agents: quest.denied.len(),
-            took: now.saturating_sub(quest.at),
+            agents: query.denied.len(),
+            took: now.saturating_sub(query.at),
         });
         actions.push(Action::Send {
-            to: quest.entry,
-            transit: Transit::Nobody(Nobody {
+            to: query.entry,
+            transit: Transit::Unheld(Unheld {
                 flow,
                 target: self.own.target,
-                acknowledged: quest.acknowledged,
+                acknowledged: query.acknowledged,
             }),
         });
-        self.quests.remove(&flow);
+        self.queries.remove(&flow);
     }
 
     /// Forgets searches that nobody waits for any more.
-    pub(super) fn expire_quests(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let limit = self.settings.quest;
-        let agents = self.others.hops.len() + 1;
-        self.quests.retain(|flow, quest| {
-            let is_waiting = now < quest.at + limit;
+    pub(super) fn expire_queries(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let limit = self.settings.query;
+        let agents = self.peers.hops.len() + 1;
+        self.queries.retain(|flow, query| {
+            let is_waiting = now < query.at + limit;
             // A search that wants no denials ends with its holder or with none.
-            if !is_waiting && quest.below_ms > 0 {
+            if !is_waiting && query.max_age_ms > 0 {
                 actions.push(Action::Undecided {
                     flow: *flow,
-                    denied: quest.denied.len(),
+                    denied: query.denied.len(),
                     agents,
-                    is_complete: quest.is_complete,
+                    is_complete: query.is_complete,
                 });
             }
             is_waiting
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -39,7 +39,7 @@
     /// tried.
     pub probe: Duration,
     /// Time for which answers to a search are waited for.
-    pub quest: Duration,
+    pub query: Duration,
     /// Age that no flow exceeds.
     pub oldest_flow: Duration,
     /// Time for which a flow without packets is remembered.
@@ -66,7 +66,7 @@
             refusal: Duration::from_millis(100),
             reservation: Duration::from_millis(500),
             probe: Duration::from_secs(1),
-            quest: Duration::from_millis(500),
+            query: Duration::from_millis(500),
             oldest_flow: Duration::from_mins(1),
             idle: Duration::from_mins(1),
             linger: Duration::from_secs(4),
--- a/roles/forward/src/agent/unknown.rs
+++ b/roles/forward/src/agent/unknown.rs
@@ -54,7 +54,7 @@
             return;
         }
         let (target, asker) = (seek.target, seek.asker);
-        if self.unheld(now, seek, segment, actions).is_none() {
+        if self.ask_here(now, seek, segment, actions).is_none() {
             return;
         }
         let carry = Carry {
@@ -67,7 +67,7 @@
 
     /// Delivers or tries a packet whose holder is not known; the age of the
     /// backend server where it surely does not hold the flow and is young.
-    pub(super) fn unheld(
+    pub(super) fn ask_here(
         &mut self,
         now: Duration,
         seek: Seek,
@@ -100,7 +100,7 @@
             return None;
         }
         let age = self.age(now)?;
-        (millis(age) <= terms.denied_below_ms).then_some(age)
+        (millis(age) <= terms.max_age_ms).then_some(age)
     }
 
     /// Delivers a packet of an unknown flow to learn whether it is held.
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -30,8 +30,8 @@
 use wire::transit::Busy;
 use wire::transit::Carry;
 use wire::transit::Held;
-use wire::transit::Nobody;
 use wire::transit::Open;
+use wire::transit::Unheld;
 
 use crate::Routes;
 pub use action::Action;
@@ -56,7 +56,7 @@
     /// An agent returns a packet whose flow it does not hold.
     Absent(Absent),
     /// No agent of a service holds a flow.
-    Nobody(Nobody),
+    Unheld(Unheld),
     /// An agent tells its load.
     Busy(Busy),
     /// The routes or the known backend servers changed.
@@ -133,7 +133,7 @@
             }
             Event::Held(held) => self.held(now, &held, actions),
             Event::Absent(absent) => self.absent(now, absent, actions),
-            Event::Nobody(nobody) => self.nobody(now, nobody, actions),
+            Event::Unheld(unheld) => self.unheld(now, unheld, actions),
             Event::Busy(busy) => self.place.learn(now, busy.target, busy.load),
             Event::Routes(routes) => self.replace(now, routes),
             Event::Tick => {}
--- a/roles/forward/src/entry/flow.rs
+++ b/roles/forward/src/entry/flow.rs
@@ -63,7 +63,7 @@
     /// How often agents were asked to search.
     pub rounds: u8,
     /// Services of which no agent holds the flow.
-    pub nobody: Vec<ServiceAddress>,
+    pub unheld: Vec<ServiceAddress>,
     /// Packets to be sent once the holder is known.
     pub waiting: Vec<Bytes>,
 }
--- a/roles/forward/src/entry/search.rs
+++ b/roles/forward/src/entry/search.rs
@@ -10,9 +10,9 @@
 use wire::Target;
 use wire::TargetId;
 use wire::Transit;
-use wire::transit::Nobody;
 use wire::transit::Search;
 use wire::transit::Terms;
+use wire::transit::Unheld;
 
 use super::Action;
 use super::Entry;
@@ -36,7 +36,7 @@
             acknowledged: passing.segment.acknowledged,
             tried: absent.into_iter().collect(),
             rounds: 0,
-            nobody: Vec::new(),
+            unheld: Vec::new(),
             waiting: Vec::new(),
         };
         self.ask(routes, passing.now, flow, &mut seeking, passing.actions);
@@ -107,36 +107,32 @@
         let is_sure = may_try && !self.routes.has_silent(route);
         Terms {
             may_try,
-            denied_below_ms: if is_sure {
-                self.denied_below_ms(now)
-            } else {
-                0
-            },
+            max_age_ms: if is_sure { self.max_age_ms(now) } else { 0 },
         }
     }
 
     /// Time up to which backend servers have started with this entry or after it,
     /// so that flows which the entry does not know are not theirs. Zero for an
     /// entry that is older than any flow which its callers may have forgotten.
-    fn denied_below_ms(&self, now: Duration) -> u32 {
+    fn max_age_ms(&self, now: Duration) -> u32 {
         let age = now.saturating_sub(self.started);
-        if age > self.settings.anew {
+        if age > self.settings.stale_flows {
             return 0;
         }
-        let limit = age + self.settings.together;
+        let limit = age + self.settings.start_skew;
         u32::try_from(limit.as_millis()).unwrap_or(u32::MAX)
     }
 
     /// Notes that nobody of a service holds a flow. Where that holds for all
     /// services of its route, it has ended with its backend server, and the
     /// caller is told.
-    pub(super) fn nobody(&mut self, now: Duration, nobody: Nobody, actions: &mut Vec<Action>) {
+    pub(super) fn unheld(&mut self, now: Duration, unheld: Unheld, actions: &mut Vec<Action>) {
         let routes = Arc::clone(&self.routes);
-        let flow = nobody.flow;
+        let flow = unheld.flow;
         let Some(route) = routes.route(flow.service) else {
             return;
         };
-        let is_sure = self.terms(now, route).denied_below_ms > 0;
+        let is_sure = self.terms(now, route).max_age_ms > 0;
         let Some(Phase::Seeking(seeking)) = self.flows.get_mut(&flow).map(|held| &mut held.phase)
         else {
             return;
@@ -144,14 +140,14 @@
         let mut shares = route.shares.iter();
         let of = shares.find(|share| {
             let mut targets = routes.all(share.service);
-            targets.any(|target| target.id == nobody.target)
+            targets.any(|target| target.id == unheld.target)
         });
         let Some(share) = of.filter(|_| is_sure) else {
             return;
         };
-        seeking.nobody.push(share.service);
+        seeking.unheld.push(share.service);
         let mut shares = route.shares.iter();
-        if shares.all(|share| seeking.nobody.contains(&share.service)) {
+        if shares.all(|share| seeking.unheld.contains(&share.service)) {
             let sequence = seeking.acknowledged;
             self.flows.remove(&flow);
             actions.push(ended(flow, sequence));
--- a/roles/forward/src/entry/settings.rs
+++ b/roles/forward/src/entry/settings.rs
@@ -24,10 +24,10 @@
     pub quiet: Duration,
     /// Time after the start in which callers may still use flows that ended with
     /// everything else, before they give them up as idle.
-    pub anew: Duration,
+    pub stale_flows: Duration,
     /// Longest time by which a backend server that started together with this
     /// entry, as after a loss of power, is older.
-    pub together: Duration,
+    pub start_skew: Duration,
     /// Flows that are remembered; each takes some 150 bytes.
     pub max_flows: usize,
     /// Least time for which a silent flow is remembered.
@@ -51,8 +51,8 @@
             first_view: Duration::from_millis(600),
             untold: Duration::from_millis(1_500),
             quiet: Duration::from_millis(400),
-            anew: Duration::from_secs(20),
-            together: Duration::from_secs(3),
+            stale_flows: Duration::from_secs(20),
+            start_skew: Duration::from_secs(3),
             max_flows: 65_536,
             least_idle: Duration::from_secs(20),
             linger: Duration::from_secs(4),
--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -10,7 +10,7 @@
 use forward::agent::Action;
 use forward::agent::Closed;
 use forward::agent::Event;
-use forward::agent::Others;
+use forward::agent::Peers;
 use forward::agent::Settings;
 use forward::agent::State;
 use wire::TargetId;
@@ -136,7 +136,7 @@
 fn ask(agent: &mut Agent, now: Duration, below: Duration) -> Vec<Action> {
     let terms = Terms {
         may_try: false,
-        denied_below_ms: u32::try_from(below.as_millis()).unwrap(),
+        max_age_ms: u32::try_from(below.as_millis()).unwrap(),
     };
     seek_on(agent, now, 9, terms)
 }
@@ -213,7 +213,7 @@
         entry: entry(),
         terms: Terms {
             may_try: true,
-            denied_below_ms: u32::try_from(below.as_millis()).unwrap(),
+            max_age_ms: u32::try_from(below.as_millis()).unwrap(),
         },
         known,
         packet: packet(),
@@ -224,11 +224,11 @@
 
 fn introduce(agent: &mut Agent, others: &[TargetId], has_silent: bool) {
     let hops = others.iter().copied().map(hop).collect();
-    let others = Others {
+    let others = Peers {
         hops: Arc::new(hops),
         has_silent,
     };
-    handle(agent, ms(0), Event::Others(others));
+    handle(agent, ms(0), Event::Peers(others));
 }
 
 /// Another agent says that it does not hold the flow.
@@ -258,7 +258,7 @@
 
 fn says_nobody(actions: &[Action]) -> bool {
     actions.iter().any(|action| {
-        matches!(action, Action::Send { to, transit: Transit::Nobody(_) } if *to == entry())
+        matches!(action, Action::Send { to, transit: Transit::Unheld(_) } if *to == entry())
     })
 }
 
@@ -442,7 +442,7 @@
 fn seek(agent: &mut Agent, now: Duration, port: u16) -> Vec<Action> {
     let terms = Terms {
         may_try: true,
-        denied_below_ms: 0,
+        max_age_ms: 0,
     };
     seek_on(agent, now, port, terms)
 }
--- a/roles/forward/tests/entry.rs
+++ b/roles/forward/tests/entry.rs
@@ -269,7 +269,7 @@
     handle(&mut core, later(), Event::Routes(routes(more)));
     let asked = terms(&send(&mut core, later() + ms(1), Kind::Data)).unwrap();
     assert!(!asked.may_try);
-    assert_eq!(asked.denied_below_ms, 0);
+    assert_eq!(asked.max_age_ms, 0);
 }
 
 #[test]
@@ -332,12 +332,12 @@
 
 /// An agent says that nobody of its service holds the flow.
 fn nobody(core: &mut Entry, now: Duration, target: TargetId) -> Vec<Action> {
-    let nobody = transit::Nobody {
+    let nobody = transit::Unheld {
         flow: flow(),
         target,
         acknowledged: 1,
     };
-    handle(core, now, Event::Nobody(nobody))
+    handle(core, now, Event::Unheld(nobody))
 }
 
 #[test]
@@ -345,8 +345,8 @@
     let mut core = entry_with(two_zones());
     let asked = send(&mut core, ms(1_000), Kind::Data);
     let settings = Settings::default();
-    let below = terms(&asked).unwrap().denied_below_ms;
-    assert_eq!(ms(below.into()), ms(1_000) + settings.together);
+    let below = terms(&asked).unwrap().max_age_ms;
+    assert_eq!(ms(below.into()), ms(1_000) + settings.start_skew);
     assert!(resets(&nobody(&mut core, ms(1_005), sought(&asked)[0])));
 }
 
@@ -387,7 +387,7 @@
     let mut core = Entry::new(Settings::default(), entry(), HERE, 1, ms(0));
     handle(&mut core, ms(0), Event::Routes(Arc::new(routes)));
     let asked = send(&mut core, ms(1_000), Kind::Data);
-    assert_eq!(terms(&asked).unwrap().denied_below_ms, 0);
+    assert_eq!(terms(&asked).unwrap().max_age_ms, 0);
     assert!(!resets(&nobody(&mut core, ms(1_005), sought(&asked)[0])));
 }
 
@@ -404,9 +404,9 @@
 #[test]
 fn an_old_entry_asks_for_no_denials() {
     let mut core = entry_with(two_zones());
-    let now = Settings::default().anew + ms(1);
+    let now = Settings::default().stale_flows + ms(1);
     let asked = terms(&send(&mut core, now, Kind::Data)).unwrap();
-    assert_eq!(asked.denied_below_ms, 0);
+    assert_eq!(asked.max_age_ms, 0);
 }
 
 #[test]
--- a/roles/forward/tests/world/mod.rs
+++ b/roles/forward/tests/world/mod.rs
@@ -220,12 +220,12 @@
         let ids: Vec<TargetId> = self.servers.keys().copied().collect();
         for id in &ids {
             let others = ids.iter().filter(|other| *other != id);
-            let others = agent::Others {
+            let others = agent::Peers {
                 hops: Arc::new(others.map(|other| hop(*other)).collect()),
                 has_silent: false,
             };
             if let Some(agent) = self.agents.get_mut(id) {
-                agent.handle(self.now, agent::Event::Others(others), &mut Vec::new());
+                agent.handle(self.now, agent::Event::Peers(others), &mut Vec::new());
             }
         }
     }
@@ -275,7 +275,7 @@
             Event::EntryFrame(number, transit) => match transit {
                 Transit::Held(held) => self.tell_entry(number, entry::Event::Held(held)),
                 Transit::Absent(absent) => self.tell_entry(number, entry::Event::Absent(absent)),
-                Transit::Nobody(nobody) => self.tell_entry(number, entry::Event::Nobody(nobody)),
+                Transit::Unheld(unheld) => self.tell_entry(number, entry::Event::Unheld(unheld)),
                 Transit::Busy(busy) => self.tell_entry(number, entry::Event::Busy(busy)),
                 Transit::Open(_) | Transit::Carry(_) | Transit::Search(_) | Transit::Seek(_) => {}
             },
@@ -514,8 +514,8 @@
                 let entry = self.entry_of(&absent.flow);
                 self.at(WAY, Event::EntryFrame(entry, transit));
             }
-            (None, Transit::Nobody(nobody)) => {
-                let entry = self.entry_of(&nobody.flow);
+            (None, Transit::Unheld(unheld)) => {
+                let entry = self.entry_of(&unheld.flow);
                 self.at(WAY, Event::EntryFrame(entry, transit));
             }
             (None, _) => {}
