--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -1,83 +1,19 @@
 //! The agent's side: which flows it takes, and where packets go.
 mod common;
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
-
+use common::agent::*;
 use common::*;
 use forward::Agent;
 use forward::agent::Action;
 use forward::agent::Closed;
 use forward::agent::Event;
-use forward::agent::Peers;
 use forward::agent::Settings;
 use forward::agent::State;
-use wire::TargetId;
 use wire::Transit;
 use wire::segment::Kind;
-use wire::transit::Absent;
 use wire::transit::Open;
-use wire::transit::Search;
-use wire::transit::Seek;
 use wire::transit::Terms;
 
-const OWN: TargetId = 1;
-
-/// An agent whose backend server is ready.
-fn ready(has_past: bool) -> Agent {
-    let mut agent = Agent::new(Settings::default(), hop(OWN), has_past, ms(0));
-    handle(
-        &mut agent,
-        ms(0),
-        Event::Backend(backend(OWN, 1, 5, State::Ready)),
-    );
-    agent
-}
-
-fn handle(agent: &mut Agent, now: Duration, event: Event) -> Vec<Action> {
-    let mut actions = Vec::new();
-    agent.handle(now, event, &mut actions);
-    actions
-}
-
-fn open_at(agent: &mut Agent, now: Duration, port: u16, open: Open) -> Vec<Action> {
-    let segment = from_caller(port, Kind::Open, 0);
-    handle(agent, now, Event::Open { open, segment })
-}
-
-/// The backend server accepts a flow.
-fn accept(agent: &mut Agent, now: Duration, port: u16) {
-    let event = Event::Server {
-        segment: from_server(port, Kind::Accept, 0),
-        packet: packet(),
-    };
-    handle(agent, now, event);
-}
-
-fn delivers(actions: &[Action]) -> bool {
-    actions
-        .iter()
-        .any(|action| matches!(action, Action::Deliver(_)))
-}
-
-fn passed(actions: &[Action]) -> Option<&Open> {
-    actions.iter().find_map(|action| match action {
-        Action::Send {
-            transit: Transit::Open(open),
-            ..
-        } => Some(open),
-        _ => None,
-    })
-}
-
-/// Fills both slots.
-fn fill(agent: &mut Agent, now: Duration) {
-    for port in [1, 2] {
-        assert!(delivers(&open_at(agent, now, port, open(&[OWN]))));
-    }
-}
-
 #[test]
 fn a_free_slot_takes_a_flow_and_says_so() {
     let mut agent = ready(false);
@@ -126,207 +62,6 @@
     assert!(!delivers(&alone), "{alone:?}");
 }
 
-/// Address of the agent that searches.
-fn asker() -> SocketAddr {
-    hop(7).address
-}
-
-/// An agent asks for a flow, for an entry that started together with the
-/// backend servers.
-fn ask(agent: &mut Agent, now: Duration, below: Duration) -> Vec<Action> {
-    let terms = Terms {
-        may_try: false,
-        max_age_ms: u32::try_from(below.as_millis()).unwrap(),
-    };
-    seek_on(agent, now, 9, terms)
-}
-
-fn seek_on(agent: &mut Agent, now: Duration, port: u16, terms: Terms) -> Vec<Action> {
-    let seek = Seek {
-        target: OWN,
-        entry: entry(),
-        asker: asker(),
-        terms,
-        packet: packet(),
-    };
-    let segment = from_caller(port, Kind::Data, 100);
-    handle(agent, now, Event::Seek { seek, segment })
-}
-
-fn denies(actions: &[Action]) -> bool {
-    actions.iter().any(|action| {
-        matches!(action, Action::Send { to, transit: Transit::Absent(absent) }
-            if absent.age_ms.is_some() && absent.packet.is_empty() && *to == asker())
-    })
-}
-
-/// An agent beside a backend server that told its first announcement.
-fn anew() -> Agent {
-    let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
-    let first = backend(OWN, 1, 1, State::Ready);
-    handle(&mut agent, ms(0), Event::Backend(first));
-    agent
-}
-
-#[test]
-fn a_server_that_started_with_the_entry_denies_an_unknown_flow() {
-    let mut agent = anew();
-    assert!(denies(&ask(&mut agent, ms(1_000), ms(4_000))));
-}
-
-#[test]
-fn a_server_that_is_older_than_the_entry_says_nothing() {
-    let mut agent = anew();
-    assert_eq!(ask(&mut agent, ms(9_000), ms(4_000)), []);
-}
-
-#[test]
-fn a_server_that_may_hold_a_flow_says_nothing() {
-    let mut agent = ready(true);
-    assert_eq!(ask(&mut agent, ms(1), ms(60_000)), []);
-}
-
-/// A process that lived through the start of its backend server knows all of
-/// its flows.
-#[test]
-fn a_restarted_server_denies_the_flows_of_the_one_before() {
-    let mut agent = ready(true);
-    let next = backend(OWN, 2, 1, State::Ready);
-    handle(&mut agent, ms(5_000), Event::Backend(next));
-    assert!(denies(&ask(&mut agent, ms(5_100), ms(4_000))));
-}
-
-#[test]
-fn a_flow_that_ended_with_its_server_is_reset_also_where_it_is_sought() {
-    let mut agent = ready(false);
-    open_at(&mut agent, ms(1), 9, open(&[OWN]));
-    accept(&mut agent, ms(2), 9);
-    handle(&mut agent, ms(3), Event::Gone);
-    let actions = ask(&mut agent, ms(4), ms(0));
-    assert!(matches!(actions[..], [Action::Reset { .. }]), "{actions:?}");
-}
-
-/// An entry asks this agent to search among `known` agents.
-fn search(agent: &mut Agent, now: Duration, known: u16, below: Duration) -> Vec<Action> {
-    let search = Search {
-        target: OWN,
-        entry: entry(),
-        terms: Terms {
-            may_try: true,
-            max_age_ms: u32::try_from(below.as_millis()).unwrap(),
-        },
-        known,
-        packet: packet(),
-    };
-    let segment = from_caller(9, Kind::Data, 100);
-    handle(agent, now, Event::Search { search, segment })
-}
-
-fn introduce(agent: &mut Agent, others: &[TargetId], has_silent: bool) {
-    let hops = others.iter().copied().map(hop).collect();
-    let others = Peers {
-        hops: Arc::new(hops),
-        has_silent,
-    };
-    handle(agent, ms(0), Event::Peers(others));
-}
-
-/// Another agent says that it does not hold the flow.
-fn denied_by(agent: &mut Agent, now: Duration, target: TargetId, age_ms: u32) -> Vec<Action> {
-    let absent = Absent {
-        flow: from_caller(9, Kind::Data, 0).from_caller(),
-        target,
-        acknowledged: 1,
-        age_ms: Some(age_ms),
-        start: Some(1),
-        packet: bytes::Bytes::new(),
-    };
-    handle(agent, now, Event::Denied(absent))
-}
-
-/// The agents that are asked, and whether they may try.
-fn asked(actions: &[Action]) -> Vec<(TargetId, bool)> {
-    let asked = actions.iter().filter_map(|action| match action {
-        Action::Send {
-            transit: Transit::Seek(seek),
-            ..
-        } => Some((seek.target, seek.terms.may_try)),
-        _ => None,
-    });
-    asked.collect()
-}
-
-fn says_nobody(actions: &[Action]) -> bool {
-    actions.iter().any(|action| {
-        matches!(action, Action::Send { to, transit: Transit::Unheld(_) } if *to == entry())
-    })
-}
-
-const YOUNG: Duration = Duration::from_secs(4);
-
-#[test]
-fn a_search_asks_all_others_and_tells_once_all_deny() {
-    let mut agent = anew();
-    introduce(&mut agent, &[2, 3], false);
-    let actions = search(&mut agent, ms(100), 3, YOUNG);
-    assert_eq!(asked(&actions), [(2, true), (3, true)]);
-    assert!(!says_nobody(&denied_by(&mut agent, ms(101), 2, 500)));
-    assert!(says_nobody(&denied_by(&mut agent, ms(102), 3, 500)));
-}
-
-#[test]
-fn a_search_tells_nothing_while_one_may_be_cut_off() {
-    let mut agent = anew();
-    introduce(&mut agent, &[2], true);
-    search(&mut agent, ms(100), 2, YOUNG);
-    assert!(!says_nobody(&denied_by(&mut agent, ms(101), 2, 500)));
-}
-
-#[test]
-fn a_search_tells_nothing_where_a_server_is_older_than_the_entry() {
-    let mut agent = anew();
-    introduce(&mut agent, &[2], false);
-    search(&mut agent, ms(100), 2, YOUNG);
-    assert!(!says_nobody(&denied_by(&mut agent, ms(101), 2, 60_000)));
-}
-
-/// The one that is not known here may hold the flow.
-#[test]
-fn a_search_among_fewer_agents_than_the_entry_knows_tries_and_tells_nothing() {
-    let mut agent = anew();
-    introduce(&mut agent, &[2], false);
-    let actions = search(&mut agent, ms(100), 3, YOUNG);
-    assert_eq!(asked(&actions), [(2, false)]);
-    assert!(!says_nobody(&denied_by(&mut agent, ms(101), 2, 500)));
-}
-
-/// Its own backend server must say so too, which is tried here.
-#[test]
-fn a_search_waits_for_the_own_server() {
-    let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
-    let second = backend(OWN, 1, 2, State::Ready);
-    handle(&mut agent, ms(0), Event::Backend(second));
-    introduce(&mut agent, &[2], false);
-    assert!(delivers(&search(&mut agent, ms(100), 2, YOUNG)));
-    assert!(!says_nobody(&denied_by(&mut agent, ms(101), 2, 500)));
-    let event = Event::Server {
-        segment: returned(9, Kind::Data),
-        packet: packet(),
-    };
-    assert!(says_nobody(&handle(&mut agent, ms(102), event)));
-}
-
-#[test]
-fn a_searching_agent_that_holds_the_flow_delivers_it() {
-    let mut agent = ready(false);
-    introduce(&mut agent, &[2], false);
-    open_at(&mut agent, ms(1), 9, open(&[OWN]));
-    accept(&mut agent, ms(2), 9);
-    let actions = search(&mut agent, ms(100), 2, YOUNG);
-    assert!(delivers(&actions));
-    assert_eq!(asked(&actions), []);
-}
-
 #[test]
 fn a_copy_follows_the_flow_that_was_passed_on() {
     let mut agent = ready(false);
@@ -439,14 +174,6 @@
     assert!(matches!(actions[..], [Action::Reset { .. }]), "{actions:?}");
 }
 
-fn seek(agent: &mut Agent, now: Duration, port: u16) -> Vec<Action> {
-    let terms = Terms {
-        may_try: true,
-        max_age_ms: 0,
-    };
-    seek_on(agent, now, port, terms)
-}
-
 fn is_absent(actions: &[Action]) -> bool {
     actions.iter().any(|action| {
         matches!(
--- a/roles/forward/tests/common/mod.rs
+++ b/roles/forward/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Builds the events of the cores under test.
 #![allow(dead_code)]
+pub mod agent;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -69,6 +69,11 @@
         "where logs are kept of runs that break",
         "PATH",
     );
+    options.optflag(
+        "",
+        "regressions",
+        "plays the seeds that broke a promise once",
+    );
     options.optflag("", "keep", "keeps all logs");
     options.optflag("", "kinds", "prints all kinds of trouble");
     options.optflag("", "help", "prints this");
@@ -93,6 +98,10 @@
         .opt_get("seed")?
         .unwrap_or_else(|| fastrand::u64(..1 << 40));
     let runs: u64 = matches.opt_get_default("runs", 1)?;
+    if matches.opt_present("regressions") {
+        let mut seeds = regressions();
+        return seeds.try_fold(true, |kept, seed| Ok(play_apart(&matches, seed)? && kept));
+    }
     if runs == 1 {
         return play_one(&matches, first);
     }
@@ -103,6 +112,12 @@
     Ok(is_kept)
 }
 
+/// The seeds that broke a promise once.
+fn regressions() -> impl Iterator<Item = u64> {
+    let lines = include_str!("../regressions.txt").lines();
+    lines.filter_map(|line| line.split_once(' ')?.0.parse().ok())
+}
+
 /// Plays a run in a process of its own, whose sockets end with it.
 fn play_apart(matches: &Matches, seed: u64) -> Result<bool, Box<dyn Error>> {
     let mut command = Command::new(env::current_exe()?);
