One piece where the change had several; no change of behaviour

Read once more as a whole. What stood twice or more now stands once: - Target::hop, written five times, three of them before this change. - net::http::serve binds, accepts and answers; five callers did the first two themselves. - Link::control sends what the membership asks for gateways and sidecars, Link::to_caller knows the port on which callers are reached. - proof::program finds the workspace's binaries, also for the soak. - forward flows: one check for restarts and for the loss of power, with its bounds as they were. Left out: the sender and the quiet word of threads that read packets, which nobody took; the control threads' own copies of the port. Risk computes what is left of its evidence once; what an announcement changes is decided by one comparison of starts.

--- a/protocol/wire/src/target.rs
+++ b/protocol/wire/src/target.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Hop;
 use crate::Incarnation;
 use crate::ServiceAddress;
 use crate::TargetId;
@@ -46,6 +47,15 @@
 }
 
 impl Target {
+    /// Its agent, on the path of a packet.
+    #[must_use]
+    pub const fn hop(&self) -> Hop {
+        Hop {
+            target: self.id,
+            address: self.address,
+        }
+    }
+
     /// Orders two announcements of the same target: the larger one is newer.
     #[must_use]
     pub const fn stamp(&self) -> Stamp {
--- a/roles/agent/src/relay.rs
+++ b/roles/agent/src/relay.rs
@@ -5,6 +5,7 @@
 use wire::Hop;
 use wire::Relay;
 use wire::RequestId;
+use wire::Target;
 use wire::Token;
 use wire::caller::Outcome;
 use wire::caller::Packet;
@@ -142,10 +143,7 @@
     /// The agent of the target that a token names, whichever incarnation.
     pub(crate) fn named(&self, token: Option<Token>) -> Option<Hop> {
         let target = self.target(token?.target)?;
-        (target.state != State::Left && target.id != self.identity.id).then_some(Hop {
-            target: target.id,
-            address: target.address,
-        })
+        (target.state != State::Left && target.id != self.identity.id).then(|| target.hop())
     }
 
     /// Whether the target that a token names has left or is not known.
@@ -157,10 +155,7 @@
     fn next_of_order(&self, relay: &Relay, flow: FlowKey) -> Option<Hop> {
         self.order
             .top(flow, MAX_HOPS + 1)
-            .map(|target| Hop {
-                target: target.id,
-                address: target.address,
-            })
+            .map(Target::hop)
             .find(|hop| {
                 hop.target != self.identity.id
                     && !relay.path.iter().any(|it| it.target == hop.target)
--- a/roles/app/src/carried/link.rs
+++ b/roles/app/src/carried/link.rs
@@ -1,9 +1,11 @@
 //! The sockets, the log and the metrics of a gateway or sidecar.
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::net::UdpSocket;
 use std::time::Duration;
 use std::time::Instant;
 
+use member::Action;
 use net::Port;
 use platform::packet;
 use store::Counts as Calls;
@@ -60,6 +62,16 @@
         self.port.send(to, &Frame::Transit(transit));
     }
 
+    /// Sends what the membership protocol asks for.
+    pub fn control(&self, actions: &mut Vec<Action>) {
+        for Action::Send { to, message } in actions.drain(..) {
+            match message.encode() {
+                Ok(payload) => self.port.send(to, &Frame::Control(payload)),
+                Err(error) => log::warn!("a message to {to} was not sent: {error}"),
+            }
+        }
+    }
+
     /// Sends a packet as it is.
     pub fn packet(&self, to: SocketAddr, packet: &[u8]) {
         if let Err(error) = self.socket.send_to(packet, to) {
@@ -68,9 +80,10 @@
         }
     }
 
-    /// Where the packets of a flow's caller are sent.
-    pub fn caller(&self, flow: &FlowId) -> SocketAddr {
-        SocketAddr::from((*flow.caller.ip(), self.caller_port))
+    /// Sends a packet to a caller: all are reached on one port.
+    pub fn to_caller(&self, caller: SocketAddrV4, packet: &[u8]) {
+        let to = SocketAddr::from((*caller.ip(), self.caller_port));
+        self.packet(to, packet);
     }
 
     /// Resets a flow towards its caller.
@@ -81,7 +94,7 @@
             reason: reason.to_owned(),
             detail,
         });
-        self.packet(self.caller(flow), &packet::reset(flow, sequence));
+        self.to_caller(flow.caller, &packet::reset(flow, sequence));
     }
 
     /// Copies what was counted to a board.
--- a/roles/app/src/carried/reader.rs
+++ b/roles/app/src/carried/reader.rs
@@ -1,6 +1,5 @@
 //! Threads that read one socket each.
 use std::io;
-use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::thread;
 use std::time::Duration;
@@ -14,22 +13,6 @@
 /// Room for one packet, larger than any of them.
 const BUFFER_BYTES: usize = 2 * 1024;
 
-/// What a reading thread has for its process.
-pub enum Input<T> {
-    /// Something arrived.
-    Arrived(T),
-    /// Nothing arrived for a while.
-    Quiet,
-}
-
-/// A datagram and its sender.
-pub struct Datagram<'a> {
-    /// UDP address of the sender.
-    pub from: SocketAddr,
-    /// The datagram.
-    pub packet: &'a mut [u8],
-}
-
 /// Reads the datagrams of a socket on a thread of its own.
 ///
 /// # Errors
@@ -38,17 +21,14 @@
 pub fn spawn_packets(
     name: &str,
     socket: UdpSocket,
-    mut handle: impl FnMut(Input<Datagram<'_>>) + Send + 'static,
+    mut handle: impl FnMut(&mut [u8]) + Send + 'static,
 ) -> io::Result<()> {
     let read = move || {
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
             match socket.recv_from(&mut buffer) {
-                Ok((length, from)) => handle(Input::Arrived(Datagram {
-                    from,
-                    packet: &mut buffer[..length],
-                })),
-                Err(error) if is_quiet(&error) => handle(Input::Quiet),
+                Ok((length, _)) => handle(&mut buffer[..length]),
+                Err(error) if is_quiet(&error) => {}
                 Err(error) => log::warn!("a socket cannot be read: {error}"),
             }
         }
@@ -56,7 +36,8 @@
     spawn(name, read)
 }
 
-/// Reads the frames of a port on a thread of its own.
+/// Reads the frames of a port on a thread of its own, which is told `None` where
+/// none arrived for a while.
 ///
 /// # Errors
 ///
@@ -64,16 +45,16 @@
 pub fn spawn_frames(
     name: &str,
     port: &Port,
-    mut handle: impl FnMut(Input<Received>) + Send + 'static,
+    mut handle: impl FnMut(Option<Received>) + Send + 'static,
 ) -> io::Result<()> {
     let mut receiver = port.receiver();
     let read = move || {
         loop {
             match receiver.try_receive() {
-                Ok(Some(frame)) => handle(Input::Arrived(frame)),
+                Ok(Some(frame)) => handle(Some(frame)),
                 // What could not be read is counted by the port.
                 Ok(None) => {}
-                Err(error) if is_quiet(&error) => handle(Input::Quiet),
+                Err(error) if is_quiet(&error) => handle(None),
                 Err(error) => log::warn!("the port for frames cannot be read: {error}"),
             }
         }
--- a/roles/app/src/carried/ready.rs
+++ b/roles/app/src/carried/ready.rs
@@ -10,7 +10,6 @@
 use net::http::Answer;
 use platform::probe;
 use smol::Executor;
-use smol::net::TcpListener;
 
 /// Serves the question whether the process takes traffic.
 ///
@@ -22,7 +21,6 @@
     executor: &Arc<Executor<'static>>,
     is_ready: Arc<AtomicBool>,
 ) -> io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
     let answer = move |question: http::Question| {
         let status = if probe::is_question(&question.method, &question.path) {
             probe::status(is_ready.load(Ordering::Relaxed))
@@ -37,7 +35,5 @@
             }
         }
     };
-    let serving = http::serve(listener, Arc::clone(executor), answer);
-    executor.spawn(serving).detach();
-    Ok(())
+    http::serve(address, executor, answer).await.map(drop)
 }
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -91,7 +91,7 @@
         core: Mutex::new(core),
         link: Link {
             origin,
-            port: port.clone(),
+            port,
             socket: callers.try_clone()?,
             caller_port: host.caller_port(),
             report,
@@ -120,7 +120,6 @@
     let control = Control {
         registry: registry(&host, origin),
         origin,
-        port,
         traffic,
         inputs,
         builder: Builder::default(),
--- a/roles/app/src/gateway/announcements.rs
+++ b/roles/app/src/gateway/announcements.rs
@@ -7,7 +7,6 @@
 use net::http;
 use net::http::Answer;
 use smol::Executor;
-use smol::net::TcpListener;
 
 use crate::event::Event;
 
@@ -18,7 +17,6 @@
 ///
 /// The operating system's error where the address cannot be bound.
 pub async fn serve(address: SocketAddr, executor: &Arc<Executor<'static>>) -> io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
     let answer = |question: http::Question| async move {
         let path = question.path;
         Event::NotAnAnnouncement { path }.log();
@@ -28,7 +26,5 @@
             body: "ask the sidecar on your own host\n".to_owned(),
         }
     };
-    let serving = http::serve(listener, Arc::clone(executor), answer);
-    executor.spawn(serving).detach();
-    Ok(())
+    http::serve(address, executor, answer).await.map(drop)
 }
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -17,9 +17,7 @@
 use member::Action;
 use member::Message;
 use member::Registry;
-use net::Port;
 use platform::document;
-use wire::Frame;
 use wire::ServiceAddress;
 
 use crate::event::Event as LogEvent;
@@ -54,8 +52,6 @@
     pub registry: Registry,
     /// Origin of the time.
     pub origin: Instant,
-    /// The port for frames, shared with the traffic threads.
-    pub port: Port,
     /// What carries the packets.
     pub traffic: Arc<Traffic>,
     /// What arrives from other threads and tasks.
@@ -100,13 +96,7 @@
         }
         self.registry.outrank();
         self.registry.tick(now, actions);
-        for action in actions.drain(..) {
-            let Action::Send { to, message } = action;
-            match message.encode() {
-                Ok(payload) => self.port.send(to, &Frame::Control(payload)),
-                Err(error) => log::warn!("a message to {to} was not sent: {error}"),
-            }
-        }
+        self.traffic.link.control(actions);
         self.publish(now);
     }
 
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -21,7 +21,6 @@
 use crate::carried::event::flow as name;
 use crate::carried::link::Link;
 use crate::carried::reader;
-use crate::carried::reader::Input;
 use crate::event as log;
 use crate::gateway::control;
 use crate::metric;
@@ -45,16 +44,16 @@
 /// The operating system's error where no thread can be started.
 pub fn start(traffic: &Arc<Traffic>, callers: UdpSocket) -> io::Result<()> {
     let shared = Arc::clone(traffic);
-    reader::spawn_packets("callers", callers, move |input| {
-        if let Input::Arrived(datagram) = input {
-            shared.packet(datagram.packet);
-        }
-    })?;
+    reader::spawn_packets("callers", callers, move |packet| shared.packet(packet))?;
     let shared = Arc::clone(traffic);
-    reader::spawn_frames("frames", &traffic.link.port, move |input| match input {
-        Input::Arrived(received) => shared.frame(received),
-        Input::Quiet => shared.handle(Event::Tick),
-    })
+    reader::spawn_frames(
+        "frames",
+        &traffic.link.port,
+        move |received| match received {
+            Some(received) => shared.frame(received),
+            None => shared.handle(Event::Tick),
+        },
+    )
 }
 
 impl Traffic {
--- a/roles/app/src/metric/carried.rs
+++ b/roles/app/src/metric/carried.rs
@@ -12,7 +12,6 @@
 use net::http::Answer;
 use opentelemetry::metrics::Histogram;
 use smol::Executor;
-use smol::net::TcpListener;
 use store::Counts as Calls;
 
 use super::Board;
@@ -82,7 +81,6 @@
     read: impl Fn(&mut Board) -> Result<(), Error> + Send + Sync + 'static,
     board: Board,
 ) -> io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
     let shared = Arc::new((Mutex::new(board), read));
     let answer = move |question: http::Question| {
         let shared = Arc::clone(&shared);
@@ -98,9 +96,7 @@
             }
         }
     };
-    let serving = http::serve(listener, Arc::clone(executor), answer);
-    executor.spawn(serving).detach();
-    Ok(())
+    http::serve(address, executor, answer).await.map(drop)
 }
 
 fn plain(status: StatusCode, body: String) -> Answer {
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -102,7 +102,7 @@
         core: Mutex::new(core),
         link: Link {
             origin,
-            port: port.clone(),
+            port,
             socket: socket.try_clone()?,
             caller_port: host.caller_port(),
             report,
@@ -129,7 +129,6 @@
         seeds: host.seed_frames(),
         announcer: None,
         origin,
-        port,
         traffic: Arc::clone(&traffic),
         own,
         zone: host.zone_id(),
--- a/roles/app/src/sidecar/announcements.rs
+++ b/roles/app/src/sidecar/announcements.rs
@@ -10,7 +10,6 @@
 use platform::announcement;
 use platform::announcement::Call;
 use smol::Executor;
-use smol::net::TcpListener;
 
 use crate::event::Event;
 use crate::sidecar::control::Input;
@@ -26,7 +25,6 @@
     executor: &Arc<Executor<'static>>,
     control: Sender<Input>,
 ) -> io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
     let answer = move |question: http::Question| {
         let control = control.clone();
         async move {
@@ -43,9 +41,7 @@
             }
         }
     };
-    let serving = http::serve(listener, Arc::clone(executor), answer);
-    executor.spawn(serving).detach();
-    Ok(())
+    http::serve(address, executor, answer).await.map(drop)
 }
 
 /// What a call tells of the backend server here; others are not announced here.
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -18,9 +18,7 @@
 use member::Health;
 use member::Message;
 use member::announcer::Change;
-use net::Port;
 use platform::name;
-use wire::Frame;
 use wire::Hop;
 use wire::ServiceAddress;
 use wire::Target;
@@ -69,8 +67,6 @@
     pub announcer: Option<Announcer>,
     /// Origin of the time.
     pub origin: Instant,
-    /// The port for frames, shared with the traffic threads.
-    pub port: Port,
     /// What carries the packets.
     pub traffic: Arc<Traffic>,
     /// Where others reach this process.
@@ -115,13 +111,7 @@
                 self.traffic.handle(Event::Peers(peers));
             }
         }
-        for action in actions.drain(..) {
-            let Action::Send { to, message } = action;
-            match message.encode() {
-                Ok(payload) => self.port.send(to, &Frame::Control(payload)),
-                Err(error) => log::warn!("a message to {to} was not sent: {error}"),
-            }
-        }
+        self.traffic.link.control(actions);
     }
 
     fn message(
@@ -269,18 +259,11 @@
     };
     let may_hold = members().filter(|member| member.health != Health::Down);
     Peers {
-        hops: Arc::new(may_hold.map(|member| hop(&member.target)).collect()),
+        hops: Arc::new(may_hold.map(|member| member.target.hop()).collect()),
         has_silent: members().any(|member| member.health == Health::Down),
     }
 }
 
-fn hop(target: &Target) -> Hop {
-    Hop {
-        target: target.id,
-        address: target.address,
-    }
-}
-
 const fn state(is_open: bool) -> target::State {
     if is_open {
         target::State::Ready
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -23,7 +23,6 @@
 use crate::carried::event::flow as name;
 use crate::carried::link::Link;
 use crate::carried::reader;
-use crate::carried::reader::Input;
 use crate::event as log;
 use crate::metric;
 use crate::metric::Board;
@@ -49,16 +48,16 @@
 /// The operating system's error where no thread can be started.
 pub fn start(traffic: &Arc<Traffic>, servers: UdpSocket) -> io::Result<()> {
     let shared = Arc::clone(traffic);
-    reader::spawn_packets("servers", servers, move |input| {
-        if let Input::Arrived(datagram) = input {
-            shared.server(datagram.packet);
-        }
-    })?;
+    reader::spawn_packets("servers", servers, move |packet| shared.server(packet))?;
     let shared = Arc::clone(traffic);
-    reader::spawn_frames("frames", &traffic.link.port, move |input| match input {
-        Input::Arrived(received) => shared.frame(received),
-        Input::Quiet => shared.handle(Event::Tick),
-    })
+    reader::spawn_frames(
+        "frames",
+        &traffic.link.port,
+        move |received| match received {
+            Some(received) => shared.frame(received),
+            None => shared.handle(Event::Tick),
+        },
+    )
 }
 
 impl Traffic {
@@ -138,8 +137,7 @@
             }
             Action::ToCaller { caller, packet } => {
                 link.count("carried.packets", "to_caller");
-                let to = SocketAddr::from((*caller.ip(), link.caller_port));
-                link.packet(to, &packet);
+                link.to_caller(caller, &packet);
             }
             Action::Send { to, transit } => link.frame(to, transit),
             Action::Reset {
--- a/roles/entry/src/router.rs
+++ b/roles/entry/src/router.rs
@@ -142,16 +142,22 @@
     let holder = opening
         .holder
         .and_then(|token| service.target(token.target))
-        .map(hop);
+        .map(Target::hop);
     let mut path: Vec<Hop> = match (opening.kind, holder) {
-        (Kind::Open, _) => order.open(opening.flow, service.hunt).map(hop).collect(),
+        (Kind::Open, _) => order
+            .open(opening.flow, service.hunt)
+            .map(Target::hop)
+            .collect(),
         (Kind::Continue, Some(_)) if opening.attempt < PATIENT_ATTEMPTS => {
-            order.top(opening.flow, 1).map(hop).collect()
+            order.top(opening.flow, 1).map(Target::hop).collect()
         }
-        (Kind::Continue, _) => order.top(opening.flow, CONTINUE_PATH).map(hop).collect(),
+        (Kind::Continue, _) => order
+            .top(opening.flow, CONTINUE_PATH)
+            .map(Target::hop)
+            .collect(),
     };
     let home = match opening.kind {
-        Kind::Open if order.has_closed() => order.top(opening.flow, 1).next().map(hop),
+        Kind::Open if order.has_closed() => order.top(opening.flow, 1).next().map(Target::hop),
         Kind::Open | Kind::Continue => path.first().copied(),
     };
     skip_silent(&mut path, opening.attempt);
@@ -171,13 +177,6 @@
     }
 }
 
-fn hop(target: &Target) -> Hop {
-    Hop {
-        target: target.id,
-        address: target.address,
-    }
-}
-
 fn read(packet: Bytes) -> Result<Opening, Drop> {
     let packet = Packet::from_bytes(packet).map_err(|error| match error {
         caller::Error::Malformed => Drop::Malformed,
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -94,25 +94,18 @@
     /// Takes what the backend server tells of itself; what an earlier one said
     /// is no longer true.
     pub(super) fn state(&mut self, now: Duration, backend: Backend, actions: &mut Vec<Action>) {
-        if let Some(held) = &self.backend {
-            if backend.is_older_than(held) {
-                return actions.push(Action::Dropped(Drop::OldAnnouncement));
-            }
-            if backend.start != held.start {
+        let held = self.backend.as_ref();
+        if held.is_some_and(|held| backend.is_older_than(held)) {
+            return actions.push(Action::Dropped(Drop::OldAnnouncement));
+        }
+        let is_first = held.is_none();
+        if held.is_none_or(|held| held.start != backend.start) {
+            if !is_first {
                 self.gone(now, actions);
                 self.risk = Risk::new(self.settings.risk, now);
-                // This process hears of all flows of a start that it saw begin.
-                self.has_past = false;
             }
-        }
-        if self.backend.is_none() && backend.sequence <= FIRST_SEQUENCE {
-            self.has_past = false;
-        }
-        let is_new = self
-            .backend
-            .as_ref()
-            .is_none_or(|held| held.start != backend.start);
-        if is_new {
+            // This process hears of all flows of a start that it saw begin.
+            self.has_past &= is_first && backend.sequence > FIRST_SEQUENCE;
             self.first_heard = now;
             // The first announcement is sent with the start.
             let before = backend.sequence.saturating_sub(FIRST_SEQUENCE);
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -263,7 +263,7 @@
         } else {
             ranked
         };
-        ranked.into_iter().map(hop).collect()
+        ranked.into_iter().map(Target::hop).collect()
     }
 
     /// Refuses a flow for which there is no backend server. A young entry may
@@ -473,13 +473,6 @@
     }
 }
 
-fn hop(target: &Target) -> Hop {
-    Hop {
-        target: target.id,
-        address: target.address,
-    }
-}
-
 /// What a search needs of a packet's header.
 const fn header(flow: &FlowId) -> Segment {
     Segment {
--- a/roles/forward/tests/flows.rs
+++ b/roles/forward/tests/flows.rs
@@ -22,9 +22,13 @@
     world
 }
 
-/// Runs on, and checks that every flow is served again and none was broken.
-fn ends_well(mut world: World) {
-    let end = world.now + Duration::from_secs(12);
+/// Time in which flows are served again after restarts.
+const RESTARTED: Duration = Duration::from_secs(12);
+
+/// Runs on, and checks that every flow is served again in time and none was
+/// broken.
+fn ends_well(mut world: World, time: Duration) {
+    let end = world.now + time;
     world.run_until(end);
     assert_eq!(world.faults, Vec::<String>::new());
     let waiting = world.waiting();
@@ -41,7 +45,7 @@
         let next = world.now + ms(1_200);
         world.run_until(next);
     }
-    ends_well(world);
+    ends_well(world, RESTARTED);
 }
 
 fn survives_a_restart_of_all_agents(seed: u64) {
@@ -49,7 +53,7 @@
     for id in 1..=SERVERS {
         world.restart_agent(id);
     }
-    ends_well(world);
+    ends_well(world, RESTARTED);
 }
 
 fn survives_a_restart_of_everything(seed: u64) {
@@ -60,7 +64,7 @@
     for number in 0..4 {
         world.restart_entry(number);
     }
-    ends_well(world);
+    ends_well(world, RESTARTED);
 }
 
 /// New servers come while an entry, which knows none of the flows, starts.
@@ -73,7 +77,7 @@
         let next = world.now + ms(700);
         world.run_until(next);
     }
-    ends_well(world);
+    ends_well(world, RESTARTED);
 }
 
 /// Callers hold flows whose backend servers are gone: they are told so, and open
@@ -81,14 +85,7 @@
 fn tells_callers_after_a_loss_of_power(seed: u64) {
     let mut world = settled(seed);
     world.lose_power();
-    let soon = world.now + Duration::from_secs(3);
-    world.run_until(soon);
-    assert_eq!(world.faults, Vec::<String>::new());
-    let waiting = world.waiting();
-    assert!(
-        waiting <= usize::from(FLOWS) / 10,
-        "{waiting} requests wait"
-    );
+    ends_well(world, Duration::from_secs(3));
 }
 
 cases::cases! { tells_callers_after_a_loss_of_power;
--- a/state/limit/src/risk.rs
+++ b/state/limit/src/risk.rs
@@ -77,8 +77,8 @@
     /// Share of the requests that are expected to fail.
     #[must_use]
     pub fn share(&self, now: Duration) -> f64 {
-        let failed = self.failed * self.keep(now);
-        let answered = self.answered * self.keep(now);
+        let keep = self.keep(now);
+        let (failed, answered) = (self.failed * keep, self.answered * keep);
         failed / (failed + answered + self.settings.trust)
     }
 
--- a/tools/proof/src/deployment.rs
+++ b/tools/proof/src/deployment.rs
@@ -20,6 +20,7 @@
 use crate::Child;
 use crate::Service;
 use crate::Signal;
+use crate::program;
 
 /// Entries of a deployment.
 const ENTRIES: u8 = 3;
@@ -470,11 +471,3 @@
         }
     }
 }
-
-/// Path of a binary of the workspace, which is built beside the tests.
-fn program(name: &str) -> PathBuf {
-    // Tests and examples lie one folder below the binaries.
-    let this = env::current_exe().unwrap_or_default();
-    let folder = this.ancestors().nth(2).map(PathBuf::from);
-    folder.unwrap_or_default().join(name)
-}
--- a/tools/proof/src/lib.rs
+++ b/tools/proof/src/lib.rs
@@ -6,6 +6,7 @@
 //! with the value.
 mod child;
 mod deployment;
+mod program;
 mod service;
 
 pub use child::Child;
@@ -13,4 +14,5 @@
 pub use deployment::Deployment;
 pub use deployment::Load;
 pub use deployment::Outcome;
+pub use program::program;
 pub use service::Service;
--- a/tools/soak/src/host.rs
+++ b/tools/soak/src/host.rs
@@ -9,6 +9,7 @@
 use platform_standin::Host as Settings;
 use proof::Child;
 use proof::Signal;
+use proof::program;
 
 use crate::link;
 use crate::tunnel;
@@ -105,7 +106,7 @@
         let name = &self.settings.name;
         let boot = self.folder.join(format!("{name}.json"));
         fs::write(&boot, self.settings.encode())?;
-        let mut command = Command::new(program()?);
+        let mut command = Command::new(program("greengagelug"));
         command
             .arg(self.role)
             .arg("--boot")
@@ -229,14 +230,3 @@
         }
     }
 }
-
-/// The program, which is built beside the soak and above its tests.
-fn program() -> io::Result<PathBuf> {
-    let this = std::env::current_exe()?;
-    let folders = this.ancestors().skip(1).take(2);
-    let mut programs = folders.map(|folder| folder.join("greengagelug"));
-    programs.find(|program| program.exists()).ok_or_else(|| {
-        let text = "greengagelug is not built; run `cargo build --workspace` first";
-        io::Error::new(io::ErrorKind::NotFound, text)
-    })
-}
--- a/transport/net/src/http.rs
+++ b/transport/net/src/http.rs
@@ -2,6 +2,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,17 +57,31 @@
     pub body: String,
 }
 
-/// Serves a listener until accepting fails for good.
+/// Serves an address on an executor; the address that was bound.
 ///
 /// # Errors
 ///
-/// The error of the listener.
+/// The operating system's error where the address cannot be bound.
 pub async fn serve<F>(
+    address: SocketAddr,
+    executor: &Arc<Executor<'static>>,
+    answer: impl Fn(Question) -> F + Clone + Send + Sync + 'static,
+) -> io::Result<SocketAddr>
+where
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let bound = listener.local_addr()?;
+    let accepting = accept(listener, Arc::clone(executor), answer);
+    executor.spawn(accepting).detach();
+    Ok(bound)
+}
+
+async fn accept<F>(
     listener: TcpListener,
     executor: Arc<Executor<'static>>,
     answer: impl Fn(Question) -> F + Clone + Send + Sync + 'static,
-) -> io::Result<()>
-where
+) where
     F: Future<Output = Answer> + Send + 'static,
 {
     let permits = Arc::new(());
