Forward: a server's reset of a flow that it never opened does not reach the caller

Each sidecar that may hold prior flows delivered the packet to its server as a probe; the server of a sidecar that had just started answered one probe by a reset instead of returning the packet, and the sidecar forwarded the reset to the caller, whose flow was open at another server (log: 4008 for the flow at 18.509, no 4009, reset at the caller at 18.513). No process logged a reset of its own for that flow. Ruled out: a reset by a sidecar or gateway (no event 4004), ended flows, refusals of late copies. One way found by reading: a copy of an opening packet that the server returns made the sidecar forget a flow that the server had accepted. Change: a reset in reaction to a probe is a denial; a reset of a flow whose caller has not acknowledged this server is dropped; a returned copy does not end an accepted flow; a denial without a packet makes the gateway forget the holder. Tests: three of the four new ones in forward/tests/agent.rs fail on the code before.

--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -160,6 +160,9 @@
     /// No server can admit the flow, but the flow may already be open through
     /// an earlier copy of its opening packet.
     RefusedCopy,
+    /// The backend server reset a flow that the caller may have opened at another
+    /// server.
+    ForeignReset,
     /// The limit of concurrent searches is reached.
     SearchLimit,
     /// Another probe of the flow is pending, or all its probes are used up.
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -118,6 +118,18 @@
         }
     }
 
+    /// Returns true if the backend server has accepted the flow, as far as this
+    /// process has seen.
+    pub const fn has_answered(&self) -> bool {
+        matches!(self.handshake, Handshake::Accepted(_) | Handshake::Done)
+    }
+
+    /// Returns true if the backend server accepted the flow and the caller has
+    /// not acknowledged that yet.
+    pub const fn is_unconfirmed(&self) -> bool {
+        matches!(self.handshake, Handshake::Accepted(_))
+    }
+
     /// Records a packet of the caller. The packet may begin a request, or reset
     /// the flow and so give up a pending request.
     pub fn record_caller_packet(
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -1,8 +1,10 @@
 //! Handles the packets and announcements of the backend server.
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use limit::Risk;
+use wire::FlowId;
 use wire::Segment;
 use wire::segment::Kind;
 use wire::transit::Forward;
@@ -30,15 +32,20 @@
         actions: &mut Vec<Action>,
     ) {
         let flow = segment.flow_from_caller();
+        let is_open = segment.kind == Kind::Open;
+        let has_answered = self.flows.get(&flow).is_some_and(Flow::has_answered);
+        if is_open && has_answered {
+            // The server accepted an earlier copy and holds the flow.
+            return actions.push(Action::Dropped(DropReason::RefusedCopy));
+        }
         let probe = self.probes.remove(&flow);
         let held = self.flows.remove(&flow);
         if held.as_ref().is_some_and(|flow| flow.slot.is_some()) {
             self.occupancy.release(now);
         }
-        if segment.kind == Kind::Open {
+        if is_open {
             return self.handle_rejected_open(now, flow, segment, held, packet, actions);
         }
-        self.flows_not_held.insert(now, flow, ());
         actions.push(Action::Returned {
             flow,
             was_held: held.is_some(),
@@ -46,6 +53,21 @@
         let reply_to = probe
             .map(|probe| probe.reply_to)
             .or(held.and_then(|flow| flow.entry));
+        self.deny(now, flow, reply_to, &segment, packet, actions);
+    }
+
+    /// Records that the backend server does not hold a flow, and reports it to
+    /// the process that asked.
+    fn deny(
+        &mut self,
+        now: Duration,
+        flow: FlowId,
+        reply_to: Option<SocketAddr>,
+        segment: &Segment,
+        packet: Bytes,
+        actions: &mut Vec<Action>,
+    ) {
+        self.flows_not_held.insert(now, flow, ());
         let Some(reply_to) = reply_to else {
             return;
         };
@@ -57,7 +79,7 @@
             entry: reply_to,
             packet,
         };
-        send_not_held(flow, forward, &segment, self.evidence(now), actions);
+        send_not_held(flow, forward, segment, self.evidence(now), actions);
     }
 
     /// Handles a packet that the backend server sent to a caller.
@@ -70,6 +92,20 @@
     ) {
         let flow = segment.flow_from_server();
         let probe = self.probes.remove(&flow);
+        match probe {
+            // The server has ended the flow, or never opened it because the caller
+            // chose another server that accepted it. Only a flow of the latter kind
+            // is still open, so the caller must not see this reset.
+            Some(probe) if segment.kind == Kind::Reset => {
+                actions.push(Action::Dropped(DropReason::ForeignReset));
+                let reply_to = Some(probe.reply_to);
+                return self.deny(now, flow, reply_to, &segment, Bytes::new(), actions);
+            }
+            None if segment.kind == Kind::Reset && self.is_unconfirmed(&flow) => {
+                return actions.push(Action::Dropped(DropReason::ForeignReset));
+            }
+            _ => {}
+        }
         let held = self
             .flows
             .entry(flow)
@@ -95,6 +131,12 @@
         }
     }
 
+    /// Returns true if the server accepted a flow but the caller has not
+    /// confirmed it, because it may have opened the flow at another server.
+    fn is_unconfirmed(&self, flow: &FlowId) -> bool {
+        self.flows.get(flow).is_some_and(Flow::is_unconfirmed)
+    }
+
     /// Handles an announcement. The announcement of a newer start ends the
     /// flows and the failure estimate of the previous backend server.
     pub(super) fn handle_announcement(
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -449,6 +449,11 @@
             return;
         };
         match &state.phase {
+            // There is no packet to search with. The caller's next packet starts
+            // the search.
+            Phase::Held(holder) if holder.target == denial.target && denial.packet.is_empty() => {
+                self.flows.remove(&denial.flow);
+            }
             Phase::Held(holder) if holder.target == denial.target => {
                 let is_known = state.server_start.is_some() && denial.start.is_some();
                 if is_known && denial.start != state.server_start {
--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -467,6 +467,70 @@
     assert!(resets(&handle(&mut agent, ms(3), event)));
 }
 
+/// The server accepted the first copy and has no room for the second one.
+#[test]
+fn flow_stays_known_if_a_copy_of_its_opening_packet_is_returned() {
+    let mut agent = ready_agent(true);
+    send_open(&mut agent, ms(1), 9, open_frame(&[OWN, 2]));
+    accept_flow(&mut agent, ms(2), 9);
+    let copy = Event::ServerPacket {
+        segment: returned_segment(9, Kind::Open),
+        packet: packet(),
+    };
+    let actions = handle(&mut agent, ms(601), copy);
+    assert!(passed_on(&actions).is_none(), "{actions:?}");
+    assert_eq!(agent.len(), 1);
+}
+
+/// Returns the reaction to a reset that the server sends.
+fn server_resets(agent: &mut Agent) -> Vec<Action> {
+    let event = Event::ServerPacket {
+        segment: server_segment(9, Kind::Reset, 0),
+        packet: packet(),
+    };
+    handle(agent, ms(20), event)
+}
+
+fn reaches_caller(actions: &[Action]) -> bool {
+    actions
+        .iter()
+        .any(|action| matches!(action, Action::ToCaller { .. }))
+}
+
+/// The server accepted a copy of the opening packet that the caller did not
+/// confirm, and this process was restarted since.
+#[test]
+fn reset_in_reaction_to_a_probe_is_a_denial() {
+    let mut agent = ready_agent(true);
+    assert!(delivers(&look_up(&mut agent, ms(10), 9)));
+    let actions = server_resets(&mut agent);
+    assert!(!reaches_caller(&actions), "{actions:?}");
+    assert!(reports_not_held(&actions), "{actions:?}");
+}
+
+/// The server gives up a flow that the caller opened at another server.
+#[test]
+fn reset_of_an_unconfirmed_flow_does_not_reach_the_caller() {
+    let mut agent = ready_agent(false);
+    send_open(&mut agent, ms(1), 9, open_frame(&[OWN]));
+    accept_flow(&mut agent, ms(2), 9);
+    let actions = server_resets(&mut agent);
+    assert!(!reaches_caller(&actions), "{actions:?}");
+}
+
+#[test]
+fn reset_of_a_confirmed_flow_reaches_the_caller() {
+    let mut agent = ready_agent(false);
+    send_open(&mut agent, ms(1), 9, open_frame(&[OWN]));
+    accept_flow(&mut agent, ms(2), 9);
+    let event = Event::Forward {
+        forward: forward_frame(OWN),
+        segment: caller_segment(9, Kind::Data, 100),
+    };
+    assert!(delivers(&handle(&mut agent, ms(10), event)));
+    assert!(reaches_caller(&server_resets(&mut agent)));
+}
+
 fn resets(actions: &[Action]) -> bool {
     actions
         .iter()
