Store: changes are ordered across restores from an older copy

The follower dropped every value whose bare revision was not larger, its watch from a lost revision was answered by 410 and listed again without a pause, leases of other processes could be renewed, and a condition could match another change that had got the same revision. Ruled out: an era beside each revision through all types (every caller would have to order the pairs itself), and a count of restores per process (two processes would not agree). Gateways register anew within a second of a restore, at random times; a configuration that is older than the one in force never replaces it, and a store that holds an older one confirms nothing. Events 2008 and 2009, metric store.restores.

--- a/coordination/config/src/fault.rs
+++ b/coordination/config/src/fault.rs
@@ -19,6 +19,8 @@
         /// Whether the store may have applied the call despite the failure.
         maybe_applied: bool,
     },
+    /// the answer is from before the store was restored from a copy; call again
+    Outdated,
     /// the key was changed by another write since it was read; read it again
     Conflict,
     /// the lease has expired; acquire a new one
@@ -39,6 +41,7 @@
         match self {
             Self::Failed { maybe_applied, .. } | Self::Lost { maybe_applied } => maybe_applied,
             Self::Unreachable
+            | Self::Outdated
             | Self::Conflict
             | Self::Expired
             | Self::Malformed
--- a/coordination/config/src/follower.rs
+++ b/coordination/config/src/follower.rs
@@ -12,6 +12,8 @@
 use crate::Fault;
 use crate::KeyValue;
 use crate::Listing;
+use crate::era;
+use crate::era::Era;
 
 /// Settings of a follower of one key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +72,9 @@
     pub pause: Duration,
     /// Set if the store became unreachable or reachable again.
     pub reachability: Option<Reachability>,
+    /// New era of the store, if it was restored from an older copy. The value may
+    /// then be older than one returned before.
+    pub restored: Option<Era>,
 }
 
 /// A change of the store's reachability.
@@ -88,6 +93,8 @@
     key: String,
     /// Revision of the newest value; 0 before the first value.
     newest: Revision,
+    /// Era of the last answer that named one.
+    era: Option<Era>,
     /// Index to watch from; `None` if the key must be read first.
     since: Option<Revision>,
     seed: u64,
@@ -105,6 +112,7 @@
             settings,
             key: key.into(),
             newest: 0,
+            era: None,
             since: None,
             seed,
             backoff: None,
@@ -142,6 +150,7 @@
     pub fn handle(&mut self, now: Duration, event: Event) -> Outcome {
         match event {
             Event::Read(Ok(item)) => {
+                let restored = self.observe(item.as_ref().map(|item| item.revision));
                 // The read includes all earlier changes; the watch starts from its
                 // revision and reports the later ones.
                 self.since = item.as_ref().map(|item| item.revision);
@@ -149,17 +158,40 @@
                     Some(_) => Duration::ZERO,
                     None => self.settings.backoff.base,
                 };
-                self.on_answer(now, item, pause)
+                Outcome {
+                    restored,
+                    ..self.on_answer(now, item, pause)
+                }
             }
             Event::Watched(Ok(listing)) => {
+                let restored = self.observe(Some(listing.index));
+                // A listing that brings the watch no further must not be requested
+                // again at once.
+                let is_stuck = !listing.items.is_empty() && Some(listing.index) <= self.since;
+                let pause = if is_stuck {
+                    self.settings.backoff.base
+                } else {
+                    Duration::ZERO
+                };
                 let item = listing.items.into_iter().find(|item| item.key == self.key);
                 self.since = self.since.max(Some(listing.index));
-                self.on_answer(now, item, Duration::ZERO)
+                Outcome {
+                    restored,
+                    ..self.on_answer(now, item, pause)
+                }
             }
             Event::Read(Err(fault)) | Event::Watched(Err(fault)) => self.on_fault(fault),
         }
     }
 
+    /// Records the era of an answer; returns it if the store was restored since
+    /// the last answer.
+    fn observe(&mut self, revision: Option<Revision>) -> Option<Era> {
+        let era = era::of(revision?);
+        let known = self.era.replace(era)?;
+        (era > known).then_some(era)
+    }
+
     fn on_answer(&mut self, now: Duration, item: Option<KeyValue>, pause: Duration) -> Outcome {
         self.last_answer = Some(now);
         let change = self.backoff.take().map(|_| Reachability::Regained);
@@ -171,6 +203,7 @@
             value,
             pause,
             reachability: change,
+            restored: None,
         }
     }
 
@@ -188,6 +221,7 @@
             value: None,
             pause: backoff.next_pause(),
             reachability: change,
+            restored: None,
         }
     }
 }
--- a/coordination/config/src/lib.rs
+++ b/coordination/config/src/lib.rs
@@ -10,9 +10,11 @@
 //!   whether this entry reads, and a [`Feed`] does the reading.
 //! * [`Follower`] follows a single key of the store.
 //! * [`Registration`] keeps a process registered in the store.
+//! * [`era`] orders changes across restores of the store from an older copy.
 //! * [`KeyValue`], [`Listing`] and [`Fault`] are the store's answers.
 pub mod change;
 pub mod diff;
+pub mod era;
 pub mod fault;
 pub mod feed;
 pub mod follower;
--- a/coordination/config/src/listing.rs
+++ b/coordination/config/src/listing.rs
@@ -11,7 +11,8 @@
     pub key: String,
     /// The value.
     pub value: Vec<u8>,
-    /// Revision of the last write to the key.
+    /// Revision of the last write to the key. Ordered across restores of the
+    /// store, see [`crate::era`].
     pub revision: Revision,
 }
 
--- a/coordination/config/src/registration.rs
+++ b/coordination/config/src/registration.rs
@@ -11,6 +11,7 @@
 use crate::Fault;
 use crate::LeaseId;
 use crate::Listing;
+use crate::jitter::jitter;
 
 /// Settings of a registration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,6 +38,10 @@
     }
 }
 
+/// Longest random delay of the registration after a restore of the store, so that
+/// processes do not all register at once.
+const RESTORE_SPREAD: Duration = Duration::from_secs(1);
+
 /// Number of renewals within a lease's time to live.
 const RENEWALS_PER_TTL: u32 = 3;
 
@@ -122,6 +127,15 @@
         }
     }
 
+    /// Registers anew after the store was restored from an older copy, in which
+    /// the lease and the key may be missing.
+    pub fn on_restored(&mut self, now: Duration) {
+        self.lease = None;
+        self.is_registered = false;
+        self.backoff = None;
+        self.paused_until = now + jitter(self.seed, RESTORE_SPREAD);
+    }
+
     /// Handles the answer to a call; returns the registered keys after a list,
     /// otherwise nothing.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<String> {
--- a/coordination/config/tests/follow.rs
+++ b/coordination/config/tests/follow.rs
@@ -5,6 +5,7 @@
 use config::Follower;
 use config::KeyValue;
 use config::Listing;
+use config::era;
 use config::follower::Action;
 use config::follower::Event;
 use config::follower::Reachability;
@@ -135,3 +136,39 @@
     assert!(outcome.pause > Duration::ZERO && outcome.value.is_none());
     assert_eq!(follower.next(), Action::Read);
 }
+
+/// Returns a revision of the era after the first restore.
+fn restored(number: u64) -> u64 {
+    era::revision(1, number)
+}
+
+/// The store came back without the last changes, and then gave the same
+/// revisions to others.
+#[test]
+fn a_value_written_after_a_restore_is_returned_although_its_number_is_lower() {
+    let mut follower = follower_at_5();
+    let outcome = follower.handle(ms(1), changed(restored(3)));
+    assert_eq!(outcome.value, Some(item(restored(3))));
+    assert_eq!(outcome.restored, Some(1));
+    assert_eq!(watched_since(&follower), Some(restored(3)));
+    let next = follower.handle(ms(2), changed(restored(4)));
+    assert_eq!((next.value.is_some(), next.restored), (true, None));
+}
+
+/// A replica may still show the state from before the restore.
+#[test]
+fn a_value_from_before_a_restore_is_not_returned_after_it() {
+    let mut follower = follower_at_5();
+    follower.handle(ms(1), changed(restored(3)));
+    assert_eq!(follower.handle(ms(2), changed(9)).value, None);
+    assert_eq!(watched_since(&follower), Some(restored(3)));
+}
+
+/// A store that answers each watch at once must not be called without a pause.
+#[test]
+fn a_watch_that_makes_no_progress_is_followed_by_a_pause() {
+    let mut follower = follower_at_5();
+    assert_eq!(follower.handle(ms(1), changed(8)).pause, Duration::ZERO);
+    assert!(follower.handle(ms(2), changed(8)).pause > Duration::ZERO);
+    assert_eq!(follower.handle(ms(3), unchanged(8)).pause, Duration::ZERO);
+}
--- a/coordination/config/tests/presence.rs
+++ b/coordination/config/tests/presence.rs
@@ -157,3 +157,35 @@
         Action::Acquire("lease".to_owned())
     );
 }
+
+/// A restored store may lack the lease, or have given its id to another process.
+#[test]
+fn a_process_registers_anew_within_two_seconds_of_a_restore() {
+    for seed in 0..100 {
+        let mut registration = Registration::new(Settings::default(), OWN, seed, ms(0));
+        registration.handle(ms(0), listed(&[]));
+        registration.handle(ms(1), Event::Granted(Ok("old".to_owned())));
+        registration.handle(ms(2), Event::Acquired(Ok(true)));
+        registration.on_restored(ms(500));
+        let mut now = ms(500);
+        loop {
+            assert!(now < ms(2_500), "seed {seed}");
+            now += match registration.next(now) {
+                Action::Sleep(pause) => pause,
+                Action::List => {
+                    registration.handle(now, listed(&[OWN]));
+                    ms(4)
+                }
+                Action::Grant(_) => {
+                    registration.handle(now, Event::Granted(Ok("new".to_owned())));
+                    ms(4)
+                }
+                Action::Renew(lease) => panic!("{lease} was renewed after the restore"),
+                Action::Acquire(lease) => {
+                    assert_eq!(lease, "new", "seed {seed}");
+                    break;
+                }
+            };
+        }
+    }
+}
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -8,6 +8,7 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 
+use config::era::Era;
 use log::Level;
 use wire::Incarnation;
 use wire::Revision;
@@ -123,6 +124,12 @@
         "the store is available again", "nothing";
     2007 Info Listed { key: String }
         "this process is registered in the store under {key}", "nothing";
+    2008 Warn StoreRestored { era: Era }
+        "the store was restored from an older copy and is now in era {era}; changes made since the copy are lost",
+        "check that the newest configuration is stored again; processes register again by themselves";
+    2009 Warn ConfigBehind { stored: Revision, version: Revision }
+        "the store holds configuration version {stored}, which is older than version {version} in force here; the newer one stays in force",
+        "write the newest configuration to the store again";
     3001 Info TargetUp { service: ServiceAddress, target: TargetId }
         "backend server {target} of service {service} is ready for new flows", "nothing";
     3002 Warn TargetDown { service: ServiceAddress, target: TargetId }
--- a/roles/app/src/forwarder/ready.rs
+++ b/roles/app/src/forwarder/ready.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use ::http::HeaderMap;
 use ::http::StatusCode;
 use net::http;
 use net::http::Answer;
@@ -31,6 +32,7 @@
             Answer {
                 status,
                 content_type: "text/plain",
+                headers: HeaderMap::new(),
                 body: String::new(),
             }
         }
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -113,11 +113,12 @@
     metric::forwarder::serve(metrics, &executor, read, instruments).await?;
     lifecycle::log_start(Role::Gateway, &host);
     let is_confirmed = Arc::new(AtomicBool::new(false));
-    let follower = follow::run(store.clone(), sender.clone(), Arc::clone(&is_confirmed));
+    let (restored, on_restore) = async_channel::bounded(1);
+    let confirmed = Arc::clone(&is_confirmed);
+    let follower = follow::run(store.clone(), sender.clone(), confirmed, restored);
     executor.spawn(follower).detach();
-    executor
-        .spawn(registration::run(store, frames, sender.clone()))
-        .detach();
+    let registration = registration::run(store, frames, sender.clone(), on_restore);
+    executor.spawn(registration).detach();
     let control = Control {
         registry: registry(&host, origin),
         origin,
@@ -125,6 +126,7 @@
         inputs,
         builder: Builder::default(),
         is_confirmed,
+        stored_version: 0,
         is_ready: Arc::clone(&is_ready),
         seeds: host.seed_frame_addresses(),
         requested: BTreeSet::new(),
--- a/roles/app/src/gateway/announcements.rs
+++ b/roles/app/src/gateway/announcements.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use ::http::HeaderMap;
 use ::http::StatusCode;
 use net::http;
 use net::http::Answer;
@@ -23,6 +24,7 @@
         Answer {
             status: StatusCode::SERVICE_UNAVAILABLE,
             content_type: "text/plain",
+            headers: HeaderMap::new(),
             body: "ask the sidecar on your own host\n".to_owned(),
         }
     };
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -19,6 +19,7 @@
 use member::Message;
 use member::Registry;
 use platform::document;
+use wire::Revision;
 use wire::ServiceAddress;
 
 use crate::change::Tracker;
@@ -61,6 +62,9 @@
     pub builder: Builder,
     /// Whether the store has recently confirmed the configuration as current.
     pub is_confirmed: Arc<AtomicBool>,
+    /// Version of the configuration that was last read from the store. Lower than
+    /// the one in force if the store was restored from an older copy.
+    pub stored_version: Revision,
     /// Whether callers can be served, as reported to the platform.
     pub is_ready: Arc<AtomicBool>,
     /// Addresses of the entries that the settings name.
@@ -124,7 +128,9 @@
                 self.is_ready.store(true, Ordering::Relaxed);
             }
         }
-        let is_confirmed = self.is_confirmed.load(Ordering::Relaxed);
+        // A store that holds an older configuration cannot confirm the newer one.
+        let is_stored = self.stored_version >= self.builder.version();
+        let is_confirmed = is_stored && self.is_confirmed.load(Ordering::Relaxed);
         let is_complete = self.registry.has_peer_answered();
         if let Some(routes) = self.builder.confirm(is_confirmed, is_complete) {
             self.traffic.handle(Event::Routes(routes));
@@ -191,6 +197,15 @@
                 return LogEvent::ConfigUnreadable { error }.log();
             }
         };
+        self.stored_version = version;
+        let in_force = self.builder.version();
+        if version < in_force {
+            return LogEvent::ConfigBehind {
+                stored: version,
+                version: in_force,
+            }
+            .log();
+        }
         let service = member::Service {
             address: routes::DOCUMENT_ADDRESS,
             revision: version,
--- a/roles/app/src/gateway/registration.rs
+++ b/roles/app/src/gateway/registration.rs
@@ -1,14 +1,19 @@
 //! Keeps the gateway registered in the platform's store, and discovers the other
 //! entries there.
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
+use async_channel::Receiver;
 use async_channel::Sender;
 use async_io::Timer;
 use config::Registration;
+use config::era::Era;
 use config::registration::Action;
 use config::registration::Event;
 use config::registration::Settings;
+use futures_lite::FutureExt;
+use futures_lite::future::pending;
 use platform::name;
 use store::Store;
 
@@ -16,8 +21,14 @@
 use crate::gateway::control::Input;
 
 /// Keeps the gateway registered until the control thread has ended, and sends it
-/// the entries that the store lists.
-pub async fn run(store: impl Store, own: SocketAddr, control: Sender<Input>) {
+/// the entries that the store lists. Registers again after each restore of the
+/// store.
+pub async fn run(
+    store: impl Store,
+    own: SocketAddr,
+    control: Sender<Input>,
+    restored: Receiver<Era>,
+) {
     let origin = Instant::now();
     let key = name::entry_key(own);
     let mut registration = Registration::new(
@@ -27,9 +38,14 @@
         origin.elapsed(),
     );
     while !control.is_closed() {
+        if restored.try_recv().is_ok() {
+            registration.on_restored(origin.elapsed());
+        }
         let event = match registration.next(origin.elapsed()) {
             Action::Sleep(pause) => {
-                Timer::after(pause).await;
+                if sleep(pause, &restored).await == Wake::Restored {
+                    registration.on_restored(origin.elapsed());
+                }
                 continue;
             }
             Action::List => Event::Listed(store.list_stale(name::ENTRIES).await),
@@ -54,3 +70,28 @@
         }
     }
 }
+
+/// Reason for the end of a sleep.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wake {
+    /// The time is over.
+    Timer,
+    /// The store was restored.
+    Restored,
+}
+
+/// Sleeps for this time, or until the store is restored.
+async fn sleep(pause: Duration, restored: &Receiver<Era>) -> Wake {
+    let timer = async {
+        Timer::after(pause).await;
+        Wake::Timer
+    };
+    let restore = async {
+        match restored.recv().await {
+            Ok(_) => Wake::Restored,
+            // The follower has ended with the control thread.
+            Err(_) => pending().await,
+        }
+    };
+    timer.or(restore).await
+}
--- a/roles/app/src/gateway/routes.rs
+++ b/roles/app/src/gateway/routes.rs
@@ -9,6 +9,7 @@
 use member::Registry;
 use member::View;
 use platform::document;
+use wire::Revision;
 use wire::ServiceAddress;
 use wire::Target;
 use wire::target::State;
@@ -56,9 +57,14 @@
         Some(Arc::new(self.routes.clone()))
     }
 
+    /// Returns the version of the configuration in force; 0 before the first.
+    pub fn version(&self) -> Revision {
+        self.routes.table.version
+    }
+
     /// Returns true once a configuration is known, so that callers can be served.
     pub fn is_ready(&self) -> bool {
-        self.routes.table.version > 0
+        self.version() > 0
     }
 
     fn update_table(&mut self, view: Option<&View>) {
--- a/roles/app/src/metric/forwarder.rs
+++ b/roles/app/src/metric/forwarder.rs
@@ -7,6 +7,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use ::http::HeaderMap;
 use ::http::StatusCode;
 use net::http;
 use net::http::Answer;
@@ -62,7 +63,8 @@
     instruments.set("store.calls", "write", calls.writes)?;
     instruments.set("store.calls", "watch", calls.watches)?;
     instruments.set("store.calls", "lease", calls.leases)?;
-    instruments.set("store.calls", "failed", calls.failures)
+    instruments.set("store.calls", "failed", calls.failures)?;
+    instruments.set("store.restores", "", calls.restores)
 }
 
 /// Records a duration in a histogram, in microseconds.
@@ -103,6 +105,7 @@
     Answer {
         status,
         content_type: "text/plain; version=0.0.4",
+        headers: HeaderMap::new(),
         body,
     }
 }
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -122,6 +122,7 @@
     gauge("carried.version", "1", "version of the configuration in force at a gateway"),
     gauge("carried.running", "{request}", "requests that run or wait at the backend server"),
     gauge("store.calls", "{call}", "calls to the store, by kind"),
+    gauge("store.restores", "{restore}", "restores of the store from an older copy that this process has seen"),
     histogram("carried.open.time", "us", "time from the last copy of an opening packet to the holder's confirmation"),
     histogram("carried.search.time", "us", "time from the last search message to the holder's answer"),
     histogram("carried.request.time", "us", "time from a request to the first packet of its answer"),
--- a/roles/app/src/sidecar/announcements.rs
+++ b/roles/app/src/sidecar/announcements.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use ::http::HeaderMap;
 use ::http::StatusCode;
 use async_channel::Sender;
 use net::http;
@@ -61,6 +62,7 @@
     Answer {
         status,
         content_type: "application/json",
+        headers: HeaderMap::new(),
         body: announcement::ACKNOWLEDGEMENT.to_owned(),
     }
 }
--- a/tools/soak/src/injector.rs
+++ b/tools/soak/src/injector.rs
@@ -45,6 +45,12 @@
 /// Delay of each late write.
 const WRITE_DELAY: Duration = Duration::from_secs(2);
 
+/// Range of the age of a copy that the store comes back from, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 1_000..10_000;
+
+/// Time from a restore of the store until the operator writes again.
+const REWRITE_PAUSE: Duration = Duration::from_millis(300);
+
 /// Injector of the disturbances of one run.
 #[derive(Clone)]
 pub struct Injector {
@@ -113,6 +119,7 @@
                 self.disturb_store_once(|harness| harness.store.end_leases());
                 Ok(())
             }
+            Kind::StoreRestored => self.restore_from_copy(duration).await,
             Kind::StoreAway => {
                 self.disturb_proxies(duration, |fault| fault.drops_requests = true)
                     .await
@@ -453,6 +460,22 @@
         Ok(())
     }
 
+    /// Takes the store away, and brings it back from an older copy. The operator
+    /// then writes the newest configuration again.
+    async fn restore_from_copy(&self, duration: Duration) -> io::Result<()> {
+        self.disturb_store(|harness| harness.store.set_mode(Mode::Silent));
+        Timer::after(duration).await;
+        let age = self.harness.borrow_mut().random.u64(COPY_AGE_MS);
+        self.harness
+            .borrow()
+            .store
+            .restore(Duration::from_millis(age));
+        self.harness.borrow().store.set_mode(Mode::Serve);
+        Timer::after(REWRITE_PAUSE).await;
+        self.restore_store(|harness| harness.store.rewrite_configuration());
+        Ok(())
+    }
+
     async fn slow_store(&self, duration: Duration) -> io::Result<()> {
         self.disturb_store(|harness| harness.store.set_delay(ANSWER_DELAY));
         Timer::after(duration).await;
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -18,6 +18,13 @@
 /// Range of the duration of a disturbance, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 300..6_000;
 
+/// Number of kinds among which the main sequence of a seed draws. Later kinds are
+/// drawn apart, so that the seeds of earlier failures still mean the same runs.
+const MAIN_KINDS: usize = 31;
+
+/// Probability that a run has a disturbance of one of the later kinds.
+const LATER_KIND_SHARE: f64 = 0.4;
+
 /// A disturbance of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Disturbance {
@@ -38,7 +45,8 @@
         }
 
         impl Kind {
-            /// All kinds; their order decides what a seed draws.
+            /// All kinds; their order decides what a seed draws, so new ones
+            /// come last.
             pub const ALL: &[Self] = &[$(Self::$kind,)*];
 
             /// Returns the name of the kind on the command line.
@@ -92,6 +100,7 @@
     StoreOneWay "store-one-way" "answers of the store do not reach some hosts"
     StoreResets "store-resets" "the connections of some hosts to the store are reset"
     StoreSilences "store-silences" "the open connections of some hosts to the store stall for good"
+    StoreRestored "store-restored" "the store is away and comes back from an older copy"
 }
 
 /// Error of parsing a disturbance.
@@ -140,7 +149,15 @@
         };
         disturbances.push(Disturbance {
             at,
-            kind: Kind::ALL[random.usize(..Kind::ALL.len())],
+            kind: Kind::ALL[random.usize(..MAIN_KINDS)],
+            duration: Duration::from_millis(random.u64(DURATION_MS)),
+        });
+    }
+    let random = &mut Rng::with_seed(seed.rotate_left(32));
+    while random.f64() < LATER_KIND_SHARE {
+        disturbances.push(Disturbance {
+            at: within.mul_f64(random.f64()),
+            kind: Kind::ALL[random.usize(MAIN_KINDS..Kind::ALL.len())],
             duration: Duration::from_millis(random.u64(DURATION_MS)),
         });
     }
--- a/transport/net/src/http.rs
+++ b/transport/net/src/http.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -54,6 +55,8 @@
     pub status: StatusCode,
     /// Content type of the body.
     pub content_type: &'static str,
+    /// Further headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: String,
 }
@@ -145,6 +148,7 @@
         return response(Answer {
             status: StatusCode::PAYLOAD_TOO_LARGE,
             content_type: "text/plain",
+            headers: HeaderMap::new(),
             body: "the body is too large or was cut\n".to_owned(),
         });
     };
@@ -160,6 +164,7 @@
 fn response(answer: Answer) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(answer.body)));
     *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
     let content_type = http::HeaderValue::from_static(answer.content_type);
     response
         .headers_mut()
--- a/transport/store/src/count.rs
+++ b/transport/store/src/count.rs
@@ -19,6 +19,8 @@
     pub waiting: u64,
     /// Bytes of answers received, without headers.
     pub received_bytes: u64,
+    /// Restores of the store from an older copy.
+    pub restores: u64,
 }
 
 /// Kind of a call, as it is counted.
@@ -44,6 +46,7 @@
     failures: AtomicU64,
     waiting: AtomicU64,
     received_bytes: AtomicU64,
+    restores: AtomicU64,
 }
 
 /// Counts a waiting watch until dropped.
@@ -74,6 +77,10 @@
         self.received_bytes.fetch_add(bytes as u64, Relaxed);
     }
 
+    pub(crate) fn record_restore(&self) {
+        self.restores.fetch_add(1, Relaxed);
+    }
+
     pub(crate) fn begin_wait(&self) -> WaitGuard<'_> {
         self.waiting.fetch_add(1, Relaxed);
         WaitGuard(self)
@@ -88,6 +95,7 @@
             failures: self.failures.load(Relaxed),
             waiting: self.waiting.load(Relaxed),
             received_bytes: self.received_bytes.load(Relaxed),
+            restores: self.restores.load(Relaxed),
         }
     }
 }
--- a/transport/store/src/http.rs
+++ b/transport/store/src/http.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::future;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::StatusCode;
@@ -79,12 +80,21 @@
 pub struct Answer {
     /// HTTP status.
     pub status: StatusCode,
-    /// Index from the headers; 0 if it is missing or malformed.
-    pub index: Revision,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
 
+impl Answer {
+    /// Returns the value of a header that holds a number, or `None` if it is
+    /// missing or malformed.
+    #[must_use]
+    pub fn number(&self, header: &str) -> Option<u64> {
+        self.headers.get(header)?.to_str().ok()?.parse().ok()
+    }
+}
+
 /// HTTP request to the store.
 #[derive(Clone, Debug)]
 pub struct Call<'a> {
@@ -122,6 +132,11 @@
         self.counter.snapshot()
     }
 
+    /// Counts a restore of the store from an older copy.
+    pub fn record_restore(&self) {
+        self.counter.record_restore();
+    }
+
     /// Makes one call and returns the answer, with any status. The timeout is
     /// extended by `wait`, for calls that the store answers only after that time.
     ///
@@ -188,11 +203,7 @@
             let lost = Fault::Lost { maybe_applied };
             let response = sender.send_request(request).await.map_err(|_| lost)?;
             let status = response.status();
-            let index = response
-                .headers()
-                .get(INDEX_HEADER)
-                .and_then(|value| value.to_str().ok()?.parse().ok())
-                .unwrap_or_default();
+            let headers = response.headers().clone();
             let body = Limited::new(response.into_body(), limit)
                 .collect()
                 .await
@@ -201,7 +212,7 @@
             self.counter.record_received(body.len());
             Ok(Answer {
                 status,
-                index,
+                headers,
                 body,
             })
         };
@@ -227,7 +238,7 @@
             StatusCode::NOT_FOUND => Vec::new(),
             _ => decode(&answer.body)?,
         };
-        Ok((pairs, answer.index))
+        Ok((pairs, answer.number(INDEX_HEADER).unwrap_or_default()))
     }
 
     /// Sends a body as JSON by `PUT`.
