--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -109,6 +109,8 @@
         "{role} received SIGHUP; changed settings take effect at the next start", "nothing";
     1008 Info Unlogged { lines: u64 }
         "{lines} log lines were suppressed by the rate limit since the last summary", "nothing";
+    1009 Warn StopNotAnnounced { role: String }
+        "{role} stops without telling its peers, because the queue of its control thread is full", "check the processor time of the host";
     2001 Info InForce { service: ServiceAddress, revision: Revision }
         "revision {revision} of service {service} is in force here", "nothing";
     2002 Error NotBound { service: ServiceAddress, error: String }
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -160,6 +160,6 @@
 ) {
     lifecycle::wait_for_stop(Role::Gateway, signals).await;
     is_ready.store(false, Ordering::Relaxed);
-    let _ = control.send(Input::Leave).await;
+    lifecycle::notify_stop(Role::Gateway, &control, Input::Leave).await;
     Timer::after(LINGER).await;
 }
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -116,6 +116,7 @@
     counter("carried.tries", "{packet}", "packets of unknown flows delivered to the backend server as probes"),
     counter("carried.returned", "{packet}", "packets that the backend server returned because it does not hold their flow"),
     counter("carried.packets", "{packet}", "packets forwarded, by direction"),
+    counter("carried.repeated", "{packet}", "callers' packets at a sidecar that carried only content seen before; rises with loss on the way"),
     counter("carried.dropped", "{packet}", "packets dropped, by reason"),
     counter("carried.servers.ended", "{server}", "backend servers of a sidecar that ended"),
     gauge("carried.flows", "{flow}", "flows that a gateway remembers or a sidecar holds"),
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -166,7 +166,7 @@
 /// then waits for running requests to finish.
 async fn wait_for_stop(signals: Receiver<Signal>, control: Sender<Input>, traffic: Arc<Traffic>) {
     lifecycle::wait_for_stop(Role::Sidecar, signals).await;
-    let _ = control.send(Input::Stop).await;
+    lifecycle::notify_stop(Role::Sidecar, &control, Input::Stop).await;
     Timer::after(STOP_NOTICE).await;
     let drain_start = Instant::now();
     while traffic.is_busy() && drain_start.elapsed() < DRAIN_TIMEOUT {
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -93,6 +93,7 @@
         self.link.publish(instruments, calls)?;
         let core = self.lock();
         instruments.set_size("carried.flows", core.len())?;
+        instruments.set("carried.repeated", "", core.repeated_packets())?;
         instruments.set("carried.running", "", core.running().into())
     }
 
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -134,6 +134,8 @@
     ended_flows: ExpiringMap<()>,
     peers: Peers,
     searches: HashMap<FlowId, Pending>,
+    /// Callers' packets that carried only content seen before.
+    repeated_packets: u64,
     next_sweep_at: Duration,
 }
 
@@ -181,6 +183,7 @@
             ended_flows: ExpiringMap::new(settings.max_flow_age),
             peers: Peers::default(),
             searches: HashMap::new(),
+            repeated_packets: 0,
             next_sweep_at: now + settings.sweep_interval,
             settings,
         }
@@ -270,6 +273,13 @@
         self.occupancy.running()
     }
 
+    /// Returns the number of callers' packets that carried only content seen
+    /// before. A rising number shows loss on the way to or from this host.
+    #[must_use]
+    pub const fn repeated_packets(&self) -> u64 {
+        self.repeated_packets
+    }
+
     /// Returns the number of held flows.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -344,6 +354,7 @@
             self.flows_not_held.insert(now, flow, ());
             return send_not_held(flow, forward, &segment, None, actions);
         }
+        self.repeated_packets += u64::from(held.is_repeated(&segment));
         match held.record_caller_packet(now, &segment, &mut self.occupancy) {
             Some(Progress::NextRequest) => self.held_load.record_request(now),
             Some(Progress::Failed) => self.risk.record_failure(now),
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -163,6 +163,16 @@
         (self.requests > 1).then_some(Progress::NextRequest)
     }
 
+    /// Returns true if a caller's packet carries only content seen before, which
+    /// the caller sends again when it or its acknowledgement was lost.
+    pub fn is_repeated(&self, segment: &Segment) -> bool {
+        let end = segment.sequence.wrapping_add(u32::from(segment.length));
+        let is_seen = self
+            .position
+            .is_some_and(|position| !is_ahead(end, position));
+        segment.length > 0 && is_seen
+    }
+
     /// Advances the position of the caller's content; returns whether the
     /// packet carries new content.
     fn advance_position(&mut self, segment: &Segment) -> bool {
--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -531,6 +531,22 @@
     assert!(reaches_caller(&server_resets(&mut agent)));
 }
 
+/// Loss on the way shows only in what the caller sends again.
+#[test]
+fn packet_with_content_seen_before_is_counted() {
+    let mut agent = ready_agent(false);
+    send_open(&mut agent, ms(1), 9, open_frame(&[OWN]));
+    accept_flow(&mut agent, ms(2), 9);
+    let request = Event::Forward {
+        forward: forward_frame(OWN),
+        segment: caller_segment(9, Kind::Data, 100),
+    };
+    handle(&mut agent, ms(10), request.clone());
+    assert_eq!(agent.repeated_packets(), 0);
+    handle(&mut agent, ms(210), request);
+    assert_eq!(agent.repeated_packets(), 1);
+}
+
 fn resets(actions: &[Action]) -> bool {
     actions
         .iter()
