Sidecars: a server that only returns packets is neither assumed ready nor waited for

Ruled out: slow searches (2 ms), lost frames, a gateway that starts late (all were ready). A busy server sends answers, an idle one accepts openings: neither is hit (tests).

--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -182,6 +182,9 @@
         "the backend server reset a request of flow {flow} or did not answer it in time", "check the backend server's log";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing if this was planned";
+    5002 Info ServerMissing { }
+        "no backend server runs here: it returned all packets since the start of this process and has not announced itself; it is announced as gone until it does",
+        "nothing";
 }
 
 impl Event {
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -151,11 +151,11 @@
         }
         self.traffic
             .handle(Event::Announcement(announcement.clone()));
-        let announced = self
-            .announcer
-            .as_ref()
-            .map(|announcer| announcer.target().id);
-        if announced != Some(announcement.target) {
+        let announced = self.announcer.as_ref().map(Announcer::target);
+        let is_announced = announced.is_some_and(|target| {
+            target.id == announcement.target && target.state != target::State::Left
+        });
+        if !is_announced {
             let (service, target, slots) = (
                 announcement.service,
                 announcement.target,
@@ -235,11 +235,19 @@
         }
     }
 
-    /// Announces whether the backend server accepts new flows.
+    /// Announces whether the backend server accepts new flows, or that there is
+    /// none: a search for the holder of a flow would wait for its answer.
     fn announce(&mut self, now: Duration) {
         let Some(announcer) = &mut self.announcer else {
             return;
         };
+        if announcer.target().state == target::State::Left {
+            return;
+        }
+        if self.traffic.lacks_server() {
+            LogEvent::ServerMissing {}.log();
+            return announcer.leave(now);
+        }
         let weight = announcer.target().weight;
         let state = state(self.traffic.is_open());
         announcer.announce(now, Change { weight, state });
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -80,6 +80,11 @@
         self.lock().is_open(self.link.now())
     }
 
+    /// Returns true if there is no backend server that could hold flows.
+    pub fn lacks_server(&self) -> bool {
+        self.lock().lacks_server(self.link.now())
+    }
+
     /// Copies the counters and gauges to the instruments.
     ///
     /// # Errors
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -123,6 +123,14 @@
     /// Time of the first opening packet that the backend server has not reacted
     /// to.
     unanswered_since: Option<Duration>,
+    /// Opening packets that the backend server returned since the agent's start,
+    /// while it accepted none.
+    returned_openings: u8,
+    /// Packets of any kind that it returned since then, and the time of the first.
+    returned_packets: u64,
+    first_returned: Option<Duration>,
+    /// Whether it has sent a packet of its own since then.
+    has_server_sent: bool,
     is_stopping: bool,
     occupancy: Occupancy,
     held_load: Forecast,
@@ -158,6 +166,18 @@
 /// server that does not hold the flow would break it.
 const MAX_PROBES: u8 = 2;
 
+/// Number of opening packets that a backend server returns, without accepting
+/// one, before it is no longer assumed to be ready. A server whose queue is full
+/// returns some as well, but also accepts others.
+const MAX_RETURNED_OPENINGS: u8 = 3;
+
+/// Packets that a backend server must have returned before it counts as missing.
+const MIN_RETURNED_PACKETS: u64 = 8;
+
+/// Time for which it must have returned packets by then. A server that runs
+/// requests sends an answer in that time.
+const MIN_RETURNING_TIME: Duration = Duration::from_millis(300);
+
 impl Agent {
     /// Creates an agent without a backend server. `may_hold_prior_flows` is
     /// false if no earlier process can have run beside the backend server.
@@ -172,6 +192,10 @@
             first_announced: now,
             max_age_when_first_announced: Duration::ZERO,
             unanswered_since: None,
+            returned_openings: 0,
+            returned_packets: 0,
+            first_returned: None,
+            has_server_sent: false,
             is_stopping: false,
             occupancy: Occupancy::new(settings.initial_slots, settings.initial_service_time),
             held_load: Forecast::new(settings.held_load, now),
@@ -246,9 +270,12 @@
 
     /// Returns true if the backend server is assumed to be ready without an
     /// announcement. It keeps serving after a crash of its agent, so a restarted
-    /// agent admits flows at once.
+    /// agent admits flows at once. A server that only returns opening packets has
+    /// not started yet or is not coming back.
     fn assumes_ready(&self, now: Duration) -> bool {
-        self.may_hold_prior_flows && now < self.started_at + self.settings.assumed_ready_time
+        self.may_hold_prior_flows
+            && now < self.started_at + self.settings.assumed_ready_time
+            && self.returned_openings < MAX_RETURNED_OPENINGS
     }
 
     /// Returns true if new flows are admitted, or are refused only because the
@@ -261,6 +288,21 @@
         )
     }
 
+    /// Returns true if there is no backend server that could hold flows: since the
+    /// agent's start it has returned everything and neither announced itself nor
+    /// sent a packet. It has not started yet, or its host came back without it.
+    #[must_use]
+    pub fn lacks_server(&self, now: Duration) -> bool {
+        let is_long = self
+            .first_returned
+            .is_some_and(|at| now >= at + MIN_RETURNING_TIME);
+        self.announcement.is_none()
+            && !self.has_server_sent
+            && is_long
+            && self.returned_openings >= MAX_RETURNED_OPENINGS
+            && self.returned_packets >= MIN_RETURNED_PACKETS
+    }
+
     /// Returns true if any request is running or queued.
     #[must_use]
     pub const fn is_busy(&self) -> bool {
--- a/roles/forward/tests/agent.rs
+++ b/roles/forward/tests/agent.rs
@@ -547,6 +547,89 @@
     assert_eq!(agent.repeated_packets(), 1);
 }
 
+/// Returns an agent that was restarted beside a server, after the server returned
+/// this many opening packets.
+fn restarted_agent(returned: u16) -> Agent {
+    let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
+    for port in 100..100 + returned {
+        send_open(&mut agent, ms(3), port, open_frame(&[OWN, 2]));
+        let event = Event::ServerPacket {
+            segment: returned_segment(port, Kind::Open),
+            packet: packet(),
+        };
+        handle(&mut agent, ms(4), event);
+    }
+    agent
+}
+
+/// The sidecars of servers that have just been placed, or that left before a loss
+/// of power, attracted the opening packets of all entries until their servers'
+/// first announcement, or until the hosts were gone.
+#[test]
+fn server_that_only_returns_opening_packets_is_not_assumed_ready() {
+    let agent = restarted_agent(3);
+    assert_eq!(agent.closed_reason(ms(5)), Some(Closed::Unknown));
+    assert!(!agent.is_open(ms(5)));
+}
+
+#[test]
+fn announcement_opens_an_agent_whose_server_returned_opening_packets() {
+    let mut agent = restarted_agent(3);
+    let event = Event::Announcement(announcement(OWN, 1, 1, State::Ready));
+    handle(&mut agent, ms(900), event);
+    assert_eq!(agent.closed_reason(ms(901)), None);
+}
+
+/// A server that is busy when its agent restarts returns some opening packets.
+#[test]
+fn restarted_agent_of_a_busy_server_stays_open() {
+    assert_eq!(restarted_agent(2).closed_reason(ms(5)), None);
+    let mut agent = restarted_agent(2);
+    send_open(&mut agent, ms(5), 200, open_frame(&[OWN]));
+    accept_flow(&mut agent, ms(6), 200);
+    assert_eq!(agent.closed_reason(ms(7)), None);
+    assert!(agent.is_open(ms(7)));
+}
+
+/// Searches for the holders of flows waited for hosts that had come back from a
+/// loss of power without their servers.
+#[test]
+fn server_that_returns_everything_is_missing() {
+    let mut agent = restarted_agent(8);
+    assert!(!agent.lacks_server(ms(200)));
+    assert!(agent.lacks_server(ms(400)));
+    let event = Event::Announcement(announcement(OWN, 1, 1, State::Ready));
+    handle(&mut agent, ms(900), event);
+    assert!(!agent.lacks_server(ms(901)));
+}
+
+/// A busy server returns opening packets, and answers the requests that it runs.
+#[test]
+fn server_that_sends_packets_is_not_missing() {
+    let mut agent = restarted_agent(8);
+    let event = Event::ServerPacket {
+        segment: server_segment(50, Kind::Data, 100),
+        packet: packet(),
+    };
+    handle(&mut agent, ms(200), event);
+    assert!(!agent.lacks_server(ms(400)));
+}
+
+/// An idle server returns the probes for flows of other servers.
+#[test]
+fn server_that_returns_only_probes_is_not_missing() {
+    let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
+    for port in 0..20 {
+        look_up(&mut agent, ms(1), port);
+        let event = Event::ServerPacket {
+            segment: returned_segment(port, Kind::Data),
+            packet: packet(),
+        };
+        handle(&mut agent, ms(2), event);
+    }
+    assert!(!agent.lacks_server(ms(1_000)));
+}
+
 fn resets(actions: &[Action]) -> bool {
     actions
         .iter()
