--- a/coordination/member/tests/registry.rs
+++ b/coordination/member/tests/registry.rs
@@ -303,3 +303,22 @@
         net.agents[&agent(1)].is_finished()
     });
 }
+
+/// A sidecar that found no backend server announces it as gone. The server may
+/// start afterwards, and is then announced under the same id.
+#[test]
+fn target_that_was_announced_as_gone_returns_with_a_newer_incarnation() {
+    let mut net = region(4, 6, 2);
+    let now = net.now;
+    net.agents.get_mut(&agent(1)).unwrap().leave(now);
+    net.run(Duration::from_millis(600));
+    net.add_agent(1, 1, 2);
+    net.run_until(Duration::from_secs(2), |net| {
+        net.all_see(Health::Up, 6)
+            && net.entries.values().all(|entry| {
+                let view = entry.view(&shared_service()).unwrap();
+                let target = &view.targets[&target(1, 1, 2).id].target;
+                (target.state, target.incarnation) == (State::Ready, 2)
+            })
+    });
+}
