Sidecars: a close without an answer ends the request and frees its slot

Cause: while all gateways are without power for 5 s, a caller's request and its copies are lost. The caller gives up and closes; its closing packet carries the lost request once more. The backend server acknowledges and closes. The sidecar counted the content as a request and waited for an answer until the route's timeout (4 s), so all slots were taken by requests that nobody ran: openings were reset with no_slot, bid 'queue', by idle servers, and the requests that 'were not answered in time' raised the risk of servers that had failed nothing. Ruled out: servers that hold a slot until their answer is acknowledged (they answer nothing here: 1 flow of that kind on one sidecar).

Change: a server's close ends the pending request; it has failed only if the caller had not closed. A close overtakes its answer on a third of the flows (98 flows on three sidecars), so its sequence number is compared with what the caller had received. No slot on a flow that the server has closed.

--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -34,6 +34,9 @@
     requests: u32,
     /// Sequence number after the caller's last content, once any was seen.
     position: Option<u32>,
+    /// Sequence number of the backend server's content up to which the caller had
+    /// received when it sent the pending request.
+    received: u32,
     has_caller_ended: bool,
     has_server_ended: bool,
 }
@@ -45,8 +48,8 @@
     NextRequest,
     /// The backend server began to answer, this long after the request.
     Answered(Duration),
-    /// The backend server reset the request, or the caller gave it up after at
-    /// least half of its timeout.
+    /// The backend server reset or closed the flow in place of an answer, or the
+    /// caller gave the request up after at least half of its timeout.
     Failed,
 }
 
@@ -96,6 +99,7 @@
             is_reserved: false,
             requests: 0,
             position: None,
+            received: 0,
             has_caller_ended: false,
             has_server_ended: false,
         }
@@ -148,7 +152,8 @@
         }
         let is_new = self.advance_position(segment);
         let begins = is_new && (self.slot.is_none() || self.is_reserved);
-        if !begins {
+        // The server answers nothing on a flow that it has closed.
+        if !begins || self.has_server_ended {
             return None;
         }
         if self.slot.is_none() {
@@ -159,6 +164,7 @@
         // started may be a retransmission.
         self.is_reserved = self.handshake == Handshake::Unseen && self.requests == 0;
         self.request_started_at = now;
+        self.received = segment.acknowledged;
         self.requests = self.requests.saturating_add(1);
         (self.requests > 1).then_some(Progress::NextRequest)
     }
@@ -191,7 +197,8 @@
     }
 
     /// Records a packet of the backend server. The first content after a
-    /// request is the beginning of its answer and frees the slot.
+    /// request is the beginning of its answer and frees the slot. A reset or close
+    /// without one ends the request.
     pub fn record_server_packet(
         &mut self,
         now: Duration,
@@ -204,8 +211,12 @@
             self.handshake = Handshake::Accepted(segment.sequence);
         }
         self.has_server_ended |= matches!(segment.kind, Kind::Close | Kind::Reset);
+        // A close may overtake the content before it.
+        let follows_content =
+            segment.kind == Kind::Close && is_ahead(segment.sequence, self.received);
+        let has_content = segment.length > 0 || follows_content;
         match self.slot {
-            Some(start) if segment.length > 0 && self.requests > 0 => {
+            Some(start) if has_content && self.requests > 0 => {
                 occupancy.finish(now, start);
                 self.slot = None;
                 self.is_reserved = false;
@@ -213,8 +224,11 @@
                     now.saturating_sub(self.request_started_at),
                 ))
             }
-            _ if segment.kind == Kind::Reset => {
-                let is_failed = self.has_pending_request();
+            _ if matches!(segment.kind, Kind::Close | Kind::Reset) => {
+                // A caller that gives up sends its lost request once more in the
+                // packet that closes the flow, and the server only closes it too.
+                let is_given_up = segment.kind == Kind::Close && self.has_caller_ended;
+                let is_failed = self.has_pending_request() && !is_given_up;
                 self.end_request(now, occupancy);
                 is_failed.then_some(Progress::Failed)
             }
