Sidecars: a host without a backend server says so after three returned openings

Its sidecar got three openings, all returned, and no more after that, since it no longer counted as ready; lacks_server wanted eight returned packets. It never denied a flow, so searches ended with '6 of 7 agents deny holding it' until membership had dropped it four seconds later, and 466 requests of seconds 34 to 36 waited for their deadlines. Ruled out: unknown sidecars ('all agents known: true').

Change: three returned openings over 300 ms without a packet from the server suffice, and so does any returned packet once an announcement is overdue by half of its interval; the end of a server that had not announced itself to this process counts too. The evidence is a type of its own, agent/presence.rs.

--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -12,6 +12,7 @@
 mod expiring_map;
 mod flow;
 mod lookup;
+mod presence;
 mod search;
 mod server;
 mod settings;
@@ -49,6 +50,7 @@
 use lookup::send_not_held;
 pub use search::Peers;
 use search::Pending;
+use presence::Presence;
 pub use settings::Settings;
 
 /// Input of an agent.
@@ -123,14 +125,7 @@
     /// Time of the first opening packet that the backend server has not reacted
     /// to.
     unanswered_since: Option<Duration>,
-    /// Opening packets that the backend server returned since the agent's start,
-    /// while it accepted none.
-    returned_openings: u8,
-    /// Packets of any kind that it returned since then, and the time of the first.
-    returned_packets: u64,
-    first_returned: Option<Duration>,
-    /// Whether it has sent a packet of its own since then.
-    has_server_sent: bool,
+    presence: Presence,
     is_stopping: bool,
     occupancy: Occupancy,
     held_load: Forecast,
@@ -166,18 +161,6 @@
 /// server that does not hold the flow would break it.
 const MAX_PROBES: u8 = 2;
 
-/// Number of opening packets that a backend server returns, without accepting
-/// one, before it is no longer assumed to be ready. A server whose queue is full
-/// returns some as well, but also accepts others.
-const MAX_RETURNED_OPENINGS: u8 = 3;
-
-/// Packets that a backend server must have returned before it counts as missing.
-const MIN_RETURNED_PACKETS: u64 = 8;
-
-/// Time for which it must have returned packets by then. A server that runs
-/// requests sends an answer in that time.
-const MIN_RETURNING_TIME: Duration = Duration::from_millis(300);
-
 impl Agent {
     /// Creates an agent without a backend server. `may_hold_prior_flows` is
     /// false if no earlier process can have run beside the backend server.
@@ -192,10 +175,7 @@
             first_announced: now,
             max_age_when_first_announced: Duration::ZERO,
             unanswered_since: None,
-            returned_openings: 0,
-            returned_packets: 0,
-            first_returned: None,
-            has_server_sent: false,
+            presence: Presence::new(now),
             is_stopping: false,
             occupancy: Occupancy::new(settings.initial_slots, settings.initial_service_time),
             held_load: Forecast::new(settings.held_load, now),
@@ -275,7 +255,7 @@
     fn assumes_ready(&self, now: Duration) -> bool {
         self.may_hold_prior_flows
             && now < self.started_at + self.settings.assumed_ready_time
-            && self.returned_openings < MAX_RETURNED_OPENINGS
+            && self.presence.may_be_ready()
     }
 
     /// Returns true if new flows are admitted, or are refused only because the
@@ -288,19 +268,12 @@
         )
     }
 
-    /// Returns true if there is no backend server that could hold flows: since the
-    /// agent's start it has returned everything and neither announced itself nor
-    /// sent a packet. It has not started yet, or its host came back without it.
+    /// Returns true if there is no backend server that could hold flows: it has not
+    /// started yet, or its host came back without it.
     #[must_use]
     pub fn lacks_server(&self, now: Duration) -> bool {
-        let is_long = self
-            .first_returned
-            .is_some_and(|at| now >= at + MIN_RETURNING_TIME);
-        self.announcement.is_none()
-            && !self.has_server_sent
-            && is_long
-            && self.returned_openings >= MAX_RETURNED_OPENINGS
-            && self.returned_packets >= MIN_RETURNED_PACKETS
+        let interval = self.settings.max_announcement_interval;
+        self.announcement.is_none() && self.presence.is_missing(now, interval)
     }
 
     /// Returns true if any request is running or queued.
--- /dev/null
+++ b/roles/forward/src/agent/presence.rs
@@ -0,0 +1,89 @@
+//! Evidence of whether there is a backend server that has not announced itself to
+//! this process.
+//!
+//! A host can come back from a loss of power without its server, and a server can
+//! be placed before it starts. Until the first announcement, the packets that come
+//! back tell such a host from one whose agent alone was restarted.
+use std::time::Duration;
+
+use wire::segment::Kind;
+
+/// Number of opening packets that a backend server returns, without accepting
+/// one, before it is no longer assumed to be ready. A server whose queue is full
+/// returns some as well, but also accepts others.
+const MAX_RETURNED_OPENINGS: u8 = 3;
+
+/// Time for which a backend server must have returned opening packets before it
+/// counts as missing. A server that is too busy to accept them sends an answer in
+/// that time.
+const MIN_RETURNING_TIME: Duration = Duration::from_millis(300);
+
+/// Number of announcement intervals without an announcement after which a backend
+/// server that has returned any packet counts as missing.
+const MISSED_ANNOUNCEMENTS: f64 = 1.5;
+
+/// What the agent has seen of its backend server since the agent's start.
+#[derive(Debug)]
+pub struct Presence {
+    started_at: Duration,
+    /// Opening packets that the server returned, while it accepted none.
+    returned_openings: u8,
+    /// Time of the first packet of any kind that it returned.
+    first_returned: Option<Duration>,
+    /// Whether it has sent a packet of its own.
+    has_sent: bool,
+    /// Whether it has announced its end.
+    has_left: bool,
+}
+
+impl Presence {
+    /// Creates the state of an agent that starts now.
+    pub const fn new(now: Duration) -> Self {
+        Self {
+            started_at: now,
+            returned_openings: 0,
+            first_returned: None,
+            has_sent: false,
+            has_left: false,
+        }
+    }
+
+    /// Records a packet that the server returned.
+    pub fn record_returned(&mut self, now: Duration, kind: Kind) {
+        self.first_returned.get_or_insert(now);
+        if kind == Kind::Open {
+            self.returned_openings = self.returned_openings.saturating_add(1);
+        }
+    }
+
+    /// Records a packet that the server sent by itself.
+    pub fn record_sent(&mut self, kind: Kind) {
+        self.has_sent = true;
+        if kind == Kind::Accept {
+            self.returned_openings = 0;
+        }
+    }
+
+    /// Records that the server has announced its end.
+    pub const fn record_end(&mut self) {
+        self.has_left = true;
+    }
+
+    /// Returns true if the server may accept new flows.
+    pub const fn may_be_ready(&self) -> bool {
+        !self.has_left && self.returned_openings < MAX_RETURNED_OPENINGS
+    }
+
+    /// Returns true if there is no server that could hold flows. A live one
+    /// announces itself once in `announcement_interval`.
+    pub fn is_missing(&self, now: Duration, announcement_interval: Duration) -> bool {
+        let Some(first_returned) = self.first_returned else {
+            return self.has_left;
+        };
+        let only_returns = self.returned_openings >= MAX_RETURNED_OPENINGS
+            && now >= first_returned + MIN_RETURNING_TIME;
+        let is_overdue =
+            now >= self.started_at + announcement_interval.mul_f64(MISSED_ANNOUNCEMENTS);
+        self.has_left || !self.has_sent && (only_returns || is_overdue)
+    }
+}
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -38,15 +38,13 @@
             // The server accepted an earlier copy and holds the flow.
             return actions.push(Action::Dropped(DropReason::RefusedCopy));
         }
-        self.returned_packets += 1;
-        self.first_returned.get_or_insert(now);
+        self.presence.record_returned(now, segment.kind);
         let probe = self.probes.remove(&flow);
         let held = self.flows.remove(&flow);
         if held.as_ref().is_some_and(|flow| flow.slot.is_some()) {
             self.occupancy.release(now);
         }
         if is_open {
-            self.returned_openings = self.returned_openings.saturating_add(1);
             return self.handle_rejected_open(now, flow, segment, held, packet, actions);
         }
         actions.push(Action::Returned {
@@ -94,10 +92,7 @@
         actions: &mut Vec<Action>,
     ) {
         let flow = segment.flow_from_server();
-        self.has_server_sent = true;
-        if segment.kind == Kind::Accept {
-            self.returned_openings = 0;
-        }
+        self.presence.record_sent(segment.kind);
         let probe = self.probes.remove(&flow);
         match probe {
             // The server has ended the flow, or never opened it because the caller
@@ -184,8 +179,9 @@
 
     /// Marks the backend server as terminated and ends its flows.
     pub(super) fn end_server(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        if let Some(backend) = &mut self.announcement {
-            backend.state = State::Gone;
+        match &mut self.announcement {
+            Some(backend) => backend.state = State::Gone,
+            None => self.presence.record_end(),
         }
         if !self.flows.is_empty() {
             actions.push(Action::ServerEnded {
--- a/roles/forward/tests/returned.rs
+++ b/roles/forward/tests/returned.rs
@@ -132,6 +132,38 @@
     assert!(!agent.lacks_server(ms(901)));
 }
 
+/// A host came back from a loss of power without its server. Entries stop sending
+/// it opening packets after the first three, so that it never gets many.
+#[test]
+fn server_that_returns_three_opening_packets_and_is_silent_is_missing() {
+    let agent = restarted_agent(3);
+    assert!(!agent.lacks_server(ms(200)));
+    assert!(agent.lacks_server(ms(400)));
+}
+
+/// Only probes reached the host.
+#[test]
+fn server_that_returns_a_probe_and_never_announces_itself_is_missing() {
+    let mut agent = restarted_agent(0);
+    look_up(&mut agent, ms(1), 9);
+    let event = Event::ServerPacket {
+        segment: returned_segment(9, Kind::Data),
+        packet: packet(),
+    };
+    handle(&mut agent, ms(2), event);
+    let interval = Settings::default().max_announcement_interval;
+    assert!(!agent.lacks_server(interval));
+    assert!(agent.lacks_server(interval.mul_f64(1.5)));
+}
+
+/// Nothing shows whether a server that reacts to nothing still holds flows.
+#[test]
+fn silent_server_is_not_missing() {
+    let mut agent = restarted_agent(0);
+    send_open(&mut agent, ms(1), 9, open_frame(&[OWN, 2]));
+    assert!(!agent.lacks_server(ms(10_000)));
+}
+
 /// A busy server returns opening packets, and answers the requests that it runs.
 #[test]
 fn server_that_sends_packets_is_not_missing() {
