Sidecars: one place decides whether an opening packet reaches the backend server

Besides, a call was answered before the control thread had put it in force. Which of them the record shows cannot be told from it: it names neither the caller's port nor the sidecar's lines. The machine was in touch, which rules out a restarted sidecar unless it ended by itself; the first way explains it best, since callers on real machines use ports again. Not reproduced with real processes.

Change: every opening packet goes through handle_open or handle_forwarded_open, which compare its initial sequence number with that of the flow in the table: a copy follows the first packet for 1.4 s, the time for which callers wait; another opening gets a bid like any new flow. Searches and lookups drop opening packets. A gateway places a first opening packet anew where the flow is closing or older than those 1.4 s. The end of a server is final for its start. A call is acknowledged once the control thread has applied it.

--- a/roles/app/src/sidecar/announcements.rs
+++ b/roles/app/src/sidecar/announcements.rs
@@ -14,8 +14,9 @@
 
 use crate::event::Event;
 use crate::sidecar::control::Input;
+use crate::sidecar::control::Notice;
 
-/// Serves the address for announcements, which are sent to the control thread.
+/// Serves the address for announcements, which the control thread applies.
 ///
 /// # Errors
 ///
@@ -30,31 +31,40 @@
         let control = control.clone();
         async move {
             let call = announcement::decode(&request.method, &request.path, &request.body);
-            let input = call.and_then(|call| input_from(call, backend));
-            let Some(input) = input else {
+            let notice = call.and_then(|call| notice_from(call, backend));
+            let Some(notice) = notice else {
                 let path = request.path;
                 Event::NotAnAnnouncement { path }.log();
                 return acknowledge(StatusCode::BAD_REQUEST);
             };
-            match control.send(input).await {
-                Ok(()) => acknowledge(StatusCode::OK),
-                Err(_) => acknowledge(StatusCode::SERVICE_UNAVAILABLE),
+            match apply(&control, notice).await {
+                Some(()) => acknowledge(StatusCode::OK),
+                None => acknowledge(StatusCode::SERVICE_UNAVAILABLE),
             }
         }
     };
     http::serve(address, executor, answer).await.map(drop)
 }
 
-/// Returns the input for a call about the backend server at `own`, or `None` if
+/// Waits until the control thread has put a notice in force: from the
+/// acknowledgement on, a backend server that leaves gets no new flows. Returns
+/// `None` if the process is ending.
+async fn apply(control: &Sender<Input>, notice: Notice) -> Option<()> {
+    let (done, applied) = async_channel::bounded(1);
+    control.send(Input::Server { notice, done }).await.ok()?;
+    applied.recv().await.ok()
+}
+
+/// Returns the notice in a call about the backend server at `own`, or `None` if
 /// the call announces another backend server.
-fn input_from(call: Call, own: SocketAddr) -> Option<Input> {
+fn notice_from(call: Call, own: SocketAddr) -> Option<Notice> {
     match call {
         Call::Announce {
             address,
             announcement,
-        } if address == own => Some(Input::Announcement(announcement)),
+        } if address == own => Some(Notice::State(announcement)),
         Call::Announce { .. } => None,
-        Call::Deregister { name } => Some(Input::End { name }),
+        Call::Deregister { name } => Some(Notice::End { name }),
     }
 }
 
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use async_channel::Receiver;
+use async_channel::Sender;
 use async_io::Timer;
 use bytes::Bytes;
 use forward::agent::Announcement;
@@ -46,12 +47,12 @@
         /// The encoded message.
         payload: Bytes,
     },
-    /// An announcement of the backend server.
-    Announcement(Announcement),
-    /// The end of a backend server.
-    End {
-        /// Name of the backend server.
-        name: String,
+    /// A call of the backend server.
+    Server {
+        /// What it announced.
+        notice: Notice,
+        /// Receives a value once the notice is in force.
+        done: Sender<()>,
     },
     /// Addresses of the entries that the store lists.
     Entries(Vec<SocketAddr>),
@@ -59,6 +60,17 @@
     Stop,
 }
 
+/// What a backend server announced.
+pub enum Notice {
+    /// Its state.
+    State(Announcement),
+    /// Its end.
+    End {
+        /// Name of the backend server.
+        name: String,
+    },
+}
+
 /// State of the control thread.
 pub struct Control {
     /// Addresses of entries to announce the backend server to.
@@ -98,8 +110,11 @@
         let now = self.origin.elapsed();
         match input {
             Some(Input::Message { from, payload }) => self.receive(now, from, &payload, actions),
-            Some(Input::Announcement(announcement)) => self.handle_announcement(now, announcement),
-            Some(Input::End { name }) => self.mark_ended(&name),
+            Some(Input::Server { notice, done }) => {
+                self.handle_notice(now, notice);
+                // The call may have timed out meanwhile.
+                let _ = done.try_send(());
+            }
             Some(Input::Entries(entries)) => self.add_entries(now, entries),
             Some(Input::Stop) => self.stop(now),
             None => {}
@@ -130,6 +145,13 @@
         }
     }
 
+    fn handle_notice(&mut self, now: Duration, notice: Notice) {
+        match notice {
+            Notice::State(announcement) => self.handle_announcement(now, announcement),
+            Notice::End { name } => self.mark_ended(&name),
+        }
+    }
+
     /// Applies an announcement of the backend server, unless it is older than the
     /// last one.
     fn handle_announcement(&mut self, now: Duration, announcement: Announcement) {
@@ -212,13 +234,16 @@
         }
     }
 
-    /// Marks the backend server as ended if it has this name.
+    /// Marks the backend server as ended if it has this name, or if none has
+    /// announced itself to this process.
     fn mark_ended(&mut self, name: &str) {
-        if let Some(last) = &mut self.announcement
-            && last.name == name
-        {
-            last.state = State::Gone;
-            self.traffic.handle(Event::ServerEnded);
+        match &mut self.announcement {
+            Some(last) if last.name == name => {
+                last.state = State::Gone;
+                self.traffic.handle(Event::ServerEnded);
+            }
+            Some(_) => {}
+            None => self.traffic.handle(Event::ServerEnded),
         }
     }
 
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -248,6 +248,7 @@
                 self.link.log(&log::Event::ServerEnded { flows });
             }
             Action::Dropped(DropReason::RefusedCopy) => self.link.drop_packet("refused_copy"),
+            Action::Dropped(DropReason::LateOpening) => self.link.drop_packet("late_opening"),
             Action::Dropped(DropReason::ForeignReset) => self.link.drop_packet("foreign_reset"),
             Action::Dropped(DropReason::SearchLimit) => self.link.drop_packet("searches"),
             Action::Dropped(DropReason::ProbeLimit) => self.link.drop_packet("probing"),
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -29,6 +29,7 @@
 use wire::Hop;
 use wire::Segment;
 use wire::Transit;
+use wire::segment::Kind;
 use wire::transit;
 use wire::transit::Forward;
 use wire::transit::Lookup;
@@ -40,6 +41,7 @@
 pub use action::Closed;
 pub use action::DropReason;
 pub use action::Refusal;
+use admission::Passed;
 pub use backend::Announcement;
 pub use backend::State;
 pub use bid::Bid;
@@ -48,9 +50,9 @@
 use flow::Progress;
 use lookup::reset_ended;
 use lookup::send_not_held;
+use presence::Presence;
 pub use search::Peers;
 use search::Pending;
-use presence::Presence;
 pub use settings::Settings;
 
 /// Input of an agent.
@@ -131,7 +133,7 @@
     held_load: Forecast,
     risk: Risk,
     flows: HashMap<FlowId, Flow>,
-    passed_flows: ExpiringMap<Open>,
+    passed_flows: ExpiringMap<Passed>,
     probes: ExpiringMap<Probe>,
     flows_not_held: ExpiringMap<()>,
     ended_flows: ExpiringMap<()>,
@@ -329,13 +331,16 @@
         actions: &mut Vec<Action>,
     ) {
         let flow = segment.flow_from_caller();
+        if segment.kind == Kind::Open {
+            return self.handle_forwarded_open(now, forward, &segment, actions);
+        }
         if forward.target != self.own.target {
             return send_not_held(flow, forward, &segment, None, actions);
         }
         if self.flows.contains_key(&flow) {
             return self.deliver(now, flow, forward, segment, actions);
         }
-        if let Some(open) = self.passed_flows.get(now, &flow) {
+        if let Some(Passed { open, .. }) = self.passed_flows.get(now, &flow) {
             let to = open.path[usize::from(open.position)];
             return forward_to_next_holder(flow, to, forward, actions);
         }
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -160,6 +160,9 @@
     /// No server can admit the flow, but the flow may already be open through
     /// an earlier copy of its opening packet.
     RefusedCopy,
+    /// An opening packet arrived after its caller had opened the flow or given it
+    /// up, or was sent along with a search.
+    LateOpening,
     /// The backend server reset a flow that the caller may have opened at another
     /// server.
     ForeignReset,
--- a/roles/forward/src/agent/admission.rs
+++ b/roles/forward/src/agent/admission.rs
@@ -8,6 +8,7 @@
 use wire::TargetId;
 use wire::Transit;
 use wire::transit;
+use wire::transit::Forward;
 use wire::transit::Open;
 
 use super::Action;
@@ -19,10 +20,34 @@
 use super::bid;
 use super::bid::Verdict;
 use super::flow::Flow;
+use super::flow::Opening;
+use super::lookup::send_not_held;
+
+/// Opening packet that was forwarded to another agent.
+#[derive(Clone, Debug)]
+pub(super) struct Passed {
+    /// Initial sequence number of the caller.
+    pub sequence: u32,
+    /// Frame that was forwarded.
+    pub open: Open,
+}
+
+impl Passed {
+    fn new(segment: &Segment, open: &Open) -> Self {
+        Self {
+            sequence: segment.sequence,
+            open: open.clone(),
+        }
+    }
+}
 
 impl Agent {
     /// Admits a new flow, forwards it, or refuses it. A retransmitted opening
     /// packet follows the first one.
+    ///
+    /// All opening packets come here, whichever frame carried them, and only a
+    /// flow that is admitted now or was admitted within the opening timeout
+    /// reaches the backend server.
     pub(super) fn handle_open(
         &mut self,
         now: Duration,
@@ -31,14 +56,22 @@
         actions: &mut Vec<Action>,
     ) {
         let flow = segment.flow_from_caller();
-        if let Some(held) = self.flows.get_mut(&flow) {
-            held.last_used = now;
-            held.entry = Some(open.entry);
-            actions.push(Action::Deliver(open.packet));
-            return self.announce_holder(now, flow, open.entry, actions);
+        let timeout = self.settings.opening_timeout;
+        let held = self.flows.get(&flow);
+        match held.map(|held| held.compare_opening(now, &segment, timeout)) {
+            Some(Opening::Copy) => return self.deliver_copy(now, flow, open, actions),
+            Some(Opening::LateCopy) => {
+                return actions.push(Action::Dropped(DropReason::LateOpening));
+            }
+            Some(Opening::Other) => self.forget_flow(now, &flow),
+            None => {}
         }
         match self.passed_flows.get(now, &flow) {
-            Some(passed) if !open.is_settled => return pass_on(passed.clone(), actions),
+            Some(passed) if !open.is_settled && passed.sequence == segment.sequence => {
+                let passed = passed.open.clone();
+                let packet = open.packet;
+                return pass_on(Open { packet, ..passed }, actions);
+            }
             _ => {}
         }
         let intended_target = open
@@ -50,9 +83,12 @@
             _ => Err(Closed::OtherServer),
         };
         match bid::decide(open, bid.ok()) {
-            Verdict::Admit(open) => self.admit(now, flow, open, bid.unwrap_or_default(), actions),
+            Verdict::Admit(open) => {
+                self.admit(now, &segment, open, bid.unwrap_or_default(), actions);
+            }
             Verdict::Pass(open) => {
-                self.passed_flows.insert(now, flow, open.clone());
+                self.passed_flows
+                    .insert(now, flow, Passed::new(&segment, &open));
                 actions.push(Action::PassedOn {
                     flow,
                     bid,
@@ -77,6 +113,60 @@
         }
     }
 
+    /// Delivers a copy of an opening packet whose flow has been admitted.
+    fn deliver_copy(&mut self, now: Duration, flow: FlowId, open: Open, actions: &mut Vec<Action>) {
+        if let Some(held) = self.flows.get_mut(&flow) {
+            held.last_used = now;
+            held.entry = Some(open.entry);
+            actions.push(Action::Deliver(open.packet));
+            self.announce_holder(now, flow, open.entry, actions);
+        }
+    }
+
+    /// Handles an opening packet that an entry forwarded as a packet of an open
+    /// flow. A copy follows the first packet. For any other, the entry is told to
+    /// drop its record of the flow, so that the caller's next copy is placed anew.
+    pub(super) fn handle_forwarded_open(
+        &mut self,
+        now: Duration,
+        forward: Forward,
+        segment: &Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = segment.flow_from_caller();
+        let timeout = self.settings.opening_timeout;
+        let is_own = forward.target == self.own.target;
+        let held = self.flows.get_mut(&flow).filter(|_| is_own);
+        let relation = held.map(|held| (held.compare_opening(now, segment, timeout), held));
+        match (relation, self.passed_flows.get(now, &flow)) {
+            (Some((Opening::Copy, held)), _) => {
+                held.last_used = now;
+                held.entry = Some(forward.entry);
+                actions.push(Action::Deliver(forward.packet));
+            }
+            (Some((Opening::LateCopy, _)), _) => {
+                actions.push(Action::Dropped(DropReason::LateOpening));
+            }
+            (_, Some(passed)) if passed.sequence == segment.sequence => {
+                let open = passed.open.clone();
+                let packet = forward.packet;
+                pass_on(Open { packet, ..open }, actions);
+            }
+            _ => {
+                let packet = Bytes::new();
+                let denied = Forward { packet, ..forward };
+                send_not_held(flow, denied, segment, None, actions);
+            }
+        }
+    }
+
+    /// Removes a flow whose caller has opened another one from the same port.
+    fn forget_flow(&mut self, now: Duration, flow: &FlowId) {
+        if let Some(mut held) = self.flows.remove(flow) {
+            held.end_request(now, &mut self.occupancy);
+        }
+    }
+
     /// Returns the bid for a new flow, or the reason for which none are
     /// admitted.
     fn bid(&self, now: Duration) -> Result<Bid, Closed> {
@@ -96,11 +186,12 @@
     fn admit(
         &mut self,
         now: Duration,
-        flow: FlowId,
+        segment: &Segment,
         open: Open,
         bid: Bid,
         actions: &mut Vec<Action>,
     ) {
+        let flow = segment.flow_from_caller();
         actions.push(Action::Admitted {
             flow,
             bid,
@@ -112,7 +203,8 @@
         self.unanswered_since.get_or_insert(now);
         let entry = open.entry;
         actions.push(Action::Deliver(open.packet.clone()));
-        self.flows.insert(flow, Flow::opening(now, start, open));
+        self.flows
+            .insert(flow, Flow::opening(now, start, open, segment));
         self.passed_flows.remove(&flow);
         self.announce_holder(now, flow, entry, actions);
     }
@@ -175,7 +267,8 @@
         let open = held.and_then(|flow| flow.open);
         match open.map(|open| bid::decide(Open { packet, ..open }, None)) {
             Some(Verdict::Pass(open)) => {
-                self.passed_flows.insert(now, flow, open.clone());
+                self.passed_flows
+                    .insert(now, flow, Passed::new(&segment, &open));
                 pass_on(open, actions);
             }
             Some(_) if segment.is_retransmission() || is_late => {
--- a/roles/forward/src/agent/backend.rs
+++ b/roles/forward/src/agent/backend.rs
@@ -41,9 +41,12 @@
 }
 
 impl Announcement {
-    /// Returns true if this announcement was made before `other`.
+    /// Returns true if this announcement was made before `other`. The end of a
+    /// server follows all its announcements.
     #[must_use]
     pub fn is_older_than(&self, other: &Self) -> bool {
-        (self.start, self.sequence) < (other.start, other.sequence)
+        let is_same_server = (&self.name, self.start) == (&other.name, other.start);
+        let has_ended = is_same_server && other.state == State::Gone;
+        has_ended || (self.start, self.sequence) < (other.start, other.sequence)
     }
 }
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -20,6 +20,9 @@
     pub slot: Option<Start>,
     /// Opening frame, kept until the backend server sends its first packet.
     pub open: Option<Open>,
+    /// Initial sequence number of the caller, and the time at which the opening
+    /// packet was delivered; `None` if this process has not seen it.
+    opened: Option<(u32, Duration)>,
     /// Time of the last packet.
     pub last_used: Duration,
     /// Timeout of the flow's requests.
@@ -53,6 +56,18 @@
     Failed,
 }
 
+/// Relation of an opening packet to a flow between the same addresses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opening {
+    /// A copy of the packet that opened the flow, while its caller may be waiting
+    /// for the flow to open.
+    Copy,
+    /// A copy that arrives after the caller has opened the flow or given it up.
+    LateCopy,
+    /// The caller opens another flow from the same port.
+    Other,
+}
+
 /// Progress of a flow's handshake.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Handshake {
@@ -74,8 +89,9 @@
 impl Flow {
     /// Creates a flow whose opening packet is being delivered to the backend
     /// server.
-    pub fn opening(now: Duration, start: Start, open: Open) -> Self {
+    pub fn opening(now: Duration, start: Start, open: Open, segment: &Segment) -> Self {
         Self {
+            opened: Some((segment.sequence, now)),
             entry: Some(open.entry),
             slot: Some(start),
             request_timeout: Duration::from_millis(u64::from(open.max_wait_ms)),
@@ -92,6 +108,7 @@
             entry: None,
             slot: None,
             open: None,
+            opened: None,
             last_used: now,
             request_timeout: DEFAULT_REQUEST_TIMEOUT,
             request_started_at: now,
@@ -105,6 +122,23 @@
         }
     }
 
+    /// Compares an opening packet with the one that opened this flow. A caller may
+    /// use a port again while the flow that it had from there is still in the table.
+    pub fn compare_opening(
+        &self,
+        now: Duration,
+        segment: &Segment,
+        opening_timeout: Duration,
+    ) -> Opening {
+        match self.opened {
+            Some((sequence, _)) if sequence != segment.sequence => Opening::Other,
+            Some((_, at)) if now < at + opening_timeout => Opening::Copy,
+            Some(_) => Opening::LateCopy,
+            None if segment.is_retransmission() => Opening::LateCopy,
+            None => Opening::Other,
+        }
+    }
+
     /// Returns true if a caller's packet shows that the flow was accepted by
     /// another backend server, although its opening packet came here too.
     /// Completes the handshake if the packet acknowledges this server.
--- a/roles/forward/src/agent/lookup.rs
+++ b/roles/forward/src/agent/lookup.rs
@@ -54,6 +54,9 @@
         if lookup.target != self.own.target {
             return;
         }
+        if segment.kind == Kind::Open {
+            return actions.push(Action::Dropped(DropReason::LateOpening));
+        }
         let (target, searcher) = (lookup.target, lookup.searcher);
         if self
             .look_up_locally(now, lookup, segment, actions)
--- a/roles/forward/src/agent/search.rs
+++ b/roles/forward/src/agent/search.rs
@@ -9,6 +9,7 @@
 use wire::Segment;
 use wire::TargetId;
 use wire::Transit;
+use wire::segment::Kind;
 use wire::transit::HolderAbsent;
 use wire::transit::Lookup;
 use wire::transit::NotHeld;
@@ -61,6 +62,9 @@
         if search.target != self.own.target {
             return;
         }
+        if segment.kind == Kind::Open {
+            return actions.push(Action::Dropped(DropReason::LateOpening));
+        }
         if self.searches.len() >= MAX_SEARCHES {
             return actions.push(Action::Dropped(DropReason::SearchLimit));
         }
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -38,6 +38,9 @@
     /// retransmitted it yet. A rejection in this time can safely be reported to
     /// the caller.
     pub prompt_rejection: Duration,
+    /// Time after the first opening packet of a flow for which its caller waits for
+    /// the flow to open. Later copies are not delivered.
+    pub opening_timeout: Duration,
     /// Time for which a slot stays reserved for the first request of a flow.
     pub reservation_timeout: Duration,
     /// Time without a reaction to a probe after which another packet of the
@@ -69,6 +72,7 @@
             announcement_timeout: Duration::from_millis(1_900),
             reaction_timeout: Duration::from_millis(150),
             prompt_rejection: Duration::from_millis(100),
+            opening_timeout: Duration::from_millis(1_400),
             reservation_timeout: Duration::from_millis(500),
             probe_interval: Duration::from_secs(1),
             search_timeout: Duration::from_millis(500),
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -225,7 +225,15 @@
     fn handle_open(&mut self, routes: &Routes, context: PacketContext<'_>) {
         let flow = context.segment.flow_from_caller();
         let mut tried = Vec::new();
+        let is_reused = !context.segment.is_retransmission()
+            && self.flows.get(&flow).is_some_and(|held| {
+                held.is_closing || context.now >= held.phase_since + self.settings.opening_timeout
+            });
         match self.flows.get_mut(&flow).map(|flow| &mut flow.phase) {
+            // The caller opens another flow from the same port.
+            Some(_) if is_reused => {
+                self.flows.remove(&flow);
+            }
             Some(Phase::Held(holder)) => {
                 let holder = *holder;
                 return self.send_to_holder(holder, context);
--- a/roles/forward/src/entry/settings.rs
+++ b/roles/forward/src/entry/settings.rs
@@ -14,6 +14,9 @@
     /// Time without an answer after which an agent is considered unresponsive.
     /// Shorter than the time after which callers retransmit an opening packet.
     pub agent_timeout: Duration,
+    /// Time after the first opening packet of a flow for which its caller waits for
+    /// the flow to open. A first opening packet after that begins another flow.
+    pub opening_timeout: Duration,
     /// Time after the start during which some backend servers may not be known
     /// yet.
     pub startup_grace: Duration,
@@ -52,6 +55,7 @@
             place: placement::Settings::default(),
             path_length: 3,
             agent_timeout: Duration::from_millis(150),
+            opening_timeout: Duration::from_millis(1_400),
             startup_grace: Duration::from_secs(3),
             min_discovery: Duration::from_millis(600),
             max_discovery: Duration::from_millis(1_500),
--- a/roles/forward/tests/entry.rs
+++ b/roles/forward/tests/entry.rs
@@ -523,3 +523,30 @@
         "{actions:?}"
     );
 }
+
+/// A busy caller uses a port again while the entry still has the flow that it had
+/// from there; the holder may be leaving by now.
+#[test]
+fn flow_from_a_reused_port_is_placed_anew() {
+    for closes in [true, false] {
+        let mut entry = entry_with(two_zones());
+        send(&mut entry, ms(1), Kind::Open);
+        report_holder(&mut entry, ms(2), 1);
+        if closes {
+            send(&mut entry, ms(100), Kind::Close);
+        }
+        let at = if closes { ms(200) } else { ms(3_600) };
+        let actions = send(&mut entry, at, Kind::Open);
+        assert_eq!(opened(&actions).len(), 1, "{actions:?}");
+        assert!(forwarded(&actions).is_empty(), "{actions:?}");
+    }
+}
+
+/// The caller's first copies crossed the notification of the holder.
+#[test]
+fn copy_of_an_opening_packet_follows_the_holder() {
+    let mut entry = entry_with(two_zones());
+    send(&mut entry, ms(1), Kind::Open);
+    report_holder(&mut entry, ms(2), 1);
+    assert_eq!(forwarded(&retransmit_open(&mut entry, ms(201))), [1]);
+}
