--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -179,7 +179,9 @@
     4012 Info FlowUndecided { flow: String, denied: usize, agents: usize, is_complete: bool }
         "the search for the holder of flow {flow} ended without a result: {denied} of {agents} agents deny holding it; all agents known: {is_complete}", "nothing";
     4013 Warn RequestFailed { flow: String }
-        "the backend server reset a request of flow {flow} or did not answer it in time", "check the backend server's log";
+        "the backend server reset a request of flow {flow}, closed the flow in place of an answer, or did not answer in time", "check the backend server's log";
+    4014 Info FlowWaits { flow: String, wait_us: u128, waiting: usize }
+        "flow {flow} waits for a slot: expected wait {wait_us} us; {waiting} flows waited before it", "nothing";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing if this was planned";
     5002 Info ServerMissing { }
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -108,6 +108,7 @@
     // Gateways and sidecars.
     counter("carried.flows.opened", "{flow}", "flows that a gateway sent to an agent"),
     counter("carried.flows.taken", "{flow}", "flows that a sidecar accepted for its backend server"),
+    counter("carried.flows.waited", "{flow}", "flows that a sidecar held back until its backend server had room"),
     counter("carried.flows.passed", "{flow}", "opening packets that a sidecar forwarded to another agent"),
     counter("carried.flows.reset", "{flow}", "flows refused or ended by a reset to the caller, by reason"),
     counter("carried.requests.failed", "{request}", "requests that a backend server reset or did not answer in time"),
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -164,8 +164,8 @@
         }
     }
 
-    /// Counts and logs a decision of the core.
-    fn report(&self, decision: &Action) {
+    /// Counts and logs a decision on a new flow.
+    fn report_admission(&self, decision: &Action) {
         let link = &self.link;
         match decision {
             Action::Admitted {
@@ -186,6 +186,14 @@
                     entry: *entry,
                 });
             }
+            Action::Waits { flow, bid, waiting } => {
+                link.count("carried.flows.waited", "");
+                self.link.log(&log::Event::FlowWaits {
+                    flow: flow_name(flow),
+                    wait_us: bid.wait.as_micros(),
+                    waiting: *waiting,
+                });
+            }
             Action::PassedOn {
                 flow,
                 bid,
@@ -204,6 +212,17 @@
                     settled: *is_settled,
                 });
             }
+            _ => {}
+        }
+    }
+
+    /// Counts and logs a decision of the core.
+    fn report(&self, decision: &Action) {
+        let link = &self.link;
+        match decision {
+            Action::Admitted { .. } | Action::Waits { .. } | Action::PassedOn { .. } => {
+                self.report_admission(decision);
+            }
             Action::Failed { flow } => {
                 link.count("carried.requests.failed", "");
                 let flow = flow_name(flow);
@@ -248,6 +267,8 @@
                 self.link.log(&log::Event::ServerEnded { flows });
             }
             Action::Dropped(DropReason::RefusedCopy) => self.link.drop_packet("refused_copy"),
+            Action::Dropped(DropReason::WaitingCopy) => self.link.drop_packet("waiting_copy"),
+            Action::Dropped(DropReason::NoSlotInTime) => self.link.drop_packet("no_slot_in_time"),
             Action::Dropped(DropReason::LateOpening) => self.link.drop_packet("late_opening"),
             Action::Dropped(DropReason::ForeignReset) => self.link.drop_packet("foreign_reset"),
             Action::Dropped(DropReason::SearchLimit) => self.link.drop_packet("searches"),
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -24,7 +24,9 @@
 use bytes::Bytes;
 use limit::Forecast;
 use limit::Occupancy;
+use limit::Reservation;
 use limit::Risk;
+use limit::Waiting;
 use wire::FlowId;
 use wire::Hop;
 use wire::Segment;
@@ -41,6 +43,7 @@
 pub use action::Closed;
 pub use action::DropReason;
 pub use action::Refusal;
+use admission::Arrival;
 use admission::Passed;
 pub use backend::Announcement;
 pub use backend::State;
@@ -130,9 +133,12 @@
     presence: Presence,
     is_stopping: bool,
     occupancy: Occupancy,
+    reservation: Reservation,
     held_load: Forecast,
     risk: Risk,
     flows: HashMap<FlowId, Flow>,
+    /// New flows that wait for a slot.
+    waiting: Waiting<Arrival>,
     passed_flows: ExpiringMap<Passed>,
     probes: ExpiringMap<Probe>,
     flows_not_held: ExpiringMap<()>,
@@ -159,6 +165,10 @@
 /// receives it has seen every flow that the server ever had.
 const FIRST_SEQUENCE: u64 = 1;
 
+/// Maximum number of flows that wait for a slot. Each takes the size of its opening
+/// frame, some 300 bytes.
+const MAX_WAITING: usize = 1024;
+
 /// Maximum number of probes for one unknown flow. Three packets at a backend
 /// server that does not hold the flow would break it.
 const MAX_PROBES: u8 = 2;
@@ -180,9 +190,11 @@
             presence: Presence::new(now),
             is_stopping: false,
             occupancy: Occupancy::new(settings.initial_slots, settings.initial_service_time),
+            reservation: Reservation::new(settings.reservation_timeout),
             held_load: Forecast::new(settings.held_load, now),
             risk: Risk::new(settings.risk, now),
             flows: HashMap::new(),
+            waiting: Waiting::new(MAX_WAITING),
             passed_flows: ExpiringMap::new(settings.linger),
             probes: ExpiringMap::new(settings.max_flow_age),
             flows_not_held: ExpiringMap::new(settings.max_flow_age),
@@ -225,6 +237,9 @@
             self.next_sweep_at = now + self.settings.sweep_interval;
             self.sweep(now, actions);
         }
+        if !self.waiting.is_empty() {
+            self.admit_waiting(now, actions);
+        }
     }
 
     /// Returns the reason for which no new flows are admitted, or `None` if
@@ -232,7 +247,9 @@
     #[must_use]
     pub fn closed_reason(&self, now: Duration) -> Option<Closed> {
         let settings = &self.settings;
-        let max_running = self.occupancy.slots() + settings.max_queued;
+        let patience = settings
+            .opening_timeout
+            .saturating_sub(settings.answer_delay);
         let reaction_deadline = self
             .unanswered_since
             .map(|since| since + settings.reaction_timeout);
@@ -245,11 +262,23 @@
             }
             _ if reaction_deadline.is_some_and(|deadline| now >= deadline) => Some(Closed::Mute),
             _ if self.flows.len() >= settings.max_flows => Some(Closed::Flows),
-            _ if self.occupancy.running() >= max_running => Some(Closed::Queue),
+            _ if !self.has_room() && self.load(now).wait() > patience => Some(Closed::Queue),
             _ => None,
         }
     }
 
+    /// Returns true if the backend server may be sent another request.
+    const fn has_room(&self) -> bool {
+        self.occupancy.running() < self.occupancy.slots() + self.settings.max_queued
+    }
+
+    /// Returns true if the backend server may be sent the request of a flow that has
+    /// waited: it takes a slot that would be idle otherwise, and does not delay the
+    /// requests of callers that can still be answered promptly.
+    const fn has_spare_slot(&self) -> bool {
+        self.occupancy.running() <= self.occupancy.slots()
+    }
+
     /// Returns true if the backend server is assumed to be ready without an
     /// announcement. It keeps serving after a crash of its agent, so a restarted
     /// agent admits flows at once. A server that only returns opening packets has
@@ -312,7 +341,9 @@
     /// Returns the load that is reported to entries.
     #[must_use]
     pub fn load(&self, now: Duration) -> transit::Load {
-        let own = self.occupancy.load();
+        let mut own = self.occupancy.load();
+        let waiting = u16::try_from(self.waiting.len()).unwrap_or(u16::MAX);
+        own.running = own.running.saturating_add(waiting);
         let held = self.held_load.bid(now, own.rate());
         let micros = |time: Duration| u32::try_from(time.as_micros()).unwrap_or(u32::MAX);
         transit::Load {
@@ -376,6 +407,7 @@
         }
         self.repeated_packets += u64::from(held.is_repeated(&segment));
         match held.record_caller_packet(now, &segment, &mut self.occupancy) {
+            Some(Progress::FirstRequest(took)) => self.reservation.record_request(took),
             Some(Progress::NextRequest) => self.held_load.record_request(now),
             Some(Progress::Failed) => self.risk.record_failure(now),
             Some(Progress::Answered(_)) | None => {}
@@ -386,10 +418,12 @@
     /// Expires requests, flows, probes and searches.
     fn sweep(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let settings = &self.settings;
+        let first_request_timeout = self.reservation.timeout();
         let occupancy = &mut self.occupancy;
         let risk = &mut self.risk;
         self.flows.retain(|id, flow| {
-            if flow.expire_request(now, settings.reservation_timeout, occupancy) {
+            let repeat_timeout = settings.reservation_timeout;
+            if flow.expire_request(now, first_request_timeout, repeat_timeout, occupancy) {
                 risk.record_failure(now);
                 actions.push(Action::Failed { flow: *id });
             }
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -66,6 +66,15 @@
         /// The flow.
         flow: FlowId,
     },
+    /// A new flow waits for a slot.
+    Waits {
+        /// The flow.
+        flow: FlowId,
+        /// Expected cost of its first request.
+        bid: Bid,
+        /// Number of flows that waited before it.
+        waiting: usize,
+    },
     /// The opening packet of a flow was forwarded to another agent.
     PassedOn {
         /// The flow.
@@ -139,7 +148,7 @@
     Mute,
     /// The maximum number of flows is held.
     Flows,
-    /// The queue of the backend server is full.
+    /// No slot is expected before callers give up.
     Queue,
 }
 
@@ -160,6 +169,10 @@
     /// No server can admit the flow, but the flow may already be open through
     /// an earlier copy of its opening packet.
     RefusedCopy,
+    /// A copy of an opening packet whose flow waits for a slot.
+    WaitingCopy,
+    /// A flow that waited for a slot got none before its caller gave up.
+    NoSlotInTime,
     /// An opening packet arrived after its caller had opened the flow or given it
     /// up, or was sent along with a search.
     LateOpening,
--- a/roles/forward/src/agent/admission.rs
+++ b/roles/forward/src/agent/admission.rs
@@ -1,9 +1,11 @@
 //! Admits new flows or forwards their opening packets to other agents.
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use wire::FlowId;
+use wire::Hop;
 use wire::Segment;
 use wire::TargetId;
 use wire::Transit;
@@ -32,6 +34,21 @@
     pub open: Open,
 }
 
+/// New flow that waits for a slot.
+#[derive(Debug)]
+pub(super) struct Arrival {
+    /// Header of its opening packet.
+    segment: Segment,
+    open: Open,
+}
+
+/// Times between the first opening packet of a flow and its copies.
+const COPY_DELAYS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(200),
+    Duration::from_millis(600),
+];
+
 impl Passed {
     fn new(segment: &Segment, open: &Open) -> Self {
         Self {
@@ -66,6 +83,9 @@
             Some(Opening::Other) => self.forget_flow(now, &flow),
             None => {}
         }
+        if self.is_waiting(&segment) {
+            return actions.push(Action::Dropped(DropReason::WaitingCopy));
+        }
         match self.passed_flows.get(now, &flow) {
             Some(passed) if !open.is_settled && passed.sequence == segment.sequence => {
                 let passed = passed.open.clone();
@@ -74,18 +94,36 @@
             }
             _ => {}
         }
-        let intended_target = open
-            .path
-            .get(usize::from(open.position))
-            .map(|hop| hop.target);
-        let bid = match intended_target {
+        let bid = match intended_target(&open) {
             Some(target) if target == self.own.target => self.bid(now),
             _ => Err(Closed::OtherServer),
         };
-        match bid::decide(open, bid.ok()) {
-            Verdict::Admit(open) => {
+        let bid = bid.and_then(|bid| match self.patience(&segment) {
+            patience if bid.wait > patience && !self.has_room() => Err(Closed::Queue),
+            _ => Ok(bid),
+        });
+        self.decide_open(now, segment, open, bid, actions);
+    }
+
+    /// Admits a new flow at a bid, or passes it on or refuses it.
+    fn decide_open(
+        &mut self,
+        now: Duration,
+        segment: Segment,
+        open: Open,
+        bid: Result<Bid, Closed>,
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = segment.flow_from_caller();
+        let intended_target = intended_target(&open).unwrap_or(self.own.target);
+        let others = self.other_agents(&flow);
+        match bid::decide(open, bid.ok(), others) {
+            Verdict::Admit(open) if self.has_room() => {
                 self.admit(now, &segment, open, bid.unwrap_or_default(), actions);
             }
+            Verdict::Admit(open) => {
+                self.hold_back(now, segment, open, bid.unwrap_or_default(), actions);
+            }
             Verdict::Pass(open) => {
                 self.passed_flows
                     .insert(now, flow, Passed::new(&segment, &open));
@@ -95,8 +133,7 @@
                     to: open.path[usize::from(open.position)].target,
                     is_settled: open.is_settled,
                 });
-                let target = intended_target.unwrap_or(self.own.target);
-                self.report_busy(now, open.entry, target, actions);
+                self.report_busy(now, open.entry, intended_target, actions);
                 pass_on(open, actions);
             }
             // The flow may have been opened elsewhere through an earlier copy
@@ -133,6 +170,9 @@
         segment: &Segment,
         actions: &mut Vec<Action>,
     ) {
+        if self.is_waiting(segment) {
+            return actions.push(Action::Dropped(DropReason::WaitingCopy));
+        }
         let flow = segment.flow_from_caller();
         let timeout = self.settings.opening_timeout;
         let is_own = forward.target == self.own.target;
@@ -177,6 +217,7 @@
                 wait: load.wait(),
                 held: load.held(),
                 risk: load.risk(),
+                has_room: self.has_room(),
             }),
         }
     }
@@ -209,6 +250,84 @@
         self.announce_holder(now, flow, entry, actions);
     }
 
+    /// Holds a new flow back until the backend server has room, and names this
+    /// agent to the entry, so that copies of the opening packet come here too.
+    fn hold_back(
+        &mut self,
+        now: Duration,
+        segment: Segment,
+        open: Open,
+        bid: Bid,
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = segment.flow_from_caller();
+        let (until, entry) = (now + self.patience(&segment), open.entry);
+        let arrival = Arrival { segment, open };
+        actions.push(Action::Waits {
+            flow,
+            bid,
+            waiting: self.waiting.len(),
+        });
+        if self.waiting.push(until, arrival).is_some() {
+            actions.push(Action::Dropped(DropReason::NoSlotInTime));
+        }
+        self.announce_holder(now, flow, entry, actions);
+    }
+
+    /// Returns the other agents of the service, in an order that differs between
+    /// flows.
+    fn other_agents(&self, flow: &FlowId) -> impl Iterator<Item = Hop> + use<> {
+        let hops = Arc::clone(&self.peers.hops);
+        let count = hops.len();
+        let first = usize::from(flow.caller.port());
+        (0..count).map(move |index| hops[(first + index) % count])
+    }
+
+    /// Returns how long the caller of an opening packet still waits for its answer.
+    fn patience(&self, segment: &Segment) -> Duration {
+        let copy = usize::try_from(segment.acknowledged).unwrap_or(usize::MAX);
+        let waited = COPY_DELAYS[copy.min(COPY_DELAYS.len() - 1)];
+        let settings = &self.settings;
+        settings
+            .opening_timeout
+            .saturating_sub(waited + settings.answer_delay)
+    }
+
+    /// Returns true if the flow of an opening packet waits for a slot.
+    fn is_waiting(&self, segment: &Segment) -> bool {
+        let flow = segment.flow_from_caller();
+        let arrival = self.waiting.find(|arrival| {
+            arrival.segment.flow_from_caller() == flow
+                && arrival.segment.sequence == segment.sequence
+        });
+        arrival.is_some()
+    }
+
+    /// Admits waiting flows while the backend server has room, passes all on if it
+    /// no longer accepts any, and drops those whose callers have given up.
+    pub(super) fn admit_waiting(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for _ in self.waiting.expire(now) {
+            actions.push(Action::Dropped(DropReason::NoSlotInTime));
+        }
+        loop {
+            let closed = match self.closed_reason(now) {
+                None | Some(Closed::Queue) if !self.has_spare_slot() => return,
+                None | Some(Closed::Queue) => None,
+                Some(closed) => Some(closed),
+            };
+            let Some(Arrival { segment, open }) = self.waiting.pop() else {
+                return;
+            };
+            match closed {
+                None => {
+                    let bid = self.bid(now).unwrap_or_default();
+                    self.admit(now, &segment, open, bid, actions);
+                }
+                Some(closed) => self.decide_open(now, segment, open, Err(closed), actions),
+            }
+        }
+    }
+
     /// Notifies an entry that this agent holds a flow.
     pub(super) fn announce_holder(
         &self,
@@ -265,7 +384,8 @@
             .as_ref()
             .is_some_and(|flow| now >= flow.last_used + self.settings.prompt_rejection);
         let open = held.and_then(|flow| flow.open);
-        match open.map(|open| bid::decide(Open { packet, ..open }, None)) {
+        let others = self.other_agents(&flow);
+        match open.map(|open| bid::decide(Open { packet, ..open }, None, others)) {
             Some(Verdict::Pass(open)) => {
                 self.passed_flows
                     .insert(now, flow, Passed::new(&segment, &open));
@@ -285,6 +405,12 @@
     }
 }
 
+/// Returns the backend server that an opening frame was sent to.
+fn intended_target(open: &Open) -> Option<TargetId> {
+    let hop = open.path.get(usize::from(open.position));
+    hop.map(|hop| hop.target)
+}
+
 fn pass_on(open: Open, actions: &mut Vec<Action>) {
     actions.push(Action::Send {
         to: open.path[usize::from(open.position)].address,
--- a/roles/forward/src/agent/bid.rs
+++ b/roles/forward/src/agent/bid.rs
@@ -1,9 +1,11 @@
 //! Decides which agent admits a new flow.
 //!
 //! Spreads many short flows over few slots: the first agent with a free slot
-//! admits a flow; if all are busy, the agent with the lowest bid does.
+//! admits a flow; if all are busy, the agent with the lowest bid does. Where none
+//! of them has room, further agents are asked before the flow waits at one.
 use std::time::Duration;
 
+use wire::Hop;
 use wire::transit::Open;
 
 /// Bid in milliseconds of an agent that admits no flows.
@@ -17,6 +19,13 @@
 /// others; corresponds to one failure in fifty requests.
 const LOW_RISK: Duration = Duration::from_millis(20);
 
+/// Added to the bid in milliseconds of an agent where the flow would wait for
+/// room, which makes it higher than any bid of an agent with room.
+const NO_ROOM: u32 = 1 << 24;
+
+/// Maximum number of agents that an opening packet visits.
+pub const MAX_PATH: usize = 6;
+
 /// Decision on an opening packet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -37,23 +46,30 @@
     pub held: Duration,
     /// Expected cost of failures, expressed as a wait.
     pub risk: Duration,
+    /// Whether the backend server may be sent the request at once.
+    pub has_room: bool,
 }
 
 impl Bid {
-    /// Returns the total of the bid in milliseconds.
+    /// Returns the total of the bid in milliseconds, above [`NO_ROOM`] if the flow
+    /// would wait.
     fn millis(self) -> u32 {
         let sum = self.wait + self.held + self.risk;
-        u32::try_from(sum.as_millis()).unwrap_or(NO_BID - 1)
+        let millis = u32::try_from(sum.as_millis()).unwrap_or(u32::MAX);
+        let base = if self.has_room { 0 } else { NO_ROOM };
+        base + millis.min(NO_ROOM - 1)
     }
 }
 
 /// Decides on an opening packet, given the bid of this agent or `None` if it
-/// admits no flows.
+/// admits no flows. `others` are further agents of the service, best first.
 #[must_use]
-pub fn decide(mut open: Open, bid: Option<Bid>) -> Verdict {
+pub fn decide(mut open: Open, bid: Option<Bid>, others: impl Iterator<Item = Hop>) -> Verdict {
     let bid_ms = bid.map_or(NO_BID, Bid::millis);
     match bid {
-        Some(bid) if bid.wait <= LOW_WAIT && bid.risk <= LOW_RISK => return Verdict::Admit(open),
+        Some(bid) if bid.has_room && bid.wait <= LOW_WAIT && bid.risk <= LOW_RISK => {
+            return Verdict::Admit(open);
+        }
         Some(bid) if open.is_settled && bid.wait <= max_wait(&open) => return Verdict::Admit(open),
         // The chosen agent can no longer admit the flow: the next best bid is
         // tried.
@@ -64,6 +80,14 @@
         }
         _ => open.bids.push(bid_ms),
     }
+    if !open.is_settled
+        && open.bids.len() == open.path.len()
+        && open.bids.iter().copied().all(is_without_room)
+    {
+        let unasked: Vec<Hop> = others.filter(|hop| !open.path.contains(hop)).collect();
+        let room = MAX_PATH.saturating_sub(open.path.len());
+        open.path.extend(unasked.into_iter().take(room));
+    }
     if open.bids.len() < open.path.len() {
         open.position = u8::try_from(open.bids.len()).unwrap_or(u8::MAX);
         return Verdict::Pass(open);
@@ -76,7 +100,7 @@
     let bids = open.bids.iter().enumerate();
     let lowest = bids.min_by_key(|(_, bid)| **bid);
     match lowest {
-        Some((index, bid)) if *bid <= open.max_wait_ms => {
+        Some((index, bid)) if *bid != NO_BID && *bid % NO_ROOM <= open.max_wait_ms => {
             let is_here = !open.is_settled && index + 1 == open.path.len();
             open.position = u8::try_from(index).unwrap_or(u8::MAX);
             open.is_settled = true;
@@ -90,6 +114,11 @@
     }
 }
 
+/// Returns true if an agent with this bid cannot admit a flow at once.
+const fn is_without_room(bid: u32) -> bool {
+    bid >= NO_ROOM
+}
+
 const fn max_wait(open: &Open) -> Duration {
     Duration::from_millis(open.max_wait_ms as u64)
 }
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -121,7 +121,7 @@
                 self.risk.record_failure(now);
                 actions.push(Action::Failed { flow });
             }
-            Some(Progress::NextRequest) | None => {}
+            Some(Progress::FirstRequest(_) | Progress::NextRequest) | None => {}
         }
         actions.push(Action::ToCaller {
             caller: flow.caller,
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -15,7 +15,7 @@
     pub risk: risk::Settings,
     /// Maximum number of requests, beyond its slots, that the backend server is
     /// sent concurrently. The server rejects requests that exceed its own short
-    /// queue.
+    /// queue. Further flows wait at the agent.
     pub max_queued: u16,
     /// Maximum number of flows that the backend server holds.
     pub max_flows: usize,
@@ -41,7 +41,12 @@
     /// Time after the first opening packet of a flow for which its caller waits for
     /// the flow to open. Later copies are not delivered.
     pub opening_timeout: Duration,
-    /// Time for which a slot stays reserved for the first request of a flow.
+    /// Time that the answer to an opening packet takes to reach its caller, at
+    /// most. A flow waits for a slot for so much less than its caller does.
+    pub answer_delay: Duration,
+    /// Longest time for which a slot stays reserved for the first request of a flow,
+    /// and the time for which it stays reserved for content that may only repeat a
+    /// request.
     pub reservation_timeout: Duration,
     /// Time without a reaction to a probe after which another packet of the
     /// flow is sent as a probe.
@@ -73,6 +78,7 @@
             reaction_timeout: Duration::from_millis(150),
             prompt_rejection: Duration::from_millis(100),
             opening_timeout: Duration::from_millis(1_400),
+            answer_delay: Duration::from_millis(100),
             reservation_timeout: Duration::from_millis(500),
             probe_interval: Duration::from_secs(1),
             search_timeout: Duration::from_millis(500),
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -6,6 +6,8 @@
 //! * [`Occupancy`] estimates the wait at a backend server whose queue is not
 //!   visible, from requests and answers on the network.
 //! * [`Load`] estimates the load of held flows from their request rate.
+//! * [`Reservation`] decides for how long a slot is kept for a new flow.
+//! * [`Waiting`] holds new work back while there is no room for it.
 //! * [`Risk`] estimates how likely a backend server is to fail a request.
 //! * [`Budget`] limits retries to a share of first attempts.
 //! * [`Backoff`] spaces retries.
@@ -21,8 +23,10 @@
 pub mod occupancy;
 pub mod pause;
 pub mod queue;
+pub mod reservation;
 pub mod risk;
 pub mod share;
+pub mod waiting;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
@@ -38,4 +42,6 @@
 pub use job::Verdict;
 pub use load::Load;
 pub use occupancy::Occupancy;
+pub use reservation::Reservation;
 pub use risk::Risk;
+pub use waiting::Waiting;
