Sidecars: a server's age is limited by its clock as well as by its announcement number

Change: the age is at most the time since the server's start by its own clock, where this host's clock has passed that moment.

Ruled out: agents that do not know all others; lost probes (the own denial was there in each).

--- a/roles/app/src/clock.rs
+++ b/roles/app/src/clock.rs
@@ -1,4 +1,5 @@
 //! Wall-clock time of the operating system.
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -13,3 +14,12 @@
         .unwrap_or_default();
     Incarnation::try_from(age.as_micros()).unwrap_or(Incarnation::MAX)
 }
+
+/// Returns the time since a moment in milliseconds since the Unix epoch, or `None`
+/// if this host's clock has not reached it or there is none (0).
+#[must_use]
+pub fn elapsed_since(unix_millis: u64) -> Option<Duration> {
+    let moment = UNIX_EPOCH.checked_add(Duration::from_millis(unix_millis))?;
+    let elapsed = SystemTime::now().duration_since(moment).ok();
+    elapsed.filter(|_| unix_millis > 0)
+}
--- a/roles/app/src/sidecar/announcements.rs
+++ b/roles/app/src/sidecar/announcements.rs
@@ -6,12 +6,14 @@
 use ::http::HeaderMap;
 use ::http::StatusCode;
 use async_channel::Sender;
+use forward::agent::Announcement;
 use net::http;
 use net::http::Answer;
 use platform::announcement;
 use platform::announcement::Call;
 use smol::Executor;
 
+use crate::clock;
 use crate::event::Event;
 use crate::sidecar::control::Input;
 use crate::sidecar::control::Notice;
@@ -62,7 +64,10 @@
         Call::Announce {
             address,
             announcement,
-        } if address == own => Some(Notice::State(announcement)),
+        } if address == own => Some(Notice::State(Announcement {
+            age: clock::elapsed_since(announcement.start),
+            ..announcement
+        })),
         Call::Announce { .. } => None,
         Call::Deregister { name } => Some(Notice::End { name }),
     }
--- a/roles/forward/examples/cost.rs
+++ b/roles/forward/examples/cost.rs
@@ -101,6 +101,7 @@
         sequence: 1,
         slots: 2,
         state: State::Ready,
+        age: None,
         warm_up: Duration::ZERO,
     };
     agent.handle(
--- a/roles/forward/src/agent/backend.rs
+++ b/roles/forward/src/agent/backend.rs
@@ -19,6 +19,9 @@
     pub target: TargetId,
     /// Start time by its own clock.
     pub start: Start,
+    /// Time since its start by its own clock and the clock of this host; `None` if
+    /// the clocks differ too much to tell.
+    pub age: Option<Duration>,
     /// Sequence number, incremented with each announcement since the start.
     pub sequence: u64,
     /// Number of requests that it runs concurrently.
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -162,13 +162,17 @@
             self.may_hold_prior_flows &= is_first && announcement.sequence > FIRST_SEQUENCE;
             self.first_announced = now;
             // The first announcement is sent at the start, so each later one
-            // adds at most one heartbeat interval to the age.
+            // adds at most one heartbeat interval to the age. A server whose calls
+            // fail repeats them sooner, which its clock shows.
             let later_announcements = announcement.sequence.saturating_sub(FIRST_SEQUENCE);
             let later_announcements = u32::try_from(later_announcements).unwrap_or(u32::MAX);
-            self.max_age_when_first_announced = self
+            let by_sequence = self
                 .settings
                 .max_announcement_interval
                 .saturating_mul(later_announcements);
+            self.max_age_when_first_announced = announcement
+                .age
+                .map_or(by_sequence, |age| age.min(by_sequence));
         }
         self.last_announced = now;
         self.unanswered_since = None;
--- a/roles/forward/tests/search.rs
+++ b/roles/forward/tests/search.rs
@@ -8,6 +8,7 @@
 use fixtures::*;
 use forward::Agent;
 use forward::agent::Action;
+use forward::agent::Announcement;
 use forward::agent::Event;
 use forward::agent::Peers;
 use forward::agent::Settings;
@@ -241,3 +242,41 @@
     assert!(delivers(&actions));
     assert_eq!(asked_agents(&actions), []);
 }
+
+/// A server whose first calls fail repeats them at once, so that it makes its third
+/// announcement within a second of its start. Its denials did not count, and callers
+/// of flows that had ended waited for their deadlines.
+#[test]
+fn denial_of_a_young_server_counts_whatever_its_announcement_number() {
+    for (age, counts) in [
+        (Some(ms(500)), true),
+        (None, false),
+        (Some(ms(60_000)), false),
+    ] {
+        let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
+        let event = Event::Announcement(Announcement {
+            age,
+            ..announcement(OWN, 1, 4, State::Ready)
+        });
+        handle(&mut agent, ms(100), event);
+        let terms = Terms {
+            may_probe: true,
+            max_age_ms: 1_500,
+        };
+        look_up_with_terms(&mut agent, ms(200), 9, terms);
+        let event = Event::ServerPacket {
+            segment: returned_segment(9, Kind::Data),
+            packet: packet(),
+        };
+        let actions = handle(&mut agent, ms(201), event);
+        let age_ms = actions.iter().find_map(|action| match action {
+            Action::Send {
+                transit: Transit::NotHeld(denial),
+                ..
+            } => denial.age_ms,
+            _ => None,
+        });
+        let is_young = age_ms.is_some_and(|age| age <= terms.max_age_ms);
+        assert_eq!(is_young, counts, "{age:?}: {age_ms:?}");
+    }
+}
