Sidecars: answers far faster and shorter than usual count as failures

Change: limit::Plausibility keeps the usual time and length of a server's answers (mean of logarithms, 64 answers). An answer in less than an eighth of the usual time whose first packet has less than half of the usual length counts as a failure (limit::Risk), is counted and logged (4015). Contents are not read. Implausible answers move what is usual by a sixteenth of their weight, so that a lasting change is accepted; a new server starts anew.

Not covered: a server that fails from its start, one whose errors are long or slow.

--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -182,6 +182,8 @@
         "the backend server reset a request of flow {flow}, closed the flow in place of an answer, or did not answer in time", "check the backend server's log";
     4014 Info FlowWaits { flow: String, wait_us: u128, waiting: usize }
         "flow {flow} waits for a slot: expected wait {wait_us} us; {waiting} flows waited before it", "nothing";
+    4015 Warn AnswerImplausible { flow: String }
+        "the answer to a request of flow {flow} came far sooner and is far shorter than usual; it counts as a failure", "check the backend server's log for errors";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing if this was planned";
     5002 Info ServerMissing { }
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -112,6 +112,7 @@
     counter("carried.flows.passed", "{flow}", "opening packets that a sidecar forwarded to another agent"),
     counter("carried.flows.reset", "{flow}", "flows refused or ended by a reset to the caller, by reason"),
     counter("carried.requests.failed", "{request}", "requests that a backend server reset or did not answer in time"),
+    counter("carried.requests.implausible", "{request}", "answers that came far sooner and were far shorter than usual, counted as failures"),
     counter("carried.searches", "{flow}", "searches for the holder of a flow"),
     counter("carried.searches.ended", "{flow}", "searches that ended, by outcome"),
     counter("carried.tries", "{packet}", "packets of unknown flows delivered to the backend server as probes"),
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -223,6 +223,11 @@
             Action::Admitted { .. } | Action::Waits { .. } | Action::PassedOn { .. } => {
                 self.report_admission(decision);
             }
+            Action::Implausible { flow } => {
+                link.count("carried.requests.implausible", "");
+                let flow = flow_name(flow);
+                self.link.log(&log::Event::AnswerImplausible { flow });
+            }
             Action::Failed { flow } => {
                 link.count("carried.requests.failed", "");
                 let flow = flow_name(flow);
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -24,6 +24,7 @@
 use bytes::Bytes;
 use limit::Forecast;
 use limit::Occupancy;
+use limit::Plausibility;
 use limit::Reservation;
 use limit::Risk;
 use limit::Waiting;
@@ -136,6 +137,7 @@
     reservation: Reservation,
     held_load: Forecast,
     risk: Risk,
+    plausibility: Plausibility,
     flows: HashMap<FlowId, Flow>,
     /// New flows that wait for a slot.
     waiting: Waiting<Arrival>,
@@ -193,6 +195,7 @@
             reservation: Reservation::new(settings.reservation_timeout),
             held_load: Forecast::new(settings.held_load, now),
             risk: Risk::new(settings.risk, now),
+            plausibility: Plausibility::default(),
             flows: HashMap::new(),
             waiting: Waiting::new(MAX_WAITING),
             passed_flows: ExpiringMap::new(settings.linger),
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -60,6 +60,12 @@
         /// Time from the request to the first content of the answer.
         took: Duration,
     },
+    /// The answer to a request came far sooner and is far shorter than usual, and
+    /// counts as a failure of the backend server.
+    Implausible {
+        /// The flow.
+        flow: FlowId,
+    },
     /// A request failed: the backend server reset it or did not answer it
     /// before its timeout.
     Failed {
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use limit::Plausibility;
 use limit::Risk;
 use wire::FlowId;
 use wire::Segment;
@@ -114,7 +115,14 @@
             .or_insert_with(|| Flow::discovered(now));
         match held.record_server_packet(now, &segment, &mut self.occupancy) {
             Some(Progress::Answered(took)) => {
-                self.risk.record_answer(now);
+                // A close that overtook its answer shows nothing of it.
+                let is_unseen = segment.length == 0;
+                if is_unseen || self.plausibility.record_answer(took, segment.length) {
+                    self.risk.record_answer(now);
+                } else {
+                    self.risk.record_failure(now);
+                    actions.push(Action::Implausible { flow });
+                }
                 actions.push(Action::Answered { took });
             }
             Some(Progress::Failed) => {
@@ -156,6 +164,7 @@
             if !is_first {
                 self.end_server(now, actions);
                 self.risk = Risk::new(self.settings.risk, now);
+                self.plausibility = Plausibility::default();
             }
             // If this process saw the start of the backend server, it knows all
             // its flows.
--- a/roles/forward/tests/failing_server.rs
+++ b/roles/forward/tests/failing_server.rs
@@ -17,11 +17,21 @@
     settings
 }
 
+/// Returns the time from which the server fails. Errors are told from the answers
+/// that it gave before.
+const fn failing_from(failure: Failure) -> Duration {
+    match failure {
+        Failure::Error => Duration::from_secs(2),
+        Failure::Reset | Failure::Hang | Failure::Intermittent => Duration::ZERO,
+    }
+}
+
 /// Checks that the failure estimate increases the share of answered requests,
 /// and that the share reaches `min_share`.
 fn check_answered_share(failure: Failure, min_share: f64) {
     let scenario = Scenario {
         failure: Some(failure),
+        failing_from: failing_from(failure),
         burst: 0,
         attempts: 1,
         caller_timeout: Duration::from_secs(1),
@@ -59,3 +69,9 @@
 fn few_requests_fail_at_a_server_that_answers_two_of_three() {
     check_answered_share(Failure::Intermittent, 0.97);
 }
+
+/// The slots of such a server are always free, so that it attracted most requests.
+#[test]
+fn few_requests_fail_at_a_server_that_answers_with_errors() {
+    check_answered_share(Failure::Error, 0.97);
+}
--- a/roles/forward/tests/waiting.rs
+++ b/roles/forward/tests/waiting.rs
@@ -68,6 +68,7 @@
 fn callers_that_arrive_together_are_served() {
     let scenario = Scenario {
         failure: None,
+        failing_from: Duration::ZERO,
         burst: 150,
         attempts: 3,
         caller_timeout: Duration::from_secs(4),
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`Reservation`] decides for how long a slot is kept for a new flow.
 //! * [`Waiting`] holds new work back while there is no room for it.
 //! * [`Risk`] estimates how likely a backend server is to fail a request.
+//! * [`Plausibility`] tells answers that come too fast and are too short.
 //! * [`Budget`] limits retries to a share of first attempts.
 //! * [`Backoff`] spaces retries.
 //!
@@ -22,6 +23,7 @@
 pub mod load;
 pub mod occupancy;
 pub mod pause;
+pub mod plausibility;
 pub mod queue;
 pub mod reservation;
 pub mod risk;
@@ -42,6 +44,7 @@
 pub use job::Verdict;
 pub use load::Load;
 pub use occupancy::Occupancy;
+pub use plausibility::Plausibility;
 pub use reservation::Reservation;
 pub use risk::Risk;
 pub use waiting::Waiting;
