--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -16,6 +16,7 @@
 mod search;
 mod server;
 mod settings;
+mod waiting;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -44,7 +45,6 @@
 pub use action::Closed;
 pub use action::DropReason;
 pub use action::Refusal;
-use admission::Arrival;
 use admission::Passed;
 pub use backend::Announcement;
 pub use backend::State;
@@ -58,6 +58,7 @@
 pub use search::Peers;
 use search::Pending;
 pub use settings::Settings;
+use waiting::Arrival;
 
 /// Input of an agent.
 #[derive(Clone, Debug)]
