Sidecars: agents of the present service get no flow of the one before

Where the address of a backend server had been used again by one of another service, an opening packet for the earlier server was refused here and sent on to the agents of the present service, which accepted it (ROUTE). A flow that waited while the server was replaced would have been admitted by the new one.

Change: further agents are asked only for flows of the present server; the known agents are forgotten when the server changes, until those of its service are known; a waiting flow is admitted only by the server that it was sent to. Tests (forward waiting): three failed before.

Soak: callers use 600 ports in place of 40,000, skip those in use, and so use a port again within seconds.

--- a/roles/forward/src/agent/admission.rs
+++ b/roles/forward/src/agent/admission.rs
@@ -101,7 +101,9 @@
     ) {
         let flow = segment.flow_from_caller();
         let intended_target = intended_target(&open).unwrap_or(self.own.target);
-        let others = self.other_agents(&flow);
+        // The agents known here serve the service of the present server only.
+        let is_own = intended_target == self.own.target;
+        let others = self.other_agents(&flow).filter(|_| is_own);
         match bid::decide(open, bid.ok(), others) {
             Verdict::Admit(open) if self.has_room() => {
                 self.admit(now, &segment, open, bid.unwrap_or_default(), actions);
@@ -322,7 +324,7 @@
 }
 
 /// Returns the backend server that an opening frame was sent to.
-fn intended_target(open: &Open) -> Option<TargetId> {
+pub(super) fn intended_target(open: &Open) -> Option<TargetId> {
     let hop = open.path.get(usize::from(open.position));
     hop.map(|hop| hop.target)
 }
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -15,6 +15,7 @@
 use super::Announcement;
 use super::DropReason;
 use super::FIRST_SEQUENCE;
+use super::Peers;
 use super::State;
 use super::backend::Start;
 use super::flow::Flow;
@@ -185,6 +186,10 @@
         }
         self.last_announced = now;
         self.unanswered_since = None;
+        if self.own.target != announcement.target {
+            // The server before it may have been of another service.
+            self.peers = Peers::default();
+        }
         self.own.target = announcement.target;
         self.occupancy.set_slots(announcement.slots);
         self.announcement = Some(announcement);
--- a/roles/forward/src/agent/waiting.rs
+++ b/roles/forward/src/agent/waiting.rs
@@ -9,6 +9,7 @@
 use super::Bid;
 use super::Closed;
 use super::DropReason;
+use super::admission::intended_target;
 
 /// New flow that waits for a slot.
 #[derive(Debug)]
@@ -85,7 +86,8 @@
             let Some(Arrival { segment, open }) = self.waiting.pop() else {
                 return;
             };
-            match closed {
+            let is_own = intended_target(&open) == Some(self.own.target);
+            match closed.or((!is_own).then_some(Closed::OtherServer)) {
                 None => {
                     let bid = self.bid(now).unwrap_or_default();
                     self.admit(now, &segment, open, bid, actions);
--- a/roles/forward/tests/waiting.rs
+++ b/roles/forward/tests/waiting.rs
@@ -1,6 +1,7 @@
 //! Tests the flows that an agent holds back until its backend server has room.
 mod fixtures;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fixtures::agent::*;
@@ -10,8 +11,10 @@
 use forward::Agent;
 use forward::agent::Action;
 use forward::agent::Event;
+use forward::agent::Peers;
 use forward::agent::Settings;
 use forward::agent::State;
+use wire::TargetId;
 use wire::Transit;
 use wire::segment::Kind;
 use wire::transit::Open;
@@ -163,3 +166,57 @@
     // In 1.3 s, two slots serve 130 requests of 20 ms, and one begins at the end.
     assert_eq!(refused, Some(2_000 + 130 + 2 - 8));
 }
+
+/// Returns an agent that knows the agent of backend server 5 as a peer.
+fn agent_with_peer() -> Agent {
+    let mut agent = ready_agent(false);
+    let peers = Peers {
+        hops: Arc::new(vec![hop(5)]),
+        has_down_agent: false,
+    };
+    handle(&mut agent, ms(0), Event::Peers(peers));
+    agent
+}
+
+#[test]
+fn further_agent_is_asked_if_none_on_the_path_admits_a_flow() {
+    let mut agent = agent_with_peer();
+    announce(&mut agent, OWN, State::Draining);
+    let actions = send_open(&mut agent, ms(2), 9, open_frame(&[OWN]));
+    assert_eq!(passed_on(&actions).unwrap().path[1], hop(5));
+}
+
+/// An entry still addresses the backend server that used this address before, for
+/// another service. The agents that this one knows serve the present service only.
+#[test]
+fn flow_of_an_earlier_server_is_not_sent_to_the_peers_of_the_present_one() {
+    let mut agent = agent_with_peer();
+    let actions = send_open(&mut agent, ms(2), 9, open_frame(&[7]));
+    assert!(passed_on(&actions).is_none(), "{actions:?}");
+}
+
+/// The address of a backend server is used again by a server of another service,
+/// whose agents are not known yet.
+#[test]
+fn flow_of_a_new_service_is_not_sent_to_the_peers_of_the_one_before() {
+    let mut agent = agent_with_peer();
+    announce(&mut agent, 7, State::Draining);
+    let actions = send_open(&mut agent, ms(2), 9, open_frame(&[7]));
+    assert!(passed_on(&actions).is_none(), "{actions:?}");
+}
+
+fn announce(agent: &mut Agent, target: TargetId, state: State) {
+    let event = Event::Announcement(announcement(target, 2, 1, state));
+    handle(agent, ms(1), event);
+}
+
+/// The address is used again by a server of another service while a flow waits.
+#[test]
+fn waiting_flow_is_not_admitted_by_a_server_of_another_service() {
+    let (mut agent, _) = full_agent();
+    send_open(&mut agent, ms(2), 9, open_frame(&[OWN]));
+    let event = Event::Announcement(announcement(7, 2, 1, State::Ready));
+    let mut actions = handle(&mut agent, ms(30), event);
+    actions.extend(handle(&mut agent, ms(31), Event::Tick));
+    assert!(!delivers(&actions), "{actions:?}");
+}
--- a/tools/soak/src/caller.rs
+++ b/tools/soak/src/caller.rs
@@ -40,8 +40,9 @@
 /// First port of callers.
 const FIRST_PORT: u16 = 20_000;
 
-/// Number of ports of callers; after so many flows ports are used again.
-const PORT_COUNT: u32 = 40_000;
+/// Number of ports of callers; after so many flows ports are used again, within
+/// seconds under load, while processes still have the earlier flows from there.
+const PORT_COUNT: u32 = 600;
 
 /// State of all callers.
 #[derive(Debug, Default)]
@@ -246,13 +247,24 @@
         }
     }
 
+    /// Returns a flow from the next port that the caller does not use, or `None` if
+    /// it uses all.
+    fn next_flow(&mut self, caller: usize, route: usize) -> Option<FlowId> {
+        (0..PORT_COUNT).find_map(|_| {
+            let port = FIRST_PORT + u16::try_from(self.callers.ports_used % PORT_COUNT).ok()?;
+            self.callers.ports_used += 1;
+            let id = FlowId {
+                caller: SocketAddrV4::new(self.network.caller(caller), port),
+                service: address::service(route),
+            };
+            (!self.callers.flows.contains_key(&id)).then_some(id)
+        })
+    }
+
     fn open(&mut self, now: Duration, service: usize, route: usize, task: Option<Task>) {
         let caller = self.random.usize(..self.sockets.callers.len());
-        let port = FIRST_PORT + u16::try_from(self.callers.ports_used % PORT_COUNT).unwrap_or(0);
-        self.callers.ports_used += 1;
-        let id = FlowId {
-            caller: SocketAddrV4::new(self.network.caller(caller), port),
-            service: address::service(route),
+        let Some(id) = self.next_flow(caller, route) else {
+            return;
         };
         let flow = Flow {
             service,
