--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -26,7 +26,6 @@
 use limit::Forecast;
 use limit::Occupancy;
 use limit::Plausibility;
-use limit::Reservation;
 use limit::Risk;
 use limit::Waiting;
 use wire::FlowId;
@@ -135,7 +134,6 @@
     presence: Presence,
     is_stopping: bool,
     occupancy: Occupancy,
-    reservation: Reservation,
     held_load: Forecast,
     risk: Risk,
     plausibility: Plausibility,
@@ -193,7 +191,6 @@
             presence: Presence::new(now),
             is_stopping: false,
             occupancy: Occupancy::new(settings.initial_slots, settings.initial_service_time),
-            reservation: Reservation::new(settings.reservation_timeout),
             held_load: Forecast::new(settings.held_load, now),
             risk: Risk::new(settings.risk, now),
             plausibility: Plausibility::default(),
@@ -411,7 +408,6 @@
         }
         self.repeated_packets += u64::from(held.is_repeated(&segment));
         match held.record_caller_packet(now, &segment, &mut self.occupancy) {
-            Some(Progress::FirstRequest(took)) => self.reservation.record_request(took),
             Some(Progress::NextRequest) => self.held_load.record_request(now),
             Some(Progress::Failed) => self.risk.record_failure(now),
             Some(Progress::Answered(_)) | None => {}
@@ -422,12 +418,10 @@
     /// Expires requests, flows, probes and searches.
     fn sweep(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let settings = &self.settings;
-        let first_request_timeout = self.reservation.timeout();
         let occupancy = &mut self.occupancy;
         let risk = &mut self.risk;
         self.flows.retain(|id, flow| {
-            let repeat_timeout = settings.reservation_timeout;
-            if flow.expire_request(now, first_request_timeout, repeat_timeout, occupancy) {
+            if flow.expire_request(now, settings.reservation_timeout, occupancy) {
                 risk.record_failure(now);
                 actions.push(Action::Failed { flow: *id });
             }
--- a/roles/forward/src/agent/admission.rs
+++ b/roles/forward/src/agent/admission.rs
@@ -1,11 +1,9 @@
 //! Admits new flows or forwards their opening packets to other agents.
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use wire::FlowId;
-use wire::Hop;
 use wire::Segment;
 use wire::TargetId;
 use wire::Transit;
@@ -101,10 +99,7 @@
     ) {
         let flow = segment.flow_from_caller();
         let intended_target = intended_target(&open).unwrap_or(self.own.target);
-        // The agents known here serve the service of the present server only.
-        let is_own = intended_target == self.own.target;
-        let others = self.other_agents(&flow).filter(|_| is_own);
-        match bid::decide(open, bid.ok(), others) {
+        match bid::decide(open, bid.ok()) {
             Verdict::Admit(open) if self.has_room() => {
                 self.admit(now, &segment, open, bid.unwrap_or_default(), actions);
             }
@@ -237,15 +232,6 @@
         self.announce_holder(now, flow, entry, actions);
     }
 
-    /// Returns the other agents of the service, in an order that differs between
-    /// flows.
-    fn other_agents(&self, flow: &FlowId) -> impl Iterator<Item = Hop> + use<> {
-        let hops = Arc::clone(&self.peers.hops);
-        let count = hops.len();
-        let first = usize::from(flow.caller.port());
-        (0..count).map(move |index| hops[(first + index) % count])
-    }
-
     /// Notifies an entry that this agent holds a flow.
     pub(super) fn announce_holder(
         &self,
@@ -302,8 +288,7 @@
             .as_ref()
             .is_some_and(|flow| now >= flow.last_used + self.settings.prompt_rejection);
         let open = held.and_then(|flow| flow.open);
-        let others = self.other_agents(&flow);
-        match open.map(|open| bid::decide(Open { packet, ..open }, None, others)) {
+        match open.map(|open| bid::decide(Open { packet, ..open }, None)) {
             Some(Verdict::Pass(open)) => {
                 self.passed_flows
                     .insert(now, flow, Passed::new(&segment, &open));
--- a/roles/forward/src/agent/bid.rs
+++ b/roles/forward/src/agent/bid.rs
@@ -2,10 +2,9 @@
 //!
 //! Spreads many short flows over few slots: the first agent with a free slot
 //! admits a flow; if all are busy, the agent with the lowest bid does. Where none
-//! of them has room, further agents are asked before the flow waits at one.
+//! of them has room, the flow waits at that agent.
 use std::time::Duration;
 
-use wire::Hop;
 use wire::transit::Open;
 
 /// Bid in milliseconds of an agent that admits no flows.
@@ -23,9 +22,6 @@
 /// room, which makes it higher than any bid of an agent with room.
 const NO_ROOM: u32 = 1 << 24;
 
-/// Maximum number of agents that an opening packet visits.
-pub const MAX_PATH: usize = 6;
-
 /// Decision on an opening packet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -62,9 +58,9 @@
 }
 
 /// Decides on an opening packet, given the bid of this agent or `None` if it
-/// admits no flows. `others` are further agents of the service, best first.
+/// admits no flows.
 #[must_use]
-pub fn decide(mut open: Open, bid: Option<Bid>, others: impl Iterator<Item = Hop>) -> Verdict {
+pub fn decide(mut open: Open, bid: Option<Bid>) -> Verdict {
     let bid_ms = bid.map_or(NO_BID, Bid::millis);
     match bid {
         Some(bid) if bid.has_room && bid.wait <= LOW_WAIT && bid.risk <= LOW_RISK => {
@@ -80,14 +76,6 @@
         }
         _ => open.bids.push(bid_ms),
     }
-    if !open.is_settled
-        && open.bids.len() == open.path.len()
-        && open.bids.iter().copied().all(is_without_room)
-    {
-        let unasked: Vec<Hop> = others.filter(|hop| !open.path.contains(hop)).collect();
-        let room = MAX_PATH.saturating_sub(open.path.len());
-        open.path.extend(unasked.into_iter().take(room));
-    }
     if open.bids.len() < open.path.len() {
         open.position = u8::try_from(open.bids.len()).unwrap_or(u8::MAX);
         return Verdict::Pass(open);
@@ -114,11 +102,6 @@
     }
 }
 
-/// Returns true if an agent with this bid cannot admit a flow at once.
-const fn is_without_room(bid: u32) -> bool {
-    bid >= NO_ROOM
-}
-
 const fn max_wait(open: &Open) -> Duration {
     Duration::from_millis(open.max_wait_ms as u64)
 }
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -47,8 +47,6 @@
 /// Change in a request, caused by a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
-    /// The first request of the flow began, this long after its opening packet.
-    FirstRequest(Duration),
     /// A request began on a flow that has had one before.
     NextRequest,
     /// The backend server began to answer, this long after the request.
@@ -202,11 +200,7 @@
         self.request_started_at = now;
         self.received = segment.acknowledged;
         self.requests = self.requests.saturating_add(1);
-        match self.opened {
-            _ if self.requests > 1 => Some(Progress::NextRequest),
-            Some((_, at)) => Some(Progress::FirstRequest(now.saturating_sub(at))),
-            None => None,
-        }
+        (self.requests > 1).then_some(Progress::NextRequest)
     }
 
     /// Returns true if a caller's packet carries only content seen before, which
@@ -277,20 +271,17 @@
     }
 
     /// Frees the slot of a reservation or request that has timed out; returns
-    /// whether a request was left unanswered. `first_request_timeout` limits the
-    /// reservation for a flow's first request, `repeat_timeout` the one for content
-    /// that may only repeat an answered request.
+    /// whether a request was left unanswered.
     pub fn expire_request(
         &mut self,
         now: Duration,
-        first_request_timeout: Duration,
-        repeat_timeout: Duration,
+        reservation_timeout: Duration,
         occupancy: &mut Occupancy,
     ) -> bool {
-        let limit = match self.is_reserved {
-            true if self.requests == 0 => first_request_timeout,
-            true => repeat_timeout,
-            false => self.request_timeout,
+        let limit = if self.is_reserved {
+            reservation_timeout
+        } else {
+            self.request_timeout
         };
         let is_over = self.slot.is_some() && now >= self.request_started_at + limit;
         let is_failed = is_over && self.has_pending_request();
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -15,7 +15,6 @@
 use super::Announcement;
 use super::DropReason;
 use super::FIRST_SEQUENCE;
-use super::Peers;
 use super::State;
 use super::backend::Start;
 use super::flow::Flow;
@@ -130,7 +129,7 @@
                 self.risk.record_failure(now);
                 actions.push(Action::Failed { flow });
             }
-            Some(Progress::FirstRequest(_) | Progress::NextRequest) | None => {}
+            Some(Progress::NextRequest) | None => {}
         }
         actions.push(Action::ToCaller {
             caller: flow.caller,
@@ -186,10 +185,6 @@
         }
         self.last_announced = now;
         self.unanswered_since = None;
-        if self.own.target != announcement.target {
-            // The server before it may have been of another service.
-            self.peers = Peers::default();
-        }
         self.own.target = announcement.target;
         self.occupancy.set_slots(announcement.slots);
         self.announcement = Some(announcement);
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -44,9 +44,7 @@
     /// Time that the answer to an opening packet takes to reach its caller, at
     /// most. A flow waits for a slot for so much less than its caller does.
     pub answer_delay: Duration,
-    /// Longest time for which a slot stays reserved for the first request of a flow,
-    /// and the time for which it stays reserved for content that may only repeat a
-    /// request.
+    /// Time for which a slot stays reserved for the first request of a flow.
     pub reservation_timeout: Duration,
     /// Time without a reaction to a probe after which another packet of the
     /// flow is sent as a probe.
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -6,7 +6,6 @@
 //! * [`Occupancy`] estimates the wait at a backend server whose queue is not
 //!   visible, from requests and answers on the network.
 //! * [`Load`] estimates the load of held flows from their request rate.
-//! * [`Reservation`] decides for how long a slot is kept for a new flow.
 //! * [`Waiting`] holds new work back while there is no room for it.
 //! * [`Risk`] estimates how likely a backend server is to fail a request.
 //! * [`Plausibility`] tells answers that come too fast and are too short.
@@ -25,7 +24,6 @@
 pub mod pause;
 pub mod plausibility;
 pub mod queue;
-pub mod reservation;
 pub mod risk;
 pub mod share;
 pub mod waiting;
@@ -45,6 +43,5 @@
 pub use load::Load;
 pub use occupancy::Occupancy;
 pub use plausibility::Plausibility;
-pub use reservation::Reservation;
 pub use risk::Risk;
 pub use waiting::Waiting;
