--- a/roles/forward/src/agent/bid.rs
+++ b/roles/forward/src/agent/bid.rs
@@ -25,7 +25,7 @@
 /// Decision on an opening packet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// Admit the flow here.
+    /// Admit the flow here, at once or when there is room for it.
     Admit(Open),
     /// Forward the packet to the agent at its `position`.
     Pass(Open),
