--- a/roles/forward/src/agent/admission.rs
+++ b/roles/forward/src/agent/admission.rs
@@ -45,9 +45,9 @@
     /// Admits a new flow, forwards it, or refuses it. A retransmitted opening
     /// packet follows the first one.
     ///
-    /// All opening packets come here, whichever frame carried them, and only a
-    /// flow that is admitted now or was admitted within the opening timeout
-    /// reaches the backend server.
+    /// Only the packet of a flow that is admitted now, or was admitted within the
+    /// opening timeout, reaches the backend server; the same holds for
+    /// [`Self::handle_forwarded_open`].
     pub(super) fn handle_open(
         &mut self,
         now: Duration,
