--- a/coordination/config/src/lib.rs
+++ b/coordination/config/src/lib.rs
@@ -10,11 +10,13 @@
 //!   whether this entry reads, and a [`Feed`] does the reading.
 //! * [`Follower`] follows a single key of the store.
 //! * [`Registration`] keeps a process registered in the store.
+//! * [`Evacuations`] holds the availability zones that operators have emptied.
 //! * [`era`] orders changes across restores of the store from an older copy.
 //! * [`KeyValue`], [`Listing`] and [`Fault`] are the store's answers.
 pub mod change;
 pub mod diff;
 pub mod era;
+pub mod evacuation;
 pub mod fault;
 pub mod feed;
 pub mod follower;
@@ -29,6 +31,7 @@
 pub mod service;
 
 pub use change::Change;
+pub use evacuation::Evacuations;
 pub use fault::Fault;
 pub use feed::Feed;
 pub use feed::Update;
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod segment;
 pub mod target;
 pub mod token;
+mod trailing;
 pub mod transit;
 
 pub use frame::Frame;
--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -10,6 +10,7 @@
 use crate::Hop;
 use crate::TargetId;
 use crate::segment::FlowId;
+use crate::trailing;
 
 const MICROS_PER_SECOND: u32 = 1_000_000;
 
@@ -55,6 +56,28 @@
     pub max_wait_ms: u32,
     /// The caller's packet.
     pub packet: Bytes,
+    /// What the configuration states about the flow; `None` where nothing there
+    /// distinguishes it from others. Must stay the last field of the frame: a
+    /// process of a version without it ignores it, and reads as `None` what such a
+    /// process sends.
+    #[serde(with = "trailing", skip_serializing_if = "Option::is_none")]
+    pub demand: Option<Demand>,
+}
+
+/// What the configuration states about the requests of a new flow and about the
+/// service that it goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Load-shedding priority of the route: under overload, a higher number is
+    /// shed first and 0 last.
+    pub priority: u8,
+    /// Time in milliseconds within which an answer has its full value to the caller.
+    pub target_latency_ms: u32,
+    /// Whether callers may repeat a request that has run.
+    pub is_idempotent: bool,
+    /// New flows per 1,000 seconds that a cold backend server of the service bears;
+    /// 0 where the configuration states no rate.
+    pub cold_rate: u32,
 }
 
 /// A packet for a flow that is open or opening.
--- a/roles/forward/examples/cost.rs
+++ b/roles/forward/examples/cost.rs
@@ -119,6 +119,7 @@
             is_settled: true,
             max_wait_ms: u32::MAX,
             packet: Bytes::from_static(b"packet"),
+            demand: None,
         };
         let open_segment = segment(number, Kind::Open);
         let event = agent::Event::Open {
@@ -232,16 +233,18 @@
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_millis(100),
         priority: 1,
+        is_idempotent: false,
     };
     Arc::new(Routes {
-        services_with_down_targets: std::collections::HashSet::new(),
         table: Arc::new(Table {
             version: 1,
             routes: HashMap::from([(SERVICE, route)]),
             idle_timeout: Duration::from_secs(15),
+            ..Table::default()
         }),
         is_confirmed: true,
         is_complete: true,
         targets: HashMap::from([(service, Arc::new(targets.collect()))]),
+        ..Routes::default()
     })
 }
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -332,8 +332,13 @@
     ) {
         let flow = context.segment.flow_from_caller();
         let first = path[0];
-        let timeout = routes.route(flow.service).map(|route| route.timeout);
+        let route = routes.route(flow.service);
+        let timeout = route.map(|route| route.timeout);
         let timeout_ms = timeout.unwrap_or_default().as_millis();
+        let demand = route.and_then(|route| {
+            let service = route.select_service(&flow)?;
+            routes.table.demand(route, service)
+        });
         self.placement.record_sent(first.target);
         let is_first = !self.flows.contains_key(&flow);
         if is_first {
@@ -363,6 +368,7 @@
                 is_settled: false,
                 max_wait_ms: u32::try_from(timeout_ms).unwrap_or(u32::MAX),
                 packet: context.packet,
+                demand,
             }),
         });
     }
--- a/roles/forward/src/routes.rs
+++ b/roles/forward/src/routes.rs
@@ -1,5 +1,6 @@
 //! Routes from the addresses that callers send to, and the known backend
 //! servers.
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddrV4;
@@ -11,7 +12,9 @@
 use wire::Revision;
 use wire::ServiceAddress;
 use wire::Target;
+use wire::ZoneId;
 use wire::target::State;
+use wire::transit::Demand;
 
 /// Route of the flows to one address.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,6 +28,8 @@
     /// Load-shedding priority: under overload, routes with a higher number are
     /// shed first and 0 last.
     pub priority: u8,
+    /// Whether callers may repeat a request that has run.
+    pub is_idempotent: bool,
 }
 
 /// Share of one service in the flows of a route.
@@ -45,6 +50,19 @@
     pub routes: HashMap<SocketAddrV4, Route>,
     /// Time without packets after which a flow may be dropped as idle.
     pub idle_timeout: Duration,
+    /// What the configuration states about cold backend servers of a service.
+    pub warm_ups: HashMap<ServiceAddress, WarmUp>,
+    /// Whether the priorities of the routes differ.
+    pub has_priorities: bool,
+}
+
+/// What a backend server bears while it is cold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WarmUp {
+    /// Time for which a backend server is cold after it has started.
+    pub time: Duration,
+    /// New flows per 1,000 seconds that it bears meanwhile; 0 where not stated.
+    pub rate: u32,
 }
 
 /// Immutable snapshot of the routes and the known backend servers.
@@ -62,6 +80,9 @@
     /// Services with backend servers that are marked down but may only be
     /// unreachable.
     pub services_with_down_targets: HashSet<ServiceAddress>,
+    /// Availability zones that an operator has emptied: their backend servers get no
+    /// new flows.
+    pub evacuated_zones: BTreeSet<ZoneId>,
 }
 
 impl Route {
@@ -87,6 +108,25 @@
     }
 }
 
+impl Table {
+    /// Returns what an opening frame states about a flow of a route to a service;
+    /// `None` where neither priorities nor a cold rate distinguish it.
+    #[must_use]
+    pub fn demand(&self, route: &Route, service: ServiceAddress) -> Option<Demand> {
+        let cold_rate = self
+            .warm_ups
+            .get(&service)
+            .map_or(0, |warm_up| warm_up.rate);
+        let is_stated = self.has_priorities || cold_rate > 0;
+        is_stated.then(|| Demand {
+            priority: route.priority,
+            target_latency_ms: u32::try_from(route.target_latency.as_millis()).unwrap_or(u32::MAX),
+            is_idempotent: route.is_idempotent,
+            cold_rate,
+        })
+    }
+}
+
 impl Routes {
     /// Returns the route to an address.
     #[must_use]
@@ -97,7 +137,9 @@
     /// Returns the backend servers of a service that accept new flows.
     pub fn ready_targets(&self, service: ServiceAddress) -> impl Iterator<Item = &Target> {
         let all = self.targets_of(service);
-        all.filter(|target| target.state == State::Ready)
+        all.filter(|target| {
+            target.state == State::Ready && !self.evacuated_zones.contains(&target.zone)
+        })
     }
 
     /// Returns all backend servers of a service that may hold flows.
