Agents: a second copy of an answer is not taken for the answer to the next request

Cause: idle connections to a backend server were reused for idempotent requests whatever the server had sent. A server that sends an answer twice, the second time once the next request is on the connection, had that copy returned as the answer to the next request. Change: each exchange has an id that the server repeats; a connection is reused only then, and an answer to another exchange ends the request as one that may have run. Shown by two tests of net backend, which both returned the earlier answer before.

--- a/protocol/wire/src/trailing.rs
+++ b/protocol/wire/src/trailing.rs
@@ -12,6 +12,7 @@
 /// # Errors
 ///
 /// Returns the error of the serializer.
+#[expect(clippy::ref_option, reason = "serde calls it with a reference")]
 pub fn serialize<T: Serialize, S: Serializer>(
     value: &Option<T>,
     serializer: S,
@@ -27,6 +28,7 @@
 /// # Errors
 ///
 /// None; the signature is the one that serde expects.
+#[expect(clippy::unnecessary_wraps, reason = "serde expects a result")]
 pub fn deserialize<'de, T: Deserialize<'de>, D: Deserializer<'de>>(
     deserializer: D,
 ) -> Result<Option<T>, D::Error> {
--- a/tools/standin/src/backend/http.rs
+++ b/tools/standin/src/backend/http.rs
@@ -24,6 +24,9 @@
 use super::worker::Job;
 use super::worker::Outcome;
 
+/// Header that is repeated in the answer to a request.
+const EXCHANGE: &str = "exchange-id";
+
 /// Value of the `retry-after` header in seconds.
 const RETRY_AFTER_S: &str = "1";
 /// Deadline of a request without a valid `deadline-ms` header.
@@ -58,7 +61,14 @@
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let response = match (method, path.as_str()) {
-        (Method::POST, "/run") => run(request, &worker).await,
+        (Method::POST, "/run") => {
+            let exchange = request.headers().get(EXCHANGE).cloned();
+            let mut response = run(request, &worker).await;
+            if let Some(exchange) = exchange {
+                response.headers_mut().insert(EXCHANGE, exchange);
+            }
+            response
+        }
         (Method::POST, "/drain") => {
             worker.drain();
             status(StatusCode::NO_CONTENT)
--- a/transport/net/src/backend.rs
+++ b/transport/net/src/backend.rs
@@ -1,4 +1,5 @@
 //! Runs requests on the backend server over HTTP/1.1.
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http::header::HeaderName;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -31,6 +33,13 @@
 /// Largest number of idle connections that are kept for reuse.
 const MAX_IDLE_CONNECTIONS: usize = 256;
 
+/// Header that names one exchange of a request and its answer on a connection. A
+/// backend server that repeats it in its answer has its connections reused.
+const EXCHANGE: HeaderName = HeaderName::from_static("exchange-id");
+
+/// Number of an exchange; unique within a client.
+type ExchangeId = u64;
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// HTTP client that runs requests on one backend server. Dropping the future of
@@ -39,6 +48,7 @@
     backend: SocketAddr,
     max_answer_bytes: usize,
     idle: RefCell<Vec<Sender>>,
+    last_exchange: Cell<ExchangeId>,
 }
 
 /// One run of a request.
@@ -84,6 +94,7 @@
             backend,
             max_answer_bytes,
             idle: RefCell::new(Vec::new()),
+            last_exchange: Cell::new(0),
         }
     }
 
@@ -105,7 +116,9 @@
     }
 
     async fn exchange(&self, run: &Run) -> Result<Bytes, Error> {
-        let mut request = build_request(self.backend, run);
+        let exchange = self.last_exchange.get() + 1;
+        self.last_exchange.set(exchange);
+        let mut request = build_request(self.backend, run, exchange);
         let mut sender = self.acquire_sender(run.idempotent).await?;
         let response = loop {
             match sender.try_send_request(request).await {
@@ -119,9 +132,14 @@
             }
             sender = self.connect().await?;
         };
+        // The answer to an earlier request on this connection, sent a second time.
+        let answered = answered_exchange(&response);
+        if answered.is_some_and(|answered| answered != exchange) {
+            return Err(Error::Broken);
+        }
         let answer = self.read_answer(response).await?;
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
+        if answered.is_some() && idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(sender);
         }
         Ok(answer)
@@ -146,6 +164,9 @@
 
     /// Returns an idle connection that is still open, or a new one.
     ///
+    /// Only connections whose answers name their exchange become idle: on any other,
+    /// a second copy of an answer would be taken for the answer to the next request.
+    ///
     /// The backend server may close an idle connection just as it is reused;
     /// then it is unknown whether the request ran. Requests that must not run
     /// twice therefore always use a new connection.
@@ -186,7 +207,7 @@
     }
 }
 
-fn build_request(backend: SocketAddr, run: &Run) -> Request<Full<Bytes>> {
+fn build_request(backend: SocketAddr, run: &Run, exchange: ExchangeId) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(run.payload.clone()));
     *request.method_mut() = http::Method::POST;
     *request.uri_mut() = http::Uri::from_static("/run");
@@ -194,17 +215,18 @@
     for (name, value) in [
         (header::HOST, backend.to_string()),
         (
-            header::HeaderName::from_static("request-id"),
+            HeaderName::from_static("request-id"),
             run.request.to_string(),
         ),
         (
-            header::HeaderName::from_static("deadline-ms"),
+            HeaderName::from_static("deadline-ms"),
             run.timeout.as_millis().to_string(),
         ),
         (
-            header::HeaderName::from_static("idempotent"),
+            HeaderName::from_static("idempotent"),
             run.idempotent.to_string(),
         ),
+        (EXCHANGE, exchange.to_string()),
     ] {
         if let Ok(value) = value.parse() {
             headers.insert(name, value);
@@ -213,6 +235,12 @@
     request
 }
 
+/// Returns the exchange that an answer names, if any.
+fn answered_exchange(response: &Response<Incoming>) -> Option<ExchangeId> {
+    let value = response.headers().get(EXCHANGE)?;
+    value.to_str().ok()?.parse().ok()
+}
+
 fn parse_retry_after(response: &Response<Incoming>) -> Duration {
     response
         .headers()
--- a/transport/net/tests/backend.rs
+++ b/transport/net/tests/backend.rs
@@ -180,3 +180,85 @@
         assert!(!read_request(&mut stream).await, "a second request arrived");
     });
 }
+
+/// Answers the first request of each connection with the number of the connection,
+/// and again once another request has arrived on it. Each answer has `header` after
+/// its status line.
+async fn serve_twice(listener: TcpListener, header: impl Fn(&str) -> String) {
+    let mut connections = 0;
+    while let Ok((mut stream, _)) = listener.accept().await {
+        connections += 1;
+        let Some(request) = read_text(&mut stream).await else {
+            continue;
+        };
+        let header = header(&request);
+        let answer = format!("HTTP/1.1 200 OK\r\n{header}content-length: 1\r\n\r\n{connections}");
+        let _ = stream.write_all(answer.as_bytes()).await;
+        smol::spawn(async move {
+            if read_text(&mut stream).await.is_some() {
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        })
+        .detach();
+    }
+}
+
+/// Reads a request with its payload; returns `None` if the connection closes first.
+async fn read_text(stream: &mut TcpStream) -> Option<String> {
+    let mut read = Vec::new();
+    let mut buffer = [0; 512];
+    while !read.ends_with(b"who is on duty") {
+        match stream.read(&mut buffer).await {
+            Ok(length) if length > 0 => read.extend_from_slice(&buffer[..length]),
+            _ => return None,
+        }
+    }
+    Some(String::from_utf8_lossy(&read).into_owned())
+}
+
+/// Returns the header by which a backend server names the exchange of a request.
+fn exchange_header(request: &str) -> String {
+    let line = request
+        .lines()
+        .find(|line| line.starts_with("exchange-id:"));
+    line.map_or_else(String::new, |line| format!("{line}\r\n"))
+}
+
+/// Runs two idempotent requests at a server that answers the first one twice.
+fn run_two(header: impl Fn(&str) -> String) -> [Result<Bytes, Error>; 2] {
+    smol::block_on(async {
+        let (listener, address) = listen().await;
+        let client = Client::new(address, MAX_ANSWER_BYTES);
+        let repeatable = || Run {
+            idempotent: true,
+            ..run(LONG_TIMEOUT)
+        };
+        let asked = async {
+            let first = client.run(repeatable()).await;
+            Some([first, client.run(repeatable()).await])
+        };
+        let served = async {
+            serve_twice(listener, header).await;
+            None
+        };
+        asked.or(served).await.expect("the listener works")
+    })
+}
+
+/// Guards against a caller that gets the answer of the request before its own: the
+/// backend server sends a second copy of an answer on a connection that is in use
+/// again.
+#[test]
+fn second_copy_of_an_answer_is_not_returned_for_the_next_request() {
+    let [first, second] = run_two(exchange_header);
+    assert_eq!(first, Ok(Bytes::from_static(b"1")));
+    assert_eq!(second, Err(Error::Broken));
+}
+
+/// Without the name of the exchange, the two answers cannot be told apart.
+#[test]
+fn connection_to_a_server_that_does_not_name_the_exchange_is_not_reused() {
+    let [first, second] = run_two(|_| String::new());
+    assert_eq!(first, Ok(Bytes::from_static(b"1")));
+    assert_eq!(second, Ok(Bytes::from_static(b"2")));
+}
