Sidecars: an opening frame whose fields contradict each other is dropped

Cause: pass_on indexed the path by what a frame says. A frame with more bids than hops, or a position outside its path, ended the thread that reads frames. Change: the core drops such frames (reason malformed).

--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -9,6 +9,7 @@
 
 use crate::Hop;
 use crate::TargetId;
+use crate::frame::MAX_HOPS;
 use crate::segment::FlowId;
 use crate::trailing;
 
@@ -205,6 +206,22 @@
     pub risk_us: u32,
 }
 
+impl Open {
+    /// Returns true if the fields agree with each other: the frame is addressed to an
+    /// agent on its path, and has a bid of each agent before that one, or of all
+    /// agents once it is settled.
+    #[must_use]
+    pub fn is_consistent(&self) -> bool {
+        let position = usize::from(self.position);
+        let bids = if self.is_settled {
+            self.path.len()
+        } else {
+            position
+        };
+        position < self.path.len() && self.path.len() <= MAX_HOPS && self.bids.len() == bids
+    }
+}
+
 impl Load {
     /// Returns the expected time in the queue of a request that arrives now.
     #[must_use]
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -278,6 +278,7 @@
             Action::Dropped(DropReason::ForeignReset) => self.link.drop_packet("foreign_reset"),
             Action::Dropped(DropReason::SearchLimit) => self.link.drop_packet("searches"),
             Action::Dropped(DropReason::ProbeLimit) => self.link.drop_packet("probing"),
+            Action::Dropped(DropReason::Malformed) => self.link.drop_packet("malformed"),
             Action::Dropped(DropReason::OldAnnouncement) => {
                 self.link.drop_packet("old_announcement");
             }
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -211,6 +211,9 @@
     /// Processes an event and appends the resulting actions.
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         match event {
+            Event::Open { open, .. } if !open.is_consistent() => {
+                actions.push(Action::Dropped(DropReason::Malformed));
+            }
             Event::Open { open, segment } => self.handle_open(now, open, segment, actions),
             Event::Forward { forward, segment } => {
                 self.handle_forward(now, forward, segment, actions);
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -191,4 +191,6 @@
     ProbeLimit,
     /// An announcement is older than one already received.
     OldAnnouncement,
+    /// A frame whose fields contradict each other.
+    Malformed,
 }
