--- a/roles/forward/tests/malformed.rs
+++ b/roles/forward/tests/malformed.rs
@@ -59,9 +59,10 @@
         acknowledged in millis(),
         length in prop_oneof![Just(0), Just(1_200), any::<u16>()],
     ) -> Segment {
-        let segment = match is_from_server {
-            true => server_segment(port, kind, length),
-            false => caller_segment(port, kind, length),
+        let segment = if is_from_server {
+            server_segment(port, kind, length)
+        } else {
+            caller_segment(port, kind, length)
         };
         Segment { is_returned, sequence, acknowledged, ..segment }
     }
