Limit: the count of successes saturates

After 65,536 successes in a row at the full limit the count overflowed, which ends a debug build and wraps a release build. Shown by limit pause, which failed before.

--- a/state/limit/src/pause.rs
+++ b/state/limit/src/pause.rs
@@ -87,7 +87,7 @@
     pub fn record_success(&mut self) {
         self.failures = 0;
         self.backoff.reset();
-        self.successes += 1;
+        self.successes = self.successes.saturating_add(1);
         if self.successes >= self.limit && self.limit < self.slots {
             self.limit += 1;
             self.successes = 0;
