Agents: a claim that was not answered in time is repeated

Cause: a successor gave up its predecessor's flows after one claim of 2 s, or at the first call that was not answered, though peers keep the state for two minutes. Ruled out: frozen peers during the handover itself (3 s each, three replacements: none broken). Change: five attempts, each with a deadline of its own; a call without an answer is not an answer. Shown by agent replacing flows_survive_peers_that_are_paused_*, which failed before, and over real processes by proof processes freezing_all_agents_*.

--- a/roles/agent/src/claim.rs
+++ b/roles/agent/src/claim.rs
@@ -19,12 +19,18 @@
 use crate::park::Part;
 use crate::status::Counter;
 
+/// Attempts at each part of a predecessor's state. A peer that was paused for longer
+/// than one attempt still holds it.
+const MAX_ATTEMPTS: u32 = 5;
+
 /// Progress of an agent's claim to its predecessor's state.
 #[derive(Debug)]
 pub(crate) struct Claiming {
     deadline: Duration,
     /// Longest time to wait for the next part.
     part_timeout: Duration,
+    /// Attempts at the awaited part so far.
+    attempts: u32,
     /// Peers that have not answered the claim to the first part.
     pending_peers: Vec<SocketAddr>,
     /// The peer that holds the state, and the index of the awaited part.
@@ -42,6 +48,7 @@
         Self {
             deadline: now + settings.leave.claim_timeout,
             part_timeout: settings.leave.claim_timeout,
+            attempts: 1,
             pending_peers: Vec::new(),
             source: None,
         }
@@ -85,6 +92,10 @@
         let Some(claiming) = &mut self.claiming else {
             return;
         };
+        // The peer is asked again at the deadline.
+        if grant == Grant::Unanswered {
+            return;
+        }
         claiming.pending_peers.retain(|&asked| asked != peer);
         match (grant, claiming.source) {
             (Grant::Part(part), None) if part.index == 0 => self.accept_part(outbox, peer, part),
@@ -96,7 +107,7 @@
             (Grant::Part(_), _) => {}
             (_, Some(source)) if source.peer == peer => self.claiming = None,
             (_, None) if claiming.pending_peers.is_empty() => self.claiming = None,
-            (Grant::Nothing | Grant::Unreachable, _) => {}
+            (Grant::Nothing | Grant::Unreachable | Grant::Unanswered, _) => {}
         }
     }
 
@@ -115,6 +126,7 @@
         }
         if let Some(claiming) = &mut self.claiming {
             claiming.deadline = outbox.now + claiming.part_timeout;
+            claiming.attempts = 1;
             claiming.source = Some(Source { peer, index: next });
         }
         let claim = self.claim(next);
@@ -168,10 +180,28 @@
         let _ = self.ledger.restore(now, key, record);
     }
 
+    /// Repeats a claim that was not answered in time, or waits on for the first view,
+    /// and gives it up after [`MAX_ATTEMPTS`].
     pub(crate) fn expire_claim(&mut self, outbox: &mut Outbox<'_>) {
-        let is_over = |claiming: &Claiming| claiming.deadline <= outbox.now;
-        if self.claiming.as_ref().is_some_and(is_over) {
+        let Some(claiming) = &mut self.claiming else {
+            return;
+        };
+        if outbox.now < claiming.deadline {
+            return;
+        }
+        let (peers, index) = match claiming.source {
+            Some(source) => (vec![source.peer], source.index),
+            None => (claiming.pending_peers.clone(), 0),
+        };
+        if claiming.attempts >= MAX_ATTEMPTS {
             self.claiming = None;
+            return;
+        }
+        claiming.attempts += 1;
+        claiming.deadline = outbox.now + claiming.part_timeout;
+        let claim = self.claim(index);
+        for to in peers {
+            outbox.push(Action::Claim { to, claim });
         }
     }
 }
--- a/roles/agent/src/park.rs
+++ b/roles/agent/src/park.rs
@@ -117,6 +117,8 @@
     Nothing,
     /// The peer could not be reached.
     Unreachable,
+    /// The peer did not answer in time; it may hold the state.
+    Unanswered,
 }
 
 /// Approximate size of an encoded flow without its ids and records, in bytes.
--- a/roles/agent/tests/replacing.rs
+++ b/roles/agent/tests/replacing.rs
@@ -75,6 +75,29 @@
     assert_eq!(cluster.open(FLOW), token);
 }
 
+/// Guards against flows that are given up because processes were paused: no peer
+/// answers the successor's claim for longer than one attempt may take.
+#[test]
+fn flows_survive_peers_that_are_paused_while_the_successor_claims_them() {
+    let mut replaced = replaced(3);
+    let peers: Vec<usize> = (0..3).filter(|peer| *peer != replaced.holder).collect();
+    for peer in &peers {
+        replaced.cluster.freeze(*peer);
+    }
+    replaced.start_successor();
+    replaced.cluster.advance_time(Duration::from_secs(7));
+    for peer in &peers {
+        replaced.cluster.thaw(*peer);
+    }
+    let Replaced {
+        mut cluster, token, ..
+    } = replaced;
+    cluster.update_views();
+    cluster.send(&request(FLOW, 2, token));
+    cluster.finish_with("second");
+    assert_eq!(cluster.take_answer(2).unwrap(), b"second");
+}
+
 #[test]
 fn a_recorded_answer_survives_a_replacement() {
     let mut replaced = replaced(3);
--- a/roles/app/src/agent/driver.rs
+++ b/roles/app/src/agent/driver.rs
@@ -177,6 +177,7 @@
         self.call(to, Call::Claim(claim), move |result| {
             let grant = match result {
                 Ok(Answer::Claimed(grant)) => grant,
+                Err(Failure::Lost) => park::Grant::Unanswered,
                 _ => park::Grant::Unreachable,
             };
             Some(Event::Claimed { peer: to, grant })
--- a/tools/proof/tests/processes.rs
+++ b/tools/proof/tests/processes.rs
@@ -235,6 +235,32 @@
     Ok(())
 }
 
+/// Guards against flows that are given up because processes get no processor time for
+/// longer than a claim or the detection of failures takes: the successor of an agent and
+/// all its peers are paused right after its start.
+#[test]
+fn freezing_all_agents_during_a_replacement_breaks_no_flow() -> Result {
+    let mut deployment = Deployment::start(115, Some(&[]))?;
+    let load = deployment.start_load(Service::Roster, 3 * LOAD_SECONDS, SEED)?;
+    pause(2);
+    deployment.signal("agent-1", Signal::Replace)?;
+    deployment.wait_for_exit("agent-1")?;
+    deployment.start_agent(1)?;
+    let agents = (1..=6).map(|target| format!("agent-{target}"));
+    for agent in agents.clone() {
+        deployment.signal(&agent, Signal::Freeze)?;
+    }
+    pause(7);
+    for agent in agents {
+        deployment.signal(&agent, Signal::Thaw)?;
+    }
+    let outcome = deployment.finish_load(load)?;
+    let report = &outcome.finding.report;
+    assert_eq!(outcome.broken, 0, "broken flows: {report:?}");
+    assert_guarantees(&outcome);
+    Ok(())
+}
+
 #[test]
 fn traffic_and_drains_go_on_while_the_store_is_down() -> Result {
     let deployment = Deployment::start(108, Some(&[]))?;
