Evacuated availability zones: list in the store, gossip, and the sidecar's decision

Nothing read the operators' keys op/evacuate/ZONE, so opening packets reached evacuated zones. Where evacuation_ms is set, gateways follow the prefix op/ and gossip the list; entries pass it to the agents that they watch; an agent of an evacuated zone forwards new flows to agents of other zones.

--- a/coordination/config/src/evacuation.rs
+++ b/coordination/config/src/evacuation.rs
@@ -1,22 +1,53 @@
-//! Availability zones that operators have emptied.
+//! Availability zones that operators have evacuated.
 //!
-//! The store holds one key for each emptied zone. The key of a zone that is taken
-//! back is deleted. The list of the keys at one revision is the whole state, and the
-//! list of a later revision replaces it.
+//! The store holds one key for each evacuated zone. The key of a zone that is
+//! restored is deleted. The list of the keys at one revision is the whole state, and
+//! the list of a later revision replaces it.
+//!
+//! * [`Evacuations`] is such a list.
+//! * [`Evacuations::supersedes`] decides which lists are gossiped.
+//! * [`Tracker`] determines the zones that are in force in one process.
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 use wire::Revision;
 use wire::ZoneId;
 
-/// The emptied zones, as the store listed them.
+use crate::era;
+
+/// Time for which a zone stays evacuated that a restored store no longer lists.
+/// The copy may be older than the evacuation, and operators write their keys again
+/// within about a second.
+pub const RESTORE_DELAY: Duration = Duration::from_secs(3);
+
+/// The evacuated zones, as the store listed them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evacuations {
-    /// Revision at which each zone was emptied.
+    /// Revision at which each zone was evacuated.
     pub zones: BTreeMap<ZoneId, Revision>,
 }
 
+/// Determines the evacuated zones that are in force in one process, from the lists
+/// that reach it in any order.
+#[derive(Clone, Debug, Default)]
+pub struct Tracker {
+    /// Newest list and its revision; `None` before the first.
+    newest: Option<(Revision, Evacuations)>,
+    /// Zones that a restored store no longer lists.
+    retained: BTreeMap<ZoneId, Retained>,
+}
+
+/// Zone that a restored store no longer lists.
+#[derive(Clone, Copy, Debug)]
+struct Retained {
+    /// Revision at which it was evacuated.
+    revision: Revision,
+    /// Time from which it counts as restored.
+    until: Duration,
+}
+
 impl Evacuations {
     /// Encodes the zones as the body of a gossiped record.
     ///
@@ -36,9 +67,56 @@
         postcard::from_bytes(bytes)
     }
 
-    /// Returns true if a zone is emptied.
+    /// Returns true if a zone is evacuated.
     #[must_use]
     pub fn contains(&self, zone: ZoneId) -> bool {
         self.zones.contains_key(&zone)
     }
+
+    /// Returns true if this list, read at `index` of the store, must be gossiped in
+    /// place of the `known` one: it is newer, and its content differs. The index
+    /// rises with every write to the store, so a list without a change would cause
+    /// gossip all the time.
+    #[must_use]
+    pub fn supersedes(&self, index: Revision, known: Option<(Revision, &Self)>) -> bool {
+        known.is_none_or(|(revision, known)| index > revision && known != self)
+    }
+}
+
+impl Tracker {
+    /// Records a list, unless a newer one is known.
+    pub fn observe(&mut self, now: Duration, revision: Revision, listed: Evacuations) {
+        match &self.newest {
+            Some((known, _)) if revision <= *known => return,
+            Some((known, previous)) if era::of(revision) > era::of(*known) => {
+                for (zone, revision) in &previous.zones {
+                    self.retained.entry(*zone).or_insert(Retained {
+                        revision: *revision,
+                        until: now + RESTORE_DELAY,
+                    });
+                }
+            }
+            _ => {}
+        }
+        self.retained.retain(|zone, _| !listed.contains(*zone));
+        self.newest = Some((revision, listed));
+    }
+
+    /// Returns true once a list is known.
+    #[must_use]
+    pub const fn is_known(&self) -> bool {
+        self.newest.is_some()
+    }
+
+    /// Returns the evacuated zones.
+    #[must_use]
+    pub fn in_force(&self, now: Duration) -> Evacuations {
+        let retained = self.retained.iter().filter(|(_, kept)| now < kept.until);
+        let retained = retained.map(|(zone, kept)| (*zone, kept.revision));
+        let listed = self.newest.iter().flat_map(|(_, listed)| &listed.zones);
+        let listed = listed.map(|(zone, revision)| (*zone, *revision));
+        Evacuations {
+            zones: retained.chain(listed).collect(),
+        }
+    }
 }
--- a/coordination/config/src/follower.rs
+++ b/coordination/config/src/follower.rs
@@ -1,4 +1,5 @@
-//! Follows one key of the platform's store.
+//! Follows one key of the platform's store, or one key and all others under a
+//! prefix.
 //!
 //! A watch reports changes. After a failed call or an interrupted watch, which
 //! may have missed a change, the key is read again. Watches are short because a
@@ -45,6 +46,8 @@
 pub enum Event {
     /// Answer to [`Action::Read`].
     Read(Result<Option<KeyValue>, Fault>),
+    /// Answer to [`Action::List`].
+    Listed(Result<Listing, Fault>),
     /// Answer to [`Action::Watch`].
     Watched(Result<Listing, Fault>),
 }
@@ -54,6 +57,8 @@
 pub enum Action {
     /// Read the key.
     Read,
+    /// List all keys under the prefix.
+    List,
     /// Watch the key for changes after `since`.
     Watch {
         /// Index of the store after which a change ends the wait.
@@ -68,6 +73,8 @@
 pub struct Outcome {
     /// The key's value, if newer than the last one returned.
     pub value: Option<KeyValue>,
+    /// All keys under the prefix, if a prefix is followed and its keys were listed.
+    pub listing: Option<Listing>,
     /// Time to wait before the next call.
     pub pause: Duration,
     /// Set if the store became unreachable or reachable again.
@@ -86,11 +93,16 @@
     Regained,
 }
 
-/// State machine that follows one key.
+/// State machine that follows one key, or the keys under a prefix.
 #[derive(Debug)]
 pub struct Follower {
     settings: Settings,
     key: String,
+    /// Prefix that is listed in place of reading the key.
+    prefix: Option<String>,
+    /// Whether the last list had keys, but not the followed one. An empty answer to
+    /// a watch may then mean that all of them were deleted.
+    lacked_key: bool,
     /// Revision of the newest value; 0 before the first value.
     newest: Revision,
     /// Era of the last answer that named one.
@@ -111,6 +123,8 @@
         Self {
             settings,
             key: key.into(),
+            prefix: None,
+            lacked_key: false,
             newest: 0,
             era: None,
             since: None,
@@ -120,12 +134,26 @@
         }
     }
 
+    /// Follows all keys under `prefix` too, to which the key belongs.
+    #[must_use]
+    pub fn with_prefix(mut self, prefix: impl Into<String>) -> Self {
+        self.prefix = Some(prefix.into());
+        self
+    }
+
     /// Returns the followed key.
     #[must_use]
     pub fn key(&self) -> &str {
         &self.key
     }
 
+    /// Returns the prefix to list and to watch: the key itself if no other keys are
+    /// followed.
+    #[must_use]
+    pub fn prefix(&self) -> &str {
+        self.prefix.as_ref().unwrap_or(&self.key)
+    }
+
     /// Returns the next call to make.
     #[must_use]
     pub const fn next(&self) -> Action {
@@ -134,6 +162,7 @@
                 since,
                 wait: self.settings.wait,
             },
+            None if self.prefix.is_some() => Action::List,
             None => Action::Read,
         }
     }
@@ -163,6 +192,11 @@
                     ..self.on_answer(now, item, pause)
                 }
             }
+            Event::Listed(Ok(listing)) => {
+                let restored = self.observe(Some(listing.index));
+                self.since = Some(listing.index);
+                self.accept(now, listing, Duration::ZERO, restored)
+            }
             Event::Watched(Ok(listing)) => {
                 let restored = self.observe(Some(listing.index));
                 // A listing that brings the watch no further must not be requested
@@ -173,14 +207,40 @@
                 } else {
                     Duration::ZERO
                 };
-                let item = listing.items.into_iter().find(|item| item.key == self.key);
                 self.since = self.since.max(Some(listing.index));
+                if !listing.items.is_empty() {
+                    return self.accept(now, listing, pause, restored);
+                }
+                // Either nothing has changed, or there are no keys any more.
+                if self.prefix.is_some() && (restored.is_some() || self.lacked_key) {
+                    self.since = None;
+                }
                 Outcome {
                     restored,
-                    ..self.on_answer(now, item, pause)
+                    ..self.on_answer(now, None, pause)
                 }
             }
-            Event::Read(Err(fault)) | Event::Watched(Err(fault)) => self.on_fault(fault),
+            Event::Read(Err(fault)) | Event::Listed(Err(fault)) | Event::Watched(Err(fault)) => {
+                self.on_fault(fault)
+            }
+        }
+    }
+
+    /// Handles a complete list of the followed keys.
+    fn accept(
+        &mut self,
+        now: Duration,
+        listing: Listing,
+        pause: Duration,
+        restored: Option<Era>,
+    ) -> Outcome {
+        let item = listing.items.iter().find(|item| item.key == self.key);
+        let item = item.cloned();
+        self.lacked_key = item.is_none() && !listing.items.is_empty();
+        Outcome {
+            restored,
+            listing: self.prefix.as_ref().map(|_| listing),
+            ..self.on_answer(now, item, pause)
         }
     }
 
@@ -201,6 +261,7 @@
         }
         Outcome {
             value,
+            listing: None,
             pause,
             reachability: change,
             restored: None,
@@ -219,6 +280,7 @@
             .get_or_insert_with(|| Backoff::new(settings, seed));
         Outcome {
             value: None,
+            listing: None,
             pause: backoff.next_pause(),
             reachability: change,
             restored: None,
--- a/coordination/config/tests/fleet/mod.rs
+++ b/coordination/config/tests/fleet/mod.rs
@@ -105,7 +105,7 @@
                 let action = self.follower.next();
                 let wait = match action {
                     follower::Action::Watch { wait, .. } => wait,
-                    follower::Action::Read => Duration::ZERO,
+                    follower::Action::Read | follower::Action::List => Duration::ZERO,
                 };
                 self.follow_call = Call::Sent {
                     action,
@@ -122,7 +122,7 @@
                 let is_lost = now < self.cut_until;
                 let answer = match action {
                     _ if is_lost => None,
-                    follower::Action::Read => {
+                    follower::Action::Read | follower::Action::List => {
                         store.get(&self.latest_era).map(follower::Event::Read)
                     }
                     follower::Action::Watch { since, wait } => store
--- a/coordination/member/src/announcer.rs
+++ b/coordination/member/src/announcer.rs
@@ -11,10 +11,12 @@
 use wire::target::State;
 
 use crate::Action;
+use crate::BROADCAST_ADDRESS;
 use crate::Health;
 use crate::Member;
 use crate::Message;
 use crate::Refusal;
+use crate::Service;
 use crate::Settings;
 use crate::Status;
 use crate::View;
@@ -75,6 +77,9 @@
     watchers: Watchers,
     view: View,
     view_changed: bool,
+    /// Newest record that entries sent to all agents.
+    broadcast: Option<Service>,
+    broadcast_changed: bool,
     /// Departure heartbeats left to send, once the agent leaves.
     departure_heartbeats: Option<u32>,
     /// Startup heartbeats left to send.
@@ -111,6 +116,8 @@
             next_heartbeat: now,
             view,
             view_changed: true,
+            broadcast: None,
+            broadcast_changed: false,
             departure_heartbeats: None,
             startup_heartbeats: STARTUP_HEARTBEATS,
             successor: None,
@@ -189,6 +196,9 @@
             Message::Ack(ack) => self.receive_ack(now, from, ack, actions),
             Message::Probe => self.send_heartbeat(&[from], actions),
             Message::Members(members) if members.address == service => self.merge_members(members),
+            Message::Members(members) if members.address == BROADCAST_ADDRESS => {
+                self.receive_broadcast(members.config);
+            }
             Message::TargetList(list) if list.address == service => self.receive_target_list(&list),
             Message::Offer(offer) if offer.address == service => {
                 self.receive_offer(now, from, offer, actions);
@@ -267,6 +277,13 @@
         std::mem::take(&mut self.view_changed)
     }
 
+    /// Returns the record at [`BROADCAST_ADDRESS`] if it has changed since the last
+    /// call.
+    pub fn take_broadcast(&mut self) -> Option<Service> {
+        let has_changed = std::mem::take(&mut self.broadcast_changed);
+        self.broadcast.clone().filter(|_| has_changed)
+    }
+
     /// Returns counters and sizes.
     #[must_use]
     pub fn status(&self) -> Status {
@@ -335,6 +352,18 @@
         }
     }
 
+    /// Keeps the newest record that concerns every agent.
+    fn receive_broadcast(&mut self, record: Option<Service>) {
+        let Some(record) = record.filter(|record| record.address == BROADCAST_ADDRESS) else {
+            return;
+        };
+        let held = self.broadcast.as_ref();
+        if held.is_none_or(|held| held.revision < record.revision) {
+            self.broadcast = Some(record);
+            self.broadcast_changed = true;
+        }
+    }
+
     fn merge_members(&mut self, members: Members) {
         if let Some(config) = members.config {
             self.view_changed |= self.view.merge_config(config).is_ok();
--- a/coordination/member/src/lib.rs
+++ b/coordination/member/src/lib.rs
@@ -39,6 +39,7 @@
 pub use fragment::Fragment;
 pub use fragment::Offer;
 pub use message::Message;
+pub use record::BROADCAST_ADDRESS;
 pub use record::Entry;
 pub use record::Record;
 pub use record::Service;
--- a/coordination/member/src/record.rs
+++ b/coordination/member/src/record.rs
@@ -1,4 +1,6 @@
 //! Records of the directory, and the order of the versions of one record.
+use std::net::IpAddr;
+use std::net::Ipv6Addr;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -17,6 +19,10 @@
 /// Key of a record, unique within a directory.
 pub type Key = u64;
 
+/// Pseudo service whose configuration entries send to all agents that they watch,
+/// of whichever service. It must fit into one message.
+pub const BROADCAST_ADDRESS: ServiceAddress = SocketAddr::new(IpAddr::V6(Ipv6Addr::UNSPECIFIED), 2);
+
 /// Id of a watched process: the id of a target, or the key of an entry.
 pub type SubjectId = TargetId;
 
--- a/coordination/member/src/registry.rs
+++ b/coordination/member/src/registry.rs
@@ -1,6 +1,7 @@
 //! Entry side of membership: the directory, failure detection and gossip.
 mod anti_entropy;
 mod audit;
+mod broadcast;
 mod failure;
 mod gossip;
 mod heartbeat;
@@ -38,6 +39,7 @@
 use crate::watches::Watches;
 use crate::zone::region;
 use crate::zones::Scope;
+use broadcast::Broadcast;
 
 /// Time between two searches for expired records.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
@@ -85,6 +87,7 @@
     assembler: Assembler,
     live_set: LiveSet,
     own_heartbeat: OwnHeartbeat,
+    broadcast: Broadcast,
     seeds: Vec<SocketAddr>,
     service_requests: BTreeMap<ServiceAddress, ServiceRequest>,
     last_reports: BTreeMap<ZoneId, Duration>,
@@ -154,6 +157,7 @@
                 next: now,
                 ..OwnHeartbeat::default()
             },
+            broadcast: Broadcast::default(),
             seeds: Vec::new(),
             service_requests: BTreeMap::new(),
             last_reports: BTreeMap::new(),
@@ -253,6 +257,7 @@
     /// Does the periodic work that is due.
     pub fn tick(&mut self, now: Duration, actions: &mut Vec<Action>) {
         self.gossip_if_due(now, actions);
+        self.broadcast_change(now, actions);
         if now < self.next_round {
             return;
         }
@@ -435,5 +440,6 @@
         let directory = &self.directory;
         self.watches
             .retain(|subject, _| directory.incarnation(subject).is_some());
+        self.broadcast.retain(&self.watches);
     }
 }
--- a/coordination/member/src/registry/heartbeat.rs
+++ b/coordination/member/src/registry/heartbeat.rs
@@ -116,6 +116,9 @@
             digest,
         };
         self.link.send(from, Message::Ack(ack), actions);
+        if sender.service.is_some() && !sender.has_left {
+            self.broadcast_to(now, sender.id, from, sender.incarnation, actions);
+        }
         match sender.service {
             Some(address) if digest != heartbeat.digest => {
                 self.send_view(from, address, &heartbeat.parts, actions);
@@ -275,7 +278,7 @@
     }
 }
 
-fn config_message(view: &View) -> Option<Message> {
+pub(super) fn config_message(view: &View) -> Option<Message> {
     let config = view.config.as_ref()?;
     if fragment::is_large(config) {
         return Some(Message::Offer(fragment::offer(config)));
--- a/roles/app/src/clock.rs
+++ b/roles/app/src/clock.rs
@@ -15,6 +15,13 @@
     Incarnation::try_from(age.as_micros()).unwrap_or(Incarnation::MAX)
 }
 
+/// Returns the seconds since the Unix epoch.
+#[must_use]
+pub fn unix_seconds() -> u64 {
+    let age = SystemTime::now().duration_since(UNIX_EPOCH);
+    age.unwrap_or_default().as_secs()
+}
+
 /// Returns the time since a moment in milliseconds since the Unix epoch, or `None`
 /// if this host's clock has not reached it or there is none (0).
 #[must_use]
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -132,6 +132,18 @@
     2009 Warn ConfigBehind { stored: Revision, version: Revision }
         "the store holds configuration version {stored}, which is older than version {version} in force here; the newer one stays in force",
         "write the newest configuration to the store again";
+    2010 Info ZoneEvacuated { zone: String, revision: Revision }
+        "availability zone {zone} is evacuated since revision {revision}: its backend servers get no new flows", "nothing";
+    2011 Info ZoneRestored { zone: String }
+        "availability zone {zone} is restored: its backend servers get new flows again", "nothing";
+    2012 Warn ZoneUnknown { zone: String }
+        "the store lists {zone} as evacuated, which is no availability zone of the settings; it is ignored",
+        "delete the key and write the one of the zone that was meant";
+    2013 Warn ServiceUncovered { service: ServiceAddress }
+        "all availability zones in which service {service} has backend servers are evacuated: its new flows are refused",
+        "restore one of the zones, or start backend servers in another one";
+    2014 Info ServiceCovered { service: ServiceAddress }
+        "service {service} has backend servers in a zone that is not evacuated again", "nothing";
     3001 Info TargetUp { service: ServiceAddress, target: TargetId }
         "backend server {target} of service {service} is ready for new flows", "nothing";
     3002 Warn TargetDown { service: ServiceAddress, target: TargetId }
@@ -151,6 +163,8 @@
         "backend server {server} announced the state {state} in announcement {sequence}", "nothing";
     3008 Info OldAnnouncement { server: String, sequence: u64 }
         "announcement {sequence} of backend server {server} is older than the last one and was ignored", "nothing";
+    3009 Info OwnZone { state: String, revision: Revision }
+        "the availability zone of this host is {state} as of revision {revision}; while it is evacuated, new flows are passed on to other zones", "nothing";
     4001 Info FlowOpened { flow: String, first: TargetId, version: Revision, count: usize }
         "flow {flow} was sent to the agent of {first}, with {count} more agents on its path, by configuration version {version}", "nothing";
     4002 Info FlowTaken { flow: String, wait_us: u128, held_us: u128, risk_us: u128, running: u16, held: usize, entry: SocketAddr }
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -6,6 +6,7 @@
 //! configuration and answers the platform's health checks.
 mod announcements;
 mod control;
+mod evacuation;
 mod follow;
 mod registration;
 mod routes;
@@ -40,6 +41,7 @@
 use crate::forwarder::telemetry::Telemetry;
 use crate::gateway::control::Control;
 use crate::gateway::control::Input;
+use crate::gateway::evacuation::Evacuation;
 use crate::gateway::routes::Builder;
 use crate::gateway::traffic::Traffic;
 use crate::metric;
@@ -98,6 +100,7 @@
             telemetry,
         },
         control: sender.clone(),
+        evacuation: Mutex::default(),
     });
     traffic::start(&traffic, callers)?;
     let is_ready = Arc::new(AtomicBool::new(false));
@@ -115,7 +118,8 @@
     let is_confirmed = Arc::new(AtomicBool::new(false));
     let (restored, on_restore) = async_channel::bounded(1);
     let confirmed = Arc::clone(&is_confirmed);
-    let follower = follow::run(store.clone(), sender.clone(), confirmed, restored);
+    let zones = host.evacuation_ms.map(|_| host.zones.clone());
+    let follower = follow::run(store.clone(), sender.clone(), confirmed, restored, zones);
     executor.spawn(follower).detach();
     let registration = registration::run(store, frames, sender.clone(), on_restore);
     executor.spawn(registration).detach();
@@ -128,9 +132,11 @@
         is_confirmed,
         stored_version: 0,
         is_ready: Arc::clone(&is_ready),
+        has_been_ready: false,
         seeds: host.seed_frame_addresses(),
         requested: BTreeSet::new(),
         tracker: crate::change::Tracker::default(),
+        evacuation: Evacuation::new(&host, origin.elapsed()),
     };
     let stopping = wait_for_stop(signals, sender, is_ready);
     executor.run(control.run().or(stopping)).await;
@@ -148,6 +154,9 @@
     let mut registry = Registry::new(settings, identity, fastrand::u64(..), now);
     registry.join(now, &host.seed_frame_addresses());
     registry.request_service(now, routes::DOCUMENT_ADDRESS);
+    if host.evacuation_ms.is_some() {
+        registry.request_service(now, member::BROADCAST_ADDRESS);
+    }
     registry
 }
 
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use bytes::Bytes;
+use config::Evacuations;
 use forward::Routes;
 use forward::entry::Event;
 use futures_lite::FutureExt;
@@ -24,6 +26,8 @@
 
 use crate::change::Tracker;
 use crate::event::Event as LogEvent;
+use crate::gateway::evacuation;
+use crate::gateway::evacuation::Evacuation;
 use crate::gateway::routes;
 use crate::gateway::routes::Builder;
 use crate::gateway::traffic::Traffic;
@@ -42,6 +46,13 @@
     },
     /// An encoded configuration read from the store.
     Document(Vec<u8>),
+    /// The evacuated zones that the store lists.
+    Evacuations {
+        /// The zones.
+        evacuations: Evacuations,
+        /// Index of the store at which they were listed.
+        index: Revision,
+    },
     /// Addresses of the entries that the store lists.
     Peers(Vec<SocketAddr>),
     /// A request to announce that this gateway leaves.
@@ -67,12 +78,16 @@
     pub stored_version: Revision,
     /// Whether callers can be served, as reported to the platform.
     pub is_ready: Arc<AtomicBool>,
+    /// Whether that was reported once.
+    pub has_been_ready: bool,
     /// Addresses of the entries that the settings name.
     pub seeds: Vec<SocketAddr>,
     /// Services that were requested from other entries.
     pub requested: BTreeSet<ServiceAddress>,
     /// Last logged state of the targets.
     pub tracker: Tracker,
+    /// The evacuated availability zones.
+    pub evacuation: Evacuation,
 }
 
 impl Control {
@@ -97,6 +112,9 @@
                 Err(error) => log::debug!("cannot decode message from {from}: {error}"),
             },
             Some(Input::Document(bytes)) => self.update_document(now, bytes),
+            Some(Input::Evacuations { evacuations, index }) => {
+                self.update_evacuations(now, &evacuations, index);
+            }
             Some(Input::Peers(peers)) => self.join_listed(now, &peers),
             Some(Input::Leave) => self.registry.leave(now, actions),
             None => {}
@@ -124,10 +142,27 @@
                 self.request_services(now, &routes);
             }
             self.traffic.handle(Event::Routes(routes));
-            if self.builder.is_ready() {
-                self.is_ready.store(true, Ordering::Relaxed);
+            if changes.contains(&member::BROADCAST_ADDRESS) {
+                self.evacuation
+                    .observe(now, self.registry.view(&member::BROADCAST_ADDRESS));
             }
         }
+        let evacuations = self.evacuation.take_change(now);
+        if let Some(evacuations) = &evacuations {
+            let routes = self.builder.evacuate(evacuations);
+            self.traffic.handle(Event::Routes(routes));
+        }
+        if evacuations.is_some() || !changes.is_empty() {
+            let report = self.evacuation.report(self.builder.routes());
+            let shared = &self.traffic.evacuation;
+            *shared.lock().unwrap_or_else(PoisonError::into_inner) = report;
+        }
+        let is_complete = self.builder.is_ready() && self.evacuation.is_ready(now);
+        // Only once: a gateway that stops reports that it is no longer ready.
+        if is_complete && !self.has_been_ready {
+            self.has_been_ready = true;
+            self.is_ready.store(true, Ordering::Relaxed);
+        }
         // A store that holds an older configuration cannot confirm the newer one.
         let is_stored = self.stored_version >= self.builder.version();
         let is_confirmed = is_stored && self.is_confirmed.load(Ordering::Relaxed);
@@ -142,7 +177,7 @@
     fn log_changes(&mut self, changes: &[ServiceAddress]) {
         let services = changes
             .iter()
-            .filter(|address| **address != routes::DOCUMENT_ADDRESS);
+            .filter(|address| !routes::is_pseudo_service(**address));
         for view in services.filter_map(|address| self.registry.view(address)) {
             for event in self.tracker.update(view) {
                 self.traffic.link.log(&event);
@@ -213,4 +248,25 @@
         };
         self.registry.put_service(now, service);
     }
+
+    /// Gossips the evacuated zones that the store lists, if they have changed.
+    fn update_evacuations(&mut self, now: Duration, listed: &Evacuations, index: Revision) {
+        let view = self.registry.view(&member::BROADCAST_ADDRESS);
+        let known = view.and_then(evacuation::decode);
+        let known = known.as_ref().map(|(revision, known)| (*revision, known));
+        if !listed.supersedes(index, known) {
+            return;
+        }
+        match listed.to_bytes() {
+            Ok(body) => {
+                let service = member::Service {
+                    address: member::BROADCAST_ADDRESS,
+                    revision: index,
+                    body: body.into(),
+                };
+                self.registry.put_service(now, service);
+            }
+            Err(error) => log::error!("cannot encode the evacuated zones: {error}"),
+        }
+    }
 }
--- /dev/null
+++ b/roles/app/src/gateway/evacuation.rs
@@ -0,0 +1,151 @@
+//! The evacuated availability zones, as a gateway applies and reports them.
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use config::Evacuations;
+use config::evacuation::Tracker;
+use forward::Routes;
+use member::View;
+use platform::name;
+use wire::Revision;
+use wire::ServiceAddress;
+
+use crate::clock;
+use crate::event::Event;
+use crate::metric;
+use crate::metric::Instruments;
+
+/// Longest time after the start for which a gateway waits for the evacuated zones
+/// before it is ready. Peers answer within a few round trips; if neither they nor
+/// the store do, refusing callers helps nobody.
+const MAX_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Evacuated zones of a gateway.
+pub struct Evacuation {
+    tracker: Tracker,
+    /// Zones that were last published to the traffic threads.
+    published: Evacuations,
+    /// Services of which every backend server is in an evacuated zone.
+    uncovered: BTreeSet<ServiceAddress>,
+    report: Report,
+    /// Region of each zone, to find the names of zones.
+    zones: BTreeMap<String, String>,
+    /// Time until which the gateway is not ready without a list; `None` where zones
+    /// are never evacuated.
+    wait_until: Option<Duration>,
+}
+
+/// What a gateway reports about evacuated zones.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// By the name of each zone that was ever evacuated: its revision, and the time at
+    /// which this process learned of it in seconds since the Unix epoch; zeros once
+    /// it was restored.
+    zones: BTreeMap<String, (Revision, u64)>,
+    uncovered: usize,
+}
+
+impl Report {
+    /// Copies the report to the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`metric::Error::Unknown`] if a metric is not in the table.
+    pub fn publish(&self, instruments: &mut Instruments) -> Result<(), metric::Error> {
+        for (zone, (revision, since)) in &self.zones {
+            instruments.set("carried.evacuation.revision", zone, *revision)?;
+            instruments.set("carried.evacuation.since", zone, *since)?;
+        }
+        instruments.set_size("carried.evacuation.uncovered", self.uncovered)
+    }
+}
+
+impl Evacuation {
+    /// Creates the state of a gateway that starts.
+    pub fn new(host: &platform::Settings, now: Duration) -> Self {
+        Self {
+            tracker: Tracker::default(),
+            published: Evacuations::default(),
+            uncovered: BTreeSet::new(),
+            report: Report::default(),
+            zones: host.zones.clone(),
+            wait_until: host.evacuation_ms.map(|_| now + MAX_WAIT),
+        }
+    }
+
+    /// Records the list in a gossiped record.
+    pub fn observe(&mut self, now: Duration, view: Option<&View>) {
+        if let Some((revision, evacuations)) = view.and_then(decode) {
+            self.tracker.observe(now, revision, evacuations);
+        }
+    }
+
+    /// Returns the evacuated zones if they have changed since the last call, and logs
+    /// the changes.
+    pub fn take_change(&mut self, now: Duration) -> Option<Evacuations> {
+        let current = self.tracker.in_force(now);
+        if current == self.published {
+            return None;
+        }
+        for (id, revision) in &current.zones {
+            if !self.published.contains(*id) {
+                let (zone, revision) = (name::zone_name(*id, &self.zones), *revision);
+                let row = (revision, clock::unix_seconds());
+                self.report.zones.insert(zone.clone(), row);
+                Event::ZoneEvacuated { zone, revision }.log();
+            }
+        }
+        for id in self.published.zones.keys() {
+            if !current.contains(*id) {
+                let zone = name::zone_name(*id, &self.zones);
+                self.report.zones.insert(zone.clone(), (0, 0));
+                Event::ZoneRestored { zone }.log();
+            }
+        }
+        self.published.clone_from(&current);
+        Some(current)
+    }
+
+    /// Logs the services that have lost their last zone, and those that have one
+    /// again. Returns the report for the metrics.
+    pub fn report(&mut self, routes: &Routes) -> Report {
+        let services = routes.targets.keys().copied();
+        let uncovered: BTreeSet<ServiceAddress> = services
+            .filter(|service| is_uncovered(routes, *service))
+            .collect();
+        for service in uncovered.difference(&self.uncovered).copied() {
+            Event::ServiceUncovered { service }.log();
+        }
+        for service in self.uncovered.difference(&uncovered).copied() {
+            Event::ServiceCovered { service }.log();
+        }
+        self.uncovered = uncovered;
+        self.report.uncovered = self.uncovered.len();
+        self.report.clone()
+    }
+
+    /// Returns true if the gateway need not wait for a list any more.
+    pub fn is_ready(&self, now: Duration) -> bool {
+        self.tracker.is_known() || self.wait_until.is_none_or(|until| now >= until)
+    }
+}
+
+/// Returns true if a service has backend servers, and all of them are in evacuated
+/// zones.
+fn is_uncovered(routes: &Routes, service: ServiceAddress) -> bool {
+    let mut targets = routes.targets_of(service).peekable();
+    targets.peek().is_some() && targets.all(|target| routes.evacuated_zones.contains(&target.zone))
+}
+
+/// Decodes the revision and the content of the gossiped record.
+pub fn decode(view: &View) -> Option<(Revision, Evacuations)> {
+    let record = view.config.as_ref()?;
+    match Evacuations::from_bytes(&record.body) {
+        Ok(evacuations) => Some((record.revision, evacuations)),
+        Err(error) => {
+            log::error!("cannot decode the gossiped evacuated zones: {error}");
+            None
+        }
+    }
+}
--- a/roles/app/src/gateway/routes.rs
+++ b/roles/app/src/gateway/routes.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use config::Evacuations;
 use forward::Routes;
+use member::BROADCAST_ADDRESS;
 use member::Health;
 use member::Registry;
 use member::View;
@@ -18,6 +20,11 @@
 /// configuration.
 pub const DOCUMENT_ADDRESS: ServiceAddress = SocketAddr::new(IpAddr::V6(Ipv6Addr::UNSPECIFIED), 1);
 
+/// Returns true for the address of a record that is no configuration of a service.
+pub fn is_pseudo_service(address: ServiceAddress) -> bool {
+    address == DOCUMENT_ADDRESS || address == BROADCAST_ADDRESS
+}
+
 /// Builder that holds the current routes.
 #[derive(Default)]
 pub struct Builder {
@@ -31,7 +38,7 @@
             let view = registry.view(address);
             if *address == DOCUMENT_ADDRESS {
                 self.update_table(view);
-            } else {
+            } else if *address != BROADCAST_ADDRESS {
                 let targets = view.map(targets).unwrap_or_default();
                 if view.is_some_and(has_unreachable) {
                     self.routes.services_with_down_targets.insert(*address);
@@ -44,6 +51,17 @@
         Arc::new(self.routes.clone())
     }
 
+    /// Sets the evacuated zones and returns the current routes.
+    pub fn evacuate(&mut self, evacuations: &Evacuations) -> Arc<Routes> {
+        self.routes.evacuated_zones = evacuations.zones.keys().copied().collect();
+        Arc::new(self.routes.clone())
+    }
+
+    /// Returns the current routes.
+    pub const fn routes(&self) -> &Routes {
+        &self.routes
+    }
+
     /// Sets whether the configuration is confirmed as current and whether the
     /// backend servers are completely known. Returns the routes, or `None` if
     /// nothing changed.
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -23,6 +23,7 @@
 use crate::forwarder::link::Link;
 use crate::forwarder::reader;
 use crate::gateway::control;
+use crate::gateway::evacuation::Report;
 use crate::metric;
 use crate::metric::Instruments;
 use crate::metric::forwarder::record;
@@ -35,6 +36,8 @@
     pub link: Link,
     /// Queue of inputs to the control thread; inputs are dropped while it is full.
     pub control: Sender<control::Input>,
+    /// Evacuated zones, as the control thread applies them.
+    pub evacuation: Mutex<Report>,
 }
 
 /// Starts the threads that read callers' packets and frames.
@@ -82,7 +85,12 @@
         self.link.publish(instruments, calls)?;
         let core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
         instruments.set_size("carried.flows", core.len())?;
-        instruments.set("carried.version", "", core.version())
+        instruments.set("carried.version", "", core.version())?;
+        drop(core);
+        let evacuation = self.evacuation.lock();
+        evacuation
+            .unwrap_or_else(PoisonError::into_inner)
+            .publish(instruments)
     }
 
     fn on_packet(&self, packet: &[u8]) {
@@ -141,7 +149,12 @@
                     count: hops.saturating_sub(1),
                 });
             }
-            Action::Accepted { took } => record(&link.telemetry.open_time, took),
+            Action::Accepted { took, is_evacuated } => {
+                record(&link.telemetry.open_time, took);
+                if is_evacuated {
+                    link.count("carried.evacuation.accepted", "");
+                }
+            }
             Action::SearchRequested {
                 flow,
                 searcher,
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -129,6 +129,11 @@
     histogram("carried.open.time", "us", "time from the last copy of an opening packet to the holder's confirmation"),
     histogram("carried.search.time", "us", "time from the last search message to the holder's answer"),
     histogram("carried.request.time", "us", "time from a request to the first packet of its answer"),
+    gauge("carried.evacuation.revision", "1", "revision of the store since which an availability zone is evacuated at a gateway, by zone; 0 once it is restored"),
+    gauge("carried.evacuation.since", "s", "time at which a gateway learned that an availability zone is evacuated, since the Unix epoch, by zone; 0 once it is restored"),
+    gauge("carried.evacuation.uncovered", "{service}", "services of which all backend servers that a gateway knows are in evacuated zones"),
+    counter("carried.evacuation.accepted", "{flow}", "flows that an agent of an evacuated zone accepted or held as its gateway already knew of the evacuation"),
+    counter("carried.evacuation.passed", "{packet}", "opening packets that a sidecar forwarded because its zone is evacuated"),
     // Agents.
     gauge("weight", "{request}/s", "learned capacity, as announced"),
 ];
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -6,6 +6,7 @@
 //! and accepts the backend server's announcements.
 mod announcements;
 mod control;
+mod evacuation;
 mod seeds;
 mod traffic;
 
@@ -39,6 +40,7 @@
 use crate::settings::table::Role;
 use crate::sidecar::control::Control;
 use crate::sidecar::control::Input;
+use crate::sidecar::evacuation::Evacuation;
 use crate::sidecar::traffic::Traffic;
 use crate::signal;
 use crate::signal::Signal;
@@ -143,6 +145,7 @@
         zone: host.zone_id(),
         inputs,
         announcement: None,
+        evacuation: Evacuation::new(host.zone_id()),
     };
     let stopping = wait_for_stop(signals, sender, traffic);
     let control = Box::pin(control.run(&host));
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -29,6 +29,7 @@
 
 use crate::clock;
 use crate::event::Event as LogEvent;
+use crate::sidecar::evacuation::Evacuation;
 use crate::sidecar::traffic::Traffic;
 
 /// Longest sleep when no deadline is pending.
@@ -89,6 +90,8 @@
     pub inputs: Receiver<Input>,
     /// Last announcement of the backend server.
     pub announcement: Option<Announcement>,
+    /// The evacuated availability zones.
+    pub evacuation: Evacuation,
 }
 
 impl Control {
@@ -119,6 +122,12 @@
             Some(Input::Stop) => self.stop(now),
             None => {}
         }
+        if let Some(record) = self.announcer.as_mut().and_then(Announcer::take_broadcast) {
+            self.evacuation.observe(now, &record);
+        }
+        if let Some(change) = self.evacuation.take_change(now, self.announcer.as_ref()) {
+            self.traffic.handle(Event::Evacuation(change));
+        }
         self.announce(now);
         if let Some(announcer) = &mut self.announcer {
             announcer.raise_incarnation(now);
--- /dev/null
+++ b/roles/app/src/sidecar/evacuation.rs
@@ -0,0 +1,84 @@
+//! The evacuation of the availability zone of a sidecar's backend server.
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::Evacuations;
+use config::evacuation::Tracker;
+use member::Announcer;
+use member::Health;
+use wire::Hop;
+use wire::ZoneId;
+use wire::target::State;
+
+use crate::event::Event;
+
+/// Evacuated zones of a sidecar.
+pub struct Evacuation {
+    tracker: Tracker,
+    zone: ZoneId,
+    /// What was last passed to the core: the agents of other zones while its own zone
+    /// is evacuated.
+    published: Option<Arc<Vec<Hop>>>,
+}
+
+impl Evacuation {
+    /// Creates the state of a sidecar in `zone`.
+    pub fn new(zone: ZoneId) -> Self {
+        Self {
+            tracker: Tracker::default(),
+            zone,
+            published: None,
+        }
+    }
+
+    /// Records the list in a record that an entry sent.
+    pub fn observe(&mut self, now: Duration, record: &member::Service) {
+        match Evacuations::from_bytes(&record.body) {
+            Ok(evacuations) => self.tracker.observe(now, record.revision, evacuations),
+            Err(error) => log::error!("cannot decode the evacuated zones: {error}"),
+        }
+    }
+
+    /// Returns the agents that new flows are passed on to, `None` if the zone is not
+    /// evacuated, if that has changed since the last call.
+    pub fn take_change(
+        &mut self,
+        now: Duration,
+        announcer: Option<&Announcer>,
+    ) -> Option<Option<Arc<Vec<Hop>>>> {
+        let evacuated = self.tracker.in_force(now);
+        let own = evacuated.zones.get(&self.zone);
+        let others = own.map(|_| Arc::new(alternatives(announcer, &evacuated)));
+        if others == self.published {
+            return None;
+        }
+        if others.is_some() != self.published.is_some() {
+            let state = if own.is_some() {
+                "evacuated"
+            } else {
+                "restored"
+            };
+            Event::OwnZone {
+                state: state.to_owned(),
+                revision: own.copied().unwrap_or_default(),
+            }
+            .log();
+        }
+        self.published.clone_from(&others);
+        Some(others)
+    }
+}
+
+/// Returns the agents of the service that accept new flows, without those in
+/// evacuated zones.
+fn alternatives(announcer: Option<&Announcer>, evacuated: &Evacuations) -> Vec<Hop> {
+    let members = announcer
+        .into_iter()
+        .flat_map(|announcer| announcer.view().targets.values());
+    let able = members.filter(|member| {
+        member.target.state == State::Ready
+            && member.health != Health::Down
+            && !evacuated.contains(member.target.zone)
+    });
+    able.map(|member| member.target.hop()).collect()
+}
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use forward::Agent;
 use forward::agent::Action;
+use forward::agent::Closed;
 use forward::agent::DropReason;
 use forward::agent::Event;
 use forward::agent::Refusal;
@@ -201,6 +202,9 @@
                 is_settled,
             } => {
                 link.count("carried.flows.passed", "");
+                if *bid == Err(Closed::Evacuated) {
+                    link.count("carried.evacuation.passed", "");
+                }
                 let bid = match bid {
                     Ok(bid) => format!("{} us", (bid.wait + bid.held + bid.risk).as_micros()),
                     Err(closed) => format!("{closed:?}").to_lowercase(),
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod backend;
 mod bid;
+mod evacuation;
 mod expiring_map;
 mod flow;
 mod lookup;
@@ -20,6 +21,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -95,6 +97,10 @@
     PeerDenied(NotHeld),
     /// The set of other agents of the service changed.
     Peers(Peers),
+    /// The availability zone of the backend server was evacuated; carries the agents
+    /// of the service in other zones that accept new flows. `None` if it was
+    /// restored.
+    Evacuation(Option<Arc<Vec<Hop>>>),
     /// The backend server sent a packet, or returned one that it does not hold
     /// or accept.
     ServerPacket {
@@ -133,6 +139,9 @@
     unanswered_since: Option<Duration>,
     presence: Presence,
     is_stopping: bool,
+    /// Agents in other zones to pass new flows on to, while the zone of the backend
+    /// server is evacuated.
+    evacuation: Option<Arc<Vec<Hop>>>,
     occupancy: Occupancy,
     held_load: Forecast,
     risk: Risk,
@@ -190,6 +199,7 @@
             unanswered_since: None,
             presence: Presence::new(now),
             is_stopping: false,
+            evacuation: None,
             occupancy: Occupancy::new(settings.initial_slots, settings.initial_service_time),
             held_load: Forecast::new(settings.held_load, now),
             risk: Risk::new(settings.risk, now),
@@ -219,6 +229,7 @@
             Event::Lookup { lookup, segment } => self.handle_lookup(now, lookup, segment, actions),
             Event::PeerDenied(denial) => self.record_peer_denial(now, &denial, actions),
             Event::Peers(peers) => self.peers = peers,
+            Event::Evacuation(evacuation) => self.evacuation = evacuation,
             Event::ServerPacket { segment, packet } if segment.is_returned => {
                 self.unanswered_since = None;
                 self.handle_returned(now, segment, packet, actions);
@@ -256,6 +267,7 @@
             .map(|since| since + settings.reaction_timeout);
         match &self.announcement {
             _ if self.is_stopping => Some(Closed::Stopping),
+            _ if self.evacuation.is_some() => Some(Closed::Evacuated),
             None if !self.assumes_ready(now) => Some(Closed::Unknown),
             Some(announcement) if announcement.state != State::Ready => Some(Closed::NotReady),
             Some(_) if now >= self.last_announced + settings.announcement_timeout => {
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -142,6 +142,8 @@
 pub enum Closed {
     /// The process is shutting down.
     Stopping,
+    /// An operator has evacuated the availability zone of the backend server.
+    Evacuated,
     /// The backend server has not announced itself yet.
     Unknown,
     /// The flow is addressed to an earlier backend server at this address.
--- a/roles/forward/src/agent/admission.rs
+++ b/roles/forward/src/agent/admission.rs
@@ -99,6 +99,10 @@
     ) {
         let flow = segment.flow_from_caller();
         let intended_target = intended_target(&open).unwrap_or(self.own.target);
+        let open = match bid {
+            Ok(_) => open,
+            Err(_) => self.redirect(&flow, open),
+        };
         match bid::decide(open, bid.ok()) {
             Verdict::Admit(open) if self.has_room() => {
                 self.admit(now, &segment, open, bid.unwrap_or_default(), actions);
@@ -288,7 +292,8 @@
             .as_ref()
             .is_some_and(|flow| now >= flow.last_used + self.settings.prompt_rejection);
         let open = held.and_then(|flow| flow.open);
-        match open.map(|open| bid::decide(Open { packet, ..open }, None)) {
+        let open = open.map(|open| self.redirect(&flow, Open { packet, ..open }));
+        match open.map(|open| bid::decide(open, None)) {
             Some(Verdict::Pass(open)) => {
                 self.passed_flows
                     .insert(now, flow, Passed::new(&segment, &open));
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -434,7 +434,8 @@
             Some(Phase::Searching(searching)) => searching,
             Some(Phase::Opening(opening)) => {
                 let took = now.saturating_sub(opening.sent_at);
-                return actions.push(Action::Accepted { took });
+                let is_evacuated = self.routes.is_evacuated(held.holder.target);
+                return actions.push(Action::Accepted { took, is_evacuated });
             }
             _ => return,
         };
--- a/roles/forward/src/entry/action.rs
+++ b/roles/forward/src/entry/action.rs
@@ -43,6 +43,9 @@
     Accepted {
         /// Time since the opening packet was last sent.
         took: Duration,
+        /// Whether its backend server is in an evacuated zone, so that the agent
+        /// does not know of the evacuation yet or held the flow before it.
+        is_evacuated: bool,
     },
     /// An agent was asked to search for the holder of a flow.
     SearchRequested {
--- a/roles/forward/src/routes.rs
+++ b/roles/forward/src/routes.rs
@@ -12,6 +12,7 @@
 use wire::Revision;
 use wire::ServiceAddress;
 use wire::Target;
+use wire::TargetId;
 use wire::ZoneId;
 use wire::target::State;
 use wire::transit::Demand;
@@ -80,7 +81,7 @@
     /// Services with backend servers that are marked down but may only be
     /// unreachable.
     pub services_with_down_targets: HashSet<ServiceAddress>,
-    /// Availability zones that an operator has emptied: their backend servers get no
+    /// Availability zones that an operator has evacuated: their backend servers get no
     /// new flows.
     pub evacuated_zones: BTreeSet<ZoneId>,
 }
@@ -148,6 +149,14 @@
         targets.into_iter().flat_map(|targets| targets.iter())
     }
 
+    /// Returns true if a backend server is in an evacuated zone.
+    #[must_use]
+    pub fn is_evacuated(&self, target: TargetId) -> bool {
+        let mut known = self.targets.values().flat_map(|targets| targets.iter());
+        !self.evacuated_zones.is_empty()
+            && known.any(|known| known.id == target && self.evacuated_zones.contains(&known.zone))
+    }
+
     /// Returns true if a service of a route has a backend server that is marked
     /// down but may only be unreachable.
     #[must_use]
