--- a/coordination/config/tests/follow.rs
+++ b/coordination/config/tests/follow.rs
@@ -56,7 +56,7 @@
 fn watched_since(follower: &Follower) -> Option<u64> {
     match follower.next() {
         Action::Watch { since, .. } => Some(since),
-        Action::Read => None,
+        Action::Read | Action::List => None,
     }
 }
 
@@ -172,3 +172,54 @@
     assert!(follower.handle(ms(2), changed(8)).pause > Duration::ZERO);
     assert_eq!(follower.handle(ms(3), unchanged(8)).pause, Duration::ZERO);
 }
+
+fn listing(keys: &[&str], index: u64) -> Listing {
+    let items = keys.iter().map(|key| KeyValue {
+        key: (*key).to_owned(),
+        ..item(index)
+    });
+    Listing {
+        items: items.collect(),
+        index,
+    }
+}
+
+fn prefix_follower(keys: &[&str]) -> Follower {
+    let mut follower = follower().with_prefix("s");
+    assert_eq!(follower.next(), Action::List);
+    let outcome = follower.handle(ms(0), Event::Listed(Ok(listing(keys, 5))));
+    assert_eq!(outcome.listing, Some(listing(keys, 5)));
+    follower
+}
+
+#[test]
+fn a_followed_prefix_returns_each_list_and_the_value_only_if_it_changed() {
+    let mut follower = prefix_follower(&[KEY, "s/1"]);
+    let mut next = listing(&[KEY], 9);
+    next.items[0].revision = 5;
+    let outcome = follower.handle(ms(1), Event::Watched(Ok(next.clone())));
+    assert_eq!((outcome.value, outcome.listing), (None, Some(next)));
+    assert_eq!(follower.handle(ms(2), unchanged(10)).listing, None);
+    assert_eq!(watched_since(&follower), Some(10));
+}
+
+/// The answer to a watch does not tell whether nothing changed or no key is left.
+#[test]
+fn a_prefix_without_the_key_is_listed_again() {
+    let mut follower = prefix_follower(&["s/1"]);
+    follower.handle(ms(1), unchanged(8));
+    assert_eq!(follower.next(), Action::List);
+    let outcome = follower.handle(ms(2), Event::Listed(Ok(listing(&[], 9))));
+    assert_eq!(outcome.listing, Some(listing(&[], 9)));
+    follower.handle(ms(3), unchanged(12));
+    assert_eq!(watched_since(&follower), Some(12));
+}
+
+/// The copy that a store was restored from may have no keys under the prefix.
+#[test]
+fn a_prefix_is_listed_again_after_a_restore_to_an_empty_store() {
+    let mut follower = prefix_follower(&[KEY, "s/1"]);
+    let outcome = follower.handle(ms(1), unchanged(restored(2)));
+    assert_eq!(outcome.restored, Some(1));
+    assert_eq!(follower.next(), Action::List);
+}
--- /dev/null
+++ b/coordination/member/tests/broadcast.rs
@@ -0,0 +1,111 @@
+//! Tests of the record that entries send to all agents.
+mod net;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use member::Announcer;
+use member::BROADCAST_ADDRESS;
+use member::Message;
+use member::Service;
+
+use crate::net::Net;
+use crate::net::agent;
+use crate::net::entry;
+use crate::net::region;
+
+const AGENTS: u8 = 12;
+
+/// Time from a change until every agent that runs and is reachable knows it.
+const SPREAD_TIME: Duration = Duration::from_millis(500);
+
+/// Time after which an agent knows the record that started, or whose messages were
+/// lost. The bound of an evacuation is 5 s, of which copies of opening packets take
+/// 1.4 s.
+const LATE_SPREAD_TIME: Duration = Duration::from_millis(3_500);
+
+/// Publishes a revision at the first entry.
+fn publish(net: &mut Net, revision: u64) {
+    let service = Service {
+        address: BROADCAST_ADDRESS,
+        revision,
+        body: Bytes::from(revision.to_string()),
+    };
+    let now = net.now;
+    net.entries
+        .get_mut(&entry(1))
+        .unwrap()
+        .put_service(now, service);
+}
+
+/// Returns the agents that have not received a revision since they were last asked.
+fn lacking(net: &mut Net, revision: u64) -> usize {
+    let agents = net.agents.values_mut();
+    let records = agents.map(Announcer::take_broadcast);
+    records
+        .filter(|record| record.as_ref().map(|record| record.revision) != Some(revision))
+        .count()
+}
+
+#[test]
+fn each_change_reaches_all_agents_at_once() {
+    let mut net = region(6, AGENTS, 3);
+    for revision in [3, 8] {
+        publish(&mut net, revision);
+        net.run(SPREAD_TIME);
+        assert_eq!(lacking(&mut net, revision), 0);
+    }
+}
+
+/// Its watchers sent the record to the process before it.
+#[test]
+fn an_agent_that_starts_again_receives_the_record() {
+    let mut net = region(6, AGENTS, 3);
+    publish(&mut net, 3);
+    net.run(SPREAD_TIME);
+    for number in 1..=AGENTS {
+        net.add_agent(number, u16::from(number % 3), 2);
+    }
+    net.run(Duration::from_secs(1));
+    assert_eq!(lacking(&mut net, 3), 0);
+}
+
+#[test]
+fn a_lost_message_is_sent_again() {
+    let mut net = region(6, AGENTS, 3);
+    let end = net.now + Duration::from_millis(1_500);
+    net.cut = Some(Box::new(|_, to| {
+        (1..=AGENTS).any(|number| agent(number) == to)
+    }));
+    publish(&mut net, 3);
+    net.run(end.saturating_sub(net.now));
+    net.cut = None;
+    net.run(LATE_SPREAD_TIME - Duration::from_millis(1_500));
+    assert_eq!(lacking(&mut net, 3), 0);
+}
+
+/// A watcher that was cut off sends what it knew.
+#[test]
+fn an_older_record_does_not_replace_a_newer_one() {
+    let mut net = region(3, 2, 3);
+    publish(&mut net, 3);
+    net.run(SPREAD_TIME);
+    let now = net.now;
+    let older = Service {
+        address: BROADCAST_ADDRESS,
+        revision: 2,
+        body: Bytes::new(),
+    };
+    let message = Message::Members(member::message::Members {
+        address: BROADCAST_ADDRESS,
+        config: Some(older),
+        members: Vec::new(),
+    });
+    let announcer = net.agents.get_mut(&agent(1)).unwrap();
+    assert_eq!(
+        announcer.take_broadcast().map(|record| record.revision),
+        Some(3)
+    );
+    announcer.handle(now, entry(1), message, &mut Vec::new());
+    assert_eq!(announcer.take_broadcast(), None);
+}
--- a/roles/forward/src/agent/evacuation.rs
+++ b/roles/forward/src/agent/evacuation.rs
@@ -9,6 +9,7 @@
 use wire::transit::Open;
 
 use super::Agent;
+use super::admission::intended_target;
 
 /// Number of agents in other zones that are asked to admit a flow: as many as an
 /// entry puts on a path.
@@ -26,6 +27,10 @@
         let Some(others) = &self.evacuation else {
             return open;
         };
+        // The other agents may not serve the service of an earlier backend server.
+        if intended_target(&open) != Some(self.own.target) {
+            return open;
+        }
         // A settled flow was to be admitted here, by its bid. This agent takes the last
         // place on the path instead, so that the agents added after it can bid.
         let position = usize::from(open.position);
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -1,5 +1,6 @@
 //! Handles the packets and announcements of the backend server.
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -185,6 +186,12 @@
         }
         self.last_announced = now;
         self.unanswered_since = None;
+        if self.own.target != announcement.target
+            && let Some(others) = &mut self.evacuation
+        {
+            // They serve the service of the earlier backend server.
+            *others = Arc::default();
+        }
         self.own.target = announcement.target;
         self.occupancy.set_slots(announcement.slots);
         self.announcement = Some(announcement);
