--- a/roles/forward/tests/simulation/mod.rs
+++ b/roles/forward/tests/simulation/mod.rs
@@ -1,5 +1,8 @@
 //! Simulates a deployment in memory: callers with long flows, entries, agents
 //! and backend servers, under restarts.
+#![allow(dead_code)]
+pub mod evacuation;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
@@ -49,6 +52,7 @@
     PacketAtCaller(Segment, bool),
     SendAtCaller(FlowId, u32, u32),
     Announce(TargetId),
+    Learn(evacuation::Process, evacuation::Request),
     Tick,
 }
 
@@ -87,6 +91,8 @@
     misdelivered: HashMap<FlowId, (u32, Duration)>,
     /// Descriptions of the faults found.
     pub faults: Vec<String>,
+    /// Zones, and which of them are evacuated.
+    pub zones: evacuation::Zones,
 }
 
 impl Simulation {
@@ -105,6 +111,7 @@
             callers: HashMap::new(),
             misdelivered: HashMap::new(),
             faults: Vec::new(),
+            zones: evacuation::Zones::default(),
         };
         for id in 1..=servers {
             simulation.servers.insert(id, HashSet::new());
@@ -148,11 +155,13 @@
 
     pub fn restart_entry(&mut self, number: usize) {
         self.entries[number] = self.new_entry();
+        self.forget_zones(evacuation::Process::Entry(number));
     }
 
     /// Restarts an agent beside its running backend server.
     pub fn restart_agent(&mut self, id: TargetId) {
         self.start_agent(id, true);
+        self.forget_zones(evacuation::Process::Agent(id));
     }
 
     /// Simulates a power loss of all hosts: only the callers keep their state.
@@ -238,9 +247,8 @@
 
     fn routes(&self) -> Arc<Routes> {
         let ids = self.servers.keys();
-        let zone = |id: u64| if id.is_multiple_of(2) { 1 } else { 2 };
         routes(
-            ids.map(|id| target(*id, zone(*id), target::State::Ready))
+            ids.map(|id| target(*id, self.zones.of(*id), target::State::Ready))
                 .collect(),
         )
     }
@@ -332,6 +340,7 @@
                 self.notify_agent(id, agent::Event::Announcement(announced));
                 self.schedule(Duration::from_secs(1), Event::Announce(id));
             }
+            Event::Learn(process, request) => self.learn_zones(process, &request),
             Event::Tick => {
                 for number in 0..self.entries.len() {
                     self.notify_entry(number, entry::Event::Tick);
@@ -385,7 +394,9 @@
             echo: 0,
         };
         let entry = self.entry_of(&flow);
-        self.schedule(NETWORK_DELAY, Event::PacketAtEntry(entry, segment));
+        for delay in self.delays(kind) {
+            self.schedule(delay, Event::PacketAtEntry(entry, segment));
+        }
         let wait = RETRANSMIT_INTERVAL * 2_u32.pow(attempts.min(3));
         self.schedule(wait, Event::SendAtCaller(flow, attempts + 1, generation));
     }
@@ -432,6 +443,7 @@
         };
         match segment.kind {
             Kind::Open => {
+                self.check_opening(id, &flow);
                 self.servers.get_mut(&id).unwrap().insert(flow);
                 let accept = Segment {
                     sequence: initial_position(id),
@@ -513,6 +525,7 @@
     }
 
     fn send_reset(&mut self, flow: FlowId) {
+        self.check_refusal(&flow);
         let segment = Segment {
             source: flow.service,
             destination: flow.caller,
