--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -125,8 +125,8 @@
         if let Some(record) = self.announcer.as_mut().and_then(Announcer::take_broadcast) {
             self.evacuation.observe(now, &record);
         }
-        if let Some(change) = self.evacuation.take_change(now, self.announcer.as_ref()) {
-            self.traffic.handle(Event::Evacuation(change));
+        if let Some(event) = self.evacuation.take_change(now, self.announcer.as_ref()) {
+            self.traffic.handle(event);
         }
         self.announce(now);
         if let Some(announcer) = &mut self.announcer {
--- a/roles/app/src/sidecar/evacuation.rs
+++ b/roles/app/src/sidecar/evacuation.rs
@@ -4,13 +4,14 @@
 
 use config::Evacuations;
 use config::evacuation::Tracker;
+use forward::agent::Event;
 use member::Announcer;
 use member::Health;
 use wire::Hop;
 use wire::ZoneId;
 use wire::target::State;
 
-use crate::event::Event;
+use crate::event::Event as LogEvent;
 
 /// Evacuated zones of a sidecar.
 pub struct Evacuation {
@@ -39,13 +40,9 @@
         }
     }
 
-    /// Returns the agents that new flows are passed on to, `None` if the zone is not
-    /// evacuated, if that has changed since the last call.
-    pub fn take_change(
-        &mut self,
-        now: Duration,
-        announcer: Option<&Announcer>,
-    ) -> Option<Option<Arc<Vec<Hop>>>> {
+    /// Returns the core's event if the evacuation of the zone, or the agents that new
+    /// flows are passed on to, have changed since the last call.
+    pub fn take_change(&mut self, now: Duration, announcer: Option<&Announcer>) -> Option<Event> {
         let evacuated = self.tracker.in_force(now);
         let own = evacuated.zones.get(&self.zone);
         let others = own.map(|_| Arc::new(alternatives(announcer, &evacuated)));
@@ -58,14 +55,14 @@
             } else {
                 "restored"
             };
-            Event::OwnZone {
+            LogEvent::OwnZone {
                 state: state.to_owned(),
                 revision: own.copied().unwrap_or_default(),
             }
             .log();
         }
         self.published.clone_from(&others);
-        Some(others)
+        Some(Event::Evacuation(others))
     }
 }
 
