--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -163,8 +163,8 @@
         "backend server {server} announced the state {state} in announcement {sequence}", "nothing";
     3008 Info OldAnnouncement { server: String, sequence: u64 }
         "announcement {sequence} of backend server {server} is older than the last one and was ignored", "nothing";
-    3009 Info OwnZone { state: String, revision: Revision }
-        "the availability zone of this host is {state} as of revision {revision}; while it is evacuated, new flows are passed on to other zones", "nothing";
+    3009 Info OwnZone { state: String }
+        "the availability zone of this host is {state}; while it is evacuated, new flows are passed on to other zones", "nothing";
     4001 Info FlowOpened { flow: String, first: TargetId, version: Revision, count: usize }
         "flow {flow} was sent to the agent of {first}, with {count} more agents on its path, by configuration version {version}", "nothing";
     4002 Info FlowTaken { flow: String, wait_us: u128, held_us: u128, risk_us: u128, running: u16, held: usize, entry: SocketAddr }
--- a/roles/app/src/gateway/evacuation.rs
+++ b/roles/app/src/gateway/evacuation.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use config::Evacuations;
+use config::era;
 use config::evacuation::Tracker;
 use forward::Routes;
 use member::View;
@@ -90,7 +91,8 @@
         }
         for (id, revision) in &current.zones {
             if !self.published.contains(*id) {
-                let (zone, revision) = (name::zone_name(*id, &self.zones), *revision);
+                let zone = name::zone_name(*id, &self.zones);
+                let revision = era::number(*revision);
                 let row = (revision, clock::unix_seconds());
                 self.report.zones.insert(zone.clone(), row);
                 Event::ZoneEvacuated { zone, revision }.log();
--- a/roles/app/src/sidecar/evacuation.rs
+++ b/roles/app/src/sidecar/evacuation.rs
@@ -55,11 +55,8 @@
             } else {
                 "restored"
             };
-            LogEvent::OwnZone {
-                state: state.to_owned(),
-                revision: own.copied().unwrap_or_default(),
-            }
-            .log();
+            let state = state.to_owned();
+            LogEvent::OwnZone { state }.log();
         }
         self.published.clone_from(&others);
         Some(Event::Evacuation(others))
--- a/tools/soak/src/checker.rs
+++ b/tools/soak/src/checker.rs
@@ -26,6 +26,9 @@
     /// A backend server gets no new flows once the time allowed for draining is
     /// over.
     Drained,
+    /// A backend server gets no new flows once the time allowed for the evacuation
+    /// of its zone is over.
+    Evacuated,
     /// A request that is not idempotent runs at most once.
     Once,
     /// An attempt whose flow never opened, such as a refused one, does not run.
--- a/tools/soak/src/harness.rs
+++ b/tools/soak/src/harness.rs
@@ -1,5 +1,6 @@
 //! Test harness: the state that all parts of one run share.
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -27,6 +28,7 @@
 use crate::caller::Callers;
 use crate::checker::Checker;
 use crate::checker::Invariant;
+use crate::evacuation::Evacuation;
 use crate::history::History;
 use crate::history::Routes;
 use crate::host::Cause;
@@ -74,6 +76,8 @@
     pub store: Store,
     /// Number of active faults of the store, and when the last one ended.
     pub store_faults: (u32, Duration),
+    /// Evacuated zones, by name.
+    pub evacuations: BTreeMap<String, Evacuation>,
     origin: Instant,
 }
 
@@ -116,6 +120,7 @@
             history: History::default(),
             callers: Callers::default(),
             store_faults: (0, Duration::ZERO),
+            evacuations: BTreeMap::new(),
             origin: Instant::now(),
             random,
             topology,
--- a/tools/soak/src/injector.rs
+++ b/tools/soak/src/injector.rs
@@ -10,6 +10,7 @@
 
 use crate::address;
 use crate::checker::Invariant;
+use crate::evacuation;
 use crate::harness::Harness;
 use crate::harness::Shared;
 use crate::host::Cause;
@@ -136,6 +137,10 @@
                 self.disturb_proxies(duration, |fault| fault.silence_epoch += 1)
                     .await
             }
+            Kind::Evacuate => {
+                evacuation::inject(&self.harness, duration).await;
+                Ok(())
+            }
         }
     }
 
@@ -472,7 +477,10 @@
             .restore(Duration::from_millis(age));
         self.harness.borrow().store.set_mode(Mode::Serve);
         Timer::after(REWRITE_PAUSE).await;
-        self.restore_store(|harness| harness.store.rewrite_configuration());
+        self.restore_store(|harness| {
+            harness.store.rewrite_configuration();
+            harness.rewrite_evacuations();
+        });
         Ok(())
     }
 
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod address;
 pub mod caller;
 pub mod checker;
+pub mod evacuation;
 pub mod harness;
 pub mod history;
 pub mod host;
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -101,6 +101,7 @@
     StoreResets "store-resets" "the connections of some hosts to the store are reset"
     StoreSilences "store-silences" "the open connections of some hosts to the store stall for good"
     StoreRestored "store-restored" "the store is away and comes back from an older copy"
+    Evacuate "evacuate" "a zone is evacuated for longer than the bound, and restored"
 }
 
 /// Error of parsing a disturbance.
--- a/tools/soak/src/server.rs
+++ b/tools/soak/src/server.rs
@@ -222,6 +222,11 @@
         let are_undisturbed = is_undisturbed(gateway) && is_undisturbed(self.host_of(number));
         let bound = limits.apply + self.configuration_delay(now);
         let text = format!("{flow:?} opened at server {number} of service {service}");
+        if self.is_evacuated(now, number, gateway) {
+            let text = text.clone();
+            self.checker
+                .record_violation(Invariant::Evacuated, now, text);
+        }
         if !self.history.has_ever_routed(flow.service, service) {
             self.checker.record_violation(Invariant::Service, now, text);
         } else if are_undisturbed && !self.history.allows(sent, bound, flow.service, service) {
--- a/tools/soak/src/topology.rs
+++ b/tools/soak/src/topology.rs
@@ -150,6 +150,7 @@
                 stop: seconds(6.0),
                 reuse: seconds(2.0).max(Duration::from_secs(2)),
                 oldest_flow: Duration::from_mins(1),
+                evacuation: Duration::from_secs(5),
             },
             undisturbed: seconds(4.0),
             apply: seconds(3.0),
--- a/tools/soak/tests/short.rs
+++ b/tools/soak/tests/short.rs
@@ -80,3 +80,21 @@
     });
     assert_no_violations(2, 7, disturbances.collect())
 }
+
+/// Guards against new flows in an evacuated zone, whatever else happens.
+#[test]
+fn evacuated_zones_get_no_new_flows() -> Result {
+    let kinds = [
+        (0, Kind::Evacuate),
+        (1_000, Kind::RollSidecars),
+        (4_000, Kind::StoreRestored),
+        (9_000, Kind::Evacuate),
+        (11_000, Kind::KillGateway),
+    ];
+    let disturbances = kinds.map(|(at, kind)| Disturbance {
+        at: Duration::from_millis(at),
+        kind,
+        duration: Duration::from_secs(6),
+    });
+    assert_no_violations(3, 17, disturbances.into())
+}
