--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -9,12 +9,15 @@
 
 use crate::Hop;
 use crate::TargetId;
-use crate::frame::MAX_HOPS;
 use crate::segment::FlowId;
 use crate::trailing;
 
 const MICROS_PER_SECOND: u32 = 1_000_000;
 
+/// Largest number of agents on the path of an opening packet. Entries name a few;
+/// agents of evacuated availability zones add others.
+pub const MAX_PATH: usize = 12;
+
 /// A frame about a forwarded flow.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Transit {
@@ -218,7 +221,7 @@
         } else {
             position
         };
-        position < self.path.len() && self.path.len() <= MAX_HOPS && self.bids.len() == bids
+        position < self.path.len() && self.path.len() <= MAX_PATH && self.bids.len() == bids
     }
 }
 
--- a/roles/forward/src/agent/evacuation.rs
+++ b/roles/forward/src/agent/evacuation.rs
@@ -6,6 +6,7 @@
 use route::hash::mix;
 use wire::FlowId;
 use wire::Hop;
+use wire::transit::MAX_PATH;
 use wire::transit::Open;
 
 use super::Agent;
@@ -15,10 +16,6 @@
 /// entry puts on a path.
 const ALTERNATIVES: usize = 3;
 
-/// Largest number of agents on a path. Bounds the hops of a flow whose agents learn
-/// of several evacuations at different times.
-const MAX_PATH: usize = 12;
-
 impl Agent {
     /// Completes the path of a new flow so that up to [`ALTERNATIVES`] agents of other
     /// zones have yet to bid. The flow selects them, which spreads the load of the
