Flows leave their zone only for more than a share of their target latency

Cause: the cost of crossing was a constant 12 ms, less than the noise of reported service times and held loads, and the bids of a path did not contain the zone at all. In a play of four zones whose demand swings by 55% out of phase (43% of the slots busy on average, 41 servers, 16 gateways), 46 to 51% of the requests crossed.

Change: the cost of crossing is a quarter of the route's target latency, at least the 12 ms of before, and 12 ms where no target latency is known. Opening frames carry it with the agents of the path that are in another zone (an optional last field, sent only with a demand), and the bids along the path are compared with it.

The new tests failed with the former constant and the former bids.

--- a/coordination/route/src/placement.rs
+++ b/coordination/route/src/placement.rs
@@ -4,9 +4,11 @@
 //! such a flow cannot be moved after placement. Idle and fast backend servers
 //! of the own availability zone rank first; a backend server of another zone
 //! ranks before them once the wait in the own zone exceeds the cost of crossing
-//! zones. A backend server's load is known only as of its last report, such as
-//! when it accepted a flow. Its agent has current figures, and forwards flows
-//! that exceed its capacity.
+//! zones. That cost is a share of the target latency of the flow's route: what is
+//! answered in the own zone in good time stays there, and reported service times
+//! that differ by a few milliseconds send no flow across. A backend server's load
+//! is known only as of its last report, such as when it accepted a flow. Its agent
+//! has current figures, and forwards flows that exceed its capacity.
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -18,9 +20,13 @@
 /// Parameters of a [`Placement`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
-    /// Cost of sending a flow to another availability zone, expressed as a
-    /// wait: the round trips for its open, request and answer, and its traffic.
+    /// Minimum cost of sending a flow to another availability zone, expressed as
+    /// a wait: the round trips for its open, request and answer, and its traffic.
+    /// Also the cost where no target latency is known.
     pub cross_zone_cost: Duration,
+    /// Divisor of the target latency that gives the cost of sending a flow to
+    /// another availability zone, where that is more than the minimum.
+    pub target_latency_divisor: u32,
     /// Service time assumed for a backend server that has not reported its
     /// load.
     pub service_time: Duration,
@@ -34,6 +40,7 @@
     fn default() -> Self {
         Self {
             cross_zone_cost: Duration::from_millis(12),
+            target_latency_divisor: TARGET_LATENCY_DIVISOR,
             service_time: Duration::from_millis(20),
             jitter: Duration::from_millis(10),
             unresponsive_time: Duration::from_secs(2),
@@ -41,6 +48,16 @@
     }
 }
 
+/// Default of [`Settings::target_latency_divisor`].
+const TARGET_LATENCY_DIVISOR: u32 = 4;
+
+/// What is known about a new flow before it is placed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Need {
+    /// Target latency of the flow's route; zero where none is known.
+    pub target_latency: Duration,
+}
+
 /// Ranking of backend servers for new flows by their expected time to answer.
 #[derive(Debug)]
 pub struct Placement {
@@ -101,17 +118,27 @@
         self.observations.retain(|target, _| keep(*target));
     }
 
+    /// Returns the cost of sending a flow to another availability zone, expressed as
+    /// a wait.
+    #[must_use]
+    pub fn crossing_cost(&self, need: &Need) -> Duration {
+        let share = need.target_latency / self.settings.target_latency_divisor.max(1);
+        share.max(self.settings.cross_zone_cost)
+    }
+
     /// Returns the `count` best of the given backend servers for a new flow,
     /// best first.
     pub fn rank<'a>(
         &mut self,
         now: Duration,
+        need: &Need,
         targets: impl Iterator<Item = &'a Target>,
         count: usize,
     ) -> Vec<&'a Target> {
+        let crossing_cost = self.crossing_cost(need);
         let mut ranked: Vec<(bool, Duration, &Target)> = targets
             .map(|target| {
-                let (is_unresponsive, cost) = self.cost(now, target);
+                let (is_unresponsive, cost) = self.cost(now, target, crossing_cost);
                 // Without the jitter, all entries with the same information
                 // would choose the same backend server.
                 let jitter = self.settings.jitter.mul_f64(self.random.f64());
@@ -125,7 +152,7 @@
 
     /// Returns whether a backend server recently did not answer, and its
     /// expected time to answer.
-    fn cost(&self, now: Duration, target: &Target) -> (bool, Duration) {
+    fn cost(&self, now: Duration, target: &Target, crossing_cost: Duration) -> (bool, Duration) {
         let observation = self
             .observations
             .get(&target.id)
@@ -142,7 +169,7 @@
         let zone_cost = if target.zone == self.zone {
             Duration::ZERO
         } else {
-            self.settings.cross_zone_cost
+            crossing_cost
         };
         let cost = load.wait() + load.service_time() + load.held() + load.risk() + zone_cost;
         (now < observation.unresponsive_until, cost)
--- a/coordination/route/tests/place.rs
+++ b/coordination/route/tests/place.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use route::Placement;
+use route::placement::Need;
 use route::placement::Settings;
 use wire::Target;
 use wire::TargetId;
@@ -51,7 +52,7 @@
 }
 
 fn first(place: &mut Placement, now: Duration, targets: &[Target]) -> TargetId {
-    place.rank(now, targets.iter(), 1)[0].id
+    place.rank(now, &Need::default(), targets.iter(), 1)[0].id
 }
 
 #[test]
@@ -60,6 +61,32 @@
     assert_eq!(first(&mut place(), ms(0), &targets), 2);
 }
 
+/// A cost of crossing below the noise of reported service times sends flows to other
+/// zones although the own one answers in time.
+#[test]
+fn a_wait_within_a_share_of_the_target_latency_stays_in_the_zone() {
+    let targets = [target(1, OTHER_ZONE), target(2, OWN_ZONE)];
+    let need = Need {
+        target_latency: ms(200),
+    };
+    let mut place = place();
+    place.record_load(ms(0), 1, load(0, 20));
+    for (running, expected) in [(4, 2), (5, 2), (7, 1)] {
+        place.record_load(ms(0), 2, load(running, 20));
+        let ranked = place.rank(ms(0), &need, targets.iter(), 1);
+        assert_eq!(ranked[0].id, expected, "{running} running");
+    }
+}
+
+#[test]
+fn a_short_target_latency_does_not_make_crossing_cheap() {
+    let place = place();
+    let cost = |target_latency| place.crossing_cost(&Need { target_latency });
+    assert_eq!(cost(ms(20)), Settings::default().cross_zone_cost);
+    assert_eq!(cost(ms(0)), Settings::default().cross_zone_cost);
+    assert_eq!(cost(ms(800)), ms(200));
+}
+
 #[test]
 fn a_wait_above_the_cross_zone_cost_sends_flows_to_another_zone() {
     let targets = [target(1, OTHER_ZONE), target(2, OWN_ZONE)];
--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -57,11 +57,25 @@
     /// The caller's packet.
     pub packet: Bytes,
     /// What the configuration states about the flow; `None` where nothing there
-    /// distinguishes it from others. Must stay the last field of the frame: a
-    /// process of a version without it ignores it, and reads as `None` what such a
-    /// process sends.
+    /// distinguishes it from others. A process of a version without it ignores it,
+    /// and reads as `None` what such a process sends.
     #[serde(with = "trailing", skip_serializing_if = "Option::is_none")]
     pub demand: Option<Demand>,
+    /// What it costs to leave the entry's availability zone; `None` where bids are
+    /// compared without regard to zones. Absent fields leave no trace, so this one
+    /// may only be stated where `demand` is. Must stay the last field of the frame.
+    #[serde(with = "trailing", skip_serializing_if = "Option::is_none")]
+    pub crossing: Option<Crossing>,
+}
+
+/// Cost of sending a new flow out of the availability zone of its entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crossing {
+    /// Cost expressed as a wait, in milliseconds.
+    pub cost_ms: u32,
+    /// Agents of the path that are in another zone than the entry: bit 0 for the
+    /// first. Agents after the eighth count as being in the entry's zone.
+    pub outside: u8,
 }
 
 /// What the configuration states about the requests of a new flow and about the
@@ -80,6 +94,21 @@
     pub cold_rate: u32,
 }
 
+impl Open {
+    /// Returns the cost in milliseconds of sending the flow to an agent of the path:
+    /// 0 in the entry's availability zone.
+    #[must_use]
+    pub fn crossing_ms(&self, index: usize) -> u32 {
+        let crossing = self.crossing.filter(|crossing| {
+            let bit = u32::try_from(index)
+                .ok()
+                .and_then(|index| 1_u8.checked_shl(index));
+            crossing.outside & bit.unwrap_or(0) != 0
+        });
+        crossing.map_or(0, |crossing| crossing.cost_ms)
+    }
+}
+
 /// A packet for a flow that is open or opening.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Forward {
--- a/protocol/wire/tests/transit.rs
+++ b/protocol/wire/tests/transit.rs
@@ -1,7 +1,8 @@
-//! Frames of versions with and without the demand of a new flow.
+//! Frames of versions with and without the optional fields of a new flow.
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use wire::transit::Crossing;
 use wire::transit::Demand;
 use wire::transit::Open;
 
@@ -22,6 +23,7 @@
         max_wait_ms: 1_000,
         packet: Bytes::from_static(b"packet"),
         demand,
+        crossing: None,
     }
 }
 
@@ -45,3 +47,23 @@
     assert!(with.starts_with(&without));
     assert!(with.len() > without.len());
 }
+
+/// A gateway that has the field and a sidecar that does not, and the other way
+/// round, work side by side.
+#[test]
+fn the_cost_of_crossing_is_only_appended_to_a_demand() {
+    let crossing = Crossing {
+        cost_ms: 50,
+        outside: 0b100,
+    };
+    let without = open(Some(DEMAND));
+    let with = Open {
+        crossing: Some(crossing),
+        ..without.clone()
+    };
+    assert!(encode(&with).starts_with(&encode(&without)));
+    let decoded: Open = postcard::from_bytes(&encode(&with)).unwrap();
+    assert_eq!(decoded, with);
+    let costs = [0, 1, 2, 3, 40].map(|index| with.crossing_ms(index));
+    assert_eq!(costs, [0, 0, 50, 0, 0]);
+}
--- a/roles/forward/examples/cost.rs
+++ b/roles/forward/examples/cost.rs
@@ -120,6 +120,7 @@
             max_wait_ms: u32::MAX,
             packet: Bytes::from_static(b"packet"),
             demand: None,
+            crossing: None,
         };
         let open_segment = segment(number, Kind::Open);
         let event = agent::Event::Open {
--- a/roles/forward/src/agent/bid.rs
+++ b/roles/forward/src/agent/bid.rs
@@ -63,7 +63,12 @@
 pub fn decide(mut open: Open, bid: Option<Bid>) -> Verdict {
     let bid_ms = bid.map_or(NO_BID, Bid::millis);
     match bid {
-        Some(bid) if bid.has_room && bid.wait <= LOW_WAIT && bid.risk <= LOW_RISK => {
+        Some(bid)
+            if bid.has_room
+                && bid.wait <= LOW_WAIT
+                && bid.risk <= LOW_RISK
+                && !is_better_at_home(&open, bid_ms) =>
+        {
             return Verdict::Admit(open);
         }
         Some(bid) if open.is_settled && bid.wait <= max_wait(&open) => return Verdict::Admit(open),
@@ -83,10 +88,22 @@
     choose_lowest_bid(open)
 }
 
-/// Chooses the lowest bid once all agents have bid.
+/// Returns true if an agent in the entry's availability zone has bid less than
+/// leaving the zone for the agent at `position` costs.
+fn is_better_at_home(open: &Open, bid_ms: u32) -> bool {
+    let cost = open.crossing_ms(usize::from(open.position));
+    let is_better = |(index, bid): (usize, &u32)| {
+        let is_home = *bid != NO_BID && open.crossing_ms(index) == 0;
+        is_home && *bid <= bid_ms.saturating_add(cost)
+    };
+    cost > 0 && !open.is_settled && open.bids.iter().enumerate().any(is_better)
+}
+
+/// Chooses the lowest bid, the cost of leaving the entry's availability zone
+/// included, once all agents have bid.
 fn choose_lowest_bid(mut open: Open) -> Verdict {
     let bids = open.bids.iter().enumerate();
-    let lowest = bids.min_by_key(|(_, bid)| **bid);
+    let lowest = bids.min_by_key(|(index, bid)| bid.saturating_add(open.crossing_ms(*index)));
     match lowest {
         Some((index, bid)) if *bid != NO_BID && *bid % NO_ROOM <= open.max_wait_ms => {
             let is_here = !open.is_settled && index + 1 == open.path.len();
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -5,6 +5,7 @@
 //! entry, including one that has just started, finds the holder of a flow by
 //! asking one agent of the service, which asks all others.
 mod action;
+mod crossing;
 mod flow;
 mod search;
 mod settings;
@@ -38,6 +39,7 @@
 pub use action::Action;
 pub use action::DropReason;
 pub use action::Refusal;
+use crossing::need;
 use flow::Flow;
 use flow::Phase;
 pub use settings::Settings;
@@ -278,16 +280,15 @@
         let Some(service) = route.and_then(|route| route.select_service(&flow)) else {
             return Vec::new();
         };
+        let need = route.map(need).unwrap_or_default();
         let untried = routes
             .ready_targets(service)
             .filter(|target| !tried.contains(&target.id));
-        let ranked = self
-            .placement
-            .rank(context.now, untried, self.settings.path_length);
+        let count = self.settings.path_length;
+        let ranked = self.placement.rank(context.now, &need, untried, count);
         let ranked = if ranked.is_empty() {
             let all = routes.ready_targets(service);
-            self.placement
-                .rank(context.now, all, self.settings.path_length)
+            self.placement.rank(context.now, &need, all, count)
         } else {
             ranked
         };
@@ -339,6 +340,9 @@
             let service = route.select_service(&flow)?;
             routes.table.demand(route, service)
         });
+        let crossing = route.map(|route| self.crossing(routes, route, &path));
+        // The frame cannot carry the cost without a demand.
+        let crossing = demand.and(crossing);
         self.placement.record_sent(first.target);
         let is_first = !self.flows.contains_key(&flow);
         if is_first {
@@ -369,6 +373,7 @@
                 max_wait_ms: u32::try_from(timeout_ms).unwrap_or(u32::MAX),
                 packet: context.packet,
                 demand,
+                crossing,
             }),
         });
     }
--- /dev/null
+++ b/roles/forward/tests/zones.rs
@@ -0,0 +1,171 @@
+//! New flows stay in the availability zone of their callers while it has room.
+mod fixtures;
+
+use fixtures::agent::*;
+use fixtures::zones::*;
+use fixtures::*;
+use forward::Entry;
+use forward::entry;
+use wire::Transit;
+use wire::segment::Kind;
+use wire::target;
+use wire::transit::Crossing;
+use wire::transit::Demand;
+use wire::transit::Open;
+
+const SWING: Scenario = Scenario {
+    load: 0.43,
+    swing: 0.55,
+    is_uneven: true,
+    evacuated: None,
+    seed: 1,
+};
+
+/// Fails if a large share of the requests goes to other zones, as it did when reported
+/// service times differed by more than the cost of crossing.
+fn check_flows_stay_in_their_zone(scenario: Scenario) {
+    let outcome = Simulation::new(scenario).run();
+    assert!(outcome.crossed < 0.1, "{outcome:?}");
+    assert!(outcome.prompt > 0.99, "{outcome:?}");
+    assert!(outcome.answered >= 1.0, "{outcome:?}");
+}
+
+cases::cases! { check_flows_stay_in_their_zone;
+    flows_stay_in_their_zone: Scenario { is_uneven: false, ..SWING },
+    flows_stay_in_their_zone_beside_slow_servers: SWING,
+    flows_stay_in_their_zone_seed_2: Scenario { seed: 2, ..SWING },
+}
+
+#[test]
+fn a_full_zone_overflows_without_loss() {
+    let outcome = Simulation::new(Scenario {
+        load: 0.75,
+        is_uneven: false,
+        ..SWING
+    })
+    .run();
+    assert!(outcome.crossed < 0.2, "{outcome:?}");
+    assert!(outcome.prompt > 0.99, "{outcome:?}");
+    assert!(outcome.answered >= 1.0, "{outcome:?}");
+}
+
+#[test]
+fn the_flows_of_an_evacuated_zone_go_elsewhere() {
+    let outcome = Simulation::new(Scenario {
+        is_uneven: false,
+        evacuated: Some(2),
+        ..SWING
+    })
+    .run();
+    assert_eq!(outcome.opened_in_evacuated, 0);
+    assert!(outcome.prompt > 0.99, "{outcome:?}");
+    assert!(outcome.answered >= 1.0, "{outcome:?}");
+}
+
+/// Returns an opening frame that visited a busy agent of the entry's zone and then
+/// this one, which is idle and in another zone.
+fn open_outside(bid_at_home: u32, cost_ms: u32) -> Open {
+    Open {
+        position: 1,
+        bids: vec![bid_at_home],
+        crossing: Some(Crossing {
+            cost_ms,
+            outside: 0b10,
+        }),
+        ..open_frame(&[2, OWN])
+    }
+}
+
+/// An idle agent of another zone took every flow that found the first agents busy
+/// for a moment.
+#[test]
+fn a_short_wait_at_home_is_better_than_another_zone() {
+    let mut agent = ready_agent(false);
+    let actions = send_open(&mut agent, ms(1), 9, open_outside(10, 50));
+    let passed = passed_on(&actions).unwrap();
+    assert!(passed.is_settled);
+    assert_eq!(passed.path[usize::from(passed.position)], hop(2));
+}
+
+#[test]
+fn a_long_wait_at_home_is_worse_than_another_zone() {
+    let mut agent = ready_agent(false);
+    let actions = send_open(&mut agent, ms(1), 9, open_outside(60, 50));
+    assert!(delivers(&actions));
+}
+
+#[test]
+fn an_agent_that_admits_no_flows_at_home_keeps_none_there() {
+    let mut agent = ready_agent(false);
+    let actions = send_open(&mut agent, ms(1), 9, open_outside(u32::MAX, 1_000));
+    assert!(delivers(&actions));
+}
+
+/// Fails if the flow goes to another zone because the wait there is shorter by less
+/// than crossing costs, once the chosen agent turns it down.
+#[test]
+fn the_lowest_bid_includes_the_cost_of_crossing() {
+    let mut agent = ready_agent(false);
+    let open = Open {
+        position: 2,
+        bids: vec![60, 20, 7],
+        crossing: Some(Crossing {
+            cost_ms: 50,
+            outside: 0b10,
+        }),
+        is_settled: true,
+        max_wait_ms: 1_000,
+        ..open_frame(&[2, 3, 4])
+    };
+    // This agent is not the one that the frame is addressed to.
+    let actions = send_open(&mut agent, ms(1), 9, open);
+    let passed = passed_on(&actions).unwrap();
+    assert_eq!(passed.path[usize::from(passed.position)], hop(2));
+}
+
+/// Returns the opening frame that an entry in zone 1 sends for a new flow.
+fn sent_open(has_priorities: bool) -> Open {
+    let settings = entry::Settings::default();
+    let mut entry = Entry::new(settings, entry_address(), 1, 1, ms(0));
+    let known = [(1, 1), (2, 2), (3, 2)];
+    let known = known.map(|(id, zone)| target(id, zone, target::State::Ready));
+    let mut known = forward::Routes::clone(&routes(known.into()));
+    let mut table = forward::routes::Table::clone(&known.table);
+    table.has_priorities = has_priorities;
+    known.table = table.into();
+    let mut actions = Vec::new();
+    entry.handle(ms(0), entry::Event::Routes(known.into()), &mut actions);
+    let event = entry::Event::Packet {
+        segment: caller_segment(9, Kind::Open, 0),
+        packet: packet(),
+    };
+    entry.handle(ms(1), event, &mut actions);
+    let open = actions.into_iter().find_map(|action| match action {
+        entry::Action::Send {
+            transit: Transit::Open(open),
+            ..
+        } => Some(open),
+        _ => None,
+    });
+    open.unwrap()
+}
+
+#[test]
+fn an_entry_states_the_cost_of_leaving_its_zone() {
+    let open = sent_open(true);
+    assert_eq!(open.path[0], hop(1));
+    let crossing = Crossing {
+        cost_ms: 25,
+        outside: 0b110,
+    };
+    assert_eq!(open.crossing, Some(crossing));
+    let target_latency = open.demand.map(|demand: Demand| demand.target_latency_ms);
+    assert_eq!(target_latency, Some(100));
+}
+
+/// The frame cannot carry the cost without a demand: earlier fields that are absent
+/// leave no trace.
+#[test]
+fn an_entry_without_priorities_states_no_cost() {
+    assert_eq!(sent_open(false).crossing, None);
+}
