A zone whose servers do not answer ranks last until one of them reports

Cause: with the larger cost of crossing, flows to a lost zone would try one server of it after the other, and a caller gives up after three.

Change: where two servers of a zone did not answer and none has reported since 150 ms before, the servers of the zone rank last for as long as unresponsive ones do.

--- a/coordination/route/src/placement.rs
+++ b/coordination/route/src/placement.rs
@@ -34,6 +34,9 @@
     pub jitter: Duration,
     /// Time for which a backend server that did not answer ranks last.
     pub unresponsive_time: Duration,
+    /// Time without any report from an availability zone, before a backend server
+    /// there was found not to answer, after which the whole zone may be lost.
+    pub zone_silence: Duration,
 }
 
 impl Default for Settings {
@@ -44,6 +47,7 @@
             service_time: Duration::from_millis(20),
             jitter: Duration::from_millis(10),
             unresponsive_time: Duration::from_secs(2),
+            zone_silence: Duration::from_millis(150),
         }
     }
 }
@@ -77,6 +81,20 @@
     unresponsive_until: Duration,
 }
 
+/// What is known about the silence of an availability zone.
+#[derive(Clone, Copy, Debug, Default)]
+struct Silence {
+    /// Number of backend servers that recently did not answer.
+    unresponsive: usize,
+    /// Time until which the last of them ranks last.
+    until: Duration,
+    last_report: Duration,
+}
+
+/// Number of unresponsive backend servers from which on their availability zone may be
+/// lost; a single one may have failed alone.
+const MIN_UNRESPONSIVE: usize = 2;
+
 impl Placement {
     /// Creates a ranking for an entry in `zone`; the seed drives the jitter.
     #[must_use]
@@ -136,9 +154,13 @@
         count: usize,
     ) -> Vec<&'a Target> {
         let crossing_cost = self.crossing_cost(need);
+        let targets: Vec<&Target> = targets.collect();
+        let silent_zones = self.silent_zones(now, &targets);
         let mut ranked: Vec<(bool, Duration, &Target)> = targets
+            .into_iter()
             .map(|target| {
                 let (is_unresponsive, cost) = self.cost(now, target, crossing_cost);
+                let is_unresponsive = is_unresponsive || silent_zones.contains(&target.zone);
                 // Without the jitter, all entries with the same information
                 // would choose the same backend server.
                 let jitter = self.settings.jitter.mul_f64(self.random.f64());
@@ -150,6 +172,36 @@
         ranked.into_iter().map(|(.., target)| target).collect()
     }
 
+    /// Returns the availability zones that may be lost: several backend servers there
+    /// did not answer, and no other has reported since. Their servers rank last, so
+    /// that flows do not try them one after the other.
+    fn silent_zones(&self, now: Duration, targets: &[&Target]) -> Vec<ZoneId> {
+        let mut zones: Vec<(ZoneId, Silence)> = Vec::new();
+        for target in targets {
+            let Some(observation) = self.observations.get(&target.id) else {
+                continue;
+            };
+            let index = zones.iter().position(|(zone, _)| *zone == target.zone);
+            let index = index.unwrap_or_else(|| {
+                zones.push((target.zone, Silence::default()));
+                zones.len() - 1
+            });
+            let silence = &mut zones[index].1;
+            silence.last_report = silence.last_report.max(observation.updated);
+            if now < observation.unresponsive_until {
+                silence.unresponsive += 1;
+                silence.until = silence.until.max(observation.unresponsive_until);
+            }
+        }
+        let settings = &self.settings;
+        zones.retain(|(_, silence)| {
+            let found_at = silence.until.saturating_sub(settings.unresponsive_time);
+            silence.unresponsive >= MIN_UNRESPONSIVE
+                && silence.last_report + settings.zone_silence <= found_at
+        });
+        zones.into_iter().map(|(zone, _)| zone).collect()
+    }
+
     /// Returns whether a backend server recently did not answer, and its
     /// expected time to answer.
     fn cost(&self, now: Duration, target: &Target, crossing_cost: Duration) -> (bool, Duration) {
--- a/coordination/route/tests/place.rs
+++ b/coordination/route/tests/place.rs
@@ -143,6 +143,36 @@
     );
 }
 
+/// Each flow to a lost zone would try one of its servers after the other, and its
+/// caller gives up after three.
+#[test]
+fn a_zone_whose_servers_do_not_answer_ranks_last() {
+    let mut targets: Vec<Target> = (1..=5).map(|id| target(id, OWN_ZONE)).collect();
+    targets.push(target(6, OTHER_ZONE));
+    let mut place = place();
+    for id in 1..=6 {
+        place.record_load(ms(0), id, load(2, 20));
+    }
+    place.mark_unresponsive(ms(300), 1);
+    assert_ne!(first(&mut place, ms(301), &targets), 6);
+    place.mark_unresponsive(ms(310), 2);
+    assert_eq!(first(&mut place, ms(311), &targets), 6);
+    let back = ms(310) + Settings::default().unresponsive_time;
+    assert_ne!(first(&mut place, back, &targets), 6);
+}
+
+/// Two servers that fail do not empty the zone of the others.
+#[test]
+fn a_zone_with_servers_that_answer_keeps_its_flows() {
+    let mut targets: Vec<Target> = (1..=3).map(|id| target(id, OWN_ZONE)).collect();
+    targets.push(target(4, OTHER_ZONE));
+    let mut place = place();
+    place.mark_unresponsive(ms(300), 1);
+    place.mark_unresponsive(ms(310), 2);
+    place.record_load(ms(250), 3, load(0, 20));
+    assert_eq!(first(&mut place, ms(311), &targets), 3);
+}
+
 /// Entries with the same information must not all choose the same server.
 #[test]
 fn entries_with_equal_information_spread_their_flows() {
