Service times without the noise of long requests; paths end in another zone

Cause: 3% of the requests take seven times as long as the others, and each moved the reported service time (a mean over 16 requests) by 37%; the held load was the larger of two noisy figures. The servers of a zone were 0.12 to 0.21 off its mean, and those at half speed got a third of the requests of the others. A flow that found all servers of a path within a full zone waited there.

The held load is the mean of both figures. Where the last server of a path within the zone is expected to let the flow wait, the best one of another zone takes its place; the bids, with the cost of crossing, decide.

The new tests of evenness, half speed and the tail failed with the former code.

--- a/coordination/route/src/placement.rs
+++ b/coordination/route/src/placement.rs
@@ -55,11 +55,30 @@
 /// Default of [`Settings::target_latency_divisor`].
 const TARGET_LATENCY_DIVISOR: u32 = 4;
 
+/// Divisor of a server's service time in its cost. With the full service time, a server
+/// at half speed got a third of the requests of the others rather than half while
+/// these were a third busier; requests answered in time were equally many.
+const SERVICE_TIME_DIVISOR: u32 = 4;
+
 /// What is known about a new flow before it is placed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Need {
     /// Target latency of the flow's route; zero where none is known.
     pub target_latency: Duration,
+    /// Whether the bids of the agents will include the cost of crossing zones.
+    pub are_bids_priced: bool,
+}
+
+/// A backend server that may get a new flow.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    target: &'a Target,
+    /// Whether it, or its whole zone, recently did not answer.
+    is_unresponsive: bool,
+    /// Expected wait of the flow's first request.
+    wait: Duration,
+    /// Expected time to answer, with the cost of crossing zones.
+    cost: Duration,
 }
 
 /// Ranking of backend servers for new flows by their expected time to answer.
@@ -156,20 +175,47 @@
         let crossing_cost = self.crossing_cost(need);
         let targets: Vec<&Target> = targets.collect();
         let silent_zones = self.silent_zones(now, &targets);
-        let mut ranked: Vec<(bool, Duration, &Target)> = targets
+        let mut ranked: Vec<Candidate<'a>> = targets
             .into_iter()
             .map(|target| {
-                let (is_unresponsive, cost) = self.cost(now, target, crossing_cost);
-                let is_unresponsive = is_unresponsive || silent_zones.contains(&target.zone);
+                let candidate = self.assess(now, target, crossing_cost);
                 // Without the jitter, all entries with the same information
                 // would choose the same backend server.
                 let jitter = self.settings.jitter.mul_f64(self.random.f64());
-                (is_unresponsive, cost + jitter, target)
+                Candidate {
+                    cost: candidate.cost + jitter,
+                    is_unresponsive: candidate.is_unresponsive
+                        || silent_zones.contains(&target.zone),
+                    ..candidate
+                }
             })
             .collect();
-        ranked.sort_unstable_by_key(|(is_unresponsive, cost, _)| (*is_unresponsive, *cost));
+        ranked.sort_unstable_by_key(|one| (one.is_unresponsive, one.cost));
+        if need.are_bids_priced {
+            self.offer_way_out(&mut ranked, count);
+        }
         ranked.truncate(count);
-        ranked.into_iter().map(|(.., target)| target).collect()
+        ranked.into_iter().map(|one| one.target).collect()
+    }
+
+    /// Puts the best backend server of another zone at the end of a path within the
+    /// own zone whose last server is expected to let the flow wait. Without one, a
+    /// flow that finds all servers of the path full has to wait there. The bids
+    /// decide; they include the cost of crossing.
+    fn offer_way_out(&self, ranked: &mut [Candidate<'_>], count: usize) {
+        let is_outside = |one: &Candidate<'_>| one.target.zone != self.zone;
+        let Some(last) = count.checked_sub(1).filter(|last| *last > 0) else {
+            return;
+        };
+        let has_way_out = ranked.iter().take(count).any(is_outside);
+        let may_wait = ranked.get(last).is_some_and(|one| !one.wait.is_zero());
+        let best = ranked
+            .iter()
+            .position(|one| is_outside(one) && !one.is_unresponsive);
+        match best {
+            Some(best) if !has_way_out && may_wait => ranked.swap(last, best),
+            _ => {}
+        }
     }
 
     /// Returns the availability zones that may be lost: several backend servers there
@@ -202,9 +248,13 @@
         zones.into_iter().map(|(zone, _)| zone).collect()
     }
 
-    /// Returns whether a backend server recently did not answer, and its
-    /// expected time to answer.
-    fn cost(&self, now: Duration, target: &Target, crossing_cost: Duration) -> (bool, Duration) {
+    /// Assesses a backend server by its last known load.
+    fn assess<'a>(
+        &self,
+        now: Duration,
+        target: &'a Target,
+        crossing_cost: Duration,
+    ) -> Candidate<'a> {
         let observation = self
             .observations
             .get(&target.id)
@@ -223,8 +273,17 @@
         } else {
             crossing_cost
         };
-        let cost = load.wait() + load.service_time() + load.held() + load.risk() + zone_cost;
-        (now < observation.unresponsive_until, cost)
+        let cost = load.wait()
+            + load.service_time() / SERVICE_TIME_DIVISOR
+            + load.held()
+            + load.risk()
+            + zone_cost;
+        Candidate {
+            target,
+            is_unresponsive: now < observation.unresponsive_until,
+            wait: load.wait(),
+            cost,
+        }
     }
 }
 
--- a/coordination/route/tests/place.rs
+++ b/coordination/route/tests/place.rs
@@ -68,6 +68,7 @@
     let targets = [target(1, OTHER_ZONE), target(2, OWN_ZONE)];
     let need = Need {
         target_latency: ms(200),
+        ..Need::default()
     };
     let mut place = place();
     place.record_load(ms(0), 1, load(0, 20));
@@ -81,7 +82,12 @@
 #[test]
 fn a_short_target_latency_does_not_make_crossing_cheap() {
     let place = place();
-    let cost = |target_latency| place.crossing_cost(&Need { target_latency });
+    let cost = |target_latency| {
+        place.crossing_cost(&Need {
+            target_latency,
+            ..Need::default()
+        })
+    };
     assert_eq!(cost(ms(20)), Settings::default().cross_zone_cost);
     assert_eq!(cost(ms(0)), Settings::default().cross_zone_cost);
     assert_eq!(cost(ms(800)), ms(200));
@@ -173,6 +179,29 @@
     assert_eq!(first(&mut place, ms(311), &targets), 3);
 }
 
+/// A flow that finds all servers of its path full waits there although another zone
+/// has room.
+#[test]
+fn a_path_within_a_busy_zone_ends_in_another() {
+    let mut targets: Vec<Target> = (1..=5).map(|id| target(id, OWN_ZONE)).collect();
+    targets.push(target(6, OTHER_ZONE));
+    let path = |running, are_bids_priced| {
+        let mut place = place();
+        for id in 1..=5 {
+            place.record_load(ms(0), id, load(running, 20));
+        }
+        let need = Need {
+            target_latency: ms(400),
+            are_bids_priced,
+        };
+        let ranked = place.rank(ms(0), &need, targets.iter(), 3);
+        ranked.iter().map(|target| target.zone).collect::<Vec<_>>()
+    };
+    assert_eq!(path(1, true), [OWN_ZONE; 3], "idle");
+    assert_eq!(path(3, true), [OWN_ZONE, OWN_ZONE, OTHER_ZONE], "busy");
+    assert_eq!(path(3, false), [OWN_ZONE; 3], "bids without zones");
+}
+
 /// Entries with the same information must not all choose the same server.
 #[test]
 fn entries_with_equal_information_spread_their_flows() {
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -280,7 +280,8 @@
         let Some(service) = route.and_then(|route| route.select_service(&flow)) else {
             return Vec::new();
         };
-        let need = route.map(need).unwrap_or_default();
+        let need = route.map(|route| need(routes, route, service));
+        let need = need.unwrap_or_default();
         let untried = routes
             .ready_targets(service)
             .filter(|target| !tried.contains(&target.id));
@@ -336,13 +337,11 @@
         let route = routes.route(flow.service);
         let timeout = route.map(|route| route.timeout);
         let timeout_ms = timeout.unwrap_or_default().as_millis();
-        let demand = route.and_then(|route| {
-            let service = route.select_service(&flow)?;
-            routes.table.demand(route, service)
-        });
-        let crossing = route.map(|route| self.crossing(routes, route, &path));
-        // The frame cannot carry the cost without a demand.
-        let crossing = demand.and(crossing);
+        let service = route.and_then(|route| route.select_service(&flow));
+        let pair = route.zip(service);
+        let demand = pair.and_then(|(route, service)| routes.table.demand(route, service));
+        let crossing =
+            pair.and_then(|(route, service)| self.crossing(routes, route, service, &path));
         self.placement.record_sent(first.target);
         let is_first = !self.flows.contains_key(&flow);
         if is_first {
--- a/roles/forward/tests/zones.rs
+++ b/roles/forward/tests/zones.rs
@@ -36,6 +36,29 @@
     flows_stay_in_their_zone_seed_2: Scenario { seed: 2, ..SWING },
 }
 
+/// Returns the mean of a figure over three seeds.
+fn mean_of(figure: impl Fn(&Outcome) -> f64) -> f64 {
+    let seeds = [1, 2, 3].map(|seed| Scenario { seed, ..SWING });
+    let outcomes = seeds.map(|scenario| Simulation::new(scenario).run());
+    outcomes.iter().map(figure).sum::<f64>() / 3.0
+}
+
+/// Reported service times that followed single long requests made the servers of a zone
+/// differ by 0.12 to 0.21 from its mean.
+#[test]
+fn the_servers_of_a_zone_are_used_evenly() {
+    let unevenness = mean_of(|outcome| outcome.unevenness);
+    assert!(unevenness < 0.11, "{unevenness}");
+}
+
+/// A server at half speed got a third of the requests of the others rather than half.
+#[test]
+fn a_server_at_half_speed_gets_half() {
+    let share = mean_of(|outcome| outcome.slow_share) / 2.0;
+    assert!((0.4..0.6).contains(&share), "{share}");
+}
+
+/// At the peak each zone gets 116% of what it can take.
 #[test]
 fn a_full_zone_overflows_without_loss() {
     let outcome = Simulation::new(Scenario {
@@ -44,7 +67,7 @@
         ..SWING
     })
     .run();
-    assert!(outcome.crossed < 0.2, "{outcome:?}");
+    assert!(outcome.crossed < 0.1, "{outcome:?}");
     assert!(outcome.prompt > 0.99, "{outcome:?}");
     assert!(outcome.answered >= 1.0, "{outcome:?}");
 }
--- a/state/limit/src/forecast.rs
+++ b/state/limit/src/forecast.rs
@@ -29,8 +29,9 @@
     }
 }
 
-/// The load of the held flows: the observed load or the load expected from
-/// their number, whichever is larger.
+/// The load of the held flows: the mean of the observed load and of the load
+/// expected from their number. The larger of the two added up the noise of both, and
+/// the servers of a zone were less evenly used.
 ///
 /// ```
 /// use std::time::Duration;
@@ -101,6 +102,6 @@
     pub fn bid(&self, now: Duration, capacity: u32) -> Duration {
         let expected = self.flows * self.flow_rate() / f64::from(capacity.max(1));
         let expected = self.settings.load.full.mul_f64(expected);
-        expected.max(self.load.bid(now, capacity))
+        (expected + self.load.bid(now, capacity)) / 2
     }
 }
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`Forecast`] estimates the load that held flows are expected to cause.
 //! * [`Occupancy`] estimates the wait at a backend server whose queue is not
 //!   visible, from requests and answers on the network.
+//! * [`Pace`] estimates the service time of a backend server for comparisons.
 //! * [`Load`] estimates the load of held flows from their request rate.
 //! * [`Waiting`] holds new work back while there is no room for it.
 //! * [`Risk`] estimates how likely a backend server is to fail a request.
@@ -21,6 +22,7 @@
 pub mod job;
 pub mod load;
 pub mod occupancy;
+pub mod pace;
 pub mod pause;
 pub mod plausibility;
 pub mod queue;
@@ -42,6 +44,7 @@
 pub use job::Verdict;
 pub use load::Load;
 pub use occupancy::Occupancy;
+pub use pace::Pace;
 pub use plausibility::Plausibility;
 pub use risk::Risk;
 pub use waiting::Waiting;
--- a/state/limit/src/occupancy.rs
+++ b/state/limit/src/occupancy.rs
@@ -7,7 +7,7 @@
 
 use wire::transit::Load;
 
-use crate::capacity::Mean;
+use crate::Pace;
 
 /// The number of requests running or queued at a backend server, and their mean
 /// service time.
@@ -28,7 +28,7 @@
 pub struct Occupancy {
     slots: u16,
     running: u16,
-    mean: Mean,
+    pace: Pace,
     /// Time at which a request last ended, or last began with a slot free.
     last_event: Duration,
 }
@@ -48,7 +48,7 @@
         Self {
             slots: slots.max(1),
             running: 0,
-            mean: Mean::new(assumed),
+            pace: Pace::new(assumed),
             last_event: Duration::ZERO,
         }
     }
@@ -77,7 +77,7 @@
         } else {
             now.saturating_sub(start.at)
         };
-        self.mean.add(time);
+        self.pace.add(time);
         self.release(now);
     }
 
@@ -121,7 +121,7 @@
     /// Returns the mean service time of the latest requests.
     #[must_use]
     pub fn service_time(&self) -> Duration {
-        self.mean.fast()
+        self.pace.mean()
     }
 }
 
