--- a/coordination/route/src/placement.rs
+++ b/coordination/route/src/placement.rs
@@ -4,9 +4,11 @@
 //! such a flow cannot be moved after placement. Idle and fast backend servers
 //! of the own availability zone rank first; a backend server of another zone
 //! ranks before them once the wait in the own zone exceeds the cost of crossing
-//! zones. A backend server's load is known only as of its last report, such as
-//! when it accepted a flow. Its agent has current figures, and forwards flows
-//! that exceed its capacity.
+//! zones. That cost is a share of the target latency of the flow's route: what is
+//! answered in the own zone in good time stays there, and reported service times
+//! that differ by a few milliseconds send no flow across. A backend server's load
+//! is known only as of its last report, such as when it accepted a flow. Its agent
+//! has current figures, and forwards flows that exceed its capacity.
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -18,9 +20,13 @@
 /// Parameters of a [`Placement`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
-    /// Cost of sending a flow to another availability zone, expressed as a
-    /// wait: the round trips for its open, request and answer, and its traffic.
+    /// Minimum cost of sending a flow to another availability zone, expressed as
+    /// a wait: the round trips for its open, request and answer, and its traffic.
+    /// Also the cost where no target latency is known.
     pub cross_zone_cost: Duration,
+    /// Divisor of the target latency that gives the cost of sending a flow to
+    /// another availability zone, where that is more than the minimum.
+    pub target_latency_divisor: u32,
     /// Service time assumed for a backend server that has not reported its
     /// load.
     pub service_time: Duration,
@@ -28,19 +34,53 @@
     pub jitter: Duration,
     /// Time for which a backend server that did not answer ranks last.
     pub unresponsive_time: Duration,
+    /// Time without any report from an availability zone, before a backend server
+    /// there was found not to answer, after which the whole zone may be lost.
+    pub zone_silence: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
             cross_zone_cost: Duration::from_millis(12),
+            target_latency_divisor: TARGET_LATENCY_DIVISOR,
             service_time: Duration::from_millis(20),
             jitter: Duration::from_millis(10),
             unresponsive_time: Duration::from_secs(2),
+            zone_silence: Duration::from_millis(150),
         }
     }
 }
 
+/// Default of [`Settings::target_latency_divisor`].
+const TARGET_LATENCY_DIVISOR: u32 = 4;
+
+/// Divisor of a server's service time in its cost. With the full service time, a server
+/// at half speed got a third of the requests of the others rather than half while
+/// these were a third busier; requests answered in time were equally many.
+const SERVICE_TIME_DIVISOR: u32 = 4;
+
+/// What is known about a new flow before it is placed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Need {
+    /// Target latency of the flow's route; zero where none is known.
+    pub target_latency: Duration,
+    /// Whether the bids of the agents will include the cost of crossing zones.
+    pub are_bids_priced: bool,
+}
+
+/// A backend server that may get a new flow.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    target: &'a Target,
+    /// Whether it, or its whole zone, recently did not answer.
+    is_unresponsive: bool,
+    /// Expected wait of the flow's first request.
+    wait: Duration,
+    /// Expected time to answer, with the cost of crossing zones.
+    cost: Duration,
+}
+
 /// Ranking of backend servers for new flows by their expected time to answer.
 #[derive(Debug)]
 pub struct Placement {
@@ -60,6 +100,20 @@
     unresponsive_until: Duration,
 }
 
+/// What is known about the silence of an availability zone.
+#[derive(Clone, Copy, Debug, Default)]
+struct Silence {
+    /// Number of backend servers that recently did not answer.
+    unresponsive: usize,
+    /// Time until which the last of them ranks last.
+    until: Duration,
+    last_report: Duration,
+}
+
+/// Number of unresponsive backend servers from which on their availability zone may be
+/// lost; a single one may have failed alone.
+const MIN_UNRESPONSIVE: usize = 2;
+
 impl Placement {
     /// Creates a ranking for an entry in `zone`; the seed drives the jitter.
     #[must_use]
@@ -101,31 +155,106 @@
         self.observations.retain(|target, _| keep(*target));
     }
 
+    /// Returns the cost of sending a flow to another availability zone, expressed as
+    /// a wait.
+    #[must_use]
+    pub fn crossing_cost(&self, need: &Need) -> Duration {
+        let share = need.target_latency / self.settings.target_latency_divisor.max(1);
+        share.max(self.settings.cross_zone_cost)
+    }
+
     /// Returns the `count` best of the given backend servers for a new flow,
     /// best first.
     pub fn rank<'a>(
         &mut self,
         now: Duration,
+        need: &Need,
         targets: impl Iterator<Item = &'a Target>,
         count: usize,
     ) -> Vec<&'a Target> {
-        let mut ranked: Vec<(bool, Duration, &Target)> = targets
+        let crossing_cost = self.crossing_cost(need);
+        let targets: Vec<&Target> = targets.collect();
+        let silent_zones = self.silent_zones(now, &targets);
+        let mut ranked: Vec<Candidate<'a>> = targets
+            .into_iter()
             .map(|target| {
-                let (is_unresponsive, cost) = self.cost(now, target);
+                let candidate = self.assess(now, target, crossing_cost);
                 // Without the jitter, all entries with the same information
                 // would choose the same backend server.
                 let jitter = self.settings.jitter.mul_f64(self.random.f64());
-                (is_unresponsive, cost + jitter, target)
+                Candidate {
+                    cost: candidate.cost + jitter,
+                    is_unresponsive: candidate.is_unresponsive
+                        || silent_zones.contains(&target.zone),
+                    ..candidate
+                }
             })
             .collect();
-        ranked.sort_unstable_by_key(|(is_unresponsive, cost, _)| (*is_unresponsive, *cost));
+        ranked.sort_unstable_by_key(|one| (one.is_unresponsive, one.cost));
+        if need.are_bids_priced {
+            self.offer_way_out(&mut ranked, count);
+        }
         ranked.truncate(count);
-        ranked.into_iter().map(|(.., target)| target).collect()
+        ranked.into_iter().map(|one| one.target).collect()
+    }
+
+    /// Puts the best backend server of another zone at the end of a path within the
+    /// own zone whose last server is expected to let the flow wait. Without one, a
+    /// flow that finds all servers of the path full has to wait there. The bids
+    /// decide; they include the cost of crossing.
+    fn offer_way_out(&self, ranked: &mut [Candidate<'_>], count: usize) {
+        let is_outside = |one: &Candidate<'_>| one.target.zone != self.zone;
+        let Some(last) = count.checked_sub(1).filter(|last| *last > 0) else {
+            return;
+        };
+        let has_way_out = ranked.iter().take(count).any(is_outside);
+        let may_wait = ranked.get(last).is_some_and(|one| !one.wait.is_zero());
+        let best = ranked
+            .iter()
+            .position(|one| is_outside(one) && !one.is_unresponsive);
+        match best {
+            Some(best) if !has_way_out && may_wait => ranked.swap(last, best),
+            _ => {}
+        }
     }
 
-    /// Returns whether a backend server recently did not answer, and its
-    /// expected time to answer.
-    fn cost(&self, now: Duration, target: &Target) -> (bool, Duration) {
+    /// Returns the availability zones that may be lost: several backend servers there
+    /// did not answer, and no other has reported since. Their servers rank last, so
+    /// that flows do not try them one after the other.
+    fn silent_zones(&self, now: Duration, targets: &[&Target]) -> Vec<ZoneId> {
+        let mut zones: Vec<(ZoneId, Silence)> = Vec::new();
+        for target in targets {
+            let Some(observation) = self.observations.get(&target.id) else {
+                continue;
+            };
+            let index = zones.iter().position(|(zone, _)| *zone == target.zone);
+            let index = index.unwrap_or_else(|| {
+                zones.push((target.zone, Silence::default()));
+                zones.len() - 1
+            });
+            let silence = &mut zones[index].1;
+            silence.last_report = silence.last_report.max(observation.updated);
+            if now < observation.unresponsive_until {
+                silence.unresponsive += 1;
+                silence.until = silence.until.max(observation.unresponsive_until);
+            }
+        }
+        let settings = &self.settings;
+        zones.retain(|(_, silence)| {
+            let found_at = silence.until.saturating_sub(settings.unresponsive_time);
+            silence.unresponsive >= MIN_UNRESPONSIVE
+                && silence.last_report + settings.zone_silence <= found_at
+        });
+        zones.into_iter().map(|(zone, _)| zone).collect()
+    }
+
+    /// Assesses a backend server by its last known load.
+    fn assess<'a>(
+        &self,
+        now: Duration,
+        target: &'a Target,
+        crossing_cost: Duration,
+    ) -> Candidate<'a> {
         let observation = self
             .observations
             .get(&target.id)
@@ -142,10 +271,19 @@
         let zone_cost = if target.zone == self.zone {
             Duration::ZERO
         } else {
-            self.settings.cross_zone_cost
+            crossing_cost
         };
-        let cost = load.wait() + load.service_time() + load.held() + load.risk() + zone_cost;
-        (now < observation.unresponsive_until, cost)
+        let cost = load.wait()
+            + load.service_time() / SERVICE_TIME_DIVISOR
+            + load.held()
+            + load.risk()
+            + zone_cost;
+        Candidate {
+            target,
+            is_unresponsive: now < observation.unresponsive_until,
+            wait: load.wait(),
+            cost,
+        }
     }
 }
 
--- a/coordination/route/tests/place.rs
+++ b/coordination/route/tests/place.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use route::Placement;
+use route::placement::Need;
 use route::placement::Settings;
 use wire::Target;
 use wire::TargetId;
@@ -51,7 +52,7 @@
 }
 
 fn first(place: &mut Placement, now: Duration, targets: &[Target]) -> TargetId {
-    place.rank(now, targets.iter(), 1)[0].id
+    place.rank(now, &Need::default(), targets.iter(), 1)[0].id
 }
 
 #[test]
@@ -60,6 +61,38 @@
     assert_eq!(first(&mut place(), ms(0), &targets), 2);
 }
 
+/// A cost of crossing below the noise of reported service times sends flows to other
+/// zones although the own one answers in time.
+#[test]
+fn a_wait_within_a_share_of_the_target_latency_stays_in_the_zone() {
+    let targets = [target(1, OTHER_ZONE), target(2, OWN_ZONE)];
+    let need = Need {
+        target_latency: ms(200),
+        ..Need::default()
+    };
+    let mut place = place();
+    place.record_load(ms(0), 1, load(0, 20));
+    for (running, expected) in [(4, 2), (5, 2), (7, 1)] {
+        place.record_load(ms(0), 2, load(running, 20));
+        let ranked = place.rank(ms(0), &need, targets.iter(), 1);
+        assert_eq!(ranked[0].id, expected, "{running} running");
+    }
+}
+
+#[test]
+fn a_short_target_latency_does_not_make_crossing_cheap() {
+    let place = place();
+    let cost = |target_latency| {
+        place.crossing_cost(&Need {
+            target_latency,
+            ..Need::default()
+        })
+    };
+    assert_eq!(cost(ms(20)), Settings::default().cross_zone_cost);
+    assert_eq!(cost(ms(0)), Settings::default().cross_zone_cost);
+    assert_eq!(cost(ms(800)), ms(200));
+}
+
 #[test]
 fn a_wait_above_the_cross_zone_cost_sends_flows_to_another_zone() {
     let targets = [target(1, OTHER_ZONE), target(2, OWN_ZONE)];
@@ -116,6 +149,59 @@
     );
 }
 
+/// Each flow to a lost zone would try one of its servers after the other, and its
+/// caller gives up after three.
+#[test]
+fn a_zone_whose_servers_do_not_answer_ranks_last() {
+    let mut targets: Vec<Target> = (1..=5).map(|id| target(id, OWN_ZONE)).collect();
+    targets.push(target(6, OTHER_ZONE));
+    let mut place = place();
+    for id in 1..=6 {
+        place.record_load(ms(0), id, load(2, 20));
+    }
+    place.mark_unresponsive(ms(300), 1);
+    assert_ne!(first(&mut place, ms(301), &targets), 6);
+    place.mark_unresponsive(ms(310), 2);
+    assert_eq!(first(&mut place, ms(311), &targets), 6);
+    let back = ms(310) + Settings::default().unresponsive_time;
+    assert_ne!(first(&mut place, back, &targets), 6);
+}
+
+/// Two servers that fail do not empty the zone of the others.
+#[test]
+fn a_zone_with_servers_that_answer_keeps_its_flows() {
+    let mut targets: Vec<Target> = (1..=3).map(|id| target(id, OWN_ZONE)).collect();
+    targets.push(target(4, OTHER_ZONE));
+    let mut place = place();
+    place.mark_unresponsive(ms(300), 1);
+    place.mark_unresponsive(ms(310), 2);
+    place.record_load(ms(250), 3, load(0, 20));
+    assert_eq!(first(&mut place, ms(311), &targets), 3);
+}
+
+/// A flow that finds all servers of its path full waits there although another zone
+/// has room.
+#[test]
+fn a_path_within_a_busy_zone_ends_in_another() {
+    let mut targets: Vec<Target> = (1..=5).map(|id| target(id, OWN_ZONE)).collect();
+    targets.push(target(6, OTHER_ZONE));
+    let path = |running, are_bids_priced| {
+        let mut place = place();
+        for id in 1..=5 {
+            place.record_load(ms(0), id, load(running, 20));
+        }
+        let need = Need {
+            target_latency: ms(400),
+            are_bids_priced,
+        };
+        let ranked = place.rank(ms(0), &need, targets.iter(), 3);
+        ranked.iter().map(|target| target.zone).collect::<Vec<_>>()
+    };
+    assert_eq!(path(1, true), [OWN_ZONE; 3], "idle");
+    assert_eq!(path(3, true), [OWN_ZONE, OWN_ZONE, OTHER_ZONE], "busy");
+    assert_eq!(path(3, false), [OWN_ZONE; 3], "bids without zones");
+}
+
 /// Entries with the same information must not all choose the same server.
 #[test]
 fn entries_with_equal_information_spread_their_flows() {
