Limit: paced link with a bounded queue for each class

Uploads that exceed a slow link delayed openings, resets and membership messages in the link's own queue, which drops any of them. limit::link is a token bucket below the link's rate: packets that cannot be sent at once wait by class, for a bounded time, and a copy takes the place of a packet that still waits.

--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`Forecast`] estimates the load that held flows are expected to cause.
 //! * [`Occupancy`] estimates the wait at a backend server whose queue is not
 //!   visible, from requests and answers on the network.
+//! * [`link::Link`] paces the packets of a network link and orders waiting ones.
 //! * [`Load`] estimates the load of held flows from their request rate.
 //! * [`Waiting`] holds new work back while there is no room for it.
 //! * [`Risk`] estimates how likely a backend server is to fail a request.
@@ -19,6 +20,7 @@
 pub mod forecast;
 pub mod gate;
 pub mod job;
+pub mod link;
 pub mod load;
 pub mod occupancy;
 pub mod pause;
