--- a/state/limit/tests/link.rs
+++ b/state/limit/tests/link.rs
@@ -156,6 +156,14 @@
     assert!(admits(&mut link, ms(200), packet(Class::Data, Some(7))));
 }
 
+#[test]
+fn copy_of_another_class_is_not_sent_beside_a_waiting_packet() {
+    let mut link = busy_link();
+    enqueue(&mut link, START, packet(Class::Bulk, Some(7)), 1);
+    assert!(!admits(&mut link, ms(50), packet(Class::Data, Some(7))));
+    assert!(admits(&mut link, ms(50), packet(Class::Data, Some(8))));
+}
+
 #[test]
 fn data_that_fills_its_queue_drops_no_control() {
     let mut link = busy_link();
