Gateways and sidecars: packets pass the paced link where its rate is stated

Packets and frames went to the socket in the order of the decisions, whatever they carried. Their class comes from the frame and the priorities of the routes; a sidecar learns priorities from opening frames. A send that the kernel does not accept lowers the rate, SIGHUP reads it again, and threads send for a sender that got no processor. Packets to the own backend server do not pass the link.

Tested: classes, keys of copies, start and change of the rate, a stalled sender (this one failed first: a packet offered meanwhile moved the time at which the sender was due).

--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -106,11 +106,13 @@
     1006 Info Stopping { role: String }
         "{role} received a stop signal and accepts no new flows", "nothing";
     1007 Info Reloading { role: String }
-        "{role} received SIGHUP; changed settings take effect at the next start", "nothing";
+        "{role} received SIGHUP; a changed rate of the network link takes effect now, other settings at the next start", "nothing";
     1008 Info Unlogged { lines: u64 }
         "{lines} log lines were suppressed by the rate limit since the last summary", "nothing";
     1009 Warn StopNotAnnounced { role: String }
         "{role} stops without telling its peers, because the queue of its control thread is full", "check the processor time of the host";
+    1010 Info LinkPaced { bytes_per_second: u64 }
+        "packets are sent over the network link at {bytes_per_second} bytes per second at most", "nothing";
     2001 Info InForce { service: ServiceAddress, revision: Revision }
         "revision {revision} of service {service} is in force here", "nothing";
     2002 Error NotBound { service: ServiceAddress, error: String }
@@ -184,6 +186,11 @@
         "flow {flow} waits for a slot: expected wait {wait_us} us; {waiting} flows waited before it", "nothing";
     4015 Warn AnswerImplausible { flow: String }
         "the answer to a request of flow {flow} came far sooner and is far shorter than usual; it counts as a failure", "check the backend server's log for errors";
+    4024 Warn LinkFull { bytes: usize }
+        "the network link of this host is full: packets have waited for half a second without interruption; {bytes} bytes wait",
+        "nothing if it ends soon; otherwise give the host a faster link, or run more hosts";
+    4025 Info LinkFree { }
+        "the network link of this host is free again", "nothing";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing if this was planned";
     5002 Info ServerMissing { }
--- a/roles/app/src/forwarder/lifecycle.rs
+++ b/roles/app/src/forwarder/lifecycle.rs
@@ -1,4 +1,5 @@
 //! Start and stop of a gateway or sidecar.
+use std::path::Path;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -7,6 +8,7 @@
 use futures_lite::FutureExt;
 
 use crate::event::Event;
+use crate::forwarder::link::Link;
 use crate::settings::table::Role;
 use crate::signal::Signal;
 
@@ -24,14 +26,21 @@
     starting.log();
 }
 
-/// Waits for SIGTERM or SIGINT. Settings that may change while the process runs
-/// arrive with the configuration and the announcements, so SIGHUP is only logged.
-pub async fn wait_for_stop(role: Role, signals: Receiver<Signal>) {
+/// Waits for SIGTERM or SIGINT. On SIGHUP, reads the rate of the network link again
+/// from the settings file at `boot`: settings that may change while the process runs
+/// otherwise arrive with the configuration and the announcements.
+pub async fn wait_for_stop(role: Role, signals: Receiver<Signal>, boot: &Path, link: &Link) {
     while let Ok(signal) = signals.recv().await {
         let role = role.name().to_owned();
         match signal {
             Signal::Stop => return Event::Stopping { role }.log(),
-            Signal::Replace => Event::Reloading { role }.log(),
+            Signal::Replace => {
+                Event::Reloading { role }.log();
+                match platform::Settings::read(boot) {
+                    Ok(host) => link.set_rate(host.link_mbps),
+                    Err(error) => log::warn!("{error}"),
+                }
+            }
         }
     }
 }
--- a/roles/app/src/forwarder/reader.rs
+++ b/roles/app/src/forwarder/reader.rs
@@ -62,8 +62,13 @@
     spawn(name, read)
 }
 
-fn spawn(name: &str, read: impl FnOnce() + Send + 'static) -> io::Result<()> {
-    thread::Builder::new().name(name.to_owned()).spawn(read)?;
+/// Starts a thread that runs `work`.
+///
+/// # Errors
+///
+/// Returns the operating system's error if the thread cannot be started.
+pub fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new().name(name.to_owned()).spawn(work)?;
     Ok(())
 }
 
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -14,6 +14,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -33,8 +34,10 @@
 use store::Http;
 
 use crate::clock;
+use crate::forwarder::class::Classes;
 use crate::forwarder::lifecycle;
 use crate::forwarder::link::Link;
+use crate::forwarder::pacer::Pacer;
 use crate::forwarder::reader;
 use crate::forwarder::ready;
 use crate::forwarder::telemetry::Telemetry;
@@ -96,6 +99,8 @@
             socket: callers.try_clone()?,
             caller_port: host.caller_port(),
             telemetry,
+            pacer: Pacer::new(host.link_mbps, origin.elapsed()),
+            classes: Classes::default(),
         },
         control: sender.clone(),
     });
@@ -122,7 +127,7 @@
     let control = Control {
         registry: registry(&host, origin),
         origin,
-        traffic,
+        traffic: Arc::clone(&traffic),
         inputs,
         builder: Builder::default(),
         is_confirmed,
@@ -132,7 +137,8 @@
         requested: BTreeSet::new(),
         tracker: crate::change::Tracker::default(),
     };
-    let stopping = wait_for_stop(signals, sender, is_ready);
+    traffic.link.log_rate();
+    let stopping = wait_for_stop(signals, sender, is_ready, &settings.0.boot, &traffic.link);
     executor.run(control.run().or(stopping)).await;
     Ok(())
 }
@@ -157,8 +163,10 @@
     signals: Receiver<Signal>,
     control: Sender<Input>,
     is_ready: Arc<AtomicBool>,
+    boot: &Path,
+    link: &Link,
 ) {
-    lifecycle::wait_for_stop(Role::Gateway, signals).await;
+    lifecycle::wait_for_stop(Role::Gateway, signals, boot, link).await;
     is_ready.store(false, Ordering::Relaxed);
     lifecycle::notify_stop(Role::Gateway, &control, Input::Leave).await;
     Timer::after(LINGER).await;
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -104,6 +104,7 @@
         self.registry.raise_incarnation();
         self.registry.tick(now, actions);
         self.traffic.link.send_control(actions);
+        self.traffic.link.report_load();
         self.publish(now);
     }
 
@@ -114,6 +115,9 @@
             self.log_changes(&changes);
             let routes = self.builder.update(&self.registry, &changes);
             if changes.contains(&routes::DOCUMENT_ADDRESS) {
+                let all = routes.table.routes.iter();
+                let priorities = all.map(|(address, route)| (*address, route.priority));
+                self.traffic.link.classes.replace(priorities);
                 let version = routes.table.version;
                 let route_count = routes.table.routes.len();
                 LogEvent::ConfigInForce {
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -46,6 +46,8 @@
     let shared = Arc::clone(traffic);
     reader::spawn_packets("callers", callers, move |packet| shared.on_packet(packet))?;
     let shared = Arc::clone(traffic);
+    reader::spawn("link", move || shared.link.send_waiting())?;
+    let shared = Arc::clone(traffic);
     reader::spawn_frames(
         "frames",
         &traffic.link.port,
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -129,6 +129,14 @@
     histogram("carried.open.time", "us", "time from the last copy of an opening packet to the holder's confirmation"),
     histogram("carried.search.time", "us", "time from the last search message to the holder's answer"),
     histogram("carried.request.time", "us", "time from a request to the first packet of its answer"),
+    counter("carried.link.sent", "{packet}", "packets sent over a network link whose rate is stated, by class"),
+    counter("carried.link.queued", "{packet}", "packets that waited for room on the network link, by class"),
+    counter("carried.link.copies", "{packet}", "copies that took the place of a packet that waited for room on the network link, by class"),
+    counter("carried.link.full", "{packet}", "packets dropped because too many of their class waited, by class"),
+    counter("carried.link.late", "{packet}", "packets dropped because they had waited too long for room on the network link, by class"),
+    gauge("carried.link.rate", "By/s", "rate of the network link that is used at most; decreases while the kernel does not accept packets"),
+    gauge("carried.link.load", "By/s", "bytes per second that were to be sent over the network link"),
+    histogram("carried.link.wait", "us", "time for which packets waited for room on the network link"),
     // Agents.
     gauge("weight", "{request}/s", "learned capacity, as announced"),
 ];
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -11,6 +11,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -28,8 +29,10 @@
 use store::Http;
 use wire::Hop;
 
+use crate::forwarder::class::Classes;
 use crate::forwarder::lifecycle;
 use crate::forwarder::link::Link;
+use crate::forwarder::pacer::Pacer;
 use crate::forwarder::reader;
 use crate::forwarder::ready;
 use crate::forwarder::telemetry::Telemetry;
@@ -115,6 +118,8 @@
             socket: socket.try_clone()?,
             caller_port: host.caller_port(),
             telemetry,
+            pacer: Pacer::new(host.link_mbps, origin.elapsed()),
+            classes: Classes::default(),
         },
         backend,
         control: sender.clone(),
@@ -144,7 +149,8 @@
         inputs,
         announcement: None,
     };
-    let stopping = wait_for_stop(signals, sender, traffic);
+    traffic.link.log_rate();
+    let stopping = wait_for_stop(signals, sender, traffic, &settings.0.boot);
     let control = Box::pin(control.run(&host));
     executor.run(control.or(stopping)).await;
     Ok(())
@@ -164,8 +170,13 @@
 
 /// Waits for a stop signal, gives entries time to send new flows elsewhere, and
 /// then waits for running requests to finish.
-async fn wait_for_stop(signals: Receiver<Signal>, control: Sender<Input>, traffic: Arc<Traffic>) {
-    lifecycle::wait_for_stop(Role::Sidecar, signals).await;
+async fn wait_for_stop(
+    signals: Receiver<Signal>,
+    control: Sender<Input>,
+    traffic: Arc<Traffic>,
+    boot: &Path,
+) {
+    lifecycle::wait_for_stop(Role::Sidecar, signals, boot, &traffic.link).await;
     lifecycle::notify_stop(Role::Sidecar, &control, Input::Stop).await;
     Timer::after(STOP_NOTICE).await;
     let drain_start = Instant::now();
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -129,6 +129,7 @@
             }
         }
         self.traffic.link.send_control(actions);
+        self.traffic.link.report_load();
     }
 
     fn receive(
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -50,6 +50,8 @@
     let shared = Arc::clone(traffic);
     reader::spawn_packets("servers", servers, move |packet| shared.on_packet(packet))?;
     let shared = Arc::clone(traffic);
+    reader::spawn("link", move || shared.link.send_waiting())?;
+    let shared = Arc::clone(traffic);
     reader::spawn_frames(
         "frames",
         &traffic.link.port,
@@ -132,18 +134,31 @@
             _ => return self.link.drop_packet("unexpected"),
         };
         match event_from(transit) {
-            Ok(Some(event)) => self.handle(event),
+            Ok(Some(event)) => {
+                self.learn_priority(&event);
+                self.handle(event);
+            }
             Ok(None) => self.link.drop_packet("unexpected"),
             Err(error) => self.link.drop_packet(error.name()),
         }
     }
 
+    /// Learns the priority of an address from an opening frame.
+    fn learn_priority(&self, event: &Event) {
+        if let Event::Open { open, segment } = event
+            && let Some(demand) = open.demand
+        {
+            let classes = &self.link.classes;
+            classes.learn(segment.destination, demand.priority);
+        }
+    }
+
     fn perform(&self, action: Action) {
         let link = &self.link;
         match action {
             Action::Deliver(packet) => {
                 link.count("carried.packets", "to_server");
-                link.send_packet(self.backend, &packet);
+                link.send_to_server(self.backend, &packet);
             }
             Action::ToCaller { caller, packet } => {
                 link.count("carried.packets", "to_caller");
--- a/state/limit/src/link.rs
+++ b/state/limit/src/link.rs
@@ -282,6 +282,7 @@
             return Outcome::Waits;
         }
         self.waiting_since = Some(now);
+        self.next_run = self.next_run.max(now);
         Outcome::First
     }
 
@@ -314,9 +315,13 @@
     #[must_use]
     pub fn due(&self) -> Option<Duration> {
         let class = self.next_class()?;
-        let missing = (self.floor(class) - self.tokens).max(0.0) + 1.0;
-        let refilled = self.refilled + Duration::from_secs_f64(missing / self.rate());
-        Some(refilled.max(self.next_run))
+        let missing = self.floor(class) - self.tokens;
+        if missing < 0.0 {
+            return Some(self.next_run);
+        }
+        // One byte more than none may be sent.
+        let refill = Duration::from_secs_f64((missing + 1.0) / self.rate());
+        Some(self.next_run.max(self.refilled + refill))
     }
 
     /// Returns true if the sender should have run some time ago, so that another
--- a/state/limit/tests/link.rs
+++ b/state/limit/tests/link.rs
@@ -195,8 +195,14 @@
     enqueue(&mut link, START, packet(Class::Data, None), 0);
     assert!(!link.is_stalled(START));
     assert!(link.is_stalled(ms(100)));
-    assert!(link.take(ms(100)).is_some());
-    assert!(!link.is_stalled(ms(100)));
+    // Neither does what others offer meanwhile hide it, nor an idle time before.
+    enqueue(&mut link, ms(100), packet(Class::Data, None), 0);
+    assert!(link.is_stalled(ms(100)));
+    drain(&mut link, ms(100), ms(200));
+    while admits(&mut link, ms(900), packet(Class::Data, None)) {}
+    enqueue(&mut link, ms(900), packet(Class::Data, None), 0);
+    assert!(!link.is_stalled(ms(905)));
+    assert!(link.is_stalled(ms(1_000)));
 }
 
 #[test]
--- a/transport/net/src/port.rs
+++ b/transport/net/src/port.rs
@@ -162,16 +162,39 @@
     /// Sends a frame. A frame that the kernel does not accept is dropped and
     /// counted; protocols recover from it as from loss on the network.
     pub fn send(&self, to: SocketAddr, frame: &Frame) {
-        let Ok(datagram) = self.seal.seal(frame) else {
+        if let Some(datagram) = self.seal(frame) {
+            // The counter of failures has been increased.
+            let _ = self.send_sealed(to, &datagram);
+        }
+    }
+
+    /// Returns the datagram of a frame, to be sent by [`Self::send_sealed`]; `None`,
+    /// which is counted, if it cannot be encoded.
+    #[must_use]
+    pub fn seal(&self, frame: &Frame) -> Option<Vec<u8>> {
+        let sealed = self.seal.seal(frame);
+        if sealed.is_err() {
             add(&self.counters.send_failed, 1);
-            return;
-        };
-        match self.socket.udp().send_to(&datagram, to) {
+        }
+        sealed.ok()
+    }
+
+    /// Sends a sealed datagram, and counts it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error if the kernel does not accept it.
+    pub fn send_sealed(&self, to: SocketAddr, datagram: &[u8]) -> io::Result<()> {
+        match self.socket.udp().send_to(datagram, to) {
             Ok(length) => {
                 add(&self.counters.sent, 1);
                 add(&self.counters.sent_bytes, length);
+                Ok(())
+            }
+            Err(error) => {
+                add(&self.counters.send_failed, 1);
+                Err(error)
             }
-            Err(_) => add(&self.counters.send_failed, 1),
         }
     }
 
