Gateways and sidecars: bytes sent by kind and zone

Nothing told how many bytes cross between zones, or for what. carried.sent_bytes counts the datagrams sent by kind (opening, data, answer, forwarded, search, probe, report, membership) and by the zone of the receiver, which the control thread reads from the membership records once a second; receivers of unknown zone, such as callers, and for sidecars gateways, are a reason of their own. Calls to the store count without headers.

Tested: kinds, zones and a process that moved; tests of app and store pass.

--- a/roles/app/src/forwarder.rs
+++ b/roles/app/src/forwarder.rs
@@ -8,3 +8,4 @@
 pub mod reader;
 pub mod ready;
 pub mod telemetry;
+pub mod usage;
--- a/roles/app/src/forwarder/link.rs
+++ b/roles/app/src/forwarder/link.rs
@@ -28,10 +28,13 @@
 use crate::forwarder::pacer::Pacer;
 use crate::forwarder::pacer::Socket;
 use crate::forwarder::telemetry::Telemetry;
+use crate::forwarder::usage::Kind;
+use crate::forwarder::usage::Usage;
 use crate::metric::Error;
 use crate::metric::Instruments;
 use crate::metric::forwarder::publish_calls;
 use crate::metric::forwarder::record;
+use crate::settings::table::Role;
 
 /// Error of a send while the kernel has no buffers, `ENOBUFS` of Linux.
 const NO_BUFFERS: i32 = 105;
@@ -52,6 +55,10 @@
     pub pacer: Pacer,
     /// Classes of packets.
     pub classes: Classes,
+    /// Role of the process.
+    pub role: Role,
+    /// Bytes sent, by kind and zone.
+    pub usage: Usage,
 }
 
 impl Link {
@@ -86,9 +93,13 @@
         let Frame::Transit(transit) = frame else {
             return;
         };
-        let socket = Socket::Frames;
+        let envelope = Envelope {
+            socket: Socket::Frames,
+            to,
+            kind: Kind::of(self.role, &transit),
+        };
         let describe = || self.classes.frame(to, &transit, datagram.len());
-        self.send(Envelope { socket, to }, &datagram, describe);
+        self.send(envelope, &datagram, describe);
     }
 
     /// Sends the messages of the membership protocol.
@@ -102,9 +113,13 @@
                 }
             };
             if let Some(datagram) = self.port.seal(&Frame::Control(payload)) {
-                let socket = Socket::Frames;
+                let envelope = Envelope {
+                    socket: Socket::Frames,
+                    to,
+                    kind: Kind::Membership,
+                };
                 let describe = || class::control(datagram.len());
-                self.send(Envelope { socket, to }, &datagram, describe);
+                self.send(envelope, &datagram, describe);
             }
         }
     }
@@ -112,16 +127,21 @@
     /// Sends a packet unchanged to the backend server, which does not take it through
     /// the network link.
     pub fn send_to_server(&self, to: SocketAddr, packet: &[u8]) {
-        let socket = Socket::Packets;
-        self.transmit(Envelope { socket, to }, packet);
+        if let Err(error) = self.socket.send_to(packet, to) {
+            self.drop_unsent(to, &error);
+        }
     }
 
     /// Sends a packet to a caller. All callers are reached on the same port.
     pub fn send_to_caller(&self, caller: SocketAddrV4, packet: &[u8]) {
         let to = SocketAddr::from((*caller.ip(), self.caller_port));
-        let socket = Socket::Packets;
+        let envelope = Envelope {
+            socket: Socket::Packets,
+            to,
+            kind: Kind::Answer,
+        };
         let describe = || self.classes.packet(packet);
-        self.send(Envelope { socket, to }, packet, describe);
+        self.send(envelope, packet, describe);
     }
 
     /// Sends what waits for room on the network link. Does not return.
@@ -181,7 +201,8 @@
     }
 
     fn transmit(&self, envelope: Envelope, content: &[u8]) {
-        let Envelope { socket, to } = envelope;
+        let Envelope { socket, to, kind } = envelope;
+        self.usage.add(kind, to, content.len());
         let sent = match socket {
             Socket::Frames => self.port.send_sealed(to, content),
             Socket::Packets => self.socket.send_to(content, to).map(drop),
@@ -193,11 +214,15 @@
             self.pacer.record_refusal(self.now());
         }
         if socket == Socket::Packets {
-            log::debug!("cannot send a packet to {to}: {error}");
-            self.count("carried.dropped", "not_sent");
+            self.drop_unsent(to, &error);
         }
     }
 
+    fn drop_unsent(&self, to: SocketAddr, error: &io::Error) {
+        log::debug!("cannot send a packet to {to}: {error}");
+        self.count("carried.dropped", "not_sent");
+    }
+
     /// Sends the caller of a flow a reset, and counts and logs it.
     pub fn reset_flow(&self, flow: &FlowId, sequence: u32, reason: &'static str, detail: String) {
         self.count("carried.flows.reset", reason);
@@ -216,6 +241,7 @@
     /// Returns [`Error::Unknown`] if a metric is not in the table.
     pub fn publish(&self, instruments: &mut Instruments, calls: &Calls) -> Result<(), Error> {
         self.telemetry.counts.publish(instruments)?;
+        self.usage.publish(instruments)?;
         if self.pacer.is_active() {
             self.publish_link(instruments)?;
         }
--- a/roles/app/src/forwarder/pacer.rs
+++ b/roles/app/src/forwarder/pacer.rs
@@ -17,6 +17,8 @@
 use limit::link::Packet;
 use limit::link::Taken;
 
+use crate::forwarder::usage::Kind;
+
 /// Rate from which a link is not paced: no host here can fill it.
 const UNPACED_MBPS: f64 = 1_000.0;
 
@@ -43,6 +45,8 @@
     pub socket: Socket,
     /// UDP address of the receiver.
     pub to: SocketAddr,
+    /// Kind of the content, by which its bytes are counted.
+    pub kind: Kind,
 }
 
 /// A datagram that waits.
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -41,6 +41,7 @@
 use crate::forwarder::reader;
 use crate::forwarder::ready;
 use crate::forwarder::telemetry::Telemetry;
+use crate::forwarder::usage::Usage;
 use crate::gateway::control::Control;
 use crate::gateway::control::Input;
 use crate::gateway::routes::Builder;
@@ -101,6 +102,8 @@
             telemetry,
             pacer: Pacer::new(host.link_mbps, origin.elapsed()),
             classes: Classes::default(),
+            role: Role::Gateway,
+            usage: Usage::new(host.zone_id()),
         },
         control: sender.clone(),
     });
@@ -136,6 +139,7 @@
         seeds: host.seed_frame_addresses(),
         requested: BTreeSet::new(),
         tracker: crate::change::Tracker::default(),
+        next_zones: Duration::ZERO,
     };
     traffic.link.log_rate();
     let stopping = wait_for_stop(signals, sender, is_ready, &settings.0.boot, &traffic.link);
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -31,6 +31,10 @@
 /// Longest sleep when no deadline is pending.
 const IDLE: Duration = Duration::from_millis(250);
 
+/// Interval at which the zones of other processes are read: their bytes are counted
+/// under an unknown zone until then.
+const ZONES_INTERVAL: Duration = Duration::from_secs(1);
+
 /// An input to the control thread.
 pub enum Input {
     /// A message of the membership protocol.
@@ -73,6 +77,8 @@
     pub requested: BTreeSet<ServiceAddress>,
     /// Last logged state of the targets.
     pub tracker: Tracker,
+    /// Time at which the zones of other processes are next read.
+    pub next_zones: Duration,
 }
 
 impl Control {
@@ -105,6 +111,7 @@
         self.registry.tick(now, actions);
         self.traffic.link.send_control(actions);
         self.traffic.link.report_load();
+        self.update_zones(now);
         self.publish(now);
     }
 
@@ -141,6 +148,22 @@
         }
     }
 
+    /// Updates the zones by which the bytes sent are counted.
+    fn update_zones(&mut self, now: Duration) {
+        if now < self.next_zones {
+            return;
+        }
+        self.next_zones = now + ZONES_INTERVAL;
+        let entries = self.registry.entries();
+        let entries = entries.map(|entry| (entry.address, entry.zone));
+        let members = self.registry.views().flat_map(|view| view.targets.values());
+        let agents = members.map(|member| (member.target.address, member.target.zone));
+        self.traffic
+            .link
+            .usage
+            .replace_zones(entries.chain(agents).collect());
+    }
+
     /// Logs the changed states of backend servers at a bounded rate, because a cold
     /// start changes all of them at once.
     fn log_changes(&mut self, changes: &[ServiceAddress]) {
--- a/roles/app/src/metric/forwarder.rs
+++ b/roles/app/src/metric/forwarder.rs
@@ -64,6 +64,7 @@
     instruments.set("store.calls", "watch", calls.watches)?;
     instruments.set("store.calls", "lease", calls.leases)?;
     instruments.set("store.calls", "failed", calls.failures)?;
+    instruments.set("carried.sent_bytes", "store_unknown_zone", calls.sent_bytes)?;
     instruments.set("store.restores", "", calls.restores)
 }
 
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -129,6 +129,7 @@
     histogram("carried.open.time", "us", "time from the last copy of an opening packet to the holder's confirmation"),
     histogram("carried.search.time", "us", "time from the last search message to the holder's answer"),
     histogram("carried.request.time", "us", "time from a request to the first packet of its answer"),
+    counter("carried.sent_bytes", "By", "size of the datagrams sent, by kind and by whether they cross between availability zones, and of the calls to the store without headers; not of the packets to the own backend server"),
     counter("carried.link.sent", "{packet}", "packets sent over a network link whose rate is stated, by class"),
     counter("carried.link.queued", "{packet}", "packets that waited for room on the network link, by class"),
     counter("carried.link.copies", "{packet}", "copies that took the place of a packet that waited for room on the network link, by class"),
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -36,6 +36,7 @@
 use crate::forwarder::reader;
 use crate::forwarder::ready;
 use crate::forwarder::telemetry::Telemetry;
+use crate::forwarder::usage::Usage;
 use crate::metric;
 use crate::metric::Instruments;
 use crate::settings;
@@ -120,6 +121,8 @@
             telemetry,
             pacer: Pacer::new(host.link_mbps, origin.elapsed()),
             classes: Classes::default(),
+            role: Role::Sidecar,
+            usage: Usage::new(host.zone_id()),
         },
         backend,
         control: sender.clone(),
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -29,6 +29,7 @@
 
 use crate::clock;
 use crate::event::Event as LogEvent;
+use crate::forwarder::usage::Zones;
 use crate::sidecar::traffic::Traffic;
 
 /// Longest sleep when no deadline is pending.
@@ -125,6 +126,7 @@
             announcer.tick(now, actions);
             if announcer.take_changed() {
                 let peers = peers(announcer);
+                self.traffic.link.usage.replace_zones(zones(announcer));
                 self.traffic.handle(Event::Peers(peers));
             }
         }
@@ -310,6 +312,15 @@
     }
 }
 
+/// Returns the zones of the agents of the service. Those of entries are not known to
+/// an agent.
+fn zones(announcer: &Announcer) -> Zones {
+    let members = announcer.view().targets.values();
+    members
+        .map(|member| (member.target.address, member.target.zone))
+        .collect()
+}
+
 const fn state(is_open: bool) -> target::State {
     if is_open {
         target::State::Ready
--- a/roles/app/tests/link.rs
+++ b/roles/app/tests/link.rs
@@ -9,6 +9,10 @@
 use app::forwarder::pacer::Envelope;
 use app::forwarder::pacer::Pacer;
 use app::forwarder::pacer::Socket;
+use app::forwarder::usage::Crossing;
+use app::forwarder::usage::Kind as Usage;
+use app::forwarder::usage::Usage as Counters;
+use app::settings::table::Role;
 use bytes::Bytes;
 use cases::cases;
 use limit::link::Class;
@@ -233,6 +237,7 @@
     let envelope = Envelope {
         socket: Socket::Frames,
         to: receiver(5),
+        kind: Usage::Membership,
     };
     fill(&pacer, Duration::ZERO, envelope);
     let later = Duration::from_millis(500);
@@ -249,6 +254,7 @@
     let envelope = Envelope {
         socket: Socket::Packets,
         to: receiver(5),
+        kind: Usage::Membership,
     };
     fill(&pacer, Duration::ZERO, envelope);
     let mut taken = Vec::new();
@@ -256,3 +262,39 @@
     let contents: Vec<&[u8]> = taken.iter().map(|one| &one.item.content[..]).collect();
     assert_eq!(contents, [b"full"]);
 }
+
+fn is_counted((role, transit, kind): (Role, Transit, Usage)) {
+    assert_eq!(Usage::of(role, &transit), kind);
+}
+
+cases! { is_counted;
+    opening_of_a_gateway: (Role::Gateway, open(0), Usage::Opening),
+    opening_of_a_sidecar_is_forwarded: (Role::Sidecar, open(0), Usage::Forwarded),
+    data_of_a_gateway:
+        (Role::Gateway, forward(&segment(Kind::Data, OTHER, 1)), Usage::Data),
+    data_of_a_sidecar_is_forwarded:
+        (Role::Sidecar, forward(&segment(Kind::Data, OTHER, 1)), Usage::Forwarded),
+    search_is_counted_as_such: (Role::Gateway, search(), Usage::Search),
+    lookup_without_probe_is_a_search: (Role::Sidecar, lookup(), Usage::Search),
+    denial_is_a_report: (Role::Sidecar, denial(Bytes::new()), Usage::Report),
+    returned_packet_is_forwarded:
+        (Role::Sidecar, denial(Bytes::from_static(b"p")), Usage::Forwarded),
+}
+
+#[test]
+fn bytes_are_counted_by_zone_and_unknown_receivers_separately() {
+    let usage = Counters::new(1);
+    usage.add(Usage::Data, receiver(1), 1);
+    usage.replace_zones([(receiver(1), 1), (receiver(2), 2)].into());
+    usage.add(Usage::Data, receiver(1), 10);
+    usage.add(Usage::Data, receiver(2), 100);
+    usage.add(Usage::Answer, receiver(3), 1_000);
+    assert_eq!(usage.bytes(Usage::Data, Crossing::Unknown), 1);
+    assert_eq!(usage.bytes(Usage::Data, Crossing::OwnZone), 10);
+    assert_eq!(usage.bytes(Usage::Data, Crossing::OtherZone), 100);
+    assert_eq!(usage.bytes(Usage::Answer, Crossing::Unknown), 1_000);
+    // A process that moved, or was replaced, is counted by its new zone.
+    usage.replace_zones([(receiver(1), 2)].into());
+    usage.add(Usage::Data, receiver(1), 10_000);
+    assert_eq!(usage.bytes(Usage::Data, Crossing::OtherZone), 10_100);
+}
--- a/transport/store/src/count.rs
+++ b/transport/store/src/count.rs
@@ -19,6 +19,8 @@
     pub waiting: u64,
     /// Bytes of answers received, without headers.
     pub received_bytes: u64,
+    /// Bytes of paths and bodies of calls sent, without headers.
+    pub sent_bytes: u64,
     /// Restores of the store from an older copy.
     pub restores: u64,
 }
@@ -46,6 +48,7 @@
     failures: AtomicU64,
     waiting: AtomicU64,
     received_bytes: AtomicU64,
+    sent_bytes: AtomicU64,
     restores: AtomicU64,
 }
 
@@ -77,6 +80,10 @@
         self.received_bytes.fetch_add(bytes as u64, Relaxed);
     }
 
+    pub(crate) fn record_sent(&self, bytes: usize) {
+        self.sent_bytes.fetch_add(bytes as u64, Relaxed);
+    }
+
     pub(crate) fn record_restore(&self) {
         self.restores.fetch_add(1, Relaxed);
     }
@@ -95,6 +102,7 @@
             failures: self.failures.load(Relaxed),
             waiting: self.waiting.load(Relaxed),
             received_bytes: self.received_bytes.load(Relaxed),
+            sent_bytes: self.sent_bytes.load(Relaxed),
             restores: self.restores.load(Relaxed),
         }
     }
--- a/transport/store/src/http.rs
+++ b/transport/store/src/http.rs
@@ -145,6 +145,7 @@
     /// Returns a [`Fault`] if there is no complete answer.
     pub async fn request(&self, call: Call<'_>, wait: Duration) -> Result<Answer, Fault> {
         self.counter.record_call(call.kind);
+        self.counter.record_sent(call.path.len() + call.body.len());
         let maybe_applied = call.method != Method::GET;
         let expire = async {
             Timer::after(self.settings.timeout + wait).await;
