Limit: decision to leave the rotation while the network link stays full

Callers' packets are spread evenly over gateways whose links differ by a factor of 20, so the slow links are full while the fast ones are hardly used.

--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`Load`] estimates the load of held flows from their request rate.
 //! * [`Waiting`] holds new work back while there is no room for it.
 //! * [`Risk`] estimates how likely a backend server is to fail a request.
+//! * [`rotation::Rotation`] decides when a gateway with a full link leaves the rotation.
 //! * [`Plausibility`] tells answers that come too fast and are too short.
 //! * [`Budget`] limits retries to a share of first attempts.
 //! * [`Backoff`] spaces retries.
@@ -27,6 +28,7 @@
 pub mod plausibility;
 pub mod queue;
 pub mod risk;
+pub mod rotation;
 pub mod share;
 pub mod waiting;
 
