Gateways: leave the rotation while the network link stays full

The decision of limit::rotation is carried out once a second by the control thread: it measures the link (the bytes sent where the link is too fast to be paced), states it under a pseudo service [::PORT:IPv4]:3 of the membership protocol, and the readiness check answers 503 while the gateway is out. Without link_mbps nothing is stated and nothing changes. The store has no part in it.

--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -191,6 +191,11 @@
         "nothing if it ends soon; otherwise give the host a faster link, or run more hosts";
     4025 Info LinkFree { }
         "the network link of this host is free again", "nothing";
+    4026 Warn RotationLeft { }
+        "this gateway answers the readiness check as not ready, since its network link stays full and others of its zone have room; it still serves what reaches it",
+        "give the host a faster link if this lasts";
+    4027 Info RotationRejoined { }
+        "this gateway takes part in the rotation again", "nothing";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing if this was planned";
     5002 Info ServerMissing { }
--- a/roles/app/src/forwarder/pacer.rs
+++ b/roles/app/src/forwarder/pacer.rs
@@ -5,6 +5,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -86,6 +87,8 @@
     /// False where the rate of the link is not stated, or is one that no host can
     /// fill. Datagrams are then sent as they come.
     is_active: AtomicBool,
+    /// Bytes per second that the settings state; 0 where they state none.
+    stated: AtomicU64,
     link: Mutex<Link<Datagram>>,
     /// Wakes the sender when the first datagram waits.
     waits: Condvar,
@@ -98,6 +101,7 @@
         let paced = rate(mbps);
         Self {
             is_active: AtomicBool::new(paced.is_some()),
+            stated: AtomicU64::new(stated(mbps)),
             link: Mutex::new(Link::new(paced.unwrap_or(BYTES_PER_MBPS), now)),
             waits: Condvar::new(),
         }
@@ -109,9 +113,18 @@
         self.is_active.load(Ordering::Relaxed)
     }
 
+    /// Returns the rate in bytes per second that the settings state, if they do.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "rates of links are far below")]
+    pub fn stated_rate(&self) -> Option<f64> {
+        let rate = self.stated.load(Ordering::Relaxed);
+        (rate > 0).then_some(rate as f64)
+    }
+
     /// Replaces the rate of the link. What already waits is sent by the thread that
     /// sends what waits.
     pub fn set_rate(&self, now: Duration, mbps: Option<f64>) {
+        self.stated.store(stated(mbps), Ordering::Relaxed);
         let paced = rate(mbps);
         if let Some(rate) = paced {
             self.lock().set_rate(now, rate);
@@ -193,6 +206,16 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "saturates"
+)]
+fn stated(mbps: Option<f64>) -> u64 {
+    mbps.map_or(0, |mbps| (mbps * BYTES_PER_MBPS) as u64)
+}
+
+/// Returns the rate in bytes per second if the link is to be paced.
 fn rate(mbps: Option<f64>) -> Option<f64> {
     let is_paced = |mbps: &f64| *mbps > 0.0 && *mbps < UNPACED_MBPS;
     mbps.filter(is_paced).map(|mbps| mbps * BYTES_PER_MBPS)
--- a/roles/app/src/forwarder/ready.rs
+++ b/roles/app/src/forwarder/ready.rs
@@ -12,7 +12,8 @@
 use platform::probe;
 use smol::Executor;
 
-/// Serves the platform's readiness check over HTTP.
+/// Serves the platform's readiness check over HTTP. The process answers as ready while
+/// it can serve callers and takes part in the rotation.
 ///
 /// # Errors
 ///
@@ -21,10 +22,12 @@
     address: SocketAddr,
     executor: &Arc<Executor<'static>>,
     is_ready: Arc<AtomicBool>,
+    is_in_rotation: Arc<AtomicBool>,
 ) -> io::Result<()> {
     let answer = move |request: http::Question| {
         let status = if probe::is_readiness_probe(&request.method, &request.path) {
-            probe::status(is_ready.load(Ordering::Relaxed))
+            let states = [&is_ready, &is_in_rotation];
+            probe::status(states.iter().all(|state| state.load(Ordering::Relaxed)))
         } else {
             StatusCode::NOT_FOUND
         };
--- a/roles/app/src/forwarder/usage.rs
+++ b/roles/app/src/forwarder/usage.rs
@@ -152,6 +152,13 @@
         self.bytes[kind as usize][crossing as usize].load(Ordering::Relaxed)
     }
 
+    /// Returns all bytes.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        let all = self.bytes.iter().flatten();
+        all.map(|bytes| bytes.load(Ordering::Relaxed)).sum()
+    }
+
     /// Copies the counters to the instruments.
     ///
     /// # Errors
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -8,6 +8,7 @@
 mod control;
 mod follow;
 mod registration;
+mod rotation;
 mod routes;
 mod traffic;
 
@@ -44,6 +45,7 @@
 use crate::forwarder::usage::Usage;
 use crate::gateway::control::Control;
 use crate::gateway::control::Input;
+use crate::gateway::rotation::Controller;
 use crate::gateway::routes::Builder;
 use crate::gateway::traffic::Traffic;
 use crate::metric;
@@ -109,7 +111,9 @@
     });
     traffic::start(&traffic, callers)?;
     let is_ready = Arc::new(AtomicBool::new(false));
-    ready::serve(host.listen.ready, &executor, Arc::clone(&is_ready)).await?;
+    let in_rotation = Arc::new(AtomicBool::new(true));
+    let states = (Arc::clone(&is_ready), Arc::clone(&in_rotation));
+    ready::serve(host.listen.ready, &executor, states.0, states.1).await?;
     if let Some(address) = host.listen.announcements {
         announcements::serve(address, &executor).await?;
     }
@@ -127,8 +131,10 @@
     executor.spawn(follower).detach();
     let registration = registration::run(store, frames, sender.clone(), on_restore);
     executor.spawn(registration).detach();
+    let identity = identity(&host);
     let control = Control {
-        registry: registry(&host, origin),
+        rotation: Controller::new(identity.clone(), in_rotation, origin.elapsed()),
+        registry: registry(&host, identity, origin),
         origin,
         traffic: Arc::clone(&traffic),
         inputs,
@@ -147,12 +153,15 @@
     Ok(())
 }
 
-fn registry(host: &platform::Settings, origin: Instant) -> Registry {
-    let identity = Identity {
+fn identity(host: &platform::Settings) -> Identity {
+    Identity {
         address: host.frame_address(),
         zone: host.zone_id(),
         incarnation: clock::incarnation(),
-    };
+    }
+}
+
+fn registry(host: &platform::Settings, identity: Identity, origin: Instant) -> Registry {
     let now = origin.elapsed();
     let settings = member::Settings::default();
     let mut registry = Registry::new(settings, identity, fastrand::u64(..), now);
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -24,6 +24,8 @@
 
 use crate::change::Tracker;
 use crate::event::Event as LogEvent;
+use crate::gateway::rotation;
+use crate::gateway::rotation::Controller;
 use crate::gateway::routes;
 use crate::gateway::routes::Builder;
 use crate::gateway::traffic::Traffic;
@@ -77,6 +79,8 @@
     pub requested: BTreeSet<ServiceAddress>,
     /// Last logged state of the targets.
     pub tracker: Tracker,
+    /// Part of this gateway in the rotation of its zone.
+    pub rotation: Controller,
     /// Time at which the zones of other processes are next read.
     pub next_zones: Duration,
 }
@@ -112,12 +116,15 @@
         self.traffic.link.send_control(actions);
         self.traffic.link.report_load();
         self.update_zones(now);
+        let link = &self.traffic.link;
+        self.rotation.update(now, &mut self.registry, link);
         self.publish(now);
     }
 
     /// Publishes the routes to the traffic threads if they changed.
     fn publish(&mut self, now: Duration) {
-        let changes = self.registry.take_changes();
+        let mut changes = self.registry.take_changes();
+        changes.retain(|address| !rotation::is_statement(address));
         if !changes.is_empty() {
             self.log_changes(&changes);
             let routes = self.builder.update(&self.registry, &changes);
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -137,6 +137,7 @@
     counter("carried.link.late", "{packet}", "packets dropped because they had waited too long for room on the network link, by class"),
     gauge("carried.link.rate", "By/s", "rate of the network link that is used at most; decreases while the kernel does not accept packets"),
     gauge("carried.link.load", "By/s", "bytes per second that were to be sent over the network link"),
+    counter("carried.rotation.changes", "{change}", "times that a gateway left the rotation of its zone because its network link stayed full, or rejoined it"),
     histogram("carried.link.wait", "us", "time for which packets waited for room on the network link"),
     // Agents.
     gauge("weight", "{request}/s", "learned capacity, as announced"),
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -129,7 +129,9 @@
     });
     traffic::start(&traffic, socket)?;
     let is_ready = Arc::new(AtomicBool::new(true));
-    ready::serve(host.listen.ready, &executor, is_ready).await?;
+    // Sidecars take part in no rotation.
+    let in_rotation = Arc::clone(&is_ready);
+    ready::serve(host.listen.ready, &executor, is_ready, in_rotation).await?;
     if let Some(address) = host.listen.announcements {
         announcements::serve(address, backend, &executor, sender.clone()).await?;
     }
