--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -8,7 +8,7 @@
 mod control;
 mod follow;
 mod registration;
-mod rotation;
+pub mod rotation;
 mod routes;
 mod traffic;
 
--- a/tools/soak/src/harness.rs
+++ b/tools/soak/src/harness.rs
@@ -293,6 +293,7 @@
         store: network.store_link(host),
         is_first_start: true,
         bounds: topology.limits.bounds,
+        link_mbps: topology.link_mbps(host),
     };
     let bind = address::socket(own, FRAME_PORT);
     let role = if is_gateway { "gateway" } else { "sidecar" };
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -67,6 +67,12 @@
         "second octet of the loopback addresses; default 90",
         "N",
     );
+    options.optopt(
+        "",
+        "slow-mbps",
+        "rate of the network links of every other entry host; default: not stated",
+        "MBPS",
+    );
     options.optmulti(
         "",
         "trouble",
@@ -133,7 +139,14 @@
 fn run_in_child(matches: &Matches, seed: u64) -> Result<bool, Box<dyn Error>> {
     let mut command = Command::new(env::current_exe()?);
     command.args(["--seed", &seed.to_string()]);
-    for name in ["seconds", "servers", "network", "folder", "trouble"] {
+    for name in [
+        "seconds",
+        "servers",
+        "network",
+        "folder",
+        "slow-mbps",
+        "trouble",
+    ] {
         for value in matches.opt_strs(name) {
             command.arg(format!("--{name}")).arg(value);
         }
@@ -155,7 +168,10 @@
         disturbances = plan::draw(seed, Duration::from_secs(seconds));
     }
     let plan = Plan {
-        topology: Topology::draw(seed, servers),
+        topology: Topology {
+            slow_mbps: matches.opt_get("slow-mbps")?,
+            ..Topology::draw(seed, servers)
+        },
         disturbances,
         network: Network(network),
         folder,
--- a/tools/soak/src/topology.rs
+++ b/tools/soak/src/topology.rs
@@ -11,6 +11,9 @@
 /// Target load of the backend servers, in percent of their slots.
 const LOAD_PERCENT: u64 = 35;
 
+/// Rate of the network links beside slow ones, in megabits per second.
+pub const FAST_MBPS: f64 = 200.0;
+
 /// Long flows of a service, per backend server.
 const LONG_FLOWS_PER_SERVER: usize = 6;
 
@@ -27,6 +30,10 @@
     pub services: Vec<Service>,
     /// Time limits of the invariants.
     pub limits: Limits,
+    /// Rate of the network link that the settings of every other entry host state, in
+    /// megabits per second; the other hosts have [`FAST_MBPS`]. The harness does not
+    /// limit the links.
+    pub slow_mbps: Option<f64>,
 }
 
 /// A service and its load.
@@ -95,6 +102,7 @@
             gateways: 1 + random.usize(..6),
             services,
             limits: Limits::scaled(scale),
+            slow_mbps: None,
         }
     }
 
@@ -111,6 +119,14 @@
         self.gateways + self.servers()
     }
 
+    /// Returns the rate of a host's network link that its settings state.
+    #[must_use]
+    pub fn link_mbps(&self, host: usize) -> Option<f64> {
+        let is_slow = host < self.gateways && host.is_multiple_of(2);
+        self.slow_mbps
+            .map(|slow| if is_slow { slow } else { FAST_MBPS })
+    }
+
     /// Returns the name of the availability zone of a host, or of a host of
     /// callers.
     #[must_use]
--- a/tools/soak/tests/short.rs
+++ b/tools/soak/tests/short.rs
@@ -25,9 +25,13 @@
 const FIRST_NETWORK: u8 = 120;
 
 fn assert_no_violations(number: u8, seed: u64, disturbances: Vec<Disturbance>) -> Result {
+    assert_none_with(number, Topology::draw(seed, SERVERS), disturbances)
+}
+
+fn assert_none_with(number: u8, topology: Topology, disturbances: Vec<Disturbance>) -> Result {
     let network = Network(FIRST_NETWORK + number);
     let plan = Plan {
-        topology: Topology::draw(seed, SERVERS),
+        topology,
         disturbances,
         network,
         folder: env::temp_dir().join(format!("soak-test-{}-{number}", std::process::id())),
@@ -80,3 +84,25 @@
     });
     assert_no_violations(2, 7, disturbances.collect())
 }
+
+/// Guards against packets that are lost, duplicated or overtaken while they wait for
+/// room on a network link, and against too many gateways that leave the rotation:
+/// uploads exceed the links of half of the gateways, and processes end meanwhile.
+#[test]
+fn full_links_lead_to_no_violation() -> Result {
+    let mut topology = Topology::draw(7, SERVERS);
+    topology.zones = 1;
+    topology.gateways = 4;
+    topology.slow_mbps = Some(1.0);
+    for service in &mut topology.services {
+        service.lengths = (20_000, 300);
+        service.deadline = Duration::from_secs(5);
+    }
+    let kinds = [Kind::RollGateways, Kind::Lossy, Kind::KillAll];
+    let disturbances = (0..).zip(kinds).map(|(number, kind)| Disturbance {
+        at: Duration::from_millis(4_000 + number * 3_000),
+        kind,
+        duration: Duration::from_millis(1_500),
+    });
+    assert_none_with(3, topology, disturbances.collect())
+}
