Links: many repeats at a sidecar lower the rate of its link

A link that bears less than stated delays or loses answers without an error of a send. Callers that repeat a tenth of their packets while the link is busy and nothing waits here now lower the rate, as refused sends do.

--- a/roles/app/src/forwarder/pacer.rs
+++ b/roles/app/src/forwarder/pacer.rs
@@ -176,6 +176,11 @@
         self.lock().record_refusal(now);
     }
 
+    /// Records how many of the packets received recently repeat others.
+    pub fn record_repeats(&self, now: Duration, received: u64, repeated: u64) {
+        self.lock().record_repeats(now, received, repeated);
+    }
+
     /// Returns whether the link has become full or free since the last call, and the
     /// bytes that wait.
     pub fn take_change(&self, now: Duration) -> Option<(Change, usize)> {
--- a/roles/app/src/gateway/rotation.rs
+++ b/roles/app/src/gateway/rotation.rs
@@ -129,6 +129,7 @@
 }
 
 /// Returns true for the address of a record with the statement of a gateway.
+#[must_use]
 pub fn is_statement(address: &ServiceAddress) -> bool {
     let IpAddr::V6(host) = address.ip() else {
         return false;
--- a/roles/app/src/metric/forwarder.rs
+++ b/roles/app/src/metric/forwarder.rs
@@ -35,6 +35,13 @@
         *counts.entry((name, reason)).or_default() += 1;
     }
 
+    /// Returns a counter.
+    #[must_use]
+    pub fn get(&self, name: &'static str, reason: &'static str) -> u64 {
+        let counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.get(&(name, reason)).copied().unwrap_or_default()
+    }
+
     /// Copies the counters to the instruments.
     ///
     /// # Errors
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -153,6 +153,8 @@
         zone: host.zone_id(),
         inputs,
         announcement: None,
+        repeats: (0, 0),
+        next_repeats: Duration::ZERO,
     };
     traffic.link.log_rate();
     let stopping = wait_for_stop(signals, sender, traffic, &settings.0.boot);
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -39,6 +39,9 @@
 /// load that agents report with each flow.
 const WEIGHT_PER_SLOT: u32 = 20;
 
+/// Interval at which the share of repeated packets is taken.
+const REPEATS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// An input to the control thread.
 pub enum Input {
     /// A message of the membership protocol.
@@ -90,6 +93,10 @@
     pub inputs: Receiver<Input>,
     /// Last announcement of the backend server.
     pub announcement: Option<Announcement>,
+    /// Numbers of callers' packets, and of repeated ones, that were last reported.
+    pub repeats: (u64, u64),
+    /// Time at which they are next reported.
+    pub next_repeats: Duration,
 }
 
 impl Control {
@@ -132,6 +139,25 @@
         }
         self.traffic.link.send_control(actions);
         self.traffic.link.report_load();
+        self.report_repeats(now);
+    }
+
+    /// Reports to the network link how much callers repeat: answers may be lost or
+    /// delayed there.
+    fn report_repeats(&mut self, now: Duration) {
+        let pacer = &self.traffic.link.pacer;
+        if now < self.next_repeats || !pacer.is_active() {
+            return;
+        }
+        self.next_repeats = now + REPEATS_INTERVAL;
+        let (received, repeated) = self.traffic.repeats();
+        let (last_received, last_repeated) = self.repeats;
+        self.repeats = (received, repeated);
+        pacer.record_repeats(
+            now,
+            received.saturating_sub(last_received),
+            repeated.saturating_sub(last_repeated),
+        );
     }
 
     fn receive(
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -82,6 +82,14 @@
         self.lock().is_open(self.link.now())
     }
 
+    /// Returns the number of callers' packets delivered to the backend server, and of
+    /// those that carried only content seen before.
+    pub fn repeats(&self) -> (u64, u64) {
+        let counts = &self.link.telemetry.counts;
+        let received = counts.get("carried.packets", "to_server");
+        (received, self.lock().repeated_packets())
+    }
+
     /// Returns true if there is no backend server that could hold flows.
     pub fn lacks_server(&self) -> bool {
         self.lock().lacks_server(self.link.now())
--- a/state/limit/src/link.rs
+++ b/state/limit/src/link.rs
@@ -54,6 +54,16 @@
 /// Smallest learned rate, as a share of the stated one.
 const MIN_SHARE: f64 = 0.25;
 
+/// Share of the packets received that repeat others, from which the link is expected
+/// to lose or delay what is sent. Lossy networks without a full link stay below.
+const REPEATED_SHARE: f64 = 0.1;
+
+/// Fewest packets received from which that share is taken.
+const MIN_RECEIVED: u64 = 50;
+
+/// Share of the rate that is used from which a link may be the cause of repeats.
+const BUSY_SHARE: f64 = 0.5;
+
 /// Time without an empty queue after which the link counts as full. Bursts of a few
 /// uploads end sooner.
 const FULL_TIME: Duration = Duration::from_millis(500);
@@ -343,6 +353,21 @@
         self.share = (self.share * DECREASE).max(MIN_SHARE);
     }
 
+    /// Records how many of the packets received in the last window repeat others. If
+    /// they are many while the link is busy, it bears less than stated, unless packets
+    /// waited here: then their callers repeat them for that.
+    pub fn record_repeats(&mut self, now: Duration, received: u64, repeated: u64) {
+        self.refill(now);
+        #[expect(clippy::cast_precision_loss, reason = "packets of some seconds")]
+        let repeated = repeated as f64 / received.max(1) as f64;
+        let is_busy = self.load(now) >= self.rate() * BUSY_SHARE;
+        let is_proven = received >= MIN_RECEIVED && repeated >= REPEATED_SHARE;
+        if !is_proven || !is_busy || now < self.last_waited + LOAD_WINDOW {
+            return;
+        }
+        self.share = (self.share * DECREASE).max(MIN_SHARE);
+    }
+
     /// Returns whether the link has become full or free since the last call.
     pub fn take_change(&mut self, now: Duration) -> Option<Change> {
         let waits_long = self
--- a/state/limit/tests/link.rs
+++ b/state/limit/tests/link.rs
@@ -218,6 +218,50 @@
     assert!((link.rate() - stated).abs() < 1.0, "{}", link.rate());
 }
 
+/// Plays ten seconds in which some of 100 packets a second repeat others.
+fn rate_after_repeats(load: f64, repeated: u64) -> f64 {
+    let mut link: Link<u32> = Link::new(RATE, START);
+    let stated = link.rate();
+    #[expect(clippy::cast_precision_loss, reason = "1,300")]
+    let bytes = FULL as f64;
+    let mut sent = 0.0;
+    for step in 0..10_000_u32 {
+        let now = ms(step.into());
+        while sent < f64::from(step) * RATE * load / 1_000.0 {
+            if let Offer::Wait(place) = link.offer(now, packet(Class::Data, None)) {
+                link.enqueue(now, place, step);
+            }
+            sent += bytes;
+        }
+        while link.take(now).is_some() {}
+        if step % 1_000 == 999 {
+            link.record_repeats(now, 100, repeated);
+        }
+    }
+    link.rate() / stated
+}
+
+#[test]
+fn repeated_packets_lower_the_rate_of_a_busy_link_within_bounds() {
+    // Below its load, packets would wait here.
+    let share = rate_after_repeats(0.8, 30);
+    assert!((0.6..0.9).contains(&share), "{share}");
+}
+
+#[test]
+fn packets_that_are_lost_elsewhere_do_not_lower_the_rate() {
+    let idle = rate_after_repeats(0.3, 30);
+    let lossy = rate_after_repeats(0.8, 5);
+    assert!(idle.min(lossy) > 0.999, "{idle} {lossy}");
+}
+
+/// Otherwise a full link would become slower, and callers would repeat more.
+#[test]
+fn repeats_of_packets_that_wait_here_do_not_lower_the_rate() {
+    let share = rate_after_repeats(1.5, 30);
+    assert!(share > 0.999, "{share}");
+}
+
 #[test]
 fn changed_rate_is_in_force_at_once() {
     let mut link = busy_link();
