Limit: packets of a bulk flow keep their order while they wait

Later packets of a flow counted as those of a flow that has got further and were sent first; 15 packets of a window of 16 waited until they were dropped. Each flow now has a lane of its own, and the lanes are ordered.

--- a/state/limit/src/link.rs
+++ b/state/limit/src/link.rs
@@ -14,7 +14,7 @@
 pub use class::Counts;
 use queue::Entry;
 use queue::Queue;
-use queue::Rank;
+use queue::Ticket;
 use volume::Progress;
 use volume::Volumes;
 
@@ -100,7 +100,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
     packet: Packet,
-    progress: Progress,
+    /// How far a bulk flow has got.
+    progress: Option<Progress>,
 }
 
 /// A packet that is to be sent now.
@@ -159,7 +160,7 @@
     refilled: Duration,
     decreased: Duration,
     queues: [Queue<T>; Class::COUNT],
-    copies: HashMap<Key, (Class, Rank)>,
+    copies: HashMap<Key, (Class, Ticket)>,
     volumes: Volumes,
     /// Packets sent while an older one of a lower class waited.
     passed: u32,
@@ -273,8 +274,8 @@
             item,
         };
         let held = packet.key.and_then(|key| self.copies.get(&key).copied());
-        if let Some((held, rank)) = held {
-            self.queues[held.index()].replace(rank, entry);
+        if let Some((held, ticket)) = held {
+            self.queues[held.index()].replace(ticket, entry);
             self.counts[class].copies += 1;
             return Outcome::Replaced;
         }
@@ -282,9 +283,9 @@
             self.counts[class].full += 1;
             return Outcome::Full;
         }
-        let rank = self.queues[class].push(progress, entry);
+        let ticket = self.queues[class].push(progress, entry);
         if let Some(key) = packet.key {
-            self.copies.insert(key, (packet.class, rank));
+            self.copies.insert(key, (packet.class, ticket));
         }
         self.counts[class].queued += 1;
         self.last_waited = now;
@@ -413,7 +414,7 @@
         let class = progress.map_or(packet.class, |_| Class::Bulk);
         Place {
             packet: Packet { class, ..packet },
-            progress: progress.unwrap_or_default(),
+            progress,
         }
     }
 
--- a/state/limit/src/link/queue.rs
+++ b/state/limit/src/link/queue.rs
@@ -1,6 +1,7 @@
 //! Bounded queue of waiting packets.
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -25,32 +26,49 @@
     pub item: T,
 }
 
-/// Order in which packets are sent: those of the flow that has got furthest, then
-/// those of the newest flow, since the callers of older ones are late already; then in
-/// the order of their arrival.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Rank {
-    level: Reverse<u32>,
-    start: Reverse<u32>,
+/// Number of a lane, which is the hash of a flow, or 0.
+type LaneId = u64;
+
+/// Location of a waiting packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    lane: LaneId,
+    /// Number of the packet in the queue; numbers only rise.
     number: u64,
 }
 
+/// Order of the lanes: the flow that has got furthest, then the newest one, since the
+/// callers of older ones are late already.
+type Rank = (Reverse<u32>, Reverse<u32>, LaneId);
+
+/// Waiting packets of one flow, or of all that no flow distinguishes, in the order of
+/// their arrival: receivers may drop what comes out of order.
+#[derive(Debug)]
+struct Lane<T> {
+    rank: Rank,
+    entries: VecDeque<(u64, Entry<T>)>,
+}
+
 /// Waiting packets of one class.
 #[derive(Debug)]
 pub struct Queue<T> {
-    entries: BTreeMap<Rank, Entry<T>>,
+    lanes: HashMap<LaneId, Lane<T>>,
+    order: BTreeSet<Rank>,
     /// Packets in the order of their arrival; the first one still waits.
-    arrivals: VecDeque<(Duration, Rank)>,
+    arrivals: VecDeque<(Duration, Ticket)>,
     next_number: u64,
+    length: usize,
     bytes: usize,
 }
 
 impl<T> Default for Queue<T> {
     fn default() -> Self {
         Self {
-            entries: BTreeMap::new(),
+            lanes: HashMap::new(),
+            order: BTreeSet::new(),
             arrivals: VecDeque::new(),
             next_number: 0,
+            length: 0,
             bytes: 0,
         }
     }
@@ -58,8 +76,8 @@
 
 impl<T> Queue<T> {
     /// Returns true if no packet waits.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+    pub const fn is_empty(&self) -> bool {
+        self.length == 0
     }
 
     /// Returns the size of the waiting packets in bytes.
@@ -73,28 +91,44 @@
     }
 
     /// Returns true if a packet of this size may be added.
-    pub fn has_room(&self, bytes: usize) -> bool {
-        self.entries.len() < MAX_PACKETS && self.bytes + bytes <= MAX_BYTES
+    pub const fn has_room(&self, bytes: usize) -> bool {
+        self.length < MAX_PACKETS && self.bytes + bytes <= MAX_BYTES
     }
 
-    /// Adds a packet of a flow that has got so far, and returns its rank.
-    pub fn push(&mut self, progress: Progress, entry: Entry<T>) -> Rank {
-        let rank = Rank {
-            level: Reverse(progress.level),
-            start: Reverse(progress.start_ms),
-            number: self.next_number,
-        };
+    /// Adds a packet, of a flow that has got so far if its order depends on that.
+    pub fn push(&mut self, progress: Option<Progress>, entry: Entry<T>) -> Ticket {
+        let lane = progress.and(entry.packet.flow).unwrap_or_default();
+        let progress = progress.unwrap_or_default();
+        let rank = (Reverse(progress.level), Reverse(progress.start_ms), lane);
+        let number = self.next_number;
         self.next_number += 1;
+        self.length += 1;
         self.bytes += entry.packet.bytes;
-        self.arrivals.push_back((entry.queued, rank));
-        self.entries.insert(rank, entry);
-        rank
+        let ticket = Ticket { lane, number };
+        self.arrivals.push_back((entry.queued, ticket));
+        let held = self.lanes.entry(lane).or_insert_with(|| Lane {
+            rank,
+            entries: VecDeque::new(),
+        });
+        if held.rank != rank {
+            self.order.remove(&held.rank);
+            held.rank = rank;
+        }
+        self.order.insert(rank);
+        held.entries.push_back((number, entry));
+        ticket
     }
 
-    /// Replaces the packet with this rank by its copy, which keeps its place and its
-    /// time in the queue.
-    pub fn replace(&mut self, rank: Rank, copy: Entry<T>) {
-        let Some(held) = self.entries.get_mut(&rank) else {
+    /// Replaces a packet by its copy, which keeps its place and its time in the queue.
+    pub fn replace(&mut self, ticket: Ticket, copy: Entry<T>) {
+        let lane = self.lanes.get_mut(&ticket.lane);
+        let held = lane.and_then(|lane| {
+            let found = lane
+                .entries
+                .binary_search_by_key(&ticket.number, |(number, _)| *number);
+            lane.entries.get_mut(found.ok()?)
+        });
+        let Some((_, held)) = held else {
             return;
         };
         self.bytes = self.bytes - held.packet.bytes + copy.packet.bytes;
@@ -104,27 +138,42 @@
 
     /// Removes and returns the next packet.
     pub fn pop(&mut self) -> Option<Entry<T>> {
-        let rank = *self.entries.first_key_value()?.0;
-        self.remove(rank)
+        let (_, _, lane) = *self.order.first()?;
+        self.pop_lane(lane)
     }
 
     /// Removes and returns the oldest packet if it was queued at or before a time.
     pub fn pop_older(&mut self, time: Duration) -> Option<Entry<T>> {
-        let (_, rank) = *self
+        let (_, ticket) = *self
             .arrivals
             .front()
             .filter(|(queued, _)| *queued <= time)?;
-        self.remove(rank)
+        // The oldest packet of all is the first of its lane.
+        self.pop_lane(ticket.lane)
     }
 
-    fn remove(&mut self, rank: Rank) -> Option<Entry<T>> {
-        let entry = self.entries.remove(&rank)?;
+    fn pop_lane(&mut self, id: LaneId) -> Option<Entry<T>> {
+        let lane = self.lanes.get_mut(&id)?;
+        let (_, entry) = lane.entries.pop_front()?;
+        if lane.entries.is_empty() {
+            self.order.remove(&lane.rank);
+            self.lanes.remove(&id);
+        }
+        self.length -= 1;
         self.bytes -= entry.packet.bytes;
-        while let Some((_, rank)) = self.arrivals.front()
-            && !self.entries.contains_key(rank)
+        while let Some((_, ticket)) = self.arrivals.front()
+            && !self.holds(*ticket)
         {
             self.arrivals.pop_front();
         }
         Some(entry)
     }
+
+    fn holds(&self, ticket: Ticket) -> bool {
+        let first = self
+            .lanes
+            .get(&ticket.lane)
+            .and_then(|lane| lane.entries.front());
+        first.is_some_and(|(number, _)| *number <= ticket.number)
+    }
 }
--- a/state/limit/tests/link.rs
+++ b/state/limit/tests/link.rs
@@ -122,6 +122,36 @@
     assert_eq!(drain(&mut link, START, ms(100)), [4, 3, 2, 1, 0]);
 }
 
+/// A receiver may drop what comes out of order, although later packets of a flow are
+/// of one that has got further.
+#[test]
+fn packets_of_a_flow_keep_their_order() {
+    let mut link: Link<u32> = Link::new(RATE, START);
+    let part = Packet {
+        flow: Some(1),
+        ..packet(Class::Data, None)
+    };
+    for step in 0..20 {
+        assert!(admits(&mut link, ms(step * 2), part));
+    }
+    while admits(&mut link, ms(40), packet(Class::Control, None)) {}
+    for item in 0..16 {
+        enqueue(&mut link, ms(40), part, item);
+    }
+    let mut sent = Vec::new();
+    let mut now = ms(40);
+    while sent.len() < 60 {
+        now += ms(1);
+        // The receiver's acknowledgement lets the next one out.
+        if let Some(taken) = link.take(now) {
+            sent.push(taken.item);
+            let next = 15 + u32::try_from(sent.len()).unwrap();
+            enqueue(&mut link, now, part, next);
+        }
+    }
+    assert!(sent.iter().copied().eq(0..60), "{sent:?}");
+}
+
 #[test]
 fn more_important_packets_do_not_starve_others() {
     let mut link = busy_link();
