--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -9,12 +9,14 @@
 mod evacuation;
 mod follow;
 mod registration;
+pub mod rotation;
 mod routes;
 mod traffic;
 
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -34,14 +36,18 @@
 use store::Http;
 
 use crate::clock;
+use crate::forwarder::class::Classes;
 use crate::forwarder::lifecycle;
 use crate::forwarder::link::Link;
+use crate::forwarder::pacer::Pacer;
 use crate::forwarder::reader;
 use crate::forwarder::ready;
 use crate::forwarder::telemetry::Telemetry;
+use crate::forwarder::usage::Usage;
 use crate::gateway::control::Control;
 use crate::gateway::control::Input;
 use crate::gateway::evacuation::Evacuation;
+use crate::gateway::rotation::Controller;
 use crate::gateway::routes::Builder;
 use crate::gateway::traffic::Traffic;
 use crate::metric;
@@ -98,13 +104,19 @@
             socket: callers.try_clone()?,
             caller_port: host.caller_port(),
             telemetry,
+            pacer: Pacer::new(host.link_mbps, origin.elapsed()),
+            classes: Classes::default(),
+            role: Role::Gateway,
+            usage: Usage::new(host.zone_id()),
         },
         control: sender.clone(),
         evacuation: Mutex::default(),
     });
     traffic::start(&traffic, callers)?;
     let is_ready = Arc::new(AtomicBool::new(false));
-    ready::serve(host.listen.ready, &executor, Arc::clone(&is_ready)).await?;
+    let in_rotation = Arc::new(AtomicBool::new(true));
+    let states = (Arc::clone(&is_ready), Arc::clone(&in_rotation));
+    ready::serve(host.listen.ready, &executor, states.0, states.1).await?;
     if let Some(address) = host.listen.announcements {
         announcements::serve(address, &executor).await?;
     }
@@ -123,10 +135,12 @@
     executor.spawn(follower).detach();
     let registration = registration::run(store, frames, sender.clone(), on_restore);
     executor.spawn(registration).detach();
+    let identity = identity(&host);
     let control = Control {
-        registry: registry(&host, origin),
+        rotation: Controller::new(identity.clone(), in_rotation, origin.elapsed()),
+        registry: registry(&host, identity, origin),
         origin,
-        traffic,
+        traffic: Arc::clone(&traffic),
         inputs,
         builder: Builder::default(),
         is_confirmed,
@@ -137,18 +151,23 @@
         requested: BTreeSet::new(),
         tracker: crate::change::Tracker::default(),
         evacuation: Evacuation::new(&host, origin.elapsed()),
+        next_zones: Duration::ZERO,
     };
-    let stopping = wait_for_stop(signals, sender, is_ready);
+    traffic.link.log_rate();
+    let stopping = wait_for_stop(signals, sender, is_ready, &settings.0.boot, &traffic.link);
     executor.run(control.run().or(stopping)).await;
     Ok(())
 }
 
-fn registry(host: &platform::Settings, origin: Instant) -> Registry {
-    let identity = Identity {
+fn identity(host: &platform::Settings) -> Identity {
+    Identity {
         address: host.frame_address(),
         zone: host.zone_id(),
         incarnation: clock::incarnation(),
-    };
+    }
+}
+
+fn registry(host: &platform::Settings, identity: Identity, origin: Instant) -> Registry {
     let now = origin.elapsed();
     let settings = member::Settings::default();
     let mut registry = Registry::new(settings, identity, fastrand::u64(..), now);
@@ -166,8 +185,10 @@
     signals: Receiver<Signal>,
     control: Sender<Input>,
     is_ready: Arc<AtomicBool>,
+    boot: &Path,
+    link: &Link,
 ) {
-    lifecycle::wait_for_stop(Role::Gateway, signals).await;
+    lifecycle::wait_for_stop(Role::Gateway, signals, boot, link).await;
     is_ready.store(false, Ordering::Relaxed);
     lifecycle::notify_stop(Role::Gateway, &control, Input::Leave).await;
     Timer::after(LINGER).await;
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -28,6 +28,8 @@
 use crate::event::Event as LogEvent;
 use crate::gateway::evacuation;
 use crate::gateway::evacuation::Evacuation;
+use crate::gateway::rotation;
+use crate::gateway::rotation::Controller;
 use crate::gateway::routes;
 use crate::gateway::routes::Builder;
 use crate::gateway::traffic::Traffic;
@@ -35,6 +37,10 @@
 /// Longest sleep when no deadline is pending.
 const IDLE: Duration = Duration::from_millis(250);
 
+/// Interval at which the zones of other processes are read: their bytes are counted
+/// under an unknown zone until then.
+const ZONES_INTERVAL: Duration = Duration::from_secs(1);
+
 /// An input to the control thread.
 pub enum Input {
     /// A message of the membership protocol.
@@ -88,6 +94,10 @@
     pub tracker: Tracker,
     /// The evacuated availability zones.
     pub evacuation: Evacuation,
+    /// Part of this gateway in the rotation of its zone.
+    pub rotation: Controller,
+    /// Time at which the zones of other processes are next read.
+    pub next_zones: Duration,
 }
 
 impl Control {
@@ -122,16 +132,24 @@
         self.registry.raise_incarnation();
         self.registry.tick(now, actions);
         self.traffic.link.send_control(actions);
+        self.traffic.link.report_load();
+        self.update_zones(now);
+        let link = &self.traffic.link;
+        self.rotation.update(now, &mut self.registry, link);
         self.publish(now);
     }
 
     /// Publishes the routes to the traffic threads if they changed.
     fn publish(&mut self, now: Duration) {
-        let changes = self.registry.take_changes();
+        let mut changes = self.registry.take_changes();
+        changes.retain(|address| !rotation::is_statement(address));
         if !changes.is_empty() {
             self.log_changes(&changes);
             let routes = self.builder.update(&self.registry, &changes);
             if changes.contains(&routes::DOCUMENT_ADDRESS) {
+                let all = routes.table.routes.iter();
+                let priorities = all.map(|(address, route)| (*address, route.priority));
+                self.traffic.link.classes.replace(priorities);
                 let version = routes.table.version;
                 let route_count = routes.table.routes.len();
                 LogEvent::ConfigInForce {
@@ -172,6 +190,22 @@
         }
     }
 
+    /// Updates the zones by which the bytes sent are counted.
+    fn update_zones(&mut self, now: Duration) {
+        if now < self.next_zones {
+            return;
+        }
+        self.next_zones = now + ZONES_INTERVAL;
+        let entries = self.registry.entries();
+        let entries = entries.map(|entry| (entry.address, entry.zone));
+        let members = self.registry.views().flat_map(|view| view.targets.values());
+        let agents = members.map(|member| (member.target.address, member.target.zone));
+        self.traffic
+            .link
+            .usage
+            .replace_zones(entries.chain(agents).collect());
+    }
+
     /// Logs the changed states of backend servers at a bounded rate, because a cold
     /// start changes all of them at once.
     fn log_changes(&mut self, changes: &[ServiceAddress]) {
--- a/roles/app/src/metric/forwarder.rs
+++ b/roles/app/src/metric/forwarder.rs
@@ -35,6 +35,13 @@
         *counts.entry((name, reason)).or_default() += 1;
     }
 
+    /// Returns a counter.
+    #[must_use]
+    pub fn get(&self, name: &'static str, reason: &'static str) -> u64 {
+        let counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.get(&(name, reason)).copied().unwrap_or_default()
+    }
+
     /// Copies the counters to the instruments.
     ///
     /// # Errors
@@ -64,6 +71,7 @@
     instruments.set("store.calls", "watch", calls.watches)?;
     instruments.set("store.calls", "lease", calls.leases)?;
     instruments.set("store.calls", "failed", calls.failures)?;
+    instruments.set("carried.sent_bytes", "store_unknown_zone", calls.sent_bytes)?;
     instruments.set("store.restores", "", calls.restores)
 }
 
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -134,6 +134,16 @@
     gauge("carried.evacuation.uncovered", "{service}", "services of which all backend servers that a gateway knows are in evacuated zones"),
     counter("carried.evacuation.accepted", "{flow}", "flows that an agent of an evacuated zone accepted or held as its gateway already knew of the evacuation"),
     counter("carried.evacuation.passed", "{packet}", "opening packets that a sidecar forwarded because its zone is evacuated"),
+    counter("carried.sent_bytes", "By", "size of the datagrams sent, by kind and by whether they cross between availability zones, and of the calls to the store without headers; not of the packets to the own backend server"),
+    counter("carried.link.sent", "{packet}", "packets sent over a network link whose rate is stated, by class"),
+    counter("carried.link.queued", "{packet}", "packets that waited for room on the network link, by class"),
+    counter("carried.link.copies", "{packet}", "copies that took the place of a packet that waited for room on the network link, by class"),
+    counter("carried.link.full", "{packet}", "packets dropped because too many of their class waited, by class"),
+    counter("carried.link.late", "{packet}", "packets dropped because they had waited too long for room on the network link, by class"),
+    gauge("carried.link.rate", "By/s", "rate of the network link that is used at most; decreases while the kernel does not accept packets"),
+    gauge("carried.link.load", "By/s", "bytes per second that were to be sent over the network link"),
+    counter("carried.rotation.changes", "{change}", "times that a gateway left the rotation of its zone because its network link stayed full, or rejoined it"),
+    histogram("carried.link.wait", "us", "time for which packets waited for room on the network link"),
     // Agents.
     gauge("weight", "{request}/s", "learned capacity, as announced"),
 ];
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -30,6 +30,7 @@
 use crate::clock;
 use crate::event::Event as LogEvent;
 use crate::sidecar::evacuation::Evacuation;
+use crate::forwarder::usage::Zones;
 use crate::sidecar::traffic::Traffic;
 
 /// Longest sleep when no deadline is pending.
@@ -39,6 +40,9 @@
 /// load that agents report with each flow.
 const WEIGHT_PER_SLOT: u32 = 20;
 
+/// Interval at which the share of repeated packets is taken.
+const REPEATS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// An input to the control thread.
 pub enum Input {
     /// A message of the membership protocol.
@@ -92,6 +96,10 @@
     pub announcement: Option<Announcement>,
     /// The evacuated availability zones.
     pub evacuation: Evacuation,
+    /// Numbers of callers' packets, and of repeated ones, that were last reported.
+    pub repeats: (u64, u64),
+    /// Time at which they are next reported.
+    pub next_repeats: Duration,
 }
 
 impl Control {
@@ -134,10 +142,31 @@
             announcer.tick(now, actions);
             if announcer.take_changed() {
                 let peers = peers(announcer);
+                self.traffic.link.usage.replace_zones(zones(announcer));
                 self.traffic.handle(Event::Peers(peers));
             }
         }
         self.traffic.link.send_control(actions);
+        self.traffic.link.report_load();
+        self.report_repeats(now);
+    }
+
+    /// Reports to the network link how much callers repeat: answers may be lost or
+    /// delayed there.
+    fn report_repeats(&mut self, now: Duration) {
+        let pacer = &self.traffic.link.pacer;
+        if now < self.next_repeats || !pacer.is_active() {
+            return;
+        }
+        self.next_repeats = now + REPEATS_INTERVAL;
+        let (received, repeated) = self.traffic.repeats();
+        let (last_received, last_repeated) = self.repeats;
+        self.repeats = (received, repeated);
+        pacer.record_repeats(
+            now,
+            received.saturating_sub(last_received),
+            repeated.saturating_sub(last_repeated),
+        );
     }
 
     fn receive(
@@ -318,6 +347,15 @@
     }
 }
 
+/// Returns the zones of the agents of the service. Those of entries are not known to
+/// an agent.
+fn zones(announcer: &Announcer) -> Zones {
+    let members = announcer.view().targets.values();
+    members
+        .map(|member| (member.target.address, member.target.zone))
+        .collect()
+}
+
 const fn state(is_open: bool) -> target::State {
     if is_open {
         target::State::Ready
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -6,9 +6,11 @@
 //! * [`Occupancy`] estimates the wait at a backend server whose queue is not
 //!   visible, from requests and answers on the network.
 //! * [`Pace`] estimates the service time of a backend server for comparisons.
+//! * [`link::Link`] paces the packets of a network link and orders waiting ones.
 //! * [`Load`] estimates the load of held flows from their request rate.
 //! * [`Waiting`] holds new work back while there is no room for it.
 //! * [`Risk`] estimates how likely a backend server is to fail a request.
+//! * [`rotation::Rotation`] decides when a gateway with a full link leaves the rotation.
 //! * [`Plausibility`] tells answers that come too fast and are too short.
 //! * [`Budget`] limits retries to a share of first attempts.
 //! * [`Backoff`] spaces retries.
@@ -20,6 +22,7 @@
 pub mod forecast;
 pub mod gate;
 pub mod job;
+pub mod link;
 pub mod load;
 pub mod occupancy;
 pub mod pace;
@@ -27,6 +30,7 @@
 pub mod plausibility;
 pub mod queue;
 pub mod risk;
+pub mod rotation;
 pub mod share;
 pub mod waiting;
 
