--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -29,8 +29,8 @@
 
 use crate::clock;
 use crate::event::Event as LogEvent;
-use crate::sidecar::evacuation::Evacuation;
 use crate::forwarder::usage::Zones;
+use crate::sidecar::evacuation::Evacuation;
 use crate::sidecar::traffic::Traffic;
 
 /// Longest sleep when no deadline is pending.
--- a/tools/soak/tests/short.rs
+++ b/tools/soak/tests/short.rs
@@ -101,6 +101,8 @@
         duration: Duration::from_secs(6),
     });
     assert_no_violations(3, 17, disturbances.into())
+}
+
 /// Guards against packets that are lost, duplicated or overtaken while they wait for
 /// room on a network link, and against too many gateways that leave the rotation:
 /// uploads exceed the links of half of the gateways, and processes end meanwhile.
