--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -90,7 +90,7 @@
     /// shed first and 0 last.
     pub priority: u8,
     /// Time in milliseconds within which an answer has its full value to the caller.
-    pub target_latency_ms: u32,
+    pub latency_target_ms: u32,
     /// Whether callers may repeat a request that has run.
     pub is_idempotent: bool,
     /// New flows per 1,000 seconds that a cold backend server of the service bears;
--- a/protocol/wire/tests/transit.rs
+++ b/protocol/wire/tests/transit.rs
@@ -8,7 +8,7 @@
 
 const DEMAND: Demand = Demand {
     priority: 1,
-    target_latency_ms: 250,
+    latency_target_ms: 250,
     is_idempotent: false,
     cold_rate: 1_500,
 };
--- a/roles/app/tests/link.rs
+++ b/roles/app/tests/link.rs
@@ -89,6 +89,7 @@
         max_wait_ms: 0,
         packet: bytes(&segment),
         demand: None,
+        crossing: None,
     })
 }
 
--- a/roles/forward/src/routes.rs
+++ b/roles/forward/src/routes.rs
@@ -121,7 +121,7 @@
         let is_stated = self.has_priorities || cold_rate > 0;
         is_stated.then(|| Demand {
             priority: route.priority,
-            target_latency_ms: u32::try_from(route.target_latency.as_millis()).unwrap_or(u32::MAX),
+            latency_target_ms: u32::try_from(route.target_latency.as_millis()).unwrap_or(u32::MAX),
             is_idempotent: route.is_idempotent,
             cold_rate,
         })
--- a/roles/forward/tests/malformed.rs
+++ b/roles/forward/tests/malformed.rs
@@ -83,9 +83,9 @@
             bids,
             is_settled,
             max_wait_ms,
-            demand: demand.map(|(priority, target_latency_ms, is_idempotent, cold_rate)| Demand {
+            demand: demand.map(|(priority, latency_target_ms, is_idempotent, cold_rate)| Demand {
                 priority,
-                target_latency_ms,
+                latency_target_ms,
                 is_idempotent,
                 cold_rate,
             }),
--- a/roles/forward/tests/zones.rs
+++ b/roles/forward/tests/zones.rs
@@ -182,7 +182,7 @@
         outside: 0b110,
     };
     assert_eq!(open.crossing, Some(crossing));
-    let target_latency = open.demand.map(|demand: Demand| demand.target_latency_ms);
+    let target_latency = open.demand.map(|demand: Demand| demand.latency_target_ms);
     assert_eq!(target_latency, Some(100));
 }
 
