Batched lookups of flows whose holder is unknown

A gateway that does not know a flow asked with one search a flow, which took several frames at each sidecar. New frames SearchBatch, LookupBatch, Answer and Report cover up to 1,000 flows each. An agent answers which of them its server holds, and which it surely does not hold by kind of proof: it has seen all flows of the server's incarnation, the server returned a packet of the flow, or the server started after the flow was seen. An agent that could not tell reports by itself as soon as it can.

Tested: wire (variant numbers, largest frames). Not yet used by entries.

--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //!   encodes and authenticates it.
 //! * [`Segment`] is the parsed header of a packet that is forwarded unchanged.
 //! * [`Target`] describes one backend server as its agent announces it.
+pub mod batch;
 pub mod caller;
 pub mod frame;
 pub mod id;
--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -9,6 +9,7 @@
 
 use crate::Hop;
 use crate::TargetId;
+use crate::batch;
 use crate::segment::FlowId;
 use crate::trailing;
 
@@ -35,6 +36,15 @@
     HolderAbsent(HolderAbsent),
     /// Reports the load of a backend server that did not accept a flow.
     Busy(Busy),
+    /// Asks one agent to search all agents of its service for the holders of many
+    /// flows.
+    SearchBatch(batch::Search),
+    /// Asks one agent which of many flows its backend server holds.
+    LookupBatch(batch::Lookup),
+    /// Answers a [`Transit::LookupBatch`].
+    Answer(batch::Answer),
+    /// Reports to an entry what agents know about the flows of a batch.
+    Report(batch::Report),
 }
 
 /// An opening packet that is offered to agents, one after another.
--- a/protocol/wire/tests/transit.rs
+++ b/protocol/wire/tests/transit.rs
@@ -1,8 +1,15 @@
 //! Frames of versions with and without the demand of a new flow.
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 
 use bytes::Bytes;
+use wire::Hop;
+use wire::Transit;
+use wire::batch;
+use wire::frame::MAX_DATAGRAM_BYTES;
+use wire::transit::Busy;
 use wire::transit::Demand;
+use wire::transit::Load;
 use wire::transit::Open;
 
 const DEMAND: Demand = Demand {
@@ -45,3 +52,85 @@
     assert!(with.starts_with(&without));
     assert!(with.len() > without.len());
 }
+
+/// A process of the previous version knows the variants up to `Busy`. If it decoded a
+/// later one as another frame, it would act on it.
+#[test]
+fn batches_are_numbered_after_the_variants_of_the_previous_version() {
+    let report = Transit::Report(batch::Report {
+        batch: 7,
+        findings: Vec::new(),
+    });
+    let search = Transit::SearchBatch(batch::Search {
+        target: 1,
+        entry: SocketAddr::from(([10, 1, 0, 1], 7000)),
+        batch: 7,
+        service: SocketAddrV4::new([198, 18, 0, 1].into(), 443),
+        flows: Vec::new(),
+    });
+    let busy = Transit::Busy(Busy {
+        target: 1,
+        load: Load::default(),
+    });
+    let number = |transit: &Transit| postcard::to_stdvec(transit).unwrap()[0];
+    assert_eq!(number(&busy), 7);
+    assert!(number(&search) > 7 && number(&report) > 7);
+}
+
+/// A batch that is larger than a datagram would never arrive.
+#[test]
+fn the_largest_batch_and_its_report_fit_into_a_datagram() {
+    let sought = |number: u16| batch::Sought {
+        caller: SocketAddrV4::new([100, 64, 255, 255].into(), 60_000 + number),
+        acknowledged: u32::MAX,
+        age_ms: 6_000,
+    };
+    let count = u16::try_from(batch::MAX_FLOWS).unwrap();
+    let address = SocketAddr::from(([10, 1, 0, 1], 65_000));
+    let search = batch::Search {
+        target: u64::MAX,
+        entry: address,
+        batch: u32::MAX,
+        service: SocketAddrV4::new([198, 18, 0, 1].into(), 65_000),
+        flows: (0..count).map(sought).collect(),
+    };
+    let mut flows = batch::Bitmap::default();
+    flows.insert(batch::MAX_FLOWS - 1);
+    let findings = batch::Findings {
+        agent: Hop {
+            target: u64::MAX,
+            address,
+        },
+        age_ms: Some(u32::MAX),
+        start: Some(u64::MAX),
+        known_agents: 60,
+        has_down_agent: false,
+        held: batch::Bitmap::default(),
+        complete: flows.clone(),
+        returned: batch::Bitmap::default(),
+        younger: flows,
+    };
+    let report = batch::Report {
+        batch: u32::MAX,
+        findings: vec![findings; batch::MAX_FINDINGS],
+    };
+    // The header, the tag and the variants of the enclosing frame.
+    let overhead = 100;
+    for length in [
+        postcard::to_stdvec(&search).unwrap().len(),
+        postcard::to_stdvec(&report).unwrap().len(),
+    ] {
+        assert!(length + overhead <= MAX_DATAGRAM_BYTES, "{length}");
+    }
+}
+
+#[test]
+fn a_set_of_flows_contains_what_was_inserted() {
+    let mut flows = batch::Bitmap::default();
+    assert!(flows.is_empty());
+    for index in [0, 9, 999] {
+        flows.insert(index);
+    }
+    let contained: Vec<usize> = (0..1_100).filter(|index| flows.contains(*index)).collect();
+    assert_eq!(contained, [0, 9, 999]);
+}
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -103,6 +103,7 @@
             Frame::Transit(Transit::HolderAbsent(report)) => {
                 self.handle(Event::HolderAbsent(report));
             }
+            Frame::Transit(Transit::Report(report)) => self.handle(Event::Report(report)),
             Frame::Transit(Transit::Busy(busy)) => self.handle(Event::Busy(busy)),
             Frame::Control(payload) => {
                 let from = received.from;
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -323,6 +323,9 @@
             Some(Event::Lookup { lookup, segment })
         }
         Transit::NotHeld(denial) => Some(Event::PeerDenied(denial)),
-        Transit::Held(_) | Transit::HolderAbsent(_) | Transit::Busy(_) => None,
+        Transit::SearchBatch(search) => Some(Event::SearchBatch(search)),
+        Transit::LookupBatch(lookup) => Some(Event::LookupBatch(lookup)),
+        Transit::Answer(answer) => Some(Event::Answer(answer)),
+        Transit::Held(_) | Transit::HolderAbsent(_) | Transit::Busy(_) | Transit::Report(_) => None,
     })
 }
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -8,6 +8,7 @@
 mod action;
 mod admission;
 mod backend;
+mod batch;
 mod bid;
 mod expiring_map;
 mod flow;
@@ -47,6 +48,7 @@
 use admission::Passed;
 pub use backend::Announcement;
 pub use backend::State;
+use batch::Batches;
 pub use bid::Bid;
 use expiring_map::ExpiringMap;
 use flow::Flow;
@@ -90,6 +92,12 @@
         /// Header of the packet in the frame.
         segment: Segment,
     },
+    /// An entry asks this agent to search for the holders of many flows.
+    SearchBatch(wire::batch::Search),
+    /// A searching agent asks which of many flows are held here.
+    LookupBatch(wire::batch::Lookup),
+    /// Another agent answers which of many flows it holds.
+    Answer(wire::batch::Answer),
     /// Another agent reports that it does not hold a flow that is searched for
     /// here.
     PeerDenied(NotHeld),
@@ -128,6 +136,9 @@
     /// and the longest time for which the server can have been running then.
     first_announced: Duration,
     max_age_when_first_announced: Duration,
+    /// The longest of all estimates of that time. Holds even if the server was
+    /// suspended between two announcements, or its clock was set back.
+    longest_age_when_first_announced: Duration,
     /// Time of the first opening packet that the backend server has not reacted
     /// to.
     unanswered_since: Option<Duration>,
@@ -146,6 +157,7 @@
     ended_flows: ExpiringMap<()>,
     peers: Peers,
     searches: HashMap<FlowId, Pending>,
+    batches: Batches,
     /// Callers' packets that carried only content seen before.
     repeated_packets: u64,
     next_sweep_at: Duration,
@@ -187,6 +199,7 @@
             last_announced: now,
             first_announced: now,
             max_age_when_first_announced: Duration::ZERO,
+            longest_age_when_first_announced: Duration::ZERO,
             unanswered_since: None,
             presence: Presence::new(now),
             is_stopping: false,
@@ -202,6 +215,7 @@
             ended_flows: ExpiringMap::new(settings.max_flow_age),
             peers: Peers::default(),
             searches: HashMap::new(),
+            batches: Batches::default(),
             repeated_packets: 0,
             next_sweep_at: now + settings.sweep_interval,
             settings,
@@ -217,6 +231,9 @@
             }
             Event::Search { search, segment } => self.handle_search(now, search, segment, actions),
             Event::Lookup { lookup, segment } => self.handle_lookup(now, lookup, segment, actions),
+            Event::SearchBatch(search) => self.handle_search_batch(now, search, actions),
+            Event::LookupBatch(lookup) => self.handle_lookup_batch(now, lookup, actions),
+            Event::Answer(answer) => self.handle_answer(now, answer, actions),
             Event::PeerDenied(denial) => self.record_peer_denial(now, &denial, actions),
             Event::Peers(peers) => self.peers = peers,
             Event::ServerPacket { segment, packet } if segment.is_returned => {
@@ -238,6 +255,7 @@
             self.next_sweep_at = now + self.settings.sweep_interval;
             self.sweep(now, actions);
         }
+        self.report_batches(now, actions);
         if !self.waiting.is_empty() {
             self.admit_waiting(now, actions);
         }
@@ -439,6 +457,7 @@
         self.ended_flows.expire(now);
         self.probes.expire(now);
         self.expire_searches(now, actions);
+        self.expire_batches(now);
     }
 }
 
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -156,6 +156,19 @@
         }
     }
 
+    /// Returns true if the caller that acknowledges this position uses the flow at
+    /// this backend server. False if the server has not accepted it, or the caller
+    /// may have opened it at another server.
+    pub const fn is_used_here(&self, acknowledged: u32) -> bool {
+        match self.handshake {
+            Handshake::Unseen | Handshake::Done => true,
+            Handshake::Accepted(position) => {
+                acknowledged.wrapping_sub(position) <= MAX_ACKNOWLEDGED_BYTES
+            }
+            Handshake::Sent => false,
+        }
+    }
+
     /// Returns true if the backend server has accepted the flow, as far as this
     /// process has seen.
     pub const fn has_answered(&self) -> bool {
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -70,6 +70,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.flows_not_held.insert(now, flow, ());
+        self.batches.record_knowledge();
         let Some(reply_to) = reply_to else {
             return;
         };
@@ -182,6 +183,9 @@
             self.max_age_when_first_announced = announcement
                 .age
                 .map_or(by_sequence, |age| age.min(by_sequence));
+            self.longest_age_when_first_announced =
+                announcement.age.unwrap_or_default().max(by_sequence);
+            self.batches.record_knowledge();
         }
         self.last_announced = now;
         self.unanswered_since = None;
@@ -233,4 +237,11 @@
         self.announcement.as_ref()?;
         Some(self.max_age_when_first_announced + now.saturating_sub(self.first_announced))
     }
+
+    /// Returns the longest time for which the backend server can have been running
+    /// by any estimate, or `None` before the first announcement.
+    pub(super) fn longest_server_age(&self, now: Duration) -> Option<Duration> {
+        self.announcement.as_ref()?;
+        Some(self.longest_age_when_first_announced + now.saturating_sub(self.first_announced))
+    }
 }
