Entries keep flows whose holder is unknown, and decide them together

A flow that three searches did not find was dropped for 400 ms, and got its reset only with a later packet of its caller, up to 1.6 s after the proof. An entry now keeps the flow with its first packet until the caller gives up, asks about all such flows in batches, repeats that every 400 ms and as soon as it knows all agents, and resets those that every possible holder denies, spread over 150 ms, the most urgent route first. The decision is a pure function (entry::proof).

Tested: forward, all.

--- a/roles/forward/src/agent/batch.rs
+++ b/roles/forward/src/agent/batch.rs
@@ -38,6 +38,9 @@
 /// by itself once it can. Entries repeat their questions more often than that.
 const QUESTION_LIFETIME: Duration = Duration::from_millis(1_000);
 
+/// Time for which returned packets are collected before they are reported.
+const RETURNED_DELAY: Duration = Duration::from_millis(50);
+
 /// Maximum number of batches that an agent remembers to report on. Each takes some
 /// 20 bytes a flow.
 const MAX_QUESTIONS: usize = 64;
@@ -47,9 +50,9 @@
 pub(super) struct Batches {
     pending: Vec<Pending>,
     questions: Vec<Question>,
-    /// Whether the agent has learned something since it last looked at the open
-    /// questions.
-    has_learned: bool,
+    /// Time from which the open questions are to be looked at again, because the
+    /// agent has learned something since.
+    review_at: Option<Duration>,
 }
 
 /// Search for the holders of a batch that has not ended yet.
@@ -84,9 +87,14 @@
 }
 
 impl Batches {
-    /// Records that the agent has learned something about its backend server.
-    pub const fn record_knowledge(&mut self) {
-        self.has_learned = true;
+    /// Records that the agent has learned when its backend server started.
+    pub const fn record_start(&mut self, now: Duration) {
+        self.review_at = Some(now);
+    }
+
+    /// Records that the backend server returned a packet.
+    pub fn record_returned(&mut self, now: Duration) {
+        self.review_at.get_or_insert(now + RETURNED_DELAY);
     }
 }
 
@@ -160,8 +168,8 @@
         actions: &mut Vec<Action>,
     ) {
         let mut pending = self.batches.pending.iter_mut();
-        let searched = pending
-            .find(|pending| (pending.entry, pending.batch) == (answer.entry, answer.batch));
+        let searched =
+            pending.find(|pending| (pending.entry, pending.batch) == (answer.entry, answer.batch));
         let Some(pending) = searched else {
             return;
         };
@@ -178,8 +186,7 @@
     /// and what this agent has learned about the flows of earlier batches.
     pub(super) fn report_batches(&mut self, now: Duration, actions: &mut Vec<Action>) {
         for pending in &mut self.batches.pending {
-            let is_due =
-                pending.silent.is_empty() || now >= pending.started_at + REPORT_DELAY;
+            let is_due = pending.silent.is_empty() || now >= pending.started_at + REPORT_DELAY;
             if !is_due {
                 continue;
             }
@@ -192,7 +199,8 @@
             pending.silent.is_empty() || now >= pending.started_at + ANSWER_TIMEOUT
         };
         self.batches.pending.retain(|pending| !is_over(pending));
-        if std::mem::take(&mut self.batches.has_learned) {
+        if self.batches.review_at.is_some_and(|due| now >= due) {
+            self.batches.review_at = None;
             self.answer_questions(now, actions);
         }
     }
@@ -270,13 +278,7 @@
     }
 
     /// Returns what this agent knows about a flow.
-    fn verdict(
-        &self,
-        now: Duration,
-        flow: FlowId,
-        sought: &Sought,
-        waited: Duration,
-    ) -> Verdict {
+    fn verdict(&self, now: Duration, flow: FlowId, sought: &Sought, waited: Duration) -> Verdict {
         let age = Duration::from_millis(u64::from(sought.age_ms)) + waited;
         let server_age = self.longest_server_age(now);
         match self.flows.get(&flow) {
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -70,7 +70,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.flows_not_held.insert(now, flow, ());
-        self.batches.record_knowledge();
+        self.batches.record_returned(now);
         let Some(reply_to) = reply_to else {
             return;
         };
@@ -185,7 +185,7 @@
                 .map_or(by_sequence, |age| age.min(by_sequence));
             self.longest_age_when_first_announced =
                 announcement.age.unwrap_or_default().max(by_sequence);
-            self.batches.record_knowledge();
+            self.batches.record_start(now);
         }
         self.last_announced = now;
         self.unanswered_since = None;
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -6,8 +6,11 @@
 //! asking one agent of the service, which asks all others.
 mod action;
 mod flow;
+mod pace;
+pub mod proof;
 mod search;
 mod settings;
+mod undecided;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -26,6 +29,7 @@
 use wire::TargetId;
 use wire::Transit;
 use wire::ZoneId;
+use wire::batch::Report;
 use wire::segment::Kind;
 use wire::transit::Busy;
 use wire::transit::Forward;
@@ -39,8 +43,11 @@
 pub use action::DropReason;
 pub use action::Refusal;
 use flow::Flow;
+use flow::Kept;
 use flow::Phase;
+pub use flow::Proofs;
 pub use settings::Settings;
+use undecided::Undecided;
 
 /// Input of an entry.
 #[derive(Clone, Debug)]
@@ -58,6 +65,8 @@
     NotHeld(NotHeld),
     /// An agent reports that no agent of its service holds a flow.
     HolderAbsent(HolderAbsent),
+    /// Agents report what they know about the flows of a batch.
+    Report(Report),
     /// An agent reported its load instead of admitting a flow.
     Busy(Busy),
     /// The routes or the known backend servers changed.
@@ -82,6 +91,7 @@
     /// Flows whose holder is being searched for, ordered by the time at which
     /// agents were last asked.
     searches: VecDeque<FlowId>,
+    undecided: Undecided,
     random: fastrand::Rng,
     next_sweep_at: Duration,
 }
@@ -115,6 +125,7 @@
             known_targets: HashSet::new(),
             last_target_added: now,
             searches: VecDeque::new(),
+            undecided: Undecided::new(now),
             next_sweep_at: now + settings.sweep_interval,
             settings,
         }
@@ -135,11 +146,13 @@
             Event::Held(held) => self.record_holder(now, &held, actions),
             Event::NotHeld(denial) => self.handle_not_held(now, denial, actions),
             Event::HolderAbsent(report) => self.handle_holder_absent(now, report, actions),
+            Event::Report(report) => self.handle_report(now, &report, actions),
             Event::Busy(busy) => self.placement.record_load(now, busy.target, busy.load),
             Event::Routes(routes) => self.replace_routes(now, routes),
             Event::Tick => {}
         }
         self.retry_searches(now, actions);
+        self.advance_undecided(now, actions);
         if now >= self.next_sweep_at {
             self.next_sweep_at = now + self.settings.sweep_interval;
             self.sweep(now);
@@ -158,6 +171,12 @@
         self.flows.len()
     }
 
+    /// Returns the number of flows whose holder is unknown.
+    #[must_use]
+    pub fn undecided(&self) -> usize {
+        self.undecided.len()
+    }
+
     /// Returns true if the flow table is empty.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -380,7 +399,7 @@
         let Some(state) = self.flows.get_mut(&flow) else {
             return self.start_search(routes, None, context);
         };
-        let is_lost = matches!(state.phase, Phase::Lost);
+        let is_lost = matches!(state.phase, Phase::Undecided(_));
         if is_lost && context.now >= state.phase_since + self.settings.lost_retry_interval {
             return self.start_search(routes, None, context);
         }
@@ -396,13 +415,23 @@
                 self.send_to_holder(first, context);
             }
             Phase::Searching(searching) => {
+                searching.record_packet(&context.segment);
                 if !searching.enqueue(context.packet) {
                     context.actions.push(Action::Dropped(DropReason::QueueFull));
                 }
             }
-            Phase::Lost => context
-                .actions
-                .push(Action::Dropped(DropReason::HolderNotFound)),
+            Phase::Undecided(searching) => {
+                searching.record_packet(&context.segment);
+                if !self.undecided.keeps_all_packets() {
+                    return context.actions.push(Action::Dropped(DropReason::QueueFull));
+                }
+                let dropped = match searching.keep(&context.segment, context.packet) {
+                    Kept::Queued => return,
+                    Kept::Repeated => DropReason::HolderNotFound,
+                    Kept::Full => DropReason::QueueFull,
+                };
+                context.actions.push(Action::Dropped(dropped));
+            }
         }
     }
 
@@ -431,7 +460,7 @@
             flow.server_start = held.start;
         }
         let searching = match previous.map(|flow| flow.phase) {
-            Some(Phase::Searching(searching)) => searching,
+            Some(Phase::Searching(searching) | Phase::Undecided(searching)) => searching,
             Some(Phase::Opening(opening)) => {
                 let took = now.saturating_sub(opening.sent_at);
                 return actions.push(Action::Accepted { took });
@@ -489,18 +518,19 @@
                 };
                 self.start_search(&routes, Some(denial.target), context);
             }
-            Phase::Held(_) | Phase::Opening(_) | Phase::Searching(_) | Phase::Lost => {}
+            Phase::Held(_) | Phase::Opening(_) | Phase::Searching(_) | Phase::Undecided(_) => {}
         }
     }
 
     /// Stores a flow. A full table ignores new flows, which only costs
-    /// searches.
-    fn store_flow(&mut self, now: Duration, flow: FlowId, phase: Phase) {
+    /// searches. Returns whether the flow is stored.
+    fn store_flow(&mut self, now: Duration, flow: FlowId, phase: Phase) -> bool {
         let is_full = self.flows.len() >= self.settings.max_flows;
         if is_full && !self.flows.contains_key(&flow) {
-            return;
+            return false;
         }
         self.flows.insert(flow, Flow::new(now, phase));
+        true
     }
 
     /// Removes flows that are closed or idle.
@@ -516,7 +546,8 @@
                 Phase::Held(_) if flow.is_closing => settings.linger,
                 Phase::Held(_) => idle,
                 Phase::Opening(_) | Phase::Searching(_) => settings.linger,
-                Phase::Lost => settings.lost_retry_interval,
+                // Dropped when their callers give up.
+                Phase::Undecided(_) => return true,
             };
             now < flow.last_used + limit
         });
--- a/roles/forward/src/entry/action.rs
+++ b/roles/forward/src/entry/action.rs
@@ -8,6 +8,8 @@
 use wire::Transit;
 use wire::transit::Terms;
 
+use super::Proofs;
+
 /// Output of an entry: an action for the process to carry out, or a decision to
 /// count and log.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,6 +74,37 @@
         /// there is one.
         rounds: u8,
     },
+    /// An agent was asked to search for the holders of many flows.
+    BatchRequested {
+        /// Backend server of the agent that was asked.
+        searcher: TargetId,
+        /// Number of flows.
+        flows: usize,
+        /// Number of known agents of the service.
+        known: usize,
+    },
+    /// An agent did not answer in time which flows of a batch are held.
+    BatchUnanswered {
+        /// Backend server of the agent that was asked.
+        searcher: TargetId,
+        /// Number of flows.
+        flows: usize,
+    },
+    /// A flow was found to have ended, as every possible holder denies it.
+    Ended {
+        /// The flow.
+        flow: FlowId,
+        /// Kinds of proof that the denials rest on.
+        proofs: Proofs,
+        /// Time since the first packet of the flow.
+        took: Duration,
+    },
+    /// Flows whose holder is unknown were dropped, because their callers have given
+    /// up or there are too many.
+    UndecidedDropped {
+        /// Number of flows.
+        flows: usize,
+    },
     /// A packet was dropped.
     Dropped(DropReason),
 }
--- a/roles/forward/src/entry/flow.rs
+++ b/roles/forward/src/entry/flow.rs
@@ -3,8 +3,12 @@
 
 use bytes::Bytes;
 use wire::Hop;
+use wire::Segment;
 use wire::ServiceAddress;
 use wire::TargetId;
+use wire::segment::Kind;
+
+use super::proof::TargetSet;
 
 /// Maximum number of packets of one flow that are queued until its holder is
 /// found. Each end of a flow has at most this many packets in flight.
@@ -34,8 +38,9 @@
     Held(Hop),
     /// The holder is being searched for.
     Searching(Searching),
-    /// A search found no holder.
-    Lost,
+    /// A search found no holder, or too many flows are being searched for to search
+    /// for this one alone. The flow is looked up in batches.
+    Undecided(Searching),
 }
 
 /// Opening packet that has not been answered yet.
@@ -67,6 +72,46 @@
     pub denied_by: Vec<ServiceAddress>,
     /// Packets to send once the holder is known.
     pub queued: Vec<Bytes>,
+    /// Sequence number of `packet`.
+    pub sequence: u32,
+    /// Whether the caller expects an answer: its last packet is not a reset.
+    pub wants_reset: bool,
+    /// Time at which the first packet of the flow arrived.
+    pub first_at: Duration,
+    /// Time at which the caller gives up.
+    pub gives_up_at: Duration,
+    /// Time at which the flow was last part of a batch.
+    pub batched_at: Duration,
+    /// Number of searches after a batch that left the flow uncertain.
+    pub probe_searches: u8,
+    /// Time of the last search that allowed probes.
+    pub probed_at: Option<Duration>,
+    /// Backend servers that are certain not to hold the flow.
+    pub denied: TargetSet,
+    /// Kinds of proof that the denials rest on.
+    pub proofs: Proofs,
+}
+
+/// Kinds of proof that the denials of a flow rest on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Proofs {
+    /// An agent has seen all flows of its server's incarnation.
+    pub complete: bool,
+    /// A server returned a packet of the flow.
+    pub returned: bool,
+    /// A server started after a packet of the flow had arrived.
+    pub younger: bool,
+}
+
+/// What became of a packet of an undecided flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kept {
+    /// It is queued for the holder.
+    Queued,
+    /// It repeats the packet that is kept already.
+    Repeated,
+    /// The queue is full.
+    Full,
 }
 
 impl Flow {
@@ -83,6 +128,44 @@
 }
 
 impl Searching {
+    /// Creates the state of a flow of which this is the first packet.
+    pub fn new(now: Duration, timeout: Duration, segment: &Segment, packet: Bytes) -> Self {
+        Self {
+            asked_at: now,
+            packet,
+            acknowledged: segment.acknowledged,
+            tried: Vec::new(),
+            rounds: 0,
+            denied_by: Vec::new(),
+            queued: Vec::new(),
+            sequence: segment.sequence,
+            wants_reset: segment.kind != Kind::Reset,
+            first_at: now,
+            gives_up_at: now + timeout,
+            batched_at: now,
+            probe_searches: 0,
+            probed_at: None,
+            denied: TargetSet::default(),
+            proofs: Proofs::default(),
+        }
+    }
+
+    /// Records a later packet of the caller.
+    pub fn record_packet(&mut self, segment: &Segment) {
+        self.acknowledged = segment.acknowledged;
+        self.wants_reset = segment.kind != Kind::Reset;
+    }
+
+    /// Queues a packet for the holder unless it repeats the one that is kept.
+    pub fn keep(&mut self, segment: &Segment, packet: Bytes) -> Kept {
+        let is_repeated = segment.sequence == self.sequence && segment.kind == Kind::Data;
+        match is_repeated {
+            true => Kept::Repeated,
+            false if self.enqueue(packet) => Kept::Queued,
+            false => Kept::Full,
+        }
+    }
+
     /// Queues a packet for the holder; returns false if the queue is full.
     pub fn enqueue(&mut self, packet: Bytes) -> bool {
         let has_room = self.queued.len() < MAX_QUEUED_PACKETS;
--- /dev/null
+++ b/roles/forward/src/entry/proof.rs
@@ -0,0 +1,136 @@
+//! Decides whether a flow that no agent is known to hold has ended.
+//!
+//! A reset on a flow that is alive breaks it, so anything that is not known keeps the
+//! flow open: a possible holder that is unknown, marked down, or has not denied the
+//! flow.
+use std::collections::HashMap;
+
+use wire::TargetId;
+
+/// Set of backend servers, by their index in a [`Roster`].
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TargetSet {
+    words: Vec<u64>,
+}
+
+/// Indices of the backend servers that an entry has heard of.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    indices: HashMap<TargetId, usize>,
+}
+
+/// What an entry knows about the possible holders of a flow.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// Whether all agents can be assumed to be known.
+    pub knows_all_agents: bool,
+    /// Whether this entry, or an agent that answered, knows an agent that is marked
+    /// down, or knows more agents than this entry.
+    pub has_doubtful_agent: bool,
+    /// All known backend servers that may hold flows of the route.
+    pub holders: &'a TargetSet,
+    /// Those that started about when this entry did, or later.
+    pub young: &'a TargetSet,
+    /// Whether this entry has started so recently that it may not have heard of an
+    /// agent that starts slowly beside a server which still runs.
+    pub is_recent: bool,
+}
+
+/// Whether a flow has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Verdict {
+    /// The flow has ended: no backend server can hold it.
+    Ended,
+    /// The flow may be open.
+    Open(Doubt),
+}
+
+/// Reason for which a flow may be open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Doubt {
+    /// Some agents may not be known yet.
+    AgentsUnknown,
+    /// An agent is marked down, or known to others only.
+    AgentDoubtful,
+    /// A backend server has run since before this entry started, so others that this
+    /// entry does not know yet may run as well.
+    ServersOlder,
+    /// An agent has not denied holding the flow.
+    NotDenied,
+}
+
+impl TargetSet {
+    /// Adds a backend server.
+    pub fn insert(&mut self, index: usize) {
+        let (word, bit) = position(index);
+        if word >= self.words.len() {
+            self.words.resize(word + 1, 0);
+        }
+        self.words[word] |= bit;
+    }
+
+    /// Removes a backend server.
+    pub fn remove(&mut self, index: usize) {
+        let (word, bit) = position(index);
+        if let Some(bits) = self.words.get_mut(word) {
+            *bits &= !bit;
+        }
+    }
+
+    /// Returns true if a backend server is in the set.
+    #[must_use]
+    pub fn contains(&self, index: usize) -> bool {
+        let (word, bit) = position(index);
+        self.words.get(word).is_some_and(|bits| bits & bit != 0)
+    }
+
+    /// Returns true if the set contains all of another one.
+    #[must_use]
+    pub fn contains_all(&self, others: &Self) -> bool {
+        let mut words = others.words.iter().enumerate();
+        words.all(|(word, bits)| bits & !self.words.get(word).copied().unwrap_or_default() == 0)
+    }
+
+    /// Returns true if the set is empty.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.words.iter().all(|bits| *bits == 0)
+    }
+}
+
+/// Returns the word and the bit of an index.
+const fn position(index: usize) -> (usize, u64) {
+    let bits = u64::BITS as usize;
+    (index / bits, 1 << (index % bits))
+}
+
+impl Roster {
+    /// Returns the index of a backend server, which never changes.
+    pub fn index(&mut self, target: TargetId) -> usize {
+        let next = self.indices.len();
+        *self.indices.entry(target).or_insert(next)
+    }
+}
+
+/// Decides whether a flow has ended, given the backend servers that are certain not
+/// to hold it.
+///
+/// An entry that runs for long has heard of every agent that it or others placed
+/// flows with. One that has just started may lack an agent that starts slowly beside
+/// a server which still runs; it decides only after a failure of everything, which
+/// shows in that all servers are young: the servers that it does not know have then
+/// started anew as well.
+#[must_use]
+pub fn decide(view: &View<'_>, denied: &TargetSet) -> Verdict {
+    match view {
+        _ if !view.knows_all_agents || view.holders.is_empty() => {
+            Verdict::Open(Doubt::AgentsUnknown)
+        }
+        _ if view.has_doubtful_agent => Verdict::Open(Doubt::AgentDoubtful),
+        _ if !denied.contains_all(view.holders) => Verdict::Open(Doubt::NotDenied),
+        _ if view.is_recent && !view.young.contains_all(view.holders) => {
+            Verdict::Open(Doubt::ServersOlder)
+        }
+        _ => Verdict::Ended,
+    }
+}
--- a/roles/forward/src/entry/search.rs
+++ b/roles/forward/src/entry/search.rs
@@ -26,7 +26,7 @@
 
 /// Maximum number of agents of one service that are asked, one after the other,
 /// to search for a flow.
-const MAX_ROUNDS: u8 = 3;
+pub(super) const MAX_ROUNDS: u8 = 3;
 
 impl Entry {
     /// Starts a search for the holder of a flow, leaving out the agent
@@ -38,22 +38,34 @@
         context: PacketContext<'_>,
     ) {
         let flow = context.segment.flow_from_caller();
-        let mut searching = flow::Searching {
-            asked_at: context.now,
-            packet: context.packet,
-            acknowledged: context.segment.acknowledged,
-            tried: excluded.into_iter().collect(),
-            rounds: 0,
-            denied_by: Vec::new(),
-            queued: Vec::new(),
+        let now = context.now;
+        let mut searching = match self.flows.remove(&flow).map(|state| state.phase) {
+            Some(Phase::Undecided(mut known)) => {
+                known.record_packet(&context.segment);
+                known.keep(&context.segment, context.packet);
+                known.rounds = 0;
+                known.tried.clear();
+                known.denied_by.clear();
+                known
+            }
+            _ => {
+                let timeout = routes.route(flow.service).map(|route| route.timeout);
+                let timeout = timeout.unwrap_or_default().max(self.settings.linger);
+                flow::Searching::new(now, timeout, &context.segment, context.packet)
+            }
         };
-        self.send_search(routes, context.now, flow, &mut searching, context.actions);
+        searching.tried.extend(excluded);
+        if !self.undecided.searches.take(now) {
+            return self.keep_undecided(now, flow, searching, context.actions);
+        }
+        searching.asked_at = now;
+        self.send_search(routes, now, flow, &mut searching, context.actions);
         self.searches.push_back(flow);
-        self.store_flow(context.now, flow, Phase::Searching(searching));
+        self.store_flow(now, flow, Phase::Searching(searching));
     }
 
     /// Asks one agent of each service of the route to search.
-    fn send_search(
+    pub(super) fn send_search(
         &mut self,
         routes: &Routes,
         now: Duration,
@@ -66,6 +78,9 @@
         };
         searching.rounds += 1;
         let terms = self.search_terms(now, route);
+        if terms.may_probe {
+            searching.probed_at = Some(now);
+        }
         for share in &route.shares {
             let known = routes.targets_of(share.service).count();
             let Some(searcher) = self.choose_searcher(routes, share.service, &searching.tried)
@@ -94,7 +109,7 @@
 
     /// Returns the agent of a service to ask for a search: one that was not
     /// asked before and is in the local availability zone, if there is one.
-    fn choose_searcher<'a>(
+    pub(super) fn choose_searcher<'a>(
         &mut self,
         routes: &'a Routes,
         service: ServiceAddress,
@@ -129,7 +144,7 @@
     /// counts. A backend server that started with this entry or later cannot
     /// hold a flow that this entry does not know. Returns 0 once callers have
     /// dropped the flows that ended in a failure at the entry's start.
-    fn max_age_ms(&self, now: Duration) -> u32 {
+    pub(super) fn max_age_ms(&self, now: Duration) -> u32 {
         let age = now.saturating_sub(self.started_at);
         if age > self.settings.stale_flow_window {
             return 0;
@@ -169,9 +184,11 @@
         searching.denied_by.push(share.service);
         let mut shares = route.shares.iter();
         if shares.all(|share| searching.denied_by.contains(&share.service)) {
-            let sequence = searching.acknowledged;
+            let (sequence, wants_reset) = (searching.acknowledged, searching.wants_reset);
             self.flows.remove(&flow);
-            actions.push(reset_ended(flow, sequence));
+            if wants_reset {
+                actions.push(reset_ended(flow, sequence));
+            }
         }
     }
 
@@ -195,17 +212,20 @@
                 return;
             }
             self.searches.pop_front();
-            if searching.rounds >= MAX_ROUNDS {
-                let rounds = searching.rounds;
-                state.phase = Phase::Lost;
-                state.last_used = now;
-                state.phase_since = now;
-                actions.push(Action::SearchFailed { flow, rounds });
-                continue;
-            }
+            let rounds = searching.rounds;
             let Some(mut state) = self.flows.remove(&flow) else {
                 continue;
             };
+            let is_over = rounds >= MAX_ROUNDS;
+            if is_over {
+                actions.push(Action::SearchFailed { flow, rounds });
+            }
+            if is_over || !self.undecided.searches.take(now) {
+                if let Phase::Searching(searching) = state.phase {
+                    self.keep_undecided(now, flow, searching, actions);
+                }
+                continue;
+            }
             if let Phase::Searching(searching) = &mut state.phase {
                 searching.asked_at = now;
                 self.send_search(&routes, now, flow, searching, actions);
