Proof of a common failure compares servers with their agents

A server that was running 500 ms before its agent no longer proves a common failure. An announcement of a restarted server no longer ends the flows that it accepted before the announcement arrived. Probes are sent only once every known agent has answered.

--- a/roles/forward/src/agent/batch.rs
+++ b/roles/forward/src/agent/batch.rs
@@ -255,7 +255,7 @@
         let known = self.peers.hops.len() + 1;
         let mut findings = Findings {
             agent: self.own,
-            age_ms: self.max_server_age(now).map(millis),
+            age_ms: self.max_age_as_proof(now).map(millis),
             start: self.server_start(),
             known_agents: u16::try_from(known).unwrap_or(u16::MAX),
             has_down_agent: self.peers.has_down_agent,
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Returns true if the opening packet was delivered at this time or later.
+    pub fn is_opened_after(&self, time: Duration) -> bool {
+        self.opened.is_some_and(|(_, at)| at >= time)
+    }
+
     /// Compares an opening packet with the one that opened this flow. A caller may
     /// use a port again while the flow that it had from there is still in the table.
     pub fn compare_opening(
--- a/roles/forward/src/agent/lookup.rs
+++ b/roles/forward/src/agent/lookup.rs
@@ -110,7 +110,7 @@
             }
             return None;
         }
-        let age = self.max_server_age(now)?;
+        let age = self.max_age_as_proof(now)?;
         (millis(age) <= terms.max_age_ms).then_some(age)
     }
 
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -163,7 +163,11 @@
         let is_first = current.is_none();
         if current.is_none_or(|held| held.start != announcement.start) {
             if !is_first {
-                self.end_server(now, actions);
+                self.end_flows(
+                    now,
+                    self.opened_at_latest_server(now, &announcement),
+                    actions,
+                );
                 self.risk = Risk::new(self.settings.risk, now);
                 self.plausibility = Plausibility::default();
             }
@@ -200,13 +204,39 @@
             Some(backend) => backend.state = State::Gone,
             None => self.presence.record_end(),
         }
-        if !self.flows.is_empty() {
-            actions.push(Action::ServerEnded {
-                flows: self.flows.len(),
-            });
+        self.end_flows(now, None, actions);
+    }
+
+    /// Returns the time from which a flow may have been opened at the server that
+    /// announces its start: a server can accept flows before its first announcement
+    /// arrives.
+    fn opened_at_latest_server(
+        &self,
+        now: Duration,
+        announcement: &Announcement,
+    ) -> Option<Duration> {
+        let delay = self.settings.max_announcement_interval;
+        let age = announcement.age.unwrap_or_default();
+        Some(now.saturating_sub(age + delay))
+    }
+
+    /// Ends the flows of the backend server, but for those that were opened after
+    /// `kept_from`: if they were opened before the server restarted, it returns their
+    /// next packet.
+    fn end_flows(&mut self, now: Duration, kept_from: Option<Duration>, actions: &mut Vec<Action>) {
+        let has_ended = |flow: &Flow| kept_from.is_none_or(|from| !flow.is_opened_after(from));
+        let ended: Vec<FlowId> = self
+            .flows
+            .iter()
+            .filter(|(_, held)| has_ended(held))
+            .map(|(flow, _)| *flow)
+            .collect();
+        if !ended.is_empty() {
+            actions.push(Action::ServerEnded { flows: ended.len() });
         }
-        for (flow, held) in self.flows.drain() {
-            if held.slot.is_some() {
+        for flow in ended {
+            let held = self.flows.remove(&flow);
+            if held.is_some_and(|held| held.slot.is_some()) {
                 self.occupancy.release(now);
             }
             self.ended_flows.insert(now, flow, ());
@@ -217,7 +247,7 @@
     /// Returns the age and start time that make a denial of a flow credible, or
     /// `None` before the first announcement.
     pub(super) fn evidence(&self, now: Duration) -> Option<Evidence> {
-        let (max_age, server_start) = (self.max_server_age(now)?, self.server_start()?);
+        let (max_age, server_start) = (self.max_age_as_proof(now)?, self.server_start()?);
         Some(Evidence {
             max_age,
             server_start,
@@ -238,6 +268,18 @@
         Some(self.max_age_when_first_announced + now.saturating_sub(self.first_announced))
     }
 
+    /// Returns the longest time for which the backend server can have been running, as
+    /// a proof that it started in the same failure as an entry. A server that was
+    /// running well before this process counts as older than any entry: then not the
+    /// host has failed, but this process, and processes that the entry does not know
+    /// yet may be starting beside servers that still run.
+    pub(super) fn max_age_as_proof(&self, now: Duration) -> Option<Duration> {
+        let age = self.max_server_age(now)?;
+        let own_age = now.saturating_sub(self.started_at);
+        let is_older = age > own_age + self.settings.start_lead;
+        Some(if is_older { Duration::MAX } else { age })
+    }
+
     /// Returns the longest time for which the backend server can have been running
     /// by any estimate, or `None` before the first announcement.
     pub(super) fn longest_server_age(&self, now: Duration) -> Option<Duration> {
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -49,6 +49,10 @@
     /// Time without a reaction to a probe after which another packet of the
     /// flow is sent as a probe.
     pub probe_interval: Duration,
+    /// Maximum time by which a backend server starts before its agent where both
+    /// start with their host. After a loss of power of all hosts, agents were
+    /// back after 30 ms and servers within 500 ms.
+    pub start_lead: Duration,
     /// Timeout of a search for the holder of a flow.
     pub search_timeout: Duration,
     /// Upper limit of the age of a flow.
@@ -79,6 +83,7 @@
             answer_delay: Duration::from_millis(100),
             reservation_timeout: Duration::from_millis(500),
             probe_interval: Duration::from_secs(1),
+            start_lead: Duration::from_millis(500),
             search_timeout: Duration::from_millis(500),
             max_flow_age: Duration::from_mins(1),
             idle_timeout: Duration::from_mins(1),
--- a/roles/forward/src/entry/undecided.rs
+++ b/roles/forward/src/entry/undecided.rs
@@ -86,6 +86,8 @@
     batches: HashMap<batch::Number, Batch>,
     last_batch: batch::Number,
     silent: HashMap<TargetId, Duration>,
+    /// Whether any agent has answered a batch. Agents of earlier versions do not.
+    has_answers: bool,
     roster: Roster,
     /// Backend servers that started about when this entry did, or later, by the last
     /// answer of their agents, and those that did not by any answer.
@@ -110,6 +112,8 @@
     share: ServiceAddress,
     flows: Vec<FlowId>,
     is_answered: bool,
+    /// Backend servers whose agents have answered.
+    answered: TargetSet,
 }
 
 /// Flows that have ended, the most urgent first.
@@ -141,6 +145,7 @@
             batches: HashMap::new(),
             last_batch: 0,
             silent: HashMap::new(),
+            has_answers: false,
             roster: Roster::default(),
             young: TargetSet::default(),
             old: TargetSet::default(),
@@ -255,11 +260,15 @@
             return;
         };
         batch.is_answered = true;
+        self.undecided.has_answers = true;
         self.undecided.silent.remove(&batch.searcher);
         let flows = std::mem::take(&mut batch.flows);
         let (share, asked_at) = (batch.share, batch.sent_at);
         for findings in &report.findings {
             let index = self.record_findings(now, share, findings);
+            if let Some(batch) = self.undecided.batches.get_mut(&report.batch) {
+                batch.answered.insert(index);
+            }
             for (number, flow) in flows.iter().enumerate() {
                 // The caller may have opened another flow from the same port since.
                 let searching = self.searching_mut(flow);
@@ -268,14 +277,14 @@
                 }
             }
         }
-        let may_probe = self.knows_all_agents(now);
         let mut views = Views::new();
+        let may_probe = self.may_probe(now, report.batch, share);
         for (number, flow) in flows.iter().enumerate() {
             let is_decided = self.decide_flow(now, flow, &mut views);
             let mut all = report.findings.iter();
             let is_uncertain =
                 all.any(|findings| !findings.denies(number) && !findings.held.contains(number));
-            if !is_decided && is_uncertain && may_probe {
+            if !is_decided && may_probe && is_uncertain {
                 self.undecided.uncertain.insert(*flow);
             }
         }
@@ -284,6 +293,24 @@
         }
     }
 
+    /// Returns true if every known agent that a batch went to has answered, so that a
+    /// probe reaches the holder. Probes that only reach other servers break a flow.
+    fn may_probe(&mut self, now: Duration, number: batch::Number, share: ServiceAddress) -> bool {
+        let routes = Arc::clone(&self.routes);
+        let undecided = &mut self.undecided;
+        let Some(batch) = undecided.batches.get(&number) else {
+            return false;
+        };
+        let doubt = undecided.doubts.get(&share);
+        let mut targets = routes.targets_of(share);
+        let roster = &mut undecided.roster;
+        let all_answered = targets.all(|target| batch.answered.contains(roster.index(target.id)));
+        all_answered
+            && doubt.is_none_or(|until| now >= *until)
+            && !routes.services_with_down_targets.contains(&share)
+            && self.knows_all_agents(now)
+    }
+
     /// Records what an agent knows about its server and about other agents. Returns
     /// the index of the server.
     fn record_findings(
@@ -567,6 +594,7 @@
             share,
             flows: flows.to_vec(),
             is_answered: false,
+            answered: TargetSet::default(),
         };
         self.undecided.batches.insert(number, batch);
     }
@@ -582,7 +610,9 @@
             }
             batch.is_answered = true;
             undecided.due.extend(batch.flows.iter().copied());
-            undecided.uncertain.extend(batch.flows.iter().copied());
+            if !undecided.has_answers {
+                undecided.uncertain.extend(batch.flows.iter().copied());
+            }
             undecided
                 .silent
                 .insert(batch.searcher, now + SILENCE_MEMORY);
--- a/roles/forward/tests/simulation/mod.rs
+++ b/roles/forward/tests/simulation/mod.rs
@@ -106,6 +106,9 @@
     misdelivered: HashMap<FlowId, (u32, Duration)>,
     /// Descriptions of the faults found.
     pub faults: Vec<String>,
+    /// Flows with packets that reached only servers which do not hold them.
+    pub misdelivered_flows: HashSet<FlowId>,
+    /// Number of resets of flows that their servers held.
     /// Datagrams and resets so far.
     pub count: Count,
     pub network: Network,
@@ -133,6 +136,7 @@
             callers: HashMap::new(),
             misdelivered: HashMap::new(),
             faults: Vec::new(),
+            misdelivered_flows: HashSet::new(),
             count: Count::default(),
             network: Network::default(),
             membership: None,
@@ -568,6 +572,7 @@
         let (count, since) = self.misdelivered.entry(*flow).or_insert((0, now));
         *count += 1;
         if *count >= 3 && now >= *since + Duration::from_secs(2) {
+            self.misdelivered_flows.insert(*flow);
             self.faults.push(format!(
                 "{now:?}: packets of {flow:?} reached only servers that do not hold it"
             ));
