--- a/roles/forward/tests/simulation/mod.rs
+++ b/roles/forward/tests/simulation/mod.rs
@@ -108,6 +108,9 @@
     pub faults: Vec<String>,
     /// Flows with packets that reached only servers which do not hold them.
     pub misdelivered_flows: HashSet<FlowId>,
+    /// Times at which packets of a flow reached other servers than its own, since the
+    /// last one at its own.
+    strays: HashMap<FlowId, Vec<Duration>>,
     /// Number of resets of flows that their servers held.
     /// Datagrams and resets so far.
     pub count: Count,
@@ -137,6 +140,7 @@
             misdelivered: HashMap::new(),
             faults: Vec::new(),
             misdelivered_flows: HashSet::new(),
+            strays: HashMap::new(),
             count: Count::default(),
             network: Network::default(),
             membership: None,
@@ -566,13 +570,20 @@
             .any(|(other, flows)| *other != id && flows.contains(flow));
         if holds || kind == Kind::Open || !is_open || !is_held {
             self.misdelivered.remove(flow);
+            self.strays.remove(flow);
             return;
         }
+        let strays = self.strays.entry(*flow).or_default();
+        strays.push(self.now);
+        let now = self.now;
+        strays.retain(|at| now < *at + Duration::from_secs(2));
+        if strays.len() >= 3 {
+            self.misdelivered_flows.insert(*flow);
+        }
         let now = self.now;
         let (count, since) = self.misdelivered.entry(*flow).or_insert((0, now));
         *count += 1;
         if *count >= 3 && now >= *since + Duration::from_secs(2) {
-            self.misdelivered_flows.insert(*flow);
             self.faults.push(format!(
                 "{now:?}: packets of {flow:?} reached only servers that do not hold it"
             ));
