--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -139,6 +139,9 @@
     /// The longest of all estimates of that time. Holds even if the server was
     /// suspended between two announcements, or its clock was set back.
     longest_age_when_first_announced: Duration,
+    /// Whether no earlier announcement of the current backend server can have been
+    /// answered.
+    hears_first_answered_announcement: bool,
     /// Time of the first opening packet that the backend server has not reacted
     /// to.
     unanswered_since: Option<Duration>,
@@ -178,6 +181,14 @@
 /// receives it has seen every flow that the server ever had.
 const FIRST_SEQUENCE: u64 = 1;
 
+/// Maximum number of announcements that a backend server has made when the first is
+/// answered, for that to be certain: it repeats a call that fails, but not that often.
+const MAX_UNANSWERED_ANNOUNCEMENTS: u64 = 6;
+
+/// Share of the announcement interval within which a backend server makes a further
+/// announcement only if the last one was not answered.
+const UNANSWERED_SHARE: f64 = 0.8;
+
 /// Maximum number of flows that wait for a slot. Each takes the size of its opening
 /// frame, some 300 bytes.
 const MAX_WAITING: usize = 1024;
@@ -200,6 +211,7 @@
             first_announced: now,
             max_age_when_first_announced: Duration::ZERO,
             longest_age_when_first_announced: Duration::ZERO,
+            hears_first_answered_announcement: false,
             unanswered_since: None,
             presence: Presence::new(now),
             is_stopping: false,
--- a/roles/forward/src/agent/batch.rs
+++ b/roles/forward/src/agent/batch.rs
@@ -303,6 +303,7 @@
         !self.may_hold_prior_flows
             || agent_age >= self.settings.max_flow_age
             || server_age < agent_age
+            || self.hears_first_answered_announcement
     }
 }
 
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -15,7 +15,9 @@
 use super::Announcement;
 use super::DropReason;
 use super::FIRST_SEQUENCE;
+use super::MAX_UNANSWERED_ANNOUNCEMENTS;
 use super::State;
+use super::UNANSWERED_SHARE;
 use super::backend::Start;
 use super::flow::Flow;
 use super::flow::Progress;
@@ -189,6 +191,7 @@
                 .map_or(by_sequence, |age| age.min(by_sequence));
             self.longest_age_when_first_announced =
                 announcement.age.unwrap_or_default().max(by_sequence);
+            self.hears_first_answered_announcement = self.is_first_answered(&announcement);
             self.batches.record_start(now);
         }
         self.last_announced = now;
@@ -207,6 +210,16 @@
         self.end_flows(now, None, actions);
     }
 
+    /// Returns true if no earlier announcement of a backend server can have been
+    /// answered: the next one would have followed an interval later. An agent that
+    /// ran beside the server before would have answered, so there was none.
+    fn is_first_answered(&self, announcement: &Announcement) -> bool {
+        let interval = self.settings.max_announcement_interval;
+        let limit = interval.mul_f64(UNANSWERED_SHARE);
+        announcement.age.is_some_and(|age| age < limit)
+            && announcement.sequence <= MAX_UNANSWERED_ANNOUNCEMENTS
+    }
+
     /// Returns the time from which a flow may have been opened at the server that
     /// announces its start: a server can accept flows before its first announcement
     /// arrives.
--- a/roles/forward/src/entry/undecided.rs
+++ b/roles/forward/src/entry/undecided.rs
@@ -54,9 +54,9 @@
 /// other.
 const SILENCE_MEMORY: Duration = Duration::from_secs(2);
 
-/// Time for which the doubt of an agent about others counts. Longer than the interval
-/// between two batches about the same flow, so that only a later answer removes it.
-const DOUBT_LIFETIME: Duration = Duration::from_secs(1);
+/// Time for which what an agent says about others counts. Longer than the interval
+/// between two batches about the same flow, so that a later answer replaces it.
+const OPINION_LIFETIME: Duration = Duration::from_secs(1);
 
 /// Searches a second for single flows, and how many are sent at once. They are faster
 /// than batches but cost several frames at each agent.
@@ -93,8 +93,8 @@
     /// answer of their agents, and those that did not by any answer.
     young: TargetSet,
     old: TargetSet,
-    /// Services of which an agent doubts that all are known, by the end of the doubt.
-    doubts: HashMap<ServiceAddress, Duration>,
+    /// What each agent said last about the other agents of its service.
+    opinions: HashMap<TargetId, Opinion>,
     /// Flows that an agent could not tell about, to be searched for with probes.
     uncertain: BTreeSet<FlowId>,
     pub searches: Pace,
@@ -116,6 +116,15 @@
     answered: TargetSet,
 }
 
+/// What an agent knows about the other agents of its service.
+#[derive(Debug)]
+struct Opinion {
+    share: ServiceAddress,
+    stated_at: Duration,
+    known_agents: usize,
+    has_down_agent: bool,
+}
+
 /// Flows that have ended, the most urgent first.
 #[derive(Debug, Default)]
 struct Resets {
@@ -149,7 +158,7 @@
             roster: Roster::default(),
             young: TargetSet::default(),
             old: TargetSet::default(),
-            doubts: HashMap::new(),
+            opinions: HashMap::new(),
             uncertain: BTreeSet::new(),
             searches: SEARCH_PACE,
             probes: PROBE_PACE,
@@ -301,16 +310,27 @@
         let Some(batch) = undecided.batches.get(&number) else {
             return false;
         };
-        let doubt = undecided.doubts.get(&share);
         let mut targets = routes.targets_of(share);
         let roster = &mut undecided.roster;
         let all_answered = targets.all(|target| batch.answered.contains(roster.index(target.id)));
         all_answered
-            && doubt.is_none_or(|until| now >= *until)
+            && !self.is_doubted(now, share)
             && !routes.services_with_down_targets.contains(&share)
             && self.knows_all_agents(now)
     }
 
+    /// Returns true if an agent of a service knows another one that is marked down, or
+    /// more agents than this entry.
+    fn is_doubted(&self, now: Duration, share: ServiceAddress) -> bool {
+        let known = self.routes.targets_of(share).count();
+        let mut opinions = self.undecided.opinions.values();
+        opinions.any(|opinion| {
+            opinion.share == share
+                && now < opinion.stated_at + OPINION_LIFETIME
+                && (opinion.has_down_agent || opinion.known_agents > known)
+        })
+    }
+
     /// Records what an agent knows about its server and about other agents. Returns
     /// the index of the server.
     fn record_findings(
@@ -320,15 +340,13 @@
         findings: &Findings,
     ) -> usize {
         let target = findings.agent.target;
-        let known = self.routes.targets_of(share).count();
-        let is_known = self
-            .routes
-            .targets_of(share)
-            .any(|known| known.id == target);
-        let knows_more = usize::from(findings.known_agents) > known;
-        if findings.has_down_agent || knows_more || !is_known {
-            self.undecided.doubts.insert(share, now + DOUBT_LIFETIME);
-        }
+        let opinion = Opinion {
+            share,
+            stated_at: now,
+            known_agents: usize::from(findings.known_agents),
+            has_down_agent: findings.has_down_agent,
+        };
+        self.undecided.opinions.insert(target, opinion);
         let max_age_ms = self.max_age_ms(now);
         let is_young = findings.age_ms.is_some_and(|age| age <= max_age_ms);
         // An agent that has not heard of its server yet says nothing about its age.
@@ -400,12 +418,8 @@
         for target in routes.possible_holders(route) {
             holders.insert(self.undecided.roster.index(target.id));
         }
-        let doubts = &self.undecided.doubts;
         let mut shares = route.shares.iter();
-        let is_doubted = shares.any(|share| {
-            let until = doubts.get(&share.service);
-            until.is_some_and(|until| now < *until)
-        });
+        let is_doubted = shares.any(|share| self.is_doubted(now, share.service));
         Some(RouteView {
             holders,
             priority: route.priority,
@@ -623,6 +637,8 @@
         }
         let is_live = |batch: &Batch| now < batch.sent_at + BATCH_LIFETIME;
         undecided.batches.retain(|_, batch| is_live(batch));
+        let is_fresh = |opinion: &Opinion| now < opinion.stated_at + OPINION_LIFETIME;
+        undecided.opinions.retain(|_, opinion| is_fresh(opinion));
         undecided.silent.retain(|_, until| now < *until);
     }
 
--- a/roles/forward/tests/simulation/membership.rs
+++ b/roles/forward/tests/simulation/membership.rs
@@ -132,6 +132,9 @@
         };
         let known = membership.known.entry(observer).or_default();
         if known.insert(id, is_down) != Some(is_down) {
+            if matches!(observer, Observer::Entry(_)) {
+                self.last_known_at = self.now;
+            }
             self.publish(observer);
         }
     }
--- a/roles/forward/tests/simulation/mod.rs
+++ b/roles/forward/tests/simulation/mod.rs
@@ -68,6 +68,7 @@
     Merge(usize, usize),
     StartAgent(TargetId),
     StartEntry(usize),
+    StartServer(TargetId),
     Heal,
 }
 
@@ -99,6 +100,7 @@
     sequences: HashMap<TargetId, u64>,
     /// Number of restarts of each backend server.
     starts: HashMap<TargetId, u64>,
+    started_at: HashMap<TargetId, Duration>,
     callers: HashMap<FlowId, Caller>,
     /// Number of a flow's packets that reached servers which do not hold it,
     /// since the last packet at its own server, and the time of the first of
@@ -119,6 +121,10 @@
     membership: Option<Membership>,
     stopped_agents: HashSet<TargetId>,
     stopped_entries: HashSet<usize>,
+    /// Backend servers that have not announced their restart to their agents, and the
+    /// time at which the last one did, or an entry learned of the last agent.
+    unannounced: HashSet<TargetId>,
+    pub last_known_at: Duration,
     /// Ports of callers that open a flow again.
     last_port: u16,
 }
@@ -136,6 +142,7 @@
             servers: HashMap::new(),
             sequences: HashMap::new(),
             starts: HashMap::new(),
+            started_at: HashMap::new(),
             callers: HashMap::new(),
             misdelivered: HashMap::new(),
             faults: Vec::new(),
@@ -146,6 +153,8 @@
             membership: None,
             stopped_agents: HashSet::new(),
             stopped_entries: HashSet::new(),
+            unannounced: HashSet::new(),
+            last_known_at: Duration::ZERO,
             last_port: 4_000,
         };
         for id in 1..=servers {
@@ -210,11 +219,28 @@
         }
     }
 
+    /// Simulates a power loss of all hosts that lasts for a time: entries are back
+    /// then, agents soon after, and servers announce themselves within 500 ms.
+    pub fn lose_power_for(&mut self, millis: u64) {
+        for id in self.ids() {
+            self.servers.insert(id, HashSet::new());
+            self.stop_agent(id, millis + 30 + self.last_event_id % 50);
+            let wait = ms(millis + self.rng.u64(0..100));
+            self.schedule(wait, Event::StartServer(id));
+        }
+        for number in 0..self.entries.len() {
+            let wait = millis + self.rng.u64(0..100);
+            self.stop_entry(number, wait);
+        }
+    }
+
     /// Restarts a backend server, which loses its flows.
     pub fn restart_server(&mut self, id: TargetId) {
         self.servers.insert(id, HashSet::new());
         self.sequences.insert(id, 0);
+        self.unannounced.insert(id);
         *self.starts.entry(id).or_default() += 1;
+        self.started_at.insert(id, self.now);
         let start = self.starts[&id];
         let wait = ms(self.rng.u64(0..400));
         self.schedule(wait, Event::Announce(id, start));
@@ -402,6 +428,7 @@
             Event::Merge(to, from) => self.merge(to, from),
             Event::StartAgent(id) => self.start_agent(id, true),
             Event::StartEntry(number) => self.restart_entry(number),
+            Event::StartServer(id) => self.restart_server(id),
             Event::Heal => self.heal(),
             Event::Tick => {
                 for number in 0..self.entries.len() {
@@ -421,9 +448,20 @@
         }
         let sequence = self.sequences.get_mut(&id).unwrap();
         *sequence += 1;
-        let announced = announcement(id, 1 + start, *sequence, State::Ready);
+        let started_at = self.started_at.get(&id).copied().unwrap_or_default();
+        let announced = agent::Announcement {
+            age: Some(self.now.saturating_sub(started_at)),
+            ..announcement(id, 1 + start, *sequence, State::Ready)
+        };
+        if self.stopped_agents.contains(&id) {
+            // A server repeats a call that fails.
+            return self.schedule(ms(100), Event::Announce(id, start));
+        }
         if !self.stopped_agents.contains(&id) {
             self.notify_agent(id, agent::Event::Announcement(announced));
+            if self.unannounced.remove(&id) {
+                self.last_known_at = self.now;
+            }
         }
         self.schedule(Duration::from_secs(1), Event::Announce(id, start));
     }
