--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -184,6 +184,16 @@
         "flow {flow} waits for a slot: expected wait {wait_us} us; {waiting} flows waited before it", "nothing";
     4015 Warn AnswerImplausible { flow: String }
         "the answer to a request of flow {flow} came far sooner and is far shorter than usual; it counts as a failure", "check the backend server's log for errors";
+    4020 Info FlowsSought { flows: usize, searcher: TargetId, known: usize }
+        "the agent of {searcher} searches for the holders of {flows} flows among {known} agents", "nothing";
+    4021 Info FlowEnded { flow: String, proof: String, took_us: u128 }
+        "flow {flow} has ended: every possible holder denies it, by {proof}; {took_us} us after its first packet arrived here", "nothing";
+    4022 Warn SearchUnanswered { searcher: TargetId, flows: usize }
+        "the agent of {searcher} did not answer in time which agents hold {flows} flows; another one is asked",
+        "during an update from a version without batches: nothing; else check that agent and its host";
+    4023 Warn FlowsUndecided { flows: usize }
+        "{flows} flows were dropped whose holder was not found and whose end was not proved before their callers gave up",
+        "look for agents that are marked down (3002), or that stopped while their backend servers still run";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing if this was planned";
     5002 Info ServerMissing { }
--- a/roles/app/src/forwarder/telemetry.rs
+++ b/roles/app/src/forwarder/telemetry.rs
@@ -19,6 +19,8 @@
     pub search_time: Histogram<u64>,
     /// Microseconds from a request to the first packet of its answer.
     pub request_time: Histogram<u64>,
+    /// Microseconds from the first packet of a flow that has ended to its reset.
+    pub ended_time: Histogram<u64>,
 }
 
 impl Telemetry {
@@ -35,6 +37,7 @@
             open_time: instruments.histogram("carried.open.time")?,
             search_time: instruments.histogram("carried.search.time")?,
             request_time: instruments.histogram("carried.request.time")?,
+            ended_time: instruments.histogram("carried.ended.time")?,
         })
     }
 }
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -11,6 +11,7 @@
 use forward::entry::Action;
 use forward::entry::DropReason;
 use forward::entry::Event;
+use forward::entry::Proofs;
 use forward::entry::Refusal;
 use net::port::Received;
 use platform::packet;
@@ -82,6 +83,7 @@
         self.link.publish(instruments, calls)?;
         let core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
         instruments.set_size("carried.flows", core.len())?;
+        instruments.set_size("carried.undecided", core.undecided())?;
         instruments.set("carried.version", "", core.version())
     }
 
@@ -175,6 +177,52 @@
                 });
             }
             Action::Dropped(reason) => self.link.drop_packet(drop_label(reason)),
+            Action::BatchRequested { .. }
+            | Action::BatchUnanswered { .. }
+            | Action::Ended { .. }
+            | Action::UndecidedDropped { .. } => self.report_undecided(&action),
+        }
+    }
+
+    /// Counts and logs a decision on flows whose holder is unknown.
+    fn report_undecided(&self, decision: &Action) {
+        let link = &self.link;
+        match decision {
+            Action::BatchRequested {
+                searcher,
+                flows,
+                known,
+            } => {
+                link.count("carried.batches", "sent");
+                link.log(&log::Event::FlowsSought {
+                    flows: *flows,
+                    searcher: *searcher,
+                    known: *known,
+                });
+            }
+            Action::BatchUnanswered { searcher, flows } => {
+                link.count("carried.batches", "unanswered");
+                link.log(&log::Event::SearchUnanswered {
+                    searcher: *searcher,
+                    flows: *flows,
+                });
+            }
+            Action::Ended { flow, proofs, took } => {
+                let proof = proof_label(*proofs);
+                link.count("carried.flows.ended", proof);
+                record(&link.telemetry.ended_time, *took);
+                link.log(&log::Event::FlowEnded {
+                    flow: flow_name(flow),
+                    proof: proof.to_owned(),
+                    took_us: took.as_micros(),
+                });
+            }
+            Action::UndecidedDropped { flows } => {
+                let counts = &link.telemetry.counts;
+                counts.add_many("carried.flows.undecided", "", *flows);
+                link.log(&log::Event::FlowsUndecided { flows: *flows });
+            }
+            _ => {}
         }
     }
 }
@@ -187,6 +235,15 @@
     }
 }
 
+/// Returns the weakest kind of proof among the denials of a flow.
+const fn proof_label(proofs: Proofs) -> &'static str {
+    match proofs {
+        Proofs { younger: true, .. } => "younger",
+        Proofs { returned: true, .. } => "returned",
+        _ => "complete",
+    }
+}
+
 const fn drop_label(reason: DropReason) -> &'static str {
     match reason {
         DropReason::Direction => "direction",
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -129,6 +129,12 @@
     histogram("carried.open.time", "us", "time from the last copy of an opening packet to the holder's confirmation"),
     histogram("carried.search.time", "us", "time from the last search message to the holder's answer"),
     histogram("carried.request.time", "us", "time from a request to the first packet of its answer"),
+    // Gateways and sidecars: flows whose server has ended.
+    counter("carried.batches", "{batch}", "searches for the holders of many flows at a gateway, by outcome"),
+    counter("carried.flows.ended", "{flow}", "flows that a gateway found to have ended, by kind of proof"),
+    counter("carried.flows.undecided", "{flow}", "flows that a gateway dropped undecided when their callers gave up"),
+    gauge("carried.undecided", "{flow}", "flows that a gateway keeps because their holder is unknown"),
+    histogram("carried.ended.time", "us", "time from the first packet of a flow that has ended to its reset"),
     // Agents.
     gauge("weight", "{request}/s", "learned capacity, as announced"),
 ];
