--- /dev/null
+++ b/roles/forward/tests/batch_agent.rs
@@ -0,0 +1,314 @@
+//! Tests what an agent answers about many flows at once.
+mod fixtures;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fixtures::agent::*;
+use fixtures::*;
+use forward::Agent;
+use forward::agent::Action;
+use forward::agent::Announcement;
+use forward::agent::Event;
+use forward::agent::Peers;
+use forward::agent::Settings;
+use forward::agent::State;
+use wire::TargetId;
+use wire::Transit;
+use wire::batch::Answer;
+use wire::batch::Findings;
+use wire::batch::Lookup;
+use wire::batch::Search;
+use wire::batch::Sought;
+use wire::segment::Kind;
+
+const BATCH: u32 = 5;
+
+/// Returns a batch of the flows from these ports.
+fn search(ports: &[u16], age_ms: u32) -> Search {
+    let sought = |port: &u16| Sought {
+        caller: caller_address(*port),
+        acknowledged: 1,
+        age_ms,
+    };
+    Search {
+        target: OWN,
+        entry: entry_address(),
+        batch: BATCH,
+        service: CALLED_ADDRESS.parse().unwrap(),
+        flows: ports.iter().map(sought).collect(),
+    }
+}
+
+/// Asks an agent about flows, and returns its answer.
+fn ask(agent: &mut Agent, now: Duration, search: Search) -> Findings {
+    let lookup = Lookup {
+        searcher: searcher_address(),
+        search,
+    };
+    let actions = handle(agent, now, Event::LookupBatch(lookup));
+    let mut answers = actions.iter().filter_map(|action| match action {
+        Action::Send {
+            to,
+            transit: Transit::Answer(answer),
+        } if *to == searcher_address() => Some(answer.findings.clone()),
+        _ => None,
+    });
+    answers.next().expect("the agent should answer")
+}
+
+/// Returns what an agent reports to the entry.
+fn reported(actions: &[Action]) -> Vec<Findings> {
+    let reports = actions.iter().filter_map(|action| match action {
+        Action::Send {
+            to,
+            transit: Transit::Report(report),
+        } if *to == entry_address() && report.batch == BATCH => Some(report.findings.clone()),
+        _ => None,
+    });
+    reports.flatten().collect()
+}
+
+/// Returns an agent that started beside a server which runs.
+fn restarted_agent() -> Agent {
+    Agent::new(Settings::default(), hop(OWN), true, ms(0))
+}
+
+fn announce(agent: &mut Agent, now: Duration, age: Option<Duration>, sequence: u64) -> Vec<Action> {
+    let event = Event::Announcement(Announcement {
+        age,
+        ..announcement(OWN, 1, sequence, State::Ready)
+    });
+    handle(agent, now, event)
+}
+
+fn return_packet(agent: &mut Agent, now: Duration, port: u16) -> Vec<Action> {
+    let event = Event::ServerPacket {
+        segment: returned_segment(port, Kind::Data),
+        packet: packet(),
+    };
+    handle(agent, now, event)
+}
+
+#[test]
+fn held_flow_is_reported_and_others_are_denied() {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(0), None, 1);
+    send_open(&mut agent, ms(1), 9, open_frame(&[OWN]));
+    accept_flow(&mut agent, ms(2), 9);
+    let findings = ask(&mut agent, ms(10), search(&[8, 9], 0));
+    assert!(findings.held.contains(1) && !findings.held.contains(0));
+    assert!(findings.complete.contains(0) && !findings.denies(1));
+}
+
+/// An agent that started beside a running server does not know its flows.
+#[test]
+fn restarted_agent_denies_nothing_by_itself() {
+    let mut agent = restarted_agent();
+    assert!(!ask(&mut agent, ms(1), search(&[9], 0)).denies(0));
+    announce(&mut agent, ms(5), Some(ms(60_000)), 60);
+    let findings = ask(&mut agent, ms(10), search(&[9], 500));
+    assert!(!findings.denies(0) && !findings.held.contains(0));
+}
+
+/// The server answered its calls to an earlier process, which let it accept flows: it
+/// makes the second announcement one interval after the first.
+#[test]
+fn agent_restarted_beside_a_young_server_denies_nothing() {
+    for (age, sequence) in [(ms(1_100), 2), (ms(2_050), 3)] {
+        let mut agent = restarted_agent();
+        announce(&mut agent, ms(100), Some(age), sequence);
+        assert!(!ask(&mut agent, ms(101), search(&[9], 500)).denies(0));
+    }
+}
+
+/// After a loss of power the first calls of a server come before its agent is up.
+#[test]
+fn agent_that_answers_the_first_announcement_denies_whatever_its_number() {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(100), Some(ms(350)), 4);
+    assert!(
+        ask(&mut agent, ms(101), search(&[9], 0))
+            .complete
+            .contains(0)
+    );
+}
+
+/// The clock of the host was set back: the server cannot have repeated its call so
+/// often within its age.
+#[test]
+fn implausibly_young_server_proves_nothing() {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(100), Some(ms(350)), 30);
+    assert!(!ask(&mut agent, ms(101), search(&[9], 1_000)).denies(0));
+}
+
+#[test]
+fn returned_packet_is_a_denial_whatever_the_age_of_the_server() {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(5), Some(ms(60_000)), 60);
+    return_packet(&mut agent, ms(6), 9);
+    let findings = ask(&mut agent, ms(10), search(&[8, 9], 0));
+    assert!(findings.returned.contains(1) && !findings.denies(0));
+}
+
+/// The flow is as old as the first packet that the entry received of it.
+#[test]
+fn server_that_started_after_the_packet_denies_the_flow() {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(1_000), Some(ms(1_900)), 2);
+    let asked_at = ms(1_100);
+    assert!(!ask(&mut agent, asked_at, search(&[9], 1_900)).denies(0));
+    let findings = ask(&mut agent, asked_at, search(&[9], 2_100));
+    assert!(findings.younger.contains(0));
+}
+
+/// A caller may be opening another flow from the same port.
+#[test]
+fn flow_that_the_server_has_not_accepted_is_neither_held_nor_denied() {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(0), None, 1);
+    send_open(&mut agent, ms(1), 9, open_frame(&[OWN]));
+    let findings = ask(&mut agent, ms(2), search(&[9], 0));
+    assert!(!findings.held.contains(0) && !findings.denies(0));
+}
+
+/// The caller's acknowledgement belongs to another server.
+#[test]
+fn flow_that_the_caller_opened_elsewhere_is_not_held() {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(0), None, 1);
+    send_open(&mut agent, ms(1), 9, open_frame(&[OWN]));
+    accept_flow(&mut agent, ms(2), 9);
+    let mut asked = search(&[9], 0);
+    asked.flows[0].acknowledged = 900_000_000;
+    let findings = ask(&mut agent, ms(3), asked);
+    assert!(!findings.held.contains(0) && !findings.denies(0));
+}
+
+/// The server was running well before this process, so the failure was not one of the
+/// whole host.
+#[test]
+fn server_that_runs_longer_than_its_agent_counts_as_old() {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(100), Some(ms(2_100)), 3);
+    let findings = ask(&mut agent, ms(101), search(&[9], 0));
+    assert_eq!(findings.age_ms, Some(u32::MAX));
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(100), Some(ms(500)), 2);
+    assert_eq!(ask(&mut agent, ms(101), search(&[9], 0)).age_ms, Some(501));
+}
+
+/// An entry would ask again only after 400 ms.
+#[test]
+fn agent_reports_by_itself_once_its_server_has_announced_itself() {
+    let mut agent = restarted_agent();
+    assert!(!ask(&mut agent, ms(10), search(&[8, 9], 0)).denies(0));
+    let findings = reported(&announce(&mut agent, ms(300), Some(ms(100)), 1));
+    assert_eq!(findings.len(), 1);
+    assert!(findings[0].denies(0) && findings[0].denies(1));
+    let again = reported(&handle(&mut agent, ms(500), Event::Tick));
+    assert_eq!(again, [], "nothing new should be reported");
+}
+
+/// Hundreds of packets come back within milliseconds.
+#[test]
+fn returned_packets_are_reported_together() {
+    let mut agent = restarted_agent();
+    ask(&mut agent, ms(10), search(&[7, 8, 9], 0));
+    for port in [7, 8, 9] {
+        assert_eq!(reported(&return_packet(&mut agent, ms(20), port)), []);
+    }
+    let findings = reported(&handle(&mut agent, ms(100), Event::Tick));
+    assert_eq!(findings.len(), 1);
+    assert!((0..3).all(|index| findings[0].returned.contains(index)));
+}
+
+/// Returns an agent that knows others, after an entry asked it to search.
+fn searching_agent(others: &[TargetId], has_down_agent: bool) -> (Agent, Vec<Action>) {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(0), None, 1);
+    let hops = others.iter().map(|id| hop(*id)).collect();
+    let peers = Peers {
+        hops: Arc::new(hops),
+        has_down_agent,
+    };
+    handle(&mut agent, ms(0), Event::Peers(peers));
+    let actions = handle(&mut agent, ms(100), Event::SearchBatch(search(&[9], 0)));
+    (agent, actions)
+}
+
+/// Answers a search as another agent that denies the flow.
+fn answer(agent: &mut Agent, now: Duration, target: TargetId) -> Vec<Action> {
+    let mut other = Agent::new(Settings::default(), hop(target), false, ms(0));
+    let first = announcement(target, 1, 1, State::Ready);
+    handle(&mut other, ms(0), Event::Announcement(first));
+    let mut asked = search(&[9], 0);
+    asked.target = target;
+    let answer = Answer {
+        entry: entry_address(),
+        batch: BATCH,
+        findings: ask(&mut other, now, asked),
+    };
+    handle(agent, now, Event::Answer(answer))
+}
+
+#[test]
+fn searching_agent_asks_all_others_and_reports_all_answers_together() {
+    let (mut agent, actions) = searching_agent(&[2, 3], false);
+    let asked = actions.iter().filter(|action| {
+        matches!(action, Action::Send { transit: Transit::LookupBatch(lookup), .. }
+            if lookup.search.target != OWN)
+    });
+    assert_eq!(asked.count(), 2);
+    assert_eq!(reported(&actions), []);
+    assert_eq!(reported(&answer(&mut agent, ms(101), 2)), []);
+    let findings = reported(&answer(&mut agent, ms(102), 3));
+    let mut targets: Vec<TargetId> = findings.iter().map(|found| found.agent.target).collect();
+    targets.sort_unstable();
+    assert_eq!(targets, [1, 2, 3]);
+    assert!(findings.iter().all(|found| found.denies(0)));
+}
+
+/// The answers of the others do not wait for an agent that is gone, and its own is
+/// not made up.
+#[test]
+fn silent_agent_delays_the_report_briefly_and_is_not_in_it() {
+    let (mut agent, _) = searching_agent(&[2, 3], false);
+    answer(&mut agent, ms(101), 2);
+    let findings = reported(&handle(&mut agent, ms(140), Event::Tick));
+    let targets: Vec<TargetId> = findings.iter().map(|found| found.agent.target).collect();
+    assert_eq!(targets, [1, 2]);
+    let late = reported(&answer(&mut agent, ms(300), 3));
+    assert_eq!(late.len(), 1, "a late answer should be reported too");
+}
+
+#[test]
+fn answer_counts_the_known_agents_and_names_doubt() {
+    let (mut agent, _) = searching_agent(&[2, 3], true);
+    let findings = ask(&mut agent, ms(200), search(&[9], 0));
+    assert_eq!((findings.known_agents, findings.has_down_agent), (3, true));
+}
+
+/// Flows that a restarted server accepted before its first announcement arrived were
+/// ended by it, and reset while they were alive.
+#[test]
+fn late_announcement_keeps_the_flows_that_the_new_server_accepted() {
+    let mut agent = ready_agent(false);
+    let event = Event::Announcement(announcement(OWN, 1, 8, State::Ready));
+    handle(&mut agent, ms(7_000), event);
+    send_open(&mut agent, ms(7_900), 8, open_frame(&[OWN]));
+    accept_flow(&mut agent, ms(7_901), 8);
+    let event = Event::Announcement(announcement(OWN, 1, 11, State::Ready));
+    handle(&mut agent, ms(9_700), event);
+    send_open(&mut agent, ms(9_800), 9, open_frame(&[OWN]));
+    accept_flow(&mut agent, ms(9_801), 9);
+    let event = Event::Announcement(Announcement {
+        age: Some(ms(300)),
+        ..announcement(OWN, 2, 1, State::Ready)
+    });
+    handle(&mut agent, ms(10_000), event);
+    let findings = ask(&mut agent, ms(10_001), search(&[8, 9], 0));
+    assert!(findings.denies(0) && !findings.held.contains(0));
+    assert!(findings.held.contains(1));
+}
