Tests: server older than its agent, older server that restarts

search_waits_for_a_probe_of_its_own_server announced a server that may have run for a second before its agent, which no longer proves a common failure; it now states an age of 300 ms, and the case without one is tested to report nothing.

--- a/roles/forward/tests/batch_agent.rs
+++ b/roles/forward/tests/batch_agent.rs
@@ -134,6 +134,18 @@
     );
 }
 
+/// No earlier process ran beside the server, whenever its announcement arrives.
+#[test]
+fn agent_that_started_before_its_server_denies() {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(5_000), Some(ms(950)), 2);
+    assert!(
+        ask(&mut agent, ms(5_001), search(&[9], 0))
+            .complete
+            .contains(0)
+    );
+}
+
 /// The clock of the host was set back: the server cannot have repeated its call so
 /// often within its age.
 #[test]
--- a/roles/forward/tests/search.rs
+++ b/roles/forward/tests/search.rs
@@ -215,7 +215,10 @@
 #[test]
 fn search_waits_for_a_probe_of_its_own_server() {
     let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
-    let second = announcement(OWN, 1, 2, State::Ready);
+    let second = Announcement {
+        age: Some(ms(300)),
+        ..announcement(OWN, 1, 2, State::Ready)
+    };
     handle(&mut agent, ms(0), Event::Announcement(second));
     set_peers(&mut agent, &[2], false);
     assert!(delivers(&send_search(&mut agent, ms(100), 2, MAX_AGE)));
@@ -243,6 +246,23 @@
     assert_eq!(asked_agents(&actions), []);
 }
 
+/// The server has been running for up to a second longer than this agent, which was
+/// therefore restarted by itself, and so may others be that the entry does not know.
+#[test]
+fn search_reports_nothing_if_its_own_server_ran_well_before_the_agent() {
+    let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
+    let second = announcement(OWN, 1, 2, State::Ready);
+    handle(&mut agent, ms(0), Event::Announcement(second));
+    set_peers(&mut agent, &[2], false);
+    assert!(delivers(&send_search(&mut agent, ms(100), 2, MAX_AGE)));
+    receive_denial(&mut agent, ms(101), 2, 500);
+    let event = Event::ServerPacket {
+        segment: returned_segment(9, Kind::Data),
+        packet: packet(),
+    };
+    assert!(!reports_holder_absent(&handle(&mut agent, ms(102), event)));
+}
+
 /// A server whose first calls fail repeats them at once, so that it makes its third
 /// announcement within a second of its start. Its denials did not count, and callers
 /// of flows that had ended waited for their deadlines.
--- a/roles/forward/tests/undecided.rs
+++ b/roles/forward/tests/undecided.rs
@@ -25,8 +25,7 @@
 use wire::segment::Kind;
 use wire::target::State;
 
-/// Time after which a flow is searched for in batches: three searches of its own have
-/// ended by then, or too many flows are searched for.
+/// Number of flows, more than are searched for one by one.
 const FLOWS: u16 = 50;
 
 const SERVERS: [TargetId; 3] = [1, 2, 3];
@@ -263,7 +262,20 @@
     assert!(age(Some(3_000)) > 0);
 }
 
-/// Until now, an entry that had run for long never reset a flow without a holder.
+/// A server that was older when the entry started has restarted since. That says
+/// nothing about the servers that the entry does not know.
+#[test]
+fn restart_of_an_older_server_proves_no_common_failure() {
+    let (mut entry, search) = with_undecided_flows(routes(targets()), KNOWN);
+    let mut old = denials(&search)[..1].to_vec();
+    old[0].age_ms = Some(60_000);
+    report(&mut entry, KNOWN + ms(20), &search, old);
+    let mut actions = report(&mut entry, KNOWN + ms(30), &search, denials(&search));
+    actions.extend(tick(&mut entry, KNOWN + ms(40), KNOWN + ms(240)));
+    assert_eq!(resets(&actions), []);
+}
+
+/// Callers of flows that ended while the entry was running waited for their deadlines.
 #[test]
 fn flow_without_a_holder_is_reset_at_an_entry_that_runs_for_long() {
     let later = Settings::default().stale_flow_window + ms(1_000);
