--- a/roles/app/src/forwarder/class.rs
+++ b/roles/app/src/forwarder/class.rs
@@ -81,7 +81,11 @@
             Transit::NotHeld(_)
             | Transit::Held(_)
             | Transit::HolderAbsent(_)
-            | Transit::Busy(_) => control(bytes),
+            | Transit::Busy(_)
+            | Transit::SearchBatch(_)
+            | Transit::LookupBatch(_)
+            | Transit::Answer(_)
+            | Transit::Report(_) => control(bytes),
         }
     }
 
--- a/roles/app/src/forwarder/telemetry.rs
+++ b/roles/app/src/forwarder/telemetry.rs
@@ -21,6 +21,8 @@
     pub request_time: Histogram<u64>,
     /// Microseconds for which a datagram waited for room on the network link.
     pub link_time: Histogram<u64>,
+    /// Microseconds from the first packet of a flow that has ended to its reset.
+    pub ended_time: Histogram<u64>,
 }
 
 impl Telemetry {
@@ -38,6 +40,7 @@
             search_time: instruments.histogram("carried.search.time")?,
             request_time: instruments.histogram("carried.request.time")?,
             link_time: instruments.histogram("carried.link.wait")?,
+            ended_time: instruments.histogram("carried.ended.time")?,
         })
     }
 }
--- a/roles/app/src/forwarder/usage.rs
+++ b/roles/app/src/forwarder/usage.rs
@@ -78,13 +78,21 @@
             (Transit::Forward(_), Role::Gateway) => Self::Data,
             (Transit::Open(_) | Transit::Forward(_), _) => Self::Forwarded,
             (Transit::Lookup(lookup), _) if lookup.terms.may_probe => Self::Probe,
-            (Transit::Search(_) | Transit::Lookup(_), _) => Self::Search,
+            (
+                Transit::Search(_)
+                | Transit::Lookup(_)
+                | Transit::SearchBatch(_)
+                | Transit::LookupBatch(_),
+                _,
+            ) => Self::Search,
             (Transit::NotHeld(denial), _) if !denial.packet.is_empty() => Self::Forwarded,
             (
                 Transit::NotHeld(_)
                 | Transit::Held(_)
                 | Transit::HolderAbsent(_)
-                | Transit::Busy(_),
+                | Transit::Busy(_)
+                | Transit::Answer(_)
+                | Transit::Report(_),
                 _,
             ) => Self::Report,
         }
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -144,6 +144,12 @@
     gauge("carried.link.load", "By/s", "bytes per second that were to be sent over the network link"),
     counter("carried.rotation.changes", "{change}", "times that a gateway left the rotation of its zone because its network link stayed full, or rejoined it"),
     histogram("carried.link.wait", "us", "time for which packets waited for room on the network link"),
+    // Gateways and sidecars: flows whose server has ended.
+    counter("carried.batches", "{batch}", "searches for the holders of many flows at a gateway, by outcome"),
+    counter("carried.flows.ended", "{flow}", "flows that a gateway found to have ended, by kind of proof"),
+    counter("carried.flows.undecided", "{flow}", "flows that a gateway dropped undecided when their callers gave up"),
+    gauge("carried.undecided", "{flow}", "flows that a gateway keeps because their holder is unknown"),
+    histogram("carried.ended.time", "us", "time from the first packet of a flow that has ended to its reset"),
     // Agents.
     gauge("weight", "{request}/s", "learned capacity, as announced"),
 ];
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -8,6 +8,7 @@
 mod action;
 mod admission;
 mod backend;
+mod batch;
 mod bid;
 mod evacuation;
 mod expiring_map;
@@ -49,6 +50,7 @@
 use admission::Passed;
 pub use backend::Announcement;
 pub use backend::State;
+use batch::Batches;
 pub use bid::Bid;
 use expiring_map::ExpiringMap;
 use flow::Flow;
@@ -92,6 +94,12 @@
         /// Header of the packet in the frame.
         segment: Segment,
     },
+    /// An entry asks this agent to search for the holders of many flows.
+    SearchBatch(wire::batch::Search),
+    /// A searching agent asks which of many flows are held here.
+    LookupBatch(wire::batch::Lookup),
+    /// Another agent answers which of many flows it holds.
+    Answer(wire::batch::Answer),
     /// Another agent reports that it does not hold a flow that is searched for
     /// here.
     PeerDenied(NotHeld),
@@ -134,6 +142,12 @@
     /// and the longest time for which the server can have been running then.
     first_announced: Duration,
     max_age_when_first_announced: Duration,
+    /// The longest of all estimates of that time. Holds even if the server was
+    /// suspended between two announcements, or its clock was set back.
+    longest_age_when_first_announced: Duration,
+    /// Whether no earlier announcement of the current backend server can have been
+    /// answered.
+    hears_first_answered_announcement: bool,
     /// Time of the first opening packet that the backend server has not reacted
     /// to.
     unanswered_since: Option<Duration>,
@@ -155,6 +169,7 @@
     ended_flows: ExpiringMap<()>,
     peers: Peers,
     searches: HashMap<FlowId, Pending>,
+    batches: Batches,
     /// Callers' packets that carried only content seen before.
     repeated_packets: u64,
     next_sweep_at: Duration,
@@ -175,6 +190,14 @@
 /// receives it has seen every flow that the server ever had.
 const FIRST_SEQUENCE: u64 = 1;
 
+/// Maximum number of announcements that a backend server has made when the first is
+/// answered, for that to be certain: it repeats a call that fails, but not that often.
+const MAX_UNANSWERED_ANNOUNCEMENTS: u64 = 6;
+
+/// Share of the announcement interval within which a backend server makes a further
+/// announcement only if the last one was not answered.
+const UNANSWERED_SHARE: f64 = 0.8;
+
 /// Maximum number of flows that wait for a slot. Each takes the size of its opening
 /// frame, some 300 bytes.
 const MAX_WAITING: usize = 1024;
@@ -196,6 +219,8 @@
             last_announced: now,
             first_announced: now,
             max_age_when_first_announced: Duration::ZERO,
+            longest_age_when_first_announced: Duration::ZERO,
+            hears_first_answered_announcement: false,
             unanswered_since: None,
             presence: Presence::new(now),
             is_stopping: false,
@@ -212,6 +237,7 @@
             ended_flows: ExpiringMap::new(settings.max_flow_age),
             peers: Peers::default(),
             searches: HashMap::new(),
+            batches: Batches::default(),
             repeated_packets: 0,
             next_sweep_at: now + settings.sweep_interval,
             settings,
@@ -230,6 +256,9 @@
             }
             Event::Search { search, segment } => self.handle_search(now, search, segment, actions),
             Event::Lookup { lookup, segment } => self.handle_lookup(now, lookup, segment, actions),
+            Event::SearchBatch(search) => self.handle_search_batch(now, search, actions),
+            Event::LookupBatch(lookup) => self.handle_lookup_batch(now, lookup, actions),
+            Event::Answer(answer) => self.handle_answer(now, answer, actions),
             Event::PeerDenied(denial) => self.record_peer_denial(now, &denial, actions),
             Event::Peers(peers) => self.peers = peers,
             Event::Evacuation(evacuation) => self.evacuation = evacuation,
@@ -252,6 +281,7 @@
             self.next_sweep_at = now + self.settings.sweep_interval;
             self.sweep(now, actions);
         }
+        self.report_batches(now, actions);
         if !self.waiting.is_empty() {
             self.admit_waiting(now, actions);
         }
@@ -454,6 +484,7 @@
         self.ended_flows.expire(now);
         self.probes.expire(now);
         self.expire_searches(now, actions);
+        self.expire_batches(now);
     }
 }
 
--- a/roles/forward/tests/simulation/evacuation.rs
+++ b/roles/forward/tests/simulation/evacuation.rs
@@ -112,7 +112,7 @@
         let agents = agents.into_iter().map(Process::Agent);
         for process in agents.chain((0..self.entries.len()).map(Process::Entry)) {
             let wait = ms(self.rng.u64(0..MAX_LEARNING_MS));
-            self.schedule(wait, Event::Learn(process, request.clone()));
+            self.schedule(wait, Event::LearnZones(process, request.clone()));
         }
     }
 
@@ -155,7 +155,7 @@
         }
         if self.zones.request.number > 0 {
             let wait = ms(self.rng.u64(0..MAX_START_MS));
-            self.schedule(wait, Event::Learn(process, self.zones.request.clone()));
+            self.schedule(wait, Event::LearnZones(process, self.zones.request.clone()));
         }
     }
 
