Evacuation of zones in the product's own protocol: operate evacuate, restore and zones

Entries store the request under greengagelug/evacuation/ZONE, read the zones at two entries of each zone, and assign new flows to others, as for a drained zone; so do agents.

--- a/coordination/config/src/evacuation.rs
+++ b/coordination/config/src/evacuation.rs
@@ -15,7 +15,9 @@
 use wire::Revision;
 use wire::ZoneId;
 
+use crate::Listing;
 use crate::era;
+use crate::key;
 
 /// Time for which a zone stays evacuated that a restored store no longer lists.
 /// The copy may be older than the evacuation, and operators write their keys again
@@ -29,6 +31,14 @@
     pub zones: BTreeMap<ZoneId, Revision>,
 }
 
+/// Value of the key of a zone in the product's own protocol. A key stays when its
+/// zone is restored, because the store has no conditional deletion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// Whether the zone is evacuated.
+    pub is_evacuated: bool,
+}
+
 /// Determines the evacuated zones that are in force in one process, from the lists
 /// that reach it in any order.
 #[derive(Clone, Debug, Default)]
@@ -49,6 +59,21 @@
 }
 
 impl Evacuations {
+    /// Decodes a list of the keys under [`key::EVACUATION_PREFIX`]. Keys and values
+    /// that cannot be decoded are left out.
+    #[must_use]
+    pub fn from_listing(listing: &Listing) -> Self {
+        let items = listing.items.iter();
+        let zones = items.filter_map(|item| {
+            let request: Request = serde_json::from_slice(&item.value).ok()?;
+            let zone = key::evacuated_zone(&item.key)?;
+            request.is_evacuated.then_some((zone, item.revision))
+        });
+        Self {
+            zones: zones.collect(),
+        }
+    }
+
     /// Encodes the zones as the body of a gossiped record.
     ///
     /// # Errors
--- a/coordination/config/src/follower.rs
+++ b/coordination/config/src/follower.rs
@@ -97,6 +97,7 @@
 #[derive(Debug)]
 pub struct Follower {
     settings: Settings,
+    /// Empty if only a prefix is followed.
     key: String,
     /// Prefix that is listed in place of reading the key.
     prefix: Option<String>,
@@ -141,6 +142,12 @@
         self
     }
 
+    /// Creates a follower of all keys under a prefix, none of which is ever deleted.
+    #[must_use]
+    pub fn of_prefix(settings: Settings, prefix: impl Into<String>, seed: u64) -> Self {
+        Self::new(settings, "", seed).with_prefix(prefix)
+    }
+
     /// Returns the followed key.
     #[must_use]
     pub fn key(&self) -> &str {
@@ -236,7 +243,7 @@
     ) -> Outcome {
         let item = listing.items.iter().find(|item| item.key == self.key);
         let item = item.cloned();
-        self.lacked_key = item.is_none() && !listing.items.is_empty();
+        self.lacked_key = item.is_none() && !self.key.is_empty() && !listing.items.is_empty();
         Outcome {
             restored,
             listing: self.prefix.as_ref().map(|_| listing),
--- a/coordination/config/src/key.rs
+++ b/coordination/config/src/key.rs
@@ -18,6 +18,9 @@
 /// Prefix of the change markers of all buckets.
 pub const MARKER_PREFIX: &str = "greengagelug/changed/";
 
+/// Prefix of the keys of the zones that operators have evacuated or restored.
+pub const EVACUATION_PREFIX: &str = "greengagelug/evacuation/";
+
 /// Prefix of the reader locks of all zones.
 const READER_LOCK_PREFIX: &str = "greengagelug/reader/";
 
@@ -62,6 +65,18 @@
     (bucket < BUCKETS).then_some(bucket)
 }
 
+/// Returns the key under which the evacuation of a zone is stored.
+#[must_use]
+pub fn evacuation(zone: ZoneId) -> String {
+    format!("{EVACUATION_PREFIX}{zone}")
+}
+
+/// Returns the zone of the key of an evacuation.
+#[must_use]
+pub fn evacuated_zone(key: &str) -> Option<ZoneId> {
+    key.strip_prefix(EVACUATION_PREFIX)?.parse().ok()
+}
+
 /// Returns the key of a zone's reader lock with this number. The entry that
 /// holds it by a lease reads the configuration from the store.
 #[must_use]
--- a/protocol/api/src/gen/greengagelug.operator.v1.rs
+++ b/protocol/api/src/gen/greengagelug.operator.v1.rs
@@ -285,6 +285,61 @@
     #[prost(uint32, tag = "3")]
     pub malformed: u32,
 }
+/// Request to evacuate or restore an availability zone.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EvacuateRequest {
+    /// The zone.
+    #[prost(uint32, tag = "1")]
+    pub zone: u32,
+    /// True to evacuate it, false to restore it.
+    #[prost(bool, tag = "2")]
+    pub on: bool,
+}
+/// Result of evacuating or restoring a zone.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EvacuateReply {
+    #[prost(oneof = "evacuate_reply::Result", tags = "1, 2, 3")]
+    pub result: ::core::option::Option<evacuate_reply::Result>,
+}
+/// Nested message and enum types in `EvacuateReply`.
+pub mod evacuate_reply {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Result {
+        /// The request is stored, and in force in all processes within seconds. Names
+        /// the revision since which it is.
+        #[prost(message, tag = "1")]
+        Stored(super::EvacuatedZone),
+        /// The request is invalid. Nothing was applied.
+        #[prost(message, tag = "2")]
+        Invalid(super::Invalid),
+        /// The key-value service did not answer.
+        #[prost(message, tag = "3")]
+        Unavailable(super::Unavailable),
+    }
+}
+/// Request for the evacuated zones.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ZonesRequest {}
+/// The evacuated zones.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ZonesReply {
+    /// The zones, ordered by number.
+    #[prost(message, repeated, tag = "1")]
+    pub zones: ::prost::alloc::vec::Vec<EvacuatedZone>,
+    /// Set where the key-value service did not answer; zones is then empty.
+    #[prost(message, optional, tag = "2")]
+    pub unavailable: ::core::option::Option<Unavailable>,
+}
+/// A zone that was evacuated or restored.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EvacuatedZone {
+    /// The zone.
+    #[prost(uint32, tag = "1")]
+    pub zone: u32,
+    /// Revision at which the request was stored.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+}
 /// Request for the state of the system.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StatusRequest {}
@@ -715,6 +770,53 @@
                 .insert(GrpcMethod::new("greengagelug.operator.v1.Operator", "List"));
             self.inner.unary(req, path, codec).await
         }
+        /// Evacuates an availability zone, whose backend servers then get no new flows of
+        /// any service, or restores it. May be repeated without further effect.
+        pub async fn evacuate(
+            &mut self,
+            request: impl tonic::IntoRequest<super::EvacuateRequest>,
+        ) -> std::result::Result<tonic::Response<super::EvacuateReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/greengagelug.operator.v1.Operator/Evacuate",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(
+                    GrpcMethod::new("greengagelug.operator.v1.Operator", "Evacuate"),
+                );
+            self.inner.unary(req, path, codec).await
+        }
+        /// Reads the evacuated zones from the platform's key-value service.
+        pub async fn zones(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ZonesRequest>,
+        ) -> std::result::Result<tonic::Response<super::ZonesReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/greengagelug.operator.v1.Operator/Zones",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("greengagelug.operator.v1.Operator", "Zones"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Reports processes, backend servers, counters and the revisions in force, as
         /// known to the entry that answers. Works without the key-value service.
         pub async fn status(
@@ -773,6 +875,17 @@
             &self,
             request: tonic::Request<super::ListRequest>,
         ) -> std::result::Result<tonic::Response<super::ListReply>, tonic::Status>;
+        /// Evacuates an availability zone, whose backend servers then get no new flows of
+        /// any service, or restores it. May be repeated without further effect.
+        async fn evacuate(
+            &self,
+            request: tonic::Request<super::EvacuateRequest>,
+        ) -> std::result::Result<tonic::Response<super::EvacuateReply>, tonic::Status>;
+        /// Reads the evacuated zones from the platform's key-value service.
+        async fn zones(
+            &self,
+            request: tonic::Request<super::ZonesRequest>,
+        ) -> std::result::Result<tonic::Response<super::ZonesReply>, tonic::Status>;
         /// Reports processes, backend servers, counters and the revisions in force, as
         /// known to the entry that answers. Works without the key-value service.
         async fn status(
@@ -1029,6 +1142,92 @@
                     };
                     Box::pin(fut)
                 }
+                "/greengagelug.operator.v1.Operator/Evacuate" => {
+                    #[allow(non_camel_case_types)]
+                    struct EvacuateSvc<T: Operator>(pub Arc<T>);
+                    impl<T: Operator> tonic::server::UnaryService<super::EvacuateRequest>
+                    for EvacuateSvc<T> {
+                        type Response = super::EvacuateReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::EvacuateRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operator>::evacuate(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = EvacuateSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/greengagelug.operator.v1.Operator/Zones" => {
+                    #[allow(non_camel_case_types)]
+                    struct ZonesSvc<T: Operator>(pub Arc<T>);
+                    impl<T: Operator> tonic::server::UnaryService<super::ZonesRequest>
+                    for ZonesSvc<T> {
+                        type Response = super::ZonesReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ZonesRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operator>::zones(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ZonesSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/greengagelug.operator.v1.Operator/Status" => {
                     #[allow(non_camel_case_types)]
                     struct StatusSvc<T: Operator>(pub Arc<T>);
--- a/roles/app/src/agent/control.rs
+++ b/roles/app/src/agent/control.rs
@@ -10,6 +10,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use config::Binding;
+use config::Evacuations;
 use futures_lite::FutureExt;
 use member::Action;
 use member::Announcer;
@@ -22,6 +23,7 @@
 
 use crate::agent;
 use crate::directory;
+use crate::evacuation;
 use crate::event;
 
 /// Longest sleep when no deadline is pending.
@@ -75,6 +77,10 @@
     pub changed: bool,
     /// Whether a newer agent of the same backend server is known.
     pub superseded: bool,
+    /// Determines the evacuated zones.
+    pub evacuation: evacuation::Tracker,
+    /// Evacuated zones in the view that was last sent to the core.
+    pub evacuated: Evacuations,
 }
 
 impl Control {
@@ -100,6 +106,7 @@
             self.announcer.tick(self.origin.elapsed(), &mut actions);
             self.send(&mut actions);
             self.changed |= self.announcer.take_changed();
+            self.update_evacuation();
             if self.changed && self.can_publish() {
                 self.changed = false;
                 self.publish().await;
@@ -149,12 +156,27 @@
         }
     }
 
+    /// Applies the evacuated zones that entries sent.
+    fn update_evacuation(&mut self) {
+        let now = self.origin.elapsed();
+        let record = self.announcer.take_broadcast();
+        if let Some((revision, listed)) = record.as_ref().and_then(evacuation::decode_record) {
+            self.evacuation.observe(now, revision, listed);
+        }
+        let evacuated = self.evacuation.in_force(now);
+        if evacuated != self.evacuated {
+            self.evacuated = evacuated;
+            self.changed = true;
+        }
+    }
+
     /// Sends the core the current view of its service.
     async fn publish(&mut self) {
         let view = self.announcer.view();
         let Some(service) = directory::service(view) else {
             return;
         };
+        let service = directory::evacuate(service, &self.evacuated);
         let targets = directory::targets(view, &service);
         let drained = targets
             .iter()
--- a/roles/app/src/directory.rs
+++ b/roles/app/src/directory.rs
@@ -1,4 +1,6 @@
 //! Service configurations and targets taken from views of the membership protocol.
+use config::Drained;
+use config::Evacuations;
 use config::Service;
 use member::Health;
 use member::View;
@@ -26,6 +28,14 @@
         .collect()
 }
 
+/// Adds the evacuated zones to those that operators drain for this service.
+#[must_use]
+pub fn evacuate(mut service: Service, evacuated: &Evacuations) -> Service {
+    let zones = evacuated.zones.keys().copied();
+    service.drained.extend(zones.map(Drained::Zone));
+    service
+}
+
 fn apply_drain(mut target: Target, service: &Service) -> Target {
     if service.is_drained(target.id, target.zone) {
         target.state = State::Draining;
--- a/roles/app/src/entry.rs
+++ b/roles/app/src/entry.rs
@@ -5,6 +5,7 @@
 pub mod config_reader;
 pub mod control;
 pub mod discovery;
+pub mod evacuation_reader;
 pub mod frontend;
 pub mod status;
 pub mod traffic;
@@ -89,6 +90,14 @@
             inputs_sender.clone(),
         ))
         .detach();
+    let ranking = Ranking::new(settings, events_sender.clone());
+    executor
+        .spawn(evacuation_reader::run(
+            store.clone(),
+            ranking.rank(),
+            inputs_sender.clone(),
+        ))
+        .detach();
     let context = operator::Context {
         store,
         snapshot: status::Source {
@@ -114,8 +123,10 @@
         instruments: Instruments::default(),
         tracker: Tracker::default(),
         discovery: Discovery::default(),
-        ranking: Ranking::new(settings, events_sender),
+        ranking,
         listeners: HashMap::new(),
+        evacuation: crate::evacuation::Tracker::default(),
+        evacuated: config::Evacuations::default(),
     };
     executor.run(control.run().or(stopping)).await;
     Ok(())
@@ -135,6 +146,7 @@
         now,
     );
     registry.join(now, &settings.peers);
+    registry.request_service(now, member::BROADCAST_ADDRESS);
     registry
 }
 
--- a/roles/app/src/entry/config_reader.rs
+++ b/roles/app/src/entry/config_reader.rs
@@ -2,6 +2,9 @@
 //! reader lock of its zone.
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -29,7 +32,7 @@
 pub struct Ranking {
     own: SocketAddr,
     zone: ZoneId,
-    rank: usize,
+    rank: Arc<AtomicUsize>,
     due: Duration,
     events: Sender<Event>,
 }
@@ -41,12 +44,18 @@
         Self {
             own: settings.listen,
             zone: settings.zone,
-            rank: first_rank(settings),
+            rank: Arc::new(AtomicUsize::new(first_rank(settings))),
             due: Duration::ZERO,
             events,
         }
     }
 
+    /// Returns the rank, which changes with the live entries.
+    #[must_use]
+    pub fn rank(&self) -> Arc<AtomicUsize> {
+        Arc::clone(&self.rank)
+    }
+
     /// Checks the rank if the check is due, and reports a change.
     pub fn tick(&mut self, now: Duration, registry: &Registry) {
         if now < self.due {
@@ -59,8 +68,9 @@
             .filter(|entry| entry.zone == self.zone && live.contains(&entry.address))
             .map(|entry| entry.address);
         let rank = reader::rank(self.own, zone);
-        if rank != self.rank && self.events.try_send(Event::Rank(rank)).is_ok() {
-            self.rank = rank;
+        let is_changed = rank != self.rank.load(Ordering::Relaxed);
+        if is_changed && self.events.try_send(Event::Rank(rank)).is_ok() {
+            self.rank.store(rank, Ordering::Relaxed);
         }
     }
 }
--- a/roles/app/src/entry/control.rs
+++ b/roles/app/src/entry/control.rs
@@ -12,15 +12,18 @@
 use async_channel::Sender;
 use async_io::Timer;
 use bytes::Bytes;
+use config::Evacuations;
 use config::Update;
 use futures_lite::FutureExt;
 use member::Action;
+use member::BROADCAST_ADDRESS;
 use member::Message;
 use member::Registry;
 use net::Port;
 use route::Order;
 use smol::Task;
 use wire::Frame;
+use wire::Revision;
 use wire::ServiceAddress;
 
 use crate::change::Tracker;
@@ -30,6 +33,7 @@
 use crate::entry::discovery::Outcome;
 use crate::entry::status;
 use crate::entry::traffic::Traffic;
+use crate::evacuation;
 use crate::event::Event;
 use crate::metric;
 use crate::metric::Instruments;
@@ -49,6 +53,13 @@
     },
     /// A service configuration read from the store or accepted from an operator.
     Update(Update),
+    /// The evacuated zones, read from the store.
+    Evacuations {
+        /// The zones.
+        evacuations: Evacuations,
+        /// Index of the store at which they were listed.
+        index: Revision,
+    },
     /// A request for the state of the system, made by an operator.
     Status(Sender<StatusReply>),
     /// A request for the metrics.
@@ -81,6 +92,10 @@
     pub ranking: Ranking,
     /// Tasks that read the service addresses bound by this entry.
     pub listeners: HashMap<ServiceAddress, Task<()>>,
+    /// Determines the evacuated zones.
+    pub evacuation: evacuation::Tracker,
+    /// Evacuated zones that the routes were built with.
+    pub evacuated: Evacuations,
 }
 
 impl Control {
@@ -108,9 +123,12 @@
                 }
             }
             Some(Input::Update(update)) => self.update_config(now, &update),
+            Some(Input::Evacuations { evacuations, index }) => {
+                evacuation::put(&mut self.registry, now, &evacuations, index);
+            }
             Some(Input::Status(reply)) => {
                 let samples = self.samples();
-                let _ = reply.try_send(status::describe(&self.registry, &samples));
+                let _ = reply.try_send(status::describe(&self.registry, &self.evacuated, &samples));
             }
             Some(Input::UnknownService(address)) => self.discover(now, address),
             Some(Input::Leave) => self.registry.leave(now, actions),
@@ -127,7 +145,20 @@
                 self.port.send(to, &Frame::Control(payload));
             }
         }
-        let changes = self.registry.take_changes();
+        let mut changes = self.registry.take_changes();
+        if let Some(position) = changes.iter().position(|one| *one == BROADCAST_ADDRESS) {
+            changes.swap_remove(position);
+            let record = self.registry.view(&BROADCAST_ADDRESS);
+            if let Some((revision, listed)) = record.and_then(evacuation::decode) {
+                self.evacuation.observe(now, revision, listed);
+            }
+        }
+        let evacuated = self.evacuation.in_force(now);
+        if evacuated != self.evacuated {
+            self.evacuated = evacuated;
+            changes = self.registry.views().map(|view| view.address).collect();
+            changes.retain(|address| *address != BROADCAST_ADDRESS);
+        }
         if !changes.is_empty() {
             self.rebuild_routes(now, &changes);
         }
@@ -265,6 +296,7 @@
     fn route(&self, address: ServiceAddress) -> Option<Service> {
         let view = self.registry.view(&address)?;
         let service = directory::service(view)?;
+        let service = directory::evacuate(service, &self.evacuated);
         let targets = directory::targets(view, &service);
         let revision = view.config.as_ref().map_or(0, |config| config.revision);
         let hunt = usize::from(service.hunt);
--- a/roles/app/src/entry/status.rs
+++ b/roles/app/src/entry/status.rs
@@ -7,11 +7,13 @@
 use api::operator::StatusReply;
 use api::operator::TargetStatus;
 use async_channel::Sender;
+use config::Evacuations;
 use config::Service;
 use config::Update;
 use member::Registry;
 use member::View;
 use member::view::Member;
+use wire::Revision;
 use wire::target::State;
 
 use crate::directory;
@@ -30,6 +32,11 @@
         let _ = self.control.send(Input::Update(update)).await;
     }
 
+    async fn evacuate(&self, evacuations: Evacuations, index: Revision) {
+        let input = Input::Evacuations { evacuations, index };
+        let _ = self.control.send(input).await;
+    }
+
     async fn status(&self) -> StatusReply {
         let (reply, status) = async_channel::bounded(1);
         let _ = self.control.send(Input::Status(reply)).await;
@@ -39,7 +46,7 @@
 
 /// Returns the state of the system as this entry knows it.
 #[must_use]
-pub fn describe(registry: &Registry, samples: &[Sample]) -> StatusReply {
+pub fn describe(registry: &Registry, evacuated: &Evacuations, samples: &[Sample]) -> StatusReply {
     let services: Vec<InForce> = registry.views().filter_map(in_force).collect();
     let processes = registry
         .entries()
@@ -52,7 +59,10 @@
             ..Process::default()
         })
         .collect();
-    let targets = registry.views().flat_map(targets).collect();
+    let targets = registry
+        .views()
+        .flat_map(|view| targets(view, evacuated))
+        .collect();
     StatusReply {
         processes,
         services,
@@ -71,8 +81,9 @@
     })
 }
 
-fn targets(view: &View) -> Vec<TargetStatus> {
+fn targets(view: &View, evacuated: &Evacuations) -> Vec<TargetStatus> {
     let service = directory::service(view);
+    let service = service.map(|service| directory::evacuate(service, evacuated));
     view.targets
         .values()
         .map(|member| target(member, service.as_ref()))
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -25,8 +25,8 @@
 use wire::ServiceAddress;
 
 use crate::change::Tracker;
+use crate::evacuation;
 use crate::event::Event as LogEvent;
-use crate::gateway::evacuation;
 use crate::gateway::evacuation::Evacuation;
 use crate::gateway::routes;
 use crate::gateway::routes::Builder;
@@ -113,7 +113,7 @@
             },
             Some(Input::Document(bytes)) => self.update_document(now, bytes),
             Some(Input::Evacuations { evacuations, index }) => {
-                self.update_evacuations(now, &evacuations, index);
+                evacuation::put(&mut self.registry, now, &evacuations, index);
             }
             Some(Input::Peers(peers)) => self.join_listed(now, &peers),
             Some(Input::Leave) => self.registry.leave(now, actions),
@@ -248,25 +248,4 @@
         };
         self.registry.put_service(now, service);
     }
-
-    /// Gossips the evacuated zones that the store lists, if they have changed.
-    fn update_evacuations(&mut self, now: Duration, listed: &Evacuations, index: Revision) {
-        let view = self.registry.view(&member::BROADCAST_ADDRESS);
-        let known = view.and_then(evacuation::decode);
-        let known = known.as_ref().map(|(revision, known)| (*revision, known));
-        if !listed.supersedes(index, known) {
-            return;
-        }
-        match listed.to_bytes() {
-            Ok(body) => {
-                let service = member::Service {
-                    address: member::BROADCAST_ADDRESS,
-                    revision: index,
-                    body: body.into(),
-                };
-                self.registry.put_service(now, service);
-            }
-            Err(error) => log::error!("cannot encode the evacuated zones: {error}"),
-        }
-    }
 }
--- a/roles/app/src/gateway/evacuation.rs
+++ b/roles/app/src/gateway/evacuation.rs
@@ -5,7 +5,6 @@
 
 use config::Evacuations;
 use config::era;
-use config::evacuation::Tracker;
 use forward::Routes;
 use member::View;
 use platform::name;
@@ -13,6 +12,8 @@
 use wire::ServiceAddress;
 
 use crate::clock;
+use crate::evacuation;
+use crate::evacuation::Tracker;
 use crate::event::Event;
 use crate::metric;
 use crate::metric::Instruments;
@@ -77,7 +78,7 @@
 
     /// Records the list in a gossiped record.
     pub fn observe(&mut self, now: Duration, view: Option<&View>) {
-        if let Some((revision, evacuations)) = view.and_then(decode) {
+        if let Some((revision, evacuations)) = view.and_then(evacuation::decode) {
             self.tracker.observe(now, revision, evacuations);
         }
     }
@@ -139,15 +140,3 @@
     let mut targets = routes.targets_of(service).peekable();
     targets.peek().is_some() && targets.all(|target| routes.evacuated_zones.contains(&target.zone))
 }
-
-/// Decodes the revision and the content of the gossiped record.
-pub fn decode(view: &View) -> Option<(Revision, Evacuations)> {
-    let record = view.config.as_ref()?;
-    match Evacuations::from_bytes(&record.body) {
-        Ok(evacuations) => Some((record.revision, evacuations)),
-        Err(error) => {
-            log::error!("cannot decode the gossiped evacuated zones: {error}");
-            None
-        }
-    }
-}
--- a/roles/app/src/lib.rs
+++ b/roles/app/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod directory;
 pub mod entry;
+pub mod evacuation;
 pub mod event;
 pub mod exit;
 pub mod forwarder;
--- a/roles/app/src/operator/args.rs
+++ b/roles/app/src/operator/args.rs
@@ -6,6 +6,7 @@
 use getopts::Matches;
 use getopts::Options;
 use thiserror::Error;
+use wire::ZoneId;
 
 /// Summary of the commands for the help of `operate`.
 pub const USAGE: &str = "\
@@ -20,7 +21,11 @@
   delete ADDRESS                     delete a service
   drain ADDRESS target:ID|zone:ID    open no new flows at a target or zone; existing
                                      ones continue
-  undrain ADDRESS target:ID|zone:ID  end a drain";
+  undrain ADDRESS target:ID|zone:ID  end a drain
+  evacuate ZONE                      open no new flows of any service in a zone;
+                                     existing ones continue
+  restore ZONE                       end the evacuation of a zone
+  zones                              show the evacuated zones with their revisions";
 
 /// Error in the command line of `operate`.
 #[derive(Debug, Display, Error)]
@@ -73,6 +78,15 @@
     Get,
     /// Show the revisions in force, the targets and the counters of an entry.
     Status,
+    /// Evacuate a zone or restore it.
+    Evacuate {
+        /// The zone.
+        zone: ZoneId,
+        /// Whether to evacuate it; otherwise it is restored.
+        on: bool,
+    },
+    /// Show the evacuated zones.
+    Zones,
     /// Create a service.
     Create(Fields),
     /// Change fields of a service.
@@ -246,6 +260,13 @@
             (Verb::List { deleted }, String::new())
         }
         "status" => (Verb::Status, String::new()),
+        "zones" => (Verb::Zones, String::new()),
+        "evacuate" | "restore" => {
+            let text = next("ZONE")?;
+            let zone = text.parse().map_err(|_| invalid("ZONE", &text))?;
+            let on = name == "evacuate";
+            (Verb::Evacuate { zone, on }, String::new())
+        }
         "get" => (Verb::Get, next("ADDRESS")?),
         "delete" => (Verb::Delete, next("ADDRESS")?),
         "create" => (Verb::Create(fields(&matches)?), next("ADDRESS")?),
--- a/roles/app/src/operator/command.rs
+++ b/roles/app/src/operator/command.rs
@@ -87,6 +87,18 @@
             let reply = client.get(schema::GetRequest { address }).await?;
             Ok(print::get(reply.into_inner()))
         }
+        args::Verb::Evacuate { zone, on } => {
+            let zone = zone.into();
+            command.retry = true;
+            let reply = client
+                .evacuate(schema::EvacuateRequest { zone, on })
+                .await?;
+            Ok(print::evacuate(&reply.into_inner(), on))
+        }
+        args::Verb::Zones => {
+            let reply = client.zones(schema::ZonesRequest {}).await?;
+            Ok(print::zones(&reply.into_inner()))
+        }
         args::Verb::Create(fields) => {
             let service = fields.apply(command.new_service());
             if command.expected.is_none() {
--- a/roles/app/src/operator/print.rs
+++ b/roles/app/src/operator/print.rs
@@ -4,9 +4,11 @@
 use api::operator as schema;
 use schema::change_reply::Result as Change;
 use schema::drained::Subject;
+use schema::evacuate_reply::Result as Evacuated;
 use schema::get_reply::Result as Found;
 
 use super::args::Command;
+use super::args::Verb;
 
 /// Output and result of a command.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -107,6 +109,46 @@
     done(lines)
 }
 
+/// Formats the reply to the evacuation or the restore of a zone.
+pub(super) fn evacuate(reply: &schema::EvacuateReply, on: bool) -> Output {
+    let state = if on { "evacuated" } else { "restored" };
+    match &reply.result {
+        Some(Evacuated::Stored(stored)) => line(
+            End::Done,
+            format!(
+                "zone {} {state} as of revision {}",
+                stored.zone, stored.revision
+            ),
+        ),
+        Some(Evacuated::Invalid(invalid)) => problems(invalid),
+        Some(Evacuated::Unavailable(unavailable)) => Output {
+            end: match unavailable.outcome() {
+                schema::Outcome::Unknown => End::Unknown,
+                _ => End::Unavailable,
+            },
+            ..refused(unavailable)
+        },
+        None => line(
+            End::Unknown,
+            "the entry's reply has no known result; upgrade the older of entry and command",
+        ),
+    }
+}
+
+/// Formats the evacuated zones.
+pub(super) fn zones(reply: &schema::ZonesReply) -> Output {
+    if let Some(unavailable) = &reply.unavailable {
+        return refused(unavailable);
+    }
+    let zones = reply.zones.iter();
+    done(zones.map(|zone| {
+        format!(
+            "zone {} evacuated as of revision {}",
+            zone.zone, zone.revision
+        )
+    }))
+}
+
 /// Formats the status that an entry reports.
 pub(super) fn status(reply: &schema::StatusReply) -> Output {
     let in_force = reply
@@ -197,6 +239,10 @@
 
 /// Returns the flags to repeat a change with, so that the reply tells its outcome.
 pub(super) fn retry_hint(command: &Command) -> String {
+    if let Verb::Evacuate { .. } = command.verb {
+        return "it may have been applied; repeat the command, which has no further effect then"
+            .to_owned();
+    }
     format!(
         "repeat it with --operation {} --expected {} --retry to learn its outcome",
         command.operation,
--- a/roles/app/src/operator/server.rs
+++ b/roles/app/src/operator/server.rs
@@ -7,16 +7,19 @@
 
 use api::operator as schema;
 use config::Change;
+use config::Evacuations;
 use config::Fault;
 use config::Problem;
 use config::Record;
 use config::Update;
 use config::change::Outcome;
 use config::change::Request as ChangeRequest;
+use config::evacuation;
 use config::jitter::jitter;
 use config::key;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
+use schema::evacuate_reply::Result as Evacuated;
 use schema::get_reply::Result as Found;
 use schema::operator_server::Operator;
 use schema::operator_server::OperatorServer;
@@ -26,10 +29,13 @@
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 use store::Store;
+use store::Swap;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
 use tonic::codegen::Service;
+use wire::Revision;
+use wire::ZoneId;
 
 use super::convert;
 use super::spawn::Spawner;
@@ -38,6 +44,9 @@
 /// up to the same length is added.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Number of times that the request for a zone is written if others write it too.
+const MAX_EVACUATION_TRIES: u32 = 3;
+
 /// Interval of HTTP/2 keep-alive pings.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -52,6 +61,12 @@
         ready(())
     }
 
+    /// Puts the evacuated zones, as listed at an index of the store, in force in this
+    /// process and spreads them by gossip. The default leaves that to the readers.
+    fn evacuate(&self, _: Evacuations, _: Revision) -> impl Future<Output = ()> + Send {
+        ready(())
+    }
+
     /// Returns the state of the system as this process knows it.
     fn status(&self) -> impl Future<Output = schema::StatusReply> + Send;
 }
@@ -119,6 +134,46 @@
         }
         Response::new(convert::outcome(outcome))
     }
+
+    /// Stores the request for a zone unless it is stored already. Returns the revision
+    /// at which it was.
+    async fn store_evacuation(&self, zone: ZoneId, is_evacuated: bool) -> Result<Revision, Fault> {
+        let wanted = evacuation::Request { is_evacuated };
+        let value = serde_json::to_vec(&wanted).map_err(|_| Fault::Malformed)?;
+        let key = key::evacuation(zone);
+        for _ in 1..MAX_EVACUATION_TRIES {
+            match self
+                .store_evacuation_once(&key, wanted, value.clone())
+                .await
+            {
+                Err(Fault::Conflict) => {}
+                result => return result,
+            }
+        }
+        self.store_evacuation_once(&key, wanted, value).await
+    }
+
+    async fn store_evacuation_once(
+        &self,
+        key: &str,
+        wanted: evacuation::Request,
+        value: Vec<u8>,
+    ) -> Result<Revision, Fault> {
+        let stored = self.0.store.get(key).await?;
+        let expected = stored.as_ref().map_or(0, |item| item.revision);
+        let held = stored.and_then(|item| serde_json::from_slice(&item.value).ok());
+        if held == Some(wanted) {
+            return Ok(expected);
+        }
+        let swap = Swap {
+            key: key.to_owned(),
+            value,
+            expected,
+            touch: None,
+            fence: None,
+        };
+        self.0.store.swap(swap).await
+    }
 }
 
 #[tonic::async_trait]
@@ -182,6 +237,54 @@
         Ok(Response::new(reply))
     }
 
+    async fn evacuate(
+        &self,
+        request: Request<schema::EvacuateRequest>,
+    ) -> Result<Response<schema::EvacuateReply>, Status> {
+        let schema::EvacuateRequest { zone, on } = request.into_inner();
+        let result = match ZoneId::try_from(zone) {
+            Err(_) => Evacuated::Invalid(convert::invalid(&[Problem::Subject])),
+            Ok(id) => match self.store_evacuation(id, on).await {
+                Err(fault) if fault.maybe_applied() => {
+                    Evacuated::Unavailable(schema::Unavailable {
+                        outcome: schema::Outcome::Unknown.into(),
+                        ..unavailable(fault)
+                    })
+                }
+                Err(fault) => Evacuated::Unavailable(unavailable(fault)),
+                Ok(revision) => Evacuated::Stored(schema::EvacuatedZone { zone, revision }),
+            },
+        };
+        // The readers spread the request if this list cannot be read.
+        if let Evacuated::Stored(_) = &result
+            && let Ok(listing) = self.0.store.list(key::EVACUATION_PREFIX).await
+        {
+            let evacuations = Evacuations::from_listing(&listing);
+            self.0.snapshot.evacuate(evacuations, listing.index).await;
+        }
+        let result = Some(result);
+        Ok(Response::new(schema::EvacuateReply { result }))
+    }
+
+    async fn zones(
+        &self,
+        _: Request<schema::ZonesRequest>,
+    ) -> Result<Response<schema::ZonesReply>, Status> {
+        let mut reply = schema::ZonesReply::default();
+        match self.0.store.list(key::EVACUATION_PREFIX).await {
+            Err(fault) => reply.unavailable = Some(unavailable(fault)),
+            Ok(listing) => {
+                let zones = Evacuations::from_listing(&listing).zones.into_iter();
+                let zones = zones.map(|(zone, revision)| schema::EvacuatedZone {
+                    zone: zone.into(),
+                    revision,
+                });
+                reply.zones = zones.collect();
+            }
+        }
+        Ok(Response::new(reply))
+    }
+
     async fn status(
         &self,
         _: Request<schema::StatusRequest>,
--- a/roles/app/src/sidecar/evacuation.rs
+++ b/roles/app/src/sidecar/evacuation.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use config::Evacuations;
-use config::evacuation::Tracker;
 use forward::agent::Event;
 use member::Announcer;
 use member::Health;
@@ -11,6 +10,8 @@
 use wire::ZoneId;
 use wire::target::State;
 
+use crate::evacuation;
+use crate::evacuation::Tracker;
 use crate::event::Event as LogEvent;
 
 /// Evacuated zones of a sidecar.
@@ -34,9 +35,8 @@
 
     /// Records the list in a record that an entry sent.
     pub fn observe(&mut self, now: Duration, record: &member::Service) {
-        match Evacuations::from_bytes(&record.body) {
-            Ok(evacuations) => self.tracker.observe(now, record.revision, evacuations),
-            Err(error) => log::error!("cannot decode the evacuated zones: {error}"),
+        if let Some((revision, evacuations)) = evacuation::decode_record(record) {
+            self.tracker.observe(now, revision, evacuations);
         }
     }
 
--- a/roles/app/tests/operator.rs
+++ b/roles/app/tests/operator.rs
@@ -14,6 +14,7 @@
 use app::operator::print::Output;
 use async_channel::Receiver;
 use async_channel::Sender;
+use config::Evacuations;
 use config::Update;
 use futures_lite::FutureExt;
 use futures_lite::future;
@@ -25,12 +26,14 @@
 use standin::platform::fault::Mode;
 use store::Http;
 use store::http::Settings;
+use wire::Revision;
 
 const SERVICE: &str = "192.0.2.1:5000";
 const TIMEOUT: Duration = Duration::from_mins(1);
 
-/// Entry that passes the updates it should spread to a channel.
-struct Entry(Sender<Update>);
+/// Entry that passes the updates and the evacuated zones that it should spread to
+/// channels.
+struct Entry(Sender<Update>, Sender<Evacuations>);
 
 impl operator::Snapshot for Entry {
     async fn accept(&self, update: Update) {
@@ -38,6 +41,10 @@
         let _ = self.0.send(update).await;
     }
 
+    async fn evacuate(&self, evacuations: Evacuations, _: Revision) {
+        let _ = self.1.send(evacuations).await;
+    }
+
     async fn status(&self) -> schema::StatusReply {
         schema::StatusReply {
             counters: vec![schema::Counter {
@@ -55,6 +62,7 @@
     executor: Arc<Executor<'static>>,
     platform: Platform,
     accepted: Receiver<Update>,
+    evacuated: Receiver<Evacuations>,
     store: Http,
 }
 
@@ -111,19 +119,21 @@
         let entry = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let platform = Platform::default();
         let (sender, accepted) = async_channel::unbounded();
+        let (zones, evacuated) = async_channel::unbounded();
         let http = Http::new(Settings {
             timeout: TIMEOUT,
             ..Settings::new(store.local_addr().expect("an address"))
         });
         let context = operator::Context {
             store: http.clone(),
-            snapshot: Entry(sender),
+            snapshot: Entry(sender, zones),
         };
         let operator = Operator {
             entry: entry.local_addr().expect("an address"),
             executor: executor.clone(),
             platform: platform.clone(),
             accepted,
+            evacuated,
             store: http,
         };
         let store = platform::serve(store, platform, executor.clone());
@@ -310,3 +320,52 @@
         assert_eq!(none.expect("a text").end, End::Unavailable);
     });
 }
+
+#[test]
+fn a_zone_is_evacuated_and_restored() {
+    with_operator(|operator| async move {
+        operator.expect("zones", End::Done, "").await;
+        let text = "zone 4 evacuated as of revision ";
+        operator.expect("evacuate 4", End::Done, text).await;
+        operator.expect("evacuate 0", End::Done, "zone 0").await;
+        operator
+            .expect("restore 0", End::Done, "zone 0 restored")
+            .await;
+        let zones = operator.run("zones").await.text;
+        assert!(
+            zones.starts_with(text) && zones.lines().count() == 1,
+            "{zones}"
+        );
+        // Repeating a request changes nothing, so that its revision stays.
+        let writes = operator.platform.calls().writes;
+        assert_eq!(operator.run("evacuate 4").await.text, zones);
+        assert_eq!(operator.platform.calls().writes, writes);
+        let mut last = None;
+        while let Ok(evacuations) = operator.evacuated.try_recv() {
+            last = Some(evacuations);
+        }
+        let last: Vec<u16> = last
+            .expect("the entry spreads it")
+            .zones
+            .into_keys()
+            .collect();
+        assert_eq!(last, [4]);
+        let args = ["evacuate".to_owned(), "north".to_owned()];
+        let usage = command::run(&[], TIMEOUT, &args, operator.executor);
+        assert!(usage.await.is_err());
+    });
+}
+
+/// The operator must not take a request for refused that the store may have applied.
+#[test]
+fn a_request_for_a_zone_whose_answer_is_lost_may_have_been_applied() {
+    with_operator(|operator| async move {
+        operator
+            .platform
+            .set_faults(|faults| faults.lose_answers = 1);
+        let text = "may have been applied";
+        operator.expect("evacuate 4", End::Unknown, text).await;
+        operator.expect("evacuate 4", End::Done, "zone 4").await;
+        operator.expect("zones", End::Done, "zone 4").await;
+    });
+}
