--- a/tools/proof/tests/processes.rs
+++ b/tools/proof/tests/processes.rs
@@ -281,3 +281,32 @@
     deployment.start_agent(6)?;
     deployment.wait_ready(6)
 }
+
+/// Guards against an evacuation that only the entry knows that accepted it, and one that
+/// is lost when all processes that know of it are restarted.
+#[test]
+fn an_evacuated_zone_gets_no_flows_until_it_is_restored() -> Result {
+    let mut deployment = Deployment::start(113, Some(&[]))?;
+    let load = deployment.start_load(Service::Roster, LOAD_SECONDS, SEED)?;
+    // Targets 1 and 5 of the six are in zone 2.
+    deployment.operate_until_success(&["evacuate", "2"])?;
+    deployment.wait_ready(4)?;
+    assert_unbroken(&deployment.finish_load(load)?);
+    let entries = (1..=3).map(|entry| format!("entry-{entry}"));
+    let agents = (1..=6).map(|agent| format!("agent-{agent}"));
+    for name in entries.chain(agents) {
+        deployment.signal(&name, Signal::Kill)?;
+        deployment.wait_for_exit(&name)?;
+    }
+    for entry in 1..=3 {
+        deployment.start_entry(entry)?;
+    }
+    for agent in 1..=6 {
+        deployment.start_agent(agent)?;
+    }
+    // All targets are known by then.
+    pause(4);
+    deployment.wait_ready(4)?;
+    deployment.operate_until_success(&["restore", "2"])?;
+    deployment.wait_ready(6)
+}
