--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -6,7 +6,7 @@
 //! configuration and answers the platform's health checks.
 mod announcements;
 mod control;
-mod evacuation;
+pub mod evacuation;
 mod follow;
 mod registration;
 mod routes;
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -6,7 +6,7 @@
 //! and accepts the backend server's announcements.
 mod announcements;
 mod control;
-mod evacuation;
+pub mod evacuation;
 mod seeds;
 mod traffic;
 
--- a/tools/soak/src/evacuation.rs
+++ b/tools/soak/src/evacuation.rs
@@ -62,6 +62,7 @@
 
     /// Returns true if a backend server may get no new flows from a gateway, because
     /// its zone is evacuated and neither host was disturbed within the bound.
+    #[must_use]
     pub fn is_evacuated(&self, now: Duration, server: usize, gateway: usize) -> bool {
         let host = self.host_of(server);
         let bound = self.topology.limits.bounds.evacuation;
