--- a/roles/app/src/gateway/evacuation.rs
+++ b/roles/app/src/gateway/evacuation.rs
@@ -65,6 +65,7 @@
 
 impl Evacuation {
     /// Creates the state of a gateway that starts.
+    #[must_use]
     pub fn new(host: &platform::Settings, now: Duration) -> Self {
         Self {
             tracker: Tracker::default(),
@@ -129,6 +130,7 @@
     }
 
     /// Returns true if the gateway need not wait for a list any more.
+    #[must_use]
     pub fn is_ready(&self, now: Duration) -> bool {
         self.tracker.is_known() || self.wait_until.is_none_or(|until| now >= until)
     }
--- a/roles/app/src/sidecar/evacuation.rs
+++ b/roles/app/src/sidecar/evacuation.rs
@@ -25,6 +25,7 @@
 
 impl Evacuation {
     /// Creates the state of a sidecar in `zone`.
+    #[must_use]
     pub fn new(zone: ZoneId) -> Self {
         Self {
             tracker: Tracker::default(),
