--- a/coordination/config/src/lib.rs
+++ b/coordination/config/src/lib.rs
@@ -10,7 +10,7 @@
 //!   whether this entry reads, and a [`Feed`] does the reading.
 //! * [`Follower`] follows a single key of the store.
 //! * [`Registration`] keeps a process registered in the store.
-//! * [`Evacuations`] holds the availability zones that operators have emptied.
+//! * [`Evacuations`] holds the availability zones that operators have evacuated.
 //! * [`era`] orders changes across restores of the store from an older copy.
 //! * [`KeyValue`], [`Listing`] and [`Fault`] are the store's answers.
 pub mod change;
