--- a/state/limit/src/link.rs
+++ b/state/limit/src/link.rs
@@ -25,10 +25,14 @@
 /// ordered, and not in the link.
 const USED_SHARE: f64 = 0.95;
 
-/// Time for which an idle link may be used at more than its rate. A process that
-/// gets a tenth of a core may not run for that long.
+/// Time of an idle link that may be made up for by sending at more than its rate. More
+/// would delay control packets that come after the burst.
 const BURST: Duration = Duration::from_millis(16);
 
+/// The same while packets wait: a process that gets a tenth of a core may not run for
+/// that long, and would otherwise use a tenth of the link.
+const WAITING_BURST: Duration = Duration::from_millis(100);
+
 /// Size in bytes from which a burst is allowed on any link: two full packets.
 const MIN_BURST_BYTES: f64 = 2_600.0;
 
@@ -448,7 +452,12 @@
     fn refill(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.refilled).as_secs_f64();
         self.refilled = now.max(self.refilled);
-        self.tokens = (self.tokens + elapsed * self.rate()).min(self.burst());
+        let most = match self.waiting_since {
+            Some(_) => self.rate() * WAITING_BURST.as_secs_f64(),
+            None => 0.0,
+        };
+        let most = most.max(self.burst());
+        self.tokens = (self.tokens + elapsed * self.rate()).min(most);
         self.share = (self.share + elapsed * INCREASE_PER_SECOND).min(1.0);
     }
 
--- a/state/limit/tests/link.rs
+++ b/state/limit/tests/link.rs
@@ -208,6 +208,22 @@
     assert_eq!(link.counts(Class::Control).full, 0);
 }
 
+/// A process with a tenth of a core runs once in 100 ms.
+#[test]
+fn sender_that_runs_rarely_uses_the_whole_rate() {
+    let mut link = busy_link();
+    let mut sent = 0;
+    for step in 0..2_000 {
+        // Each millisecond brings as much as the link bears.
+        enqueue(&mut link, ms(step), packet(Class::Data, None), 0);
+        if step % 100 == 99 {
+            sent += std::iter::from_fn(|| link.take(ms(step))).count();
+        }
+    }
+    // 2 s at 95% of 1.25 MB/s are 1,826 packets.
+    assert!(sent > 1_700, "{sent}");
+}
+
 #[test]
 fn time_in_the_queue_is_bounded() {
     let mut link = busy_link();
