--- a/state/limit/src/link.rs
+++ b/state/limit/src/link.rs
@@ -4,6 +4,7 @@
 //! Addresses uploads that exceed a slow link: without it, the link's own queue delays
 //! openings, resets and membership messages as long as uploads, and drops any of them.
 mod class;
+mod meter;
 mod queue;
 mod volume;
 
@@ -12,6 +13,7 @@
 
 pub use class::Class;
 pub use class::Counts;
+use meter::Meter;
 use queue::Entry;
 use queue::Queue;
 use queue::Ticket;
@@ -25,10 +27,14 @@
 /// ordered, and not in the link.
 const USED_SHARE: f64 = 0.95;
 
-/// Time for which an idle link may be used at more than its rate. A process that
-/// gets a tenth of a core may not run for that long.
+/// Time of an idle link that may be made up for by sending at more than its rate. More
+/// would delay control packets that come after the burst.
 const BURST: Duration = Duration::from_millis(16);
 
+/// The same while packets wait: a process that gets a tenth of a core may not run for
+/// that long, and would otherwise use a tenth of the link.
+const WAITING_BURST: Duration = Duration::from_millis(100);
+
 /// Size in bytes from which a burst is allowed on any link: two full packets.
 const MIN_BURST_BYTES: f64 = 2_600.0;
 
@@ -71,9 +77,6 @@
 /// Time with an empty queue after which the link counts as free again.
 const FREE_TIME: Duration = Duration::from_secs(2);
 
-/// Time over which the load is averaged.
-const LOAD_WINDOW: Duration = Duration::from_secs(1);
-
 /// Properties of a packet that is to be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Packet {
@@ -172,14 +175,6 @@
     meter: Meter,
 }
 
-/// Measures the bytes that were offered in each window.
-#[derive(Debug)]
-struct Meter {
-    start: Duration,
-    bytes: f64,
-    last: f64,
-}
-
 impl<T> Link<T> {
     /// Creates an idle link with a rate in bytes per second.
     #[must_use]
@@ -199,11 +194,7 @@
             last_waited: now,
             is_full: false,
             counts: Class::ALL.map(|_| Counts::default()),
-            meter: Meter {
-                start: now,
-                bytes: 0.0,
-                last: 0.0,
-            },
+            meter: Meter::new(now),
         };
         link.tokens = link.burst();
         link
@@ -227,9 +218,7 @@
     /// Returns the bytes per second that were to be sent in the last full window.
     #[must_use]
     pub fn load(&self, now: Duration) -> f64 {
-        // Nothing has been offered since: the meter is rolled by packets only.
-        let is_stale = now >= self.meter.start + LOAD_WINDOW * 2;
-        if is_stale { 0.0 } else { self.meter.last }
+        self.meter.rate(now)
     }
 
     /// Returns the counters of a class.
@@ -363,7 +352,7 @@
         let repeated = repeated as f64 / received.max(1) as f64;
         let is_busy = self.load(now) >= self.rate() * BUSY_SHARE;
         let is_proven = received >= MIN_RECEIVED && repeated >= REPEATED_SHARE;
-        if !is_proven || !is_busy || now < self.last_waited + LOAD_WINDOW {
+        if !is_proven || !is_busy || now < self.last_waited + meter::WINDOW {
             return;
         }
         self.share = (self.share * DECREASE).max(MIN_SHARE);
@@ -448,7 +437,12 @@
     fn refill(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.refilled).as_secs_f64();
         self.refilled = now.max(self.refilled);
-        self.tokens = (self.tokens + elapsed * self.rate()).min(self.burst());
+        let most = match self.waiting_since {
+            Some(_) => self.rate() * WAITING_BURST.as_secs_f64(),
+            None => 0.0,
+        };
+        let most = most.max(self.burst());
+        self.tokens = (self.tokens + elapsed * self.rate()).min(most);
         self.share = (self.share + elapsed * INCREASE_PER_SECOND).min(1.0);
     }
 
@@ -474,16 +468,3 @@
         (self.rate() * BURST.as_secs_f64()).max(MIN_BURST_BYTES)
     }
 }
-
-impl Meter {
-    #[expect(clippy::cast_precision_loss, reason = "packets are small")]
-    fn add(&mut self, now: Duration, bytes: usize) {
-        let elapsed = now.saturating_sub(self.start);
-        if elapsed >= LOAD_WINDOW {
-            self.last = self.bytes / elapsed.as_secs_f64();
-            self.bytes = 0.0;
-            self.start = now;
-        }
-        self.bytes += bytes as f64;
-    }
-}
