--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -42,7 +42,7 @@
     /// Asks one agent which of many flows its backend server holds.
     LookupBatch(batch::Lookup),
     /// Answers a [`Transit::LookupBatch`].
-    Answer(batch::Answer),
+    Answer(Box<batch::Answer>),
     /// Reports to an entry what agents know about the flows of a batch.
     Report(batch::Report),
 }
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -97,7 +97,7 @@
     /// A searching agent asks which of many flows are held here.
     LookupBatch(wire::batch::Lookup),
     /// Another agent answers which of many flows it holds.
-    Answer(wire::batch::Answer),
+    Answer(Box<wire::batch::Answer>),
     /// Another agent reports that it does not hold a flow that is searched for
     /// here.
     PeerDenied(NotHeld),
--- a/roles/forward/src/agent/batch.rs
+++ b/roles/forward/src/agent/batch.rs
@@ -36,7 +36,7 @@
 
 /// Time for which an agent that could not tell about some flows of a batch reports
 /// by itself once it can. Entries repeat their questions more often than that.
-const QUESTION_LIFETIME: Duration = Duration::from_millis(1_000);
+const QUESTION_LIFETIME: Duration = Duration::from_secs(1);
 
 /// Time for which returned packets are collected before they are reported.
 const RETURNED_DELAY: Duration = Duration::from_millis(50);
@@ -152,11 +152,11 @@
         let findings = self.answer(now, search);
         actions.push(Action::Send {
             to: searcher,
-            transit: Transit::Answer(Answer {
+            transit: Transit::Answer(Box::new(Answer {
                 entry,
                 batch: number,
                 findings,
-            }),
+            })),
         });
     }
 
@@ -164,7 +164,7 @@
     pub(super) fn handle_answer(
         &mut self,
         now: Duration,
-        answer: Answer,
+        answer: Box<Answer>,
         actions: &mut Vec<Action>,
     ) {
         let mut pending = self.batches.pending.iter_mut();
@@ -283,14 +283,14 @@
         let server_age = self.longest_server_age(now);
         match self.flows.get(&flow) {
             Some(held) if held.is_used_here(sought.acknowledged) => Verdict::Held,
-            // The caller may be opening another flow from the same port.
-            Some(_) => Verdict::Unknown,
             None if self.flows_not_held.get(now, &flow).is_some() => Verdict::Returned,
             None if self.knows_all_flows(now) => Verdict::Complete,
             // The packet was sent before the entry received it, so the server was
             // not running then.
             None if server_age.is_some_and(|server_age| server_age < age) => Verdict::Younger,
-            None => Verdict::Unknown,
+            // If the flow is known but not used here, the caller may be opening
+            // another flow from the same port.
+            Some(_) | None => Verdict::Unknown,
         }
     }
 
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -122,9 +122,10 @@
         }
     }
 
-    /// Returns true if the opening packet was delivered at this time or later.
+    /// Returns true if the backend server accepted an opening packet that was
+    /// delivered at this time or later.
     pub fn is_opened_after(&self, time: Duration) -> bool {
-        self.opened.is_some_and(|(_, at)| at >= time)
+        self.has_answered() && self.opened.is_some_and(|(_, at)| at >= time)
     }
 
     /// Compares an opening packet with the one that opened this flow. A caller may
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -5,6 +5,8 @@
 //! entry, including one that has just started, finds the holder of a flow by
 //! asking one agent of the service, which asks all others.
 mod action;
+mod batch;
+mod decision;
 mod flow;
 mod pace;
 pub mod proof;
--- a/roles/forward/src/entry/search.rs
+++ b/roles/forward/src/entry/search.rs
@@ -39,20 +39,18 @@
     ) {
         let flow = context.segment.flow_from_caller();
         let now = context.now;
-        let mut searching = match self.flows.remove(&flow).map(|state| state.phase) {
-            Some(Phase::Undecided(mut known)) => {
-                known.record_packet(&context.segment);
-                known.keep(&context.segment, context.packet);
-                known.rounds = 0;
-                known.tried.clear();
-                known.denied_by.clear();
-                known
-            }
-            _ => {
-                let timeout = routes.route(flow.service).map(|route| route.timeout);
-                let timeout = timeout.unwrap_or_default().max(self.settings.linger);
-                flow::Searching::new(now, timeout, &context.segment, context.packet)
-            }
+        let known = self.flows.remove(&flow).map(|state| state.phase);
+        let mut searching = if let Some(Phase::Undecided(mut known)) = known {
+            known.record_packet(&context.segment);
+            known.keep(&context.segment, context.packet);
+            known.rounds = 0;
+            known.tried.clear();
+            known.denied_by.clear();
+            known
+        } else {
+            let timeout = routes.route(flow.service).map(|route| route.timeout);
+            let timeout = timeout.unwrap_or_default().max(self.settings.linger);
+            flow::Searching::new(now, timeout, &context.segment, context.packet)
         };
         searching.tried.extend(excluded);
         if !self.undecided.searches.take(now) {
--- a/roles/forward/tests/batch_agent.rs
+++ b/roles/forward/tests/batch_agent.rs
@@ -262,7 +262,7 @@
         batch: BATCH,
         findings: ask(&mut other, now, asked),
     };
-    handle(agent, now, Event::Answer(answer))
+    handle(agent, now, Event::Answer(Box::new(answer)))
 }
 
 #[test]
--- a/roles/forward/tests/undecided.rs
+++ b/roles/forward/tests/undecided.rs
@@ -31,7 +31,7 @@
 const SERVERS: [TargetId; 3] = [1, 2, 3];
 
 /// Time at which all agents are assumed to be known.
-const KNOWN: Duration = Duration::from_millis(1_000);
+const KNOWN: Duration = Duration::from_secs(1);
 
 fn targets() -> Vec<Target> {
     SERVERS.map(|id| target(id, 1, State::Ready)).to_vec()
