Overflow begins before a zone is full and goes where slots are free

All gateways followed the latest report of the other zones.

Change: sidecars report the share of slots used lately (an optional last field of the load). The zone that gets the flow is drawn by the slots that will be free there. Gateways learn requests and bytes of each route's flows; above 4,000 bytes a request the cost of crossing grows, up to twice.

--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -6,6 +6,8 @@
 //!   accepts it.
 //! * [`pin`] records, at a flow's home, which other target holds the flow.
 //! * [`placement`] ranks targets for a new flow by their expected response time.
+//! * [`Size`] learns what the flows of a route carry.
+//! * [`Trend`] projects the load of an availability zone ahead.
 //!
 //! All modules are sans-IO: the caller passes in the time and random seeds, and
 //! does the network I/O.
@@ -16,7 +18,11 @@
 pub mod order;
 pub mod pin;
 pub mod placement;
+pub mod size;
 pub mod tree;
+pub mod trend;
 
 pub use order::Order;
 pub use placement::Placement;
+pub use size::Size;
+pub use trend::Trend;
--- a/coordination/route/src/placement.rs
+++ b/coordination/route/src/placement.rs
@@ -12,11 +12,14 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use wire::ServiceAddress;
 use wire::Target;
 use wire::TargetId;
 use wire::ZoneId;
 use wire::transit::Load;
 
+use crate::Trend;
+
 /// Parameters of a [`Placement`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -27,6 +30,9 @@
     /// Divisor of the target latency that gives the cost of sending a flow to
     /// another availability zone, where that is more than the minimum.
     pub target_latency_divisor: u32,
+    /// Cost of sending a flow to another availability zone, in place of the one that
+    /// is derived from the target latency and the size of requests.
+    pub fixed_crossing_cost: Option<Duration>,
     /// Service time assumed for a backend server that has not reported its
     /// load.
     pub service_time: Duration,
@@ -44,6 +50,7 @@
         Self {
             cross_zone_cost: Duration::from_millis(12),
             target_latency_divisor: TARGET_LATENCY_DIVISOR,
+            fixed_crossing_cost: None,
             service_time: Duration::from_millis(20),
             jitter: Duration::from_millis(10),
             unresponsive_time: Duration::from_secs(2),
@@ -60,13 +67,48 @@
 /// these were a third busier; requests answered in time were equally many.
 const SERVICE_TIME_DIVISOR: u32 = 4;
 
+/// Bytes of a request and its answer up to which a request crosses at the cost that is
+/// derived from the target latency. The cost grows with the square root of the bytes
+/// above, up to [`MAX_SIZE_FACTOR`].
+const REFERENCE_BYTES: f64 = 4_000.0;
+
+/// Upper limit of the factor for large requests: half of the target latency remains
+/// for the answer.
+const MAX_SIZE_FACTOR: f64 = 2.0;
+
+/// Number of requests from which on a flow counts as long.
+const LONG_FLOW_REQUESTS: f64 = 2.0;
+
+/// Times by which the use of a zone is projected ahead: for a long flow, which cannot
+/// be moved, and for another one, whose gateway has reports that are as old.
+const LONG_FLOW_HORIZON: Duration = Duration::from_secs(2);
+const SHORT_FLOW_HORIZON: Duration = Duration::from_millis(300);
+
+/// Interval of the samples of the use of a zone.
+const TREND_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Maximum number of trends, one for each service and zone, before they are dropped.
+const MAX_TRENDS: usize = 4_096;
+
+/// Expected share of used slots of the own zone from which on the cost of crossing
+/// falls; at 1 it is the minimum.
+const OVERFLOW_USE: f64 = 0.75;
+
+/// Least share of its slots with which a zone counts when flows go to other zones: its
+/// last reports may be old.
+const MIN_SPARE: f64 = 0.05;
+
 /// What is known about a new flow before it is placed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Need {
     /// Target latency of the flow's route; zero where none is known.
     pub target_latency: Duration,
     /// Whether the bids of the agents will include the cost of crossing zones.
     pub are_bids_priced: bool,
+    /// Learned mean number of requests of the route's flows; 0 where unknown.
+    pub requests: f64,
+    /// Learned mean bytes of a request and its answer; 0 where unknown.
+    pub request_bytes: f64,
 }
 
 /// A backend server that may get a new flow.
@@ -87,6 +129,7 @@
     settings: Settings,
     zone: ZoneId,
     observations: HashMap<TargetId, Observation>,
+    trends: HashMap<(ServiceAddress, ZoneId), Trend>,
     random: fastrand::Rng,
 }
 
@@ -122,6 +165,7 @@
             settings,
             zone,
             observations: HashMap::new(),
+            trends: HashMap::new(),
             random: fastrand::Rng::with_seed(seed),
         }
     }
@@ -155,12 +199,22 @@
         self.observations.retain(|target, _| keep(*target));
     }
 
-    /// Returns the cost of sending a flow to another availability zone, expressed as
-    /// a wait.
+    /// Returns the cost of sending a flow of a service to another availability zone,
+    /// expressed as a wait. It falls as the own zone fills up, so that flows leave
+    /// before it is full, and the fuller it is the more of them.
     #[must_use]
-    pub fn crossing_cost(&self, need: &Need) -> Duration {
-        let share = need.target_latency / self.settings.target_latency_divisor.max(1);
-        share.max(self.settings.cross_zone_cost)
+    pub fn crossing_cost(&self, need: &Need, service: Option<ServiceAddress>) -> Duration {
+        let settings = &self.settings;
+        let share = need.target_latency / settings.target_latency_divisor.max(1);
+        let factor = (need.request_bytes / REFERENCE_BYTES).sqrt();
+        let share = share.mul_f64(factor.clamp(1.0, MAX_SIZE_FACTOR));
+        let cost = settings
+            .fixed_crossing_cost
+            .unwrap_or_else(|| share.max(settings.cross_zone_cost));
+        let used = service.and_then(|service| self.expected_use(need, service, self.zone));
+        let left = (1.0 - used.unwrap_or_default()) / (1.0 - OVERFLOW_USE);
+        let least = settings.cross_zone_cost.min(cost);
+        cost.mul_f64(left.clamp(0.0, 1.0)).max(least)
     }
 
     /// Returns the `count` best of the given backend servers for a new flow,
@@ -172,8 +226,10 @@
         targets: impl Iterator<Item = &'a Target>,
         count: usize,
     ) -> Vec<&'a Target> {
-        let crossing_cost = self.crossing_cost(need);
         let targets: Vec<&Target> = targets.collect();
+        self.record_use(now, &targets);
+        let service = targets.first().map(|target| target.service);
+        let crossing_cost = self.crossing_cost(need, service);
         let silent_zones = self.silent_zones(now, &targets);
         let mut ranked: Vec<Candidate<'a>> = targets
             .into_iter()
@@ -190,6 +246,7 @@
                 }
             })
             .collect();
+        self.prefer_spare_zone(need, crossing_cost, &mut ranked);
         ranked.sort_unstable_by_key(|one| (one.is_unresponsive, one.cost));
         if need.are_bids_priced {
             self.offer_way_out(&mut ranked, count);
@@ -198,6 +255,78 @@
         ranked.into_iter().map(|one| one.target).collect()
     }
 
+    /// Records the share of used slots of each zone.
+    fn record_use(&mut self, now: Duration, targets: &[&Target]) {
+        if self.trends.len() > MAX_TRENDS {
+            self.trends.clear();
+        }
+        for (key, members) in zones_of(targets) {
+            let trend = self.trends.entry(key).or_default();
+            if !trend.is_due(now, TREND_INTERVAL) {
+                continue;
+            }
+            let reports = members.iter().filter_map(|index| {
+                let target = targets[*index];
+                let load = self.observations.get(&target.id)?.load?;
+                let used = f64::from(load.used_permille?) / 1_000.0;
+                Some((used, f64::from(target.slots.max(1))))
+            });
+            let (used, slots) = reports.fold((0.0, 0.0), |(used, slots), (share, count)| {
+                (used + share * count, slots + count)
+            });
+            if slots > 0.0 {
+                trend.record(now, used / slots);
+            }
+        }
+    }
+
+    /// Returns the share of used slots that a zone will have while a flow lasts, if it
+    /// is known.
+    fn expected_use(&self, need: &Need, service: ServiceAddress, zone: ZoneId) -> Option<f64> {
+        let is_long = need.requests >= LONG_FLOW_REQUESTS;
+        let horizon = if is_long {
+            LONG_FLOW_HORIZON
+        } else {
+            SHORT_FLOW_HORIZON
+        };
+        self.trends.get(&(service, zone))?.expected(horizon)
+    }
+
+    /// Draws one of the other zones, by the slots that will be free there, and makes the
+    /// rest cost more. Entries that decide alone then spread what leaves a zone by what
+    /// the others can take, and do not all follow the latest report.
+    fn prefer_spare_zone(
+        &mut self,
+        need: &Need,
+        crossing_cost: Duration,
+        candidates: &mut [Candidate<'_>],
+    ) {
+        let targets: Vec<&Target> = candidates.iter().map(|one| one.target).collect();
+        let mut zones = zones_of(&targets);
+        zones.retain(|((_, zone), _)| *zone != self.zone);
+        if zones.len() < 2 {
+            return;
+        }
+        let spare = zones.iter().map(|((service, zone), members)| {
+            let used = self.expected_use(need, *service, *zone);
+            let free = (1.0 - used.unwrap_or_default()).max(MIN_SPARE);
+            let usable = members.iter().map(|index| &candidates[*index]);
+            let usable = usable.filter(|one| !one.is_unresponsive);
+            usable.map(|one| f64::from(one.target.slots) * free).sum()
+        });
+        let spare: Vec<f64> = spare.collect();
+        let mut drawn = self.random.f64() * spare.iter().sum::<f64>();
+        let chosen = spare.iter().position(|slots| {
+            drawn -= slots;
+            drawn < 0.0
+        });
+        let others = zones.iter().enumerate();
+        let others = others.filter(|(index, _)| Some(*index) != chosen);
+        for index in others.flat_map(|(_, (_, members))| members) {
+            candidates[*index].cost += crossing_cost / 2;
+        }
+    }
+
     /// Puts the best backend server of another zone at the end of a path within the
     /// own zone whose last server is expected to let the flow wait. Without one, a
     /// flow that finds all servers of the path full has to wait there. The bids
@@ -287,6 +416,19 @@
     }
 }
 
+/// Returns the backend servers of each service and zone, by their index.
+fn zones_of(targets: &[&Target]) -> Vec<((ServiceAddress, ZoneId), Vec<usize>)> {
+    let mut zones: Vec<((ServiceAddress, ZoneId), Vec<usize>)> = Vec::new();
+    for (index, target) in targets.iter().enumerate() {
+        let key = (target.service, target.zone);
+        match zones.iter_mut().find(|(known, _)| *known == key) {
+            Some((_, members)) => members.push(index),
+            None => zones.push((key, vec![index])),
+        }
+    }
+    zones
+}
+
 /// Estimates how many requests a backend server has answered since it reported
 /// its load, `age` ago.
 fn answered_since(age: Duration, load: &Load) -> u16 {
--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -175,7 +175,8 @@
     /// Start time of the holder's backend server in milliseconds since the Unix
     /// epoch, by the server's own clock; `None` where unknown.
     pub start: Option<u64>,
-    /// Load of the holder, where the holder itself sends the report.
+    /// Load of the holder, where the holder itself sends the report. Must stay the
+    /// last field.
     pub load: Option<Load>,
 }
 
@@ -214,7 +215,7 @@
 pub struct Busy {
     /// The backend server.
     pub target: TargetId,
-    /// Load of the backend server.
+    /// Load of the backend server. Must stay the last field.
     pub load: Load,
 }
 
@@ -232,6 +233,11 @@
     pub held_us: u32,
     /// Expected cost of failures to a request, as a wait in microseconds.
     pub risk_us: u32,
+    /// Share of the slots that were in use lately, in thousandths; `None` where not
+    /// measured. Must stay the last field, and a load the last field of its frame: a
+    /// process of a version without it ignores it.
+    #[serde(with = "trailing", skip_serializing_if = "Option::is_none")]
+    pub used_permille: Option<u16>,
 }
 
 impl Load {
--- a/protocol/wire/tests/transit.rs
+++ b/protocol/wire/tests/transit.rs
@@ -2,8 +2,10 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use wire::transit::Busy;
 use wire::transit::Crossing;
 use wire::transit::Demand;
+use wire::transit::Load;
 use wire::transit::Open;
 
 const DEMAND: Demand = Demand {
@@ -67,3 +69,24 @@
     let costs = [0, 1, 2, 3, 40].map(|index| with.crossing_ms(index));
     assert_eq!(costs, [0, 0, 50, 0, 0]);
 }
+
+/// Gateways and sidecars of versions with and without the share of used slots work side
+/// by side.
+#[test]
+fn the_share_of_used_slots_is_only_appended_to_a_report() {
+    let busy = |used_permille| Busy {
+        target: 7,
+        load: Load {
+            running: 1,
+            slots: 2,
+            used_permille,
+            ..Load::default()
+        },
+    };
+    let encode = |used| postcard::to_stdvec(&busy(used)).unwrap();
+    assert!(encode(Some(430)).starts_with(&encode(None)));
+    for used in [None, Some(430)] {
+        let decoded: Busy = postcard::from_bytes(&encode(used)).unwrap();
+        assert_eq!(decoded, busy(used));
+    }
+}
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -350,6 +350,7 @@
         transit::Load {
             held_us: micros(held),
             risk_us: micros(self.risk.expected_cost(now)),
+            used_permille: Some(permille(self.occupancy.used(now))),
             ..own
         }
     }
@@ -442,6 +443,12 @@
     }
 }
 
+/// Returns a share in thousandths.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn permille(share: f64) -> u16 {
+    (share.clamp(0.0, 1.0) * 1_000.0).round() as u16
+}
+
 /// Forwards a packet to the agent that its open was forwarded to. Also names
 /// that agent to the entry, because the agent's own notification may have been
 /// lost.
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -14,11 +14,13 @@
 use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use route::Placement;
+use route::Size;
 use wire::FlowId;
 use wire::Hop;
 use wire::Revision;
@@ -39,7 +41,6 @@
 pub use action::Action;
 pub use action::DropReason;
 pub use action::Refusal;
-use crossing::need;
 use flow::Flow;
 use flow::Phase;
 pub use settings::Settings;
@@ -77,6 +78,8 @@
     routes: Arc<Routes>,
     flows: HashMap<FlowId, Flow>,
     placement: Placement,
+    /// What the flows of each route carry, by the address that callers send to.
+    sizes: HashMap<SocketAddrV4, Size>,
     started_at: Duration,
     known_targets: HashSet<TargetId>,
     /// Time at which a backend server was last added to the known ones.
@@ -113,6 +116,7 @@
             zone,
             routes: Arc::default(),
             flows: HashMap::new(),
+            sizes: HashMap::new(),
             started_at: now,
             known_targets: HashSet::new(),
             last_target_added: now,
@@ -175,6 +179,8 @@
         }
         self.placement.retain(|target| known.contains(&target));
         self.known_targets = known;
+        self.sizes
+            .retain(|address, _| routes.table.routes.contains_key(address));
         self.routes = routes;
     }
 
@@ -280,8 +286,7 @@
         let Some(service) = route.and_then(|route| route.select_service(&flow)) else {
             return Vec::new();
         };
-        let need = route.map(|route| need(routes, route, service));
-        let need = need.unwrap_or_default();
+        let need = self.need(routes, &flow);
         let untried = routes
             .ready_targets(service)
             .filter(|target| !tried.contains(&target.id));
@@ -337,14 +342,16 @@
         let route = routes.route(flow.service);
         let timeout = route.map(|route| route.timeout);
         let timeout_ms = timeout.unwrap_or_default().as_millis();
-        let service = route.and_then(|route| route.select_service(&flow));
-        let pair = route.zip(service);
-        let demand = pair.and_then(|(route, service)| routes.table.demand(route, service));
-        let crossing =
-            pair.and_then(|(route, service)| self.crossing(routes, route, service, &path));
+        let demand = route.and_then(|route| {
+            let service = route.select_service(&flow)?;
+            routes.table.demand(route, service)
+        });
+        let crossing = self.crossing(routes, &flow, &path);
         self.placement.record_sent(first.target);
         let is_first = !self.flows.contains_key(&flow);
         if is_first {
+            let size = self.sizes.entry(flow.service).or_default();
+            size.record_flow(context.now);
             context.actions.push(Action::Opened {
                 flow,
                 first: first.target,
@@ -390,6 +397,9 @@
         }
         state.last_used = context.now;
         state.is_closing |= matches!(context.segment.kind, Kind::Close | Kind::Reset);
+        let (is_request, bytes) = state.progress.record(&context.segment);
+        let size = self.sizes.entry(flow.service).or_default();
+        size.record_packet(context.now, is_request, bytes);
         match &mut state.phase {
             Phase::Held(holder) => {
                 let holder = *holder;
@@ -429,9 +439,11 @@
         }
         let previous = self.flows.remove(&held.flow);
         let is_closing = previous.as_ref().is_some_and(|flow| flow.is_closing);
+        let progress = previous.as_ref().map(|flow| flow.progress);
         self.store_flow(now, held.flow, Phase::Held(held.holder));
         if let Some(flow) = self.flows.get_mut(&held.flow) {
             flow.is_closing = is_closing;
+            flow.progress = progress.unwrap_or_default();
             flow.server_start = held.start;
         }
         let searching = match previous.map(|flow| flow.phase) {
--- a/roles/forward/src/entry/flow.rs
+++ b/roles/forward/src/entry/flow.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use wire::Hop;
+use wire::Segment;
 use wire::ServiceAddress;
 use wire::TargetId;
 
@@ -23,8 +24,45 @@
     pub server_start: Option<u64>,
     /// Whether the caller has closed or reset the flow.
     pub is_closing: bool,
+    /// What the caller's packets have shown of the flow's requests.
+    pub progress: Progress,
 }
 
+/// What the packets of a caller have shown of the requests of its flow.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    /// Acknowledgement of the last packet with content. Content with another one
+    /// follows an answer, and begins a request.
+    at_content: Option<u32>,
+    /// Largest acknowledgement.
+    received: Option<u32>,
+}
+
+impl Progress {
+    /// Records a packet of the caller. Returns whether it begins a request, and the
+    /// bytes that it carries or acknowledges for the first time.
+    pub fn record(&mut self, segment: &Segment) -> (bool, u32) {
+        let acknowledged = segment.acknowledged;
+        let is_request = segment.length > 0 && self.at_content != Some(acknowledged);
+        if segment.length > 0 {
+            self.at_content = Some(acknowledged);
+        }
+        let advance = acknowledged.wrapping_sub(self.received.unwrap_or(acknowledged));
+        // A copy of an earlier packet acknowledges less.
+        let answered = if advance <= MAX_ADVANCE { advance } else { 0 };
+        if answered > 0 || self.received.is_none() {
+            self.received = Some(acknowledged);
+        }
+        (
+            is_request,
+            u32::from(segment.length).saturating_add(answered),
+        )
+    }
+}
+
+/// Most bytes that one packet can acknowledge for the first time.
+const MAX_ADVANCE: u32 = 1 << 20;
+
 /// Phase of a flow.
 #[derive(Debug)]
 pub enum Phase {
@@ -78,6 +116,10 @@
             phase_since: now,
             server_start: None,
             is_closing: false,
+            progress: Progress {
+                at_content: None,
+                received: None,
+            },
         }
     }
 }
--- a/state/limit/src/occupancy.rs
+++ b/state/limit/src/occupancy.rs
@@ -31,8 +31,14 @@
     pace: Pace,
     /// Time at which a request last ended, or last began with a slot free.
     last_event: Duration,
+    /// Smoothed share of the slots that are in use, as of `used_at`.
+    used: f64,
+    used_at: Duration,
 }
 
+/// Time constant of the share of used slots: some twenty requests of two slots.
+const USED_TIME: Duration = Duration::from_millis(500);
+
 /// The start of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Start {
@@ -50,6 +56,8 @@
             running: 0,
             pace: Pace::new(assumed),
             last_event: Duration::ZERO,
+            used: 0.0,
+            used_at: Duration::ZERO,
         }
     }
 
@@ -60,6 +68,7 @@
 
     /// Records that a request was sent to the backend server.
     pub fn begin(&mut self, now: Duration) -> Start {
+        self.advance_used(now);
         let is_queued = self.running >= self.slots;
         if !is_queued {
             self.last_event = now;
@@ -84,6 +93,7 @@
     /// Records that a request ended without an answer, which gives no
     /// measurement of the service time.
     pub fn release(&mut self, now: Duration) {
+        self.advance_used(now);
         self.running = self.running.saturating_sub(1);
         self.last_event = now;
     }
@@ -103,9 +113,24 @@
             service_us: u32::try_from(self.service_time().as_micros()).unwrap_or(u32::MAX),
             held_us: 0,
             risk_us: 0,
+            used_permille: None,
         }
     }
 
+    /// Returns the share of the slots that were in use lately.
+    #[must_use]
+    pub fn used(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.used_at).as_secs_f64();
+        let weight = (-passed / USED_TIME.as_secs_f64()).exp();
+        let current = f64::from(self.running.min(self.slots)) / f64::from(self.slots);
+        current + weight * (self.used - current)
+    }
+
+    fn advance_used(&mut self, now: Duration) {
+        self.used = self.used(now);
+        self.used_at = self.used_at.max(now);
+    }
+
     /// Returns the number of running and queued requests.
     #[must_use]
     pub const fn running(&self) -> u16 {
