Setting, metrics and events of the placement of flows

Gateways count new flows by zone and reason, publish the learned size of each route's flows, and log the begin (4028) and the end (4029) of an overflow: a tenth of the new flows of a second, until fewer than a twentieth for 5 s.

Tested without a network: settings, counts and both events.

--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -184,6 +184,11 @@
         "flow {flow} waits for a slot: expected wait {wait_us} us; {waiting} flows waited before it", "nothing";
     4015 Warn AnswerImplausible { flow: String }
         "the answer to a request of flow {flow} came far sooner and is far shorter than usual; it counts as a failure", "check the backend server's log for errors";
+    4028 Warn OverflowBegan { overflowed: u32, opened: u32 }
+        "the own availability zone has too little room: {overflowed} of {opened} new flows of the last second were sent to other zones",
+        "add capacity in the zone if this is frequent";
+    4029 Info OverflowEnded { flows: u64, lasted_ms: u128 }
+        "new flows stay in the own availability zone again; {flows} were sent to other zones within {lasted_ms} ms", "nothing";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing if this was planned";
     5002 Info ServerMissing { }
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -79,8 +79,15 @@
     let port = Port::bind_blocking(bind, seal, reader::POLL_TIMEOUT)?;
     let callers = net::port::bind_blocking_socket(host.listen.packets, reader::POLL_TIMEOUT)?;
     let (sender, inputs) = async_channel::bounded(CONTROL_QUEUE);
+    let place = route::placement::Settings {
+        fixed_crossing_cost: settings.0.crossing_cost,
+        ..route::placement::Settings::default()
+    };
     let core = Entry::new(
-        forward::entry::Settings::default(),
+        forward::entry::Settings {
+            place,
+            ..forward::entry::Settings::default()
+        },
         frames,
         host.zone_id(),
         fastrand::u64(..),
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -11,6 +11,7 @@
 use forward::entry::Action;
 use forward::entry::DropReason;
 use forward::entry::Event;
+use forward::entry::Reason;
 use forward::entry::Refusal;
 use net::port::Received;
 use platform::packet;
@@ -82,6 +83,17 @@
         self.link.publish(instruments, calls)?;
         let core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
         instruments.set_size("carried.flows", core.len())?;
+        for (zone, reason, count) in core.placed_flows() {
+            let label = format!("{} zone {zone}", reason_label(reason));
+            instruments.set("carried.flows.placed", &label, count)?;
+        }
+        for (address, size) in core.sizes() {
+            let label = address.to_string();
+            let requests = to_count(size.requests());
+            instruments.set("carried.route.requests", &label, requests)?;
+            let bytes = to_count(size.request_bytes());
+            instruments.set("carried.route.bytes", &label, bytes)?;
+        }
         instruments.set("carried.version", "", core.version())
     }
 
@@ -174,10 +186,31 @@
                 });
             }
             Action::Dropped(reason) => self.link.drop_packet(drop_label(reason)),
+            Action::OverflowBegan { overflowed, opened } => {
+                link.log(&log::Event::OverflowBegan { overflowed, opened });
+            }
+            Action::OverflowEnded { flows, lasted } => {
+                let lasted_ms = lasted.as_millis();
+                link.log(&log::Event::OverflowEnded { flows, lasted_ms });
+            }
         }
     }
 }
 
+const fn reason_label(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Home => "home",
+        Reason::Overflow => "overflow",
+        Reason::HomeHasNone => "home_has_none",
+    }
+}
+
+/// Rounds a mean for a gauge.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn to_count(mean: f64) -> u64 {
+    mean.round() as u64
+}
+
 const fn refusal_label(reason: Refusal) -> &'static str {
     match reason {
         Refusal::NoRoute => "no_route",
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -129,6 +129,10 @@
     histogram("carried.open.time", "us", "time from the last copy of an opening packet to the holder's confirmation"),
     histogram("carried.search.time", "us", "time from the last search message to the holder's answer"),
     histogram("carried.request.time", "us", "time from a request to the first packet of its answer"),
+    // Placement of gateways.
+    counter("carried.flows.placed", "{flow}", "flows that a gateway sent to a server, by reason and zone: home, overflow, home_has_none"),
+    gauge("carried.route.requests", "{request}", "learned mean number of requests of a flow, by the address that callers send to"),
+    gauge("carried.route.bytes", "By", "learned mean bytes of a request and its answer, by the address that callers send to"),
     // Agents.
     gauge("weight", "{request}/s", "learned capacity, as announced"),
 ];
--- a/roles/app/src/settings/forwarder.rs
+++ b/roles/app/src/settings/forwarder.rs
@@ -1,6 +1,7 @@
 //! Settings of `greengagelug gateway` and `greengagelug sidecar`.
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use crate::settings::Keys;
 use crate::settings::Log;
@@ -21,6 +22,9 @@
     pub keys: Keys,
     /// TCP port of the metrics endpoint, on the host's address.
     pub metrics_port: u16,
+    /// Cost of sending a flow to another availability zone; `None` derives it, and at
+    /// a sidecar, which takes the cost from the gateway's frames.
+    pub crossing_cost: Option<Duration>,
     /// Format and level of the log.
     pub log: Log,
 }
@@ -55,6 +59,7 @@
         bind: reader.optional_address("bind"),
         keys: command::keys(reader),
         metrics_port: reader.number("metrics-port"),
+        crossing_cost: reader.optional_time("crossing-cost"),
         log: command::log(reader),
     };
     command::check_no_arguments(reader, rest);
--- a/roles/app/src/settings/list.rs
+++ b/roles/app/src/settings/list.rs
@@ -314,6 +314,20 @@
         default: Preset::Text("9464"),
         help: "TCP port of the metrics endpoint /metrics",
     },
+    Setting {
+        name: "crossing-cost",
+        roles: &[Role::Gateway],
+        kind: Kind::OptionalTime {
+            unit: Unit::Milliseconds,
+            min: 0,
+            max: 10_000,
+        },
+        unit: "ms",
+        default: Preset::Text(""),
+        help: "cost of sending a flow to another availability zone, as a wait; empty \
+               derives it from the target latency and the size of requests, or takes \
+               12 ms where a route states no target latency",
+    },
     Setting {
         name: "log-format",
         roles: ALL_DAEMONS,
--- a/roles/app/src/settings/reader.rs
+++ b/roles/app/src/settings/reader.rs
@@ -161,6 +161,19 @@
         })
     }
 
+    /// Reads a duration that may be empty, within the setting's range.
+    pub fn optional_time(&mut self, name: &str) -> Option<Duration> {
+        self.read(name, None, |text, kind| match kind {
+            Kind::OptionalTime { .. } if text.is_empty() => Some(None),
+            Kind::OptionalTime { unit, min, max } => {
+                let number: u64 = text.parse().ok()?;
+                let is_in_range = (min..=max).contains(&number);
+                is_in_range.then(|| Some(unit.duration(number)))
+            }
+            _ => None,
+        })
+    }
+
     /// Reads any text.
     pub fn text(&mut self, name: &str) -> String {
         self.read(name, String::new(), |text, _| Some(text.to_owned()))
--- a/roles/app/src/settings/table.rs
+++ b/roles/app/src/settings/table.rs
@@ -49,6 +49,15 @@
         /// Largest number.
         max: u64,
     },
+    /// Duration like [`Kind::Time`], or empty for one that is derived.
+    OptionalTime {
+        /// Unit of the number.
+        unit: Unit,
+        /// Smallest number.
+        min: u64,
+        /// Largest number.
+        max: u64,
+    },
     /// One of these words.
     Choice(&'static [&'static str]),
     /// Any text.
@@ -152,7 +161,9 @@
                 formatter.write_str("IP:PORT")
             }
             Self::Addresses(_) => formatter.write_str("IP:PORT,..."),
-            Self::Number { .. } | Self::Time { .. } => formatter.write_str("NUMBER"),
+            Self::Number { .. } | Self::Time { .. } | Self::OptionalTime { .. } => {
+                formatter.write_str("NUMBER")
+            }
             Self::Choice(_) => formatter.write_str("WORD"),
             Self::Text => formatter.write_str("TEXT"),
             Self::Key => formatter.write_str("ID:HEX"),
@@ -166,7 +177,9 @@
     #[must_use]
     pub fn range(&self) -> String {
         match self {
-            Self::Number { min, max } | Self::Time { min, max, .. } => format!("{min} to {max}"),
+            Self::Number { min, max }
+            | Self::Time { min, max, .. }
+            | Self::OptionalTime { min, max, .. } => format!("{min} to {max}"),
             Self::Choice(words) => words.join(", "),
             Self::Address | Self::OptionalAddress => "neither 0".into(),
             Self::Addresses(min) => format!("{min} or more, neither 0"),
--- a/roles/app/tests/settings.rs
+++ b/roles/app/tests/settings.rs
@@ -8,7 +8,9 @@
 use app::settings::Entry;
 use app::settings::Error;
 use app::settings::Format;
+use app::settings::Gateway;
 use app::settings::Operate;
+use app::settings::Sidecar;
 use app::settings::command;
 use app::settings::command::Settings;
 use app::settings::table::Role;
@@ -80,6 +82,29 @@
     assert_eq!(settings.stop, Agent::default().stop);
 }
 
+/// An empty cost of crossing differs from one of 0 ms.
+#[test]
+fn the_cost_of_crossing_is_derived_unless_given() {
+    let line = format!("--boot /boot.json --sign-key {KEY}");
+    let cost = |given: &str| {
+        let settings: Gateway = run(&format!("{line} {given}"), &[]);
+        settings.0.crossing_cost
+    };
+    assert_eq!(cost(""), None);
+    assert_eq!(cost("--crossing-cost 0"), Some(Duration::ZERO));
+    assert_eq!(cost("--crossing-cost 80"), Some(Duration::from_millis(80)));
+    let variable = "GREENGAGELUG_CROSSING_COST=25";
+    let settings: Gateway = run(&line, &[variable]);
+    assert_eq!(settings.0.crossing_cost, Some(Duration::from_millis(25)));
+    let wrong = errors::<Gateway>(&format!("{line} --crossing-cost 10001"), &[]);
+    assert_eq!(
+        wrong,
+        ["--crossing-cost does not accept `10001`; give NUMBER (0 to 10000) in ms"]
+    );
+    let sidecar = errors::<Sidecar>(&format!("{line} --crossing-cost 80"), &[]);
+    assert_eq!(sidecar.len(), 1, "a sidecar takes the cost from the frames");
+}
+
 #[test]
 fn reads_settings_of_call_with_defaults() {
     let settings: Call = run("--service 127.0.0.9:5000 --deadline 250", &[]);
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -9,6 +9,7 @@
 mod flow;
 mod search;
 mod settings;
+mod tally;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -44,6 +45,8 @@
 use flow::Flow;
 use flow::Phase;
 pub use settings::Settings;
+pub use tally::Reason;
+use tally::Tally;
 
 /// Input of an entry.
 #[derive(Clone, Debug)]
@@ -80,6 +83,7 @@
     placement: Placement,
     /// What the flows of each route carry, by the address that callers send to.
     sizes: HashMap<SocketAddrV4, Size>,
+    tally: Tally,
     started_at: Duration,
     known_targets: HashSet<TargetId>,
     /// Time at which a backend server was last added to the known ones.
@@ -117,6 +121,7 @@
             routes: Arc::default(),
             flows: HashMap::new(),
             sizes: HashMap::new(),
+            tally: Tally::default(),
             started_at: now,
             known_targets: HashSet::new(),
             last_target_added: now,
@@ -149,9 +154,20 @@
         if now >= self.next_sweep_at {
             self.next_sweep_at = now + self.settings.sweep_interval;
             self.sweep(now);
+            actions.extend(self.tally.review(now));
         }
     }
 
+    /// Returns the number of new flows by zone and reason.
+    pub fn placed_flows(&self) -> impl Iterator<Item = (ZoneId, Reason, u64)> {
+        self.tally.flows()
+    }
+
+    /// Returns what the flows of each route carry, by the address that callers send to.
+    pub fn sizes(&self) -> impl Iterator<Item = (SocketAddrV4, Size)> {
+        self.sizes.iter().map(|(address, size)| (*address, *size))
+    }
+
     /// Returns the version of the current configuration; 0 before the first.
     #[must_use]
     pub fn version(&self) -> Revision {
@@ -352,6 +368,7 @@
         if is_first {
             let size = self.sizes.entry(flow.service).or_default();
             size.record_flow(context.now);
+            self.record_placed(routes, &flow, &first);
             context.actions.push(Action::Opened {
                 flow,
                 first: first.target,
--- a/roles/forward/src/entry/action.rs
+++ b/roles/forward/src/entry/action.rs
@@ -74,6 +74,20 @@
     },
     /// A packet was dropped.
     Dropped(DropReason),
+    /// Many new flows are sent to other zones although the own one has servers.
+    OverflowBegan {
+        /// New flows of about a second that were sent to other zones.
+        overflowed: u32,
+        /// All new flows of that time.
+        opened: u32,
+    },
+    /// New flows stay in the own zone again.
+    OverflowEnded {
+        /// New flows that were sent to other zones meanwhile.
+        flows: u64,
+        /// Time since the begin.
+        lasted: Duration,
+    },
 }
 
 /// Reason for which a flow was refused or reset.
--- a/roles/forward/src/entry/crossing.rs
+++ b/roles/forward/src/entry/crossing.rs
@@ -5,6 +5,7 @@
 use wire::transit::Crossing;
 
 use super::Entry;
+use super::Reason;
 use crate::Routes;
 
 /// Number of agents of a path that [`Crossing::outside`] has bits for.
@@ -47,8 +48,28 @@
         })
     }
 
+    /// Counts a new flow that is sent to the first agent of its path.
+    pub(super) fn record_placed(&mut self, routes: &Routes, flow: &FlowId, first: &Hop) {
+        let route = routes.route(flow.service);
+        let Some(service) = route.and_then(|route| route.select_service(flow)) else {
+            return;
+        };
+        let mut ready = routes.ready_targets(service);
+        let has_home = ready.any(|target| target.zone == self.zone);
+        let mut known = routes.targets_of(service);
+        let Some(target) = known.find(|target| target.id == first.target) else {
+            return;
+        };
+        let reason = match target.zone == self.zone {
+            true => Reason::Home,
+            false if has_home => Reason::Overflow,
+            false => Reason::HomeHasNone,
+        };
+        self.tally.record(target.zone, reason);
+    }
+
     /// Returns true if an agent is in another availability zone than this entry.
-    pub(super) fn is_outside(&self, routes: &Routes, flow: &FlowId, hop: &Hop) -> bool {
+    fn is_outside(&self, routes: &Routes, flow: &FlowId, hop: &Hop) -> bool {
         let route = routes.route(flow.service);
         let mut targets = route
             .into_iter()
--- a/roles/forward/tests/zones.rs
+++ b/roles/forward/tests/zones.rs
@@ -236,3 +236,61 @@
 fn an_entry_without_priorities_states_no_cost() {
     assert_eq!(sent_open(false).crossing, None);
 }
+
+/// Opens flows while the server of the own zone reports a load, and returns whether an
+/// overflow began and ended within the time.
+fn overflow_events(entry: &mut Entry, seconds: std::ops::Range<u64>, running: u16) -> (bool, bool) {
+    let mut actions = Vec::new();
+    for second in seconds {
+        for index in 0..20 {
+            let now = ms(1_000 * second + 50 * index);
+            let load = wire::transit::Load {
+                running,
+                slots: 2,
+                service_us: 40_000,
+                ..wire::transit::Load::default()
+            };
+            let busy = wire::transit::Busy { target: 1, load };
+            entry.handle(now, entry::Event::Busy(busy), &mut actions);
+            let port = u16::try_from(1_000 + 20 * second + index).unwrap();
+            let event = entry::Event::Packet {
+                segment: caller_segment(port, Kind::Open, 0),
+                packet: packet(),
+            };
+            entry.handle(now, event, &mut actions);
+        }
+    }
+    let has = |is_wanted: fn(&entry::Action) -> bool| actions.iter().any(is_wanted);
+    (
+        has(|one| matches!(one, entry::Action::OverflowBegan { .. })),
+        has(|one| matches!(one, entry::Action::OverflowEnded { .. })),
+    )
+}
+
+/// Fails if operators do not learn from the log that a zone overflows.
+#[test]
+fn an_overflow_is_reported_at_its_begin_and_its_end() {
+    let mut entry = entry_in_zone_1(true);
+    assert_eq!(overflow_events(&mut entry, 1..5, 0), (false, false), "idle");
+    assert_eq!(overflow_events(&mut entry, 5..9, 40), (true, false), "full");
+    let after = overflow_events(&mut entry, 9..20, 0);
+    assert_eq!(after, (false, true), "idle again");
+}
+
+#[test]
+fn new_flows_are_counted_by_zone_and_reason() {
+    let mut entry = entry_in_zone_1(true);
+    overflow_events(&mut entry, 1..2, 0);
+    overflow_events(&mut entry, 2..3, 40);
+    let count = |entry: &Entry, zone, reason| {
+        let mut placed = entry.placed_flows();
+        placed.find_map(|(at, why, count)| (at == zone && why == reason).then_some(count))
+    };
+    assert_eq!(count(&entry, 1, entry::Reason::Home), Some(20));
+    assert_eq!(count(&entry, 2, entry::Reason::Overflow), Some(20));
+    let only_zone_2 = [target(2, 2, target::State::Ready)];
+    let event = entry::Event::Routes(routes(only_zone_2.into()));
+    entry.handle(ms(3_000), event, &mut Vec::new());
+    overflow_events(&mut entry, 3..4, 0);
+    assert_eq!(count(&entry, 2, entry::Reason::HomeHasNone), Some(20));
+}
