--- a/protocol/wire/tests/transit.rs
+++ b/protocol/wire/tests/transit.rs
@@ -156,3 +156,23 @@
     let contained: Vec<usize> = (0..1_100).filter(|index| flows.contains(*index)).collect();
     assert_eq!(contained, [0, 9, 999]);
 }
+/// Gateways and sidecars of versions with and without the share of used slots work side
+/// by side.
+#[test]
+fn the_share_of_used_slots_is_only_appended_to_a_report() {
+    let busy = |used_permille| Busy {
+        target: 7,
+        load: Load {
+            running: 1,
+            slots: 2,
+            used_permille,
+            ..Load::default()
+        },
+    };
+    let encode = |used| postcard::to_stdvec(&busy(used)).unwrap();
+    assert!(encode(Some(430)).starts_with(&encode(None)));
+    for used in [None, Some(430)] {
+        let decoded: Busy = postcard::from_bytes(&encode(used)).unwrap();
+        assert_eq!(decoded, busy(used));
+    }
+}
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -220,6 +220,11 @@
     4023 Warn FlowsUndecided { flows: usize }
         "{flows} flows were dropped whose holder was not found and whose end was not proved before their callers gave up",
         "look for agents that are marked down (3002), or that stopped while their backend servers still run";
+    4028 Warn OverflowBegan { overflowed: u32, opened: u32 }
+        "the own availability zone has too little room: {overflowed} of {opened} new flows of the last second were sent to other zones",
+        "add capacity in the zone if this is frequent";
+    4029 Info OverflowEnded { flows: u64, lasted_ms: u128 }
+        "new flows stay in the own availability zone again; {flows} were sent to other zones within {lasted_ms} ms", "nothing";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing if this was planned";
     5002 Info ServerMissing { }
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -150,6 +150,10 @@
     counter("carried.flows.undecided", "{flow}", "flows that a gateway dropped undecided when their callers gave up"),
     gauge("carried.undecided", "{flow}", "flows that a gateway keeps because their holder is unknown"),
     histogram("carried.ended.time", "us", "time from the first packet of a flow that has ended to its reset"),
+    // Placement of gateways.
+    counter("carried.flows.placed", "{flow}", "flows that a gateway sent to a server, by reason and zone: home, overflow, home_has_none"),
+    gauge("carried.route.requests", "{request}", "learned mean number of requests of a flow, by the address that callers send to"),
+    gauge("carried.route.bytes", "By", "learned mean bytes of a request and its answer, by the address that callers send to"),
     // Agents.
     gauge("weight", "{request}/s", "learned capacity, as announced"),
 ];
--- a/roles/forward/tests/malformed.rs
+++ b/roles/forward/tests/malformed.rs
@@ -98,7 +98,7 @@
     fn load()(running in any::<u16>(), slots in any::<u16>(), micros in [millis(), millis(), millis()])
         -> Load {
         let [service_us, held_us, risk_us] = micros;
-        Load { running, slots, service_us, held_us, risk_us }
+        Load { running, slots, service_us, held_us, risk_us, used_permille: None }
     }
 }
 
