--- a/roles/forward/tests/ended_flows.rs
+++ b/roles/forward/tests/ended_flows.rs
@@ -138,3 +138,75 @@
 fn ten_thousand_flows_are_found_after_a_loss_of_all_processes() {
     check_loss_of_processes(10_000, ms(4_500));
 }
+
+/// Inflicts a failure on a deployment with open flows, and returns it 14 s later.
+fn after(seed: u64, fail: impl Fn(&mut Simulation)) -> Simulation {
+    let mut simulation = Simulation::new(ENTRIES, SERVERS, seed);
+    simulation.open_flows(1_000);
+    simulation.delay_membership();
+    simulation.run_until(Duration::from_secs(25));
+    simulation.count = simulation::count::Count::default();
+    fail(&mut simulation);
+    let end = simulation.now + Duration::from_secs(14);
+    simulation.run_until(end);
+    let faults = simulation.faults.iter();
+    let broken: Vec<&String> = faults.filter(|fault| fault.contains("was reset")).collect();
+    assert!(broken.is_empty(), "{broken:?}");
+    simulation
+}
+
+/// Processes beyond the cut know what the others do not.
+#[test]
+fn flows_continue_after_a_zone_was_cut_off() {
+    for millis in [500, 3_000, 8_000] {
+        let simulation = after(1, |simulation| simulation.cut_zone(1, millis));
+        assert_eq!(simulation.count.resets.len(), 0);
+        assert!(simulation.unanswered_count() <= 50, "cut for {millis} ms");
+    }
+}
+
+/// Hosts that are gone may only be unreachable: no flow of theirs is reset, and those
+/// of the others are served.
+#[test]
+fn loss_of_half_of_the_hosts_resets_no_flow() {
+    let simulation = after(2, |simulation| {
+        for id in 1..=SERVERS / 2 {
+            simulation.lose_host(id);
+        }
+        for number in 0..ENTRIES / 2 {
+            simulation.stop_entry(number, 300);
+        }
+    });
+    assert_eq!(simulation.count.resets.len(), 0);
+    let held = simulation.held_count();
+    assert!(simulation.unanswered_count() <= 1_000 - held + 50);
+}
+
+/// The flows of a server that restarts beside running agents and entries have ended.
+#[test]
+fn flows_of_a_restarted_server_are_reset() {
+    let simulation = after(3, |simulation| {
+        for id in 1..=5 {
+            simulation.restart_server(id);
+        }
+    });
+    assert!(!simulation.count.resets.is_empty());
+    assert!(simulation.unanswered_count() <= 50);
+}
+
+/// Each process knows nothing of what the one before it knew.
+#[test]
+fn flows_continue_after_a_restart_of_all_processes_in_turn() {
+    let simulation = after(4, |simulation| {
+        for number in 0..ENTRIES {
+            simulation.restart_entry(number);
+            simulation.run_until(simulation.now + ms(1_500));
+        }
+        for id in 1..=SERVERS {
+            simulation.stop_agent(id, 100);
+            simulation.run_until(simulation.now + ms(300));
+        }
+    });
+    assert_eq!(simulation.count.resets.len(), 0);
+    assert!(simulation.unanswered_count() <= 50);
+}
--- a/roles/forward/tests/simulation/mod.rs
+++ b/roles/forward/tests/simulation/mod.rs
@@ -268,6 +268,13 @@
             .count()
     }
 
+    /// Returns the number of callers whose flow a server holds.
+    pub fn held_count(&self) -> usize {
+        let flows = self.callers.keys();
+        let is_held = |flow: &&FlowId| self.servers.values().any(|held| held.contains(*flow));
+        flows.filter(is_held).count()
+    }
+
     pub fn open_count(&self) -> usize {
         self.callers
             .values()
