Flows among agents with and without batches are found and reset

While a known agent has not answered a batch lately, undecided flows are also searched for one by one: first without probes, as a probe that does not reach the holder breaks the flow, then with them. Searches before all agents are known no longer count against the limit of searches with probes; 289 of 1,000 ended flows among agents of which a quarter had no batches stayed undecided.

--- a/roles/forward/src/entry/batch.rs
+++ b/roles/forward/src/entry/batch.rs
@@ -128,6 +128,21 @@
         })
     }
 
+    /// Returns true if a known agent has not answered a batch lately: it has failed, or
+    /// is of an earlier version, which may hold flows that only a search for each of
+    /// them finds.
+    pub(super) fn has_silent_agent(&self, now: Duration, address: SocketAddrV4) -> bool {
+        let Some(route) = self.routes.route(address) else {
+            return false;
+        };
+        let opinions = &self.undecided.opinions;
+        let mut targets = self.routes.possible_holders(route);
+        targets.any(|target| {
+            let opinion = opinions.get(&target.id);
+            opinion.is_none_or(|opinion| now >= opinion.stated_at + OPINION_LIFETIME)
+        })
+    }
+
     /// Records what an agent knows about its server and about other agents. Returns
     /// the index of the server.
     fn record_findings(
--- a/roles/forward/src/entry/search.rs
+++ b/roles/forward/src/entry/search.rs
@@ -57,17 +57,19 @@
             return self.keep_undecided(now, flow, searching, context.actions);
         }
         searching.asked_at = now;
-        self.send_search(routes, now, flow, &mut searching, context.actions);
+        self.send_search(routes, now, flow, true, &mut searching, context.actions);
         self.searches.push_back(flow);
         self.store_flow(now, flow, Phase::Searching(searching));
     }
 
-    /// Asks one agent of each service of the route to search.
+    /// Asks one agent of each service of the route to search, with probes if
+    /// `may_probe` and all agents are known.
     pub(super) fn send_search(
         &mut self,
         routes: &Routes,
         now: Duration,
         flow: FlowId,
+        may_probe: bool,
         searching: &mut flow::Searching,
         actions: &mut Vec<Action>,
     ) {
@@ -75,7 +77,8 @@
             return;
         };
         searching.rounds += 1;
-        let terms = self.search_terms(now, route);
+        let mut terms = self.search_terms(now, route);
+        terms.may_probe &= may_probe;
         if terms.may_probe {
             searching.probed_at = Some(now);
         }
@@ -226,7 +229,7 @@
             }
             if let Phase::Searching(searching) = &mut state.phase {
                 searching.asked_at = now;
-                self.send_search(&routes, now, flow, searching, actions);
+                self.send_search(&routes, now, flow, true, searching, actions);
             }
             self.flows.insert(flow, state);
             self.searches.push_back(flow);
--- a/roles/forward/src/entry/undecided.rs
+++ b/roles/forward/src/entry/undecided.rs
@@ -203,6 +203,7 @@
         let is_news = knows_all_agents && !self.undecided.knew_all_agents;
         self.undecided.knew_all_agents = knows_all_agents;
         let mut views = Views::new();
+        let mut silent = HashMap::new();
         let mut dropped = 0;
         let all = std::mem::take(&mut self.undecided.flows);
         for (gives_up_at, flow) in all {
@@ -221,8 +222,15 @@
             let interval = self.settings.lost_retry_interval;
             let is_due = is_news || now >= searching.batched_at + interval;
             self.undecided.flows.insert((gives_up_at, flow));
-            if !self.decide_flow(now, &flow, &mut views) && is_due {
-                self.undecided.due.push(flow);
+            if self.decide_flow(now, &flow, &mut views) || !is_due {
+                continue;
+            }
+            self.undecided.due.push(flow);
+            let has_silent_agent = silent
+                .entry(flow.service)
+                .or_insert_with(|| self.has_silent_agent(now, flow.service));
+            if *has_silent_agent && knows_all_agents {
+                self.undecided.uncertain.insert(flow);
             }
         }
         if dropped > 0 {
@@ -234,14 +242,16 @@
     /// their backend servers.
     fn search_uncertain(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let routes = Arc::clone(&self.routes);
+        let knows_all_agents = self.knows_all_agents(now);
+        let interval = self.settings.lost_retry_interval;
         while let Some(flow) = self.undecided.uncertain.first().copied() {
             let phase = self.flows.get(&flow).map(|state| &state.phase);
             let may_search = match phase {
                 Some(Phase::Undecided(searching)) => {
-                    let interval = self.settings.lost_retry_interval;
-                    let last = searching.probed_at;
+                    let is_first =
+                        searching.rounds == 0 || knows_all_agents && searching.probed_at.is_none();
                     searching.probe_searches < MAX_PROBE_SEARCHES
-                        && last.is_none_or(|last| now >= last + interval)
+                        && (is_first || now >= searching.asked_at + interval)
                 }
                 _ => false,
             };
@@ -256,10 +266,15 @@
                 continue;
             };
             if let Phase::Undecided(mut searching) = state.phase {
-                searching.probe_searches += 1;
+                // A probe that does not reach the holder breaks the flow. A silent agent
+                // may be of an earlier version, though, and need the probe to tell.
+                let may_probe = searching.rounds > 0
+                    || !self.undecided.has_answers
+                    || !self.has_silent_agent(now, flow.service);
                 searching.asked_at = now;
                 searching.rounds = search::MAX_ROUNDS - 1;
-                self.send_search(&routes, now, flow, &mut searching, actions);
+                self.send_search(&routes, now, flow, may_probe, &mut searching, actions);
+                searching.probe_searches += u8::from(searching.probed_at == Some(now));
                 self.searches.push_back(flow);
                 state.phase = Phase::Searching(searching);
             }
--- a/roles/forward/tests/ended_flows.rs
+++ b/roles/forward/tests/ended_flows.rs
@@ -210,3 +210,38 @@
     assert_eq!(simulation.count.resets.len(), 0);
     assert!(simulation.unanswered_count() <= 50);
 }
+
+/// Agents of an earlier version drop batches. Flows that they hold, or that nobody
+/// holds, must be found or reset as before an update, whichever agents are updated.
+fn check_earlier_agents(share: u64, fail: impl Fn(&mut Simulation)) -> Simulation {
+    let simulation = after(5, |simulation| {
+        simulation.earlier_agents = (1..=SERVERS).filter(|id| id % 4 < share).collect();
+        fail(simulation);
+    });
+    let unanswered = simulation.unanswered_count();
+    assert!(unanswered <= 50, "{unanswered}");
+    simulation
+}
+
+#[test]
+fn flows_are_found_at_agents_of_an_earlier_version() {
+    for share in [1, 2, 4] {
+        let simulation = check_earlier_agents(share, |simulation| {
+            for number in 0..ENTRIES {
+                simulation.restart_entry(number);
+            }
+            simulation.run_until(simulation.now + ms(3_500));
+            let unanswered = simulation.unanswered_count();
+            assert!(unanswered <= 100, "share {share}: {unanswered} after 3.5 s");
+        });
+        assert_eq!(simulation.count.resets.len(), 0);
+    }
+}
+
+#[test]
+fn ended_flows_are_reset_among_agents_of_an_earlier_version() {
+    for share in [1, 2, 4] {
+        let simulation = check_earlier_agents(share, lose_power);
+        assert!(simulation.count.resets.len() >= 990);
+    }
+}
--- a/roles/forward/tests/simulation/mod.rs
+++ b/roles/forward/tests/simulation/mod.rs
@@ -117,6 +117,8 @@
     /// Datagrams and resets so far.
     pub count: Count,
     pub network: Network,
+    /// Agents of a version without batches.
+    pub earlier_agents: HashSet<TargetId>,
     /// Which process knows which agents; `None` if all know all at once.
     membership: Option<Membership>,
     stopped_agents: HashSet<TargetId>,
@@ -150,6 +152,7 @@
             strays: HashMap::new(),
             count: Count::default(),
             network: Network::default(),
+            earlier_agents: HashSet::new(),
             membership: None,
             stopped_agents: HashSet::new(),
             stopped_entries: HashSet::new(),
@@ -399,6 +402,10 @@
                 }
                 _ => {}
             },
+            Event::FrameAtAgent(
+                id,
+                Transit::SearchBatch(_) | Transit::LookupBatch(_) | Transit::Answer(_),
+            ) if self.earlier_agents.contains(&id) => {}
             Event::FrameAtAgent(id, transit) => {
                 let event = match transit {
                     Transit::Open(open) => {
