--- a/roles/forward/tests/simulation/mod.rs
+++ b/roles/forward/tests/simulation/mod.rs
@@ -121,6 +121,8 @@
     pub network: Network,
     /// Zones, and which of them are evacuated.
     pub zones: evacuation::Zones,
+    /// Agents of a version without batches.
+    pub earlier_agents: HashSet<TargetId>,
     /// Which process knows which agents; `None` if all know all at once.
     membership: Option<Membership>,
     stopped_agents: HashSet<TargetId>,
@@ -155,6 +157,7 @@
             count: Count::default(),
             zones: evacuation::Zones::default(),
             network: Network::default(),
+            earlier_agents: HashSet::new(),
             membership: None,
             stopped_agents: HashSet::new(),
             stopped_entries: HashSet::new(),
@@ -275,6 +278,13 @@
             .count()
     }
 
+    /// Returns the number of callers whose flow a server holds.
+    pub fn held_count(&self) -> usize {
+        let flows = self.callers.keys();
+        let is_held = |flow: &&FlowId| self.servers.values().any(|held| held.contains(*flow));
+        flows.filter(is_held).count()
+    }
+
     pub fn open_count(&self) -> usize {
         self.callers
             .values()
@@ -398,6 +408,10 @@
                 }
                 _ => {}
             },
+            Event::FrameAtAgent(
+                id,
+                Transit::SearchBatch(_) | Transit::LookupBatch(_) | Transit::Answer(_),
+            ) if self.earlier_agents.contains(&id) => {}
             Event::FrameAtAgent(id, transit) => {
                 let event = match transit {
                     Transit::Open(open) => {
