--- a/coordination/member/src/registry/broadcast.rs
+++ b/coordination/member/src/registry/broadcast.rs
@@ -14,11 +14,12 @@
 use crate::record::SubjectId;
 use crate::watches::Watches;
 
-/// Time after which the record is sent to an agent again with an acknowledgement:
-/// the message is not acknowledged itself. Three watchers send it, so that two
-/// losses in a row at all of them still leave time for a third attempt within the
-/// 5 s in which an evacuation has to be in force.
-const RESEND_INTERVAL: Duration = Duration::from_secs(2);
+/// Time for which a revision is sent to an agent with each acknowledgement, since the
+/// message is not acknowledged itself. An evacuation has to be in force within 5 s.
+const EAGER_TIME: Duration = Duration::from_secs(5);
+
+/// Time after which it is sent again later.
+const RESEND_INTERVAL: Duration = Duration::from_secs(5);
 
 /// What was sent to the watched agents.
 #[derive(Debug, Default)]
@@ -28,26 +29,42 @@
     sent: BTreeMap<SubjectId, Sent>,
 }
 
-/// Last message to one agent.
+/// Messages to one agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Sent {
     /// A process that was restarted knows nothing of an earlier message.
     incarnation: Incarnation,
     revision: Revision,
-    at: Duration,
+    first: Duration,
+    last: Duration,
 }
 
 impl Broadcast {
     /// Records a message to an agent. Returns false if it is not due.
-    fn begin(&mut self, id: SubjectId, sent: Sent) -> bool {
-        let is_recent = self.sent.get(&id).is_some_and(|last| {
-            (last.incarnation, last.revision) == (sent.incarnation, sent.revision)
-                && sent.at < last.at + RESEND_INTERVAL
-        });
-        if !is_recent {
-            self.sent.insert(id, sent);
+    fn begin(
+        &mut self,
+        now: Duration,
+        id: SubjectId,
+        incarnation: Incarnation,
+        revision: Revision,
+    ) -> bool {
+        let sent = self.sent.get_mut(&id);
+        match sent.filter(|sent| (sent.incarnation, sent.revision) == (incarnation, revision)) {
+            Some(sent) if now >= sent.first + EAGER_TIME && now < sent.last + RESEND_INTERVAL => {
+                return false;
+            }
+            Some(sent) => sent.last = now,
+            None => {
+                let sent = Sent {
+                    incarnation,
+                    revision,
+                    first: now,
+                    last: now,
+                };
+                self.sent.insert(id, sent);
+            }
         }
-        !is_recent
+        true
     }
 
     /// Forgets the agents that are no longer watched.
@@ -87,12 +104,8 @@
         let Some(message) = view.and_then(config_message) else {
             return;
         };
-        let sent = Sent {
-            incarnation,
-            revision: self.broadcast_revision().unwrap_or_default(),
-            at: now,
-        };
-        if self.broadcast.begin(id, sent) {
+        let revision = self.broadcast_revision().unwrap_or_default();
+        if self.broadcast.begin(now, id, incarnation, revision) {
             self.link.send(to, message, actions);
         }
     }
--- a/coordination/member/tests/broadcast.rs
+++ b/coordination/member/tests/broadcast.rs
@@ -1,9 +1,11 @@
 //! Tests of the record that entries send to all agents.
 mod net;
 
+use std::cell::RefCell;
 use std::time::Duration;
 
 use bytes::Bytes;
+use fastrand::Rng;
 use member::Announcer;
 use member::BROADCAST_ADDRESS;
 use member::Message;
@@ -84,6 +86,45 @@
     assert_eq!(lacking(&mut net, 3), 0);
 }
 
+/// No message is acknowledged, so that each has to be repeated.
+#[test]
+fn all_agents_know_the_record_in_time_although_half_of_the_messages_are_lost() {
+    for seed in 0..10 {
+        let mut net = region(6, AGENTS, 3);
+        let random = RefCell::new(Rng::with_seed(seed));
+        net.cut = Some(Box::new(move |_, to| {
+            (1..=AGENTS).any(|number| agent(number) == to) && random.borrow_mut().bool()
+        }));
+        publish(&mut net, 3);
+        net.run(LATE_SPREAD_TIME);
+        assert_eq!(lacking(&mut net, 3), 0, "seed {seed}");
+    }
+}
+
+/// Repeating the record to each agent all the time would take much of the budget.
+#[test]
+fn the_record_is_rarely_repeated_once_it_is_old() {
+    let mut net = region(6, AGENTS, 3);
+    publish(&mut net, 3);
+    net.run(Duration::from_secs(10));
+    let sent = |net: &Net| -> u64 {
+        let agents = net.agents.values();
+        agents
+            .map(|announcer| announcer.status().received_bytes)
+            .sum()
+    };
+    let before = sent(&net);
+    net.run(Duration::from_secs(10));
+    let with_record = sent(&net) - before;
+    let mut net = region(6, AGENTS, 3);
+    net.run(Duration::from_secs(10));
+    let before = sent(&net);
+    net.run(Duration::from_secs(10));
+    let added = with_record.saturating_sub(sent(&net) - before);
+    // Three watchers send some 110 bytes every five seconds.
+    assert!(added <= u64::from(AGENTS) * 3 * 3 * 110, "{added} bytes");
+}
+
 /// A watcher that was cut off sends what it knew.
 #[test]
 fn an_older_record_does_not_replace_a_newer_one() {
