--- a/roles/app/src/gateway/follow.rs
+++ b/roles/app/src/gateway/follow.rs
@@ -23,8 +23,9 @@
 use crate::gateway::control::Input;
 
 /// Sends each new configuration to the control thread until that has ended, and
-/// each list of evacuated zones if `zones` names the region of each zone. Sets `is_confirmed` to whether the store confirmed it recently. Sends to
-/// `restored` after each restore of the store from an older copy.
+/// each list of evacuated zones if `zones` names the region of each zone. Sets
+/// `is_confirmed` to whether the store confirmed the configuration recently. Sends
+/// to `restored` after each restore of the store from an older copy.
 pub async fn run(
     store: impl Store,
     control: Sender<Input>,
