Admission by class at the sidecar, budget of cold backend servers

Change: where opening frames state demands of more than one priority, waiting flows are ordered by class (limit::waiting), and limit::overload keeps places and a share of the server for urgent flows; a class that is passed over keeps one slot in eight. limit::warm_up limits new flows of a cold server in a sliding second. limit::vacancy tells whether another server had room, so that a flow that would be late is refused only then. Busy frames state the lowest class that is refused.

A record is dropped when the flow waits here or is refused, and followed 16 times at most.

Tested: cargo test -p forward -p limit -p wire -p route.

--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -6,6 +6,7 @@
 //!   accepts it.
 //! * [`pin`] records, at a flow's home, which other target holds the flow.
 //! * [`placement`] ranks targets for a new flow by their expected response time.
+//! * [`refusal`] remembers which classes of new flows no target has capacity for.
 //!
 //! All modules are sans-IO: the caller passes in the time and random seeds, and
 //! does the network I/O.
@@ -16,7 +17,9 @@
 pub mod order;
 pub mod pin;
 pub mod placement;
+pub mod refusal;
 pub mod tree;
 
 pub use order::Order;
 pub use placement::Placement;
+pub use refusal::Refusal;
--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -187,6 +187,11 @@
     pub target: TargetId,
     /// Load of the backend server.
     pub load: Load,
+    /// Lowest load-shedding priority whose new flows are refused there, because none
+    /// could be answered before its caller gives up; `None` where there is none, or
+    /// where the flow had no [`Demand`]. Must stay the last field of the frame.
+    #[serde(with = "trailing", skip_serializing_if = "Option::is_none")]
+    pub refused_from: Option<u8>,
 }
 
 /// Load of a backend server, as measured by its agent.
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -184,11 +184,21 @@
         "flow {flow} waits for a slot: expected wait {wait_us} us; {waiting} flows waited before it", "nothing";
     4015 Warn AnswerImplausible { flow: String }
         "the answer to a request of flow {flow} came far sooner and is far shorter than usual; it counts as a failure", "check the backend server's log for errors";
+    4016 Warn OverloadBegan { priority: u8, running: u16, waiting: usize, held: usize }
+        "overload began: a new flow of priority {priority} had to wait; {running} requests run or wait at the backend server, {waiting} flows wait here, {held} are held", "check the load; less urgent flows wait or are refused until it ends";
+    4017 Info OverloadEnded { lasted_ms: u128 }
+        "overload ended after {lasted_ms} ms", "nothing";
+    4018 Warn ClassRefused { service: String, priority: u8 }
+        "no backend server has capacity for new flows of priority {priority} to service {service}; they are refused here, except for one in 16", "check the load and the number of backend servers";
+    4019 Info ClassAdmitted { service: String, priority: u8, refused: u64 }
+        "new flows of priority {priority} to service {service} are sent to backend servers again; {refused} were refused", "nothing";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing if this was planned";
     5002 Info ServerMissing { }
         "no backend server runs here: it returned all packets since the start of this process and has not announced itself; it is announced as gone until it does",
         "nothing";
+    5003 Info ServerCold { left: String, limit: usize }
+        "the backend server is cold for {left} and gets {limit} new flows at most in any one second", "nothing";
 }
 
 impl Event {
--- a/roles/app/src/forwarder/event.rs
+++ b/roles/app/src/forwarder/event.rs
@@ -96,3 +96,19 @@
 pub fn flow_name(flow: &FlowId) -> String {
     format!("{}>{}", flow.caller, flow.service)
 }
+
+/// Returns a priority as the reason of a counter.
+#[must_use]
+pub const fn priority_name(priority: u8) -> &'static str {
+    match priority {
+        0 => "0",
+        1 => "1",
+        2 => "2",
+        3 => "3",
+        4 => "4",
+        5 => "5",
+        6 => "6",
+        7 => "7",
+        _ => "other",
+    }
+}
--- a/roles/app/src/metric/forwarder.rs
+++ b/roles/app/src/metric/forwarder.rs
@@ -31,8 +31,13 @@
 impl Counts {
     /// Increments a counter.
     pub fn add(&self, name: &'static str, reason: &'static str) {
+        self.add_many(name, reason, 1);
+    }
+
+    /// Adds to a counter.
+    pub fn add_many(&self, name: &'static str, reason: &'static str, count: u64) {
         let mut counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *counts.entry((name, reason)).or_default() += 1;
+        *counts.entry((name, reason)).or_default() += count;
     }
 
     /// Copies the counters to the instruments.
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -5,6 +5,7 @@
 //! processes; both share one core. The main thread runs the membership protocol
 //! and accepts the backend server's announcements.
 mod announcements;
+mod class;
 mod control;
 mod seeds;
 mod traffic;
@@ -158,6 +159,10 @@
         max_announcement_interval: host.heartbeat_ms.mul_f64(MAX_HEARTBEAT_FACTOR),
         announcement_timeout: silence.min(host.reuse_s.mul_f64(SILENCE_REUSE_SHARE)),
         max_flow_age: host.oldest_flow_s,
+        warm_up: host.cold_factor.map(|factor| limit::warm_up::Settings {
+            factor,
+            slack: host.cold_slack.unwrap_or_default(),
+        }),
         ..Settings::default()
     }
 }
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -27,6 +27,7 @@
 use crate::metric;
 use crate::metric::Instruments;
 use crate::metric::forwarder::record;
+use crate::sidecar::class;
 use crate::sidecar::control;
 
 /// State shared by the threads of a sidecar.
@@ -99,6 +100,7 @@
         let core = self.lock();
         instruments.set_size("carried.flows", core.len())?;
         instruments.set("carried.repeated", "", core.repeated_packets())?;
+        instruments.set("carried.cold", "", core.cold_limit(self.link.now()))?;
         instruments.set("carried.running", "", core.running().into())
     }
 
@@ -223,6 +225,25 @@
             Action::Admitted { .. } | Action::Waits { .. } | Action::PassedOn { .. } => {
                 self.report_admission(decision);
             }
+            Action::Class { priority, step } => class::count(link, *priority, *step),
+            Action::OverloadBegan {
+                priority,
+                running,
+                waiting,
+                held,
+            } => self.link.log(&log::Event::OverloadBegan {
+                priority: *priority,
+                running: *running,
+                waiting: *waiting,
+                held: *held,
+            }),
+            Action::OverloadEnded { lasted } => self.link.log(&log::Event::OverloadEnded {
+                lasted_ms: lasted.as_millis(),
+            }),
+            Action::Cold { left, limit } => self.link.log(&log::Event::ServerCold {
+                left: class::cold_time(*left),
+                limit: *limit,
+            }),
             Action::Implausible { flow } => {
                 link.count("carried.requests.implausible", "");
                 let flow = flow_name(flow);
@@ -293,6 +314,7 @@
 const fn refusal_label(reason: Refusal) -> &'static str {
     match reason {
         Refusal::NoSlot => "no_slot",
+        Refusal::SoonerElsewhere => "sooner_elsewhere",
         Refusal::NotAccepted => "not_accepted",
         Refusal::ServerEnded => "server_ended",
     }
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod backend;
 mod bid;
+mod class;
 mod expiring_map;
 mod flow;
 mod lookup;
@@ -25,9 +26,12 @@
 use bytes::Bytes;
 use limit::Forecast;
 use limit::Occupancy;
+use limit::Overload;
 use limit::Plausibility;
 use limit::Risk;
+use limit::Vacancy;
 use limit::Waiting;
+use limit::WarmUp;
 use wire::FlowId;
 use wire::Hop;
 use wire::Segment;
@@ -48,6 +52,7 @@
 pub use backend::Announcement;
 pub use backend::State;
 pub use bid::Bid;
+pub use class::Step;
 use expiring_map::ExpiringMap;
 use flow::Flow;
 use flow::Progress;
@@ -140,6 +145,12 @@
     flows: HashMap<FlowId, Flow>,
     /// New flows that wait for a slot.
     waiting: Waiting<Arrival>,
+    overload: Overload,
+    /// Other backend servers that had room lately.
+    vacancy: Vacancy,
+    warm_up: WarmUp,
+    /// Whether a limit of new flows was in force at the last event.
+    is_limited: bool,
     passed_flows: ExpiringMap<Passed>,
     probes: ExpiringMap<Probe>,
     flows_not_held: ExpiringMap<()>,
@@ -179,6 +190,10 @@
     /// false if no earlier process can have run beside the backend server.
     #[must_use]
     pub fn new(settings: Settings, own: Hop, may_hold_prior_flows: bool, now: Duration) -> Self {
+        let mut warm_up = WarmUp::new(settings.warm_up, now);
+        if !may_hold_prior_flows {
+            warm_up.clear_earlier_use();
+        }
         Self {
             own,
             started_at: now,
@@ -196,6 +211,10 @@
             plausibility: Plausibility::default(),
             flows: HashMap::new(),
             waiting: Waiting::new(MAX_WAITING),
+            overload: Overload::new(settings.overload),
+            vacancy: Vacancy::default(),
+            warm_up,
+            is_limited: false,
             passed_flows: ExpiringMap::new(settings.linger),
             probes: ExpiringMap::new(settings.max_flow_age),
             flows_not_held: ExpiringMap::new(settings.max_flow_age),
@@ -241,6 +260,8 @@
         if !self.waiting.is_empty() {
             self.admit_waiting(now, actions);
         }
+        self.report_overload(now, actions);
+        self.report_cold(now, actions);
     }
 
     /// Returns the reason for which no new flows are admitted, or `None` if
@@ -263,23 +284,15 @@
             }
             _ if reaction_deadline.is_some_and(|deadline| now >= deadline) => Some(Closed::Mute),
             _ if self.flows.len() >= settings.max_flows => Some(Closed::Flows),
-            _ if !self.has_room() && self.load(now).wait() > patience => Some(Closed::Queue),
+            // Where classes differ, each has an expected wait of its own.
+            _ if self.overload.has_classes(now) => None,
+            _ if !self.has_room(now, None) && self.load(now).wait() > patience => {
+                Some(Closed::Queue)
+            }
             _ => None,
         }
     }
 
-    /// Returns true if the backend server may be sent another request.
-    const fn has_room(&self) -> bool {
-        self.occupancy.running() < self.occupancy.slots() + self.settings.max_queued
-    }
-
-    /// Returns true if the backend server may be sent the request of a flow that has
-    /// waited: it takes a slot that would be idle otherwise, and does not delay the
-    /// requests of callers that can still be answered promptly.
-    const fn has_spare_slot(&self) -> bool {
-        self.occupancy.running() <= self.occupancy.slots()
-    }
-
     /// Returns true if the backend server is assumed to be ready without an
     /// announcement. It keeps serving after a crash of its agent, so a restarted
     /// agent admits flows at once. A server that only returns opening packets has
@@ -346,6 +359,7 @@
         let waiting = u16::try_from(self.waiting.len()).unwrap_or(u16::MAX);
         own.running = own.running.saturating_add(waiting);
         let held = self.held_load.bid(now, own.rate());
+        let own = self.warm_up.limit_load(now, self.waiting.len(), own);
         let micros = |time: Duration| u32::try_from(time.as_micros()).unwrap_or(u32::MAX);
         transit::Load {
             held_us: micros(held),
@@ -372,7 +386,8 @@
         if self.flows.contains_key(&flow) {
             return self.deliver(now, flow, forward, segment, actions);
         }
-        if let Some(Passed { open, .. }) = self.passed_flows.get(now, &flow) {
+        let passed = self.passed_flows.get_mut(now, &flow);
+        if let Some(open) = passed.and_then(Passed::follow) {
             let to = open.path[usize::from(open.position)];
             return forward_to_next_holder(flow, to, forward, actions);
         }
@@ -408,7 +423,10 @@
         }
         self.repeated_packets += u64::from(held.is_repeated(&segment));
         match held.record_caller_packet(now, &segment, &mut self.occupancy) {
-            Some(Progress::NextRequest) => self.held_load.record_request(now),
+            Some(Progress::NextRequest) => {
+                self.held_load.record_request(now);
+                self.overload.record_held_request(held.priority);
+            }
             Some(Progress::Failed) => self.risk.record_failure(now),
             Some(Progress::Answered(_)) | None => {}
         }
@@ -431,6 +449,15 @@
             }
             keep
         });
+        let mut open = HashMap::new();
+        for flow in self.flows.values().filter(|flow| flow.is_open()) {
+            if let Some(priority) = flow.priority {
+                *open.entry(priority).or_insert(0) += 1;
+            }
+        }
+        self.overload.set_open_flows(now, |priority| {
+            open.get(&priority).copied().unwrap_or_default()
+        });
         let idle = self.flows.values().filter(|flow| flow.is_idle()).count();
         self.held_load
             .set_idle_flows(now, u32::try_from(idle).unwrap_or(u32::MAX));
@@ -438,6 +465,7 @@
         self.flows_not_held.expire(now);
         self.ended_flows.expire(now);
         self.probes.expire(now);
+        self.vacancy.expire(now);
         self.expire_searches(now, actions);
     }
 }
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -9,6 +9,7 @@
 use wire::Transit;
 
 use super::Bid;
+use super::class::Step;
 
 /// Output of an agent: an action for the process to carry out, or a decision to
 /// count and log.
@@ -81,6 +82,37 @@
         /// Number of flows that waited before it.
         waiting: usize,
     },
+    /// A decision on a new flow that has a demand.
+    Class {
+        /// Load-shedding priority of the flow.
+        priority: u8,
+        /// The decision.
+        step: Step,
+    },
+    /// An overload began: an urgent flow had to wait.
+    OverloadBegan {
+        /// Load-shedding priority of that flow.
+        priority: u8,
+        /// Number of requests that were running or queued.
+        running: u16,
+        /// Number of flows that waited before it.
+        waiting: usize,
+        /// Number of flows held.
+        held: usize,
+    },
+    /// An overload ended: no urgent flow has had to wait for a while.
+    OverloadEnded {
+        /// Duration of the overload.
+        lasted: Duration,
+    },
+    /// The backend server is cold, and its new flows are limited.
+    Cold {
+        /// Time for which it stays cold; [`Duration::MAX`] if it has not announced
+        /// that yet.
+        left: Duration,
+        /// Number of new flows that it gets in any one second.
+        limit: usize,
+    },
     /// The opening packet of a flow was forwarded to another agent.
     PassedOn {
         /// The flow.
@@ -163,6 +195,8 @@
 pub enum Refusal {
     /// No agent expects a free slot within the request's timeout.
     NoSlot,
+    /// The flow would be answered late here, and another server can take it sooner.
+    SoonerElsewhere,
     /// No backend server accepted the opening packet.
     NotAccepted,
     /// The backend server of the flow terminated.
--- a/roles/forward/src/agent/admission.rs
+++ b/roles/forward/src/agent/admission.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use limit::overload::Priority;
 use wire::FlowId;
 use wire::Segment;
 use wire::TargetId;
@@ -17,8 +18,10 @@
 use super::Closed;
 use super::DropReason;
 use super::Refusal;
+use super::Step;
 use super::bid;
 use super::bid::Verdict;
+use super::class;
 use super::flow::Flow;
 use super::flow::Opening;
 use super::lookup::send_not_held;
@@ -30,15 +33,29 @@
     pub sequence: u32,
     /// Frame that was forwarded.
     pub open: Open,
+    /// Number of later packets of the flow that followed it.
+    followed: u8,
 }
 
+/// Maximum number of packets of one flow that follow its first opening packet to
+/// another agent: its copies and what arrives until the entry knows the holder. Agents
+/// that have passed the flow to each other would forward a packet for ever.
+const MAX_FOLLOWED: u8 = 16;
+
 impl Passed {
     fn new(segment: &Segment, open: &Open) -> Self {
         Self {
             sequence: segment.sequence,
             open: open.clone(),
+            followed: 0,
         }
     }
+
+    /// Returns the frame to follow, unless too many packets have followed it.
+    pub(super) fn follow(&mut self) -> Option<&Open> {
+        self.followed = self.followed.saturating_add(1);
+        (self.followed <= MAX_FOLLOWED).then_some(&self.open)
+    }
 }
 
 impl Agent {
@@ -69,22 +86,27 @@
         if self.is_waiting(&segment) {
             return actions.push(Action::Dropped(DropReason::WaitingCopy));
         }
-        match self.passed_flows.get(now, &flow) {
+        self.record_demand(now, &open, actions);
+        match self.passed_flows.get_mut(now, &flow) {
             Some(passed) if !open.is_settled && passed.sequence == segment.sequence => {
-                let passed = passed.open.clone();
+                let Some(passed) = passed.follow().cloned() else {
+                    return actions.push(Action::Dropped(DropReason::RefusedCopy));
+                };
                 let packet = open.packet;
                 return pass_on(Open { packet, ..passed }, actions);
             }
             _ => {}
         }
+        let class = self.class(now, &open);
         let bid = match intended_target(&open) {
-            Some(target) if target == self.own.target => self.bid(now),
+            Some(target) if target == self.own.target => self.bid(now, class),
             _ => Err(Closed::OtherServer),
         };
-        let bid = bid.and_then(|bid| match self.patience(&segment) {
-            patience if bid.wait > patience && !self.has_room() => Err(Closed::Queue),
-            _ => Ok(bid),
-        });
+        let patience = self.class_patience(class, &segment, &open);
+        let bid = match bid {
+            Ok(bid) if bid.wait > patience && !bid.has_room => Err(Closed::Queue),
+            bid => bid,
+        };
         self.decide_open(now, segment, open, bid, actions);
     }
 
@@ -99,10 +121,15 @@
     ) {
         let flow = segment.flow_from_caller();
         let intended_target = intended_target(&open).unwrap_or(self.own.target);
+        let class = self.class(now, &open);
         match bid::decide(open, bid.ok()) {
-            Verdict::Admit(open) if self.has_room() => {
+            Verdict::Admit(open) if self.has_room(now, class) => {
+                class::count(&open, Step::Admitted(Duration::ZERO), actions);
                 self.admit(now, &segment, open, bid.unwrap_or_default(), actions);
             }
+            Verdict::Admit(open) if self.is_sooner_elsewhere(now, &segment, &open) => {
+                self.refuse(now, &segment, open, Refusal::SoonerElsewhere, actions);
+            }
             Verdict::Admit(open) => {
                 self.hold_back(now, segment, open, bid.unwrap_or_default(), actions);
             }
@@ -115,7 +142,7 @@
                     to: open.path[usize::from(open.position)].target,
                     is_settled: open.is_settled,
                 });
-                self.report_busy(now, open.entry, intended_target, actions);
+                self.report_busy(now, &open, intended_target, actions);
                 pass_on(open, actions);
             }
             // The flow may have been opened elsewhere through an earlier copy
@@ -123,13 +150,35 @@
             Verdict::Refuse(_) if segment.is_retransmission() => {
                 actions.push(Action::Dropped(DropReason::RefusedCopy));
             }
-            Verdict::Refuse(open) => actions.push(Action::Reset {
-                flow,
-                sequence: segment.acknowledged,
-                reason: Refusal::NoSlot,
-                bids: open.bids,
-            }),
+            Verdict::Refuse(open) => self.refuse(now, &segment, open, Refusal::NoSlot, actions),
+        }
+    }
+
+    /// Resets a new flow whose opening packet has not been delivered.
+    pub(super) fn refuse(
+        &mut self,
+        now: Duration,
+        segment: &Segment,
+        open: Open,
+        reason: Refusal,
+        actions: &mut Vec<Action>,
+    ) {
+        self.passed_flows.remove(&segment.flow_from_caller());
+        if open.demand.is_some() {
+            let step = match reason {
+                Refusal::SoonerElsewhere => Step::SoonerElsewhere,
+                _ => Step::Hopeless,
+            };
+            class::count(&open, step, actions);
+            let target = intended_target(&open).unwrap_or(self.own.target);
+            self.report_busy(now, &open, target, actions);
         }
+        actions.push(Action::Reset {
+            flow: segment.flow_from_caller(),
+            sequence: segment.acknowledged,
+            reason,
+            bids: open.bids,
+        });
     }
 
     /// Delivers a copy of an opening packet whose flow has been admitted.
@@ -160,7 +209,7 @@
         let is_own = forward.target == self.own.target;
         let held = self.flows.get_mut(&flow).filter(|_| is_own);
         let relation = held.map(|held| (held.compare_opening(now, segment, timeout), held));
-        match (relation, self.passed_flows.get(now, &flow)) {
+        match (relation, self.passed_flows.get_mut(now, &flow)) {
             (Some((Opening::Copy, held)), _) => {
                 held.last_used = now;
                 held.entry = Some(forward.entry);
@@ -170,7 +219,9 @@
                 actions.push(Action::Dropped(DropReason::LateOpening));
             }
             (_, Some(passed)) if passed.sequence == segment.sequence => {
-                let open = passed.open.clone();
+                let Some(open) = passed.follow().cloned() else {
+                    return actions.push(Action::Dropped(DropReason::RefusedCopy));
+                };
                 let packet = forward.packet;
                 pass_on(Open { packet, ..open }, actions);
             }
@@ -191,17 +242,18 @@
 
     /// Returns the bid for a new flow, or the reason for which none are
     /// admitted.
-    pub(super) fn bid(&self, now: Duration) -> Result<Bid, Closed> {
+    pub(super) fn bid(&self, now: Duration, class: Option<Priority>) -> Result<Bid, Closed> {
         let load = self.load(now);
-        match self.closed_reason(now) {
-            Some(reason) => Err(reason),
-            None => Ok(Bid {
-                wait: load.wait(),
-                held: load.held(),
-                risk: load.risk(),
-                has_room: self.has_room(),
-            }),
+        if let Some(reason) = self.closed_reason(now) {
+            return Err(reason);
         }
+        let bid = Bid {
+            wait: load.wait(),
+            held: load.held(),
+            risk: load.risk(),
+            has_room: self.has_room(now, None),
+        };
+        Ok(self.class_bid(now, class, bid))
     }
 
     /// Delivers the opening packet of a new flow to the backend server and
@@ -222,6 +274,7 @@
             held: self.flows.len(),
             entry: open.entry,
         });
+        self.record_admission(now, &open);
         let start = self.occupancy.begin(now);
         self.unanswered_since.get_or_insert(now);
         let entry = open.entry;
@@ -255,20 +308,25 @@
     /// Reports the load of a backend server to an entry that sent a flow which
     /// this agent could not admit. For a target that is closed or no longer
     /// here, the load is reported as a full queue.
-    fn report_busy(
-        &self,
-        now: Duration,
-        entry: SocketAddr,
-        target: TargetId,
-        actions: &mut Vec<Action>,
-    ) {
+    fn report_busy(&self, now: Duration, open: &Open, target: TargetId, actions: &mut Vec<Action>) {
         let mut load = self.load(now);
-        if target != self.own.target || self.closed_reason(now).is_some() {
+        let is_closed = target != self.own.target || self.closed_reason(now).is_some();
+        if is_closed {
             load.running = load.running.max(load.slots + self.settings.max_queued);
         }
+        // A server that is closed to all flows refuses each class.
+        let refused_from = if is_closed {
+            Some(0)
+        } else {
+            self.refused_from(now)
+        };
         actions.push(Action::Send {
-            to: entry,
-            transit: Transit::Busy(transit::Busy { target, load }),
+            to: open.entry,
+            transit: Transit::Busy(transit::Busy {
+                target,
+                load,
+                refused_from: open.demand.and(refused_from),
+            }),
         });
     }
 
--- a/roles/forward/src/agent/bid.rs
+++ b/roles/forward/src/agent/bid.rs
@@ -57,6 +57,13 @@
     }
 }
 
+/// Returns the expected wait in another agent's bid, or `None` if that agent had no
+/// room for the flow.
+#[must_use]
+pub fn wait_with_room(bid_ms: u32) -> Option<Duration> {
+    (bid_ms < NO_ROOM).then(|| Duration::from_millis(u64::from(bid_ms)))
+}
+
 /// Decides on an opening packet, given the bid of this agent or `None` if it
 /// admits no flows.
 #[must_use]
--- a/roles/forward/src/agent/expiring_map.rs
+++ b/roles/forward/src/agent/expiring_map.rs
@@ -48,6 +48,12 @@
         (now < stored.inserted_at + self.lifetime).then_some(&stored.value)
     }
 
+    /// Returns the value of a flow for modification unless it has expired.
+    pub fn get_mut(&mut self, now: Duration, flow: &FlowId) -> Option<&mut T> {
+        let stored = self.flows.get_mut(flow)?;
+        (now < stored.inserted_at + self.lifetime).then_some(&mut stored.value)
+    }
+
     /// Removes a flow and returns its value.
     pub fn remove(&mut self, flow: &FlowId) -> Option<T> {
         self.flows.remove(flow).map(|stored| stored.value)
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -23,6 +23,8 @@
     /// Initial sequence number of the caller, and the time at which the opening
     /// packet was delivered; `None` if this process has not seen it.
     opened: Option<(u32, Duration)>,
+    /// Load-shedding priority of its route, if it is known.
+    pub priority: Option<u8>,
     /// Time of the last packet.
     pub last_used: Duration,
     /// Timeout of the flow's requests.
@@ -95,6 +97,7 @@
             entry: Some(open.entry),
             slot: Some(start),
             request_timeout: Duration::from_millis(u64::from(open.max_wait_ms)),
+            priority: open.demand.map(|demand| demand.priority),
             open: Some(open),
             is_reserved: true,
             handshake: Handshake::Sent,
@@ -109,6 +112,7 @@
             slot: None,
             open: None,
             opened: None,
+            priority: None,
             last_used: now,
             request_timeout: DEFAULT_REQUEST_TIMEOUT,
             request_started_at: now,
@@ -296,9 +300,14 @@
         self.slot.is_some() && !self.is_reserved
     }
 
+    /// Returns true if neither end has closed the flow.
+    pub const fn is_open(&self) -> bool {
+        !self.has_caller_ended && !self.has_server_ended
+    }
+
     /// Returns true if the flow is open but has no pending request.
     pub const fn is_idle(&self) -> bool {
-        self.requests > 0 && self.slot.is_none() && !self.has_caller_ended && !self.has_server_ended
+        self.requests > 0 && self.slot.is_none() && self.is_open()
     }
 
     /// Returns true if the flow can be dropped: no packet was seen for `linger`
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -187,6 +187,14 @@
         self.unanswered_since = None;
         self.own.target = announcement.target;
         self.occupancy.set_slots(announcement.slots);
+        let cold_until = match announcement.warm_up {
+            Duration::ZERO => Duration::ZERO,
+            warm_up => now + warm_up,
+        };
+        self.warm_up.set_cold_until(cold_until);
+        if !self.may_hold_prior_flows {
+            self.warm_up.clear_earlier_use();
+        }
         self.announcement = Some(announcement);
     }
 
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -2,7 +2,9 @@
 use std::time::Duration;
 
 use limit::forecast;
+use limit::overload;
 use limit::risk;
+use limit::warm_up;
 
 /// Settings of an agent that forwards packets without reading their content.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,6 +15,11 @@
     pub held_load: forecast::Settings,
     /// Settings of the estimate of the failure rate.
     pub risk: risk::Settings,
+    /// Settings of the division among classes of new flows.
+    pub overload: overload::Settings,
+    /// Limit of the new flows that reach the backend server while it is cold; `None`
+    /// where they are not limited.
+    pub warm_up: Option<warm_up::Settings>,
     /// Maximum number of requests, beyond its slots, that the backend server is
     /// sent concurrently. The server rejects requests that exceed its own short
     /// queue. Further flows wait at the agent.
@@ -67,6 +74,8 @@
             initial_service_time: Duration::from_millis(20),
             held_load: forecast::Settings::default(),
             risk: risk::Settings::default(),
+            overload: overload::Settings::default(),
+            warm_up: None,
             max_queued: 6,
             max_flows: 2_000,
             assumed_ready_time: Duration::from_secs(2),
--- a/roles/forward/tests/waiting.rs
+++ b/roles/forward/tests/waiting.rs
@@ -212,3 +212,17 @@
     actions.extend(handle(&mut agent, ms(31), Event::Tick));
     assert!(!delivers(&actions), "{actions:?}");
 }
+
+/// Agents that had passed a flow to each other forwarded each later packet for seconds.
+#[test]
+fn copies_of_an_opening_packet_do_not_circulate() {
+    let mut agent = ready_agent(false);
+    fill_slots(&mut agent, ms(1));
+    let open = open_frame(&[OWN, 5]);
+    assert!(passed_on(&send_open(&mut agent, ms(2), 9, open.clone())).is_some());
+    let copies = (0..100).filter(|_| {
+        let actions = send_open(&mut agent, ms(3), 9, open.clone());
+        passed_on(&actions).is_some()
+    });
+    assert!(copies.count() < 20);
+}
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -7,6 +7,9 @@
 //!   visible, from requests and answers on the network.
 //! * [`Load`] estimates the load of held flows from their request rate.
 //! * [`Waiting`] holds new work back while there is no room for it.
+//! * [`Overload`] divides a backend server among classes of new work.
+//! * [`WarmUp`] limits the new flows that reach a cold backend server.
+//! * [`Vacancy`] remembers which other backend servers had room.
 //! * [`Risk`] estimates how likely a backend server is to fail a request.
 //! * [`Plausibility`] tells answers that come too fast and are too short.
 //! * [`Budget`] limits retries to a share of first attempts.
@@ -21,12 +24,15 @@
 pub mod job;
 pub mod load;
 pub mod occupancy;
+pub mod overload;
 pub mod pause;
 pub mod plausibility;
 pub mod queue;
 pub mod risk;
 pub mod share;
+pub mod vacancy;
 pub mod waiting;
+pub mod warm_up;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
@@ -42,6 +48,9 @@
 pub use job::Verdict;
 pub use load::Load;
 pub use occupancy::Occupancy;
+pub use overload::Overload;
 pub use plausibility::Plausibility;
 pub use risk::Risk;
+pub use vacancy::Vacancy;
 pub use waiting::Waiting;
+pub use warm_up::WarmUp;
--- a/state/limit/src/occupancy.rs
+++ b/state/limit/src/occupancy.rs
@@ -118,6 +118,18 @@
         self.slots
     }
 
+    /// Returns the service rate in requests a second over many requests, which is
+    /// steadier than that of [`Self::load`]; at least 1.
+    #[must_use]
+    pub fn steady_rate(&self) -> u32 {
+        let service_us = u32::try_from(self.mean.slow().as_micros()).unwrap_or(u32::MAX);
+        let load = Load {
+            service_us,
+            ..self.load()
+        };
+        load.rate()
+    }
+
     /// Returns the mean service time of the latest requests.
     #[must_use]
     pub fn service_time(&self) -> Duration {
--- a/state/limit/src/waiting.rs
+++ b/state/limit/src/waiting.rs
@@ -4,6 +4,11 @@
 //! carry, such as the callers that return together after a failure. Serves the
 //! newest arrival first: while the excess lasts, some callers get their answer as
 //! fast as ever, and the others wait as long as they would in any order.
+//!
+//! Where arrivals differ in urgency, [`Waiting::pop_urgent`] orders them by class
+//! first. Otherwise an excess of unimportant work, which is the larger part of most
+//! loads, would delay the few urgent arrivals as much as itself.
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -28,9 +33,20 @@
     arrivals: VecDeque<Arrival<T>>,
 }
 
+/// What an arrival asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// Load-shedding priority: under overload, a higher number is served last.
+    pub priority: u8,
+    /// Time until which it must be admitted for an answer within its target latency.
+    pub prompt_until: Duration,
+    /// Time until which it must be admitted at all.
+    pub until: Duration,
+}
+
 #[derive(Debug)]
 struct Arrival<T> {
-    until: Duration,
+    claim: Claim,
     work: T,
 }
 
@@ -56,13 +72,40 @@
         self.arrivals.is_empty()
     }
 
+    /// Returns the number of arrivals that are as urgent as a priority or more.
+    #[must_use]
+    pub fn count_up_to(&self, priority: u8) -> usize {
+        let claims = self.arrivals.iter().map(|arrival| arrival.claim);
+        claims.filter(|claim| claim.priority <= priority).count()
+    }
+
+    /// Returns the priorities of the arrivals, oldest first.
+    pub fn priorities(&self) -> impl Iterator<Item = u8> {
+        self.arrivals.iter().map(|arrival| arrival.claim.priority)
+    }
+
     /// Adds an arrival that waits until a time, and returns the oldest one if there
     /// is no room for both.
     pub fn push(&mut self, until: Duration, work: T) -> Option<T> {
-        self.arrivals.push_back(Arrival { until, work });
-        let is_over = self.arrivals.len() > self.capacity;
-        let oldest = is_over.then(|| self.arrivals.pop_front());
-        oldest.flatten().map(|arrival| arrival.work)
+        let claim = Claim {
+            priority: 0,
+            prompt_until: until,
+            until,
+        };
+        self.push_claim(claim, work)
+    }
+
+    /// Adds an arrival with a claim. If there is no room for all, returns the oldest
+    /// of the least urgent arrivals.
+    pub fn push_claim(&mut self, claim: Claim, work: T) -> Option<T> {
+        self.arrivals.push_back(Arrival { claim, work });
+        if self.arrivals.len() <= self.capacity {
+            return None;
+        }
+        let claims = self.arrivals.iter().enumerate();
+        let least = claims.min_by_key(|(_, arrival)| Reverse(arrival.claim.priority));
+        let index = least.map(|(index, _)| index)?;
+        self.arrivals.remove(index).map(|arrival| arrival.work)
     }
 
     /// Removes and returns the newest arrival.
@@ -70,12 +113,57 @@
         self.arrivals.pop_back().map(|arrival| arrival.work)
     }
 
+    /// Removes and returns the next arrival by urgency: those of class `due` if there
+    /// are any, else the most urgent; of these, the newest that can still be answered
+    /// within its target latency, else the newest.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use limit::Waiting;
+    /// use limit::waiting::Claim;
+    ///
+    /// let at = Duration::from_millis;
+    /// let claim = |priority, prompt_until| Claim { priority, prompt_until, until: at(900) };
+    /// let mut waiting = Waiting::new(9);
+    /// waiting.push_claim(claim(1, at(300)), "prompt");
+    /// waiting.push_claim(claim(1, at(100)), "late");
+    /// waiting.push_claim(claim(2, at(300)), "unimportant");
+    /// waiting.push_claim(claim(2, at(300)), "newer");
+    /// assert_eq!(waiting.pop_urgent(at(200), Some(2)), Some("newer"));
+    /// assert_eq!(waiting.pop_urgent(at(200), None), Some("prompt"));
+    /// assert_eq!(waiting.pop_urgent(at(200), None), Some("late"));
+    /// ```
+    pub fn pop_urgent(&mut self, now: Duration, due: Option<u8>) -> Option<T> {
+        let claims = self.arrivals.iter().enumerate().rev();
+        let next = claims.min_by_key(|(_, Arrival { claim, .. })| {
+            let is_due = due == Some(claim.priority);
+            (!is_due, claim.priority, now > claim.prompt_until)
+        });
+        let index = next.map(|(index, _)| index)?;
+        self.arrivals.remove(index).map(|arrival| arrival.work)
+    }
+
     /// Returns the newest arrival for which `is_wanted` returns true.
     pub fn find(&self, is_wanted: impl Fn(&T) -> bool) -> Option<&T> {
         let mut works = self.arrivals.iter().rev().map(|arrival| &arrival.work);
         works.find(|work| is_wanted(work))
     }
 
+    /// Returns the arrivals, oldest first.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.arrivals.iter().map(|arrival| &arrival.work)
+    }
+
+    /// Removes and returns the arrivals for which `is_wanted` returns true.
+    pub fn take(&mut self, is_wanted: impl Fn(&T) -> bool) -> Vec<T> {
+        let (taken, waiting): (VecDeque<_>, VecDeque<_>) = self
+            .arrivals
+            .drain(..)
+            .partition(|arrival| is_wanted(&arrival.work));
+        self.arrivals = waiting;
+        taken.into_iter().map(|arrival| arrival.work).collect()
+    }
+
     /// Removes the arrivals for which `is_unwanted` returns true.
     pub fn remove(&mut self, is_unwanted: impl Fn(&T) -> bool) {
         self.arrivals.retain(|arrival| !is_unwanted(&arrival.work));
@@ -86,7 +174,7 @@
         let (expired, waiting): (VecDeque<_>, VecDeque<_>) = self
             .arrivals
             .drain(..)
-            .partition(|arrival| now >= arrival.until);
+            .partition(|arrival| now >= arrival.claim.until);
         self.arrivals = waiting;
         expired.into_iter().map(|arrival| arrival.work).collect()
     }
