Tests of the classes at one agent; a turn makes up for at most four slots

Cause: a class remembered 16 slots that it had, so that its turn came only after 112 urgent flows. Tested: forward admission and classes, limit overload.

--- a/state/limit/src/overload.rs
+++ b/state/limit/src/overload.rs
@@ -383,7 +383,7 @@
 }
 
 /// Number of slots beyond its share that a class is remembered to have had.
-const MAX_CREDIT: i32 = 16;
+const MAX_CREDIT: i32 = 4;
 
 /// Number of agents that a new flow visits while all backend servers are busy.
 const VISITS_PER_FLOW: f64 = 3.0;
