--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -160,7 +160,7 @@
         "the opening packet of flow {flow} was forwarded to the agent of {to}: bid here {bid}, final decision left to that agent: {settled}", "nothing";
     4004 Warn FlowReset { flow: String, reason: String, detail: String }
         "flow {flow} was reset: {reason}, {detail}",
-        "no_route: check the configuration; no_slot or no_server: check the load";
+        "no_route: check the configuration; no_slot, no_server, no_capacity or sooner_elsewhere: check the load";
     4005 Info FlowSought { flow: String, searcher: TargetId, known: usize, may_try: bool, max_age_ms: u32 }
         "the agent of {searcher} searches for the holder of flow {flow} among {known} agents; probes allowed: {may_try}, denials count from backend servers up to {max_age_ms} ms old", "nothing";
     4006 Info FlowFound { flow: String, holder: TargetId, took_us: u128 }
