--- a/roles/forward/tests/classes.rs
+++ b/roles/forward/tests/classes.rs
@@ -120,3 +120,37 @@
     assert!(prompt(&with) >= 0.97, "{with:?}");
     assert!(prompt(&with) >= prompt(&without), "{with:?} {without:?}");
 }
+
+/// Requests that each open a flow, in the shares of a deployment whose work has shifted to
+/// longer requests.
+fn single_requests(load: f64) -> Scenario {
+    let requests = |priority, share, service_time, target, timeout| Work {
+        priority,
+        share,
+        service_time: ms(service_time),
+        target: ms(target),
+        timeout: ms(timeout),
+        is_long: false,
+    };
+    Scenario {
+        works: vec![
+            requests(2, 0.605, 40, 300, 1_500),
+            requests(1, 0.389, 52, 400, 2_000),
+            requests(2, 0.006, 5, 800, 4_000),
+        ],
+        ..overload(load)
+    }
+}
+
+fn check_single_requests(load: f64) {
+    let report = run(single_requests(load));
+    assert!(report.outcomes[URGENT].prompt_share() >= 0.97, "{report:?}");
+    assert!(report.useful >= 0.95, "{report:?}");
+}
+
+cases::cases! {
+    check_single_requests;
+    single_requests_at_a_load_of_1_2: 1.2,
+    single_requests_at_a_load_of_1_5: 1.5,
+    single_requests_at_a_load_of_2: 2.0,
+}
