--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`placement`] ranks targets for a new flow by their expected response time.
 //! * [`Size`] learns what the flows of a route carry.
 //! * [`Trend`] projects the load of an availability zone ahead.
+//! * [`refusal`] remembers which classes of new flows no target has capacity for.
 //!
 //! All modules are sans-IO: the caller passes in the time and random seeds, and
 //! does the network I/O.
@@ -18,11 +19,13 @@
 pub mod order;
 pub mod pin;
 pub mod placement;
+pub mod refusal;
 pub mod size;
 pub mod tree;
 pub mod trend;
 
 pub use order::Order;
 pub use placement::Placement;
+pub use refusal::Refusal;
 pub use size::Size;
 pub use trend::Trend;
--- a/protocol/wire/tests/transit.rs
+++ b/protocol/wire/tests/transit.rs
@@ -168,6 +168,7 @@
             used_permille,
             ..Load::default()
         },
+        refused_from: None,
     };
     let encode = |used| postcard::to_stdvec(&busy(used)).unwrap();
     assert!(encode(Some(430)).starts_with(&encode(None)));
@@ -176,3 +177,25 @@
         assert_eq!(decoded, busy(used));
     }
 }
+
+/// A gateway of an earlier version reads the report of load and ignores the class.
+#[test]
+fn a_refused_class_is_only_appended() {
+    let busy = |refused_from| Busy {
+        target: 7,
+        // Without the share, the class would be read as one.
+        load: Load {
+            used_permille: Some(430),
+            ..Load::default()
+        },
+        refused_from,
+    };
+    let encode = |busy: &Busy| postcard::to_stdvec(busy).unwrap();
+    let (without, with) = (encode(&busy(None)), encode(&busy(Some(2))));
+    assert!(with.starts_with(&without));
+    assert!(with.len() > without.len());
+    for refused_from in [None, Some(0), Some(2)] {
+        let decoded: Busy = postcard::from_bytes(&encode(&busy(refused_from))).unwrap();
+        assert_eq!(decoded, busy(refused_from));
+    }
+}
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -176,7 +176,7 @@
         "the opening packet of flow {flow} was forwarded to the agent of {to}: bid here {bid}, final decision left to that agent: {settled}", "nothing";
     4004 Warn FlowReset { flow: String, reason: String, detail: String }
         "flow {flow} was reset: {reason}, {detail}",
-        "no_route: check the configuration; no_slot or no_server: check the load";
+        "no_route: check the configuration; no_slot, no_server, no_capacity or sooner_elsewhere: check the load";
     4005 Info FlowSought { flow: String, searcher: TargetId, known: usize, may_try: bool, max_age_ms: u32 }
         "the agent of {searcher} searches for the holder of flow {flow} among {known} agents; probes allowed: {may_try}, denials count from backend servers up to {max_age_ms} ms old", "nothing";
     4006 Info FlowFound { flow: String, holder: TargetId, took_us: u128 }
@@ -200,16 +200,14 @@
         "flow {flow} waits for a slot: expected wait {wait_us} us; {waiting} flows waited before it", "nothing";
     4015 Warn AnswerImplausible { flow: String }
         "the answer to a request of flow {flow} came far sooner and is far shorter than usual; it counts as a failure", "check the backend server's log for errors";
-    4024 Warn LinkFull { bytes: usize }
-        "the network link of this host is full: packets have waited for half a second without interruption; {bytes} bytes wait",
-        "nothing if it ends soon; otherwise give the host a faster link, or run more hosts";
-    4025 Info LinkFree { }
-        "the network link of this host is free again", "nothing";
-    4026 Warn RotationLeft { }
-        "this gateway answers the readiness check as not ready, since its network link stays full and others of its zone have room; it still serves what reaches it",
-        "give the host a faster link if this lasts";
-    4027 Info RotationRejoined { }
-        "this gateway takes part in the rotation again", "nothing";
+    4016 Warn OverloadBegan { priority: u8, running: u16, waiting: usize, held: usize }
+        "overload began: a new flow of priority {priority} had to wait; {running} requests run or wait at the backend server, {waiting} flows wait here, {held} are held", "check the load; less urgent flows wait or are refused until it ends";
+    4017 Info OverloadEnded { lasted_ms: u128 }
+        "overload ended after {lasted_ms} ms", "nothing";
+    4018 Warn ClassRefused { service: String, priority: u8 }
+        "no backend server has capacity for new flows of priority {priority} to service {service}; they are refused here, except for one in 16", "check the load and the number of backend servers";
+    4019 Info ClassAdmitted { service: String, priority: u8, refused: u64 }
+        "new flows of priority {priority} to service {service} are sent to backend servers again; {refused} were refused", "nothing";
     4020 Info FlowsSought { flows: usize, searcher: TargetId, known: usize }
         "the agent of {searcher} searches for the holders of {flows} flows among {known} agents", "nothing";
     4021 Info FlowEnded { flow: String, proof: String, took_us: u128 }
@@ -220,6 +218,16 @@
     4023 Warn FlowsUndecided { flows: usize }
         "{flows} flows were dropped whose holder was not found and whose end was not proved before their callers gave up",
         "look for agents that are marked down (3002), or that stopped while their backend servers still run";
+    4024 Warn LinkFull { bytes: usize }
+        "the network link of this host is full: packets have waited for half a second without interruption; {bytes} bytes wait",
+        "nothing if it ends soon; otherwise give the host a faster link, or run more hosts";
+    4025 Info LinkFree { }
+        "the network link of this host is free again", "nothing";
+    4026 Warn RotationLeft { }
+        "this gateway answers the readiness check as not ready, since its network link stays full and others of its zone have room; it still serves what reaches it",
+        "give the host a faster link if this lasts";
+    4027 Info RotationRejoined { }
+        "this gateway takes part in the rotation again", "nothing";
     4028 Warn OverflowBegan { overflowed: u32, opened: u32 }
         "the own availability zone has too little room: {overflowed} of {opened} new flows of the last second were sent to other zones",
         "add capacity in the zone if this is frequent";
@@ -230,6 +238,8 @@
     5002 Info ServerMissing { }
         "no backend server runs here: it returned all packets since the start of this process and has not announced itself; it is announced as gone until it does",
         "nothing";
+    5003 Info ServerCold { left: String, limit: usize }
+        "the backend server is cold for {left} and gets {limit} new flows at most in any one second", "nothing";
 }
 
 impl Event {
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -22,6 +22,7 @@
 
 use crate::event as log;
 use crate::forwarder::event::flow_name;
+use crate::forwarder::event::priority_name;
 use crate::forwarder::link::Link;
 use crate::forwarder::reader;
 use crate::gateway::control;
@@ -203,6 +204,26 @@
                     rounds,
                 });
             }
+            Action::ClassRefused { service, priority } => {
+                let service = service.to_string();
+                let refused = log::Event::ClassRefused { service, priority };
+                self.link.log(&refused);
+            }
+            Action::ClassAdmitted {
+                service,
+                priority,
+                refused,
+            } => self.link.log(&log::Event::ClassAdmitted {
+                service: service.to_string(),
+                priority,
+                refused,
+            }),
+            Action::ClassFlowRefused { priority } => {
+                link.count("carried.class.refused", priority_name(priority));
+            }
+            Action::ClassTried { priority } => {
+                link.count("carried.class.trials", priority_name(priority));
+            }
             Action::Dropped(reason) => self.link.drop_packet(drop_label(reason)),
             Action::OverflowBegan { overflowed, opened } => {
                 link.log(&log::Event::OverflowBegan { overflowed, opened });
@@ -253,7 +274,8 @@
             }
             Action::UndecidedDropped { flows } => {
                 let counts = &link.telemetry.counts;
-                counts.add_many("carried.flows.undecided", "", *flows);
+                let count = u64::try_from(*flows).unwrap_or(u64::MAX);
+                counts.add_many("carried.flows.undecided", "", count);
                 link.log(&log::Event::FlowsUndecided { flows: *flows });
             }
             _ => {}
@@ -278,6 +300,7 @@
 const fn refusal_label(reason: Refusal) -> &'static str {
     match reason {
         Refusal::NoRoute => "no_route",
+        Refusal::NoCapacity => "no_capacity",
         Refusal::NoServer => "no_server",
         Refusal::ServerEnded => "server_ended",
     }
--- a/roles/app/src/metric/forwarder.rs
+++ b/roles/app/src/metric/forwarder.rs
@@ -34,10 +34,10 @@
         self.add_many(name, reason, 1);
     }
 
-    /// Increments a counter several times.
-    pub fn add_many(&self, name: &'static str, reason: &'static str, count: usize) {
+    /// Adds to a counter.
+    pub fn add_many(&self, name: &'static str, reason: &'static str, count: u64) {
         let mut counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *counts.entry((name, reason)).or_default() += u64::try_from(count).unwrap_or(u64::MAX);
+        *counts.entry((name, reason)).or_default() += count;
     }
 
     /// Returns a counter.
--- a/roles/forward/tests/malformed.rs
+++ b/roles/forward/tests/malformed.rs
@@ -197,7 +197,13 @@
                 acknowledged,
             })
         }),
-        (target_id(), load()).prop_map(|(target, load)| entry::Event::Busy(Busy { target, load })),
+        (target_id(), load(), proptest::option::of(any::<u8>())).prop_map(
+            |(target, load, refused_from)| entry::Event::Busy(Busy {
+                target,
+                load,
+                refused_from
+            })
+        ),
         Just(entry::Event::Tick),
     ]
 }
--- a/roles/forward/tests/zones.rs
+++ b/roles/forward/tests/zones.rs
@@ -250,7 +250,11 @@
                 service_us: 40_000,
                 ..wire::transit::Load::default()
             };
-            let busy = wire::transit::Busy { target: 1, load };
+            let busy = wire::transit::Busy {
+                target: 1,
+                load,
+                refused_from: None,
+            };
             entry.handle(now, entry::Event::Busy(busy), &mut actions);
             let port = u16::try_from(1_000 + 20 * second + index).unwrap();
             let event = entry::Event::Packet {
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -9,6 +9,9 @@
 //! * [`link::Link`] paces the packets of a network link and orders waiting ones.
 //! * [`Load`] estimates the load of held flows from their request rate.
 //! * [`Waiting`] holds new work back while there is no room for it.
+//! * [`Overload`] divides a backend server among classes of new work.
+//! * [`WarmUp`] limits the new flows that reach a cold backend server.
+//! * [`Vacancy`] remembers which other backend servers had room.
 //! * [`Risk`] estimates how likely a backend server is to fail a request.
 //! * [`rotation::Rotation`] decides when a gateway with a full link leaves the rotation.
 //! * [`Plausibility`] tells answers that come too fast and are too short.
@@ -25,6 +28,7 @@
 pub mod link;
 pub mod load;
 pub mod occupancy;
+pub mod overload;
 pub mod pace;
 pub mod pause;
 pub mod plausibility;
@@ -32,7 +36,9 @@
 pub mod risk;
 pub mod rotation;
 pub mod share;
+pub mod vacancy;
 pub mod waiting;
+pub mod warm_up;
 
 pub use backoff::Backoff;
 pub use budget::Budget;
@@ -48,7 +54,10 @@
 pub use job::Verdict;
 pub use load::Load;
 pub use occupancy::Occupancy;
+pub use overload::Overload;
 pub use pace::Pace;
 pub use plausibility::Plausibility;
 pub use risk::Risk;
+pub use vacancy::Vacancy;
 pub use waiting::Waiting;
+pub use warm_up::WarmUp;
