--- a/protocol/wire/tests/transit.rs
+++ b/protocol/wire/tests/transit.rs
@@ -93,6 +93,7 @@
     let busy = Transit::Busy(Busy {
         target: 1,
         load: Load::default(),
+        refused_from: None,
     });
     let number = |transit: &Transit| postcard::to_stdvec(transit).unwrap()[0];
     assert_eq!(number(&busy), 7);
