Agent that starts slowly after a loss of power counts as young

If it answers the server's first announcement, no earlier process ran there, so the host has failed.

--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -285,11 +285,13 @@
     /// a proof that it started in the same failure as an entry. A server that was
     /// running well before this process counts as older than any entry: then not the
     /// host has failed, but this process, and processes that the entry does not know
-    /// yet may be starting beside servers that still run.
+    /// yet may be starting beside servers that still run. A process that only started
+    /// slowly shows in that no announcement was answered before.
     pub(super) fn max_age_as_proof(&self, now: Duration) -> Option<Duration> {
         let age = self.max_server_age(now)?;
         let own_age = now.saturating_sub(self.started_at);
-        let is_older = age > own_age + self.settings.start_lead;
+        let is_older =
+            !self.hears_first_answered_announcement && age > own_age + self.settings.start_lead;
         Some(if is_older { Duration::MAX } else { age })
     }
 
--- a/roles/forward/tests/batch_agent.rs
+++ b/roles/forward/tests/batch_agent.rs
@@ -211,6 +211,15 @@
     assert_eq!(ask(&mut agent, ms(101), search(&[9], 0)).age_ms, Some(501));
 }
 
+/// After a loss of power, an agent with a small share of a core needs longer than its
+/// server. As one that counts as old, it would keep all flows of the service open.
+#[test]
+fn agent_that_starts_slowly_after_its_server_counts_as_young() {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(10), Some(ms(750)), 5);
+    assert_eq!(ask(&mut agent, ms(20), search(&[9], 0)).age_ms, Some(760));
+}
+
 /// An entry would ask again only after 400 ms.
 #[test]
 fn agent_reports_by_itself_once_its_server_has_announced_itself() {
