--- a/roles/forward/tests/simulation/mod.rs
+++ b/roles/forward/tests/simulation/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code)]
 pub mod count;
 pub mod evacuation;
+mod ends;
+mod failure;
 pub mod membership;
 pub mod network;
 
@@ -47,9 +49,6 @@
 /// Interval between two ticks of a process.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time after which a caller retransmits a packet for the first time.
-const RETRANSMIT_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Event at one of the simulated processes.
 enum Event {
     PacketAtEntry(usize, Segment),
@@ -218,58 +217,6 @@
         self.forget_zones(evacuation::Process::Agent(id));
     }
 
-    /// Simulates a power loss of all hosts: only the callers keep their state.
-    pub fn lose_power(&mut self) {
-        for id in self.ids() {
-            self.restart_server(id);
-            self.start_agent(id, true);
-        }
-        for number in 0..self.entries.len() {
-            self.restart_entry(number);
-        }
-    }
-
-    /// Simulates a power loss of all hosts that lasts for a time: entries are back
-    /// then, agents soon after, and servers announce themselves within 500 ms.
-    pub fn lose_power_for(&mut self, millis: u64) {
-        for id in self.ids() {
-            self.servers.insert(id, HashSet::new());
-            self.stop_agent(id, millis + 30 + self.last_event_id % 50);
-            let wait = ms(millis + self.rng.u64(0..100));
-            self.schedule(wait, Event::StartServer(id));
-        }
-        for number in 0..self.entries.len() {
-            let wait = millis + self.rng.u64(0..100);
-            self.stop_entry(number, wait);
-        }
-    }
-
-    /// Restarts a backend server, which loses its flows.
-    pub fn restart_server(&mut self, id: TargetId) {
-        self.servers.insert(id, HashSet::new());
-        self.sequences.insert(id, 0);
-        self.unannounced.insert(id);
-        *self.starts.entry(id).or_default() += 1;
-        self.started_at.insert(id, self.now);
-        let start = self.starts[&id];
-        let wait = ms(self.rng.u64(0..400));
-        self.schedule(wait, Event::Announce(id, start));
-    }
-
-    fn ids(&self) -> Vec<TargetId> {
-        let mut ids: Vec<TargetId> = self.servers.keys().copied().collect();
-        ids.sort_unstable();
-        ids
-    }
-
-    /// Adds a backend server that has never held a flow.
-    pub fn add_server(&mut self, id: TargetId) {
-        self.servers.insert(id, HashSet::new());
-        self.sequences.insert(id, 0);
-        self.start_agent(id, true);
-        self.publish_routes();
-    }
-
     /// Returns the number of flows with an unanswered request.
     pub fn unanswered_count(&self) -> usize {
         let callers = self.callers.values();
@@ -751,8 +698,3 @@
         _ => None,
     }
 }
-
-/// Returns the initial sequence number of a backend server.
-fn initial_position(id: TargetId) -> u32 {
-    u32::try_from(id).unwrap() * 10_000_000
-}
