--- a/roles/forward/src/agent/admission.rs
+++ b/roles/forward/src/agent/admission.rs
@@ -40,7 +40,7 @@
 /// Maximum number of packets of one flow that follow its first opening packet to
 /// another agent: its copies and what arrives until the entry knows the holder. Agents
 /// that have passed the flow to each other would forward a packet for ever.
-const MAX_FOLLOWED: u8 = 16;
+const MAX_FOLLOWED: u8 = 64;
 
 impl Passed {
     fn new(segment: &Segment, open: &Open) -> Self {
