--- a/roles/forward/tests/simulation/ends.rs
+++ b/roles/forward/tests/simulation/ends.rs
@@ -8,7 +8,6 @@
 
 use super::Caller;
 use super::Event;
-use super::NETWORK_DELAY;
 use super::Simulation;
 use crate::fixtures::ms;
 
@@ -56,7 +55,9 @@
             echo: 0,
         };
         let entry = self.entry_of(&flow);
-        self.schedule(NETWORK_DELAY, Event::PacketAtEntry(entry, segment));
+        for delay in self.delays(kind) {
+            self.schedule(delay, Event::PacketAtEntry(entry, segment));
+        }
         let wait = RETRANSMIT_INTERVAL * 2_u32.pow(attempts.min(3));
         self.schedule(wait, Event::SendAtCaller(flow, attempts + 1, generation));
     }
@@ -128,6 +129,7 @@
         };
         match segment.kind {
             Kind::Open => {
+                self.check_opening(id, &flow);
                 self.servers.get_mut(&id).unwrap().insert(flow);
                 let accept = Segment {
                     sequence: initial_position(id),
