--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -134,6 +134,7 @@
 
 /// State machine of an agent.
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a fact of its own")]
 pub struct Agent {
     settings: Settings,
     own: Hop,
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -166,11 +166,8 @@
         let is_first = current.is_none();
         if current.is_none_or(|held| held.start != announcement.start) {
             if !is_first {
-                self.end_flows(
-                    now,
-                    self.opened_at_latest_server(now, &announcement),
-                    actions,
-                );
+                let opened_at = self.opened_at_latest_server(now, &announcement);
+                self.end_flows(now, Some(opened_at), actions);
                 self.risk = Risk::new(self.settings.risk, now);
                 self.plausibility = Plausibility::default();
             }
@@ -238,14 +235,10 @@
     /// Returns the time from which a flow may have been opened at the server that
     /// announces its start: a server can accept flows before its first announcement
     /// arrives.
-    fn opened_at_latest_server(
-        &self,
-        now: Duration,
-        announcement: &Announcement,
-    ) -> Option<Duration> {
+    fn opened_at_latest_server(&self, now: Duration, announcement: &Announcement) -> Duration {
         let delay = self.settings.max_announcement_interval;
         let age = announcement.age.unwrap_or_default();
-        Some(now.saturating_sub(age + delay))
+        now.saturating_sub(age + delay)
     }
 
     /// Ends the flows of the backend server, but for those that were opened after
--- a/roles/forward/tests/class_reports.rs
+++ b/roles/forward/tests/class_reports.rs
@@ -1,5 +1,9 @@
 //! Plays overload while the reports of agents to entries are lost, late or wrong, and
 //! checks that entries refuse classes only where that is right.
+#![expect(
+    clippy::unnecessary_wraps,
+    reason = "all ways of reporting share a signature"
+)]
 mod fixtures;
 
 use std::time::Duration;
