Sidecars: a host at whose server's address nothing listens has no server

Cause: a host that comes back from a loss of power without its server and gets no packets, as in an evacuated zone, was never found to have none. Change: a sidecar that has not heard of its server connects to it; where connections are refused for 500 ms it announces that there is none. Shown by forward returned server_at_whose_address_nothing_listens_is_missing.

--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -8,6 +8,7 @@
 mod class;
 mod control;
 pub mod evacuation;
+mod presence;
 mod seeds;
 mod traffic;
 
@@ -145,6 +146,8 @@
     let read = move |instruments: &mut Instruments| shared.publish(instruments, &http.counts());
     metric::forwarder::serve(metrics, &executor, read, instruments).await?;
     lifecycle::log_start(Role::Sidecar, &host);
+    let presence = presence::watch(backend, Arc::clone(&traffic));
+    executor.spawn(presence).detach();
     let discovery = seeds::discover(store, host.clone(), sender.clone());
     executor.spawn(discovery).detach();
     let control = Control {
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -92,6 +92,11 @@
         (received, self.lock().repeated_packets())
     }
 
+    /// Returns true if the backend server has not announced itself to this process.
+    pub fn awaits_announcement(&self) -> bool {
+        self.lock().awaits_announcement()
+    }
+
     /// Returns true if there is no backend server that could hold flows.
     pub fn lacks_server(&self) -> bool {
         self.lock().lacks_server(self.link.now())
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -126,6 +126,8 @@
     Announcement(Announcement),
     /// The backend server announced its termination.
     ServerEnded,
+    /// No process listens at the address of the backend server.
+    ServerAbsent,
     /// The process is shutting down.
     Stop,
     /// A timer fired. Expired state is removed if a sweep is due.
@@ -294,6 +296,7 @@
                 self.handle_announcement(now, announcement, actions);
             }
             Event::ServerEnded => self.end_server(now, actions),
+            Event::ServerAbsent => self.presence.record_absent(now),
             Event::Stop => self.is_stopping = true,
             Event::Tick => {}
         }
@@ -367,6 +370,12 @@
         self.announcement.is_none() && self.presence.is_missing(now, interval)
     }
 
+    /// Returns true if the backend server has not announced itself to this process.
+    #[must_use]
+    pub const fn awaits_announcement(&self) -> bool {
+        self.announcement.is_none()
+    }
+
     /// Returns true if any request is running or queued.
     #[must_use]
     pub const fn is_busy(&self) -> bool {
--- a/roles/forward/src/agent/presence.rs
+++ b/roles/forward/src/agent/presence.rs
@@ -22,6 +22,10 @@
 /// server that has returned any packet counts as missing.
 const MISSED_ANNOUNCEMENTS: f64 = 1.5;
 
+/// Time for which no process must have listened at the backend server's address before
+/// the server counts as missing. One that starts together with its host listens by then.
+const MIN_ABSENT_TIME: Duration = Duration::from_millis(500);
+
 /// What the agent has seen of its backend server since the agent's start.
 #[derive(Debug)]
 pub struct Presence {
@@ -30,6 +34,8 @@
     returned_openings: u8,
     /// Time of the first packet of any kind that it returned.
     first_returned: Option<Duration>,
+    /// Time since which no process has listened at its address.
+    absent_since: Option<Duration>,
     /// Whether it has sent a packet of its own.
     has_sent: bool,
     /// Whether it has announced its end.
@@ -43,6 +49,7 @@
             started_at: now,
             returned_openings: 0,
             first_returned: None,
+            absent_since: None,
             has_sent: false,
             has_left: false,
         }
@@ -56,6 +63,11 @@
         }
     }
 
+    /// Records that no process listens at the server's address.
+    pub fn record_absent(&mut self, now: Duration) {
+        self.absent_since.get_or_insert(now);
+    }
+
     /// Records a packet that the server sent by itself.
     pub fn record_sent(&mut self, kind: Kind) {
         self.has_sent = true;
@@ -77,6 +89,12 @@
     /// Returns true if there is no server that could hold flows. A live one
     /// announces itself once in `announcement_interval`.
     pub fn is_missing(&self, now: Duration, announcement_interval: Duration) -> bool {
+        let is_absent = self
+            .absent_since
+            .is_some_and(|since| now >= since + MIN_ABSENT_TIME);
+        if is_absent && !self.has_sent {
+            return true;
+        }
         let Some(first_returned) = self.first_returned else {
             return self.has_left;
         };
--- a/roles/forward/tests/returned.rs
+++ b/roles/forward/tests/returned.rs
@@ -190,3 +190,22 @@
     }
     assert!(!agent.lacks_server(ms(1_000)));
 }
+
+/// Guards against flows that are kept open for a host that came back from a loss of
+/// power without its server and gets no packets, as in an evacuated zone.
+#[test]
+fn server_at_whose_address_nothing_listens_is_missing() {
+    let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
+    handle(&mut agent, ms(250), Event::ServerAbsent);
+    assert!(!agent.lacks_server(ms(700)));
+    assert!(agent.lacks_server(ms(750)));
+}
+
+/// Guards against a server that is announced as gone although it holds flows.
+#[test]
+fn server_that_accepts_flows_is_not_missing_where_no_connection_is_made() {
+    let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
+    handle(&mut agent, ms(250), Event::ServerAbsent);
+    accept_flow(&mut agent, ms(300), 9);
+    assert!(!agent.lacks_server(ms(800)));
+}
