Gateways: agents that have not learned of a departure do not keep flows undecided

Cause: a flow stays open while an agent knows more agents than the gateway. Change: the gateway compares with all agents that it has heard of, the departed ones included.

--- a/roles/app/src/gateway/routes.rs
+++ b/roles/app/src/gateway/routes.rs
@@ -40,6 +40,9 @@
                 self.update_table(view);
             } else if *address != BROADCAST_ADDRESS {
                 let targets = view.map(targets).unwrap_or_default();
+                let all = view.map_or(0, |view| view.targets.len());
+                let departed = all.saturating_sub(targets.len());
+                self.routes.departed.insert(*address, departed);
                 if view.is_some_and(has_unreachable) {
                     self.routes.services_with_down_targets.insert(*address);
                 } else {
--- a/roles/forward/src/entry/batch.rs
+++ b/roles/forward/src/entry/batch.rs
@@ -117,9 +117,9 @@
     }
 
     /// Returns true if an agent of a service knows another one that is marked down, or
-    /// more agents than this entry.
+    /// more agents than this entry has heard of.
     pub(super) fn is_doubted(&self, now: Duration, share: ServiceAddress) -> bool {
-        let known = self.routes.targets_of(share).count();
+        let known = self.routes.heard_of(share);
         let mut opinions = self.undecided.opinions.values();
         opinions.any(|opinion| {
             opinion.share == share
--- a/roles/forward/src/routes.rs
+++ b/roles/forward/src/routes.rs
@@ -81,6 +81,9 @@
     /// Services with backend servers that are marked down but may only be
     /// unreachable.
     pub services_with_down_targets: HashSet<ServiceAddress>,
+    /// Number of known backend servers of each service that have left or are marked
+    /// down. Agents learn later than entries that a server has left.
+    pub departed: HashMap<ServiceAddress, usize>,
     /// Availability zones that an operator has evacuated: their backend servers get no
     /// new flows.
     pub evacuated_zones: BTreeSet<ZoneId>,
@@ -149,6 +152,14 @@
         targets.into_iter().flat_map(|targets| targets.iter())
     }
 
+    /// Returns the number of backend servers of a service that have ever been heard of,
+    /// as far as they are remembered.
+    #[must_use]
+    pub fn heard_of(&self, service: ServiceAddress) -> usize {
+        let departed = self.departed.get(&service).copied().unwrap_or_default();
+        self.targets_of(service).count() + departed
+    }
+
     /// Returns true if a backend server is in an evacuated zone.
     #[must_use]
     pub fn is_evacuated(&self, target: TargetId) -> bool {
