Limit: admission by class plans with the mean of the service times as they are

The estimate by which placement compares servers limits single long requests, so that a server looks faster over many requests than it is, and admission accepted too many long flows.

--- a/roles/forward/src/agent/class.rs
+++ b/roles/forward/src/agent/class.rs
@@ -76,7 +76,7 @@
         let is_restricted = preceded.is_some_and(|class| self.overload.is_restricted(now, class));
         // Requests on open flows cannot be held back, so no more flows are accepted than
         // leave urgent requests what they need.
-        let rate = self.occupancy.load().rate();
+        let rate = self.occupancy.steady_rate();
         let places = match preceded {
             Some(class) if self.overload.is_used_up(now, class, rate) => 0,
             _ if is_restricted => places - self.settings.max_queued / KEPT_SHARE,
@@ -129,7 +129,7 @@
     pub(super) fn class_wait(&self, now: Duration, class: Priority) -> Duration {
         let ahead = self.waiting.count_up_to(class);
         let load = self.occupancy.load();
-        let rate = self.occupancy.load().rate();
+        let rate = self.occupancy.steady_rate();
         let share = self.overload.share(now, class, rate);
         let waiting = u32::try_from(ahead).unwrap_or(u32::MAX);
         let turn = load.service_time() / u32::from(load.slots.max(1));
--- a/state/limit/src/occupancy.rs
+++ b/state/limit/src/occupancy.rs
@@ -8,6 +8,7 @@
 use wire::transit::Load;
 
 use crate::Pace;
+use crate::capacity::Mean;
 
 /// The number of requests running or queued at a backend server, and their mean
 /// service time.
@@ -29,6 +30,9 @@
     slots: u16,
     running: u16,
     pace: Pace,
+    /// Mean of the service times as they are. The limit that [`Pace`] sets on single
+    /// long requests makes a server look faster than it is over many.
+    mean: Mean,
     /// Time at which a request last ended, or last began with a slot free.
     last_event: Duration,
     /// Smoothed share of the slots that are in use, as of `used_at`.
@@ -55,6 +59,7 @@
             slots: slots.max(1),
             running: 0,
             pace: Pace::new(assumed),
+            mean: Mean::new(assumed),
             last_event: Duration::ZERO,
             used: 0.0,
             used_at: Duration::ZERO,
@@ -87,6 +92,7 @@
             now.saturating_sub(start.at)
         };
         self.pace.add(time);
+        self.mean.add(time);
         self.release(now);
     }
 
@@ -143,6 +149,17 @@
         self.slots
     }
 
+    /// Returns the service rate in requests a second over many requests; at least 1.
+    #[must_use]
+    pub fn steady_rate(&self) -> u32 {
+        let service_us = u32::try_from(self.mean.slow().as_micros()).unwrap_or(u32::MAX);
+        let load = Load {
+            service_us,
+            ..self.load()
+        };
+        load.rate()
+    }
+
     /// Returns the mean service time of the latest requests.
     #[must_use]
     pub fn service_time(&self) -> Duration {
