Tests: each deployment and each soak run has a network of its own

Two pairs of tests, written side by side, used the same loopback network and failed with addresses in use, or waited a minute for entries that could not start.

--- a/tools/proof/tests/processes.rs
+++ b/tools/proof/tests/processes.rs
@@ -312,7 +312,7 @@
 /// is lost when all processes that know of it are restarted.
 #[test]
 fn an_evacuated_zone_gets_no_flows_until_it_is_restored() -> Result {
-    let mut deployment = Deployment::start(113, Some(&[]))?;
+    let mut deployment = Deployment::start(116, Some(&[]))?;
     let load = deployment.start_load(Service::Roster, LOAD_SECONDS, SEED)?;
     // Targets 1 and 5 of the six are in zone 2.
     deployment.operate_until_success(&["evacuate", "2"])?;
--- a/tools/soak/tests/short.rs
+++ b/tools/soak/tests/short.rs
@@ -122,5 +122,5 @@
         kind,
         duration: Duration::from_millis(1_500),
     });
-    assert_none_with(3, topology, disturbances.collect())
+    assert_none_with(4, topology, disturbances.collect())
 }
