--- /dev/null
+++ b/roles/forward/src/entry/opening.rs
@@ -0,0 +1,181 @@
+//! Selects agents for new flows.
+use std::time::Duration;
+
+use wire::Hop;
+use wire::Segment;
+use wire::Target;
+use wire::TargetId;
+use wire::Transit;
+use wire::transit::Open;
+
+use super::Action;
+use super::DropReason;
+use super::Entry;
+use super::PacketContext;
+use super::Refusal;
+use super::flow;
+use super::flow::Phase;
+use crate::Routes;
+
+impl Entry {
+    /// Sends an opening packet to the agents that are expected to answer
+    /// soonest, or its retransmission to the agent that received the first
+    /// copy. An agent that did not answer in time is skipped.
+    pub(super) fn handle_open(&mut self, routes: &Routes, mut context: PacketContext<'_>) {
+        let flow = context.segment.flow_from_caller();
+        let mut tried = Vec::new();
+        let is_reused = !context.segment.is_retransmission()
+            && self.flows.get(&flow).is_some_and(|held| {
+                held.is_closing || context.now >= held.phase_since + self.settings.opening_timeout
+            });
+        match self.flows.get_mut(&flow).map(|flow| &mut flow.phase) {
+            // The caller opens another flow from the same port.
+            Some(_) if is_reused => {
+                self.flows.remove(&flow);
+            }
+            Some(Phase::Held(holder)) => {
+                let holder = *holder;
+                return self.send_to_holder(holder, context);
+            }
+            Some(Phase::Opening(opening))
+                if context.now < opening.sent_at + self.settings.agent_timeout =>
+            {
+                let first = opening.path[0];
+                tried.clone_from(&opening.tried);
+                return self.send_open(routes, vec![first], tried, context);
+            }
+            Some(Phase::Opening(opening)) => {
+                let first = opening.path[0].target;
+                tried.clone_from(&opening.tried);
+                tried.push(first);
+                self.placement.mark_unresponsive(context.now, first);
+            }
+            _ => {}
+        }
+        if self.refuses_class(routes, &mut context) {
+            return;
+        }
+        let path = self.choose_path(routes, &context, &tried);
+        if path.is_empty() {
+            return self.refuse_without_server(
+                routes,
+                &context.segment,
+                context.now,
+                context.actions,
+            );
+        }
+        self.send_open(routes, path, tried, context);
+    }
+
+    /// Returns the agents that an opening packet visits, best first. Those in
+    /// `tried` are left out unless there are no others.
+    fn choose_path(
+        &mut self,
+        routes: &Routes,
+        context: &PacketContext<'_>,
+        tried: &[TargetId],
+    ) -> Vec<Hop> {
+        let flow = context.segment.flow_from_caller();
+        let route = routes.route(flow.service);
+        let Some(service) = route.and_then(|route| route.select_service(&flow)) else {
+            return Vec::new();
+        };
+        let need = self.need(routes, &flow);
+        let untried = routes
+            .ready_targets(service)
+            .filter(|target| !tried.contains(&target.id));
+        let count = self.settings.path_length;
+        let ranked = self.placement.rank(context.now, &need, untried, count);
+        let ranked = if ranked.is_empty() {
+            let all = routes.ready_targets(service);
+            self.placement.rank(context.now, &need, all, count)
+        } else {
+            ranked
+        };
+        ranked.into_iter().map(Target::hop).collect()
+    }
+
+    /// Refuses a flow for which there is no backend server. An entry that has
+    /// just started drops the packet instead, because it may not know the
+    /// backend servers yet.
+    fn refuse_without_server(
+        &self,
+        routes: &Routes,
+        segment: &Segment,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_starting = now < self.started_at + self.settings.startup_grace;
+        let flow = segment.flow_from_caller();
+        let is_known = routes
+            .route(flow.service)
+            .is_some_and(|route| routes.possible_holders(route).next().is_some());
+        actions.push(if is_starting && !is_known {
+            Action::Dropped(DropReason::ServersUnknown)
+        } else if segment.is_retransmission() {
+            Action::Dropped(DropReason::RefusedCopy)
+        } else {
+            Action::Reset {
+                flow,
+                sequence: segment.acknowledged,
+                reason: Refusal::NoServer,
+            }
+        });
+    }
+
+    /// Sends an opening packet to the first agent of a path.
+    fn send_open(
+        &mut self,
+        routes: &Routes,
+        path: Vec<Hop>,
+        tried: Vec<TargetId>,
+        context: PacketContext<'_>,
+    ) {
+        let flow = context.segment.flow_from_caller();
+        let first = path[0];
+        let route = routes.route(flow.service);
+        let timeout = route.map(|route| route.timeout);
+        let timeout_ms = timeout.unwrap_or_default().as_millis();
+        let demand = route.and_then(|route| {
+            let service = route.select_service(&flow)?;
+            routes.table.demand(route, service)
+        });
+        let crossing = self.crossing(routes, &flow, &path);
+        self.placement.record_sent(first.target);
+        let is_first = !self.flows.contains_key(&flow);
+        if is_first {
+            let size = self.sizes.entry(flow.service).or_default();
+            size.record_flow(context.now);
+            self.record_placed(routes, &flow, &first);
+            context.actions.push(Action::Opened {
+                flow,
+                first: first.target,
+                hops: path.len(),
+                version: routes.table.version,
+            });
+        }
+        self.store_flow(
+            context.now,
+            flow,
+            Phase::Opening(flow::Opening {
+                path: path.clone(),
+                tried,
+                sent_at: context.now,
+            }),
+        );
+        context.actions.push(Action::Send {
+            to: first.address,
+            transit: Transit::Open(Open {
+                entry: self.address,
+                path,
+                position: 0,
+                bids: Vec::new(),
+                is_settled: false,
+                max_wait_ms: u32::try_from(timeout_ms).unwrap_or(u32::MAX),
+                packet: context.packet,
+                demand,
+                crossing,
+            }),
+        });
+    }
+}
