Limit: one type for a rate of events, and one for requests on held flows

Overload and the older Load and Forecast each held the same arithmetic. Statements of gateways on their links are encoded by the serializer that all records use. A cold time that is not known is an option, not a very long time.

--- a/roles/app/src/gateway/rotation.rs
+++ b/roles/app/src/gateway/rotation.rs
@@ -112,7 +112,10 @@
         let Some(status) = due.or(self.rotation.stated()) else {
             return;
         };
-        let body = status.encode();
+        let body = match status.encode() {
+            Ok(body) => body,
+            Err(error) => return log::error!("cannot encode the own statement: {error}"),
+        };
         let held = registry.view(&address);
         let held = held.and_then(|view| view.config.as_ref());
         if due.is_none() && held.is_some_and(|held| held.body == body) {
@@ -163,7 +166,7 @@
             Neighbour {
                 key: entry_key(entry.address),
                 is_live: live.contains(&entry.address),
-                status: record.and_then(|record| Status::decode(&record.body)),
+                status: record.and_then(|record| Status::decode(&record.body).ok()),
             }
         })
         .collect()
--- a/roles/app/tests/rotation.rs
+++ b/roles/app/tests/rotation.rs
@@ -110,7 +110,7 @@
     controller.update(at(0), &mut registry, &link);
     let stated = statements(&registry);
     assert_eq!(stated.len(), 1);
-    let status = Status::decode(&stated[0].body).ok_or("malformed")?;
+    let status = Status::decode(&stated[0].body)?;
     assert_eq!((status.rate, status.load), (125_000_000, 0));
     assert_eq!(status.stance, Stance::In);
     for second in 1..10 {
@@ -133,13 +133,13 @@
     };
     let late = Service {
         revision: u64::MAX / 2,
-        body: former.encode().into(),
+        body: former.encode()?.into(),
         ..statements(&registry).remove(0)
     };
     registry.put_service(at(1), late);
     controller.update(at(1), &mut registry, &link);
     let stated = statements(&registry).remove(0);
-    let status = Status::decode(&stated.body).ok_or("malformed")?;
+    let status = Status::decode(&stated.body)?;
     assert_eq!(status.stance, Stance::In);
     Ok(())
 }
@@ -170,7 +170,7 @@
     assert!(!is_in.load(Ordering::Relaxed));
     let own = statements(&registry)
         .iter()
-        .filter_map(|stated| Status::decode(&stated.body))
+        .filter_map(|stated| Status::decode(&stated.body).ok())
         .find(|status| status.rate < 1_000_000);
     assert_eq!(own.map(|status| status.stance), Some(Stance::Out));
     Ok(())
--- a/state/limit/src/forecast.rs
+++ b/state/limit/src/forecast.rs
@@ -5,6 +5,7 @@
 //! they have one, each counts with the mean rate of the flows observed so far.
 use std::time::Duration;
 
+use crate::Held;
 use crate::Load;
 use crate::load;
 
@@ -48,12 +49,7 @@
 pub struct Forecast {
     settings: Settings,
     load: Load,
-    flows: f64,
-    /// Observed requests, with exponential decay.
-    requests: f64,
-    /// Sum of the seconds for which each flow was held, with exponential decay.
-    flow_seconds: f64,
-    updated: Duration,
+    held: Held,
 }
 
 impl Forecast {
@@ -62,10 +58,7 @@
     pub fn new(settings: Settings, now: Duration) -> Self {
         Self {
             load: Load::new(settings.load, now),
-            flows: 0.0,
-            requests: settings.flow_rate,
-            flow_seconds: 1.0,
-            updated: now,
+            held: Held::new(settings.averaging_time, settings.flow_rate, now),
             settings,
         }
     }
@@ -73,34 +66,25 @@
     /// Records a request of a held flow other than the flow's first.
     pub fn record_request(&mut self, now: Duration) {
         self.load.record_request(now);
-        self.requests += 1.0;
+        self.held.record_request();
     }
 
     /// Records the number of held flows that are idle between two requests.
     pub fn set_idle_flows(&mut self, now: Duration, flows: u32) {
-        let passed = now.saturating_sub(self.updated).as_secs_f64();
-        self.updated = now;
-        self.flow_seconds += self.flows * passed;
-        self.flows = f64::from(flows);
-        let decay = (-passed / self.settings.averaging_time.as_secs_f64()).exp();
-        // Keeps at least one second, so that the mean stays defined.
-        if self.flow_seconds * decay >= 1.0 {
-            self.requests *= decay;
-            self.flow_seconds *= decay;
-        }
+        self.held.set_flows(now, flows);
     }
 
     /// Returns the mean rate of a held flow, in requests a second.
     #[must_use]
     pub fn flow_rate(&self) -> f64 {
-        self.requests / self.flow_seconds
+        self.held.flow_rate()
     }
 
     /// Returns the load to add to a bid, expressed as a wait, given the
     /// capacity in requests a second.
     #[must_use]
     pub fn bid(&self, now: Duration, capacity: u32) -> Duration {
-        let expected = self.flows * self.flow_rate() / f64::from(capacity.max(1));
+        let expected = self.held.expected() / f64::from(capacity.max(1));
         let expected = self.settings.load.full.mul_f64(expected);
         (expected + self.load.bid(now, capacity)) / 2
     }
--- a/state/limit/src/lib.rs
+++ b/state/limit/src/lib.rs
@@ -7,6 +7,8 @@
 //!   visible, from requests and answers on the network.
 //! * [`Pace`] estimates the service time of a backend server for comparisons.
 //! * [`link::Link`] paces the packets of a network link and orders waiting ones.
+//! * [`Held`] estimates the requests that open flows send.
+//! * [`Rate`] is a rate of events with exponential decay.
 //! * [`Load`] estimates the load of held flows from their request rate.
 //! * [`Waiting`] holds new work back while there is no room for it.
 //! * [`Overload`] divides a backend server among classes of new work.
@@ -24,6 +26,7 @@
 pub mod capacity;
 pub mod forecast;
 pub mod gate;
+pub mod held;
 pub mod job;
 pub mod link;
 pub mod load;
@@ -33,6 +36,7 @@
 pub mod pause;
 pub mod plausibility;
 pub mod queue;
+pub mod rate;
 pub mod risk;
 pub mod rotation;
 pub mod share;
@@ -45,6 +49,7 @@
 pub use forecast::Forecast;
 pub use gate::Gate;
 pub use gate::Settings;
+pub use held::Held;
 pub use job::Class;
 pub use job::Finish;
 pub use job::Job;
@@ -57,6 +62,7 @@
 pub use overload::Overload;
 pub use pace::Pace;
 pub use plausibility::Plausibility;
+pub use rate::Rate;
 pub use risk::Risk;
 pub use vacancy::Vacancy;
 pub use waiting::Waiting;
--- a/state/limit/src/load.rs
+++ b/state/limit/src/load.rs
@@ -4,6 +4,8 @@
 //! wait in the agent's bid for a new flow.
 use std::time::Duration;
 
+use crate::Rate;
+
 /// Parameters of a [`Load`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -39,9 +41,7 @@
 #[derive(Debug)]
 pub struct Load {
     settings: Settings,
-    /// Requests a second.
-    rate: f64,
-    updated: Duration,
+    rate: Rate,
 }
 
 impl Load {
@@ -49,37 +49,22 @@
     #[must_use]
     pub fn new(settings: Settings, now: Duration) -> Self {
         Self {
+            rate: Rate::new(settings.smoothing, now),
             settings,
-            rate: 0.0,
-            updated: now,
         }
     }
 
     /// Records a request of a held flow other than the flow's first.
     pub fn record_request(&mut self, now: Duration) {
-        self.rate = self.rate * self.decay(now) + 1.0 / self.smoothing_seconds();
-        self.updated = self.updated.max(now);
+        self.rate.record(now);
     }
 
     /// Returns the load to add to a bid, expressed as a wait, given the
     /// capacity in jobs a second.
     #[must_use]
     pub fn bid(&self, now: Duration, capacity: u32) -> Duration {
-        let share = self.rate * self.decay(now) / f64::from(capacity.max(1));
+        let share = self.rate.per_second(now) / f64::from(capacity.max(1));
         Duration::try_from_secs_f64(self.settings.full.as_secs_f64() * share)
             .unwrap_or(Duration::MAX)
     }
-
-    /// Returns the share of the rate that remains after decay.
-    fn decay(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.updated).as_secs_f64();
-        (-age / self.smoothing_seconds()).exp()
-    }
-
-    fn smoothing_seconds(&self) -> f64 {
-        self.settings.smoothing.max(MIN_SMOOTHING).as_secs_f64()
-    }
 }
-
-/// Minimum time constant; avoids a division by zero.
-const MIN_SMOOTHING: Duration = Duration::from_millis(1);
--- a/state/limit/src/overload.rs
+++ b/state/limit/src/overload.rs
@@ -12,8 +12,26 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Load-shedding priority of a class: a higher number is shed first.
-pub type Priority = u8;
+use wire::Priority;
+
+use crate::Held;
+use crate::Rate;
+
+/// Share of the backend server that may be planned for. At 0.98 and 1.5 times the load,
+/// only 0.94 of the urgent requests were answered within their target latency.
+const FULL_SHARE: f64 = 0.97;
+
+/// Share that requests on open flows must need to limit further flows.
+const LOW_HELD_SHARE: f64 = 0.1;
+
+/// Time constant of the mean request rate of an open flow.
+const HELD_AVERAGING: Duration = Duration::from_secs(5);
+
+/// Number of slots beyond its share that a class is remembered to have had.
+const MAX_CREDIT: i32 = 4;
+
+/// Number of agents that a new flow visits while all backend servers are busy.
+const VISITS_PER_FLOW: f64 = 3.0;
 
 /// Parameters of an [`Overload`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -112,20 +130,21 @@
     /// Records that new work of a class arrived; `is_first` if no other backend server
     /// was asked before.
     pub fn record_arrival(&mut self, now: Duration, priority: Priority, is_first: bool) {
-        let smoothing = self.settings.smoothing;
+        let rate = Rate::new(self.settings.smoothing, now);
         let class = self.classes.entry(priority).or_insert_with(|| Class {
             last_arrival: now,
-            arrivals: Rate::new(now),
-            visits: Rate::new(now),
-            admitted: Rate::new(now),
-            held: Held::new(now),
+            arrivals: rate,
+            visits: rate,
+            admitted: rate,
+            // The rate of the first flows counts only after some seconds of them.
+            held: Held::new(HELD_AVERAGING, 0.0, now),
             sign: None,
             passed_over: 0,
         });
         class.last_arrival = now;
-        class.visits.add(now, smoothing);
+        class.visits.record(now);
         if is_first {
-            class.arrivals.add(now, smoothing);
+            class.arrivals.record(now);
         }
     }
 
@@ -136,7 +155,7 @@
         let class = priority.and_then(|priority| self.classes.get_mut(&priority));
         if let Some(class) = class {
             class.take_turn(turn);
-            class.held.requests += 1.0;
+            class.held.record_request();
         }
     }
 
@@ -184,7 +203,7 @@
         priority: Priority,
         waiting: impl Iterator<Item = Priority>,
     ) {
-        let (smoothing, turn) = (self.settings.smoothing, self.turn());
+        let turn = self.turn();
         let mut passed: Vec<Priority> = waiting.filter(|other| *other > priority).collect();
         passed.sort_unstable();
         passed.dedup();
@@ -195,8 +214,8 @@
         }
         if let Some(class) = self.classes.get_mut(&priority) {
             class.take_turn(turn);
-            class.held.flows += 1.0;
-            class.admitted.add(now, smoothing);
+            class.held.add_flow();
+            class.admitted.record(now);
         }
     }
 
@@ -230,14 +249,9 @@
     /// second.
     #[must_use]
     pub fn need(&self, now: Duration, priority: Priority, rate: u32) -> f64 {
-        let smoothing = self.settings.smoothing;
         let urgent = self.classes.range(..priority);
-        let urgent: f64 = urgent
-            .map(|(_, class)| class.new_flows(now, smoothing))
-            .sum();
-        let held = self.classes.values().map(|class| class.held.expected());
-        let held: f64 = held.sum();
-        (urgent + held) / f64::from(rate.max(1))
+        let urgent: f64 = urgent.map(|(_, class)| class.new_flows(now)).sum();
+        (urgent + self.held_requests()) / f64::from(rate.max(1))
     }
 
     /// Returns true if no more flows of a class should be opened, because requests on
@@ -245,19 +259,12 @@
     /// urgent work need the backend server.
     #[must_use]
     pub fn is_used_up(&self, now: Duration, priority: Priority, rate: u32) -> bool {
-        let held: f64 = self
-            .classes
-            .values()
-            .map(|class| class.held.expected())
-            .sum();
         // Flows with a single request each are limited by the places that they get.
-        if held < f64::from(rate) * LOW_HELD_SHARE {
+        if self.held_requests() < f64::from(rate) * LOW_HELD_SHARE {
             return false;
         }
         let class = self.classes.get(&priority);
-        let own = class.map_or(0.0, |class| {
-            class.admitted.per_second(now, self.settings.smoothing)
-        });
+        let own = class.map_or(0.0, |class| class.admitted.per_second(now));
         self.need(now, priority, rate) + own / f64::from(rate.max(1)) >= FULL_SHARE
     }
 
@@ -292,6 +299,12 @@
         i32::from(self.settings.slots_per_turn) - 1
     }
 
+    /// Returns the expected number of requests a second on open flows of all classes.
+    fn held_requests(&self) -> f64 {
+        let classes = self.classes.values();
+        classes.map(|class| class.held.expected()).sum()
+    }
+
     fn least_share(&self) -> f64 {
         1.0 / f64::from(self.settings.slots_per_turn.max(1))
     }
@@ -311,58 +324,6 @@
     }
 }
 
-/// Share of the backend server that may be planned for. At 0.98 and 1.5 times the load,
-/// only 0.94 of the urgent requests were answered within their target latency.
-const FULL_SHARE: f64 = 0.97;
-
-/// Share that requests on open flows must need to limit further flows.
-const LOW_HELD_SHARE: f64 = 0.1;
-
-/// Time constant of the mean request rate of an open flow.
-const HELD_AVERAGING: Duration = Duration::from_secs(5);
-
-/// Open flows of a class and the requests on them, other than the first of each. The
-/// number of flows shows a change at once, and their mean rate is learned slowly: an
-/// observed rate of requests lags, and would let more flows in than can be served.
-#[derive(Clone, Copy, Debug)]
-struct Held {
-    flows: f64,
-    /// Requests and seconds of open flows, with exponential decay.
-    requests: f64,
-    flow_seconds: f64,
-    updated: Duration,
-}
-
-impl Held {
-    const fn new(now: Duration) -> Self {
-        Self {
-            flows: 0.0,
-            requests: 0.0,
-            // The rate of the first flows counts only after some seconds of them.
-            flow_seconds: 1.0,
-            updated: now,
-        }
-    }
-
-    fn set_flows(&mut self, now: Duration, flows: u32) {
-        let passed = now.saturating_sub(self.updated).as_secs_f64();
-        self.updated = now;
-        self.flow_seconds += self.flows * passed;
-        self.flows = f64::from(flows);
-        let decay = (-passed / HELD_AVERAGING.as_secs_f64()).exp();
-        // Keeps at least one second, so that the mean stays defined.
-        if self.flow_seconds * decay >= 1.0 {
-            self.requests *= decay;
-            self.flow_seconds *= decay;
-        }
-    }
-
-    /// Returns the expected number of requests a second.
-    fn expected(&self) -> f64 {
-        self.flows * self.requests / self.flow_seconds
-    }
-}
-
 impl Class {
     /// Records that a request of the class got a slot.
     fn take_turn(&mut self, turn: i32) {
@@ -374,42 +335,10 @@
     /// No single count of them holds: entries avoid a backend server that is busy with
     /// less urgent work, so that fewer urgent flows arrive first or are admitted there
     /// than fall to it.
-    fn new_flows(&self, now: Duration, smoothing: Duration) -> f64 {
-        let visits = self.visits.per_second(now, smoothing) / VISITS_PER_FLOW;
-        let first = self.arrivals.per_second(now, smoothing);
-        let admitted = self.admitted.per_second(now, smoothing);
+    fn new_flows(&self, now: Duration) -> f64 {
+        let visits = self.visits.per_second(now) / VISITS_PER_FLOW;
+        let first = self.arrivals.per_second(now);
+        let admitted = self.admitted.per_second(now);
         visits.max(first).max(admitted)
     }
 }
-
-/// Number of slots beyond its share that a class is remembered to have had.
-const MAX_CREDIT: i32 = 4;
-
-/// Number of agents that a new flow visits while all backend servers are busy.
-const VISITS_PER_FLOW: f64 = 3.0;
-
-/// Rate of events with exponential decay.
-#[derive(Clone, Copy, Debug)]
-struct Rate {
-    per_second: f64,
-    updated: Duration,
-}
-
-impl Rate {
-    const fn new(now: Duration) -> Self {
-        Self {
-            per_second: 0.0,
-            updated: now,
-        }
-    }
-
-    fn add(&mut self, now: Duration, smoothing: Duration) {
-        self.per_second = self.per_second(now, smoothing) + 1.0 / smoothing.as_secs_f64();
-        self.updated = self.updated.max(now);
-    }
-
-    fn per_second(&self, now: Duration, smoothing: Duration) -> f64 {
-        let age = now.saturating_sub(self.updated).as_secs_f64();
-        self.per_second * (-age / smoothing.as_secs_f64()).exp()
-    }
-}
--- a/state/limit/src/rotation.rs
+++ b/state/limit/src/rotation.rs
@@ -9,6 +9,9 @@
 //! reduce the bytes that no link has room for.
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Time for which a gateway states that it asks to leave, before it does. Statements
 /// reach the others within 0.5 s, so two gateways that ask at once know of each other.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
@@ -40,14 +43,11 @@
 /// Weight of the last measurement in the average of the load.
 const LOAD_WEIGHT: f64 = 0.5;
 
-/// Bytes of an encoded status.
-const STATUS_BYTES: usize = 17;
-
 /// Number that orders the gateways of a zone.
 pub type Key = u64;
 
 /// Whether a gateway takes part in the rotation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Stance {
     /// It does not answer the readiness check as ready.
     Out,
@@ -58,7 +58,7 @@
 }
 
 /// What a gateway states about itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
     /// Whether it takes part in the rotation.
     pub stance: Stance,
@@ -123,38 +123,22 @@
 
 impl Status {
     /// Encodes the status.
-    #[must_use]
-    pub fn encode(&self) -> Vec<u8> {
-        let stance = match self.stance {
-            Stance::In => 0,
-            Stance::Asks => 1,
-            Stance::Out => 2,
-        };
-        let mut bytes = vec![stance];
-        bytes.extend(self.rate.to_be_bytes());
-        bytes.extend(self.load.to_be_bytes());
-        bytes
+    ///
+    /// # Errors
+    ///
+    /// Returns the encoder's error.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
     }
 
-    /// Decodes a status; `None` if it is malformed. Later versions may append fields.
-    #[must_use]
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
-        let bytes: &[u8; STATUS_BYTES] = bytes.first_chunk()?;
-        let number = |at: usize| {
-            let field = bytes[at..].first_chunk();
-            field.map(|field| u64::from_be_bytes(*field))
-        };
-        let stance = match bytes[0] {
-            0 => Stance::In,
-            1 => Stance::Asks,
-            2 => Stance::Out,
-            _ => return None,
-        };
-        Some(Self {
-            stance,
-            rate: number(1)?,
-            load: number(9)?,
-        })
+    /// Decodes a status. Later versions may append fields.
+    ///
+    /// # Errors
+    ///
+    /// Returns the decoder's error if the status is malformed.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (status, _) = postcard::take_from_bytes(bytes)?;
+        Ok(status)
     }
 }
 
--- a/state/limit/src/vacancy.rs
+++ b/state/limit/src/vacancy.rs
@@ -7,10 +7,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use wire::Priority;
 use wire::TargetId;
 
-use crate::overload::Priority;
-
 /// Age up to which an observation counts. A backend server with two slots and a
 /// service time of 25 ms answers eight requests in this time.
 const MAX_AGE: Duration = Duration::from_millis(100);
--- a/state/limit/src/waiting.rs
+++ b/state/limit/src/waiting.rs
@@ -12,6 +12,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use wire::Priority;
+
 /// Arrivals that wait for room, each until the time at which its caller gives up.
 ///
 /// ```
@@ -37,7 +39,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Claim {
     /// Load-shedding priority: under overload, a higher number is served last.
-    pub priority: u8,
+    pub priority: Priority,
     /// Time until which it must be admitted for an answer within its target latency.
     pub prompt_until: Duration,
     /// Time until which it must be admitted at all.
@@ -74,13 +76,13 @@
 
     /// Returns the number of arrivals that are as urgent as a priority or more.
     #[must_use]
-    pub fn count_up_to(&self, priority: u8) -> usize {
+    pub fn count_up_to(&self, priority: Priority) -> usize {
         let claims = self.arrivals.iter().map(|arrival| arrival.claim);
         claims.filter(|claim| claim.priority <= priority).count()
     }
 
     /// Returns the priorities of the arrivals, oldest first.
-    pub fn priorities(&self) -> impl Iterator<Item = u8> {
+    pub fn priorities(&self) -> impl Iterator<Item = Priority> {
         self.arrivals.iter().map(|arrival| arrival.claim.priority)
     }
 
@@ -133,7 +135,7 @@
     /// assert_eq!(waiting.pop_urgent(at(200), None), Some("prompt"));
     /// assert_eq!(waiting.pop_urgent(at(200), None), Some("late"));
     /// ```
-    pub fn pop_urgent(&mut self, now: Duration, due: Option<u8>) -> Option<T> {
+    pub fn pop_urgent(&mut self, now: Duration, due: Option<Priority>) -> Option<T> {
         let claims = self.arrivals.iter().enumerate().rev();
         let next = claims.min_by_key(|(_, Arrival { claim, .. })| {
             let is_due = due == Some(claim.priority);
@@ -156,12 +158,7 @@
 
     /// Removes and returns the arrivals for which `is_wanted` returns true.
     pub fn take(&mut self, is_wanted: impl Fn(&T) -> bool) -> Vec<T> {
-        let (taken, waiting): (VecDeque<_>, VecDeque<_>) = self
-            .arrivals
-            .drain(..)
-            .partition(|arrival| is_wanted(&arrival.work));
-        self.arrivals = waiting;
-        taken.into_iter().map(|arrival| arrival.work).collect()
+        self.remove_if(|arrival| is_wanted(&arrival.work))
     }
 
     /// Removes the arrivals for which `is_unwanted` returns true.
@@ -171,11 +168,14 @@
 
     /// Removes and returns the arrivals whose time is over, oldest first.
     pub fn expire(&mut self, now: Duration) -> Vec<T> {
-        let (expired, waiting): (VecDeque<_>, VecDeque<_>) = self
-            .arrivals
-            .drain(..)
-            .partition(|arrival| now >= arrival.claim.until);
+        self.remove_if(|arrival| now >= arrival.claim.until)
+    }
+
+    fn remove_if(&mut self, is_removed: impl Fn(&Arrival<T>) -> bool) -> Vec<T> {
+        let arrivals = self.arrivals.drain(..);
+        let (removed, waiting) = arrivals.partition(is_removed);
         self.arrivals = waiting;
-        expired.into_iter().map(|arrival| arrival.work).collect()
+        let removed: VecDeque<Arrival<T>> = removed;
+        removed.into_iter().map(|arrival| arrival.work).collect()
     }
 }
--- a/state/limit/src/warm_up.rs
+++ b/state/limit/src/warm_up.rs
@@ -50,6 +50,7 @@
     settings: Option<Settings>,
     /// Stated rate in flows per 1,000 seconds; 0 where none is stated.
     rate: u32,
+    /// Time until which it is cold; [`Duration::MAX`] before that is known.
     cold_until: Duration,
     /// Time until which other processes may have used the budget up.
     used_up_until: Duration,
@@ -117,7 +118,11 @@
         is_limited.then(|| {
             let rate = f64::from(self.rate) / RATE_SECONDS;
             let flows = (rate * settings.factor + settings.slack).clamp(1.0, f64::from(u16::MAX));
-            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "the number is clamped"
+            )]
             let flows = flows as usize;
             flows
         })
@@ -184,12 +189,12 @@
         }
     }
 
-    /// Returns the time for which the backend server is still cold; zero if it is warm
-    /// or its warm-up is not limited.
+    /// Returns the time for which the backend server is still cold; `None` before that
+    /// is known.
     #[must_use]
-    pub fn cold_time(&self, now: Duration) -> Duration {
-        self.limit(now)
-            .map_or(Duration::ZERO, |_| self.warm_in(now))
+    pub fn cold_time(&self, now: Duration) -> Option<Duration> {
+        let is_known = self.cold_until < Duration::MAX;
+        is_known.then(|| self.warm_in(now))
     }
 
     fn warm_in(&self, now: Duration) -> Duration {
--- a/state/limit/tests/rotation.rs
+++ b/state/limit/tests/rotation.rs
@@ -297,12 +297,12 @@
             rate: 1_250_000,
             load: 77,
         };
-        let mut bytes = status.encode();
+        let mut bytes = status.encode().unwrap();
         bytes.push(9);
-        assert_eq!(Status::decode(&bytes), Some(status));
-        assert_eq!(Status::decode(&bytes[..16]), None);
+        assert_eq!(Status::decode(&bytes), Ok(status));
+        assert!(Status::decode(&bytes[..bytes.len() - 2]).is_err());
     }
-    assert_eq!(Status::decode(&[9; 17]), None);
+    assert!(Status::decode(&[9; 17]).is_err());
 }
 
 #[test]
