--- a/roles/app/tests/caller.rs
+++ b/roles/app/tests/caller.rs
@@ -1,154 +1,21 @@
 //! The state machine of a caller.
-use std::collections::HashMap;
+mod fixtures;
+
 use std::time::Duration;
 
 use app::call::Action;
-use app::call::Caller;
 use app::call::Ending;
-use app::call::Report;
 use app::call::Settings;
 use bytes::Bytes;
-use proptest::prelude::*;
-use wire::FlowKey;
+use fixtures::*;
 use wire::caller::Chunk;
 use wire::caller::Closed;
 use wire::caller::Opened;
 use wire::caller::Outcome;
 use wire::caller::Packet;
 use wire::caller::Reason;
-use wire::caller::Request;
 use wire::caller::packet::Body;
 
-const SERVICE: &str = "roster";
-const TOKEN: &[u8] = b"0123456789abcdef";
-
-/// Caller with a simulated clock and the packets and events that it produced.
-struct Harness {
-    caller: Caller,
-    now: Duration,
-    sent: Vec<Packet>,
-    events: Vec<Action>,
-}
-
-impl Harness {
-    fn new(seed: u64) -> Self {
-        let caller = Caller::new(Settings {
-            service: SERVICE.into(),
-            seed,
-            ..Settings::default()
-        });
-        Self {
-            caller,
-            now: Duration::ZERO,
-            sent: Vec::new(),
-            events: Vec::new(),
-        }
-    }
-
-    /// Creates a caller with one open flow.
-    fn open() -> Self {
-        let mut harness = Self::new(0);
-        harness.caller.open(harness.now);
-        harness.drain();
-        harness.reply(Body::Opened(opened()));
-        harness
-    }
-
-    fn drain(&mut self) {
-        while let Some(action) = self.caller.next_action() {
-            match action {
-                Action::Send(bytes) => {
-                    self.sent
-                        .push(Packet::from_bytes(bytes).expect("sends valid packets"));
-                }
-                event => self.events.push(event),
-            }
-        }
-    }
-
-    fn receive(&mut self, flow: FlowKey, body: Body) {
-        let datagram = Packet::new(flow, body).to_bytes();
-        self.caller.receive(self.now, datagram);
-        self.drain();
-    }
-
-    /// Delivers a reply on the flow of the last packet sent.
-    fn reply(&mut self, body: Body) {
-        self.receive(self.last_flow(), body);
-    }
-
-    fn refuse(&mut self, request: u64, reason: Reason, outcome: Outcome, retry_after_ms: u32) {
-        let refusal = Packet::refuse(self.last_flow(), request, reason, outcome, retry_after_ms);
-        self.caller.receive(self.now, refusal.to_bytes());
-        self.drain();
-    }
-
-    /// Advances the clock to the next timer.
-    fn advance(&mut self) {
-        self.now = self.caller.next_deadline().expect("a timer is set");
-        self.caller.tick(self.now);
-        self.drain();
-    }
-
-    /// Advances the clock until a packet is sent.
-    fn advance_until_sent(&mut self) {
-        let before = self.sent.len();
-        while self.sent.len() == before {
-            self.advance();
-        }
-    }
-
-    fn start(&mut self, idempotent: bool) {
-        self.caller.start(self.now, 0, idempotent);
-        self.drain();
-    }
-
-    fn last_flow(&self) -> FlowKey {
-        self.sent.last().expect("a packet was sent").flow
-    }
-
-    fn last_request(&self) -> Request {
-        match self.sent.last().and_then(|packet| packet.body.clone()) {
-            Some(Body::Request(request)) => request,
-            other => panic!("the last packet is not a request: {other:?}"),
-        }
-    }
-
-    fn endings(&self) -> Vec<&Ending> {
-        self.events.iter().filter_map(ending).collect()
-    }
-}
-
-const fn ending(event: &Action) -> Option<&Ending> {
-    match event {
-        Action::Ended(_, ending) => Some(ending),
-        _ => None,
-    }
-}
-
-fn opened() -> Opened {
-    Opened {
-        holder: Bytes::from_static(TOKEN),
-        idle_ms: 60_000,
-    }
-}
-
-/// Returns the correct answer, split into `count` chunks.
-fn chunks(request: &Request, count: u32) -> Vec<Chunk> {
-    let mut answer = format!("{SERVICE}\n").into_bytes();
-    answer.extend_from_slice(&request.payload);
-    let size = answer.len().div_ceil(count as usize);
-    let parts = (0..count).zip(answer.chunks(size));
-    parts
-        .map(|(index, part)| Chunk {
-            request: request.request,
-            index,
-            count,
-            payload: Bytes::copy_from_slice(part),
-        })
-        .collect()
-}
-
 #[test]
 fn retransmits_an_open_without_reply() {
     let mut harness = Harness::new(0);
@@ -372,16 +239,6 @@
     assert!(matches!(harness.endings()[..], [Ending::Answered { .. }]));
 }
 
-impl Harness {
-    fn last_request_id(&self) -> Option<u64> {
-        let id = |packet: &Packet| match &packet.body {
-            Some(Body::Request(request)) => Some(request.request),
-            _ => None,
-        };
-        self.sent.iter().rev().find_map(id)
-    }
-}
-
 #[test]
 fn a_flow_is_closed_once_confirmed() {
     let mut harness = Harness::open();
@@ -413,114 +270,3 @@
         .filter(|event| **event == Action::Ignored);
     assert_eq!(ignored.count(), 3);
 }
-
-/// Reaction of the network and the service to a packet of the caller.
-#[derive(Clone, Copy, Debug)]
-enum Reaction {
-    /// No reply.
-    Lost,
-    /// All chunks of the answer.
-    Answered,
-    /// All chunks of the answer, each twice.
-    Twice,
-    /// A refusal as not run, which also breaks the flow if the flag is set.
-    Refused(bool),
-    /// A refusal of a request that may have run.
-    Unknown,
-    /// Only the chunk of the answer with this index.
-    Partial(usize),
-}
-
-fn reaction() -> impl Strategy<Value = Reaction> {
-    prop_oneof![
-        Just(Reaction::Lost),
-        Just(Reaction::Answered),
-        Just(Reaction::Twice),
-        any::<bool>().prop_map(Reaction::Refused),
-        Just(Reaction::Unknown),
-        (0..4_usize).prop_map(Reaction::Partial),
-    ]
-}
-
-fn respond(harness: &mut Harness, packet: &Packet, reaction: Reaction) {
-    let flow = packet.flow;
-    let refuse = |request, reason, outcome| {
-        let refusal = Packet::refuse(flow, request, reason, outcome, 20);
-        refusal.body.expect("a refusal has a body")
-    };
-    let request = match &packet.body {
-        Some(Body::Request(request)) => request.clone(),
-        Some(Body::Open(_)) if !matches!(reaction, Reaction::Lost) => {
-            return harness.receive(flow, Body::Opened(opened()));
-        }
-        _ => return,
-    };
-    let id = request.request;
-    let replies = match reaction {
-        Reaction::Lost => Vec::new(),
-        Reaction::Answered => chunks(&request, 4).into_iter().map(Body::Chunk).collect(),
-        Reaction::Twice => {
-            let chunks = chunks(&request, 4);
-            let twice = chunks.iter().rev().chain(&chunks);
-            twice.cloned().map(Body::Chunk).collect()
-        }
-        Reaction::Refused(true) => vec![refuse(id, Reason::FlowUnknown, Outcome::NotRun)],
-        Reaction::Refused(false) => vec![refuse(id, Reason::Overloaded, Outcome::NotRun)],
-        Reaction::Unknown => vec![refuse(id, Reason::BackendFailed, Outcome::Unknown)],
-        Reaction::Partial(index) => vec![Body::Chunk(chunks(&request, 4).remove(index))],
-    };
-    for reply in replies {
-        harness.receive(flow, reply);
-    }
-}
-
-proptest! {
-    /// With any losses, duplicates and refusals, every operation ends exactly
-    /// once, and no request id is sent with two different payloads.
-    #[test]
-    fn every_operation_ends_once(
-        reactions in prop::collection::vec(reaction(), 1..200),
-        operations in 1..20_u64,
-        seed in any::<u64>(),
-    ) {
-        let mut harness = Harness::new(seed);
-        harness.caller.open(harness.now);
-        harness.caller.open(harness.now);
-        for number in 0..operations {
-            let flow = usize::from(number % 2 == 1);
-            harness.caller.start(harness.now, flow, number % 3 == 0);
-        }
-        harness.drain();
-        let mut reactions = reactions.into_iter().cycle();
-        let mut next = 0;
-        while harness.caller.pending() > 0 {
-            while next < harness.sent.len() {
-                let packet = harness.sent[next].clone();
-                next += 1;
-                respond(&mut harness, &packet, reactions.next().expect("cycles"));
-            }
-            if harness.caller.pending() > 0 && next == harness.sent.len() {
-                harness.advance();
-            }
-        }
-        prop_assert!(harness.now <= Settings::default().deadline);
-        let mut ended = HashMap::new();
-        let mut report = Report::new(SERVICE.into(), seed);
-        for event in &harness.events {
-            report.add(Duration::ZERO, event);
-            if let Action::Ended(operation, _) = event {
-                *ended.entry(*operation).or_insert(0) += 1;
-            }
-        }
-        prop_assert_eq!(ended.len() as u64, operations);
-        prop_assert!(ended.values().all(|count| *count == 1));
-        prop_assert_eq!(report.mismatched + report.wrong_service, 0);
-        let mut payloads = HashMap::new();
-        for packet in &harness.sent {
-            if let Some(Body::Request(request)) = &packet.body {
-                let first = payloads.entry(request.request).or_insert(&request.payload);
-                prop_assert_eq!(*first, &request.payload);
-            }
-        }
-    }
-}
