--- a/roles/forward/tests/simulation/mod.rs
+++ b/roles/forward/tests/simulation/mod.rs
@@ -8,8 +8,6 @@
 pub mod membership;
 pub mod network;
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -35,6 +33,9 @@
 use crate::fixtures::encode;
 use crate::fixtures::hop;
 use crate::fixtures::ms;
+use crate::fixtures::queue::Queue;
+use crate::fixtures::queue::agent_event;
+use crate::fixtures::queue::entry_event;
 use crate::fixtures::routes;
 use crate::fixtures::target;
 use count::Count;
@@ -91,9 +92,7 @@
 /// Simulated deployment.
 pub struct Simulation {
     pub now: Duration,
-    queue: BinaryHeap<Reverse<(Duration, u64)>>,
-    events: HashMap<u64, Event>,
-    last_event_id: u64,
+    queue: Queue<Event>,
     rng: Rng,
     entries: Vec<Entry>,
     agents: HashMap<TargetId, Agent>,
@@ -115,8 +114,7 @@
     /// Times at which packets of a flow reached other servers than its own, since the
     /// last one at its own.
     strays: HashMap<FlowId, Vec<Duration>>,
-    /// Number of resets of flows that their servers held.
-    /// Datagrams and resets so far.
+    /// Datagrams so far, and resets of flows that their servers held.
     pub count: Count,
     pub network: Network,
     /// Zones, and which of them are evacuated.
@@ -139,9 +137,7 @@
     pub fn new(entries: usize, servers: u64, seed: u64) -> Self {
         let mut simulation = Self {
             now: Duration::ZERO,
-            queue: BinaryHeap::new(),
-            events: HashMap::new(),
-            last_event_id: 0,
+            queue: Queue::new(),
             rng: Rng::with_seed(seed),
             entries: Vec::new(),
             agents: HashMap::new(),
@@ -193,13 +189,8 @@
     }
 
     pub fn run_until(&mut self, end: Duration) {
-        while let Some(Reverse((time, number))) = self.queue.pop() {
-            if time > end {
-                self.queue.push(Reverse((time, number)));
-                break;
-            }
+        while let Some((time, event)) = self.queue.pop_until(end) {
             self.now = time;
-            let event = self.events.remove(&number).unwrap();
             self.handle(event);
         }
         self.now = end;
@@ -308,10 +299,7 @@
     }
 
     fn schedule(&mut self, wait: Duration, event: Event) {
-        self.last_event_id += 1;
-        self.events.insert(self.last_event_id, event);
-        self.queue
-            .push(Reverse((self.now + wait, self.last_event_id)));
+        self.queue.add(self.now + wait, event);
     }
 
     /// Returns the entry that the fabric sends a flow's packets to.
@@ -342,49 +330,19 @@
                 let event = entry::Event::Packet { segment, packet };
                 self.notify_entry(number, event);
             }
-            Event::FrameAtEntry(number, transit) => match transit {
-                Transit::Held(held) => self.notify_entry(number, entry::Event::Held(held)),
-                Transit::NotHeld(denial) => {
-                    self.notify_entry(number, entry::Event::NotHeld(denial));
-                }
-                Transit::HolderAbsent(report) => {
-                    self.notify_entry(number, entry::Event::HolderAbsent(report));
-                }
-                Transit::Busy(busy) => self.notify_entry(number, entry::Event::Busy(busy)),
-                Transit::Report(report) => {
-                    self.notify_entry(number, entry::Event::Report(report));
+            Event::FrameAtEntry(number, transit) => {
+                if let Some(event) = entry_event(transit) {
+                    self.notify_entry(number, event);
                 }
-                _ => {}
-            },
+            }
             Event::FrameAtAgent(
                 id,
                 Transit::SearchBatch(_) | Transit::LookupBatch(_) | Transit::Answer(_),
             ) if self.earlier_agents.contains(&id) => {}
             Event::FrameAtAgent(id, transit) => {
-                let event = match transit {
-                    Transit::Open(open) => {
-                        let segment = decode(&open.packet);
-                        agent::Event::Open { open, segment }
-                    }
-                    Transit::Forward(forward) => {
-                        let segment = decode(&forward.packet);
-                        agent::Event::Forward { forward, segment }
-                    }
-                    Transit::Search(search) => {
-                        let segment = decode(&search.packet);
-                        agent::Event::Search { search, segment }
-                    }
-                    Transit::Lookup(lookup) => {
-                        let segment = decode(&lookup.packet);
-                        agent::Event::Lookup { lookup, segment }
-                    }
-                    Transit::SearchBatch(search) => agent::Event::SearchBatch(search),
-                    Transit::LookupBatch(lookup) => agent::Event::LookupBatch(lookup),
-                    Transit::Answer(answer) => agent::Event::Answer(answer),
-                    Transit::NotHeld(denial) => agent::Event::PeerDenied(denial),
-                    _ => return,
-                };
-                self.notify_agent(id, event);
+                if let Some(event) = agent_event(transit) {
+                    self.notify_agent(id, event);
+                }
             }
             Event::PacketAtServer(id, segment) => self.receive_at_server(id, segment),
             Event::ServerPacket(id, segment) => {
