--- a/coordination/route/src/placement.rs
+++ b/coordination/route/src/placement.rs
@@ -123,6 +123,10 @@
     cost: Duration,
 }
 
+/// Availability zone of a service, and the indices of its backend servers among those
+/// that may get a new flow.
+type Zone = ((ServiceAddress, ZoneId), Vec<usize>);
+
 /// Ranking of backend servers for new flows by their expected time to answer.
 #[derive(Debug)]
 pub struct Placement {
@@ -227,7 +231,8 @@
         count: usize,
     ) -> Vec<&'a Target> {
         let targets: Vec<&Target> = targets.collect();
-        self.record_use(now, &targets);
+        let zones = zones_of(&targets);
+        self.record_use(now, &targets, &zones);
         let service = targets.first().map(|target| target.service);
         let crossing_cost = self.crossing_cost(need, service);
         let silent_zones = self.silent_zones(now, &targets);
@@ -246,7 +251,7 @@
                 }
             })
             .collect();
-        self.prefer_spare_zone(need, crossing_cost, &mut ranked);
+        self.prefer_spare_zone(need, crossing_cost, &zones, &mut ranked);
         ranked.sort_unstable_by_key(|one| (one.is_unresponsive, one.cost));
         if need.are_bids_priced {
             self.offer_way_out(&mut ranked, count);
@@ -256,12 +261,12 @@
     }
 
     /// Records the share of used slots of each zone.
-    fn record_use(&mut self, now: Duration, targets: &[&Target]) {
+    fn record_use(&mut self, now: Duration, targets: &[&Target], zones: &[Zone]) {
         if self.trends.len() > MAX_TRENDS {
             self.trends.clear();
         }
-        for (key, members) in zones_of(targets) {
-            let trend = self.trends.entry(key).or_default();
+        for (key, members) in zones {
+            let trend = self.trends.entry(*key).or_default();
             if !trend.is_due(now, TREND_INTERVAL) {
                 continue;
             }
@@ -299,15 +304,15 @@
         &mut self,
         need: &Need,
         crossing_cost: Duration,
+        zones: &[Zone],
         candidates: &mut [Candidate<'_>],
     ) {
-        let targets: Vec<&Target> = candidates.iter().map(|one| one.target).collect();
-        let mut zones = zones_of(&targets);
-        zones.retain(|((_, zone), _)| *zone != self.zone);
-        if zones.len() < 2 {
+        let others = zones.iter().filter(|((_, zone), _)| *zone != self.zone);
+        let others: Vec<&Zone> = others.collect();
+        if others.len() < 2 {
             return;
         }
-        let spare = zones.iter().map(|((service, zone), members)| {
+        let spare = others.iter().map(|((service, zone), members)| {
             let used = self.expected_use(need, *service, *zone);
             let free = (1.0 - used.unwrap_or_default()).max(MIN_SPARE);
             let usable = members.iter().map(|index| &candidates[*index]);
@@ -320,9 +325,9 @@
             drawn -= slots;
             drawn < 0.0
         });
-        let others = zones.iter().enumerate();
-        let others = others.filter(|(index, _)| Some(*index) != chosen);
-        for index in others.flat_map(|(_, (_, members))| members) {
+        let rest = others.iter().enumerate();
+        let rest = rest.filter(|(index, _)| Some(*index) != chosen);
+        for index in rest.flat_map(|(_, (_, members))| members) {
             candidates[*index].cost += crossing_cost / 2;
         }
     }
@@ -416,9 +421,9 @@
     }
 }
 
-/// Returns the backend servers of each service and zone, by their index.
-fn zones_of(targets: &[&Target]) -> Vec<((ServiceAddress, ZoneId), Vec<usize>)> {
-    let mut zones: Vec<((ServiceAddress, ZoneId), Vec<usize>)> = Vec::new();
+/// Returns the backend servers of each service and zone.
+fn zones_of(targets: &[&Target]) -> Vec<Zone> {
+    let mut zones: Vec<Zone> = Vec::new();
     for (index, target) in targets.iter().enumerate() {
         let key = (target.service, target.zone);
         match zones.iter_mut().find(|(known, _)| *known == key) {
--- a/coordination/route/src/refusal.rs
+++ b/coordination/route/src/refusal.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use wire::Priority;
 use wire::ServiceAddress;
 use wire::TargetId;
 
@@ -35,9 +36,6 @@
     }
 }
 
-/// Load-shedding priority of a class: a higher number is shed first.
-pub type Priority = u8;
-
 /// What is done with a new flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -71,8 +69,30 @@
 pub struct Refusal {
     settings: Settings,
     reports: HashMap<TargetId, Report>,
-    /// Classes that are refused, with the number of their flows since.
-    refused: HashMap<(ServiceAddress, Priority), u32>,
+    /// Classes that are refused.
+    refused: HashMap<(ServiceAddress, Priority), Refused>,
+    change: Option<Change>,
+}
+
+/// Flows of a refused class since the refusal began.
+#[derive(Clone, Copy, Debug, Default)]
+struct Refused {
+    /// Flows that were refused.
+    refused: u64,
+    /// Flows that were refused since the last trial.
+    since_trial: u32,
+}
+
+/// Beginning or end of the refusal of a class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The flows of the class are refused from now on.
+    Began,
+    /// The flows of the class are sent again.
+    Ended {
+        /// Number of flows that were refused.
+        refused: u64,
+    },
 }
 
 /// Last report of a backend server.
@@ -91,6 +111,7 @@
             settings,
             reports: HashMap::new(),
             refused: HashMap::new(),
+            change: None,
         }
     }
 
@@ -127,16 +148,26 @@
     ) -> Decision {
         let class = (service, priority);
         if !self.is_refused(now, priority, targets) {
-            self.refused.remove(&class);
+            let ended = self.refused.remove(&class);
+            self.change = ended.map(|Refused { refused, .. }| Change::Ended { refused });
             return Decision::Send;
         }
-        let flows = self.refused.entry(class).or_insert(0);
-        *flows = flows.wrapping_add(1);
-        if flows.is_multiple_of(self.settings.trial_interval.max(1)) {
-            Decision::Try
-        } else {
-            Decision::Refuse
+        if !self.refused.contains_key(&class) {
+            self.change = Some(Change::Began);
+        }
+        let class = self.refused.entry(class).or_default();
+        if class.since_trial + 1 >= self.settings.trial_interval {
+            class.since_trial = 0;
+            return Decision::Try;
         }
+        class.since_trial += 1;
+        class.refused += 1;
+        Decision::Refuse
+    }
+
+    /// Returns the beginning or end of a refusal that the last decision was, once.
+    pub const fn take_change(&mut self) -> Option<Change> {
+        self.change.take()
     }
 
     /// Removes the backend servers for which `keep` returns false.
--- a/protocol/wire/src/batch.rs
+++ b/protocol/wire/src/batch.rs
@@ -110,14 +110,14 @@
     pub findings: Vec<Findings>,
 }
 
-/// Set of flows of a batch, by their index.
+/// Set of small numbers, such as the flows of a batch by their index.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bitmap {
     bytes: Vec<u8>,
 }
 
 impl Bitmap {
-    /// Adds a flow.
+    /// Adds a number.
     pub fn insert(&mut self, index: usize) {
         let (byte, bit) = position(index);
         if byte >= self.bytes.len() {
@@ -126,17 +126,32 @@
         self.bytes[byte] |= bit;
     }
 
-    /// Returns true if a flow is in the set.
+    /// Removes a number.
+    pub fn remove(&mut self, index: usize) {
+        let (byte, bit) = position(index);
+        if let Some(bits) = self.bytes.get_mut(byte) {
+            *bits &= !bit;
+        }
+    }
+
+    /// Returns true if a number is in the set.
     #[must_use]
     pub fn contains(&self, index: usize) -> bool {
         let (byte, bit) = position(index);
         self.bytes.get(byte).is_some_and(|bits| bits & bit != 0)
     }
 
-    /// Returns true if no flow is in the set.
+    /// Returns true if the set contains all of another one.
+    #[must_use]
+    pub fn contains_all(&self, others: &Self) -> bool {
+        let mut bytes = others.bytes.iter().enumerate();
+        bytes.all(|(byte, bits)| bits & !self.bytes.get(byte).copied().unwrap_or_default() == 0)
+    }
+
+    /// Returns true if the set is empty.
     #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+    pub fn is_empty(&self) -> bool {
+        self.bytes.iter().all(|bits| *bits == 0)
     }
 }
 
--- a/protocol/wire/src/id.rs
+++ b/protocol/wire/src/id.rs
@@ -20,6 +20,10 @@
 /// Id of an availability zone. Zones of one region have the same upper byte.
 pub type ZoneId = u16;
 
+/// Load-shedding priority of a route, which makes its flows a class: under overload, a
+/// higher number is shed first and 0 last.
+pub type Priority = u8;
+
 /// IP address and UDP port that callers of a service send to.
 pub type ServiceAddress = SocketAddr;
 
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -23,6 +23,7 @@
 pub use frame::Reply;
 pub use id::FlowKey;
 pub use id::Incarnation;
+pub use id::Priority;
 pub use id::RequestId;
 pub use id::Revision;
 pub use id::ServiceAddress;
--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::Hop;
+use crate::Priority;
 use crate::TargetId;
 use crate::batch;
 use crate::segment::FlowId;
@@ -96,9 +97,8 @@
 /// service that it goes to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
-    /// Load-shedding priority of the route: under overload, a higher number is
-    /// shed first and 0 last.
-    pub priority: u8,
+    /// Load-shedding priority of the route.
+    pub priority: Priority,
     /// Time in milliseconds within which an answer has its full value to the caller.
     pub latency_target_ms: u32,
     /// Whether callers may repeat a request that has run.
@@ -121,6 +121,20 @@
         });
         crossing.map_or(0, |crossing| crossing.cost_ms)
     }
+
+    /// Returns true if the fields agree with each other: the frame is addressed to an
+    /// agent on its path, and has a bid of each agent before that one, or of all
+    /// agents once it is settled.
+    #[must_use]
+    pub fn is_consistent(&self) -> bool {
+        let position = usize::from(self.position);
+        let bids = if self.is_settled {
+            self.path.len()
+        } else {
+            position
+        };
+        position < self.path.len() && self.path.len() <= MAX_PATH && self.bids.len() == bids
+    }
 }
 
 /// A packet for a flow that is open or opening.
@@ -235,7 +249,7 @@
     /// could be answered before its caller gives up; `None` where there is none, or
     /// where the flow had no [`Demand`]. Must stay the last field of the frame.
     #[serde(with = "trailing", skip_serializing_if = "Option::is_none")]
-    pub refused_from: Option<u8>,
+    pub refused_from: Option<Priority>,
 }
 
 /// Load of a backend server, as measured by its agent.
@@ -259,22 +273,6 @@
     pub used_permille: Option<u16>,
 }
 
-impl Open {
-    /// Returns true if the fields agree with each other: the frame is addressed to an
-    /// agent on its path, and has a bid of each agent before that one, or of all
-    /// agents once it is settled.
-    #[must_use]
-    pub fn is_consistent(&self) -> bool {
-        let position = usize::from(self.position);
-        let bids = if self.is_settled {
-            self.path.len()
-        } else {
-            position
-        };
-        position < self.path.len() && self.path.len() <= MAX_PATH && self.bids.len() == bids
-    }
-}
-
 impl Load {
     /// Returns the expected time in the queue of a request that arrives now.
     #[must_use]
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -7,11 +7,13 @@
 //! holds the flow.
 mod action;
 mod admission;
+mod age;
 mod backend;
 mod batch;
 mod bid;
 mod class;
 mod evacuation;
+mod event;
 mod expiring_map;
 mod flow;
 mod lookup;
@@ -26,7 +28,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use limit::Forecast;
 use limit::Occupancy;
 use limit::Overload;
@@ -42,21 +43,19 @@
 use wire::segment::Kind;
 use wire::transit;
 use wire::transit::Forward;
-use wire::transit::Lookup;
-use wire::transit::NotHeld;
-use wire::transit::Open;
-use wire::transit::Search;
 
 pub use action::Action;
 pub use action::Closed;
 pub use action::DropReason;
 pub use action::Refusal;
 use admission::Passed;
+use age::Age;
 pub use backend::Announcement;
 pub use backend::State;
 use batch::Batches;
 pub use bid::Bid;
 pub use class::Step;
+pub use event::Event;
 use expiring_map::ExpiringMap;
 use flow::Flow;
 use flow::Progress;
@@ -68,75 +67,8 @@
 pub use settings::Settings;
 use waiting::Arrival;
 
-/// Input of an agent.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// An opening packet arrived from an entry or another agent.
-    Open {
-        /// Received frame.
-        open: Open,
-        /// Header of the packet in the frame.
-        segment: Segment,
-    },
-    /// A packet arrived for a flow that the backend server is believed to hold.
-    Forward {
-        /// Received frame.
-        forward: Forward,
-        /// Header of the packet in the frame.
-        segment: Segment,
-    },
-    /// An entry asks this agent to search for the holder of a packet's flow.
-    Search {
-        /// Received frame.
-        search: Search,
-        /// Header of the packet in the frame.
-        segment: Segment,
-    },
-    /// A searching agent asks whether the flow of a packet is held here.
-    Lookup {
-        /// Received frame.
-        lookup: Lookup,
-        /// Header of the packet in the frame.
-        segment: Segment,
-    },
-    /// An entry asks this agent to search for the holders of many flows.
-    SearchBatch(wire::batch::Search),
-    /// A searching agent asks which of many flows are held here.
-    LookupBatch(wire::batch::Lookup),
-    /// Another agent answers which of many flows it holds.
-    Answer(Box<wire::batch::Answer>),
-    /// Another agent reports that it does not hold a flow that is searched for
-    /// here.
-    PeerDenied(NotHeld),
-    /// The set of other agents of the service changed.
-    Peers(Peers),
-    /// The availability zone of the backend server was evacuated; carries the agents
-    /// of the service in other zones that accept new flows. `None` if it was
-    /// restored.
-    Evacuation(Option<Arc<Vec<Hop>>>),
-    /// The backend server sent a packet, or returned one that it does not hold
-    /// or accept.
-    ServerPacket {
-        /// Header of the packet.
-        segment: Segment,
-        /// Complete packet.
-        packet: Bytes,
-    },
-    /// The backend server announced its state.
-    Announcement(Announcement),
-    /// The backend server announced its termination.
-    ServerEnded,
-    /// No process listens at the address of the backend server.
-    ServerAbsent,
-    /// The process is shutting down.
-    Stop,
-    /// A timer fired. Expired state is removed if a sweep is due.
-    Tick,
-}
-
 /// State machine of an agent.
 #[derive(Debug)]
-#[expect(clippy::struct_excessive_bools, reason = "each is a fact of its own")]
 pub struct Agent {
     settings: Settings,
     own: Hop,
@@ -146,16 +78,7 @@
     may_hold_prior_flows: bool,
     announcement: Option<Announcement>,
     last_announced: Duration,
-    /// Time of the first announcement received from the current backend server,
-    /// and the longest time for which the server can have been running then.
-    first_announced: Duration,
-    max_age_when_first_announced: Duration,
-    /// The longest of all estimates of that time. Holds even if the server was
-    /// suspended between two announcements, or its clock was set back.
-    longest_age_when_first_announced: Duration,
-    /// Whether no earlier announcement of the current backend server can have been
-    /// answered.
-    hears_first_answered_announcement: bool,
+    server_age: Option<Age>,
     /// Time of the first opening packet that the backend server has not reacted
     /// to.
     unanswered_since: Option<Duration>,
@@ -200,18 +123,6 @@
     count: u8,
 }
 
-/// Sequence number of a backend server's first announcement. An agent that
-/// receives it has seen every flow that the server ever had.
-const FIRST_SEQUENCE: u64 = 1;
-
-/// Maximum number of announcements that a backend server has made when the first is
-/// answered, for that to be certain: it repeats a call that fails, but not that often.
-const MAX_UNANSWERED_ANNOUNCEMENTS: u64 = 6;
-
-/// Share of the announcement interval within which a backend server makes a further
-/// announcement only if the last one was not answered.
-const UNANSWERED_SHARE: f64 = 0.8;
-
 /// Maximum number of flows that wait for a slot. Each takes the size of its opening
 /// frame, some 300 bytes.
 const MAX_WAITING: usize = 1024;
@@ -235,10 +146,7 @@
             may_hold_prior_flows,
             announcement: None,
             last_announced: now,
-            first_announced: now,
-            max_age_when_first_announced: Duration::ZERO,
-            longest_age_when_first_announced: Duration::ZERO,
-            hears_first_answered_announcement: false,
+            server_age: None,
             unanswered_since: None,
             presence: Presence::new(now),
             is_stopping: false,
@@ -317,9 +225,6 @@
     #[must_use]
     pub fn closed_reason(&self, now: Duration) -> Option<Closed> {
         let settings = &self.settings;
-        let patience = settings
-            .opening_timeout
-            .saturating_sub(settings.answer_delay);
         let reaction_deadline = self
             .unanswered_since
             .map(|since| since + settings.reaction_timeout);
@@ -335,7 +240,7 @@
             _ if self.flows.len() >= settings.max_flows => Some(Closed::Flows),
             // Where classes differ, each has an expected wait of its own.
             _ if self.overload.has_classes(now) => None,
-            _ if !self.has_room(now, None) && self.load(now).wait() > patience => {
+            _ if !self.has_room(now, None) && self.load(now).wait() > settings.patience() => {
                 Some(Closed::Queue)
             }
             _ => None,
@@ -528,7 +433,11 @@
 }
 
 /// Returns a share in thousandths.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the share is clamped"
+)]
 fn permille(share: f64) -> u16 {
     (share.clamp(0.0, 1.0) * 1_000.0).round() as u16
 }
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use wire::FlowId;
+use wire::Priority;
 use wire::TargetId;
 use wire::Transit;
 
@@ -85,14 +86,14 @@
     /// A decision on a new flow that has a demand.
     Class {
         /// Load-shedding priority of the flow.
-        priority: u8,
+        priority: Priority,
         /// The decision.
         step: Step,
     },
     /// An overload began: an urgent flow had to wait.
     OverloadBegan {
         /// Load-shedding priority of that flow.
-        priority: u8,
+        priority: Priority,
         /// Number of requests that were running or queued.
         running: u16,
         /// Number of flows that waited before it.
@@ -107,9 +108,8 @@
     },
     /// The backend server is cold, and its new flows are limited.
     Cold {
-        /// Time for which it stays cold; [`Duration::MAX`] if it has not announced
-        /// that yet.
-        left: Duration,
+        /// Time for which it stays cold; `None` if it has not announced that yet.
+        left: Option<Duration>,
         /// Number of new flows that it gets in any one second.
         limit: usize,
     },
--- a/roles/forward/src/agent/admission.rs
+++ b/roles/forward/src/agent/admission.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use limit::overload::Priority;
 use wire::FlowId;
+use wire::Priority;
 use wire::Segment;
 use wire::TargetId;
 use wire::Transit;
@@ -128,7 +128,7 @@
         let class = self.class(now, &open);
         match bid::decide(open, bid.ok()) {
             Verdict::Admit(open) if self.has_room(now, class) => {
-                class::count(&open, Step::Admitted(Duration::ZERO), actions);
+                class::report_step(&open, Step::Admitted(Duration::ZERO), actions);
                 self.admit(now, &segment, open, bid.unwrap_or_default(), actions);
             }
             Verdict::Admit(open) if self.is_sooner_elsewhere(now, &segment, &open) => {
@@ -171,9 +171,9 @@
         if open.demand.is_some() {
             let step = match reason {
                 Refusal::SoonerElsewhere => Step::SoonerElsewhere,
-                _ => Step::Hopeless,
+                _ => Step::TooLate,
             };
-            class::count(&open, step, actions);
+            class::report_step(&open, step, actions);
             let target = intended_target(&open).unwrap_or(self.own.target);
             self.report_busy(now, &open, target, actions);
         }
--- a/roles/forward/src/agent/batch.rs
+++ b/roles/forward/src/agent/batch.rs
@@ -21,7 +21,7 @@
 use super::Action;
 use super::Agent;
 use super::DropReason;
-use super::lookup::millis;
+use crate::millis;
 
 /// Maximum number of concurrent searches for batches. When it is reached, an entry
 /// asks another agent after a timeout.
@@ -280,7 +280,7 @@
     /// Returns what this agent knows about a flow.
     fn verdict(&self, now: Duration, flow: FlowId, sought: &Sought, waited: Duration) -> Verdict {
         let age = Duration::from_millis(u64::from(sought.age_ms)) + waited;
-        let server_age = self.longest_server_age(now);
+        let server_age = self.server_age.map(|server| server.longest(now));
         match self.flows.get(&flow) {
             Some(held) if held.is_used_here(sought.acknowledged) => Verdict::Held,
             None if self.flows_not_held.get(now, &flow).is_some() => Verdict::Returned,
@@ -296,14 +296,14 @@
 
     /// Returns true if this process has seen all flows of its backend server.
     fn knows_all_flows(&self, now: Duration) -> bool {
-        let Some(server_age) = self.longest_server_age(now) else {
+        let Some(server_age) = self.server_age else {
             return false;
         };
         let agent_age = now.saturating_sub(self.started_at);
         !self.may_hold_prior_flows
             || agent_age >= self.settings.max_flow_age
-            || server_age < agent_age
-            || self.hears_first_answered_announcement
+            || server_age.longest(now) < agent_age
+            || server_age.is_first_answered
     }
 }
 
--- a/roles/forward/src/agent/bid.rs
+++ b/roles/forward/src/agent/bid.rs
@@ -51,7 +51,7 @@
     /// would wait.
     fn millis(self) -> u32 {
         let sum = self.wait + self.held + self.risk;
-        let millis = u32::try_from(sum.as_millis()).unwrap_or(u32::MAX);
+        let millis = crate::millis(sum);
         let base = if self.has_room { 0 } else { NO_ROOM };
         base + millis.min(NO_ROOM - 1)
     }
--- a/roles/forward/src/agent/class.rs
+++ b/roles/forward/src/agent/class.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use limit::overload;
-use limit::overload::Priority;
 use limit::waiting::Claim;
+use wire::Priority;
 use wire::Segment;
 use wire::transit::Demand;
 use wire::transit::Open;
@@ -32,7 +32,7 @@
     /// The flow waits for a place.
     Waits,
     /// The flow was refused: it could not be answered before its caller gives up.
-    Hopeless,
+    TooLate,
     /// The flow was refused: another server can take it sooner.
     SoonerElsewhere,
     /// The flow waited until its caller gave up.
@@ -49,7 +49,7 @@
         if !open.is_settled {
             let is_first = open.position == 0;
             self.overload.record_arrival(now, demand.priority, is_first);
-            count(open, Step::Arrived, actions);
+            report_step(open, Step::Arrived, actions);
         }
         for (hop, bid_ms) in open.path.iter().zip(&open.bids) {
             if hop.target != self.own.target {
@@ -203,7 +203,7 @@
             self.overload.record_sign(now, class);
             self.report_overload(now, actions);
         }
-        count(open, Step::Waits, actions);
+        report_step(open, Step::Waits, actions);
     }
 
     /// Records that a flow was admitted.
@@ -231,10 +231,7 @@
         if !self.overload.has_classes(now) {
             return None;
         }
-        let settings = &self.settings;
-        let patience = settings
-            .opening_timeout
-            .saturating_sub(settings.answer_delay);
+        let patience = self.settings.patience();
         let mut classes = self.overload.priorities(now);
         classes.find(|class| {
             !self.has_room(now, Some(*class)) && self.class_wait(now, *class) > patience
@@ -277,7 +274,7 @@
 }
 
 /// Reports a decision on a flow that has a demand.
-pub(super) fn count(open: &Open, step: Step, actions: &mut Vec<Action>) {
+pub(super) fn report_step(open: &Open, step: Step, actions: &mut Vec<Action>) {
     if let Some(Demand { priority, .. }) = open.demand {
         actions.push(Action::Class { priority, step });
     }
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -4,6 +4,7 @@
 
 use limit::Occupancy;
 use limit::occupancy::Start;
+use wire::Priority;
 use wire::Segment;
 use wire::segment::Kind;
 use wire::transit::Open;
@@ -24,7 +25,7 @@
     /// packet was delivered; `None` if this process has not seen it.
     opened: Option<(u32, Duration)>,
     /// Load-shedding priority of its route, if it is known.
-    pub priority: Option<u8>,
+    pub priority: Option<Priority>,
     /// Time of the last packet.
     pub last_used: Duration,
     /// Timeout of the flow's requests.
--- a/roles/forward/src/agent/lookup.rs
+++ b/roles/forward/src/agent/lookup.rs
@@ -19,6 +19,7 @@
 use super::Probe;
 use super::Refusal;
 use super::backend::Start;
+use crate::millis;
 
 /// Evidence that a backend server does not hold a flow.
 #[derive(Clone, Copy, Debug)]
@@ -179,7 +180,3 @@
         }),
     });
 }
-
-pub(super) fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/roles/forward/src/agent/search.rs
+++ b/roles/forward/src/agent/search.rs
@@ -126,7 +126,7 @@
         flow: FlowId,
         actions: &mut Vec<Action>,
     ) {
-        let age = self.max_age_as_proof(now).map(super::lookup::millis);
+        let age = self.max_age_as_proof(now).map(crate::millis);
         self.record_denial(now, flow, self.own.target, age, actions);
     }
 
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -15,10 +15,9 @@
 use super::Agent;
 use super::Announcement;
 use super::DropReason;
-use super::FIRST_SEQUENCE;
-use super::MAX_UNANSWERED_ANNOUNCEMENTS;
 use super::State;
-use super::UNANSWERED_SHARE;
+use super::age::Age;
+use super::age::FIRST_SEQUENCE;
 use super::backend::Start;
 use super::flow::Flow;
 use super::flow::Progress;
@@ -174,22 +173,8 @@
             // If this process saw the start of the backend server, it knows all
             // its flows.
             self.may_hold_prior_flows &= is_first && announcement.sequence > FIRST_SEQUENCE;
-            self.first_announced = now;
-            // The first announcement is sent at the start, so each later one
-            // adds at most one heartbeat interval to the age. A server whose calls
-            // fail repeats them sooner, which its clock shows.
-            let later_announcements = announcement.sequence.saturating_sub(FIRST_SEQUENCE);
-            let later_announcements = u32::try_from(later_announcements).unwrap_or(u32::MAX);
-            let by_sequence = self
-                .settings
-                .max_announcement_interval
-                .saturating_mul(later_announcements);
-            self.max_age_when_first_announced = announcement
-                .age
-                .map_or(by_sequence, |age| age.min(by_sequence));
-            self.longest_age_when_first_announced =
-                announcement.age.unwrap_or_default().max(by_sequence);
-            self.hears_first_answered_announcement = self.is_first_answered(&announcement);
+            let interval = self.settings.max_announcement_interval;
+            self.server_age = Some(Age::new(now, interval, &announcement));
             self.batches.record_start(now);
         }
         self.last_announced = now;
@@ -222,16 +207,6 @@
         self.end_flows(now, None, actions);
     }
 
-    /// Returns true if no earlier announcement of a backend server can have been
-    /// answered: the next one would have followed an interval later. An agent that
-    /// ran beside the server before would have answered, so there was none.
-    fn is_first_answered(&self, announcement: &Announcement) -> bool {
-        let interval = self.settings.max_announcement_interval;
-        let limit = interval.mul_f64(UNANSWERED_SHARE);
-        announcement.age.is_some_and(|age| age < limit)
-            && announcement.sequence <= MAX_UNANSWERED_ANNOUNCEMENTS
-    }
-
     /// Returns the time from which a flow may have been opened at the server that
     /// announces its start: a server can accept flows before its first announcement
     /// arrives.
@@ -281,32 +256,21 @@
         self.announcement.as_ref().map(|backend| backend.start)
     }
 
-    /// Returns the longest time for which the backend server can have been
-    /// running, derived from the sequence number of its announcements, or
-    /// `None` before the first announcement.
-    pub(super) fn max_server_age(&self, now: Duration) -> Option<Duration> {
-        self.announcement.as_ref()?;
-        Some(self.max_age_when_first_announced + now.saturating_sub(self.first_announced))
-    }
-
     /// Returns the longest time for which the backend server can have been running, as
     /// a proof that it started in the same failure as an entry. A server that was
     /// running well before this process counts as older than any entry: then not the
     /// host has failed, but this process, and processes that the entry does not know
     /// yet may be starting beside servers that still run. A process that only started
-    /// slowly shows in that no announcement was answered before.
+    /// slowly shows in that no announcement was answered before. `None`
+    /// before its first announcement.
     pub(super) fn max_age_as_proof(&self, now: Duration) -> Option<Duration> {
-        let age = self.max_server_age(now)?;
+        let age = self.server_age?;
         let own_age = now.saturating_sub(self.started_at);
-        let is_older =
-            !self.hears_first_answered_announcement && age > own_age + self.settings.start_lead;
-        Some(if is_older { Duration::MAX } else { age })
-    }
-
-    /// Returns the longest time for which the backend server can have been running
-    /// by any estimate, or `None` before the first announcement.
-    pub(super) fn longest_server_age(&self, now: Duration) -> Option<Duration> {
-        self.announcement.as_ref()?;
-        Some(self.longest_age_when_first_announced + now.saturating_sub(self.first_announced))
+        let is_older = !age.is_first_answered && age.max(now) > own_age + self.settings.start_lead;
+        Some(if is_older {
+            Duration::MAX
+        } else {
+            age.max(now)
+        })
     }
 }
--- a/roles/forward/src/agent/settings.rs
+++ b/roles/forward/src/agent/settings.rs
@@ -72,6 +72,14 @@
     pub sweep_interval: Duration,
 }
 
+impl Settings {
+    /// Returns how long the caller of a first opening packet waits for room at a
+    /// backend server.
+    pub(super) fn patience(&self) -> Duration {
+        self.opening_timeout.saturating_sub(self.answer_delay)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/roles/forward/src/agent/waiting.rs
+++ b/roles/forward/src/agent/waiting.rs
@@ -66,10 +66,7 @@
 
     /// Returns how long the caller of an opening packet still waits for its answer.
     pub(super) fn patience(&self, segment: &Segment) -> Duration {
-        let settings = &self.settings;
-        settings
-            .opening_timeout
-            .saturating_sub(waited(segment) + settings.answer_delay)
+        self.settings.patience().saturating_sub(waited(segment))
     }
 
     /// Returns true if the flow of an opening packet waits for a slot.
@@ -108,7 +105,7 @@
                     let class = self.class(now, &open);
                     let bid = self.bid(now, class).unwrap_or_default();
                     let waited = now.saturating_sub(arrival.arrived);
-                    class::count(&open, Step::Admitted(waited), actions);
+                    class::report_step(&open, Step::Admitted(waited), actions);
                     self.admit(now, &segment, open, bid, actions);
                 }
                 Some(closed) => self.decide_open(now, segment, open, Err(closed), actions),
@@ -158,7 +155,7 @@
 /// Drops a flow whose caller has given up. It is not reset, because it may have been
 /// opened elsewhere through a copy of its opening packet.
 fn expire_arrival(arrival: &Arrival, actions: &mut Vec<Action>) {
-    class::count(&arrival.open, Step::Expired, actions);
+    class::report_step(&arrival.open, Step::Expired, actions);
     actions.push(Action::Dropped(DropReason::NoSlotInTime));
 }
 
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -6,12 +6,12 @@
 //! asking one agent of the service, which asks all others.
 mod action;
 mod batch;
-mod crossing;
 mod decision;
 mod flow;
+mod new_flow;
 mod opening;
-mod pace;
 pub mod proof;
+mod rate_limit;
 mod refusal;
 mod search;
 mod settings;
@@ -33,7 +33,6 @@
 use wire::Hop;
 use wire::Revision;
 use wire::Segment;
-use wire::ServiceAddress;
 use wire::TargetId;
 use wire::Transit;
 use wire::ZoneId;
@@ -97,8 +96,6 @@
     sizes: HashMap<SocketAddrV4, Size>,
     tally: Tally,
     refusal: route::Refusal,
-    /// Classes whose flows are refused here, with the number of those refused.
-    refused_classes: HashMap<(ServiceAddress, u8), u64>,
     started_at: Duration,
     known_targets: HashSet<TargetId>,
     /// Time at which a backend server was last added to the known ones.
@@ -133,7 +130,6 @@
             placement: Placement::new(settings.place, zone, seed),
             random: fastrand::Rng::with_seed(seed),
             refusal: route::Refusal::new(settings.refusal),
-            refused_classes: HashMap::new(),
             address,
             zone,
             routes: Arc::default(),
--- a/roles/forward/src/entry/action.rs
+++ b/roles/forward/src/entry/action.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use wire::FlowId;
+use wire::Priority;
 use wire::Revision;
 use wire::ServiceAddress;
 use wire::TargetId;
@@ -115,27 +116,27 @@
         /// The service.
         service: ServiceAddress,
         /// Load-shedding priority of the class.
-        priority: u8,
+        priority: Priority,
     },
     /// New flows of a class are sent to agents again.
     ClassAdmitted {
         /// The service.
         service: ServiceAddress,
         /// Load-shedding priority of the class.
-        priority: u8,
+        priority: Priority,
         /// Number of flows refused meanwhile.
         refused: u64,
     },
     /// A new flow was refused because of its class.
     ClassFlowRefused {
         /// Load-shedding priority of the flow.
-        priority: u8,
+        priority: Priority,
     },
     /// A new flow of a refused class was sent to find out whether it has capacity
     /// again.
     ClassTried {
         /// Load-shedding priority of the flow.
-        priority: u8,
+        priority: Priority,
     },
     /// A packet was dropped.
     Dropped(DropReason),
--- a/roles/forward/src/entry/batch.rs
+++ b/roles/forward/src/entry/batch.rs
@@ -19,6 +19,7 @@
 use super::flow::Phase;
 use super::proof::TargetSet;
 use crate::Routes;
+use crate::millis;
 
 /// Time for which answers to a batch can arrive. Agents report what they have learned
 /// about earlier batches for one second.
@@ -30,14 +31,14 @@
 
 /// Time for which what an agent says about others counts. Longer than the interval
 /// between two batches about the same flow, so that a later answer replaces it.
-const OPINION_LIFETIME: Duration = Duration::from_secs(1);
+const PEER_VIEW_LIFETIME: Duration = Duration::from_secs(1);
 
 /// Batch that answers can arrive for.
 #[derive(Debug)]
 pub(super) struct Batch {
     pub sent_at: Duration,
     pub searcher: TargetId,
-    pub share: ServiceAddress,
+    pub service: ServiceAddress,
     pub flows: Vec<FlowId>,
     pub is_answered: bool,
     /// Backend servers whose agents have answered.
@@ -46,8 +47,8 @@
 
 /// What an agent knows about the other agents of its service.
 #[derive(Debug)]
-pub(super) struct Opinion {
-    pub share: ServiceAddress,
+pub(super) struct PeerView {
+    pub service: ServiceAddress,
     pub stated_at: Duration,
     pub known_agents: usize,
     pub has_down_agent: bool,
@@ -69,9 +70,9 @@
         self.undecided.has_answers = true;
         self.undecided.silent.remove(&batch.searcher);
         let flows = std::mem::take(&mut batch.flows);
-        let (share, asked_at) = (batch.share, batch.sent_at);
+        let (service, asked_at) = (batch.service, batch.sent_at);
         for findings in &report.findings {
-            let index = self.record_findings(now, share, findings);
+            let index = self.record_findings(now, service, findings);
             if let Some(batch) = self.undecided.batches.get_mut(&report.batch) {
                 batch.answered.insert(index);
             }
@@ -84,7 +85,7 @@
             }
         }
         let mut views = Views::new();
-        let may_probe = self.may_probe(now, report.batch, share);
+        let may_probe = self.may_probe(now, report.batch, service);
         for (number, flow) in flows.iter().enumerate() {
             let is_decided = self.decide_flow(now, flow, &mut views);
             let mut all = report.findings.iter();
@@ -101,30 +102,30 @@
 
     /// Returns true if every known agent that a batch went to has answered, so that a
     /// probe reaches the holder. Probes that only reach other servers break a flow.
-    fn may_probe(&mut self, now: Duration, number: batch::Number, share: ServiceAddress) -> bool {
+    fn may_probe(&mut self, now: Duration, number: batch::Number, service: ServiceAddress) -> bool {
         let routes = Arc::clone(&self.routes);
         let undecided = &mut self.undecided;
         let Some(batch) = undecided.batches.get(&number) else {
             return false;
         };
-        let mut targets = routes.targets_of(share);
+        let mut targets = routes.targets_of(service);
         let roster = &mut undecided.roster;
         let all_answered = targets.all(|target| batch.answered.contains(roster.index(target.id)));
         all_answered
-            && !self.is_doubted(now, share)
-            && !routes.services_with_down_targets.contains(&share)
+            && !self.is_doubted(now, service)
+            && !routes.services_with_down_targets.contains(&service)
             && self.knows_all_agents(now)
     }
 
     /// Returns true if an agent of a service knows another one that is marked down, or
     /// more agents than this entry has heard of.
-    pub(super) fn is_doubted(&self, now: Duration, share: ServiceAddress) -> bool {
-        let known = self.routes.heard_of(share);
-        let mut opinions = self.undecided.opinions.values();
-        opinions.any(|opinion| {
-            opinion.share == share
-                && now < opinion.stated_at + OPINION_LIFETIME
-                && (opinion.has_down_agent || opinion.known_agents > known)
+    pub(super) fn is_doubted(&self, now: Duration, service: ServiceAddress) -> bool {
+        let known = self.routes.heard_of(service);
+        let mut peer_views = self.undecided.peer_views.values();
+        peer_views.any(|view| {
+            view.service == service
+                && now < view.stated_at + PEER_VIEW_LIFETIME
+                && (view.has_down_agent || view.known_agents > known)
         })
     }
 
@@ -135,11 +136,11 @@
         let Some(route) = self.routes.route(address) else {
             return false;
         };
-        let opinions = &self.undecided.opinions;
+        let peer_views = &self.undecided.peer_views;
         let mut targets = self.routes.possible_holders(route);
         targets.any(|target| {
-            let opinion = opinions.get(&target.id);
-            opinion.is_none_or(|opinion| now >= opinion.stated_at + OPINION_LIFETIME)
+            let view = peer_views.get(&target.id);
+            view.is_none_or(|view| now >= view.stated_at + PEER_VIEW_LIFETIME)
         })
     }
 
@@ -148,17 +149,17 @@
     fn record_findings(
         &mut self,
         now: Duration,
-        share: ServiceAddress,
+        service: ServiceAddress,
         findings: &Findings,
     ) -> usize {
         let target = findings.agent.target;
-        let opinion = Opinion {
-            share,
+        let view = PeerView {
+            service,
             stated_at: now,
             known_agents: usize::from(findings.known_agents),
             has_down_agent: findings.has_down_agent,
         };
-        self.undecided.opinions.insert(target, opinion);
+        self.undecided.peer_views.insert(target, view);
         let max_age_ms = self.max_age_ms(now);
         let is_young = findings.age_ms.is_some_and(|age| age <= max_age_ms);
         // An agent that has not heard of its server yet says nothing about its age.
@@ -245,12 +246,12 @@
         &mut self,
         now: Duration,
         routes: &Routes,
-        share: ServiceAddress,
+        service: ServiceAddress,
         flows: &[FlowId],
         actions: &mut Vec<Action>,
     ) {
         let silent: Vec<TargetId> = self.undecided.silent.keys().copied().collect();
-        let Some(searcher) = self.choose_searcher(routes, share, &silent) else {
+        let Some(searcher) = self.choose_searcher(routes, service, &silent) else {
             return;
         };
         let Some(address) = flows.first().map(|flow| flow.service) else {
@@ -282,12 +283,12 @@
         actions.push(Action::BatchRequested {
             searcher: searcher.id,
             flows: flows.len(),
-            known: routes.targets_of(share).count(),
+            known: routes.targets_of(service).count(),
         });
         let batch = Batch {
             sent_at: now,
             searcher: searcher.id,
-            share,
+            service,
             flows: flows.to_vec(),
             is_answered: false,
             answered: TargetSet::default(),
@@ -319,12 +320,8 @@
         }
         let is_live = |batch: &Batch| now < batch.sent_at + BATCH_LIFETIME;
         undecided.batches.retain(|_, batch| is_live(batch));
-        let is_fresh = |opinion: &Opinion| now < opinion.stated_at + OPINION_LIFETIME;
-        undecided.opinions.retain(|_, opinion| is_fresh(opinion));
+        let is_fresh = |view: &PeerView| now < view.stated_at + PEER_VIEW_LIFETIME;
+        undecided.peer_views.retain(|_, view| is_fresh(view));
         undecided.silent.retain(|_, until| now < *until);
     }
 }
-
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/roles/forward/src/entry/decision.rs
+++ b/roles/forward/src/entry/decision.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use wire::FlowId;
+use wire::Priority;
 
 use super::Action;
 use super::Entry;
@@ -24,7 +25,7 @@
 /// Flows that have ended, the most urgent first.
 #[derive(Debug, Default)]
 pub(super) struct Resets {
-    flows: BTreeSet<(u8, Duration, FlowId)>,
+    flows: BTreeSet<(Priority, Duration, FlowId)>,
     next_at: Duration,
     interval: Duration,
 }
@@ -32,7 +33,7 @@
 /// What is known about the possible holders of the flows to one address.
 pub(super) struct RouteView {
     holders: TargetSet,
-    priority: u8,
+    priority: Priority,
     knows_all_agents: bool,
     has_doubtful_agent: bool,
     is_recent: bool,
@@ -42,7 +43,7 @@
 pub(super) type Views = HashMap<SocketAddrV4, Option<RouteView>>;
 
 impl Resets {
-    fn push(&mut self, now: Duration, priority: u8, gives_up_at: Duration, flow: FlowId) {
+    fn push(&mut self, now: Duration, priority: Priority, gives_up_at: Duration, flow: FlowId) {
         if self.flows.is_empty() {
             self.next_at = now;
             self.interval = RESET_INTERVAL;
@@ -99,7 +100,7 @@
         now: Duration,
         flow: &FlowId,
         views: &mut Views,
-    ) -> Option<(u8, Duration)> {
+    ) -> Option<(Priority, Duration)> {
         let route = views
             .entry(flow.service)
             .or_insert_with(|| self.route_view(now, flow.service))
--- a/roles/forward/src/entry/opening.rs
+++ b/roles/forward/src/entry/opening.rs
@@ -15,7 +15,9 @@
 use super::Refusal;
 use super::flow;
 use super::flow::Phase;
+use super::new_flow::NewFlow;
 use crate::Routes;
+use crate::millis;
 
 impl Entry {
     /// Sends an opening packet to the agents that are expected to answer
@@ -23,6 +25,7 @@
     /// copy. An agent that did not answer in time is skipped.
     pub(super) fn handle_open(&mut self, routes: &Routes, mut context: PacketContext<'_>) {
         let flow = context.segment.flow_from_caller();
+        let new = self.new_flow(routes, &flow);
         let mut tried = Vec::new();
         let is_reused = !context.segment.is_retransmission()
             && self.flows.get(&flow).is_some_and(|held| {
@@ -42,7 +45,7 @@
             {
                 let first = opening.path[0];
                 tried.clone_from(&opening.tried);
-                return self.send_open(routes, vec![first], tried, context);
+                return self.send_open(routes, new.as_ref(), vec![first], tried, context);
             }
             Some(Phase::Opening(opening)) => {
                 let first = opening.path[0].target;
@@ -52,10 +55,16 @@
             }
             _ => {}
         }
-        if self.refuses_class(routes, &mut context) {
+        let refuses = new
+            .as_ref()
+            .is_some_and(|new| self.refuses_class(routes, new, &mut context));
+        if refuses {
             return;
         }
-        let path = self.choose_path(routes, &context, &tried);
+        let path = match &new {
+            Some(new) => self.choose_path(routes, new, context.now, &tried),
+            None => Vec::new(),
+        };
         if path.is_empty() {
             return self.refuse_without_server(
                 routes,
@@ -64,7 +73,7 @@
                 context.actions,
             );
         }
-        self.send_open(routes, path, tried, context);
+        self.send_open(routes, new.as_ref(), path, tried, context);
     }
 
     /// Returns the agents that an opening packet visits, best first. Those in
@@ -72,23 +81,18 @@
     fn choose_path(
         &mut self,
         routes: &Routes,
-        context: &PacketContext<'_>,
+        new: &NewFlow<'_>,
+        now: Duration,
         tried: &[TargetId],
     ) -> Vec<Hop> {
-        let flow = context.segment.flow_from_caller();
-        let route = routes.route(flow.service);
-        let Some(service) = route.and_then(|route| route.select_service(&flow)) else {
-            return Vec::new();
-        };
-        let need = self.need(routes, &flow);
         let untried = routes
-            .ready_targets(service)
+            .ready_targets(new.service)
             .filter(|target| !tried.contains(&target.id));
         let count = self.settings.path_length;
-        let ranked = self.placement.rank(context.now, &need, untried, count);
+        let ranked = self.placement.rank(now, &new.need, untried, count);
         let ranked = if ranked.is_empty() {
-            let all = routes.ready_targets(service);
-            self.placement.rank(context.now, &need, all, count)
+            let all = routes.ready_targets(new.service);
+            self.placement.rank(now, &new.need, all, count)
         } else {
             ranked
         };
@@ -127,26 +131,23 @@
     fn send_open(
         &mut self,
         routes: &Routes,
+        new: Option<&NewFlow<'_>>,
         path: Vec<Hop>,
         tried: Vec<TargetId>,
         context: PacketContext<'_>,
     ) {
         let flow = context.segment.flow_from_caller();
         let first = path[0];
-        let route = routes.route(flow.service);
-        let timeout = route.map(|route| route.timeout);
-        let timeout_ms = timeout.unwrap_or_default().as_millis();
-        let demand = route.and_then(|route| {
-            let service = route.select_service(&flow)?;
-            routes.table.demand(route, service)
-        });
-        let crossing = self.crossing(routes, &flow, &path);
+        let timeout = new.map(|new| new.route.timeout);
+        let crossing = new.and_then(|new| self.crossing(routes, new, &path));
         self.placement.record_sent(first.target);
         let is_first = !self.flows.contains_key(&flow);
         if is_first {
             let size = self.sizes.entry(flow.service).or_default();
             size.record_flow(context.now);
-            self.record_placed(routes, &flow, &first);
+            if let Some(new) = new {
+                self.record_placed(routes, new, first.target);
+            }
             context.actions.push(Action::Opened {
                 flow,
                 first: first.target,
@@ -171,9 +172,9 @@
                 position: 0,
                 bids: Vec::new(),
                 is_settled: false,
-                max_wait_ms: u32::try_from(timeout_ms).unwrap_or(u32::MAX),
+                max_wait_ms: millis(timeout.unwrap_or_default()),
                 packet: context.packet,
-                demand,
+                demand: new.and_then(|new| new.demand),
                 crossing,
             }),
         });
--- a/roles/forward/src/entry/proof.rs
+++ b/roles/forward/src/entry/proof.rs
@@ -6,12 +6,10 @@
 use std::collections::HashMap;
 
 use wire::TargetId;
+use wire::batch::Bitmap;
 
 /// Set of backend servers, by their index in a [`Roster`].
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct TargetSet {
-    words: Vec<u64>,
-}
+pub type TargetSet = Bitmap;
 
 /// Indices of the backend servers that an entry has heard of.
 #[derive(Clone, Debug, Default)]
@@ -59,51 +57,6 @@
     NotDenied,
 }
 
-impl TargetSet {
-    /// Adds a backend server.
-    pub fn insert(&mut self, index: usize) {
-        let (word, bit) = position(index);
-        if word >= self.words.len() {
-            self.words.resize(word + 1, 0);
-        }
-        self.words[word] |= bit;
-    }
-
-    /// Removes a backend server.
-    pub fn remove(&mut self, index: usize) {
-        let (word, bit) = position(index);
-        if let Some(bits) = self.words.get_mut(word) {
-            *bits &= !bit;
-        }
-    }
-
-    /// Returns true if a backend server is in the set.
-    #[must_use]
-    pub fn contains(&self, index: usize) -> bool {
-        let (word, bit) = position(index);
-        self.words.get(word).is_some_and(|bits| bits & bit != 0)
-    }
-
-    /// Returns true if the set contains all of another one.
-    #[must_use]
-    pub fn contains_all(&self, others: &Self) -> bool {
-        let mut words = others.words.iter().enumerate();
-        words.all(|(word, bits)| bits & !self.words.get(word).copied().unwrap_or_default() == 0)
-    }
-
-    /// Returns true if the set is empty.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.words.iter().all(|bits| *bits == 0)
-    }
-}
-
-/// Returns the word and the bit of an index.
-const fn position(index: usize) -> (usize, u64) {
-    let bits = u64::BITS as usize;
-    (index / bits, 1 << (index % bits))
-}
-
 impl Roster {
     /// Returns the index of a backend server, which never changes.
     pub fn index(&mut self, target: TargetId) -> usize {
--- a/roles/forward/src/entry/pace.rs
+++ b/roles/forward/src/entry/rate_limit.rs
@@ -5,7 +5,7 @@
 
 /// Limit of a rate that allows bursts.
 #[derive(Clone, Copy, Debug)]
-pub struct Pace {
+pub struct RateLimit {
     interval: Duration,
     burst: u32,
     /// Time that it takes until the whole burst is available again.
@@ -13,7 +13,7 @@
     last: Duration,
 }
 
-impl Pace {
+impl RateLimit {
     /// Creates a limit of `rate` a second, of which `burst` can be used at once.
     pub const fn new(rate: u32, burst: u32) -> Self {
         Self {
--- a/roles/forward/src/entry/refusal.rs
+++ b/roles/forward/src/entry/refusal.rs
@@ -1,7 +1,9 @@
 //! Refuses new flows of a class that no backend server has capacity for.
 use std::time::Duration;
 
+use route::refusal::Change;
 use route::refusal::Decision;
+use wire::Priority;
 use wire::ServiceAddress;
 use wire::transit::Busy;
 use wire::transit::Held;
@@ -10,6 +12,7 @@
 use super::Entry;
 use super::PacketContext;
 use super::Refusal;
+use super::new_flow::NewFlow;
 use crate::Routes;
 
 impl Entry {
@@ -20,6 +23,7 @@
     pub(super) fn refuses_class(
         &mut self,
         routes: &Routes,
+        new: &NewFlow<'_>,
         context: &mut PacketContext<'_>,
     ) -> bool {
         let flow = context.segment.flow_from_caller();
@@ -27,14 +31,8 @@
         if !routes.table.has_priorities || !is_first {
             return false;
         }
-        let Some(route) = routes.route(flow.service) else {
-            return false;
-        };
-        let Some(service) = route.select_service(&flow) else {
-            return false;
-        };
+        let (service, priority) = (new.service, new.route.priority);
         let targets = routes.ready_targets(service).map(|target| target.id);
-        let priority = route.priority;
         let decision = self.refusal.decide(context.now, service, priority, targets);
         self.report_refusal(service, priority, decision, context.actions);
         if decision != Decision::Refuse {
@@ -48,37 +46,28 @@
         true
     }
 
-    /// Reports the beginning and end of a refusal, and each flow meanwhile.
+    /// Reports the beginning or end of a refusal, and a decision meanwhile.
     fn report_refusal(
         &mut self,
         service: ServiceAddress,
-        priority: u8,
+        priority: Priority,
         decision: Decision,
         actions: &mut Vec<Action>,
     ) {
-        let class = (service, priority);
-        match (decision, self.refused_classes.get_mut(&class)) {
-            (Decision::Send, Some(refused)) => {
-                let refused = *refused;
-                self.refused_classes.remove(&class);
-                actions.push(Action::ClassAdmitted {
-                    service,
-                    priority,
-                    refused,
-                });
-            }
-            (Decision::Send, None) => {}
-            (Decision::Try, _) => actions.push(Action::ClassTried { priority }),
-            (Decision::Refuse, Some(refused)) => {
-                *refused += 1;
-                actions.push(Action::ClassFlowRefused { priority });
-            }
-            (Decision::Refuse, None) => {
-                self.refused_classes.insert(class, 1);
-                actions.push(Action::ClassRefused { service, priority });
-                actions.push(Action::ClassFlowRefused { priority });
-            }
-        }
+        let change = self.refusal.take_change().map(|change| match change {
+            Change::Began => Action::ClassRefused { service, priority },
+            Change::Ended { refused } => Action::ClassAdmitted {
+                service,
+                priority,
+                refused,
+            },
+        });
+        let decided = match decision {
+            Decision::Send => None,
+            Decision::Try => Some(Action::ClassTried { priority }),
+            Decision::Refuse => Some(Action::ClassFlowRefused { priority }),
+        };
+        actions.extend(change.into_iter().chain(decided));
     }
 
     /// Records which classes a backend server refuses.
--- a/roles/forward/src/entry/search.rs
+++ b/roles/forward/src/entry/search.rs
@@ -23,6 +23,7 @@
 use super::flow::Phase;
 use crate::Route;
 use crate::Routes;
+use crate::millis;
 
 /// Maximum number of agents of one service that are asked, one after the other,
 /// to search for a flow.
@@ -150,8 +151,7 @@
         if age > self.settings.stale_flow_window {
             return 0;
         }
-        let limit = age + self.settings.start_skew;
-        u32::try_from(limit.as_millis()).unwrap_or(u32::MAX)
+        millis(age + self.settings.start_skew)
     }
 
     /// Records that no agent of a service holds a flow. Once this applies to
--- a/roles/forward/src/entry/undecided.rs
+++ b/roles/forward/src/entry/undecided.rs
@@ -17,14 +17,14 @@
 use super::Action;
 use super::Entry;
 use super::batch::Batch;
-use super::batch::Opinion;
+use super::batch::PeerView;
 use super::decision::Resets;
 use super::decision::Views;
 use super::flow::Phase;
 use super::flow::Searching;
-use super::pace::Pace;
 use super::proof::Roster;
 use super::proof::TargetSet;
+use super::rate_limit::RateLimit;
 use super::search;
 
 /// Maximum number of undecided flows. Each takes the size of one to a few packets.
@@ -39,18 +39,18 @@
 
 /// Batches a second, and how many are sent at that interval: each is a frame at every
 /// agent of the service, from every entry at once after a failure of everything.
-const BATCH_PACE: Pace = Pace::new(25, 5);
+const BATCH_LIMIT: RateLimit = RateLimit::new(25, 5);
 
 /// Interval between two checks of all undecided flows.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Searches a second for single flows, and how many are sent at once. They are faster
 /// than batches but cost several frames at each agent.
-const SEARCH_PACE: Pace = Pace::new(20, 8);
+const SEARCH_LIMIT: RateLimit = RateLimit::new(20, 8);
 
 /// Searches a second for single flows after a batch, in which agents that cannot tell
 /// probe their backend server.
-const PROBE_PACE: Pace = Pace::new(800, 64);
+const PROBE_LIMIT: RateLimit = RateLimit::new(800, 64);
 
 /// Maximum number of searches with probes for one flow. Agents probe twice at most.
 const MAX_PROBE_SEARCHES: u8 = 2;
@@ -63,10 +63,12 @@
     pub flows: BTreeSet<(Duration, FlowId)>,
     /// Flows to ask about with the next batch.
     pub due: Vec<FlowId>,
-    pub next_batch_at: Duration,
-    batch_pace: Pace,
+    next_batch_at: Duration,
+    batch_limit: RateLimit,
+    /// Batches that answers can arrive for.
     pub batches: HashMap<Number, Batch>,
     pub last_batch: Number,
+    /// Agents that did not answer a batch, and the time until which others are asked.
     pub silent: HashMap<TargetId, Duration>,
     /// Whether any agent has answered a batch. Agents of earlier versions do not.
     pub has_answers: bool,
@@ -76,14 +78,17 @@
     pub young: TargetSet,
     pub old: TargetSet,
     /// What each agent said last about the other agents of its service.
-    pub opinions: HashMap<TargetId, Opinion>,
+    pub peer_views: HashMap<TargetId, PeerView>,
     /// Flows that an agent could not tell about, to be searched for with probes.
     pub uncertain: BTreeSet<FlowId>,
-    pub searches: Pace,
-    pub probes: Pace,
+    /// Limit of the searches for single flows.
+    pub searches: RateLimit,
+    /// Limit of those with probes.
+    probes: RateLimit,
     pub resets: Resets,
-    pub next_check_at: Duration,
-    pub knew_all_agents: bool,
+    next_check_at: Duration,
+    /// Whether all agents were known at the last check.
+    knew_all_agents: bool,
 }
 
 impl Undecided {
@@ -92,7 +97,7 @@
             flows: BTreeSet::new(),
             due: Vec::new(),
             next_batch_at: now,
-            batch_pace: BATCH_PACE,
+            batch_limit: BATCH_LIMIT,
             batches: HashMap::new(),
             last_batch: 0,
             silent: HashMap::new(),
@@ -100,10 +105,10 @@
             roster: Roster::default(),
             young: TargetSet::default(),
             old: TargetSet::default(),
-            opinions: HashMap::new(),
+            peer_views: HashMap::new(),
             uncertain: BTreeSet::new(),
-            searches: SEARCH_PACE,
-            probes: PROBE_PACE,
+            searches: SEARCH_LIMIT,
+            probes: PROBE_LIMIT,
             resets: Resets::default(),
             next_check_at: now,
             knew_all_agents: false,
@@ -171,7 +176,7 @@
             self.check_undecided(now, actions);
         }
         let is_due = !self.undecided.due.is_empty() && now >= self.undecided.next_batch_at;
-        if is_due && self.undecided.batch_pace.take(now) {
+        if is_due && self.undecided.batch_limit.take(now) {
             self.undecided.next_batch_at = now + BATCH_INTERVAL;
             self.send_batches(now, actions);
         }
--- a/roles/forward/src/lib.rs
+++ b/roles/forward/src/lib.rs
@@ -12,7 +12,14 @@
 pub mod entry;
 pub mod routes;
 
+use std::time::Duration;
+
 pub use agent::Agent;
 pub use entry::Entry;
 pub use routes::Route;
 pub use routes::Routes;
+
+/// Returns a time in milliseconds, as frames carry it.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/roles/forward/src/routes.rs
+++ b/roles/forward/src/routes.rs
@@ -9,6 +9,7 @@
 
 use route::hash::mix;
 use wire::FlowId;
+use wire::Priority;
 use wire::Revision;
 use wire::ServiceAddress;
 use wire::Target;
@@ -17,6 +18,8 @@
 use wire::target::State;
 use wire::transit::Demand;
 
+use crate::millis;
+
 /// Route of the flows to one address.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
@@ -26,9 +29,8 @@
     pub timeout: Duration,
     /// Target latency of a request: an answer within it has its full value.
     pub target_latency: Duration,
-    /// Load-shedding priority: under overload, routes with a higher number are
-    /// shed first and 0 last.
-    pub priority: u8,
+    /// Load-shedding priority.
+    pub priority: Priority,
     /// Whether callers may repeat a request that has run.
     pub is_idempotent: bool,
 }
@@ -124,7 +126,7 @@
         let is_stated = self.has_priorities || cold_rate > 0;
         is_stated.then(|| Demand {
             priority: route.priority,
-            latency_target_ms: u32::try_from(route.target_latency.as_millis()).unwrap_or(u32::MAX),
+            latency_target_ms: millis(route.target_latency),
             is_idempotent: route.is_idempotent,
             cold_rate,
         })
