Evacuated zones in force are kept by their tracker

Three processes each compared them with a copy of their own. A follower states whether it follows a key or a prefix, without an empty key. The pacer derives whether it is active from the stated rate. The readiness check takes any number of conditions.

--- a/coordination/config/src/evacuation.rs
+++ b/coordination/config/src/evacuation.rs
@@ -1,8 +1,9 @@
 //! Availability zones that operators have evacuated.
 //!
-//! The store holds one key for each evacuated zone. The key of a zone that is
-//! restored is deleted. The list of the keys at one revision is the whole state, and
-//! the list of a later revision replaces it.
+//! The store holds one key for each evacuated zone. The list of the keys at one revision
+//! is the whole state, and the list of a later revision replaces it. The key of a zone
+//! that is restored is deleted by operators who write to the store themselves, and has
+//! the value of a [`Request`] where they send requests to an entry.
 //!
 //! * [`Evacuations`] is such a list.
 //! * [`Evacuations::supersedes`] decides which lists are gossiped.
@@ -47,6 +48,8 @@
     newest: Option<(Revision, Evacuations)>,
     /// Zones that a restored store no longer lists.
     retained: BTreeMap<ZoneId, Retained>,
+    /// Zones that were in force at the last call of [`Tracker::advance`].
+    current: Evacuations,
 }
 
 /// Zone that a restored store no longer lists.
@@ -133,9 +136,20 @@
         self.newest.is_some()
     }
 
-    /// Returns the evacuated zones.
+    /// Returns the evacuated zones as of the last call of [`Self::advance`].
     #[must_use]
-    pub fn in_force(&self, now: Duration) -> Evacuations {
+    pub const fn current(&self) -> &Evacuations {
+        &self.current
+    }
+
+    /// Determines the evacuated zones. Returns those of before if they have changed.
+    pub fn advance(&mut self, now: Duration) -> Option<Evacuations> {
+        let current = self.in_force(now);
+        let has_changed = current != self.current;
+        has_changed.then(|| std::mem::replace(&mut self.current, current))
+    }
+
+    fn in_force(&self, now: Duration) -> Evacuations {
         let retained = self.retained.iter().filter(|(_, kept)| now < kept.until);
         let retained = retained.map(|(zone, kept)| (*zone, kept.revision));
         let listed = self.newest.iter().flat_map(|(_, listed)| &listed.zones);
--- a/coordination/config/src/follower.rs
+++ b/coordination/config/src/follower.rs
@@ -97,10 +97,7 @@
 #[derive(Debug)]
 pub struct Follower {
     settings: Settings,
-    /// Empty if only a prefix is followed.
-    key: String,
-    /// Prefix that is listed in place of reading the key.
-    prefix: Option<String>,
+    scope: Scope,
     /// Whether the last list had keys, but not the followed one. An empty answer to
     /// a watch may then mean that all of them were deleted.
     lacked_key: bool,
@@ -117,14 +114,31 @@
     last_answer: Option<Duration>,
 }
 
+/// What is followed.
+#[derive(Debug)]
+enum Scope {
+    /// One key, which is read.
+    Key(String),
+    /// All keys under a prefix, which are listed, and one of them in particular.
+    Prefix { prefix: String, key: Option<String> },
+}
+
+impl Scope {
+    fn key(&self) -> Option<&str> {
+        match self {
+            Self::Key(key) => Some(key),
+            Self::Prefix { key, .. } => key.as_deref(),
+        }
+    }
+}
+
 impl Follower {
     /// Creates a follower of `key`; `seed` determines the backoff's jitter.
     #[must_use]
     pub fn new(settings: Settings, key: impl Into<String>, seed: u64) -> Self {
         Self {
             settings,
-            key: key.into(),
-            prefix: None,
+            scope: Scope::Key(key.into()),
             lacked_key: false,
             newest: 0,
             era: None,
@@ -138,27 +152,30 @@
     /// Follows all keys under `prefix` too, to which the key belongs.
     #[must_use]
     pub fn with_prefix(mut self, prefix: impl Into<String>) -> Self {
-        self.prefix = Some(prefix.into());
+        self.scope = Scope::Prefix {
+            prefix: prefix.into(),
+            key: self.scope.key().map(str::to_owned),
+        };
         self
     }
 
     /// Creates a follower of all keys under a prefix, none of which is ever deleted.
     #[must_use]
     pub fn of_prefix(settings: Settings, prefix: impl Into<String>, seed: u64) -> Self {
-        Self::new(settings, "", seed).with_prefix(prefix)
-    }
-
-    /// Returns the followed key.
-    #[must_use]
-    pub fn key(&self) -> &str {
-        &self.key
+        let mut follower = Self::new(settings, "", seed);
+        follower.scope = Scope::Prefix {
+            prefix: prefix.into(),
+            key: None,
+        };
+        follower
     }
 
-    /// Returns the prefix to list and to watch: the key itself if no other keys are
-    /// followed.
+    /// Returns the key to read, or the prefix to list, and to watch.
     #[must_use]
-    pub fn prefix(&self) -> &str {
-        self.prefix.as_ref().unwrap_or(&self.key)
+    pub fn path(&self) -> &str {
+        match &self.scope {
+            Scope::Key(path) | Scope::Prefix { prefix: path, .. } => path,
+        }
     }
 
     /// Returns the next call to make.
@@ -169,8 +186,10 @@
                 since,
                 wait: self.settings.wait,
             },
-            None if self.prefix.is_some() => Action::List,
-            None => Action::Read,
+            None => match self.scope {
+                Scope::Key(_) => Action::Read,
+                Scope::Prefix { .. } => Action::List,
+            },
         }
     }
 
@@ -219,7 +238,8 @@
                     return self.accept(now, listing, pause, restored);
                 }
                 // Either nothing has changed, or there are no keys any more.
-                if self.prefix.is_some() && (restored.is_some() || self.lacked_key) {
+                let is_list = matches!(self.scope, Scope::Prefix { .. });
+                if is_list && (restored.is_some() || self.lacked_key) {
                     self.since = None;
                 }
                 Outcome {
@@ -241,12 +261,14 @@
         pause: Duration,
         restored: Option<Era>,
     ) -> Outcome {
-        let item = listing.items.iter().find(|item| item.key == self.key);
-        let item = item.cloned();
-        self.lacked_key = item.is_none() && !self.key.is_empty() && !listing.items.is_empty();
+        let key = self.scope.key();
+        let mut items = listing.items.iter();
+        let item = key.and_then(|key| items.find(|item| item.key == key));
+        self.lacked_key = key.is_some() && item.is_none() && !listing.items.is_empty();
+        let (item, is_list) = (item.cloned(), matches!(self.scope, Scope::Prefix { .. }));
         Outcome {
             restored,
-            listing: self.prefix.as_ref().map(|_| listing),
+            listing: is_list.then_some(listing),
             ..self.on_answer(now, item, pause)
         }
     }
--- a/coordination/config/tests/evacuation.rs
+++ b/coordination/config/tests/evacuation.rs
@@ -18,13 +18,18 @@
     tracker
 }
 
+fn in_force(tracker: &mut Tracker, now: Duration) -> Evacuations {
+    tracker.advance(now);
+    tracker.current().clone()
+}
+
 /// A late or repeated message must not restore a zone, nor evacuate it again.
 #[test]
 fn an_older_list_changes_nothing() {
     for (revision, zones) in [(9, vec![]), (10, vec![(2, 4)])] {
         let mut tracker = tracker(10, &[(1, 8)]);
         tracker.observe(Duration::ZERO, revision, list(&zones));
-        assert_eq!(tracker.in_force(Duration::ZERO), list(&[(1, 8)]));
+        assert_eq!(in_force(&mut tracker, Duration::ZERO), list(&[(1, 8)]));
     }
 }
 
@@ -32,7 +37,7 @@
 fn a_zone_is_restored_at_once_by_its_operator() {
     let mut tracker = tracker(10, &[(1, 8), (2, 9)]);
     tracker.observe(Duration::ZERO, 11, list(&[(2, 9)]));
-    assert_eq!(tracker.in_force(Duration::ZERO), list(&[(2, 9)]));
+    assert_eq!(in_force(&mut tracker, Duration::ZERO), list(&[(2, 9)]));
 }
 
 /// The store was restored from a copy that is older than the evacuation.
@@ -47,8 +52,8 @@
         list(&[(5, 4)]),
     );
     let soon = now + RESTORE_DELAY.mul_f64(0.99);
-    assert_eq!(tracker.in_force(soon), list(&[(1, 8), (5, 4)]));
-    assert_eq!(tracker.in_force(now + RESTORE_DELAY), list(&[(5, 4)]));
+    assert_eq!(in_force(&mut tracker, soon), list(&[(1, 8), (5, 4)]));
+    assert_eq!(in_force(&mut tracker, now + RESTORE_DELAY), list(&[(5, 4)]));
 }
 
 #[test]
@@ -57,9 +62,9 @@
     tracker.observe(Duration::ZERO, era::revision(2, 3), list(&[]));
     let again = list(&[(1, era::revision(2, 5))]);
     tracker.observe(Duration::from_secs(1), era::revision(2, 5), again.clone());
-    assert_eq!(tracker.in_force(RESTORE_DELAY), again);
+    assert_eq!(in_force(&mut tracker, RESTORE_DELAY), again);
     tracker.observe(RESTORE_DELAY, era::revision(2, 6), list(&[]));
-    assert_eq!(tracker.in_force(RESTORE_DELAY), list(&[]));
+    assert_eq!(in_force(&mut tracker, RESTORE_DELAY), list(&[]));
 }
 
 /// The index rises with each write of any key; a record for each would be gossiped
--- a/roles/app/src/agent.rs
+++ b/roles/app/src/agent.rs
@@ -104,7 +104,6 @@
         changed: false,
         superseded: false,
         evacuation: crate::evacuation::Tracker::default(),
-        evacuated: config::Evacuations::default(),
     };
     let core = core(settings, target, origin);
     let client = backend::Client::new(settings.backend, config::service::MAX_ANSWER_BYTES as usize);
--- a/roles/app/src/agent/control.rs
+++ b/roles/app/src/agent/control.rs
@@ -10,7 +10,6 @@
 use async_io::Timer;
 use bytes::Bytes;
 use config::Binding;
-use config::Evacuations;
 use futures_lite::FutureExt;
 use member::Action;
 use member::Announcer;
@@ -79,8 +78,6 @@
     pub superseded: bool,
     /// Determines the evacuated zones.
     pub evacuation: evacuation::Tracker,
-    /// Evacuated zones in the view that was last sent to the core.
-    pub evacuated: Evacuations,
 }
 
 impl Control {
@@ -160,14 +157,8 @@
     fn update_evacuation(&mut self) {
         let now = self.origin.elapsed();
         let record = self.announcer.take_broadcast();
-        if let Some((revision, listed)) = record.as_ref().and_then(evacuation::decode_record) {
-            self.evacuation.observe(now, revision, listed);
-        }
-        let evacuated = self.evacuation.in_force(now);
-        if evacuated != self.evacuated {
-            self.evacuated = evacuated;
-            self.changed = true;
-        }
+        evacuation::observe(&mut self.evacuation, now, record.as_ref());
+        self.changed |= self.evacuation.advance(now).is_some();
     }
 
     /// Sends the core the current view of its service.
@@ -176,7 +167,7 @@
         let Some(service) = directory::service(view) else {
             return;
         };
-        let service = directory::evacuate(service, &self.evacuated);
+        let service = directory::evacuate(service, self.evacuation.current());
         let targets = directory::targets(view, &service);
         let drained = targets
             .iter()
--- a/roles/app/src/clock.rs
+++ b/roles/app/src/clock.rs
@@ -9,17 +9,18 @@
 /// Unix epoch.
 #[must_use]
 pub fn incarnation() -> Incarnation {
-    let age = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    Incarnation::try_from(age.as_micros()).unwrap_or(Incarnation::MAX)
+    Incarnation::try_from(unix_time().as_micros()).unwrap_or(Incarnation::MAX)
 }
 
 /// Returns the seconds since the Unix epoch.
 #[must_use]
 pub fn unix_seconds() -> u64 {
+    unix_time().as_secs()
+}
+
+fn unix_time() -> Duration {
     let age = SystemTime::now().duration_since(UNIX_EPOCH);
-    age.unwrap_or_default().as_secs()
+    age.unwrap_or_default()
 }
 
 /// Returns the time since a moment in milliseconds since the Unix epoch, or `None`
--- a/roles/app/src/entry.rs
+++ b/roles/app/src/entry.rs
@@ -126,7 +126,6 @@
         ranking,
         listeners: HashMap::new(),
         evacuation: crate::evacuation::Tracker::default(),
-        evacuated: config::Evacuations::default(),
     };
     executor.run(control.run().or(stopping)).await;
     Ok(())
--- a/roles/app/src/entry/control.rs
+++ b/roles/app/src/entry/control.rs
@@ -94,8 +94,6 @@
     pub listeners: HashMap<ServiceAddress, Task<()>>,
     /// Determines the evacuated zones.
     pub evacuation: evacuation::Tracker,
-    /// Evacuated zones that the routes were built with.
-    pub evacuated: Evacuations,
 }
 
 impl Control {
@@ -128,7 +126,8 @@
             }
             Some(Input::Status(reply)) => {
                 let samples = self.samples();
-                let _ = reply.try_send(status::describe(&self.registry, &self.evacuated, &samples));
+                let evacuated = self.evacuation.current();
+                let _ = reply.try_send(status::describe(&self.registry, evacuated, &samples));
             }
             Some(Input::UnknownService(address)) => self.discover(now, address),
             Some(Input::Leave) => self.registry.leave(now, actions),
@@ -148,14 +147,10 @@
         let mut changes = self.registry.take_changes();
         if let Some(position) = changes.iter().position(|one| *one == BROADCAST_ADDRESS) {
             changes.swap_remove(position);
-            let record = self.registry.view(&BROADCAST_ADDRESS);
-            if let Some((revision, listed)) = record.and_then(evacuation::decode) {
-                self.evacuation.observe(now, revision, listed);
-            }
+            let record = evacuation::record(&self.registry);
+            evacuation::observe(&mut self.evacuation, now, record);
         }
-        let evacuated = self.evacuation.in_force(now);
-        if evacuated != self.evacuated {
-            self.evacuated = evacuated;
+        if self.evacuation.advance(now).is_some() {
             changes = self.registry.views().map(|view| view.address).collect();
             changes.retain(|address| *address != BROADCAST_ADDRESS);
         }
@@ -296,7 +291,7 @@
     fn route(&self, address: ServiceAddress) -> Option<Service> {
         let view = self.registry.view(&address)?;
         let service = directory::service(view)?;
-        let service = directory::evacuate(service, &self.evacuated);
+        let service = directory::evacuate(service, self.evacuation.current());
         let targets = directory::targets(view, &service);
         let revision = view.config.as_ref().map_or(0, |config| config.revision);
         let hunt = usize::from(service.hunt);
--- a/roles/app/src/forwarder/class.rs
+++ b/roles/app/src/forwarder/class.rs
@@ -13,6 +13,7 @@
 use limit::link::Packet;
 use platform::packet;
 use wire::FlowId;
+use wire::Priority;
 use wire::Segment;
 use wire::Transit;
 use wire::segment::Kind;
@@ -30,21 +31,21 @@
 /// Priorities by the address that callers send to.
 #[derive(Debug, Default)]
 struct Priorities {
-    by_address: BTreeMap<SocketAddrV4, u8>,
-    most_urgent: u8,
-    least_urgent: u8,
+    by_address: BTreeMap<SocketAddrV4, Priority>,
+    most_urgent: Priority,
+    least_urgent: Priority,
 }
 
 impl Classes {
     /// Replaces the priorities of all addresses.
-    pub fn replace(&self, priorities: impl Iterator<Item = (SocketAddrV4, u8)>) {
+    pub fn replace(&self, priorities: impl Iterator<Item = (SocketAddrV4, Priority)>) {
         let mut known = self.lock();
         known.by_address = priorities.collect();
         known.update();
     }
 
     /// Adds the priority that a frame states for an address.
-    pub fn learn(&self, address: SocketAddrV4, priority: u8) {
+    pub fn learn(&self, address: SocketAddrV4, priority: Priority) {
         let mut known = self.lock();
         let is_known = known.by_address.get(&address) == Some(&priority);
         if is_known || known.by_address.len() >= MAX_LEARNED {
--- a/roles/app/src/forwarder/link.rs
+++ b/roles/app/src/forwarder/link.rs
@@ -34,6 +34,7 @@
 use crate::metric::Instruments;
 use crate::metric::forwarder::publish_calls;
 use crate::metric::forwarder::record;
+use crate::metric::forwarder::to_count;
 use crate::settings::table::Role;
 
 /// Error of a send while the kernel has no buffers, `ENOBUFS` of Linux.
@@ -164,7 +165,7 @@
     /// Logs the rate of the network link if packets are paced.
     pub fn log_rate(&self) {
         if self.pacer.is_active() {
-            let bytes_per_second = whole(self.pacer.load(self.now()).rate);
+            let bytes_per_second = to_count(self.pacer.load(self.now()).rate);
             Event::LinkPaced { bytes_per_second }.log();
         }
     }
@@ -259,8 +260,8 @@
             instruments.set("carried.link.late", name, counts.late)?;
         }
         let load = self.pacer.load(self.now());
-        instruments.set("carried.link.rate", "", whole(load.rate))?;
-        instruments.set("carried.link.load", "", whole(load.load))
+        instruments.set("carried.link.rate", "", to_count(load.rate))?;
+        instruments.set("carried.link.load", "", to_count(load.load))
     }
 }
 
@@ -268,12 +269,3 @@
 fn is_full(error: &io::Error) -> bool {
     error.kind() == io::ErrorKind::WouldBlock || error.raw_os_error() == Some(NO_BUFFERS)
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "rates of links are positive and far below the limit"
-)]
-fn whole(bytes_per_second: f64) -> u64 {
-    bytes_per_second as u64
-}
--- a/roles/app/src/forwarder/pacer.rs
+++ b/roles/app/src/forwarder/pacer.rs
@@ -4,7 +4,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -19,9 +18,11 @@
 use limit::link::Taken;
 
 use crate::forwarder::usage::Kind;
+use crate::metric::forwarder::to_count;
 
-/// Rate from which a link is not paced: no host here can fill it.
-const UNPACED_MBPS: f64 = 1_000.0;
+/// Rate in bytes per second from which a link is not paced, 1,000 Mbit/s: no host here
+/// can fill it.
+const UNPACED_RATE: u64 = 125_000_000;
 
 /// Bytes per second in a megabit per second.
 const BYTES_PER_MBPS: f64 = 125_000.0;
@@ -84,9 +85,6 @@
 /// Paced link, shared by all threads.
 #[derive(Debug)]
 pub struct Pacer {
-    /// False where the rate of the link is not stated, or is one that no host can
-    /// fill. Datagrams are then sent as they come.
-    is_active: AtomicBool,
     /// Bytes per second that the settings state; 0 where they state none.
     stated: AtomicU64,
     link: Mutex<Link<Datagram>>,
@@ -98,19 +96,18 @@
     /// Creates the pacer of a link, whose rate the settings may state.
     #[must_use]
     pub fn new(mbps: Option<f64>, now: Duration) -> Self {
-        let paced = rate(mbps);
         Self {
-            is_active: AtomicBool::new(paced.is_some()),
             stated: AtomicU64::new(stated(mbps)),
-            link: Mutex::new(Link::new(paced.unwrap_or(BYTES_PER_MBPS), now)),
+            link: Mutex::new(Link::new(mbps.unwrap_or(1.0) * BYTES_PER_MBPS, now)),
             waits: Condvar::new(),
         }
     }
 
-    /// Returns whether datagrams are to be offered.
+    /// Returns whether datagrams are to be offered. They are sent as they come where the
+    /// rate of the link is not stated, or is one that no host can fill.
     #[must_use]
     pub fn is_active(&self) -> bool {
-        self.is_active.load(Ordering::Relaxed)
+        is_paced(self.stated.load(Ordering::Relaxed))
     }
 
     /// Returns the rate in bytes per second that the settings state, if they do.
@@ -124,12 +121,11 @@
     /// Replaces the rate of the link. What already waits is sent by the thread that
     /// sends what waits.
     pub fn set_rate(&self, now: Duration, mbps: Option<f64>) {
-        self.stated.store(stated(mbps), Ordering::Relaxed);
-        let paced = rate(mbps);
-        if let Some(rate) = paced {
-            self.lock().set_rate(now, rate);
+        let stated = stated(mbps);
+        if let Some(mbps) = mbps.filter(|_| is_paced(stated)) {
+            self.lock().set_rate(now, mbps * BYTES_PER_MBPS);
         }
-        self.is_active.store(paced.is_some(), Ordering::Relaxed);
+        self.stated.store(stated, Ordering::Relaxed);
     }
 
     /// Decides on a datagram, and copies it if it has to wait.
@@ -211,17 +207,12 @@
     }
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "saturates"
-)]
+/// Returns the rate in bytes per second that the settings state; 0 where they state none.
 fn stated(mbps: Option<f64>) -> u64 {
-    mbps.map_or(0, |mbps| (mbps * BYTES_PER_MBPS) as u64)
+    mbps.map_or(0, |mbps| to_count(mbps * BYTES_PER_MBPS))
 }
 
-/// Returns the rate in bytes per second if the link is to be paced.
-fn rate(mbps: Option<f64>) -> Option<f64> {
-    let is_paced = |mbps: &f64| *mbps > 0.0 && *mbps < UNPACED_MBPS;
-    mbps.filter(is_paced).map(|mbps| mbps * BYTES_PER_MBPS)
+/// Returns true if a link with a stated rate is to be paced.
+const fn is_paced(stated: u64) -> bool {
+    stated > 0 && stated < UNPACED_RATE
 }
--- a/roles/app/src/forwarder/ready.rs
+++ b/roles/app/src/forwarder/ready.rs
@@ -13,7 +13,7 @@
 use smol::Executor;
 
 /// Serves the platform's readiness check over HTTP. The process answers as ready while
-/// it can serve callers and takes part in the rotation.
+/// all `conditions` hold.
 ///
 /// # Errors
 ///
@@ -21,13 +21,12 @@
 pub async fn serve(
     address: SocketAddr,
     executor: &Arc<Executor<'static>>,
-    is_ready: Arc<AtomicBool>,
-    is_in_rotation: Arc<AtomicBool>,
+    conditions: Vec<Arc<AtomicBool>>,
 ) -> io::Result<()> {
     let answer = move |request: http::Question| {
         let status = if probe::is_readiness_probe(&request.method, &request.path) {
-            let states = [&is_ready, &is_in_rotation];
-            probe::status(states.iter().all(|state| state.load(Ordering::Relaxed)))
+            let mut conditions = conditions.iter();
+            probe::status(conditions.all(|condition| condition.load(Ordering::Relaxed)))
         } else {
             StatusCode::NOT_FOUND
         };
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -122,8 +122,8 @@
     traffic::start(&traffic, callers)?;
     let is_ready = Arc::new(AtomicBool::new(false));
     let in_rotation = Arc::new(AtomicBool::new(true));
-    let states = (Arc::clone(&is_ready), Arc::clone(&in_rotation));
-    ready::serve(host.listen.ready, &executor, states.0, states.1).await?;
+    let conditions = vec![Arc::clone(&is_ready), Arc::clone(&in_rotation)];
+    ready::serve(host.listen.ready, &executor, conditions).await?;
     if let Some(address) = host.listen.announcements {
         announcements::serve(address, &executor).await?;
     }
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -161,16 +161,17 @@
             }
             self.traffic.handle(Event::Routes(routes));
             if changes.contains(&member::BROADCAST_ADDRESS) {
-                self.evacuation
-                    .observe(now, self.registry.view(&member::BROADCAST_ADDRESS));
+                let record = evacuation::record(&self.registry);
+                self.evacuation.observe(now, record);
             }
         }
         let evacuations = self.evacuation.take_change(now);
-        if let Some(evacuations) = &evacuations {
-            let routes = self.builder.evacuate(evacuations);
+        let routes = evacuations.map(|zones| self.builder.evacuate(zones));
+        let has_changed = routes.is_some() || !changes.is_empty();
+        if let Some(routes) = routes {
             self.traffic.handle(Event::Routes(routes));
         }
-        if evacuations.is_some() || !changes.is_empty() {
+        if has_changed {
             let report = self.evacuation.report(self.builder.routes());
             let shared = &self.traffic.evacuation;
             *shared.lock().unwrap_or_else(PoisonError::into_inner) = report;
--- a/roles/app/src/gateway/evacuation.rs
+++ b/roles/app/src/gateway/evacuation.rs
@@ -6,7 +6,6 @@
 use config::Evacuations;
 use config::era;
 use forward::Routes;
-use member::View;
 use platform::name;
 use wire::Revision;
 use wire::ServiceAddress;
@@ -26,8 +25,6 @@
 /// Evacuated zones of a gateway.
 pub struct Evacuation {
     tracker: Tracker,
-    /// Zones that were last published to the traffic threads.
-    published: Evacuations,
     /// Services of which every backend server is in an evacuated zone.
     uncovered: BTreeSet<ServiceAddress>,
     report: Report,
@@ -69,7 +66,6 @@
     pub fn new(host: &platform::Settings, now: Duration) -> Self {
         Self {
             tracker: Tracker::default(),
-            published: Evacuations::default(),
             uncovered: BTreeSet::new(),
             report: Report::default(),
             zones: host.zones.clone(),
@@ -78,21 +74,17 @@
     }
 
     /// Records the list in a gossiped record.
-    pub fn observe(&mut self, now: Duration, view: Option<&View>) {
-        if let Some((revision, evacuations)) = view.and_then(evacuation::decode) {
-            self.tracker.observe(now, revision, evacuations);
-        }
+    pub fn observe(&mut self, now: Duration, record: Option<&member::Service>) {
+        evacuation::observe(&mut self.tracker, now, record);
     }
 
     /// Returns the evacuated zones if they have changed since the last call, and logs
     /// the changes.
-    pub fn take_change(&mut self, now: Duration) -> Option<Evacuations> {
-        let current = self.tracker.in_force(now);
-        if current == self.published {
-            return None;
-        }
+    pub fn take_change(&mut self, now: Duration) -> Option<&Evacuations> {
+        let previous = self.tracker.advance(now)?;
+        let current = self.tracker.current();
         for (id, revision) in &current.zones {
-            if !self.published.contains(*id) {
+            if !previous.contains(*id) {
                 let zone = name::zone_name(*id, &self.zones);
                 let revision = era::number(*revision);
                 let row = (revision, clock::unix_seconds());
@@ -100,14 +92,13 @@
                 Event::ZoneEvacuated { zone, revision }.log();
             }
         }
-        for id in self.published.zones.keys() {
+        for id in previous.zones.keys() {
             if !current.contains(*id) {
                 let zone = name::zone_name(*id, &self.zones);
                 self.report.zones.insert(zone.clone(), (0, 0));
                 Event::ZoneRestored { zone }.log();
             }
         }
-        self.published.clone_from(&current);
         Some(current)
     }
 
--- a/roles/app/src/gateway/follow.rs
+++ b/roles/app/src/gateway/follow.rs
@@ -41,10 +41,10 @@
     let mut reported = BTreeSet::new();
     loop {
         let event = match follower.next() {
-            Action::Read => Event::Read(store.get(follower.key()).await),
-            Action::List => Event::Listed(store.list(follower.prefix()).await),
+            Action::Read => Event::Read(store.get(follower.path()).await),
+            Action::List => Event::Listed(store.list(follower.path()).await),
             Action::Watch { since, wait } => {
-                Event::Watched(store.watch(follower.prefix(), since, wait).await)
+                Event::Watched(store.watch(follower.path(), since, wait).await)
             }
         };
         let outcome = follower.handle(origin.elapsed(), event);
--- a/roles/app/src/gateway/routes.rs
+++ b/roles/app/src/gateway/routes.rs
@@ -16,13 +16,15 @@
 use wire::Target;
 use wire::target::State;
 
+use crate::gateway::rotation;
+
 /// Pseudo service address of the record under which entries gossip the whole
 /// configuration.
 pub const DOCUMENT_ADDRESS: ServiceAddress = SocketAddr::new(IpAddr::V6(Ipv6Addr::UNSPECIFIED), 1);
 
 /// Returns true for the address of a record that is no configuration of a service.
 pub fn is_pseudo_service(address: ServiceAddress) -> bool {
-    address == DOCUMENT_ADDRESS || address == BROADCAST_ADDRESS
+    address == DOCUMENT_ADDRESS || address == BROADCAST_ADDRESS || rotation::is_statement(&address)
 }
 
 /// Builder that holds the current routes.
@@ -38,7 +40,7 @@
             let view = registry.view(address);
             if *address == DOCUMENT_ADDRESS {
                 self.update_table(view);
-            } else if *address != BROADCAST_ADDRESS {
+            } else if !is_pseudo_service(*address) {
                 let targets = view.map(targets).unwrap_or_default();
                 let all = view.map_or(0, |view| view.targets.len());
                 let departed = all.saturating_sub(targets.len());
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -30,6 +30,7 @@
 use crate::metric;
 use crate::metric::Instruments;
 use crate::metric::forwarder::record;
+use crate::metric::forwarder::to_count;
 
 /// State shared by the threads of a gateway.
 pub struct Traffic {
@@ -291,12 +292,6 @@
     }
 }
 
-/// Rounds a mean for a gauge.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn to_count(mean: f64) -> u64 {
-    mean.round() as u64
-}
-
 const fn refusal_label(reason: Refusal) -> &'static str {
     match reason {
         Refusal::NoRoute => "no_route",
--- a/roles/app/src/metric/forwarder.rs
+++ b/roles/app/src/metric/forwarder.rs
@@ -122,3 +122,14 @@
         body,
     }
 }
+
+/// Rounds a measured value for a gauge.
+#[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the cast saturates, and measured values are not negative"
+)]
+pub fn to_count(value: f64) -> u64 {
+    value.round() as u64
+}
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -128,7 +128,7 @@
     counter("carried.class.admitted", "{flow}", "new flows that a sidecar admitted, by priority"),
     counter("carried.class.waited", "{flow}", "new flows that a sidecar held back, by priority"),
     counter("carried.class.wait", "ms", "time that admitted flows had waited at a sidecar, by priority"),
-    counter("carried.class.hopeless", "{flow}", "new flows refused because they could not be answered before their callers give up, by priority"),
+    counter("carried.class.too_late", "{flow}", "new flows refused because they could not be answered before their callers give up, by priority"),
     counter("carried.class.elsewhere", "{flow}", "new flows refused because they would be answered late and another server can take them sooner, by priority"),
     counter("carried.class.expired", "{flow}", "new flows that waited at a sidecar until their callers gave up, by priority"),
     counter("carried.class.refused", "{flow}", "new flows that a gateway refused because no backend server has capacity for their class, by priority"),
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -133,9 +133,7 @@
     });
     traffic::start(&traffic, socket)?;
     let is_ready = Arc::new(AtomicBool::new(true));
-    // Sidecars take part in no rotation.
-    let in_rotation = Arc::clone(&is_ready);
-    ready::serve(host.listen.ready, &executor, is_ready, in_rotation).await?;
+    ready::serve(host.listen.ready, &executor, vec![is_ready]).await?;
     if let Some(address) = host.listen.announcements {
         announcements::serve(address, backend, &executor, sender.clone()).await?;
     }
--- a/roles/app/src/sidecar/class.rs
+++ b/roles/app/src/sidecar/class.rs
@@ -2,12 +2,13 @@
 use std::time::Duration;
 
 use forward::agent::Step;
+use wire::Priority;
 
 use crate::forwarder::event::priority_name;
 use crate::forwarder::link::Link;
 
 /// Counts a decision on a new flow.
-pub fn count(link: &Link, priority: u8, step: Step) {
+pub fn count(link: &Link, priority: Priority, step: Step) {
     let reason = priority_name(priority);
     let metric = match step {
         Step::Arrived => "carried.class.arrived",
@@ -18,7 +19,7 @@
             "carried.class.admitted"
         }
         Step::Waits => "carried.class.waited",
-        Step::Hopeless => "carried.class.hopeless",
+        Step::TooLate => "carried.class.too_late",
         Step::SoonerElsewhere => "carried.class.elsewhere",
         Step::Expired => "carried.class.expired",
     };
@@ -26,12 +27,9 @@
 }
 
 /// Returns the text of the time for which a backend server stays cold.
-pub fn cold_time(left: Duration) -> String {
-    if left >= UNKNOWN {
-        return "a time that it has not announced yet".to_owned();
+pub fn cold_time(left: Option<Duration>) -> String {
+    match left {
+        Some(left) => format!("{} ms", left.as_millis()),
+        None => "a time that it has not announced yet".to_owned(),
     }
-    format!("{} ms", left.as_millis())
 }
-
-/// Longer than any server is cold; stands for a time that is not known.
-const UNKNOWN: Duration = Duration::from_hours(1);
--- a/roles/app/src/sidecar/evacuation.rs
+++ b/roles/app/src/sidecar/evacuation.rs
@@ -36,17 +36,16 @@
 
     /// Records the list in a record that an entry sent.
     pub fn observe(&mut self, now: Duration, record: &member::Service) {
-        if let Some((revision, evacuations)) = evacuation::decode_record(record) {
-            self.tracker.observe(now, revision, evacuations);
-        }
+        evacuation::observe(&mut self.tracker, now, Some(record));
     }
 
     /// Returns the core's event if the evacuation of the zone, or the agents that new
     /// flows are passed on to, have changed since the last call.
     pub fn take_change(&mut self, now: Duration, announcer: Option<&Announcer>) -> Option<Event> {
-        let evacuated = self.tracker.in_force(now);
+        self.tracker.advance(now);
+        let evacuated = self.tracker.current();
         let own = evacuated.zones.get(&self.zone);
-        let others = own.map(|_| Arc::new(alternatives(announcer, &evacuated)));
+        let others = own.map(|_| Arc::new(alternatives(announcer, evacuated)));
         if others == self.published {
             return None;
         }
--- a/roles/app/tests/evacuation.rs
+++ b/roles/app/tests/evacuation.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use app::evacuation;
+use app::evacuation::record;
 use app::gateway;
 use app::metric::Instruments;
 use app::sidecar;
@@ -80,7 +81,7 @@
     assert!(!evacuation.is_ready(now) && evacuation.is_ready(now + wait));
     let mut registry = registry();
     evacuation::put(&mut registry, now, &zones(&[]), REVISION);
-    evacuation.observe(now, registry.view(&BROADCAST_ADDRESS));
+    evacuation.observe(now, record(&registry));
     assert!(evacuation.is_ready(now));
     assert_eq!(evacuation.take_change(now), None);
 }
@@ -96,8 +97,8 @@
         .insert(servers[0].service, servers.to_vec().into());
     for (number, (evacuated, uncovered)) in (0..).zip([(&[0][..], 0), (&[0, 1], 1), (&[2], 0)]) {
         evacuation::put(&mut registry, now, &zones(evacuated), REVISION + number);
-        evacuation.observe(now, registry.view(&BROADCAST_ADDRESS));
-        assert_eq!(evacuation.take_change(now), Some(zones(evacuated)));
+        evacuation.observe(now, record(&registry));
+        assert_eq!(evacuation.take_change(now), Some(&zones(evacuated)));
         assert_eq!(evacuation.take_change(now), None);
         routes.evacuated_zones = evacuated.iter().copied().collect();
         let mut instruments = Instruments::default();
