--- a/tools/soak/src/evacuation.rs
+++ b/tools/soak/src/evacuation.rs
@@ -12,8 +12,8 @@
 pub struct Evacuation {
     /// Time of the request.
     since: Duration,
-    /// Number of disturbances that want the zone evacuated.
-    wishes: u32,
+    /// Number of disturbances that request it.
+    requests: u32,
 }
 
 /// Evacuates a random zone for longer than the bound, and restores it.
@@ -30,9 +30,9 @@
         let number = self.random.usize(..self.topology.zones);
         let (zone, since) = (self.topology.zone(number), self.now());
         let evacuation = self.evacuations.entry(zone.clone());
-        let evacuation = evacuation.or_insert(Evacuation { since, wishes: 0 });
-        evacuation.wishes += 1;
-        if evacuation.wishes == 1 {
+        let evacuation = evacuation.or_insert(Evacuation { since, requests: 0 });
+        evacuation.requests += 1;
+        if evacuation.requests == 1 {
             self.store.evacuate(&zone);
         }
         zone
@@ -41,8 +41,8 @@
     /// Restores a zone unless another disturbance wants it evacuated.
     fn restore_zone(&mut self, zone: &str) {
         if let Some(evacuation) = self.evacuations.get_mut(zone) {
-            evacuation.wishes -= 1;
-            if evacuation.wishes == 0 {
+            evacuation.requests -= 1;
+            if evacuation.requests == 0 {
                 self.evacuations.remove(zone);
                 self.store.restore_zone(zone);
             }
--- a/tools/standin/src/backend.rs
+++ b/tools/standin/src/backend.rs
@@ -9,8 +9,8 @@
 //! | `GET /ledger` | [`Ledger`] as JSON |
 //!
 //! `POST /run` reads the headers `request-id`, `deadline-ms` and `idempotent`
-//! (`true` or `false`), and repeats `exchange-id` in its answer. Closing a connection cancels its request. A 503 carries
-//! the header `retry-after`.
+//! (`true` or `false`), and repeats `exchange-id` in its answer. Closing a connection
+//! cancels its request. A 503 carries the header `retry-after`.
 mod http;
 mod ledger;
 mod model;
