--- a/coordination/route/tests/overflow.rs
+++ b/coordination/route/tests/overflow.rs
@@ -1,17 +1,18 @@
 //! Several entries that decide alone, with reports of different age, share what
 //! exceeds a zone without swinging between zones.
 #![allow(clippy::cast_precision_loss)]
+mod fixtures;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
+use fixtures::target;
 use route::Placement;
 use route::placement::Need;
 use route::placement::Settings;
 use wire::Target;
 use wire::TargetId;
-use wire::ZoneId;
-use wire::target::State;
 use wire::transit::Load;
 
 const ENTRIES: u64 = 8;
@@ -34,22 +35,9 @@
 fn targets() -> Vec<Target> {
     let zones = 1..=3;
     let pairs = zones.flat_map(|zone| (0..SERVERS_PER_ZONE).map(move |index| (zone, index)));
-    let target = |(zone, index): (ZoneId, TargetId)| {
-        let address = "198.51.100.1:7000".parse().unwrap();
-        Target {
-            id: TargetId::from(zone) * 100 + index,
-            service: "[fd00::1]:1".parse().unwrap(),
-            address,
-            control: address,
-            zone,
-            incarnation: 1,
-            version: 1,
-            weight: 100,
-            slots: 2,
-            state: State::Ready,
-        }
-    };
-    pairs.map(target).collect()
+    pairs
+        .map(|(zone, index)| target(TargetId::from(zone) * 100 + index, zone))
+        .collect()
 }
 
 fn load(flows: u64) -> Load {
--- a/coordination/route/tests/place.rs
+++ b/coordination/route/tests/place.rs
@@ -1,13 +1,15 @@
 //! Ranking of backend servers for new flows that cannot be moved later.
+mod fixtures;
+
 use std::time::Duration;
 
+use fixtures::target;
 use route::Placement;
 use route::placement::Need;
 use route::placement::Settings;
 use wire::Target;
 use wire::TargetId;
 use wire::ZoneId;
-use wire::target::State;
 use wire::transit::Load;
 
 const OWN_ZONE: ZoneId = 1;
@@ -17,22 +19,6 @@
     Duration::from_millis(millis)
 }
 
-fn target(id: TargetId, zone: ZoneId) -> Target {
-    let address = "198.51.100.1:7000".parse().unwrap();
-    Target {
-        id,
-        service: "[fd00::1]:1".parse().unwrap(),
-        address,
-        control: address,
-        zone,
-        incarnation: 1,
-        version: 1,
-        weight: 100,
-        slots: 2,
-        state: State::Ready,
-    }
-}
-
 fn load(running: u16, service_ms: u32) -> Load {
     Load {
         running,
--- a/roles/forward/tests/draining.rs
+++ b/roles/forward/tests/draining.rs
@@ -16,10 +16,7 @@
 use wire::Segment;
 use wire::Transit;
 use wire::segment::Kind;
-use wire::transit::Lookup;
 use wire::transit::Open;
-use wire::transit::Search;
-use wire::transit::Terms;
 
 /// Port of the caller in tests of a single flow.
 const PORT: u16 = 9;
@@ -152,28 +149,10 @@
     let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
     announce(&mut agent, ms(1), 6, State::Draining);
     let segment = opening(PORT, 1, 1);
-    let forwarded = forward_opening(&mut agent, ms(10), segment);
-    let terms = Terms {
-        may_probe: true,
-        max_age_ms: 0,
-    };
-    let lookup = Lookup {
-        target: OWN,
-        entry: entry_address(),
-        searcher: searcher_address(),
-        terms,
-        packet: encode(&segment),
-    };
-    let looked_up = handle(&mut agent, ms(11), Event::Lookup { lookup, segment });
-    let search = Search {
-        target: OWN,
-        entry: entry_address(),
-        terms,
-        known_agents: 1,
-        packet: encode(&segment),
-    };
-    let searched = handle(&mut agent, ms(12), Event::Search { search, segment });
-    for actions in [forwarded, looked_up, searched] {
+    let actions = forward_opening(&mut agent, ms(10), segment);
+    assert!(!delivers(&actions), "{actions:?}");
+    for (time, event) in [11, 12].into_iter().zip(searches_with(segment)) {
+        let actions = handle(&mut agent, ms(time), event);
         assert!(!delivers(&actions), "{actions:?}");
     }
 }
--- a/roles/forward/tests/evacuation.rs
+++ b/roles/forward/tests/evacuation.rs
@@ -24,10 +24,7 @@
 use wire::ZoneId;
 use wire::segment::Kind;
 use wire::target;
-use wire::transit::Lookup;
 use wire::transit::Open;
-use wire::transit::Search;
-use wire::transit::Terms;
 
 /// Port of the caller in tests of a single flow.
 const PORT: u16 = 9;
@@ -219,31 +216,7 @@
         Event::Announcement(announcement(OWN, 1, 5, State::Ready)),
     );
     evacuate(&mut agent, ms(1), &OTHERS);
-    let (segment, terms) = (
-        opening(PORT, 1, 1),
-        Terms {
-            may_probe: true,
-            max_age_ms: 0,
-        },
-    );
-    let lookup = Lookup {
-        target: OWN,
-        entry: entry_address(),
-        searcher: searcher_address(),
-        terms,
-        packet: encode(&segment),
-    };
-    let search = Search {
-        target: OWN,
-        entry: entry_address(),
-        terms,
-        known_agents: 1,
-        packet: encode(&segment),
-    };
-    for event in [
-        Event::Lookup { lookup, segment },
-        Event::Search { search, segment },
-    ] {
+    for event in searches_with(opening(PORT, 1, 1)) {
         let actions = handle(&mut agent, ms(11), event);
         assert!(!delivers(&actions), "{actions:?}");
     }
