Let an urgent flow that waits take any place of the queue

Cause: an arriving urgent flow is sent to the server while fewer than eight requests are there, but one that waited had to find fewer than five. Later arrivals overtook it until it was too late, and its caller was reset or tried again.

Change: a waiting flow that may queue needs the same room as an arriving one.

--- a/roles/forward/src/agent/class.rs
+++ b/roles/forward/src/agent/class.rs
@@ -103,13 +103,10 @@
     pub(super) fn has_place_for_waiting(&self, now: Duration, class: Priority) -> bool {
         let mut classes = self.overload.priorities(now);
         let is_least = classes.all(|other| other <= class);
-        if is_least || self.overload.is_restricted(now, class) {
-            return self.has_spare_slot(now) && self.has_room(now, Some(class));
-        }
-        // Less urgent flows that arrive could take these places otherwise.
-        let kept = self.settings.max_queued / KEPT_SHARE;
-        let has_place = self.occupancy.running() < self.occupancy.slots() + kept;
-        has_place && self.warm_up.has_room_beside(now, 0)
+        let may_queue = !is_least && !self.overload.is_restricted(now, class);
+        // Arrivals get any free place, so that an urgent flow that waits for more than one
+        // would be overtaken by all later ones until it is too late for it.
+        (may_queue || self.has_spare_slot(now)) && self.has_room(now, Some(class))
     }
 
     /// Returns the bid for a flow of a class, given that for any flow.
