--- a/check.sh
+++ b/check.sh
@@ -4,6 +4,20 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 
+# An upgrade on the platform begins with a build from this history. A shallow clone
+# lacks the commit, so that only a full one can tell.
+production=$(sed -n 's/^production = "\(.*\)"$/\1/p' deploy/system.toml)
+if [ "$(git rev-parse --is-shallow-repository)" = false ]; then
+    if ! git merge-base --is-ancestor "$production" HEAD; then
+        echo "deploy/system.toml: production is no ancestor of this commit: $production" >&2
+        exit 1
+    fi
+    if ! git show "$production:deploy/system.toml" | grep -q '^build = '; then
+        echo "deploy/system.toml: production has no build line of its own: $production" >&2
+        exit 1
+    fi
+fi
+
 cargo fmt --all --check
 cargo clippy --workspace --all-targets -- -D warnings
 
