--- a/protocol/wire/tests/recorded.rs
+++ b/protocol/wire/tests/recorded.rs
@@ -1,8 +1,6 @@
 //! Decodes frames and tokens that earlier builds encoded. Processes of both builds run
 //! side by side during an upgrade: a frame that only one of them reads breaks flows.
-use std::collections::BTreeMap;
-
-use serde::Deserialize;
+use cases::Recording;
 use wire::Frame;
 use wire::Token;
 use wire::Transit;
@@ -10,49 +8,34 @@
 use wire::transit::Held;
 use wire::transit::Open;
 
-/// Frames of one build, as hexadecimal bytes by name.
-#[derive(Debug, Deserialize)]
-struct Recording {
-    frames: BTreeMap<String, String>,
+fn frame(recording: &Recording, name: &str) -> Frame {
+    let frame = postcard::from_bytes(&recording.bytes(name));
+    frame.unwrap_or_else(|error| panic!("{name}: {error}"))
 }
 
-impl Recording {
-    fn bytes(&self, name: &str) -> Vec<u8> {
-        let text = self.frames[name].as_bytes();
-        let digits = text.chunks(2).map(|pair| str::from_utf8(pair).unwrap());
-        digits
-            .map(|pair| u8::from_str_radix(pair, 16).unwrap())
-            .collect()
-    }
-
-    fn frame(&self, name: &str) -> Frame {
-        postcard::from_bytes(&self.bytes(name)).unwrap_or_else(|error| panic!("{name}: {error}"))
-    }
-
-    fn transit(&self, name: &str) -> Transit {
-        match self.frame(name) {
-            Frame::Transit(transit) => transit,
-            frame => panic!("{name} is decoded as {frame:?}"),
-        }
+fn transit(recording: &Recording, name: &str) -> Transit {
+    match frame(recording, name) {
+        Frame::Transit(transit) => transit,
+        frame => panic!("{name} is decoded as {frame:?}"),
     }
 }
 
 /// The build before optional fields were appended to frames.
 fn bbfcc62() -> Recording {
-    serde_json::from_str(include_str!("recorded/bbfcc62.json")).unwrap()
+    Recording::parse(include_str!("recorded/bbfcc62.txt"))
 }
 
 /// The first build with these fields.
 fn d0b4c05() -> Recording {
-    serde_json::from_str(include_str!("recorded/d0b4c05.json")).unwrap()
+    Recording::parse(include_str!("recorded/d0b4c05.txt"))
 }
 
 /// Checks that nothing of a frame is lost or added: what is decoded encodes to the same.
 fn check_recording(recording: fn() -> Recording) {
     let recording = recording();
-    assert!(recording.frames.len() >= 18, "{recording:?}");
-    for name in recording.frames.keys().filter(|name| *name != "token") {
-        let encoded = postcard::to_stdvec(&recording.frame(name)).unwrap();
+    assert_eq!(recording.names().count(), 18, "{recording:?}");
+    for name in recording.names().filter(|name| *name != "token") {
+        let encoded = postcard::to_stdvec(&frame(&recording, name)).unwrap();
         assert_eq!(encoded, recording.bytes(name), "{name}");
     }
     let token = Token::from_bytes(&recording.bytes("token")).unwrap();
@@ -74,19 +57,19 @@
     let recording = bbfcc62();
     let Transit::Open(Open {
         demand, crossing, ..
-    }) = recording.transit("open")
+    }) = transit(&recording, "open")
     else {
         panic!("an opening packet was recorded");
     };
     assert_eq!((demand, crossing), (None, None));
     let Transit::Busy(Busy {
         load, refused_from, ..
-    }) = recording.transit("busy")
+    }) = transit(&recording, "busy")
     else {
         panic!("a report of load was recorded");
     };
     assert_eq!((load.used_permille, refused_from), (None, None));
-    let Transit::Held(Held { load, .. }) = recording.transit("held") else {
+    let Transit::Held(Held { load, .. }) = transit(&recording, "held") else {
         panic!("a report of a holder was recorded");
     };
     assert_eq!(load.unwrap().used_permille, None);
@@ -97,7 +80,7 @@
 #[test]
 fn later_frames_begin_with_the_earlier_ones() {
     let (earlier, later) = (bbfcc62(), d0b4c05());
-    for name in earlier.frames.keys() {
+    for name in earlier.names() {
         let is_appended = later.bytes(name).starts_with(&earlier.bytes(name));
         assert!(is_appended, "{name}");
     }
--- a/tools/cases/src/lib.rs
+++ b/tools/cases/src/lib.rs
@@ -1,4 +1,7 @@
-//! Macro for table-driven tests.
+//! Macro for table-driven tests, and bytes that earlier builds encoded.
+mod recording;
+
+pub use recording::Recording;
 
 /// Defines one test per case, with the name of the case; each test calls the
 /// check with the input of its case.
