--- a/check.sh
+++ b/check.sh
@@ -12,7 +12,7 @@
         echo "deploy/system.toml: production is no ancestor of this commit: $production" >&2
         exit 1
     fi
-    if ! git show "$production:deploy/system.toml" | grep -q '^build = '; then
+    if ! grep -q '^build = ' <<< "$(git show "$production:deploy/system.toml")"; then
         echo "deploy/system.toml: production has no build line of its own: $production" >&2
         exit 1
     fi
--- a/roles/forward/src/agent/class.rs
+++ b/roles/forward/src/agent/class.rs
@@ -104,8 +104,8 @@
         let mut classes = self.overload.priorities(now);
         let is_least = classes.all(|other| other <= class);
         let may_queue = !is_least && !self.overload.is_restricted(now, class);
-        // Arrivals get any free place, so that an urgent flow that waits for more than one
-        // would be overtaken by all later ones until it is too late for it.
+        // Arriving flows get any free place: a waiting one that needed several would be
+        // overtaken until it is too late for it.
         (may_queue || self.has_spare_slot(now)) && self.has_room(now, Some(class))
     }
 
--- a/state/limit/src/overload.rs
+++ b/state/limit/src/overload.rs
@@ -40,7 +40,8 @@
     pub sign_time: Duration,
     /// Time after its last arrival for which a class counts as present.
     pub presence_time: Duration,
-    /// Time constant of the rate at which flows arrive.
+    /// Time constant of the rate at which flows arrive. With 5 s, long flows that were
+    /// accepted before the rate was known filled the servers after a step of the load.
     pub smoothing: Duration,
     /// Number of slots of which a class that is passed over gets one.
     pub slots_per_turn: u8,
