review: sidecars do not find gateways that were replaced at new addresses

All gateway machines are lost at once and others are added at new addresses. The sidecars stopped listing the store when it named a gateway that is no seed, so the new gateways know no server: nothing is served for as long as the sidecars run.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,9 +6,11 @@
 mod packet;
 mod process;
 mod record;
+mod replaced;
 mod store;
 mod system;
 mod target;
+mod young;
 
 use std::hash::BuildHasher;
 use std::hash::Hasher;
@@ -33,6 +35,8 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "moved" => moved::run(&path, trouble),
+        "young" => young::run(&path, trouble),
+        "replaced" => replaced::run(&path, trouble),
         other => Outcome::CouldNotRun(format!("no case is called {other:?}")),
     };
     match outcome {
--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -125,6 +125,24 @@
         index
     }
 
+    /// Prepares a gateway on a machine with a new address.
+    pub fn add_gateway(&mut self, number: u8) -> Ipv4Addr {
+        let address = Ipv4Addr::new(127, self.network, 1, number);
+        let name = format!("gateway-{number}");
+        self.gateways.push(Process::new(
+            &name,
+            "gateway",
+            address,
+            "zone-a",
+            None,
+            &self.folder,
+            &self.seeds,
+            Ipv4Addr::new(127, self.network, 0, 1),
+            self.heartbeat_ms,
+        ));
+        address
+    }
+
     /// Starts the target beside a sidecar.
     pub fn start_target(&self, sidecar: usize, name: &str, service: &str) -> Arc<Target> {
         let address = self.sidecars[sidecar].address;
