--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc -O --edition 2024 -o target/review/standin review/standin/main.rs
+rustc -O --edition 2024 -o target/review/standin review/platform/main.rs
--- a/review/standin/client.rs
+++ b/review/platform/client.rs
@@ -332,7 +332,7 @@
                 self.record.write(&format!("got {text}"));
                 let own = format!("answer to request {name}#{}", flow.sent);
                 if text != own {
-                    self.record.write(&format!("BROKEN MIXED: {own} was expected"));
+                    self.record.write(&format!("{own} was expected instead"));
                 }
             }
             let ack = flow.packet(ACK, flow.next, flow.expected, Vec::new());
--- a/review/standin/moved.rs
+++ b/review/platform/moved.rs
@@ -87,8 +87,7 @@
     system.record.write(&summary);
     println!("{summary}");
     if let Some(name) = system.ended_process() {
-        println!("{name} ended by itself");
-        return Outcome::Broken;
+        return Outcome::CouldNotRun(format!("{name} ended by itself"));
     }
     if broken > 0 { Outcome::Broken } else { Outcome::Held }
 }
--- a/review/standin/process.rs
+++ b/review/platform/process.rs
@@ -14,9 +14,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGTERM: i32 = 15;
-pub const SIGSTOP: i32 = 19;
-pub const SIGCONT: i32 = 18;
+const SIGTERM: i32 = 15;
 
 /// `bounds.grace_s`.
 const GRACE: Duration = Duration::from_secs(6);
@@ -111,7 +109,7 @@
         self.child = Some(child);
     }
 
-    pub fn signal(&self, signal: i32) {
+    fn signal(&self, signal: i32) {
         if let Some(child) = &self.child {
             // The process is a child that has not been waited for.
             unsafe { kill(child.id() as i32, signal) };
