--- a/review/platform/main.rs
+++ b/review/platform/main.rs
@@ -1,5 +1,5 @@
 //! Stand-ins of the platform, and the cases that are played with them:
-//! `review-standin CASE RECORD`.
+//! `standin CASE RECORD TROUBLE`; with TROUBLE 0, without the disruption.
 mod client;
 mod json;
 mod moved;
@@ -32,7 +32,8 @@
 fn main() -> ExitCode {
     let mut words = std::env::args().skip(1);
     let (case, path) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = words.next().is_none_or(|value| value != "0");
+    process::end_on_signals();
     let outcome = match case.as_str() {
         "moved" => moved::run(&path, trouble),
         "young" => young::run(&path, trouble),
--- a/review/platform/process.rs
+++ b/review/platform/process.rs
@@ -7,11 +7,55 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicI32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn signal(signal: i32, handler: extern "C" fn(i32)) -> usize;
+    fn alarm(seconds: u32) -> u32;
+    fn _exit(code: i32) -> !;
+}
+
+/// Longest time of a case, in seconds.
+const TIME_LIMIT_S: u32 = 115;
+
+const SIGHUP: i32 = 1;
+const SIGINT: i32 = 2;
+const SIGKILL: i32 = 9;
+const SIGALRM: i32 = 14;
+
+/// Ids of the processes that run; 0 in unused places.
+static RUNNING: [AtomicI32; 64] = [const { AtomicI32::new(0) }; 64];
+
+/// Ends all started processes and this one on a signal, and after the time limit.
+pub fn end_on_signals() {
+    extern "C" fn end(_: i32) {
+        for place in &RUNNING {
+            let pid = place.load(Ordering::SeqCst);
+            if pid > 0 {
+                unsafe { kill(pid, SIGKILL) };
+            }
+        }
+        unsafe { _exit(2) }
+    }
+    unsafe {
+        for number in [SIGHUP, SIGINT, SIGTERM, SIGALRM] {
+            signal(number, end);
+        }
+        alarm(TIME_LIMIT_S);
+    }
+}
+
+fn replace_running(from: i32, to: i32) {
+    let mut places = RUNNING.iter();
+    let is_replaced = places.any(|place| {
+        let replaced = place.compare_exchange(from, to, Ordering::SeqCst, Ordering::SeqCst);
+        replaced.is_ok()
+    });
+    assert!(is_replaced, "too many processes");
 }
 
 const SIGTERM: i32 = 15;
@@ -106,6 +150,7 @@
             .stderr(log)
             .spawn()
             .expect("greengagelug");
+        replace_running(0, child.id() as i32);
         self.child = Some(child);
     }
 
@@ -135,6 +180,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            replace_running(child.id() as i32, 0);
         }
     }
 
