Sidecars: a second announcement is no proof that there was no earlier process

What callers saw: a sidecar was killed 0.7 s after its backend server had started.

Cause: `Age::new` took an announcement within 0.8 of the longest announcement interval of the server's start for the first that was answered, and the agent then claimed to know all flows of the server (`knows_all_flows`). The longest interval is 1.25 times the configured one, so the limit was the configured interval itself. A server that announces itself 5% sooner makes its second announcement within it.

The sidecar's log did not show what it concluded from which age; event 5004 does now.

Change: an announcement shows that none was answered before if it is the first, or comes within half of the configured interval. A packet of the server on a flow that the agent has not seen withdraws the conclusion. Whether a server counts as young, no proof by itself, also takes into account how fast its announcements followed each other. An agent probes unless it was running before its server started; before, it did not if it had received announcement 1.

Why it works: the time between two announcements of which the first was answered is "approximately" the interval; half of it is no longer within that. The other proofs of completeness do not rest on the interval.

Tests, failing before: forward batch_agent second_announcement_sooner_than_usual, second_announcement_after_half_of_the_interval, packet_on_a_flow_from_before_withdraws_the_denials (3 failed of 22 on the source before, 22 pass). Servers of the model announced themselves at the longest interval only, which hid the fault; they now do at 0.6 to 1.0 of it, and those of hosts without power no longer announce themselves. live_flows restarts agents of young servers too.

--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -240,6 +240,8 @@
         "nothing";
     5003 Info ServerCold { left: String, limit: usize }
         "the backend server is cold for {left} and gets {limit} new flows at most in any one second", "nothing";
+    5004 Info ServerFound { age_ms: u128, own_age_ms: u128, knows_all: bool }
+        "the backend server has been running for {age_ms} ms at most, this process for {own_age_ms} ms; all flows of the server were seen here: {knows_all}. If not, unknown flows are looked up by sending it a packet", "nothing";
 }
 
 impl Event {
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -319,6 +319,15 @@
                     is_complete: *is_complete,
                 });
             }
+            Action::ServerFound {
+                age,
+                own_age,
+                knows_all_flows,
+            } => self.link.log(&log::Event::ServerFound {
+                age_ms: age.as_millis(),
+                own_age_ms: own_age.as_millis(),
+                knows_all: *knows_all_flows,
+            }),
             Action::ServerEnded { flows } => {
                 link.count("carried.servers.ended", "");
                 let flows = *flows;
--- a/roles/forward/src/agent/action.rs
+++ b/roles/forward/src/agent/action.rs
@@ -160,6 +160,16 @@
         /// down.
         is_complete: bool,
     },
+    /// The backend server announced a start that this process had not heard of.
+    ServerFound {
+        /// The longest time for which it can have been running.
+        age: Duration,
+        /// Time for which this process has been running.
+        own_age: Duration,
+        /// Whether this process has seen all its flows, so that it can deny others
+        /// without asking it.
+        knows_all_flows: bool,
+    },
     /// The backend server terminated, which ended all its flows.
     ServerEnded {
         /// Number of flows that it held.
--- a/roles/forward/src/agent/age.rs
+++ b/roles/forward/src/agent/age.rs
@@ -4,16 +4,23 @@
 
 use super::Announcement;
 
-/// Sequence number of the announcement that a server sends at its start. An agent that
-/// receives it has seen every flow that the server ever had.
-pub const FIRST_SEQUENCE: u64 = 1;
+/// Sequence number of the announcement that a server sends at its start.
+const FIRST_SEQUENCE: u64 = 1;
 
 /// Maximum number of announcements that a backend server has made when the first is
 /// answered, for that to be certain: it repeats a call that fails, but not that often.
 const MAX_UNANSWERED_ANNOUNCEMENTS: u64 = 6;
 
-/// Share of the announcement interval within which a backend server makes a further
-/// announcement only if the last one was not answered.
+/// Share of the longest announcement interval below which no interval lies: a backend
+/// server whose announcement was answered makes the next one after this time at least.
+const MIN_INTERVAL_SHARE: f64 = 0.4;
+
+/// Share of the longest announcement interval within which a backend server repeats an
+/// announcement that was not answered.
+const REPEAT_SHARE: f64 = 0.25;
+
+/// Share of the longest announcement interval within which announcements that follow
+/// each other so soon were probably not answered.
 const UNANSWERED_SHARE: f64 = 0.8;
 
 /// Age of one incarnation of a backend server.
@@ -27,9 +34,11 @@
     /// between two announcements, or its clock was set back.
     longest: Duration,
     /// Whether no earlier announcement can have been answered: the next one would have
-    /// followed an interval later. An agent that ran beside the server before would
-    /// have answered, so there was none.
+    /// followed an interval later.
     pub is_first_answered: bool,
+    /// Whether earlier announcements were probably not answered. No proof, as the
+    /// intervals of servers vary.
+    pub is_probably_first_answered: bool,
 }
 
 impl Age {
@@ -43,13 +52,21 @@
         let later_announcements = u32::try_from(later_announcements).unwrap_or(u32::MAX);
         let by_sequence = interval.saturating_mul(later_announcements);
         let by_clock = announcement.age;
-        let limit = interval.mul_f64(UNANSWERED_SHARE);
+        let is_repeated_rarely = announcement.sequence <= MAX_UNANSWERED_ANNOUNCEMENTS;
+        let is_within =
+            |limit: Duration| is_repeated_rarely && by_clock.is_some_and(|age| age < limit);
+        let is_first_answered = announcement.sequence == FIRST_SEQUENCE
+            || is_within(interval.mul_f64(MIN_INTERVAL_SHARE));
+        let repeats = interval
+            .mul_f64(REPEAT_SHARE)
+            .saturating_mul(later_announcements);
+        let limit = repeats.min(interval.mul_f64(UNANSWERED_SHARE));
         Self {
             announced_at: now,
             max: by_clock.map_or(by_sequence, |age| age.min(by_sequence)),
             longest: by_clock.unwrap_or_default().max(by_sequence),
-            is_first_answered: by_clock.is_some_and(|age| age < limit)
-                && announcement.sequence <= MAX_UNANSWERED_ANNOUNCEMENTS,
+            is_first_answered,
+            is_probably_first_answered: is_first_answered || is_within(limit),
         }
     }
 
--- a/roles/forward/src/agent/presence.rs
+++ b/roles/forward/src/agent/presence.rs
@@ -40,6 +40,8 @@
     has_sent: bool,
     /// Whether it has announced its end.
     has_left: bool,
+    /// Whether it has sent a packet on a flow that this process had not seen.
+    has_shown_prior_flow: bool,
 }
 
 impl Presence {
@@ -52,6 +54,7 @@
             absent_since: None,
             has_sent: false,
             has_left: false,
+            has_shown_prior_flow: false,
         }
     }
 
@@ -76,6 +79,18 @@
         }
     }
 
+    /// Records that the server has sent a packet on a flow that this process had not
+    /// seen.
+    pub const fn record_prior_flow(&mut self) {
+        self.has_shown_prior_flow = true;
+    }
+
+    /// Returns true if the server is known to have accepted flows before this process
+    /// started.
+    pub const fn has_shown_prior_flow(&self) -> bool {
+        self.has_shown_prior_flow
+    }
+
     /// Records that the server has announced its end.
     pub const fn record_end(&mut self) {
         self.has_left = true;
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -17,7 +17,6 @@
 use super::DropReason;
 use super::State;
 use super::age::Age;
-use super::age::FIRST_SEQUENCE;
 use super::backend::Start;
 use super::flow::Flow;
 use super::flow::Progress;
@@ -103,6 +102,7 @@
             // chose another server that accepted it. Only a flow of the latter kind
             // is still open, so the caller must not see this reset.
             Some(probe) if segment.kind == Kind::Reset => {
+                self.presence.record_prior_flow();
                 actions.push(Action::Dropped(DropReason::ForeignReset));
                 let reply_to = Some(probe.reply_to);
                 return self.deny(now, flow, reply_to, &segment, Bytes::new(), actions);
@@ -112,10 +112,10 @@
             }
             _ => {}
         }
-        let held = self
-            .flows
-            .entry(flow)
-            .or_insert_with(|| Flow::discovered(now));
+        let held = self.flows.entry(flow).or_insert_with(|| {
+            self.presence.record_prior_flow();
+            Flow::discovered(now)
+        });
         match held.record_server_packet(now, &segment, &mut self.occupancy) {
             Some(Progress::Answered(took)) => {
                 // A close that overtook its answer shows nothing of it.
@@ -170,12 +170,19 @@
                 self.risk = Risk::new(self.settings.risk, now);
                 self.plausibility = Plausibility::default();
             }
-            // If this process saw the start of the backend server, it knows all
-            // its flows.
-            self.may_hold_prior_flows &= is_first && announcement.sequence > FIRST_SEQUENCE;
             let interval = self.settings.max_announcement_interval;
-            self.server_age = Some(Age::new(now, interval, &announcement));
+            let age = Age::new(now, interval, &announcement);
+            // An earlier agent may have run beside a backend server that started before
+            // this one.
+            let own_age = now.saturating_sub(self.started_at);
+            self.may_hold_prior_flows &= age.longest(now) > own_age;
+            self.server_age = Some(age);
             self.batches.record_start(now);
+            actions.push(Action::ServerFound {
+                age: age.longest(now),
+                own_age,
+                knows_all_flows: self.knows_all_flows(now),
+            });
         }
         self.last_announced = now;
         self.unanswered_since = None;
@@ -266,7 +273,8 @@
     pub(super) fn max_age_as_proof(&self, now: Duration) -> Option<Duration> {
         let age = self.server_age?;
         let own_age = now.saturating_sub(self.started_at);
-        let is_older = !age.is_first_answered && age.max(now) > own_age + self.settings.start_lead;
+        let is_older =
+            !age.is_probably_first_answered && age.max(now) > own_age + self.settings.start_lead;
         Some(if is_older {
             Duration::MAX
         } else {
--- a/roles/forward/tests/batch_agent.rs
+++ b/roles/forward/tests/batch_agent.rs
@@ -111,15 +111,45 @@
     assert!(!findings.denies(0) && !findings.held.contains(0));
 }
 
-/// The server answered its calls to an earlier process, which let it accept flows: it
-/// makes the second announcement one interval after the first.
+/// Guards against resets of flows that an earlier agent process admitted: an agent that
+/// started after its server concluded from the server's age and announcement that there
+/// was none, and denied them.
+fn agent_that_started_after_its_server_denies_nothing((age, sequence): (u64, u64)) {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(100), Some(ms(age)), sequence);
+    let findings = ask(&mut agent, ms(101), search(&[9], 0));
+    assert!(!findings.denies(0) && !findings.held.contains(0));
+    let event = Event::Forward {
+        forward: forward_frame(OWN),
+        segment: caller_segment(9, Kind::Data, 100),
+    };
+    let probed = handle(&mut agent, ms(102), event);
+    assert!(delivers(&probed), "the server should be asked: {probed:?}");
+    return_packet(&mut agent, ms(103), 9);
+    let findings = ask(&mut agent, ms(104), search(&[9], 0));
+    assert!(findings.returned.contains(0));
+}
+
+cases::cases! { agent_that_started_after_its_server_denies_nothing;
+    second_announcement_after_the_longest_interval: (1_100, 2),
+    third_announcement: (2_050, 3),
+    second_announcement_sooner_than_usual: (760, 2),
+    second_announcement_after_half_of_the_interval: (400, 2),
+}
+
+/// Guards against resets of flows that an earlier agent process admitted and did not live
+/// to answer an announcement: the server still answers on such a flow.
 #[test]
-fn agent_restarted_beside_a_young_server_denies_nothing() {
-    for (age, sequence) in [(ms(1_100), 2), (ms(2_050), 3)] {
-        let mut agent = restarted_agent();
-        announce(&mut agent, ms(100), Some(age), sequence);
-        assert!(!ask(&mut agent, ms(101), search(&[9], 500)).denies(0));
-    }
+fn packet_on_a_flow_from_before_withdraws_the_denials() {
+    let mut agent = restarted_agent();
+    announce(&mut agent, ms(100), Some(ms(350)), 4);
+    assert!(ask(&mut agent, ms(101), search(&[9], 0)).denies(0));
+    let event = Event::ServerPacket {
+        segment: server_segment(8, Kind::Data, 500),
+        packet: packet(),
+    };
+    handle(&mut agent, ms(102), event);
+    assert!(!ask(&mut agent, ms(103), search(&[9], 0)).denies(0));
 }
 
 /// After a loss of power the first calls of a server come before its agent is up.
--- a/roles/forward/tests/live_flows.rs
+++ b/roles/forward/tests/live_flows.rs
@@ -25,6 +25,7 @@
     StopEntry,
     StopAgent,
     RestartServer,
+    RestartServerThenAgent,
     LoseHost,
     CutZone,
     Disturb,
@@ -34,11 +35,12 @@
     AddServer,
 }
 
-const FAULTS: [Fault; 11] = [
+const FAULTS: [Fault; 12] = [
     Fault::RestartEntry,
     Fault::StopEntry,
     Fault::StopAgent,
     Fault::RestartServer,
+    Fault::RestartServerThenAgent,
     Fault::LoseHost,
     Fault::CutZone,
     Fault::Disturb,
@@ -56,6 +58,11 @@
         Fault::StopEntry => simulation.stop_entry(entry, rng.u64(100..3_000)),
         Fault::StopAgent => simulation.stop_agent(id, rng.u64(50..8_000)),
         Fault::RestartServer => simulation.restart_server(id),
+        Fault::RestartServerThenAgent => {
+            simulation.restart_server(id);
+            simulation.run_until(simulation.now + ms(rng.u64(20..1_500)));
+            simulation.stop_agent(id, rng.u64(20..300));
+        }
         Fault::LoseHost => simulation.lose_host(id),
         Fault::CutZone => simulation.cut_zone(id, rng.u64(300..9_000)),
         Fault::Disturb => {
--- a/roles/forward/tests/simulation/failure.rs
+++ b/roles/forward/tests/simulation/failure.rs
@@ -24,6 +24,8 @@
     pub fn lose_power_for(&mut self, millis: u64) {
         for id in self.ids() {
             self.servers.insert(id, HashSet::new());
+            // Its announcements end with it.
+            *self.starts.entry(id).or_default() += 1;
             self.stop_agent(id, millis + 30 + self.queue.added() % 50);
             let wait = ms(millis + self.rng.u64(0..100));
             self.schedule(wait, Event::StartServer(id));
--- a/roles/forward/tests/simulation/mod.rs
+++ b/roles/forward/tests/simulation/mod.rs
@@ -50,6 +50,11 @@
 /// Interval between two ticks of a process.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Mean interval at which a backend server announces itself, and the range of the
+/// intervals relative to it.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(800);
+const INTERVAL_SPREAD: f64 = 0.5;
+
 /// Event at one of the simulated processes.
 enum Event {
     PacketAtEntry(usize, Segment),
@@ -227,7 +232,7 @@
             Agent::new(settings, hop(id), may_hold_prior_flows, self.now),
         );
         self.stopped_agents.remove(&id);
-        // A server announces itself once a second whether its agent runs or not.
+        // A server announces itself whether its agent runs or not.
         if !may_hold_prior_flows || !self.starts.contains_key(&id) {
             let wait = if may_hold_prior_flows {
                 ms(self.rng.u64(0..1_000))
@@ -370,7 +375,9 @@
                 self.last_known_at = self.now;
             }
         }
-        self.schedule(Duration::from_secs(1), Event::Announce(id, start));
+        let interval =
+            ANNOUNCEMENT_INTERVAL.mul_f64(1.0 + (self.rng.f64() - 0.5) * INTERVAL_SPREAD);
+        self.schedule(interval, Event::Announce(id, start));
     }
 
     fn notify_entry(&mut self, number: usize, event: entry::Event) {
