Gateways: search for flows at the services that their route named before

What callers saw: a configuration named another service for a route with 60 open flows.

Cause: a gateway took the services of the configuration in force for all that may hold a flow. The servers of the new service denied the flows truthfully, and the gateway concluded that nobody held them.

No line said what was left out; events 2015 and 4030 and the metric carried.searches.widened do.

A gateway that started less than that ago asks all other services too, once all agents of the services that it knows of have denied the flow, and resets it only if they deny it as well. All statements about a route's holders (searches, batches, probes, silent and unreachable agents) use one list, `Routes::candidates`. Gateways request the agents of all services of the configuration from their peers, not only of those that routes name.

Why it works: a flow is at a server of a service that its route named when it was opened. That is one which this gateway saw in a configuration, or any if the flow may be older than the first configuration that it saw.

--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -146,6 +146,8 @@
         "restore one of the zones, or start backend servers in another one";
     2014 Info ServiceCovered { service: ServiceAddress }
         "service {service} has backend servers in a zone that is not evacuated again", "nothing";
+    2015 Info RoutesMoved { version: Revision, routes: usize }
+        "configuration version {version} names other services than before for {routes} routes; their open flows stay at the former ones", "nothing";
     3001 Info TargetUp { service: ServiceAddress, target: TargetId }
         "backend server {target} of service {service} is ready for new flows", "nothing";
     3002 Warn TargetDown { service: ServiceAddress, target: TargetId }
@@ -233,6 +235,8 @@
         "add capacity in the zone if this is frequent";
     4029 Info OverflowEnded { flows: u64, lasted_ms: u128 }
         "new flows stay in the own availability zone again; {flows} were sent to other zones within {lasted_ms} ms", "nothing";
+    4030 Info SearchWidened { flow: String }
+        "no backend server holds flow {flow} of the services that its route names; all services are searched, as the route may have named another one before this process started", "nothing";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing if this was planned";
     5002 Info ServerMissing { }
--- a/roles/app/src/gateway.rs
+++ b/roles/app/src/gateway.rs
@@ -149,7 +149,7 @@
         origin,
         traffic: Arc::clone(&traffic),
         inputs,
-        builder: Builder::default(),
+        builder: Builder::new(host.oldest_flow_s),
         is_confirmed,
         stored_version: 0,
         is_ready: Arc::clone(&is_ready),
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -145,7 +145,7 @@
         changes.retain(|address| !rotation::is_statement(address));
         if !changes.is_empty() {
             self.log_changes(&changes);
-            let routes = self.builder.update(&self.registry, &changes);
+            let routes = self.builder.update(now, &self.registry, &changes);
             if changes.contains(&routes::DOCUMENT_ADDRESS) {
                 let all = routes.table.routes.iter();
                 let priorities = all.map(|(address, route)| (*address, route.priority));
@@ -223,9 +223,7 @@
     /// Requests the backend servers of services that were not requested before
     /// from other entries.
     fn request_services(&mut self, now: Duration, routes: &Routes) {
-        let all = routes.table.routes.values();
-        let shares = all.flat_map(|route| &route.shares);
-        let services: BTreeSet<ServiceAddress> = shares.map(|share| share.service).collect();
+        let services: BTreeSet<ServiceAddress> = routes.table.services().collect();
         for service in services {
             if self.requested.insert(service) {
                 self.registry.request_service(now, service);
--- a/roles/app/src/gateway/routes.rs
+++ b/roles/app/src/gateway/routes.rs
@@ -3,8 +3,10 @@
 use std::net::Ipv6Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use config::Evacuations;
+use forward::History;
 use forward::Routes;
 use member::BROADCAST_ADDRESS;
 use member::Health;
@@ -16,6 +18,7 @@
 use wire::Target;
 use wire::target::State;
 
+use crate::event::Event;
 use crate::gateway::rotation;
 
 /// Pseudo service address of the record under which entries gossip the whole
@@ -28,18 +31,32 @@
 }
 
 /// Builder that holds the current routes.
-#[derive(Default)]
 pub struct Builder {
     routes: Routes,
 }
 
 impl Builder {
+    /// Creates a builder without routes; flows are `max_flow_age` old at most.
+    pub fn new(max_flow_age: Duration) -> Self {
+        Self {
+            routes: Routes {
+                history: History::new(max_flow_age),
+                ..Routes::default()
+            },
+        }
+    }
+
     /// Applies the changed records and returns the current routes.
-    pub fn update(&mut self, registry: &Registry, changes: &[ServiceAddress]) -> Arc<Routes> {
+    pub fn update(
+        &mut self,
+        now: Duration,
+        registry: &Registry,
+        changes: &[ServiceAddress],
+    ) -> Arc<Routes> {
         for address in changes {
             let view = registry.view(address);
             if *address == DOCUMENT_ADDRESS {
-                self.update_table(view);
+                self.update_table(now, view);
             } else if !is_pseudo_service(*address) {
                 let targets = view.map(targets).unwrap_or_default();
                 let all = view.map_or(0, |view| view.targets.len());
@@ -90,12 +107,20 @@
         self.version() > 0
     }
 
-    fn update_table(&mut self, view: Option<&View>) {
+    fn update_table(&mut self, now: Duration, view: Option<&View>) {
         let Some(record) = view.and_then(|view| view.config.as_ref()) else {
             return;
         };
         match document::decode(&record.body) {
-            Ok(table) => self.routes.table = Arc::new(table),
+            Ok(table) => {
+                let history = &mut self.routes.history;
+                let routes = history.record(now, &self.routes.table, &table);
+                let version = table.version;
+                if routes > 0 {
+                    Event::RoutesMoved { version, routes }.log();
+                }
+                self.routes.table = Arc::new(table);
+            }
             Err(error) => log::error!("cannot decode a gossiped configuration: {error}"),
         }
     }
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -235,6 +235,7 @@
             }
             Action::BatchRequested { .. }
             | Action::BatchUnanswered { .. }
+            | Action::SearchWidened { .. }
             | Action::Ended { .. }
             | Action::UndecidedDropped { .. } => self.report_undecided(&action),
         }
@@ -263,6 +264,11 @@
                     flows: *flows,
                 });
             }
+            Action::SearchWidened { flow } => {
+                link.count("carried.searches.widened", "");
+                let flow = flow_name(flow);
+                link.log(&log::Event::SearchWidened { flow });
+            }
             Action::Ended { flow, proofs, took } => {
                 let proof = proof_label(*proofs);
                 link.count("carried.flows.ended", proof);
--- a/roles/forward/src/entry/action.rs
+++ b/roles/forward/src/entry/action.rs
@@ -95,6 +95,12 @@
         /// Number of flows.
         flows: usize,
     },
+    /// A flow is searched for at all services, as no backend server holds it of those
+    /// that its route is known to have named.
+    SearchWidened {
+        /// The flow.
+        flow: FlowId,
+    },
     /// A flow was found to have ended, as every possible holder denies it.
     Ended {
         /// The flow.
--- a/roles/forward/src/entry/batch.rs
+++ b/roles/forward/src/entry/batch.rs
@@ -91,7 +91,13 @@
             let mut all = report.findings.iter();
             let is_uncertain =
                 all.any(|findings| !findings.denies(number) && !findings.held.contains(number));
-            if !is_decided && may_probe && is_uncertain {
+            if is_decided {
+                continue;
+            }
+            if self.widens_search(now, flow, &mut views) {
+                actions.push(Action::SearchWidened { flow: *flow });
+                self.undecided.due.push(*flow);
+            } else if may_probe && is_uncertain {
                 self.undecided.uncertain.insert(*flow);
             }
         }
@@ -132,12 +138,16 @@
     /// Returns true if a known agent has not answered a batch lately: it has failed, or
     /// is of an earlier version, which may hold flows that only a search for each of
     /// them finds.
-    pub(super) fn has_silent_agent(&self, now: Duration, address: SocketAddrV4) -> bool {
-        let Some(route) = self.routes.route(address) else {
-            return false;
-        };
+    pub(super) fn has_silent_agent(
+        &self,
+        now: Duration,
+        address: SocketAddrV4,
+        is_widened: bool,
+    ) -> bool {
+        let candidates = self.routes.candidates(now, address);
+        let services = candidates.select(is_widened);
         let peer_views = &self.undecided.peer_views;
-        let mut targets = self.routes.possible_holders(route);
+        let mut targets = self.routes.targets_of_all(&services);
         targets.any(|target| {
             let view = peer_views.get(&target.id);
             view.is_none_or(|view| now >= view.stated_at + PEER_VIEW_LIFETIME)
@@ -216,10 +226,10 @@
         self.record_holder(now, &held, actions);
     }
 
-    /// Asks one agent of each service about all flows that are due.
+    /// Asks one agent of each service that may hold them about all flows that are due.
     pub(super) fn send_batches(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let routes = Arc::clone(&self.routes);
-        let mut by_address: HashMap<SocketAddrV4, Vec<FlowId>> = HashMap::new();
+        let mut by_address: HashMap<(SocketAddrV4, bool), Vec<FlowId>> = HashMap::new();
         let mut due = std::mem::take(&mut self.undecided.due);
         due.sort_unstable();
         due.dedup();
@@ -227,16 +237,14 @@
             let phase = self.flows.get_mut(&flow).map(|state| &mut state.phase);
             if let Some(Phase::Undecided(searching)) = phase {
                 searching.batched_at = now;
-                by_address.entry(flow.service).or_default().push(flow);
+                let group = (flow.service, searching.is_widened);
+                by_address.entry(group).or_default().push(flow);
             }
         }
-        for (address, flows) in by_address {
-            let Some(route) = routes.route(address) else {
-                continue;
-            };
-            for share in &route.shares {
+        for ((address, is_widened), flows) in by_address {
+            for service in routes.candidates(now, address).select(is_widened) {
                 for part in flows.chunks(batch::MAX_FLOWS) {
-                    self.send_batch(now, &routes, share.service, part, actions);
+                    self.send_batch(now, &routes, service, part, actions);
                 }
             }
         }
--- a/roles/forward/src/entry/decision.rs
+++ b/roles/forward/src/entry/decision.rs
@@ -7,6 +7,7 @@
 
 use wire::FlowId;
 use wire::Priority;
+use wire::ServiceAddress;
 
 use super::Action;
 use super::Entry;
@@ -33,6 +34,8 @@
 /// What is known about the possible holders of the flows to one address.
 pub(super) struct RouteView {
     holders: TargetSet,
+    /// Holders at services that the route is known to have named.
+    named: TargetSet,
     priority: Priority,
     knows_all_agents: bool,
     has_doubtful_agent: bool,
@@ -68,17 +71,25 @@
     fn route_view(&mut self, now: Duration, address: SocketAddrV4) -> Option<RouteView> {
         let routes = Arc::clone(&self.routes);
         let route = routes.route(address)?;
-        let mut holders = TargetSet::default();
-        for target in routes.possible_holders(route) {
-            holders.insert(self.undecided.roster.index(target.id));
-        }
-        let mut shares = route.shares.iter();
-        let is_doubted = shares.any(|share| self.is_doubted(now, share.service));
+        let candidates = routes.candidates(now, address);
+        let mut set_of = |services: &[ServiceAddress]| {
+            let mut holders = TargetSet::default();
+            for target in routes.targets_of_all(services) {
+                holders.insert(self.undecided.roster.index(target.id));
+            }
+            holders
+        };
+        let named = set_of(&candidates.named);
+        let services = candidates.select(true);
+        let holders = set_of(&services);
+        let mut all = services.iter();
+        let is_doubted = all.any(|service| self.is_doubted(now, *service));
         Some(RouteView {
             holders,
+            named,
             priority: route.priority,
             knows_all_agents: self.knows_all_agents(now),
-            has_doubtful_agent: is_doubted || routes.has_down_target(route),
+            has_doubtful_agent: is_doubted || routes.has_down_target(&services),
             is_recent: now <= self.started_at + self.settings.stale_flow_window,
         })
     }
@@ -93,6 +104,26 @@
         true
     }
 
+    /// Returns whether a flow is searched for at all services from now on, because no
+    /// backend server holds it of those that its route is known to have named.
+    pub(super) fn widens_search(
+        &mut self,
+        now: Duration,
+        flow: &FlowId,
+        views: &mut Views,
+    ) -> bool {
+        let view = views
+            .entry(flow.service)
+            .or_insert_with(|| self.route_view(now, flow.service));
+        let (Some(view), Some(searching)) = (view, self.searching_mut(flow)) else {
+            return false;
+        };
+        let has_more = !view.named.contains_all(&view.holders);
+        let is_due = !searching.is_widened && has_more;
+        searching.is_widened |= is_due && searching.denied.contains_all(&view.named);
+        is_due && searching.is_widened
+    }
+
     /// Returns the priority of a flow that has ended and the time at which its caller
     /// gives up, or `None` if the flow may be open.
     fn urgency_if_ended(
--- a/roles/forward/src/entry/flow.rs
+++ b/roles/forward/src/entry/flow.rs
@@ -123,6 +123,9 @@
     pub probe_searches: u8,
     /// Time of the last search that allowed probes.
     pub probed_at: Option<Duration>,
+    /// Whether it is also searched for at services that its route is not known to have
+    /// named.
+    pub is_widened: bool,
     /// Backend servers that are certain not to hold the flow.
     pub denied: TargetSet,
     /// Kinds of proof that the denials rest on.
@@ -186,6 +189,7 @@
             batched_at: now,
             probe_searches: 0,
             probed_at: None,
+            is_widened: false,
             denied: TargetSet::default(),
             proofs: Proofs::default(),
         }
--- a/roles/forward/src/entry/opening.rs
+++ b/roles/forward/src/entry/opening.rs
@@ -111,9 +111,10 @@
     ) {
         let is_starting = now < self.started_at + self.settings.startup_grace;
         let flow = segment.flow_from_caller();
-        let is_known = routes
-            .route(flow.service)
-            .is_some_and(|route| routes.possible_holders(route).next().is_some());
+        let is_known = routes.route(flow.service).is_some_and(|route| {
+            let mut shares = route.shares.iter();
+            shares.any(|share| routes.targets_of(share.service).next().is_some())
+        });
         actions.push(if is_starting && !is_known {
             Action::Dropped(DropReason::ServersUnknown)
         } else if segment.is_retransmission() {
--- a/roles/forward/src/entry/search.rs
+++ b/roles/forward/src/entry/search.rs
@@ -21,7 +21,6 @@
 use super::Refusal;
 use super::flow;
 use super::flow::Phase;
-use crate::Route;
 use crate::Routes;
 use crate::millis;
 
@@ -63,7 +62,7 @@
         self.store_flow(now, flow, Phase::Searching(searching));
     }
 
-    /// Asks one agent of each service of the route to search, with probes if
+    /// Asks one agent of each service that may hold the flow to search, with probes if
     /// `may_probe` and all agents are known.
     pub(super) fn send_search(
         &mut self,
@@ -74,19 +73,17 @@
         searching: &mut flow::Searching,
         actions: &mut Vec<Action>,
     ) {
-        let Some(route) = routes.route(flow.service) else {
-            return;
-        };
+        let candidates = routes.candidates(now, flow.service);
+        let services = candidates.select(searching.is_widened);
         searching.rounds += 1;
-        let mut terms = self.search_terms(now, route);
+        let mut terms = self.search_terms(now, &services);
         terms.may_probe &= may_probe;
         if terms.may_probe {
             searching.probed_at = Some(now);
         }
-        for share in &route.shares {
-            let known = routes.targets_of(share.service).count();
-            let Some(searcher) = self.choose_searcher(routes, share.service, &searching.tried)
-            else {
+        for service in services {
+            let known = routes.targets_of(service).count();
+            let Some(searcher) = self.choose_searcher(routes, service, &searching.tried) else {
                 continue;
             };
             searching.tried.push(searcher.id);
@@ -129,9 +126,9 @@
     /// Returns the conditions under which agents probe and deny. Denials are
     /// conclusive only if all agents are known and none is marked down that may
     /// only be unreachable.
-    fn search_terms(&self, now: Duration, route: &Route) -> Terms {
+    fn search_terms(&self, now: Duration, services: &[ServiceAddress]) -> Terms {
         let may_probe = self.knows_all_agents(now);
-        let is_conclusive = may_probe && !self.routes.has_down_target(route);
+        let is_conclusive = may_probe && !self.routes.has_down_target(services);
         Terms {
             may_probe,
             max_age_ms: if is_conclusive {
@@ -154,9 +151,8 @@
         millis(age + self.settings.start_skew)
     }
 
-    /// Records that no agent of a service holds a flow. Once this applies to
-    /// all services of its route, the flow ended with its backend server and is
-    /// reset.
+    /// Records that no agent of a service holds a flow. Once this applies to all
+    /// services that may hold it, the flow ended with its backend server and is reset.
     pub(super) fn handle_holder_absent(
         &mut self,
         now: Duration,
@@ -165,31 +161,49 @@
     ) {
         let routes = Arc::clone(&self.routes);
         let flow = report.flow;
-        let Some(route) = routes.route(flow.service) else {
+        let candidates = routes.candidates(now, flow.service);
+        let all = candidates.clone().select(true);
+        let mut services = all.iter().copied();
+        let searched = services.find(|service| {
+            let mut targets = routes.targets_of(*service);
+            targets.any(|target| target.id == report.target)
+        });
+        let is_conclusive =
+            |entry: &Self, services| entry.search_terms(now, services).max_age_ms > 0;
+        let Some(service) = searched.filter(|_| is_conclusive(self, &candidates.named)) else {
             return;
         };
-        let is_conclusive = self.search_terms(now, route).max_age_ms > 0;
+        let is_conclusive = is_conclusive(self, &all);
         let Some(Phase::Searching(searching)) =
             self.flows.get_mut(&flow).map(|state| &mut state.phase)
         else {
             return;
         };
-        let mut shares = route.shares.iter();
-        let searched_share = shares.find(|share| {
-            let mut targets = routes.targets_of(share.service);
-            targets.any(|target| target.id == report.target)
-        });
-        let Some(share) = searched_share.filter(|_| is_conclusive) else {
-            return;
+        searching.denied_by.push(service);
+        let deny = |services: &[ServiceAddress]| {
+            let mut services = services.iter();
+            services.all(|service| searching.denied_by.contains(service))
         };
-        searching.denied_by.push(share.service);
-        let mut shares = route.shares.iter();
-        if shares.all(|share| searching.denied_by.contains(&share.service)) {
-            let (sequence, wants_reset) = (searching.acknowledged, searching.wants_reset);
-            self.flows.remove(&flow);
-            if wants_reset {
-                actions.push(reset_ended(flow, sequence));
+        match deny(&candidates.named) {
+            true if is_conclusive && deny(&candidates.unnamed) => {
+                let (sequence, wants_reset) = (searching.acknowledged, searching.wants_reset);
+                self.flows.remove(&flow);
+                if wants_reset {
+                    actions.push(reset_ended(flow, sequence));
+                }
             }
+            true if !searching.is_widened => self.widen_search(now, flow, actions),
+            _ => {}
+        }
+    }
+
+    /// Continues a search for a flow at all services, in batches.
+    fn widen_search(&mut self, now: Duration, flow: FlowId, actions: &mut Vec<Action>) {
+        let state = self.flows.remove(&flow).map(|state| state.phase);
+        if let Some(Phase::Searching(mut searching)) = state {
+            searching.is_widened = true;
+            actions.push(Action::SearchWidened { flow });
+            self.keep_undecided(now, flow, searching, actions);
         }
     }
 
--- a/roles/forward/src/entry/undecided.rs
+++ b/roles/forward/src/entry/undecided.rs
@@ -192,6 +192,11 @@
         }
     }
 
+    fn is_widened(&mut self, flow: &FlowId) -> bool {
+        let searching = self.searching_mut(flow);
+        searching.is_some_and(|searching| searching.is_widened)
+    }
+
     /// Forgets a flow unless it has been decided.
     pub(super) fn drop_undecided(&mut self, flow: &FlowId) {
         if let Some(searching) = self.searching_mut(flow) {
@@ -227,13 +232,23 @@
             let interval = self.settings.lost_retry_interval;
             let is_due = is_news || now >= searching.batched_at + interval;
             self.undecided.flows.insert((gives_up_at, flow));
-            if self.decide_flow(now, &flow, &mut views) || !is_due {
+            if self.decide_flow(now, &flow, &mut views) {
+                continue;
+            }
+            let is_widened = self.widens_search(now, &flow, &mut views);
+            if is_widened {
+                actions.push(Action::SearchWidened { flow });
+            }
+            if is_widened || is_due {
+                self.undecided.due.push(flow);
+            }
+            if is_widened || !is_due {
                 continue;
             }
-            self.undecided.due.push(flow);
+            let group = (flow.service, self.is_widened(&flow));
             let has_silent_agent = silent
-                .entry(flow.service)
-                .or_insert_with(|| self.has_silent_agent(now, flow.service));
+                .entry(group)
+                .or_insert_with(|| self.has_silent_agent(now, group.0, group.1));
             if *has_silent_agent && knows_all_agents {
                 self.undecided.uncertain.insert(flow);
             }
@@ -275,7 +290,7 @@
                 // may be of an earlier version, though, and need the probe to tell.
                 let may_probe = searching.rounds > 0
                     || !self.undecided.has_answers
-                    || !self.has_silent_agent(now, flow.service);
+                    || !self.has_silent_agent(now, flow.service, searching.is_widened);
                 searching.asked_at = now;
                 searching.rounds = search::MAX_ROUNDS - 1;
                 self.send_search(&routes, now, flow, may_probe, &mut searching, actions);
--- a/roles/forward/src/lib.rs
+++ b/roles/forward/src/lib.rs
@@ -10,12 +10,14 @@
 //! time since an arbitrary origin go in, actions come out.
 pub mod agent;
 pub mod entry;
+mod history;
 pub mod routes;
 
 use std::time::Duration;
 
 pub use agent::Agent;
 pub use entry::Entry;
+pub use history::History;
 pub use routes::Route;
 pub use routes::Routes;
 
--- a/roles/forward/src/routes.rs
+++ b/roles/forward/src/routes.rs
@@ -18,6 +18,7 @@
 use wire::target::State;
 use wire::transit::Demand;
 
+use crate::History;
 use crate::millis;
 
 /// Route of the flows to one address.
@@ -68,6 +69,17 @@
     pub rate: u32,
 }
 
+/// Services whose backend servers may hold a flow.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Candidates {
+    /// Services that the route of the flow is known to have named while the flow may
+    /// have been opened.
+    pub named: Vec<ServiceAddress>,
+    /// Services that it may have named before this process started. Only if no backend
+    /// server of the others holds the flow.
+    pub unnamed: Vec<ServiceAddress>,
+}
+
 /// Immutable snapshot of the routes and the known backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct Routes {
@@ -86,6 +98,8 @@
     /// Number of known backend servers of each service that have left or are marked
     /// down. Agents learn later than entries that a server has left.
     pub departed: HashMap<ServiceAddress, usize>,
+    /// Services that the routes named before.
+    pub history: History,
     /// Availability zones that an operator has evacuated: their backend servers get no
     /// new flows.
     pub evacuated_zones: BTreeSet<ZoneId>,
@@ -114,7 +128,25 @@
     }
 }
 
+impl Candidates {
+    /// Returns the named services and, if `all`, the unnamed ones.
+    #[must_use]
+    pub fn select(mut self, all: bool) -> Vec<ServiceAddress> {
+        if all {
+            self.named.append(&mut self.unnamed);
+        }
+        self.named
+    }
+}
+
 impl Table {
+    /// Returns all services of the configuration.
+    pub fn services(&self) -> impl Iterator<Item = ServiceAddress> {
+        let shares = self.routes.values().flat_map(|route| &route.shares);
+        let named = shares.map(|share| share.service);
+        named.chain(self.warm_ups.keys().copied())
+    }
+
     /// Returns what an opening frame states about a flow of a route to a service;
     /// `None` where neither priorities nor a cold rate distinguish it.
     #[must_use]
@@ -170,17 +202,41 @@
             && known.any(|known| known.id == target && self.evacuated_zones.contains(&known.zone))
     }
 
-    /// Returns true if a service of a route has a backend server that is marked
-    /// down but may only be unreachable.
+    /// Returns true if one of the services has a backend server that is marked down but
+    /// may only be unreachable.
     #[must_use]
-    pub fn has_down_target(&self, route: &Route) -> bool {
-        let mut shares = route.shares.iter();
-        shares.any(|share| self.services_with_down_targets.contains(&share.service))
+    pub fn has_down_target(&self, services: &[ServiceAddress]) -> bool {
+        let down = &self.services_with_down_targets;
+        services.iter().any(|service| down.contains(service))
+    }
+
+    /// Returns all backend servers of some services that may hold flows.
+    pub fn targets_of_all<'a>(
+        &'a self,
+        services: &'a [ServiceAddress],
+    ) -> impl Iterator<Item = &'a Target> {
+        let services = services.iter();
+        services.flat_map(|service| self.targets_of(*service))
     }
 
-    /// Returns all backend servers that may hold a flow of a route.
-    pub fn possible_holders<'a>(&'a self, route: &'a Route) -> impl Iterator<Item = &'a Target> {
-        let shares = route.shares.iter();
-        shares.flat_map(|share| self.targets_of(share.service))
+    /// Returns the services whose backend servers may hold a flow to an address.
+    #[must_use]
+    pub fn candidates(&self, now: Duration, address: SocketAddrV4) -> Candidates {
+        let shares = self
+            .route(address)
+            .into_iter()
+            .flat_map(|route| &route.shares);
+        let current = shares.map(|share| share.service);
+        let named: BTreeSet<ServiceAddress> =
+            current.chain(self.history.services(now, address)).collect();
+        let mut unnamed = BTreeSet::new();
+        if !self.history.is_complete(now) {
+            unnamed.extend(self.targets.keys().copied());
+            unnamed.extend(self.table.services());
+        }
+        Candidates {
+            unnamed: unnamed.difference(&named).copied().collect(),
+            named: named.into_iter().collect(),
+        }
     }
 }
--- a/roles/forward/tests/undecided.rs
+++ b/roles/forward/tests/undecided.rs
@@ -4,23 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fixtures::batches::*;
 use fixtures::*;
 use forward::Entry;
 use forward::Route;
 use forward::Routes;
 use forward::entry::Action;
 use forward::entry::Event;
-use forward::entry::Refusal;
 use forward::entry::Settings;
 use forward::routes::Table;
-use wire::FlowId;
 use wire::Target;
 use wire::TargetId;
 use wire::Transit;
 use wire::batch;
 use wire::batch::Bitmap;
 use wire::batch::Findings;
-use wire::batch::Report;
 use wire::batch::Search;
 use wire::segment::Kind;
 use wire::target::State;
@@ -37,24 +35,12 @@
     SERVERS.map(|id| target(id, 1, State::Ready)).to_vec()
 }
 
-fn handle(entry: &mut Entry, now: Duration, event: Event) -> Vec<Action> {
-    let mut actions = Vec::new();
-    entry.handle(now, event, &mut actions);
-    actions
-}
-
 fn entry_with(routes: Arc<Routes>) -> Entry {
     let mut entry = Entry::new(Settings::default(), entry_address(), 1, 1, ms(0));
     handle(&mut entry, ms(0), Event::Routes(routes));
     entry
 }
 
-fn send(entry: &mut Entry, now: Duration, port: u16, kind: Kind) -> Vec<Action> {
-    let segment = caller_segment(port, kind, 100);
-    let packet = encode(&segment);
-    handle(entry, now, Event::Packet { segment, packet })
-}
-
 /// Sends packets of flows that the entry does not know.
 fn send_all(entry: &mut Entry, now: Duration) -> Vec<Action> {
     (1..=FLOWS)
@@ -62,90 +48,10 @@
         .collect()
 }
 
-fn batches(actions: &[Action]) -> Vec<Search> {
-    let sent = actions.iter().filter_map(|action| match action {
-        Action::Send {
-            transit: Transit::SearchBatch(search),
-            ..
-        } => Some(search.clone()),
-        _ => None,
-    });
-    sent.collect()
-}
-
-/// Ticks once in 20 ms, and returns what the entry does.
-fn tick(entry: &mut Entry, from: Duration, to: Duration) -> Vec<Action> {
-    let mut actions = Vec::new();
-    let mut now = from;
-    while now <= to {
-        actions.extend(handle(entry, now, Event::Tick));
-        now += ms(20);
-    }
-    actions
-}
-
-/// Returns the newest batch about the flow from a port.
-fn batch_about(actions: &[Action], port: u16) -> Search {
-    let all = batches(actions);
-    let mut about = all.into_iter().rev().filter(|search| {
-        let mut flows = search.flows.iter();
-        flows.any(|sought| sought.caller == caller_address(port))
-    });
-    about.next().expect("a batch should ask about the flow")
-}
-
-fn all_flows(search: &Search) -> Bitmap {
-    let mut flows = Bitmap::default();
-    for index in 0..search.flows.len() {
-        flows.insert(index);
-    }
-    flows
-}
-
-/// Returns the denial of all flows of a batch by an agent.
-fn denial(search: &Search, target: TargetId) -> Findings {
-    Findings {
-        agent: hop(target),
-        age_ms: Some(500),
-        start: Some(1),
-        known_agents: 3,
-        has_down_agent: false,
-        held: Bitmap::default(),
-        complete: all_flows(search),
-        returned: Bitmap::default(),
-        younger: Bitmap::default(),
-    }
-}
-
 fn denials(search: &Search) -> Vec<Findings> {
     SERVERS.map(|id| denial(search, id)).to_vec()
 }
 
-fn report(
-    entry: &mut Entry,
-    now: Duration,
-    search: &Search,
-    findings: Vec<Findings>,
-) -> Vec<Action> {
-    let report = Report {
-        batch: search.batch,
-        findings,
-    };
-    handle(entry, now, Event::Report(report))
-}
-
-fn resets(actions: &[Action]) -> Vec<FlowId> {
-    let reset = actions.iter().filter_map(|action| match action {
-        Action::Reset {
-            flow,
-            reason: Refusal::ServerEnded,
-            ..
-        } => Some(*flow),
-        _ => None,
-    });
-    reset.collect()
-}
-
 /// Returns an entry with undecided flows, and the batch about the last of them.
 fn with_undecided_flows(routes: Arc<Routes>, at: Duration) -> (Entry, Search) {
     let mut entry = entry_with(routes);
