Tell a flow from a later one that the caller opens from the same port

What callers would see: a caller opens a flow again from a port whose earlier flow ended with its server within the last minute. Not seen with real processes; found by reading, in the search for statements of absence that are not proved.

Cause: flows were known by the addresses of both ends only. An agent reset each packet of a flow that had ended with its server, delivered packets to a server that held the earlier flow (which answers by a reset), and a gateway reset a flow whose recorded holder denied it and had restarted since.

Change: agents compare the caller's acknowledgement with the last one on the flow, or with the number by which the server accepted it; gateways with the last one that they recorded. A packet further off than 128 KiB (1 MiB) belongs to another flow: it is denied, and the holder is searched for. A flow that the server had not accepted when it ended is denied, not reset.

Why it works: servers choose their first sequence numbers at random, and both ends of a flow stay within 16 packets of each other.

--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -103,7 +103,8 @@
     passed_flows: ExpiringMap<Passed>,
     probes: ExpiringMap<Probe>,
     flows_not_held: ExpiringMap<()>,
-    ended_flows: ExpiringMap<()>,
+    /// Flows that ended with their backend server, and its last sequence number on them.
+    ended_flows: ExpiringMap<u32>,
     peers: Peers,
     searches: HashMap<FlowId, Pending>,
     batches: Batches,
@@ -352,7 +353,7 @@
             let to = open.path[usize::from(open.position)];
             return forward_to_next_holder(flow, to, forward, actions);
         }
-        if self.ended_flows.get(now, &flow).is_some() {
+        if self.has_ended(now, &flow, &segment) {
             return reset_ended(flow, &segment, actions);
         }
         if self.may_hold(now, &flow) {
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -43,6 +43,9 @@
     /// Sequence number of the backend server's content up to which the caller had
     /// received when it sent the pending request.
     received: u32,
+    /// Sequence number of the backend server that the caller last acknowledged, or with
+    /// which the server accepted the flow.
+    pub server_position: Option<u32>,
     has_caller_ended: bool,
     has_server_ended: bool,
 }
@@ -84,9 +87,9 @@
     Done,
 }
 
-/// Maximum distance in bytes between a backend server's initial sequence number
-/// and the caller's first acknowledgement of it. The initial sequence numbers
-/// of two servers are much further apart.
+/// Maximum distance in bytes between a sequence number of a backend server and the
+/// caller's acknowledgement of about that time. The initial sequence numbers of two
+/// servers are much further apart.
 const MAX_ACKNOWLEDGED_BYTES: u32 = 128 * 1024;
 
 impl Flow {
@@ -122,6 +125,7 @@
             requests: 0,
             position: None,
             received: 0,
+            server_position: None,
             has_caller_ended: false,
             has_server_ended: false,
         }
@@ -155,7 +159,9 @@
     /// Completes the handshake if the packet acknowledges this server.
     pub fn is_accepted_elsewhere(&mut self, segment: &Segment) -> bool {
         match self.handshake {
-            Handshake::Unseen | Handshake::Done => false,
+            Handshake::Unseen | Handshake::Done => {
+                segment.kind != Kind::Reset && !self.is_acknowledged_by(segment.acknowledged)
+            }
             Handshake::Sent => segment.kind != Kind::Reset,
             Handshake::Accepted(position) => {
                 let is_ours = segment.acknowledged.wrapping_sub(position) <= MAX_ACKNOWLEDGED_BYTES;
@@ -167,12 +173,19 @@
         }
     }
 
+    /// Returns false if a caller that acknowledges this position uses another flow from
+    /// the same port.
+    pub fn is_acknowledged_by(&self, acknowledged: u32) -> bool {
+        self.server_position
+            .is_none_or(|position| is_acknowledged(position, acknowledged))
+    }
+
     /// Returns true if the caller that acknowledges this position uses the flow at
     /// this backend server. False if the server has not accepted it, or the caller
     /// may have opened it at another server.
-    pub const fn is_used_here(&self, acknowledged: u32) -> bool {
+    pub fn is_used_here(&self, acknowledged: u32) -> bool {
         match self.handshake {
-            Handshake::Unseen | Handshake::Done => true,
+            Handshake::Unseen | Handshake::Done => self.is_acknowledged_by(acknowledged),
             Handshake::Accepted(position) => {
                 acknowledged.wrapping_sub(position) <= MAX_ACKNOWLEDGED_BYTES
             }
@@ -201,6 +214,9 @@
         occupancy: &mut Occupancy,
     ) -> Option<Progress> {
         self.last_used = now;
+        if segment.kind != Kind::Reset {
+            self.server_position = Some(segment.acknowledged);
+        }
         self.has_caller_ended |= matches!(segment.kind, Kind::Close | Kind::Reset);
         if segment.kind == Kind::Reset {
             let is_late = now >= self.request_started_at + self.request_timeout / 2;
@@ -267,6 +283,7 @@
         self.open = None;
         if segment.kind == Kind::Accept && self.handshake == Handshake::Sent {
             self.handshake = Handshake::Accepted(segment.sequence);
+            self.server_position = Some(segment.sequence);
         }
         self.has_server_ended |= matches!(segment.kind, Kind::Close | Kind::Reset);
         // A close may overtake the content before it.
@@ -347,6 +364,13 @@
     }
 }
 
+/// Returns true if a caller that acknowledges this uses the flow whose backend server
+/// was at `position` when it was last seen.
+pub const fn is_acknowledged(position: u32, acknowledged: u32) -> bool {
+    let advance = acknowledged.wrapping_sub(position);
+    advance <= MAX_ACKNOWLEDGED_BYTES || advance.wrapping_neg() <= MAX_ACKNOWLEDGED_BYTES
+}
+
 /// Returns true if one sequence number is after another; sequence numbers wrap
 /// around.
 const fn is_ahead(one: u32, other: u32) -> bool {
--- a/roles/forward/src/agent/lookup.rs
+++ b/roles/forward/src/agent/lookup.rs
@@ -19,6 +19,7 @@
 use super::Probe;
 use super::Refusal;
 use super::backend::Start;
+use super::flow;
 use crate::millis;
 
 /// Evidence that a backend server does not hold a flow.
@@ -41,6 +42,13 @@
             && self.ended_flows.get(now, flow).is_none()
     }
 
+    /// Returns true if a packet belongs to a flow that ended with its backend server. The
+    /// caller may have opened another one from the same port since.
+    pub(super) fn has_ended(&self, now: Duration, id: &FlowId, segment: &Segment) -> bool {
+        let ended = self.ended_flows.get(now, id);
+        ended.is_some_and(|position| flow::is_acknowledged(*position, segment.acknowledged))
+    }
+
     /// Handles a lookup for a searching agent. An agent that does not hold the
     /// flow stays silent, which saves a reply from each of many agents, unless
     /// its backend server is young enough for a denial to be conclusive.
@@ -101,7 +109,7 @@
             }
             return None;
         }
-        if self.ended_flows.get(now, &flow).is_some() {
+        if self.has_ended(now, &flow, &segment) {
             reset_ended(flow, &segment, actions);
             return None;
         }
--- a/roles/forward/src/agent/search.rs
+++ b/roles/forward/src/agent/search.rs
@@ -90,8 +90,9 @@
             packet: search.packet,
         };
         let is_held = self.flows.contains_key(&flow);
+        let has_ended = self.has_ended(now, &flow, &segment);
         let age = self.look_up_locally(now, lookup.clone(), segment, actions);
-        if is_held || self.ended_flows.get(now, &flow).is_some() {
+        if is_held || has_ended {
             self.searches.remove(&flow);
             return;
         }
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -238,11 +238,17 @@
             actions.push(Action::ServerEnded { flows: ended.len() });
         }
         for flow in ended {
-            let held = self.flows.remove(&flow);
-            if held.is_some_and(|held| held.slot.is_some()) {
+            let Some(held) = self.flows.remove(&flow) else {
+                continue;
+            };
+            if held.slot.is_some() {
                 self.occupancy.release(now);
             }
-            self.ended_flows.insert(now, flow, ());
+            match held.server_position {
+                Some(position) => self.ended_flows.insert(now, flow, position),
+                // The server has not accepted it.
+                None => self.flows_not_held.insert(now, flow, ()),
+            }
         }
         self.probes.clear();
     }
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -383,7 +383,8 @@
             }
             Phase::Held(holder) if holder.target == denial.target => {
                 let is_known = state.server_start.is_some() && denial.start.is_some();
-                if is_known && denial.start != state.server_start {
+                let is_same = state.progress.is_continued_by(denial.acknowledged);
+                if is_known && is_same && denial.start != state.server_start {
                     // The holder's backend server has restarted since it opened
                     // the flow.
                     self.flows.remove(&denial.flow);
--- a/roles/forward/src/entry/flow.rs
+++ b/roles/forward/src/entry/flow.rs
@@ -42,6 +42,15 @@
 }
 
 impl Progress {
+    /// Returns false if a caller that acknowledges this uses another flow from the same
+    /// port than the one whose packets were recorded.
+    pub fn is_continued_by(&self, acknowledged: u32) -> bool {
+        self.received.is_none_or(|received| {
+            let advance = acknowledged.wrapping_sub(received);
+            advance.min(advance.wrapping_neg()) <= MAX_ADVANCE
+        })
+    }
+
     /// Records a packet of the caller. Returns whether it begins a request, and the
     /// bytes that it carries or acknowledges for the first time.
     pub fn record(&mut self, segment: &Segment) -> (bool, u32) {
--- a/roles/forward/tests/denial.rs
+++ b/roles/forward/tests/denial.rs
@@ -11,6 +11,7 @@
 use forward::entry::Settings;
 use forward::routes::Share;
 use forward::routes::Table;
+use wire::Segment;
 use wire::ServiceAddress;
 use wire::Target;
 use wire::segment::Kind;
@@ -135,3 +136,21 @@
         "the other agent of the local zone should be asked"
     );
 }
+
+/// Guards against resets of a flow from a port that an earlier flow used: the earlier
+/// one's holder has restarted since and denies the later one, which another server holds.
+#[test]
+fn denial_of_a_later_flow_from_the_same_port_resets_nothing() {
+    let mut entry = entry_with(two_zones());
+    send(&mut entry, ms(1), Kind::Open);
+    report_holder(&mut entry, ms(2), 1);
+    let segment = Segment {
+        acknowledged: 900_000_000,
+        ..caller_segment(9, Kind::Data, 100)
+    };
+    let packet = packet();
+    handle(&mut entry, ms(3), Event::Packet { segment, packet });
+    let actions = report_not_held(&mut entry, ms(5_000), 1, SERVER_START + 1);
+    assert!(!resets(&actions));
+    assert!(!asked_to_search(&actions).is_empty(), "{actions:?}");
+}
