Soak: routes that move, and sidecars killed beside servers that have just started

Change: `move-route` moves the routes of a service, restarts half of the gateways and moves them back; `young-server` restarts a server, opens long flows, kills the sidecar while the server is young, lets the flows idle and restarts half of the gateways. All long flows of the service carry a request while these are away. Servers announce themselves at 0.7 to 1.1 of the interval. Both kinds are drawn apart, so that earlier seeds mean the same runs. Whether a request may run twice goes by its callers' service, as a moved route leads to servers of another.

--- a/tools/soak/src/caller.rs
+++ b/tools/soak/src/caller.rs
@@ -61,6 +61,11 @@
     /// Number of flows opened so far; selects the next port.
     ports_used: u32,
     next_task: TaskId,
+    /// Service of the callers of each task. A server of another one may run it after
+    /// its route was moved.
+    services: HashMap<TaskId, usize>,
+    /// Services whose callers send no requests, and until when.
+    paused: HashMap<usize, Duration>,
     is_stopped: bool,
 }
 
@@ -90,6 +95,14 @@
     is_long: bool,
 }
 
+impl Flow {
+    fn is_idle_long_flow_of(&self, service: usize) -> bool {
+        let stream = self.stream.as_ref();
+        let is_open = stream.is_some_and(|stream| !stream.is_closed_by_peer());
+        self.is_long && is_open && self.task.is_none() && self.service == service
+    }
+}
+
 impl Callers {
     /// Stops the arrival of new tasks and of long flows.
     pub const fn stop(&mut self) {
@@ -116,6 +129,60 @@
         }
     }
 
+    /// Sends no requests of new tasks of a service for some time; its long flows stay
+    /// open.
+    pub fn pause_callers(&mut self, service: usize, time: Duration) {
+        let until = self.now() + time;
+        self.callers.paused.insert(service, until);
+    }
+
+    /// Opens a long flow of a service with one request.
+    pub fn open_long_flow(&mut self, service: usize) {
+        let now = self.now();
+        let Some(route) = self.route_to(service) else {
+            return;
+        };
+        let task = self.new_task(now, service, route);
+        if let Some(id) = self.open(now, service, route, Some(task))
+            && let Some(flow) = self.callers.flows.get_mut(&id)
+        {
+            flow.is_long = true;
+        }
+    }
+
+    /// Sends a request on each idle long flow of a service.
+    pub fn use_long_flows(&mut self, service: usize) {
+        let now = self.now();
+        let flows = self.callers.flows.values();
+        let idle = flows.filter(|flow| flow.is_idle_long_flow_of(service));
+        for _ in 0..idle.count() {
+            if let Some(route) = self.route_to(service) {
+                let task = self.new_task(now, service, route);
+                self.dispatch(now, task);
+            }
+        }
+    }
+
+    fn new_task(&mut self, begun: Duration, service: usize, route: usize) -> Task {
+        self.callers.next_task += 1;
+        let id = self.callers.next_task;
+        self.callers.services.insert(id, service);
+        Task {
+            id,
+            service,
+            route,
+            attempt: 1,
+            begun,
+        }
+    }
+
+    /// Returns whether the callers of a task may repeat it after it has run.
+    #[must_use]
+    pub fn is_idempotent(&self, task: TaskId) -> bool {
+        let service = self.callers.services.get(&task);
+        service.is_some_and(|service| self.topology.services[*service].is_idempotent)
+    }
+
     /// Returns when a flow's first opening packet was sent, and to which
     /// gateway.
     #[must_use]
@@ -185,15 +252,10 @@
                 let gap = -(1.0 - self.random.f64()).ln() / f64::from(service.rate);
                 let last = self.callers.arrivals[number].max(now.saturating_sub(RETRY_PAUSE));
                 self.callers.arrivals[number] = last + Duration::from_secs_f64(gap);
-                if let Some(route) = self.route_to(number) {
-                    self.callers.next_task += 1;
-                    let task = Task {
-                        id: self.callers.next_task,
-                        service: number,
-                        route,
-                        attempt: 1,
-                        begun: now,
-                    };
+                let paused = self.callers.paused.get(&number);
+                let is_paused = paused.is_some_and(|until| now < *until);
+                if let Some(route) = self.route_to(number).filter(|_| !is_paused) {
+                    let task = self.new_task(now, number, route);
                     self.dispatch(now, task);
                 }
             }
@@ -229,10 +291,8 @@
     /// Sends a task's request on the long flow that has been idle longest, or
     /// opens a flow for it.
     fn dispatch(&mut self, now: Duration, task: Task) {
-        let idle = self.callers.flows.iter().filter(|(_, flow)| {
-            let is_open = flow.stream.as_ref().is_some_and(|s| !s.is_closed_by_peer());
-            flow.is_long && is_open && flow.task.is_none() && flow.service == task.service
-        });
+        let flows = self.callers.flows.iter();
+        let idle = flows.filter(|(_, flow)| flow.is_idle_long_flow_of(task.service));
         let longest = idle.min_by_key(|(_, flow)| flow.last_request);
         let idle = longest.map(|(id, _)| *id);
         match idle {
@@ -243,7 +303,9 @@
                 }
                 self.write_request(now, &id);
             }
-            None => self.open(now, task.service, task.route, Some(task)),
+            None => {
+                self.open(now, task.service, task.route, Some(task));
+            }
         }
     }
 
@@ -261,11 +323,16 @@
         })
     }
 
-    fn open(&mut self, now: Duration, service: usize, route: usize, task: Option<Task>) {
+    /// Opens a flow and returns it; `None` if the caller uses all ports.
+    fn open(
+        &mut self,
+        now: Duration,
+        service: usize,
+        route: usize,
+        task: Option<Task>,
+    ) -> Option<FlowId> {
         let caller = self.random.usize(..self.sockets.callers.len());
-        let Some(id) = self.next_flow(caller, route) else {
-            return;
-        };
+        let id = self.next_flow(caller, route)?;
         let flow = Flow {
             service,
             initial_sequence: self.random.u32(..),
@@ -282,6 +349,7 @@
         let gateway = self.gateway_of(&id, caller);
         self.callers.openings.insert(id, (now, gateway));
         self.send_opening(&id, 0);
+        Some(id)
     }
 
     fn flow_tick(&mut self, now: Duration, id: FlowId) {
--- a/tools/soak/src/injector.rs
+++ b/tools/soak/src/injector.rs
@@ -1,4 +1,5 @@
 //! Injects disturbances into a run.
+mod series;
 mod store;
 
 use std::io;
@@ -133,6 +134,8 @@
                 evacuation::inject(&self.harness, duration).await;
                 Ok(())
             }
+            Kind::MoveRoute => self.move_route(duration).await,
+            Kind::YoungServer => self.restart_beside_young_server().await,
         }
     }
 
--- a/tools/soak/src/lifecycle.rs
+++ b/tools/soak/src/lifecycle.rs
@@ -26,7 +26,12 @@
 /// Pause between two attempts to get an acknowledgement.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Starts a backend server, which announces itself every heartbeat until it
+/// Shortest pause between two announcements, relative to the heartbeat, and the range of
+/// the pauses.
+const MIN_HEARTBEAT: f64 = 0.7;
+const HEARTBEAT_SPREAD: f64 = 0.4;
+
+/// Starts a backend server, which announces itself about every heartbeat until it
 /// ends.
 pub fn start(harness: &Shared, executor: &LocalExecutor<'static>, number: usize) {
     let start = {
@@ -58,7 +63,8 @@
             let heartbeat = harness.borrow().topology.limits.bounds.heartbeat;
             while is_running(&harness, number, start) {
                 announce(&harness, number).await;
-                Timer::after(heartbeat).await;
+                let pause = MIN_HEARTBEAT + fastrand::f64() * HEARTBEAT_SPREAD;
+                Timer::after(heartbeat.mul_f64(pause)).await;
             }
         })
         .detach();
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -18,11 +18,16 @@
 /// Range of the duration of a disturbance, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 300..6_000;
 
-/// Number of kinds among which the main sequence of a seed draws. Later kinds are
-/// drawn apart, so that the seeds of earlier failures still mean the same runs.
+/// Number of kinds among which the main sequence of a seed draws.
 const MAIN_KINDS: usize = 31;
 
-/// Probability that a run has a disturbance of one of the later kinds.
+/// Ends of the groups of later kinds, each with the bits by which its sequence rotates
+/// the seed. They are drawn apart, so that the seeds of earlier failures still mean the
+/// same runs.
+const LATER_KINDS: [(usize, u32); 2] = [(33, 32), (35, 16)];
+
+/// Probability that a run has a disturbance, or a further one, of a group of later
+/// kinds.
 const LATER_KIND_SHARE: f64 = 0.4;
 
 /// A disturbance of a run.
@@ -102,6 +107,8 @@
     StoreSilences "store-silences" "the open connections of some hosts to the store stall for good"
     StoreRestored "store-restored" "the store is away and comes back from an older copy"
     Evacuate "evacuate" "a zone is evacuated for longer than the bound, and restored"
+    MoveRoute "move-route" "a route with traffic is moved to another service, half of the gateways are restarted once that is in force, and the route is moved back"
+    YoungServer "young-server" "a backend server restarts, its sidecar is killed soon after, and half of the gateways are restarted once the host is undisturbed"
 }
 
 /// Error of parsing a disturbance.
@@ -154,13 +161,17 @@
             duration: Duration::from_millis(random.u64(DURATION_MS)),
         });
     }
-    let random = &mut Rng::with_seed(seed.rotate_left(32));
-    while random.f64() < LATER_KIND_SHARE {
-        disturbances.push(Disturbance {
-            at: within.mul_f64(random.f64()),
-            kind: Kind::ALL[random.usize(MAIN_KINDS..Kind::ALL.len())],
-            duration: Duration::from_millis(random.u64(DURATION_MS)),
-        });
+    let mut first = MAIN_KINDS;
+    for (end, rotation) in LATER_KINDS {
+        let random = &mut Rng::with_seed(seed.rotate_left(rotation));
+        while random.f64() < LATER_KIND_SHARE {
+            disturbances.push(Disturbance {
+                at: within.mul_f64(random.f64()),
+                kind: Kind::ALL[random.usize(first..end)],
+                duration: Duration::from_millis(random.u64(DURATION_MS)),
+            });
+        }
+        first = end;
     }
     disturbances.sort_by_key(|disturbance| disturbance.at);
     disturbances
--- a/tools/soak/src/server.rs
+++ b/tools/soak/src/server.rs
@@ -271,13 +271,16 @@
             }
         }
         instance.running.retain(|(end, ..)| *end > now);
+        let mut started = Vec::new();
         while instance.running.len() < server.slots
             && let Some((flow, request)) = instance.waiting.pop_front()
         {
+            started.push((request.task, request.attempt));
             instance.running.push((now + server.work, flow, request));
-            let is_idempotent = self.topology.services[server.service].is_idempotent;
-            self.checker
-                .record_run(now, request.task, request.attempt, is_idempotent);
+        }
+        for (task, attempt) in started {
+            let is_idempotent = self.is_idempotent(task);
+            self.checker.record_run(now, task, attempt, is_idempotent);
         }
     }
 
--- a/tools/soak/tests/short.rs
+++ b/tools/soak/tests/short.rs
@@ -11,6 +11,7 @@
 use soak::plan::Kind;
 use soak::run;
 use soak::run::Plan;
+use soak::topology::Service;
 use soak::topology::Topology;
 
 type Result = std::result::Result<(), Box<dyn Error>>;
@@ -124,3 +125,51 @@
     });
     assert_none_with(4, topology, disturbances.collect())
 }
+
+/// Returns a deployment of three gateways and two services, whose callers keep many long
+/// flows.
+fn with_long_flows() -> Topology {
+    let mut topology = Topology::draw(2, SERVERS);
+    topology.zones = 1;
+    topology.gateways = 3;
+    topology.services.truncate(1);
+    let first = &mut topology.services[0];
+    first.servers = 3;
+    first.slots = 4;
+    first.work = Duration::from_millis(10);
+    first.rate = 60;
+    first.is_idempotent = false;
+    first.long_flows = 90;
+    first.lengths = (0, 1_000);
+    first.deadline = Duration::from_secs(3);
+    let second = Service {
+        name: "service-1".into(),
+        ..first.clone()
+    };
+    topology.services.push(second);
+    topology
+}
+
+/// Guards against resets of live flows by gateways that search for them only where their
+/// route points now.
+#[test]
+fn moved_routes_break_no_open_flow() -> Result {
+    let disturbances = [1, 9].map(|at| Disturbance {
+        at: Duration::from_secs(at),
+        kind: Kind::MoveRoute,
+        duration: Duration::from_secs(2),
+    });
+    assert_none_with(5, with_long_flows(), disturbances.into())
+}
+
+/// Guards against resets of live flows because a restarted sidecar denies the flows that
+/// its predecessor admitted to a server which had just started.
+#[test]
+fn restarts_beside_young_servers_break_no_open_flow() -> Result {
+    let disturbances = [1, 10].map(|at| Disturbance {
+        at: Duration::from_secs(at),
+        kind: Kind::YoungServer,
+        duration: Duration::from_secs(1),
+    });
+    assert_none_with(6, with_long_flows(), disturbances.into())
+}
