Gateways: search other services without probes

Cause: a search for a flow at services that its route is not known to have named allowed probes there.

Change: single searches, which probe, go to the services that the route is known to have named; the others are asked in batches only. A flow that an agent there cannot tell about stays undecided: its packets are dropped until its caller gives up, or its server sends.

Tests: forward moved_routes, undecided, search, proof, batch_agent pass.

--- a/roles/forward/src/entry/batch.rs
+++ b/roles/forward/src/entry/batch.rs
@@ -138,14 +138,8 @@
     /// Returns true if a known agent has not answered a batch lately: it has failed, or
     /// is of an earlier version, which may hold flows that only a search for each of
     /// them finds.
-    pub(super) fn has_silent_agent(
-        &self,
-        now: Duration,
-        address: SocketAddrV4,
-        is_widened: bool,
-    ) -> bool {
-        let candidates = self.routes.candidates(now, address);
-        let services = candidates.select(is_widened);
+    pub(super) fn has_silent_agent(&self, now: Duration, address: SocketAddrV4) -> bool {
+        let services = self.routes.candidates(now, address).named;
         let peer_views = &self.undecided.peer_views;
         let mut targets = self.routes.targets_of_all(&services);
         targets.any(|target| {
--- a/roles/forward/src/entry/search.rs
+++ b/roles/forward/src/entry/search.rs
@@ -62,7 +62,7 @@
         self.store_flow(now, flow, Phase::Searching(searching));
     }
 
-    /// Asks one agent of each service that may hold the flow to search, with probes if
+    /// Asks one agent of each service that the route is known to have named, with probes if
     /// `may_probe` and all agents are known.
     pub(super) fn send_search(
         &mut self,
@@ -73,8 +73,8 @@
         searching: &mut flow::Searching,
         actions: &mut Vec<Action>,
     ) {
-        let candidates = routes.candidates(now, flow.service);
-        let services = candidates.select(searching.is_widened);
+        // Others are asked in batches only: a probe there breaks a flow that is held here.
+        let services = routes.candidates(now, flow.service).named;
         searching.rounds += 1;
         let mut terms = self.search_terms(now, &services);
         terms.may_probe &= may_probe;
--- a/roles/forward/src/entry/undecided.rs
+++ b/roles/forward/src/entry/undecided.rs
@@ -192,11 +192,6 @@
         }
     }
 
-    fn is_widened(&mut self, flow: &FlowId) -> bool {
-        let searching = self.searching_mut(flow);
-        searching.is_some_and(|searching| searching.is_widened)
-    }
-
     /// Forgets a flow unless it has been decided.
     pub(super) fn drop_undecided(&mut self, flow: &FlowId) {
         if let Some(searching) = self.searching_mut(flow) {
@@ -245,10 +240,9 @@
             if is_widened || !is_due {
                 continue;
             }
-            let group = (flow.service, self.is_widened(&flow));
             let has_silent_agent = silent
-                .entry(group)
-                .or_insert_with(|| self.has_silent_agent(now, group.0, group.1));
+                .entry(flow.service)
+                .or_insert_with(|| self.has_silent_agent(now, flow.service));
             if *has_silent_agent && knows_all_agents {
                 self.undecided.uncertain.insert(flow);
             }
@@ -290,7 +284,7 @@
                 // may be of an earlier version, though, and need the probe to tell.
                 let may_probe = searching.rounds > 0
                     || !self.undecided.has_answers
-                    || !self.has_silent_agent(now, flow.service, searching.is_widened);
+                    || !self.has_silent_agent(now, flow.service);
                 searching.asked_at = now;
                 searching.rounds = search::MAX_ROUNDS - 1;
                 self.send_search(&routes, now, flow, may_probe, &mut searching, actions);
