review: a gateway resets open flows once another target restarts

A sidecar that stood still for 0.8 s handles outdated copies of opening packets and names itself as the holder of flows that are open elsewhere. When its target then crashes and is back, the gateway resets these flows.

--- a/review/standin-2/platform/main.rs
+++ b/review/standin-2/platform/main.rs
@@ -7,6 +7,7 @@
 mod packet;
 mod proxy;
 mod small;
+mod stale;
 mod store;
 mod system;
 mod target;
@@ -26,6 +27,7 @@
     util::record(format!("case {case}, with the disruption: {trouble}"));
     let result = match case.as_str() {
         "late" => late::run(trouble),
+        "stale" => stale::run(trouble),
         _ => Err("unknown case".to_owned()),
     };
     let (text, code) = match result {
--- a/review/standin-2/platform/small.rs
+++ b/review/standin-2/platform/small.rs
@@ -20,8 +20,6 @@
 use crate::util::sleep_ms;
 
 pub const SERVICE: &str = "advice-desk-x";
-pub const HEARTBEAT_MS: u64 = 1_200;
-
 pub struct Small {
     pub net: Net,
     pub store: Store,
@@ -37,7 +35,7 @@
 impl Small {
     /// Starts the store, `fronts` gateways and `sides` sidecars, and waits until the
     /// gateways are in rotation.
-    pub fn start(fronts: u8, sides: u8) -> Result<Self, String> {
+    pub fn start(fronts: u8, sides: u8, heartbeat_ms: u64) -> Result<Self, String> {
         let net = Net::find();
         let store = Store::start(net.store).map_err(|error| error.to_string())?;
         let route = SocketAddrV4::new(net.host(200), 8443);
@@ -61,7 +59,7 @@
             seeds: front_machines.iter().map(|machine| machine.number).take(3).collect(),
             folder,
             bounds: vec![("grace_s", "6"), ("reuse_after_s", "2"), ("max_flow_s", "60")],
-            heartbeat_ms: HEARTBEAT_MS,
+            heartbeat_ms,
         };
         let start = |machines: &[Machine]| machines.iter().map(|machine| deployment.start(machine, true)).collect();
         let gateways: Vec<Process> = start(&front_machines);
@@ -103,7 +101,7 @@
             app: net.at(machine.number, net.app),
             outbound: net.at(machine.number, net.outbound),
             control: net.at(machine.number, net.control),
-            heartbeat: Duration::from_millis(HEARTBEAT_MS),
+            heartbeat: Duration::from_millis(self.deployment.heartbeat_ms),
             work: Duration::from_millis(15),
         }
     }
