review: an old copy of an opening packet makes a restarted sidecar deny open flows

One sidecar stands still, another is killed and started again meanwhile. The first one wakes and passes 3 s old copies of opening packets on to the second, which admits them as new flows and then denies the flows that its target holds; the gateway resets them.

--- a/review/standin-2/platform/main.rs
+++ b/review/standin-2/platform/main.rs
@@ -2,6 +2,7 @@
 //! review: `standin CASE RECORD`, with `TROUBLE=0` without the disruption. Exits with 1 if
 //! the rule was broken, 0 if it held, and 2 if the case could not run.
 mod client;
+mod copy;
 mod http;
 mod late;
 mod packet;
@@ -27,6 +28,7 @@
     util::record(format!("case {case}, with the disruption: {trouble}"));
     let result = match case.as_str() {
         "late" => late::run(trouble),
+        "copy" => copy::run(trouble),
         "stale" => stale::run(trouble),
         _ => Err("unknown case".to_owned()),
     };
--- a/review/standin-2/platform/target.rs
+++ b/review/standin-2/platform/target.rs
@@ -258,6 +258,10 @@
                     has_ended: false,
                 }
             });
+            if flow.is_open {
+                // An old copy: its `seq` is before what was received (RFC 793, 3.9).
+                return self.send(&reply(ACK, flow.next, flow.received, Vec::new()));
+            }
             return self.send(&reply(SYN | ACK, flow.first, flow.received, Vec::new()));
         }
         let Some(flow) = flows.get_mut(&key) else {
