review: a clock that was ahead at a target's start ends its open flows

A target that is cut from its control address crashes and starts again with a clock 2 s ahead. Once a heartbeat arrives, the sidecar takes the flows that the new incarnation has accepted for those of the former one and resets them.

--- a/review/standin-2/platform/main.rs
+++ b/review/standin-2/platform/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the operators' platform, its targets and clients, for the cases of a
 //! review: `standin CASE RECORD`, with `TROUBLE=0` without the disruption. Exits with 1 if
 //! the rule was broken, 0 if it held, and 2 if the case could not run.
+mod age;
 mod client;
 mod copy;
 mod http;
@@ -28,6 +29,7 @@
     util::record(format!("case {case}, with the disruption: {trouble}"));
     let result = match case.as_str() {
         "late" => late::run(trouble),
+        "age" => age::run(trouble),
         "copy" => copy::run(trouble),
         "stale" => stale::run(trouble),
         _ => Err("unknown case".to_owned()),
--- a/review/standin-2/platform/small.rs
+++ b/review/standin-2/platform/small.rs
@@ -103,6 +103,7 @@
             control: net.at(machine.number, net.control),
             heartbeat: Duration::from_millis(self.deployment.heartbeat_ms),
             work: Duration::from_millis(15),
+            clock_ahead: Duration::ZERO,
         }
     }
 
--- a/review/standin-2/platform/target.rs
+++ b/review/standin-2/platform/target.rs
@@ -37,6 +37,8 @@
     pub control: SocketAddr,
     pub heartbeat: Duration,
     pub work: Duration,
+    /// Time by which the machine's time of day is ahead at the target's start.
+    pub clock_ahead: Duration,
 }
 
 /// One incarnation of a target.
@@ -88,7 +90,7 @@
         socket.set_read_timeout(Some(Duration::from_millis(20)))?;
         let listener = TcpListener::bind(place.app)?;
         listener.set_nonblocking(true)?;
-        let born = unix_millis();
+        let born = unix_millis() + place.clock_ahead.as_millis() as u64;
         record(format!("target {}: starts at {}, born {born}", place.id, place.app));
         let shared = Arc::new(Shared {
             place: place.clone(),
@@ -138,6 +140,17 @@
         self.shared.acknowledged.load(Ordering::SeqCst) > 0
     }
 
+    /// Waits until the next heartbeat has been acknowledged.
+    pub fn wait_for_heartbeat(&self) {
+        let before = self.shared.acknowledged.load(Ordering::SeqCst);
+        for _ in 0..500 {
+            if self.shared.acknowledged.load(Ordering::SeqCst) > before {
+                return;
+            }
+            sleep_ms(10);
+        }
+    }
+
     /// Says that it is draining; returns true if that was acknowledged.
     pub fn drain(&self) -> bool {
         self.shared.is_draining.store(true, Ordering::SeqCst);
