--- a/review/standin-2/platform/http.rs
+++ b/review/standin-2/platform/http.rs
@@ -80,9 +80,22 @@
     path: &str,
     body: &str,
     timeout: Duration,
+) -> Option<u16> {
+    call_after(to, method, path, body, timeout, || {})
+}
+
+/// Makes one call, and `connected` between the connection and the request.
+pub fn call_after(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    timeout: Duration,
+    connected: impl FnOnce(),
 ) -> Option<u16> {
     let mut stream = TcpStream::connect_timeout(&to, timeout).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
+    connected();
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
         body.len()
--- a/review/standin-2/platform/late.rs
+++ b/review/standin-2/platform/late.rs
@@ -39,10 +39,11 @@
     }
     sleep_ms(3_300);
     let cut_at = Instant::now();
-    if trouble {
-        path.cut();
-    }
-    first.deregister(Duration::from_secs(1));
+    first.deregister(Duration::from_secs(1), || {
+        if trouble {
+            path.cut();
+        }
+    });
     if trouble {
         sleep_ms(1_500);
     }
--- a/review/standin-2/platform/target.rs
+++ b/review/standin-2/platform/target.rs
@@ -157,14 +157,15 @@
         self.shared.announce()
     }
 
-    /// Deregisters; returns the status of the answer, if there is one in time.
-    pub fn deregister(&self, timeout: Duration) -> Option<u16> {
+    /// Deregisters; returns the status of the answer, if there is one in time. Calls
+    /// `connected` between the connection and the request.
+    pub fn deregister(&self, timeout: Duration, connected: impl FnOnce()) -> Option<u16> {
         let place = &self.shared.place;
         let sequence = self.shared.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let body = self.shared.body("draining", sequence);
         let path = format!("/Instances.Deregister/{}", place.id);
         record(format!("target {}: sends Deregister (born {}, sequence {sequence})", place.id, self.born));
-        let status = http::call(place.control, "POST", &path, &body, timeout);
+        let status = http::call_after(place.control, "POST", &path, &body, timeout, connected);
         record(format!("target {}: Deregister answered with {status:?}", place.id));
         status
     }
