review: processes do not start once a bound in milliseconds is a fraction

The settings may state bounds as fractions; evacuate_ms as 4500.5 (or 5000.0) ends each gateway and sidecar at its next start, as often as the platform starts it.

--- a/review/standin-2/platform/main.rs
+++ b/review/standin-2/platform/main.rs
@@ -4,6 +4,7 @@
 mod age;
 mod client;
 mod copy;
+mod fraction;
 mod http;
 mod late;
 mod packet;
@@ -28,6 +29,7 @@
     }
     util::record(format!("case {case}, with the disruption: {trouble}"));
     let result = match case.as_str() {
+        "fraction" => fraction::run(trouble),
         "late" => late::run(trouble),
         "age" => age::run(trouble),
         "copy" => copy::run(trouble),
--- a/review/standin-2/platform/small.rs
+++ b/review/standin-2/platform/small.rs
@@ -36,6 +36,16 @@
     /// Starts the store, `fronts` gateways and `sides` sidecars, and waits until the
     /// gateways are in rotation.
     pub fn start(fronts: u8, sides: u8, heartbeat_ms: u64) -> Result<Self, String> {
+        Self::start_with(fronts, sides, heartbeat_ms, &[])
+    }
+
+    /// Starts it with further bounds in the settings.
+    pub fn start_with(
+        fronts: u8,
+        sides: u8,
+        heartbeat_ms: u64,
+        bounds: &[(&'static str, &'static str)],
+    ) -> Result<Self, String> {
         let net = Net::find();
         let store = Store::start(net.store).map_err(|error| error.to_string())?;
         let route = SocketAddrV4::new(net.host(200), 8443);
@@ -58,7 +68,7 @@
             zones,
             seeds: front_machines.iter().map(|machine| machine.number).take(3).collect(),
             folder,
-            bounds: vec![("grace_s", "6"), ("reuse_after_s", "2"), ("max_flow_s", "60")],
+            bounds: [("grace_s", "6"), ("reuse_after_s", "2"), ("max_flow_s", "60")].into_iter().chain(bounds.iter().copied()).collect(),
             heartbeat_ms,
         };
         let start = |machines: &[Machine]| machines.iter().map(|machine| deployment.start(machine, true)).collect();
--- a/review/standin-2/platform/system.rs
+++ b/review/standin-2/platform/system.rs
@@ -139,13 +139,15 @@
     }
 }
 
+fn role_of(machine: &Machine) -> Role {
+    role(if machine.service.is_some() { "sidecar" } else { "gateway" })
+}
+
 impl Deployment {
     /// Starts the process of a machine.
     pub fn start(&self, machine: &Machine, is_first: bool) -> Process {
-        let role = role(if machine.service.is_some() { "sidecar" } else { "gateway" });
-        let path = self.folder.join(format!("{}.json", machine.name));
-        let template = fs::read_to_string(&role.template).expect("the template");
-        fs::write(&path, render(&template, &self.fields(machine, is_first))).expect("the settings");
+        let role = role_of(machine);
+        let path = self.write_settings(machine, is_first);
         let log = self.folder.join(format!("{}.log", machine.name));
         let log = File::options().create(true).append(true).open(log).expect("the log");
         let mut command = Command::new(&role.run[0]);
@@ -164,6 +166,21 @@
         Process { machine: machine.clone(), child }
     }
 
+    /// Places the settings file of a machine; returns its path.
+    pub fn write_settings(&self, machine: &Machine, is_first: bool) -> PathBuf {
+        let path = self.folder.join(format!("{}.json", machine.name));
+        let template = fs::read_to_string(role_of(machine).template).expect("the template");
+        fs::write(&path, render(&template, &self.fields(machine, is_first))).expect("the settings");
+        path
+    }
+
+    /// Returns the last line that the process of a machine has written.
+    pub fn last_line(&self, machine: &Machine) -> String {
+        let log = self.folder.join(format!("{}.log", machine.name));
+        let text = fs::read_to_string(log).unwrap_or_default();
+        text.trim_end().lines().last().unwrap_or_default().to_owned()
+    }
+
     fn fields(&self, machine: &Machine, is_first: bool) -> BTreeMap<String, String> {
         let text = |text: &dyn std::fmt::Display| format!("\"{text}\"");
         let net = &self.net;
