--- a/review/standin-2/platform/age.rs
+++ b/review/standin-2/platform/age.rs
@@ -24,7 +24,7 @@
 const CALM_MS: u64 = 5_500;
 
 pub fn run(trouble: bool) -> Result<bool, String> {
-    let mut small = Small::start(1, 2, 770)?;
+    let mut small = Small::start(1, 2, 8, 770)?;
     let net = small.net.clone();
     let before = net.at(small.sides[0].number, net.control + 5);
     let control = net.at(small.sides[0].number, net.control);
--- a/review/standin-2/platform/copy.rs
+++ b/review/standin-2/platform/copy.rs
@@ -3,6 +3,7 @@
 //! holds, and the gateway resets it.
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::client::Failure;
 use crate::client::Flow;
@@ -17,13 +18,14 @@
 /// Number of clients' flows that are opened while the sidecar is frozen.
 const FLOWS: usize = 24;
 
-const FREEZE_MS: u64 = 3_000;
+/// Length of the freeze. Longer than the time after which a silent target gets no new flows.
+const FREEZE_MS: u64 = 3_200;
 
 /// Time after which a killed process is started again.
 const RESTART_MS: u64 = 700;
 
 pub fn run(trouble: bool) -> Result<bool, String> {
-    let mut small = Small::start(1, 2, 1_200)?;
+    let mut small = Small::start(1, 2, 8, 1_200)?;
     let first = small.start_target(small.place(0))?;
     let second = small.start_target(small.place(1))?;
     let host = small.client(101)?;
@@ -31,6 +33,7 @@
     record("quiet for 20 s");
     sleep_ms(20_000);
 
+    let frozen_at = Instant::now();
     if trouble {
         small.sidecars[1].signal(SIGSTOP);
     }
@@ -58,7 +61,7 @@
         small.sidecars.remove(0).kill();
         sleep_ms(RESTART_MS);
         small.sidecars.insert(0, small.deployment.start(&machine, false));
-        sleep_ms(FREEZE_MS - 500 - RESTART_MS);
+        thread::sleep(Duration::from_millis(FREEZE_MS).saturating_sub(frozen_at.elapsed()));
         small.sidecars[1].signal(SIGCONT);
     } else {
         sleep_ms(FREEZE_MS);
--- a/review/standin-2/platform/fraction.rs
+++ b/review/standin-2/platform/fraction.rs
@@ -17,7 +17,7 @@
 const ENDS: u32 = 3;
 
 pub fn run(trouble: bool) -> Result<bool, String> {
-    let mut small = Small::start_with(3, 4, 770, &[("evacuate_ms", "5000")])?;
+    let mut small = Small::start_with(3, 4, 0, 770, &[("evacuate_ms", "5000")])?;
     let mut targets = Vec::new();
     for side in 0..4 {
         targets.push(small.start_target(small.place(side))?);
--- a/review/standin-2/platform/late.rs
+++ b/review/standin-2/platform/late.rs
@@ -20,7 +20,7 @@
 const CUT_MS: u64 = 4_500;
 
 pub fn run(trouble: bool) -> Result<bool, String> {
-    let mut small = Small::start(2, 2, 1_200)?;
+    let mut small = Small::start(2, 2, 8, 1_200)?;
     let net = small.net.clone();
     // The path of the first target to its machine's control address.
     let before = net.at(small.sides[0].number, net.control + 5);
--- a/review/standin-2/platform/small.rs
+++ b/review/standin-2/platform/small.rs
@@ -20,6 +20,9 @@
 use crate::util::sleep_ms;
 
 pub const SERVICE: &str = "advice-desk-x";
+
+/// Service that gets no traffic in the cases.
+pub const OTHER: &str = "log-intake-x";
 pub struct Small {
     pub net: Net,
     pub store: Store,
@@ -30,26 +33,31 @@
     pub sidecars: Vec<Process>,
     pub routers: Routers,
     pub route: SocketAddrV4,
+    /// Targets of the other service.
+    pub others: Vec<Target>,
 }
 
 impl Small {
     /// Starts the store, `fronts` gateways and `sides` sidecars, and waits until the
     /// gateways are in rotation.
-    pub fn start(fronts: u8, sides: u8, heartbeat_ms: u64) -> Result<Self, String> {
-        Self::start_with(fronts, sides, heartbeat_ms, &[])
+    /// Beside them run `others` sidecars with targets of another service.
+    pub fn start(fronts: u8, sides: u8, others: u8, heartbeat_ms: u64) -> Result<Self, String> {
+        Self::start_with(fronts, sides, others, heartbeat_ms, &[])
     }
 
     /// Starts it with further bounds in the settings.
     pub fn start_with(
         fronts: u8,
         sides: u8,
+        others: u8,
         heartbeat_ms: u64,
         bounds: &[(&'static str, &'static str)],
     ) -> Result<Self, String> {
         let net = Net::find();
         let store = Store::start(net.store).map_err(|error| error.to_string())?;
         let route = SocketAddrV4::new(net.host(200), 8443);
-        store.put("op/config", &config(7, &[route]));
+        let other = SocketAddrV4::new(net.host(201), 8443);
+        store.put("op/config", &config(7, &[(route, SERVICE), (other, OTHER)]));
         let folder = std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), random() % 100_000));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let zones: Vec<(String, String)> =
@@ -62,7 +70,9 @@
             service: service.map(str::to_owned),
         };
         let front_machines: Vec<Machine> = (0..fronts).map(|number| machine("front", number, 11, None)).collect();
-        let side_machines: Vec<Machine> = (0..sides).map(|number| machine("side", number, 31, Some(SERVICE))).collect();
+        let service = |number: u8| if number < sides { SERVICE } else { OTHER };
+        let side_machines: Vec<Machine> =
+            (0..sides + others).map(|number| machine("side", number, 31, Some(service(number)))).collect();
         let deployment = Deployment {
             net: net.clone(),
             zones,
@@ -81,7 +91,7 @@
             is_in: false.into(),
         });
         let routers = Routers::start(members.collect());
-        let small = Self {
+        let mut small = Self {
             net,
             store,
             deployment,
@@ -91,9 +101,14 @@
             sidecars,
             routers,
             route,
+            others: Vec::new(),
         };
         for _ in 0..1_000 {
             if small.routers.all_in() {
+                for side in sides..sides + others {
+                    let target = small.start_target(small.place(usize::from(side)))?;
+                    small.others.push(target);
+                }
                 return Ok(small);
             }
             sleep_ms(10);
@@ -154,18 +169,22 @@
     }
 }
 
-/// Returns a configuration of routes to the service.
-pub fn config(version: u64, routes: &[SocketAddrV4]) -> String {
-    let rows: Vec<String> = routes.iter().enumerate().map(|(number, route)| {
+/// Returns a configuration of routes, each with its service.
+pub fn config(version: u64, routes: &[(SocketAddrV4, &str)]) -> String {
+    let rows: Vec<String> = routes.iter().enumerate().map(|(number, (route, service))| {
         format!(
-            "{{\"name\":\"r-{number}\",\"hostname\":\"{}\",\"prefix\":\"/{}/\",\"type\":\"safe\",\"timeout_ms\":1000,\"target_latency_ms\":100,\"priority\":2,\"service\":\"{SERVICE}\",\"max_attempts\":2}}",
+            "{{\"name\":\"r-{number}\",\"hostname\":\"{}\",\"prefix\":\"/{}/\",\"type\":\"safe\",\"timeout_ms\":1000,\"target_latency_ms\":100,\"priority\":2,\"service\":\"{service}\",\"max_attempts\":2}}",
             route.ip(),
             route.port()
         )
     }).collect();
+    let services: Vec<String> = routes.iter().map(|(_, service)| {
+        format!("{{\"name\":\"{service}\",\"health_path\":\"/health\",\"max_connections\":2000,\"protocol\":\"h1\",\"tls\":false}}")
+    }).collect();
     format!(
-        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"{SERVICE}\",\"health_path\":\"/health\",\"max_connections\":2000,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
-        rows.join(",")
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
+        rows.join(","),
+        services.join(",")
     )
 }
 
--- a/review/standin-2/platform/stale.rs
+++ b/review/standin-2/platform/stale.rs
@@ -15,7 +15,7 @@
 use crate::util::sleep_ms;
 
 /// Number of clients' flows that are opened while the sidecar is frozen.
-const FLOWS: usize = 24;
+const FLOWS: usize = 96;
 
 const FREEZE_MS: u64 = 800;
 
@@ -23,18 +23,23 @@
 const DOWN_MS: u64 = 1_400;
 
 pub fn run(trouble: bool) -> Result<bool, String> {
-    let mut small = Small::start(1, 2, 770)?;
-    let calm = small.start_target(small.place(0))?;
-    let place = small.place(1);
+    let mut small = Small::start(1, 8, 2, 770)?;
+    let place = small.place(0);
     let other = small.start_target(place.clone())?;
+    let mut calm = Vec::new();
+    for side in 1..8 {
+        calm.push(small.start_target(small.place(side))?);
+    }
+    let mut ids: Vec<&str> = calm.iter().map(|target| target.place.id.as_str()).collect();
+    ids.push(&place.id);
     let host = small.client(101)?;
-    serve_all(&host, small.route, &[&calm.place.id, &other.place.id])?;
-    record(format!("{} is calm throughout; {} is the other target", calm.place.id, other.place.id));
-    // The machines of the calm target and the gateway are in touch.
+    serve_all(&host, small.route, &ids)?;
+    record(format!("{} is the target that will crash; the others are calm throughout", place.id));
+    // The machines of the calm targets and the gateway are in touch.
     sleep_ms(5_000);
 
     if trouble {
-        small.sidecars[1].signal(SIGSTOP);
+        small.sidecars[0].signal(SIGSTOP);
     }
     let opening: Vec<_> = (0..FLOWS)
         .map(|number| {
@@ -48,20 +53,22 @@
         .collect();
     if trouble {
         sleep_ms(FREEZE_MS);
-        small.sidecars[1].signal(SIGCONT);
+        small.sidecars[0].signal(SIGCONT);
     }
-    let mut flows: Vec<Flow> = Vec::new();
+    let mut flows: Vec<(Flow, usize)> = Vec::new();
     for thread in opening {
         match thread.join().map_err(|_| "a client failed")? {
-            Ok((flow, signature)) if signature.starts_with(&calm.place.id) => flows.push(flow),
-            Ok((flow, _)) => flow.close(),
+            Ok((flow, signature)) => match calm.iter().position(|target| signature.starts_with(&target.place.id)) {
+                Some(holder) => flows.push((flow, holder)),
+                None => flow.close(),
+            },
             Err(failure) => record(format!("client: a flow was not served: {failure:?}")),
         }
     }
-    record(format!("{} flows are open at {}", flows.len(), calm.place.id));
+    record(format!("{} flows are open at calm targets", flows.len()));
     sleep_ms(500);
     let other = if trouble {
-        record("the other target crashes");
+        record("the target crashes");
         other.end();
         sleep_ms(DOWN_MS);
         let other = Target::start(place).map_err(|error| error.to_string())?;
@@ -76,8 +83,9 @@
     };
 
     record("the open flows are used again");
-    let mut is_broken = false;
-    for (number, flow) in flows.iter_mut().enumerate() {
+    let mut resets = 0;
+    for (number, (flow, holder)) in flows.iter_mut().enumerate() {
+        let calm = &calm[*holder];
         let is_held = calm.holds(host.address(), flow.port);
         let answer = flow.request(&format!("second-{number}"), Duration::from_millis(3_000));
         let text = match &answer {
@@ -85,13 +93,13 @@
             Err(failure) => format!("{failure:?}"),
         };
         record(format!("client: flow from port {}: held by {}: {is_held}; {text}", flow.port, calm.place.id));
-        is_broken |= is_held && answer.err() == Some(Failure::ResetBySystem);
+        resets += usize::from(is_held && answer.err() == Some(Failure::ResetBySystem));
     }
-    record(format!("{} runs at the other target", other.runs().len()));
-    record(format!("the run took {:.1} s", elapsed().as_secs_f64()));
+    record(format!("requests run by the target since its last start: {}", other.runs().len()));
+    record(format!("{resets} of {} flows were reset; the run took {:.1} s", flows.len(), elapsed().as_secs_f64()));
     small.end();
     if flows.is_empty() {
         return Err("no flow was opened at the calm target".to_owned());
     }
-    Ok(is_broken)
+    Ok(resets > 0)
 }
