Gateways: keep each claimant of a flow until it denies it

Cause: the sidecar that wakes handles the first copies of opening packets, of which the second copies were accepted elsewhere, and reports that it holds the flows. The gateway put it in the place of the true holder, and took its denial with a newer start of its server for the end of the flow.

Evidence: event 4031 is new, as no log line told a replaced holder from a found one.

Change: `entry/holder.rs` keeps the earlier claimants of a flow. A denial by the recorded one hands the packet to the one before. The flow is reset only when all have denied it and the server of one has restarted since, with no answer acknowledged in between; else it is searched for, as before. Two starts reported by one agent for one flow are no evidence. Sidecars deny flows that their callers use elsewhere without evidence. Why it works: an agent denies what its server does not hold, so the true holder is always reached before a reset. A flow is not silent for longer: the record still follows the last report, and each denial leads on at once.

Test: forward late_claims, 9 tests; on the code before 8 failed, now 9 pass.

--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -237,6 +237,9 @@
         "new flows stay in the own availability zone again; {flows} were sent to other zones within {lasted_ms} ms", "nothing";
     4030 Info SearchWidened { flow: String }
         "no backend server holds flow {flow} of the services that its route names; all services are searched, as the route may have named another one before this process started", "nothing";
+    4031 Info HolderReplaced { flow: String, former: TargetId, holder: TargetId }
+        "flow {flow} is taken to be held by backend server {holder} in place of {former}: its sidecar has reported so, or that of {former} has denied it",
+        "nothing";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing if this was planned";
     5002 Info ServerMissing { }
--- a/roles/app/src/gateway/traffic.rs
+++ b/roles/app/src/gateway/traffic.rs
@@ -174,37 +174,10 @@
                     link.count("carried.evacuation.accepted", "");
                 }
             }
-            Action::SearchRequested {
-                flow,
-                searcher,
-                known,
-                terms,
-            } => {
-                link.count("carried.searches", "");
-                self.link.log(&log::Event::FlowSought {
-                    flow: flow_name(&flow),
-                    searcher,
-                    known,
-                    may_try: terms.may_probe,
-                    max_age_ms: terms.max_age_ms,
-                });
-            }
-            Action::HolderFound { flow, holder, took } => {
-                link.count("carried.searches.ended", "found");
-                record(&link.telemetry.search_time, took);
-                self.link.log(&log::Event::FlowFound {
-                    flow: flow_name(&flow),
-                    holder,
-                    took_us: took.as_micros(),
-                });
-            }
-            Action::SearchFailed { flow, rounds } => {
-                link.count("carried.searches.ended", "lost");
-                self.link.log(&log::Event::FlowLost {
-                    flow: flow_name(&flow),
-                    rounds,
-                });
-            }
+            Action::SearchRequested { .. }
+            | Action::HolderFound { .. }
+            | Action::HolderReplaced { .. }
+            | Action::SearchFailed { .. } => self.report_search(&action),
             Action::ClassRefused { service, priority } => {
                 let service = service.to_string();
                 let refused = log::Event::ClassRefused { service, priority };
@@ -241,6 +214,57 @@
         }
     }
 
+    /// Counts and logs what was found out about the holder of one flow.
+    fn report_search(&self, decision: &Action) {
+        let link = &self.link;
+        match decision {
+            Action::SearchRequested {
+                flow,
+                searcher,
+                known,
+                terms,
+            } => {
+                link.count("carried.searches", "");
+                link.log(&log::Event::FlowSought {
+                    flow: flow_name(flow),
+                    searcher: *searcher,
+                    known: *known,
+                    may_try: terms.may_probe,
+                    max_age_ms: terms.max_age_ms,
+                });
+            }
+            Action::HolderFound { flow, holder, took } => {
+                link.count("carried.searches.ended", "found");
+                record(&link.telemetry.search_time, *took);
+                link.log(&log::Event::FlowFound {
+                    flow: flow_name(flow),
+                    holder: *holder,
+                    took_us: took.as_micros(),
+                });
+            }
+            Action::HolderReplaced {
+                flow,
+                former,
+                holder,
+            } => {
+                link.count("carried.holders.replaced", "");
+                link.log(&log::Event::HolderReplaced {
+                    flow: flow_name(flow),
+                    former: *former,
+                    holder: *holder,
+                });
+            }
+            Action::SearchFailed { flow, rounds } => {
+                link.count("carried.searches.ended", "lost");
+                link.log(&log::Event::FlowLost {
+                    flow: flow_name(flow),
+                    rounds: *rounds,
+                });
+            }
+            _ => {}
+        }
+    }
+
     /// Counts and logs a decision on flows whose holder is unknown.
     fn report_undecided(&self, decision: &Action) {
         let link = &self.link;
--- a/roles/app/src/metric/table.rs
+++ b/roles/app/src/metric/table.rs
@@ -116,6 +116,7 @@
     counter("carried.searches", "{flow}", "searches for the holder of a flow"),
     counter("carried.searches.ended", "{flow}", "searches that ended, by outcome"),
     counter("carried.searches.widened", "{flow}", "searches that a gateway extended to all services, as the route may have named another one before its start"),
+    counter("carried.holders.replaced", "{flow}", "flows that were taken to be held by another sidecar than the recorded one"),
     counter("carried.tries", "{packet}", "packets of unknown flows delivered to the backend server as probes"),
     counter("carried.returned", "{packet}", "packets that the backend server returned because it does not hold their flow"),
     counter("carried.packets", "{packet}", "packets forwarded, by direction"),
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -59,6 +59,7 @@
 use expiring_map::ExpiringMap;
 use flow::Flow;
 use flow::Progress;
+use lookup::Absence;
 use lookup::reset_ended;
 use lookup::send_not_held;
 use presence::Presence;
@@ -102,7 +103,7 @@
     is_limited: bool,
     passed_flows: ExpiringMap<Passed>,
     probes: ExpiringMap<Probe>,
-    flows_not_held: ExpiringMap<()>,
+    flows_not_held: ExpiringMap<Absence>,
     /// Flows that ended with their backend server, and its last sequence number on them.
     ended_flows: ExpiringMap<u32>,
     peers: Peers,
@@ -360,7 +361,8 @@
             let reply_to = forward.entry;
             return self.probe(now, flow, forward, reply_to, actions);
         }
-        send_not_held(flow, forward, &segment, self.evidence(now), actions);
+        let evidence = self.evidence_against(now, &flow);
+        send_not_held(flow, forward, &segment, evidence, actions);
     }
 
     /// Delivers a packet of a held flow, or reports the flow as not held if the
@@ -380,7 +382,7 @@
         if held.is_accepted_elsewhere(&segment) {
             held.end_request(now, &mut self.occupancy);
             self.flows.remove(&flow);
-            self.flows_not_held.insert(now, flow, ());
+            self.flows_not_held.insert(now, flow, Absence::Elsewhere);
             return send_not_held(flow, forward, &segment, None, actions);
         }
         self.repeated_packets += u64::from(held.is_repeated(&segment));
--- a/roles/forward/src/agent/lookup.rs
+++ b/roles/forward/src/agent/lookup.rs
@@ -22,6 +22,15 @@
 use super::flow;
 use crate::millis;
 
+/// Reason for which a backend server does not hold a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Absence {
+    /// It returned or reset a packet of the flow.
+    Returned,
+    /// Its caller opened the flow at another server, as far as this process has seen.
+    Elsewhere,
+}
+
 /// Evidence that a backend server does not hold a flow.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Evidence {
@@ -49,6 +58,22 @@
         ended.is_some_and(|position| flow::is_acknowledged(*position, segment.acknowledged))
     }
 
+    /// Returns true if this process has seen that the caller of a flow uses another backend
+    /// server: an earlier flow from the same port, or one whose opening packet came here
+    /// too, ended here.
+    fn is_held_elsewhere(&self, now: Duration, flow: &FlowId) -> bool {
+        self.flows_not_held.get(now, flow) == Some(&Absence::Elsewhere)
+            || self.ended_flows.get(now, flow).is_some()
+    }
+
+    /// Returns the evidence that goes with the denial of a forwarded packet. There is none
+    /// if the caller uses another backend server: an entry would take a restart of this
+    /// one for the end of the flow.
+    pub(super) fn evidence_against(&self, now: Duration, flow: &FlowId) -> Option<Evidence> {
+        let evidence = self.evidence(now);
+        evidence.filter(|_| !self.is_held_elsewhere(now, flow))
+    }
+
     /// Handles a lookup for a searching agent. An agent that does not hold the
     /// flow stays silent, which saves a reply from each of many agents, unless
     /// its backend server is young enough for a denial to be conclusive.
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -20,6 +20,7 @@
 use super::backend::Start;
 use super::flow::Flow;
 use super::flow::Progress;
+use super::lookup::Absence;
 use super::lookup::Evidence;
 use super::lookup::send_not_held;
 
@@ -70,7 +71,7 @@
         packet: Bytes,
         actions: &mut Vec<Action>,
     ) {
-        self.flows_not_held.insert(now, flow, ());
+        self.flows_not_held.insert(now, flow, Absence::Returned);
         self.batches.record_returned(now);
         let Some(reply_to) = reply_to else {
             return;
@@ -247,7 +248,7 @@
             match held.server_position {
                 Some(position) => self.ended_flows.insert(now, flow, position),
                 // The server has not accepted it.
-                None => self.flows_not_held.insert(now, flow, ()),
+                None => self.flows_not_held.insert(now, flow, Absence::Elsewhere),
             }
         }
         self.probes.clear();
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -8,6 +8,7 @@
 mod batch;
 mod decision;
 mod flow;
+mod holder;
 mod new_flow;
 mod opening;
 pub mod proof;
@@ -280,7 +281,7 @@
         }
         state.last_used = context.now;
         state.is_closing |= matches!(context.segment.kind, Kind::Close | Kind::Reset);
-        let (is_request, bytes) = state.progress.record(&context.segment);
+        let (is_request, bytes) = state.record_packet(&context.segment);
         let size = self.sizes.entry(flow.service).or_default();
         size.record_packet(context.now, is_request, bytes);
         match &mut state.phase {
@@ -325,88 +326,6 @@
         });
     }
 
-    /// Records the holder of a flow and sends it the queued packets.
-    fn record_holder(&mut self, now: Duration, held: &Held, actions: &mut Vec<Action>) {
-        if let Some(load) = held.load {
-            self.placement.record_load(now, held.holder.target, load);
-        }
-        if self.routes.table.has_priorities {
-            self.record_admitted(now, held);
-        }
-        let previous = self.flows.remove(&held.flow);
-        let is_closing = previous.as_ref().is_some_and(|flow| flow.is_closing);
-        let progress = previous.as_ref().map(|flow| flow.progress);
-        self.store_flow(now, held.flow, Phase::Held(held.holder));
-        if let Some(flow) = self.flows.get_mut(&held.flow) {
-            flow.is_closing = is_closing;
-            flow.progress = progress.unwrap_or_default();
-            flow.server_start = held.start;
-        }
-        let searching = match previous.map(|flow| flow.phase) {
-            Some(Phase::Searching(searching) | Phase::Undecided(searching)) => searching,
-            Some(Phase::Opening(opening)) => {
-                let took = now.saturating_sub(opening.sent_at);
-                let is_evacuated = self.routes.is_evacuated(held.holder.target);
-                return actions.push(Action::Accepted { took, is_evacuated });
-            }
-            _ => return,
-        };
-        actions.push(Action::HolderFound {
-            flow: held.flow,
-            holder: held.holder.target,
-            took: now.saturating_sub(searching.asked_at),
-        });
-        for packet in searching.queued {
-            actions.push(Action::Send {
-                to: held.holder.address,
-                transit: Transit::Forward(Forward {
-                    target: held.holder.target,
-                    entry: self.address,
-                    packet,
-                }),
-            });
-        }
-    }
-
-    /// Handles a denial by the recorded holder of a flow: resets the flow if
-    /// the holder's backend server has restarted, or else searches for another
-    /// holder.
-    fn handle_not_held(&mut self, now: Duration, denial: NotHeld, actions: &mut Vec<Action>) {
-        let Some(state) = self.flows.get(&denial.flow) else {
-            return;
-        };
-        match &state.phase {
-            // There is no packet to search with. The caller's next packet starts
-            // the search.
-            Phase::Held(holder) if holder.target == denial.target && denial.packet.is_empty() => {
-                self.flows.remove(&denial.flow);
-            }
-            Phase::Held(holder) if holder.target == denial.target => {
-                let is_known = state.server_start.is_some() && denial.start.is_some();
-                let is_same = state.progress.is_continued_by(denial.acknowledged);
-                if is_known && is_same && denial.start != state.server_start {
-                    // The holder's backend server has restarted since it opened
-                    // the flow.
-                    self.flows.remove(&denial.flow);
-                    return actions.push(search::reset_ended(denial.flow, denial.acknowledged));
-                }
-                let routes = Arc::clone(&self.routes);
-                let segment = Segment {
-                    acknowledged: denial.acknowledged,
-                    ..search_header(&denial.flow)
-                };
-                let context = PacketContext {
-                    now,
-                    segment,
-                    packet: denial.packet,
-                    actions,
-                };
-                self.start_search(&routes, Some(denial.target), context);
-            }
-            Phase::Held(_) | Phase::Opening(_) | Phase::Searching(_) | Phase::Undecided(_) => {}
-        }
-    }
-
     /// Stores a flow. A full table ignores new flows, which only costs
     /// searches. Returns whether the flow is stored.
     fn store_flow(&mut self, now: Duration, flow: FlowId, phase: Phase) -> bool {
@@ -438,17 +357,3 @@
         });
     }
 }
-
-/// Returns a header with the fields that a search needs.
-const fn search_header(flow: &FlowId) -> Segment {
-    Segment {
-        source: flow.caller,
-        destination: flow.service,
-        kind: Kind::Data,
-        is_returned: false,
-        sequence: 0,
-        acknowledged: 0,
-        length: 0,
-        echo: 0,
-    }
-}
--- a/roles/forward/src/entry/action.rs
+++ b/roles/forward/src/entry/action.rs
@@ -51,6 +51,16 @@
         /// does not know of the evacuation yet or held the flow before it.
         is_evacuated: bool,
     },
+    /// Another agent than the recorded one counts as the holder of a flow: it has reported
+    /// that it holds the flow, or the recorded one has denied it.
+    HolderReplaced {
+        /// The flow.
+        flow: FlowId,
+        /// Backend server of the recorded agent.
+        former: TargetId,
+        /// Backend server of the agent that replaces it.
+        holder: TargetId,
+    },
     /// An agent was asked to search for the holder of a flow.
     SearchRequested {
         /// The flow.
--- a/roles/forward/src/entry/flow.rs
+++ b/roles/forward/src/entry/flow.rs
@@ -8,6 +8,7 @@
 use wire::TargetId;
 use wire::segment::Kind;
 
+use super::holder::Claims;
 use super::proof::TargetSet;
 
 /// Maximum number of packets of one flow that are queued until its holder is
@@ -29,6 +30,8 @@
     pub is_closing: bool,
     /// What the caller's packets have shown of the flow's requests.
     pub progress: Progress,
+    /// Agents that have reported to hold the flow before the present holder.
+    pub claims: Claims,
 }
 
 /// What the packets of a caller have shown of the requests of its flow.
@@ -45,15 +48,13 @@
     /// Returns false if a caller that acknowledges this uses another flow from the same
     /// port than the one whose packets were recorded.
     pub fn is_continued_by(&self, acknowledged: u32) -> bool {
-        self.received.is_none_or(|received| {
-            let advance = acknowledged.wrapping_sub(received);
-            advance.min(advance.wrapping_neg()) <= MAX_ADVANCE
-        })
+        self.received
+            .is_none_or(|received| is_near(received, acknowledged))
     }
 
     /// Records a packet of the caller. Returns whether it begins a request, and the
     /// bytes that it carries or acknowledges for the first time.
-    pub fn record(&mut self, segment: &Segment) -> (bool, u32) {
+    fn record(&mut self, segment: &Segment) -> (bool, u32) {
         let acknowledged = segment.acknowledged;
         let is_request = segment.length > 0 && self.at_content != Some(acknowledged);
         if segment.length > 0 {
@@ -75,6 +76,12 @@
 /// Most bytes that one packet can acknowledge for the first time.
 const MAX_ADVANCE: u32 = 1 << 20;
 
+/// Returns true if two acknowledgements may be of the same flow.
+pub const fn is_near(one: u32, other: u32) -> bool {
+    let advance = other.wrapping_sub(one);
+    advance <= MAX_ADVANCE || advance.wrapping_neg() <= MAX_ADVANCE
+}
+
 /// Phase of a flow.
 #[derive(Debug)]
 pub enum Phase {
@@ -165,7 +172,7 @@
 
 impl Flow {
     /// Creates a flow whose last packet arrived now.
-    pub const fn new(now: Duration, phase: Phase) -> Self {
+    pub fn new(now: Duration, phase: Phase) -> Self {
         Self {
             phase,
             last_used: now,
@@ -176,7 +183,19 @@
                 at_content: None,
                 received: None,
             },
+            claims: Claims::default(),
+        }
+    }
+
+    /// Records a packet of the caller, see [`Progress::record`]. An answer that it
+    /// acknowledges for the first time shows that the flow is alive.
+    pub fn record_packet(&mut self, segment: &Segment) -> (bool, u32) {
+        let received = self.progress.received;
+        let recorded = self.progress.record(segment);
+        if received.is_some() && self.progress.received != received {
+            self.claims.forget_restart();
         }
+        recorded
     }
 }
 
