Sidecars: tell a server's answer on an earlier flow from a claim

What callers would see: a caller uses a port again while a server still holds its earlier flow from there, and another server accepts the new one.

A search probes the first server as well, which answers on the earlier flow, and its sidecar claims the flow that was probed. A flow that a sidecar knows from its server only had no position, so each packet from the port counted as one of it. A gateway took the absence of an earlier flow from the same port for that of the present one.

Flows that a server has shown have the position of that packet. A report of absence counts only for a flow with about its acknowledgement.

The model's servers answered with the sequence numbers of their callers, which no server does; they have positions of their own now, and callers count answers by what these acknowledge. The checks of the model are as before.

Evidence: forward late_claims, 13 tests; before, 3 failed: answer_on_an_earlier_flow_*, flow_that_a_server_has_shown_*, absence_of_an_earlier_flow_*.

--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -123,6 +123,9 @@
     reply_to: SocketAddr,
     sent_at: Duration,
     count: u8,
+    /// Position up to which the caller had received, which tells the flow from an earlier
+    /// one from the same port.
+    acknowledged: u32,
 }
 
 /// Maximum number of flows that wait for a slot. Each takes the size of its opening
@@ -359,7 +362,7 @@
         }
         if self.may_hold(now, &flow) {
             let reply_to = forward.entry;
-            return self.probe(now, flow, forward, reply_to, actions);
+            return self.probe(now, &segment, forward, reply_to, actions);
         }
         let evidence = self.evidence_against(now, &flow);
         send_not_held(flow, forward, &segment, evidence, actions);
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -285,6 +285,9 @@
             self.handshake = Handshake::Accepted(segment.sequence);
             self.server_position = Some(segment.sequence);
         }
+        if self.handshake == Handshake::Unseen && segment.kind != Kind::Reset {
+            self.server_position.get_or_insert(segment.sequence);
+        }
         self.has_server_ended |= matches!(segment.kind, Kind::Close | Kind::Reset);
         // A close may overtake the content before it.
         let follows_content =
--- a/roles/forward/src/agent/lookup.rs
+++ b/roles/forward/src/agent/lookup.rs
@@ -140,7 +140,7 @@
         }
         if self.may_hold(now, &flow) {
             if terms.may_probe {
-                self.probe(now, flow, forward, searcher, actions);
+                self.probe(now, &segment, forward, searcher, actions);
             }
             return None;
         }
@@ -153,11 +153,12 @@
     pub(super) fn probe(
         &mut self,
         now: Duration,
-        flow: FlowId,
+        segment: &Segment,
         forward: Forward,
         reply_to: SocketAddr,
         actions: &mut Vec<Action>,
     ) {
+        let flow = segment.flow_from_caller();
         let previous = self.probes.get(now, &flow).copied();
         let is_waiting = previous.is_some_and(|probe| {
             probe.count >= MAX_PROBES || now < probe.sent_at + self.settings.probe_interval
@@ -170,6 +171,7 @@
             reply_to,
             sent_at: now,
             count: previous.map_or(1, |probe| probe.count + 1),
+            acknowledged: segment.acknowledged,
         };
         self.probes.insert(now, flow, probe);
         actions.push(Action::Probed { flow });
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -15,9 +15,11 @@
 use super::Agent;
 use super::Announcement;
 use super::DropReason;
+use super::Probe;
 use super::State;
 use super::age::Age;
 use super::backend::Start;
+use super::flow;
 use super::flow::Flow;
 use super::flow::Progress;
 use super::lookup::Absence;
@@ -139,9 +141,22 @@
             caller: flow.caller,
             packet,
         });
-        if let Some(probe) = probe {
-            held.entry = Some(probe.entry);
-            self.announce_holder(now, flow, probe.entry, actions);
+        match probe {
+            // The server answers on an earlier flow from the same port. It would not have
+            // accepted another one while it holds that.
+            Some(probe) if is_of_another_flow(&segment, &probe) => {
+                let reply_to = Some(probe.reply_to);
+                let probed = Segment {
+                    acknowledged: probe.acknowledged,
+                    ..segment
+                };
+                self.deny(now, flow, reply_to, &probed, Bytes::new(), actions);
+            }
+            Some(probe) => {
+                held.entry = Some(probe.entry);
+                self.announce_holder(now, flow, probe.entry, actions);
+            }
+            None => {}
         }
     }
 
@@ -289,3 +304,9 @@
         })
     }
 }
+
+/// Returns true if a packet of the backend server belongs to another flow between the same
+/// addresses than the one that was probed.
+fn is_of_another_flow(segment: &Segment, probe: &Probe) -> bool {
+    segment.kind != Kind::Accept && !flow::is_acknowledged(segment.sequence, probe.acknowledged)
+}
--- a/roles/forward/src/entry/search.rs
+++ b/roles/forward/src/entry/search.rs
@@ -179,6 +179,10 @@
         else {
             return;
         };
+        if !flow::is_near(searching.acknowledged, report.acknowledged) {
+            // Nobody holds an earlier flow from the same port.
+            return;
+        }
         searching.denied_by.push(service);
         let deny = |services: &[ServiceAddress]| {
             let mut services = services.iter();
--- a/roles/forward/tests/late_claims.rs
+++ b/roles/forward/tests/late_claims.rs
@@ -9,6 +9,7 @@
 use fixtures::entry::entry_with;
 use fixtures::entry::flow;
 use fixtures::entry::forwarded;
+use fixtures::entry::report_holder_absent;
 use fixtures::entry::two_zones;
 use fixtures::*;
 use forward::Agent;
@@ -178,6 +179,21 @@
     assert!(!is_reset(&deny(&mut entry, ms(4_001), 1, Some(RESTART))));
 }
 
+/// Guards against resets of a flow because nobody holds an earlier one from its port.
+#[test]
+fn absence_of_an_earlier_flow_from_the_same_port_resets_nothing() {
+    let mut entry = entry_with(two_zones());
+    let segment = Segment {
+        acknowledged: ELSEWHERE,
+        ..caller_segment(PORT, Kind::Data, 100)
+    };
+    let packet = packet();
+    let event = entry::Event::Packet { segment, packet };
+    let asked = fixtures::entry::asked_to_search(&handle_at(&mut entry, ms(1_000), event));
+    let actions = report_holder_absent(&mut entry, ms(1_005), asked[0]);
+    assert!(!is_reset(&actions), "{actions:?}");
+}
+
 /// Returns the header of a caller's packet that acknowledges a server.
 fn content(acknowledged: u32) -> Segment {
     Segment {
@@ -209,6 +225,19 @@
     })
 }
 
+fn claims(actions: &[Action]) -> bool {
+    let mut actions = actions.iter();
+    actions.any(|action| {
+        matches!(
+            action,
+            Action::Send {
+                transit: Transit::Held(_),
+                ..
+            }
+        )
+    })
+}
+
 /// Guards against denials that let an entry reset a flow which another server holds: this
 /// one restarted, but had never been the caller's choice.
 fn denial_by_a_server_that_was_not_chosen_is_no_evidence(has_accepted: bool) {
@@ -227,3 +256,52 @@
     server_that_accepted_a_copy: true,
     server_that_had_not_answered_the_copy: false,
 }
+
+/// Returns an agent that has just started beside a server, and has probed it.
+fn probing_agent() -> Agent {
+    let mut agent = ready_agent(true);
+    let actions = forward_content(&mut agent, ms(1_000), ELSEWHERE);
+    assert!(delivers(&actions), "{actions:?}");
+    agent
+}
+
+fn server_sends(agent: &mut Agent, now: Duration, sequence: u32) -> Vec<Action> {
+    let segment = Segment {
+        sequence,
+        ..server_segment(PORT, Kind::Data, 0)
+    };
+    let packet = packet();
+    handle(agent, now, Event::ServerPacket { segment, packet })
+}
+
+/// Guards against claims of a flow by an agent whose server holds an earlier one from the
+/// same port: packets of the flow then reach that server only.
+#[test]
+fn answer_on_an_earlier_flow_from_the_same_port_is_no_claim() {
+    let mut agent = probing_agent();
+    let actions = server_sends(&mut agent, ms(1_001), 5_000);
+    assert!(!claims(&actions), "{actions:?}");
+    assert!(denial(&actions).is_some(), "{actions:?}");
+    let actions = forward_content(&mut agent, ms(1_100), ELSEWHERE);
+    assert!(!delivers(&actions), "{actions:?}");
+}
+
+/// Guards against flows that an agent does not claim although its server holds them.
+#[test]
+fn answer_on_the_flow_that_was_probed_is_a_claim() {
+    let mut agent = probing_agent();
+    let actions = server_sends(&mut agent, ms(1_001), ELSEWHERE.wrapping_add(2_400));
+    assert!(claims(&actions), "{actions:?}");
+    assert!(delivers(&forward_content(&mut agent, ms(1_100), ELSEWHERE)));
+}
+
+/// Guards against packets at a server that has shown only an earlier flow from their port.
+#[test]
+fn flow_that_a_server_has_shown_is_told_from_a_later_one() {
+    let mut agent = ready_agent(true);
+    server_sends(&mut agent, ms(900), 5_000);
+    let actions = forward_content(&mut agent, ms(1_000), ELSEWHERE);
+    assert!(!delivers(&actions), "{actions:?}");
+    server_sends(&mut agent, ms(1_100), 5_000);
+    assert!(delivers(&forward_content(&mut agent, ms(1_200), 5_000)));
+}
--- a/roles/forward/tests/simulation/ends.rs
+++ b/roles/forward/tests/simulation/ends.rs
@@ -92,7 +92,7 @@
             Kind::Accept => {}
             _ => {
                 self.count.first_answers.entry(flow).or_insert(self.now);
-                caller.answered_requests = caller.answered_requests.max(segment.sequence / 100);
+                caller.answered_requests = caller.answered_requests.max(segment.acknowledged / 100);
             }
         }
     }
@@ -142,7 +142,15 @@
                     "{flow:?} reached a server that holds it too, but was accepted by another one"
                 ));
             }
-            _ if holds => self.schedule(ms(15), Event::ServerPacket(id, answer(Kind::Data, 50))),
+            _ if holds => {
+                // The server's position does not depend on the caller's.
+                let content = Segment {
+                    sequence: initial_position(id),
+                    acknowledged: segment.sequence,
+                    ..answer(Kind::Data, 50)
+                };
+                self.schedule(ms(15), Event::ServerPacket(id, content));
+            }
             _ => {
                 let returned = Segment {
                     is_returned: true,
