Sidecars: a server that does not accept an opening packet holds an earlier flow

Cause: the restarted sidecar was handed the first copy of an opening packet that its predecessor had admitted already, and counted the flow as opened and not accepted. It then took each packet of the caller for a sign that another server holds the flow, and denied it.

Change: data or a close in answer to an opening packet shows that the server holds a flow from before this process started. The flow keeps the position of that packet, and the process counts as one that has not seen all flows.

--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -270,6 +270,13 @@
         is_new
     }
 
+    /// Returns true if a packet of the backend server shows that it holds a flow which was
+    /// opened before this process started: it did not accept the opening packet, of which
+    /// this process has seen an old copy only.
+    pub fn shows_prior_flow(&self, segment: &Segment) -> bool {
+        self.handshake == Handshake::Sent && matches!(segment.kind, Kind::Data | Kind::Close)
+    }
+
     /// Records a packet of the backend server. The first content after a
     /// request is the beginning of its answer and frees the slot. A reset or close
     /// without one ends the request.
@@ -285,6 +292,10 @@
             self.handshake = Handshake::Accepted(segment.sequence);
             self.server_position = Some(segment.sequence);
         }
+        if self.shows_prior_flow(segment) {
+            self.handshake = Handshake::Unseen;
+            self.end_request(now, occupancy);
+        }
         if self.handshake == Handshake::Unseen && segment.kind != Kind::Reset {
             self.server_position.get_or_insert(segment.sequence);
         }
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -119,6 +119,9 @@
             self.presence.record_prior_flow();
             Flow::discovered(now)
         });
+        if held.shows_prior_flow(&segment) {
+            self.presence.record_prior_flow();
+        }
         match held.record_server_packet(now, &segment, &mut self.occupancy) {
             Some(Progress::Answered(took)) => {
                 // A close that overtook its answer shows nothing of it.
--- a/roles/forward/tests/late_claims.rs
+++ b/roles/forward/tests/late_claims.rs
@@ -305,3 +305,14 @@
     server_sends(&mut agent, ms(1_100), 5_000);
     assert!(delivers(&forward_content(&mut agent, ms(1_200), 5_000)));
 }
+
+/// Guards against denials of an open flow by an agent that was handed an old copy of its
+/// opening packet after a restart: the server answers it on the flow that it holds.
+#[test]
+fn old_copy_of_an_opening_packet_does_not_hide_the_flow() {
+    let mut agent = ready_agent(true);
+    send_open(&mut agent, ms(1_000), PORT, open_frame(&[OWN]));
+    server_sends(&mut agent, ms(1_001), 5_000);
+    let actions = forward_content(&mut agent, ms(6_000), 5_000);
+    assert!(delivers(&actions), "{actions:?}");
+}
