--- a/roles/app/src/clock.rs
+++ b/roles/app/src/clock.rs
@@ -18,7 +18,9 @@
     unix_time().as_secs()
 }
 
-fn unix_time() -> Duration {
+/// Returns the time since the Unix epoch.
+#[must_use]
+pub fn unix_time() -> Duration {
     let age = SystemTime::now().duration_since(UNIX_EPOCH);
     age.unwrap_or_default()
 }
--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -4,9 +4,9 @@
 //! One thread reads the packets of the backend server and one the frames of other
 //! processes; both share one core. The main thread runs the membership protocol
 //! and accepts the backend server's announcements.
-mod announcements;
+pub mod announcements;
 mod class;
-mod control;
+pub mod control;
 pub mod evacuation;
 mod presence;
 mod seeds;
@@ -135,7 +135,12 @@
     let is_ready = Arc::new(AtomicBool::new(true));
     ready::serve(host.listen.ready, &executor, vec![is_ready]).await?;
     if let Some(address) = host.listen.announcements {
-        announcements::serve(address, backend, &executor, sender.clone()).await?;
+        let own = announcements::Own {
+            backend,
+            service: host.service.clone(),
+            boot: settings.0.boot.clone(),
+        };
+        announcements::serve(address, own, &executor, sender.clone()).await?;
     }
     let http = Http::new(store::http::Settings::new(host.store));
     let store = platform::Client::new(http.clone());
--- a/roles/app/src/sidecar/announcements.rs
+++ b/roles/app/src/sidecar/announcements.rs
@@ -1,6 +1,7 @@
 //! Accepts the announcements of the sidecar's backend server.
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use ::http::HeaderMap;
@@ -9,15 +10,29 @@
 use forward::agent::Announcement;
 use net::http;
 use net::http::Answer;
+use platform::Settings;
 use platform::announcement;
 use platform::announcement::Call;
+use platform::name::service_address;
 use smol::Executor;
+use wire::ServiceAddress;
 
 use crate::clock;
 use crate::event::Event;
 use crate::sidecar::control::Input;
 use crate::sidecar::control::Notice;
 
+/// Backend server of a sidecar.
+#[derive(Clone, Debug)]
+pub struct Own {
+    /// UDP address at which it receives packets.
+    pub backend: SocketAddr,
+    /// Name of its service, if the settings state it.
+    pub service: Option<String>,
+    /// Path of the settings file.
+    pub boot: PathBuf,
+}
+
 /// Serves the address for announcements, which the control thread applies.
 ///
 /// # Errors
@@ -25,15 +40,15 @@
 /// Returns the operating system's error if the address cannot be bound.
 pub async fn serve(
     address: SocketAddr,
-    backend: SocketAddr,
+    own: Own,
     executor: &Arc<Executor<'static>>,
     control: Sender<Input>,
 ) -> io::Result<()> {
     let answer = move |request: http::Question| {
-        let control = control.clone();
+        let (control, own) = (control.clone(), own.clone());
         async move {
             let call = announcement::decode(&request.method, &request.path, &request.body);
-            let notice = call.and_then(|call| notice_from(call, backend));
+            let notice = call.and_then(|call| notice_from(call, &own));
             let Some(notice) = notice else {
                 let path = request.path;
                 Event::NotAnAnnouncement { path }.log();
@@ -57,22 +72,46 @@
     applied.recv().await.ok()
 }
 
-/// Returns the notice in a call about the backend server at `own`, or `None` if
-/// the call announces another backend server.
-fn notice_from(call: Call, own: SocketAddr) -> Option<Notice> {
+/// Returns the notice in a call about the own backend server, or `None` if the call
+/// announces another one, or one that cannot exist.
+#[must_use]
+pub fn notice_from(call: Call, own: &Own) -> Option<Notice> {
     match call {
         Call::Announce {
             address,
             announcement,
-        } if address == own => Some(Notice::State(Announcement {
-            age: clock::elapsed_since(announcement.start),
-            ..announcement
-        })),
+        } if address == own.backend
+            && own.serves(announcement.service)
+            && announcement.is_plausible(clock::unix_time()) =>
+        {
+            Some(Notice::State(Announcement {
+                age: clock::elapsed_since(announcement.start),
+                ..announcement
+            }))
+        }
         Call::Announce { .. } => None,
         Call::Deregister { name } => Some(Notice::End { name }),
     }
 }
 
+impl Own {
+    /// Returns true if the settings name this service, or none. They are read again if
+    /// they named another one when the process started.
+    fn serves(&self, service: ServiceAddress) -> bool {
+        let is_named = |name: &String| service_address(name) == service;
+        if self.service.as_ref().is_none_or(is_named) {
+            return true;
+        }
+        match Settings::read(&self.boot) {
+            Ok(settings) => settings.service.as_ref().is_none_or(is_named),
+            Err(error) => {
+                log::warn!("{error}");
+                false
+            }
+        }
+    }
+}
+
 fn acknowledge(status: StatusCode) -> Answer {
     Answer {
         status,
--- a/roles/forward/src/agent/admission.rs
+++ b/roles/forward/src/agent/admission.rs
@@ -316,7 +316,8 @@
         let mut load = self.load(now);
         let is_closed = target != self.own.target || self.closed_reason(now).is_some();
         if is_closed {
-            load.running = load.running.max(load.slots + self.settings.max_queued);
+            let full = load.slots.saturating_add(self.settings.max_queued);
+            load.running = load.running.max(full);
         }
         // A server that is closed to all flows refuses each class.
         let refused_from = if is_closed {
--- a/roles/forward/src/agent/backend.rs
+++ b/roles/forward/src/agent/backend.rs
@@ -43,7 +43,25 @@
     Gone,
 }
 
+/// Largest difference between the clocks of a host and of a backend server, which may
+/// both jump by seconds.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_hours(1);
+
+/// Shortest mean interval between two announcements of a backend server.
+const MIN_INTERVAL: Duration = Duration::from_millis(10);
+
 impl Announcement {
+    /// Returns true if a backend server can have made this announcement, given the time
+    /// since the Unix epoch. One of another writer with a start or a sequence number that
+    /// is too large would make all that the server announces later count as older.
+    #[must_use]
+    pub fn is_plausible(&self, now: Duration) -> bool {
+        let start = Duration::from_millis(self.start);
+        let latest = now.saturating_add(MAX_CLOCK_DIFFERENCE);
+        let longest = latest.saturating_sub(start).as_millis();
+        start <= latest && u128::from(self.sequence) <= longest / MIN_INTERVAL.as_millis()
+    }
+
     /// Returns true if this announcement was made before `other`. The end of a
     /// server follows all its announcements.
     #[must_use]
--- a/roles/forward/src/agent/class.rs
+++ b/roles/forward/src/agent/class.rs
@@ -70,7 +70,8 @@
 
     /// Returns true if the backend server may be sent the request of a new flow.
     pub(super) fn has_room(&self, now: Duration, class: Option<Priority>) -> bool {
-        let places = self.occupancy.slots() + self.settings.max_queued;
+        let slots = self.occupancy.slots();
+        let places = slots.saturating_add(self.settings.max_queued);
         let running = self.occupancy.running();
         let preceded = class.filter(|class| self.overload.is_preceded(now, *class));
         let is_restricted = preceded.is_some_and(|class| self.overload.is_restricted(now, class));
--- a/roles/forward/tests/malformed.rs
+++ b/roles/forward/tests/malformed.rs
@@ -2,14 +2,19 @@
 //! frame whose fields contradict each other, as a faulty or newer process may send.
 mod fixtures;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fixtures::agent::OWN;
 use fixtures::agent::ready_agent;
 use fixtures::*;
 use forward::Entry;
+use forward::Route;
+use forward::Routes;
 use forward::agent;
 use forward::entry;
+use forward::routes::Share;
+use forward::routes::WarmUp;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use wire::Hop;
@@ -27,6 +32,9 @@
 use wire::transit::Search;
 use wire::transit::Terms;
 
+/// Longest time that the reader of the platform's numbers accepts: ten years.
+const LONGEST: Duration = Duration::from_hours(24 * 365 * 10);
+
 /// Longest path and list of bids of a generated frame; more than an index of eight
 /// bits can name.
 const MAX_LENGTH: usize = 300;
@@ -123,6 +131,58 @@
     }
 }
 
+/// Times that a configuration or an announcement may state.
+fn stated_time() -> impl Strategy<Value = Duration> {
+    prop_oneof![
+        Just(Duration::ZERO),
+        Just(LONGEST),
+        (0..10_000_u64).prop_map(ms),
+        (0..LONGEST.as_secs()).prop_map(Duration::from_secs),
+    ]
+}
+
+fn number() -> impl Strategy<Value = u64> {
+    prop_oneof![Just(0), Just(u64::MAX), 0..100_u64, any::<u64>()]
+}
+
+prop_compose! {
+    fn odd_announcement()(
+        start in number(),
+        sequence in number(),
+        target in target_id(),
+        slots in prop_oneof![Just(0), Just(u16::MAX), any::<u16>()],
+        is_draining in any::<bool>(),
+        age in proptest::option::of(number().prop_map(Duration::from_millis)),
+        warm_up in stated_time(),
+    ) -> agent::Announcement {
+        let state = if is_draining { agent::State::Draining } else { agent::State::Ready };
+        agent::Announcement { slots, age, warm_up, ..announcement(target, start, sequence, state) }
+    }
+}
+
+prop_compose! {
+    fn odd_routes()(
+        version in number(),
+        times in [stated_time(), stated_time(), stated_time(), stated_time()],
+        priority in any::<u8>(),
+        weight in any::<u32>(),
+        rate in any::<u32>(),
+    ) -> Routes {
+        let known = (1..4).map(|id| target(id, 1, wire::target::State::Ready)).collect();
+        let mut routes = Arc::unwrap_or_clone(routes(known));
+        let mut table = Arc::unwrap_or_clone(routes.table);
+        let [timeout, target_latency, idle_timeout, time] = times;
+        for route in table.routes.values_mut() {
+            let shares = vec![Share { service: service_address(), weight }];
+            *route = Route { shares, timeout, target_latency, priority, is_idempotent: true };
+        }
+        table.warm_ups.insert(service_address(), WarmUp { time, rate });
+        (table.version, table.idle_timeout) = (version, idle_timeout);
+        routes.table = Arc::new(table);
+        routes
+    }
+}
+
 fn agent_event() -> impl Strategy<Value = agent::Event> {
     prop_oneof![
         (open(), segment()).prop_map(|(open, segment)| agent::Event::Open { open, segment }),
@@ -159,9 +219,7 @@
             segment,
             packet: packet(),
         }),
-        (any::<u64>(), any::<u64>(), target_id()).prop_map(|(start, sequence, target)| {
-            agent::Event::Announcement(announcement(target, start, sequence, agent::State::Ready))
-        }),
+        odd_announcement().prop_map(agent::Event::Announcement),
         Just(agent::Event::ServerEnded),
         Just(agent::Event::Tick),
     ]
@@ -204,6 +262,7 @@
                 refused_from
             })
         ),
+        odd_routes().prop_map(|routes| entry::Event::Routes(Arc::new(routes))),
         Just(entry::Event::Tick),
     ]
 }
