Sidecars: a deregistration of an earlier start ends nothing

What callers saw: a deregistration that a cut had delayed arrived when the target had started again under its id.

Cause: the body was not read, so the id alone decided. PROTOCOL.md: "The field `born`, at the top level of all that it says of itself, is the Unix millisecond of its start".

Change: the start is read where it is stated, and an earlier one than that of the last announcement is left alone.

--- a/roles/app/src/sidecar/announcements.rs
+++ b/roles/app/src/sidecar/announcements.rs
@@ -90,7 +90,7 @@
             }))
         }
         Call::Announce { .. } => None,
-        Call::Deregister { name } => Some(Notice::End { name }),
+        Call::Deregister { name, start } => Some(Notice::End { name, start }),
     }
 }
 
--- a/roles/app/src/sidecar/control.rs
+++ b/roles/app/src/sidecar/control.rs
@@ -11,6 +11,7 @@
 use forward::agent::Announcement;
 use forward::agent::Event;
 use forward::agent::Peers;
+use forward::agent::Start;
 use forward::agent::State;
 use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
@@ -73,6 +74,8 @@
     End {
         /// Name of the backend server.
         name: String,
+        /// Its start time, if it is stated.
+        start: Option<Start>,
     },
 }
 
@@ -186,7 +189,7 @@
     fn handle_notice(&mut self, now: Duration, notice: Notice) {
         match notice {
             Notice::State(announcement) => self.handle_announcement(now, announcement),
-            Notice::End { name } => self.mark_ended(&name),
+            Notice::End { name, start } => self.mark_ended(&name, start),
         }
     }
 
@@ -272,11 +275,11 @@
         }
     }
 
-    /// Marks the backend server as ended if it has this name, or if none has
+    /// Marks the backend server as ended if it has this name and start, or if none has
     /// announced itself to this process.
-    fn mark_ended(&mut self, name: &str) {
+    fn mark_ended(&mut self, name: &str, start: Option<Start>) {
         match &mut self.announcement {
-            Some(last) if last.name == name => {
+            Some(last) if last.is_ended_by(name, start) => {
                 last.state = State::Gone;
                 self.traffic.handle(Event::ServerEnded);
             }
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -51,6 +51,7 @@
 use admission::Passed;
 use age::Age;
 pub use backend::Announcement;
+pub use backend::Start;
 pub use backend::State;
 use batch::Batches;
 pub use bid::Bid;
--- a/roles/forward/src/agent/backend.rs
+++ b/roles/forward/src/agent/backend.rs
@@ -62,6 +62,14 @@
         start <= latest && u128::from(self.sequence) <= longest / MIN_INTERVAL.as_millis()
     }
 
+    /// Returns true if the deregistration of a server with this name, and this start where
+    /// it is stated, is about the server that made this announcement. It may be that of an
+    /// earlier server with the same name, which a cut has delayed.
+    #[must_use]
+    pub fn is_ended_by(&self, name: &str, start: Option<Start>) -> bool {
+        self.name == name && start.is_none_or(|start| start >= self.start)
+    }
+
     /// Returns true if this announcement was made before `other`. The end of a
     /// server follows all its announcements.
     #[must_use]
--- a/roles/forward/tests/plausible.rs
+++ b/roles/forward/tests/plausible.rs
@@ -40,6 +40,17 @@
     sequence_number_of_a_faster_server: (NOW_MS - 60_000, 1 << 32),
 }
 
+/// Guards against the end of a server by the deregistration of an earlier one.
+#[test]
+fn deregistration_of_an_earlier_server_is_not_about_the_present_one() {
+    let present = announcement(1, NOW_MS, 3, State::Ready);
+    let name = present.name.as_str();
+    assert!(!present.is_ended_by(name, Some(NOW_MS - 9_000)));
+    assert!(!present.is_ended_by("another", Some(NOW_MS)));
+    assert!(present.is_ended_by(name, Some(NOW_MS)));
+    assert!(present.is_ended_by(name, None));
+}
+
 /// The host's clock may be at its beginning.
 #[test]
 fn no_clock_makes_the_check_overflow() {
