Soak: a freeze beside a crash, odd entries, changed bounds

The checker had a blind spot: when a server ended that had only accepted a copy of an opening packet, the flow no longer counted as open, though another server held it. Now only the server that holds a flow ends it, which makes the check stricter.

--- a/tools/soak/src/checker.rs
+++ b/tools/soak/src/checker.rs
@@ -111,11 +111,22 @@
         );
     }
 
-    /// Records that either end of a flow no longer holds it open.
+    /// Records that the caller of a flow no longer holds it open.
     pub fn record_close(&mut self, flow: &FlowId) {
         self.open_flows.remove(flow);
     }
 
+    /// Records that a backend server no longer holds a flow. It may only have accepted a
+    /// copy of its opening packet, while another one holds it open.
+    pub fn record_server_close(&mut self, flow: &FlowId, server: usize) {
+        if self
+            .holder(flow)
+            .is_some_and(|(holder, _)| holder == server)
+        {
+            self.record_close(flow);
+        }
+    }
+
     /// Returns the backend server that holds an open flow, and the number of
     /// its start.
     #[must_use]
--- a/tools/soak/src/host.rs
+++ b/tools/soak/src/host.rs
@@ -107,9 +107,8 @@
         if self.down_count > 0 || self.child.is_some() {
             return Ok(());
         }
-        let name = &self.settings.name;
-        let boot = self.folder.join(format!("{name}.json"));
-        fs::write(&boot, self.settings.encode())?;
+        self.write_settings()?;
+        let boot = self.boot();
         let mut command = Command::new(program("greengagelug"));
         command
             .arg(self.role)
@@ -123,6 +122,19 @@
         Ok(())
     }
 
+    /// Writes the settings file, as the platform does whenever the settings change.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    pub fn write_settings(&self) -> io::Result<()> {
+        fs::write(self.boot(), self.settings.encode())
+    }
+
+    fn boot(&self) -> PathBuf {
+        self.folder.join(format!("{}.json", self.settings.name))
+    }
+
     /// Returns the path of the log that all processes of the host append to.
     #[must_use]
     pub fn log(&self) -> PathBuf {
--- a/tools/soak/src/injector.rs
+++ b/tools/soak/src/injector.rs
@@ -1,4 +1,5 @@
 //! Injects disturbances into a run.
+mod odd;
 mod series;
 mod store;
 
@@ -136,6 +137,9 @@
             }
             Kind::MoveRoute => self.move_route(duration).await,
             Kind::YoungServer => self.restart_beside_young_server().await,
+            Kind::FreezeThenCrash => self.freeze_then_crash().await,
+            Kind::OddEntries => self.leave_odd_entries(duration).await,
+            Kind::ChangedBound => self.change_bounds().await,
         }
     }
 
--- a/tools/soak/src/injector/series.rs
+++ b/tools/soak/src/injector/series.rs
@@ -15,6 +15,17 @@
 /// Range of the age of a backend server whose sidecar is killed, in milliseconds.
 const YOUNG_MS: std::ops::Range<u64> = 100..1_000;
 
+/// Time for which a sidecar is frozen before its backend server crashes: longer than a
+/// gateway waits for an answer to an opening packet.
+const FREEZE: Duration = Duration::from_millis(800);
+
+/// Time for which flows are opened then. A gateway avoids a sidecar that does not answer
+/// soon after.
+const OPENING_TIME: Duration = Duration::from_millis(250);
+
+/// Range of the time for which the backend server is down then, in milliseconds.
+const DOWN_MS: std::ops::Range<u64> = 300..2_000;
+
 /// Pause between two long flows that are opened while a backend server is young.
 const OPENING_PAUSE: Duration = Duration::from_millis(4);
 
@@ -81,6 +92,45 @@
         Ok(())
     }
 
+    /// Freezes a sidecar for a moment while flows of its service are opened, and crashes
+    /// its backend server half a second later. Long flows idle from their first answer on,
+    /// and are used once the server is back.
+    pub(super) async fn freeze_then_crash(&self) -> io::Result<()> {
+        let service = self.pick_service();
+        let servers = {
+            let harness = self.harness.borrow();
+            let servers = 0..harness.servers.len();
+            let matching = servers.filter(|server| harness.servers[*server].service == service);
+            matching.collect()
+        };
+        let down = {
+            let harness = &mut *self.harness.borrow_mut();
+            Duration::from_millis(harness.random.u64(DOWN_MS))
+        };
+        for server in self.sample(servers, 0) {
+            let host = self.harness.borrow().host_of(server);
+            self.disturb(&[host], Cause::Fault, Host::freeze)?;
+            // Answers that arrive after the thaw would show which server holds a flow.
+            let idle = FREEZE + down + 4 * MARGIN;
+            self.harness.borrow_mut().pause_callers(service, idle);
+            let start = self.harness.borrow().now();
+            while self.harness.borrow().now() < start + OPENING_TIME {
+                self.harness.borrow_mut().open_long_flow(service);
+                Timer::after(OPENING_PAUSE).await;
+            }
+            Timer::after(FREEZE.saturating_sub(OPENING_TIME)).await;
+            self.restore(&[host], Cause::Fault, Host::thaw)?;
+            Timer::after(MARGIN).await;
+            self.harness.borrow_mut().server_end(server);
+            Timer::after(down).await;
+            lifecycle::start(&self.harness, &self.executor, server);
+            Timer::after(2 * MARGIN).await;
+            self.harness.borrow_mut().use_long_flows(service);
+            Timer::after(2 * MARGIN).await;
+        }
+        Ok(())
+    }
+
     /// Restarts half of the gateways. All long flows of a service carry a request while
     /// these are away, so that the others have to find them.
     async fn restart_gateways_under(&self, service: usize) -> io::Result<()> {
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -24,7 +24,7 @@
 /// Ends of the groups of later kinds, each with the bits by which its sequence rotates
 /// the seed. They are drawn apart, so that the seeds of earlier failures still mean the
 /// same runs.
-const LATER_KINDS: [(usize, u32); 2] = [(33, 32), (35, 16)];
+const LATER_KINDS: [(usize, u32); 3] = [(33, 32), (35, 16), (38, 48)];
 
 /// Probability that a run has a disturbance, or a further one, of a group of later
 /// kinds.
@@ -109,6 +109,9 @@
     Evacuate "evacuate" "a zone is evacuated for longer than the bound, and restored"
     MoveRoute "move-route" "a route with traffic is moved to another service, half of the gateways are restarted once that is in force, and the route is moved back"
     YoungServer "young-server" "a backend server restarts, its sidecar is killed soon after, and half of the gateways are restarted once the host is undisturbed"
+    FreezeThenCrash "freeze-then-crash" "a sidecar is frozen for a moment while flows are opened, its backend server crashes soon after, and the flows are used once it is back"
+    OddEntries "odd-entries" "another writer leaves odd entries among those of the store, and announces odd backend servers"
+    ChangedBound "changed-bound" "the bounds of all settings become fractions, and some processes are restarted"
 }
 
 /// Error of parsing a disturbance.
--- a/tools/soak/src/server.rs
+++ b/tools/soak/src/server.rs
@@ -110,7 +110,7 @@
             Kind::Reset => {
                 if instance.flows.remove(&flow).is_some() {
                     instance.waiting.retain(|(waiting, _)| *waiting != flow);
-                    self.checker.record_close(&flow);
+                    self.checker.record_server_close(&flow, number);
                 }
             }
             _ => match instance.flows.get_mut(&flow) {
@@ -162,7 +162,7 @@
             self.server_send(number, &segment, &packet.content);
         }
         for id in over {
-            self.checker.record_close(&id);
+            self.checker.record_server_close(&id, number);
             if let Some(instance) = &mut self.servers[number].instance {
                 instance.flows.remove(&id);
             }
@@ -173,7 +173,7 @@
     pub fn server_end(&mut self, number: usize) {
         if let Some(instance) = self.servers[number].instance.take() {
             for flow in instance.flows.keys() {
-                self.checker.record_close(flow);
+                self.checker.record_server_close(flow, number);
             }
         }
     }
--- a/tools/soak/tests/short.rs
+++ b/tools/soak/tests/short.rs
@@ -173,3 +173,36 @@
     });
     assert_none_with(6, with_long_flows(), disturbances.into())
 }
+
+/// Guards against resets of flows that an agent claimed by a late copy of their opening
+/// packet, once its backend server has restarted.
+#[test]
+fn a_freeze_beside_a_crash_breaks_no_open_flow() -> Result {
+    let disturbances = [1, 8].map(|at| Disturbance {
+        at: Duration::from_secs(at),
+        kind: Kind::FreezeThenCrash,
+        duration: Duration::from_secs(1),
+    });
+    assert_none_with(7, with_long_flows(), disturbances.into())
+}
+
+/// Guards against processes that end, or stop following the store or their backend server,
+/// because of odd entries of another writer, and that do not start once a bound is a
+/// fraction.
+#[test]
+fn odd_entries_and_changed_bounds_stop_no_process() -> Result {
+    let kinds = [
+        (500, Kind::OddEntries),
+        (1_000, Kind::Route),
+        (1_500, Kind::ChangedBound),
+        (5_000, Kind::KillGateway),
+        (6_000, Kind::Storm),
+        (8_000, Kind::OddEntries),
+    ];
+    let disturbances = kinds.map(|(at, kind)| Disturbance {
+        at: Duration::from_millis(at),
+        kind,
+        duration: Duration::from_secs(4),
+    });
+    assert_none_with(8, with_long_flows(), disturbances.into())
+}
