--- a/tools/soak/src/injector.rs
+++ b/tools/soak/src/injector.rs
@@ -281,13 +281,11 @@
 
     /// Replaces half of the backend servers of a random service as planned.
     async fn release(&self) -> io::Result<()> {
-        let servers = {
+        let service = {
             let harness = &mut *self.harness.borrow_mut();
-            let service = harness.random.usize(..harness.topology.services.len());
-            let all = 0..harness.servers.len();
-            let matching = all.filter(|server| harness.servers[*server].service == service);
-            matching.collect()
+            harness.random.usize(..harness.topology.services.len())
         };
+        let servers = self.servers_of(service);
         for server in self.sample(servers, 50) {
             if !lifecycle::drain(&self.harness, server).await {
                 continue;
--- a/tools/soak/src/injector/series.rs
+++ b/tools/soak/src/injector/series.rs
@@ -60,12 +60,7 @@
     /// meanwhile, and idle from the kill on.
     pub(super) async fn restart_beside_young_server(&self) -> io::Result<()> {
         let service = self.pick_service();
-        let servers = {
-            let harness = self.harness.borrow();
-            let servers = 0..harness.servers.len();
-            let matching = servers.filter(|server| harness.servers[*server].service == service);
-            matching.collect()
-        };
+        let servers = self.servers_of(service);
         let (age, undisturbed, bounds) = {
             let harness = &mut *self.harness.borrow_mut();
             let age = Duration::from_millis(harness.random.u64(YOUNG_MS));
@@ -97,12 +92,7 @@
     /// and are used once the server is back.
     pub(super) async fn freeze_then_crash(&self) -> io::Result<()> {
         let service = self.pick_service();
-        let servers = {
-            let harness = self.harness.borrow();
-            let servers = 0..harness.servers.len();
-            let matching = servers.filter(|server| harness.servers[*server].service == service);
-            matching.collect()
-        };
+        let servers = self.servers_of(service);
         let down = {
             let harness = &mut *self.harness.borrow_mut();
             Duration::from_millis(harness.random.u64(DOWN_MS))
@@ -143,6 +133,14 @@
         self.restore(&gateways, Cause::Planned, Host::bring_up)
     }
 
+    /// Returns the backend servers of a service.
+    pub(super) fn servers_of(&self, service: usize) -> Vec<usize> {
+        let servers = &self.harness.borrow().servers;
+        let matching = servers.iter().enumerate();
+        let matching = matching.filter(|(_, server)| server.service == service);
+        matching.map(|(number, _)| number).collect()
+    }
+
     /// Returns a random service, one with long flows if there is any.
     fn pick_service(&self) -> usize {
         let all = {
