--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -135,12 +135,12 @@
     let is_ready = Arc::new(AtomicBool::new(true));
     ready::serve(host.listen.ready, &executor, vec![is_ready]).await?;
     if let Some(address) = host.listen.announcements {
-        let own = announcements::Own {
-            backend,
+        let backend = announcements::Backend {
+            address: backend,
             service: host.service.clone(),
             boot: settings.0.boot.clone(),
         };
-        announcements::serve(address, own, &executor, sender.clone()).await?;
+        announcements::serve(address, backend, &executor, sender.clone()).await?;
     }
     let http = Http::new(store::http::Settings::new(host.store));
     let store = platform::Client::new(http.clone());
--- a/roles/app/src/sidecar/announcements.rs
+++ b/roles/app/src/sidecar/announcements.rs
@@ -24,9 +24,9 @@
 
 /// Backend server of a sidecar.
 #[derive(Clone, Debug)]
-pub struct Own {
+pub struct Backend {
     /// UDP address at which it receives packets.
-    pub backend: SocketAddr,
+    pub address: SocketAddr,
     /// Name of its service, if the settings state it.
     pub service: Option<String>,
     /// Path of the settings file.
@@ -40,15 +40,15 @@
 /// Returns the operating system's error if the address cannot be bound.
 pub async fn serve(
     address: SocketAddr,
-    own: Own,
+    backend: Backend,
     executor: &Arc<Executor<'static>>,
     control: Sender<Input>,
 ) -> io::Result<()> {
     let answer = move |request: http::Question| {
-        let (control, own) = (control.clone(), own.clone());
+        let (control, backend) = (control.clone(), backend.clone());
         async move {
             let call = announcement::decode(&request.method, &request.path, &request.body);
-            let notice = call.and_then(|call| notice_from(call, &own));
+            let notice = call.and_then(|call| notice_from(call, &backend));
             let Some(notice) = notice else {
                 let path = request.path;
                 Event::NotAnAnnouncement { path }.log();
@@ -75,12 +75,12 @@
 /// Returns the notice in a call about the own backend server, or `None` if the call
 /// announces another one, or one that cannot exist.
 #[must_use]
-pub fn notice_from(call: Call, own: &Own) -> Option<Notice> {
+pub fn notice_from(call: Call, own: &Backend) -> Option<Notice> {
     match call {
         Call::Announce {
             address,
             announcement,
-        } if address == own.backend
+        } if address == own.address
             && own.serves(announcement.service)
             && announcement.is_plausible(clock::unix_time()) =>
         {
@@ -94,7 +94,7 @@
     }
 }
 
-impl Own {
+impl Backend {
     /// Returns true if the settings name this service, or none. They are read again if
     /// they named another one when the process started.
     fn serves(&self, service: ServiceAddress) -> bool {
--- a/roles/app/tests/announcements.rs
+++ b/roles/app/tests/announcements.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use app::clock;
-use app::sidecar::announcements::Own;
+use app::sidecar::announcements::Backend;
 use app::sidecar::announcements::notice_from;
 use forward::agent::Announcement;
 use forward::agent::State;
@@ -25,21 +25,21 @@
     std::env::temp_dir().join(name)
 }
 
-fn own(service: Option<&str>, boot: PathBuf) -> Own {
-    Own {
-        backend: SERVER.parse().unwrap(),
+fn own(service: Option<&str>, boot: PathBuf) -> Backend {
+    Backend {
+        address: SERVER.parse().unwrap(),
         service: service.map(str::to_owned),
         boot,
     }
 }
 
 /// Returns whether an announcement with this service, start and sequence number is taken.
-fn takes(own: &Own, service: &str, start: u64, sequence: u64) -> bool {
+fn takes(own: &Backend, service: &str, start: u64, sequence: u64) -> bool {
     let service = service_address(service);
     let announcement = Announcement {
         name: "server-1".to_owned(),
         service,
-        target: target_id(service, own.backend),
+        target: target_id(service, own.address),
         start,
         age: None,
         sequence,
@@ -48,7 +48,7 @@
         warm_up: Duration::ZERO,
     };
     let call = Call::Announce {
-        address: own.backend,
+        address: own.address,
         announcement,
     };
     notice_from(call, own).is_some()
--- a/roles/forward/src/entry/holder.rs
+++ b/roles/forward/src/entry/holder.rs
@@ -3,6 +3,7 @@
 //! An agent that handles a copy of an opening packet late reports that it holds the flow,
 //! although the caller uses another one. Such a report is not told from a true one, so
 //! each agent that has made one counts as a possible holder until it denies the flow.
+use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,7 +29,7 @@
 const MAX_EARLIER: usize = 8;
 
 /// Agents that have reported that they hold a flow, before the one that did so last.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Claims {
     /// Those that have not denied the flow since, the latest one last.
     earlier: Vec<Claim>,
@@ -74,11 +75,11 @@
         if self.routes.table.has_priorities {
             self.record_admitted(now, held);
         }
-        let previous = self.flows.remove(&held.flow);
+        let mut previous = self.flows.remove(&held.flow);
         self.store_flow(now, held.flow, Phase::Held(held.holder));
         if let Some(flow) = self.flows.get_mut(&held.flow) {
             flow.server_start = held.start;
-            if let Some(previous) = &previous {
+            if let Some(previous) = &mut previous {
                 flow.continue_from(previous, held);
             }
         }
@@ -169,11 +170,12 @@
 
 impl Flow {
     /// Keeps what is known of a flow whose holder was reported again.
-    fn continue_from(&mut self, previous: &Self, held: &Held) {
+    fn continue_from(&mut self, previous: &mut Self, held: &Held) {
         self.is_closing = previous.is_closing;
         self.progress = previous.progress;
-        self.claims.clone_from(&previous.claims);
+        self.claims = mem::take(&mut previous.claims);
         self.claims.remove(held.holder.target);
+        let starts = previous.server_start.zip(held.start);
         match previous.phase {
             Phase::Held(former) if former.target != held.holder.target => {
                 self.claims.push(Claim {
@@ -182,11 +184,7 @@
                 });
             }
             // One of the reports is about an earlier time, and which one is not known.
-            Phase::Held(_)
-                if previous
-                    .server_start
-                    .is_some_and(|start| held.start.is_some_and(|reported| reported != start)) =>
-            {
+            Phase::Held(_) if starts.is_some_and(|(known, reported)| known != reported) => {
                 self.server_start = None;
             }
             _ => {}
