--- a/review/standin-3/platform/deployment.rs
+++ b/review/standin-3/platform/deployment.rs
@@ -59,6 +59,10 @@
     pub router: Router,
     pub bounds: Bounds,
     pub zones: Vec<String>,
+    /// Priorities of routes in the next configuration, where they are not 1.
+    pub priorities: BTreeMap<SocketAddrV4, u64>,
+    /// Idle timeout in the next configuration.
+    pub idle_ms: u64,
     net: u8,
     folder: PathBuf,
     processes: Arc<Mutex<BTreeMap<String, Child>>>,
@@ -70,6 +74,11 @@
     /// Starts the store at addresses that are free; ends the run with status 2 if there
     /// are none.
     pub fn new(record: &Record, zones: &[&str], bounds: Bounds) -> Self {
+        Self::with_revision(record, zones, bounds, 100)
+    }
+
+    /// Starts the store with this revision.
+    pub fn with_revision(record: &Record, zones: &[&str], bounds: Bounds, revision: u64) -> Self {
         let free = (0..50).map(|_| (random() % 240) as u8 + 5).find(|net| {
             let address = |last: [u8; 2], port| {
                 SocketAddrV4::new(Ipv4Addr::new(127, *net, last[0], last[1]), port)
@@ -86,14 +95,16 @@
         let net = free.unwrap_or_else(|| stop("no free loopback addresses"));
         let folder = std::env::temp_dir().join(format!("review-3-{}-{net}", std::process::id()));
         fs::create_dir_all(&folder).unwrap_or_else(|_| stop("no temporary folder"));
-        let store = Store::start(SocketAddr::from(SocketAddrV4::new(
-            Ipv4Addr::new(127, net, 3, 1),
-            STORE,
-        )));
+        let store = Store::start(
+            SocketAddr::from(SocketAddrV4::new(Ipv4Addr::new(127, net, 3, 1), STORE)),
+            revision,
+        );
         let store = store.unwrap_or_else(|_| stop("the store's address is not free"));
         let deployment = Self {
             record: record.clone(),
             store,
+            priorities: BTreeMap::new(),
+            idle_ms: 15_000,
             router: Router::new(crate::client::Scheme::Steady),
             bounds,
             zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
@@ -131,11 +142,12 @@
         let rows = routes.iter().map(|(address, service, timeout, aim)| {
             format!(
                 "{{\"name\":\"r{}\",\"hostname\":\"{}\",\"prefix\":\"/{}/\",\"service\":{},\"type\":\"unsafe\",\
-                 \"timeout_ms\":{timeout},\"target_latency_ms\":{aim},\"max_attempts\":1,\"priority\":1}}",
+                 \"timeout_ms\":{timeout},\"target_latency_ms\":{aim},\"max_attempts\":1,\"priority\":{}}}",
                 address.ip().octets()[3],
                 address.ip(),
                 address.port(),
-                quote(service)
+                quote(service),
+                self.priorities.get(address).unwrap_or(&1),
             )
         });
         let rows: Vec<String> = rows.collect();
@@ -150,9 +162,10 @@
         self.record
             .line(&format!("the operator writes version {version}"));
         let text = format!(
-            "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{\"idle_timeout_ms\":15000}}}}",
+            "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{\"idle_timeout_ms\":{}}}}}",
             rows.join(","),
-            names.join(",")
+            names.join(","),
+            self.idle_ms,
         );
         self.store.put("op/config", &text);
     }
--- a/review/standin-3/platform/main.rs
+++ b/review/standin-3/platform/main.rs
@@ -1,8 +1,10 @@
 //! Cases of the third review. `standin-3 CASE RECORD` runs one, from the root of the
 //! repository. Status 1: the rule was broken; 0: it held; 2: the case could not run.
+mod change;
 mod client;
 mod deployment;
 mod http;
+mod idle;
 mod json;
 mod moved;
 mod packet;
@@ -29,6 +31,9 @@
     };
     let status = match case.as_str() {
         "replaced" => replaced::run(&record, has_trouble),
+        "priority" => change::run(&record, has_trouble, change::Kind::Priority),
+        "revision" => change::run(&record, has_trouble, change::Kind::Revision),
+        "idle" => idle::run(&record, has_trouble),
         "moved" => moved::run(&record, has_trouble),
         _ => 2,
     };
--- a/review/standin-3/platform/store.rs
+++ b/review/standin-3/platform/store.rs
@@ -34,9 +34,9 @@
 pub struct Store(Arc<(Mutex<State>, Condvar)>);
 
 impl Store {
-    pub fn start(address: SocketAddr) -> std::io::Result<Self> {
+    pub fn start(address: SocketAddr, revision: u64) -> std::io::Result<Self> {
         let state = State {
-            revision: 100,
+            revision,
             next_lease: 1,
             ..State::default()
         };
