--- a/review/standin-3/platform/deployment.rs
+++ b/review/standin-3/platform/deployment.rs
@@ -318,6 +318,7 @@
             heartbeat: Duration::from_millis(self.bounds.heartbeat_ms),
             warmup: Duration::ZERO,
             pace: 1.0,
+            first_sequence: 1,
         }
     }
 
--- a/review/standin-3/platform/main.rs
+++ b/review/standin-3/platform/main.rs
@@ -12,6 +12,7 @@
 mod replaced;
 mod store;
 mod target;
+mod young;
 
 use std::path::Path;
 use std::process::exit;
@@ -33,6 +34,7 @@
         "replaced" => replaced::run(&record, has_trouble),
         "priority" => change::run(&record, has_trouble, change::Kind::Priority),
         "revision" => change::run(&record, has_trouble, change::Kind::Revision),
+        "young" => young::run(&record, has_trouble),
         "idle" => idle::run(&record, has_trouble),
         "moved" => moved::run(&record, has_trouble),
         _ => 2,
--- a/review/standin-3/platform/target.rs
+++ b/review/standin-3/platform/target.rs
@@ -48,6 +48,8 @@
     pub warmup: Duration,
     /// Factor of the work of its requests: target machines differ in speed.
     pub pace: f64,
+    /// Number of its first heartbeat.
+    pub first_sequence: u64,
 }
 
 /// A flow between the same two ends: client and route.
@@ -106,7 +108,7 @@
             stop: Arc::default(),
             frozen: Arc::default(),
             draining: Arc::default(),
-            sequence: Arc::default(),
+            sequence: Arc::new(AtomicU64::new(settings.first_sequence)),
             cold_until: Arc::new(Mutex::new(Instant::now() + settings.warmup)),
             settings,
         };
@@ -176,7 +178,7 @@
 
     /// Sends a heartbeat; returns whether it was acknowledged.
     pub fn beat(&self) -> bool {
-        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
         let settings = &self.settings;
         let state = match self.draining.load(Ordering::SeqCst) {
             true => "draining",
