--- a/review/standin-3/platform/deployment.rs
+++ b/review/standin-3/platform/deployment.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -40,8 +41,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, ...) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets when the one that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 /// Bounds and limits of the deployment that the settings state.
 #[derive(Clone)]
 pub struct Bounds {
@@ -250,6 +255,13 @@
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors);
+        // The process ends with this one, also if this one is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
         let child = command
             .spawn()
             .unwrap_or_else(|_| stop("target/release/greengagelug cannot be started; build it"));
