--- a/coordination/route/tests/refusal.rs
+++ b/coordination/route/tests/refusal.rs
@@ -26,7 +26,7 @@
     refusal
 }
 
-fn decide(refusal: &mut Refusal, now: Duration, priority: u8) -> Decision {
+fn decide(refusal: &mut Refusal, now: Duration, priority: u64) -> Decision {
     refusal.decide(now, service(), priority, 0..TARGETS)
 }
 
--- a/protocol/wire/src/id.rs
+++ b/protocol/wire/src/id.rs
@@ -22,7 +22,7 @@
 
 /// Load-shedding priority of a route, which makes its flows a class: under overload, a
 /// higher number is shed first and 0 last.
-pub type Priority = u8;
+pub type Priority = u64;
 
 /// IP address and UDP port that callers of a service send to.
 pub type ServiceAddress = SocketAddr;
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caller;
 pub mod frame;
 pub mod id;
+mod priority;
 pub mod seal;
 pub mod segment;
 pub mod target;
--- a/protocol/wire/src/transit.rs
+++ b/protocol/wire/src/transit.rs
@@ -11,6 +11,7 @@
 use crate::Priority;
 use crate::TargetId;
 use crate::batch;
+use crate::priority;
 use crate::segment::FlowId;
 use crate::trailing;
 
@@ -98,6 +99,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
     /// Load-shedding priority of the route.
+    #[serde(with = "priority")]
     pub priority: Priority,
     /// Time in milliseconds within which an answer has its full value to the caller.
     pub latency_target_ms: u32,
@@ -248,7 +250,7 @@
     /// Lowest load-shedding priority whose new flows are refused there, because none
     /// could be answered before its caller gives up; `None` where there is none, or
     /// where the flow had no [`Demand`]. Must stay the last field of the frame.
-    #[serde(with = "trailing", skip_serializing_if = "Option::is_none")]
+    #[serde(with = "priority::last", skip_serializing_if = "Option::is_none")]
     pub refused_from: Option<Priority>,
 }
 
--- a/protocol/wire/tests/transit.rs
+++ b/protocol/wire/tests/transit.rs
@@ -46,6 +46,37 @@
     }
 }
 
+/// Guards against flows that are refused, or shed in the wrong order, because a priority
+/// of the configuration does not fit into a frame.
+fn passes_a_frame((priority, length): (u64, usize)) {
+    let demand = Demand { priority, ..DEMAND };
+    let frame = open(Some(demand));
+    let decoded: Open = postcard::from_bytes(&encode(&frame)).unwrap();
+    assert_eq!(decoded, frame);
+    // Earlier versions read one byte.
+    let shorter = encode(&open(Some(DEMAND))).len() - 1;
+    assert_eq!(encode(&frame).len(), shorter + length);
+    let busy = Transit::Busy(Busy {
+        target: 1,
+        load: Load {
+            used_permille: Some(500),
+            ..Load::default()
+        },
+        refused_from: Some(priority),
+    });
+    let bytes = postcard::to_stdvec(&busy).unwrap();
+    assert_eq!(postcard::from_bytes::<Transit>(&bytes), Ok(busy));
+}
+
+cases::cases! { passes_a_frame;
+    highest_priority: (0, 1),
+    priority_with_the_upper_bit_of_a_byte: (200, 1),
+    largest_priority_of_one_byte: (254, 1),
+    smallest_priority_of_more: (255, 3),
+    priority_beyond_a_byte: (300, 3),
+    lowest_priority: (u64::MAX, 11),
+}
+
 /// A process of an earlier version ignores what follows the last field that it knows,
 /// so a roll of the processes loses no opening packet.
 #[test]
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -11,6 +11,7 @@
 use config::era::Era;
 use log::Level;
 use wire::Incarnation;
+use wire::Priority;
 use wire::Revision;
 use wire::ServiceAddress;
 use wire::TargetId;
@@ -202,13 +203,13 @@
         "flow {flow} waits for a slot: expected wait {wait_us} us; {waiting} flows waited before it", "nothing";
     4015 Warn AnswerImplausible { flow: String }
         "the answer to a request of flow {flow} came far sooner and is far shorter than usual; it counts as a failure", "check the backend server's log for errors";
-    4016 Warn OverloadBegan { priority: u8, running: u16, waiting: usize, held: usize }
+    4016 Warn OverloadBegan { priority: Priority, running: u16, waiting: usize, held: usize }
         "overload began: a new flow of priority {priority} had to wait; {running} requests run or wait at the backend server, {waiting} flows wait here, {held} are held", "check the load; less urgent flows wait or are refused until it ends";
     4017 Info OverloadEnded { lasted_ms: u128 }
         "overload ended after {lasted_ms} ms", "nothing";
-    4018 Warn ClassRefused { service: String, priority: u8 }
+    4018 Warn ClassRefused { service: String, priority: Priority }
         "no backend server has capacity for new flows of priority {priority} to service {service}; they are refused here, except for one in 16", "check the load and the number of backend servers";
-    4019 Info ClassAdmitted { service: String, priority: u8, refused: u64 }
+    4019 Info ClassAdmitted { service: String, priority: Priority, refused: u64 }
         "new flows of priority {priority} to service {service} are sent to backend servers again; {refused} were refused", "nothing";
     4020 Info FlowsSought { flows: usize, searcher: TargetId, known: usize }
         "the agent of {searcher} searches for the holders of {flows} flows among {known} agents", "nothing";
--- a/roles/app/src/forwarder/event.rs
+++ b/roles/app/src/forwarder/event.rs
@@ -6,6 +6,7 @@
 
 use log::Level;
 use wire::FlowId;
+use wire::Priority;
 
 use crate::event::Event;
 
@@ -99,7 +100,7 @@
 
 /// Returns a priority as the reason of a counter.
 #[must_use]
-pub const fn priority_name(priority: u8) -> &'static str {
+pub const fn priority_name(priority: Priority) -> &'static str {
     match priority {
         0 => "0",
         1 => "1",
--- a/roles/forward/tests/admission.rs
+++ b/roles/forward/tests/admission.rs
@@ -15,13 +15,13 @@
 use wire::transit::Demand;
 use wire::transit::Open;
 
-const URGENT: u8 = 1;
-const OTHER: u8 = 2;
+const URGENT: u64 = 1;
+const OTHER: u64 = 2;
 
 /// First port of the flows that fill the backend server.
 const FIRST_PORT: u16 = 1_000;
 
-fn frame(priority: u8) -> Open {
+fn frame(priority: u64) -> Open {
     Open {
         max_wait_ms: 5_000,
         demand: Some(Demand {
@@ -34,7 +34,7 @@
     }
 }
 
-fn open(agent: &mut Agent, now: Duration, port: u16, priority: u8) -> Vec<Action> {
+fn open(agent: &mut Agent, now: Duration, port: u16, priority: u64) -> Vec<Action> {
     send_open(agent, now, port, frame(priority))
 }
 
@@ -46,7 +46,7 @@
 
 /// Returns an agent whose backend server is full of requests of a priority, but for
 /// one of another.
-fn agent_full_of(priority: u8, first: u8) -> Agent {
+fn agent_full_of(priority: u64, first: u64) -> Agent {
     let mut agent = ready_agent(false);
     for port in FIRST_PORT..FIRST_PORT + 2 + Settings::default().max_queued {
         let priority = if port == FIRST_PORT { first } else { priority };
--- a/roles/forward/tests/malformed.rs
+++ b/roles/forward/tests/malformed.rs
@@ -83,7 +83,7 @@
         bids in prop_oneof![vec(millis(), 0..5), vec(millis(), 0..MAX_LENGTH)],
         is_settled in any::<bool>(),
         max_wait_ms in millis(),
-        demand in proptest::option::of((any::<u8>(), millis(), any::<bool>(), millis())),
+        demand in proptest::option::of((any::<u64>(), millis(), any::<bool>(), millis())),
     ) -> Open {
         Open {
             path: path.into_iter().map(hop).collect(),
@@ -164,7 +164,7 @@
     fn odd_routes()(
         version in number(),
         times in [stated_time(), stated_time(), stated_time(), stated_time()],
-        priority in any::<u8>(),
+        priority in any::<u64>(),
         weight in any::<u32>(),
         rate in any::<u32>(),
     ) -> Routes {
@@ -255,7 +255,7 @@
                 acknowledged,
             })
         }),
-        (target_id(), load(), proptest::option::of(any::<u8>())).prop_map(
+        (target_id(), load(), proptest::option::of(any::<u64>())).prop_map(
             |(target, load, refused_from)| entry::Event::Busy(Busy {
                 target,
                 load,
