Store: tell all revisions and eras apart

Cause: era::revision packed the era and 48 bits of the revision into one word and made larger revisions equal, so the follower took each later value for the one that it had. PROTOCOL.md: "A single revision counter starts above 0 and increases with each change."

Change: wire::Revision has 128 bits, era and number with 64 each. Versions of the configuration are wire::Version now. Between processes, revision::Compact encodes what fits into the earlier word as before (recorded frames and messages encode to the same bytes), and anything else behind a number that earlier builds reject. The operator's interface and the metrics state the number of the change.

Types in tests follow the type of a revision.

--- a/coordination/config/src/era.rs
+++ b/coordination/config/src/era.rs
@@ -16,6 +16,7 @@
 use std::sync::atomic::Ordering;
 
 use wire::Revision;
+use wire::revision;
 
 use crate::Fault;
 
@@ -25,29 +26,22 @@
 /// Number of a change within its era.
 pub type Number = u64;
 
-/// Bits of a revision that hold the number of the change; the others hold the
-/// era.
-const NUMBER_BITS: u32 = 48;
-
-/// Largest number of a change, and mask of its bits.
-const MAX_NUMBER: Number = (1 << NUMBER_BITS) - 1;
-
 /// Returns the revision of a change of an era.
 #[must_use]
-pub fn revision(era: Era, number: Number) -> Revision {
-    era.min(Era::from(u16::MAX)) << NUMBER_BITS | number.min(MAX_NUMBER)
+pub const fn revision(era: Era, number: Number) -> Revision {
+    revision::join(era, number)
 }
 
 /// Returns the era of a change.
 #[must_use]
 pub const fn of(revision: Revision) -> Era {
-    revision >> NUMBER_BITS
+    revision::split(revision).0
 }
 
 /// Returns the number of a change within its era.
 #[must_use]
 pub const fn number(revision: Revision) -> Number {
-    revision & MAX_NUMBER
+    revision::split(revision).1
 }
 
 /// Latest era that any answer has named. Clones share it.
--- a/coordination/config/src/evacuation.rs
+++ b/coordination/config/src/evacuation.rs
@@ -13,8 +13,10 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 use wire::Revision;
 use wire::ZoneId;
+use wire::revision;
 
 use crate::Listing;
 use crate::era;
@@ -26,9 +28,11 @@
 pub const RESTORE_DELAY: Duration = Duration::from_secs(3);
 
 /// The evacuated zones, as the store listed them.
+#[serde_as]
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evacuations {
     /// Revision at which each zone was evacuated.
+    #[serde_as(as = "BTreeMap<_, revision::Compact>")]
     pub zones: BTreeMap<ZoneId, Revision>,
 }
 
--- a/coordination/config/tests/change.rs
+++ b/coordination/config/tests/change.rs
@@ -14,9 +14,10 @@
 use faulty_store::store_with_service;
 use faulty_store::update;
 use proptest::prelude::*;
+use wire::Revision;
 
 /// Returns the revision of an accepted change and of the one that replaced it.
-fn accepted(outcome: &Outcome) -> (u64, Option<u64>) {
+fn accepted(outcome: &Outcome) -> (Revision, Option<Revision>) {
     match outcome {
         Outcome::Accepted {
             revision,
@@ -269,7 +270,7 @@
     #[test]
     fn each_reported_outcome_agrees_with_the_store(
         steps in prop::collection::vec((0..4_usize, failure()), 0..60),
-        bases in prop::collection::vec(1..3_u64, 3),
+        bases in prop::collection::vec(1..3_u128, 3),
     ) {
         let mut store = store_with_service();
         let mut operators: Vec<_> = bases
--- a/coordination/config/tests/evacuation.rs
+++ b/coordination/config/tests/evacuation.rs
@@ -1,18 +1,20 @@
 //! Tests of which evacuated zones are in force.
 use std::time::Duration;
 
+use wire::Revision;
+
 use config::Evacuations;
 use config::era;
 use config::evacuation::RESTORE_DELAY;
 use config::evacuation::Tracker;
 
-fn list(zones: &[(u16, u64)]) -> Evacuations {
+fn list(zones: &[(u16, Revision)]) -> Evacuations {
     Evacuations {
         zones: zones.iter().copied().collect(),
     }
 }
 
-fn tracker(revision: u64, zones: &[(u16, u64)]) -> Tracker {
+fn tracker(revision: Revision, zones: &[(u16, Revision)]) -> Tracker {
     let mut tracker = Tracker::default();
     tracker.observe(Duration::ZERO, revision, list(zones));
     tracker
--- a/coordination/config/tests/follow.rs
+++ b/coordination/config/tests/follow.rs
@@ -1,6 +1,8 @@
 //! Tests of following one key of a store that fails.
 use std::time::Duration;
 
+use wire::Revision;
+
 use config::Fault;
 use config::Follower;
 use config::KeyValue;
@@ -17,7 +19,7 @@
     Duration::from_millis(millis)
 }
 
-fn item(revision: u64) -> KeyValue {
+fn item(revision: Revision) -> KeyValue {
     KeyValue {
         key: KEY.to_owned(),
         value: revision.to_string().into_bytes(),
@@ -29,14 +31,14 @@
     Follower::new(Settings::default(), KEY, 1)
 }
 
-fn changed(revision: u64) -> Event {
+fn changed(revision: Revision) -> Event {
     Event::Watched(Ok(Listing {
         items: vec![item(revision)],
         index: revision,
     }))
 }
 
-fn unchanged(index: u64) -> Event {
+fn unchanged(index: Revision) -> Event {
     Event::Watched(Ok(Listing {
         items: Vec::new(),
         index,
@@ -53,7 +55,7 @@
 }
 
 /// Returns the index after which the follower watches, or `None` if it reads.
-fn watched_since(follower: &Follower) -> Option<u64> {
+fn watched_since(follower: &Follower) -> Option<Revision> {
     match follower.next() {
         Action::Watch { since, .. } => Some(since),
         Action::Read | Action::List => None,
@@ -138,7 +140,7 @@
 }
 
 /// Returns a revision of the era after the first restore.
-fn restored(number: u64) -> u64 {
+fn restored(number: u64) -> Revision {
     era::revision(1, number)
 }
 
@@ -173,7 +175,7 @@
     assert_eq!(follower.handle(ms(3), unchanged(8)).pause, Duration::ZERO);
 }
 
-fn listing(keys: &[&str], index: u64) -> Listing {
+fn listing(keys: &[&str], index: Revision) -> Listing {
     let items = keys.iter().map(|key| KeyValue {
         key: (*key).to_owned(),
         ..item(index)
--- a/coordination/member/src/fragment.rs
+++ b/coordination/member/src/fragment.rs
@@ -7,8 +7,10 @@
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 use wire::Revision;
 use wire::ServiceAddress;
+use wire::revision;
 
 use crate::Service;
 
@@ -28,11 +30,13 @@
 const MAX_RETRIES: u32 = 20;
 
 /// Configuration that the sender holds and does not push.
+#[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Offer {
     /// Address of the service.
     pub address: ServiceAddress,
     /// Revision of the configuration.
+    #[serde_as(as = "revision::Compact")]
     pub revision: Revision,
 }
 
--- a/coordination/member/src/record.rs
+++ b/coordination/member/src/record.rs
@@ -6,12 +6,14 @@
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 use wire::Incarnation;
 use wire::Revision;
 use wire::ServiceAddress;
 use wire::Target;
 use wire::TargetId;
 use wire::ZoneId;
+use wire::revision;
 
 use crate::digest;
 use crate::message::Sequence;
@@ -27,11 +29,13 @@
 pub type SubjectId = TargetId;
 
 /// Configuration of one service. The larger revision wins.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
     /// Address that callers send to.
     pub address: ServiceAddress,
     /// Revision of the configuration in the platform's store.
+    #[serde_as(as = "revision::Compact")]
     pub revision: Revision,
     /// Configuration, opaque to this crate. A deletion is a body too.
     pub body: Bytes,
--- a/coordination/member/tests/broadcast.rs
+++ b/coordination/member/tests/broadcast.rs
@@ -4,6 +4,8 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use wire::Revision;
+
 use bytes::Bytes;
 use fastrand::Rng;
 use member::Announcer;
@@ -27,7 +29,7 @@
 const LATE_SPREAD_TIME: Duration = Duration::from_millis(3_500);
 
 /// Publishes a revision at the first entry.
-fn publish(net: &mut Net, revision: u64) {
+fn publish(net: &mut Net, revision: Revision) {
     let service = Service {
         address: BROADCAST_ADDRESS,
         revision,
@@ -41,7 +43,7 @@
 }
 
 /// Returns the agents that have not received a revision since they were last asked.
-fn lacking(net: &mut Net, revision: u64) -> usize {
+fn lacking(net: &mut Net, revision: Revision) -> usize {
     let agents = net.agents.values_mut();
     let records = agents.map(Announcer::take_broadcast);
     records
--- a/coordination/member/tests/faults.rs
+++ b/coordination/member/tests/faults.rs
@@ -12,6 +12,7 @@
 use member::Service;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use wire::Revision;
 use wire::ZoneId;
 
 use crate::net::Net;
@@ -37,7 +38,7 @@
     CutZone(u8),
     LoseThird(u64),
     Heal,
-    PutConfig(u8, u64),
+    PutConfig(u8, Revision),
 }
 
 fn any_fault() -> impl Strategy<Value = Fault> {
@@ -50,7 +51,7 @@
         (0..ZONES).prop_map(Fault::CutZone),
         any::<u64>().prop_map(Fault::LoseThird),
         Just(Fault::Heal),
-        (1..=ENTRIES, 0..50_u64).prop_map(|(number, revision)| Fault::PutConfig(number, revision)),
+        (1..=ENTRIES, 0..50_u128).prop_map(|(number, revision)| Fault::PutConfig(number, revision)),
     ]
 }
 
--- a/coordination/member/tests/merge.rs
+++ b/coordination/member/tests/merge.rs
@@ -66,7 +66,7 @@
 }
 
 fn any_record() -> impl Strategy<Value = Record> {
-    let services = (1..4_u8, 0..6_u64)
+    let services = (1..4_u8, 0..6_u128)
         .prop_map(|(number, revision)| Record::Service(service(number, revision)));
     let targets = (1..4_u8, 1..4_u64, 0..3_u32).prop_map(|(number, incarnation, version)| {
         let mut target = target(number, 1, incarnation);
@@ -152,13 +152,13 @@
 
     #[test]
     fn a_configuration_revision_never_decreases(
-        revisions in prop::collection::vec((1..4_u8, 0..20_u64), 1..60),
+        revisions in prop::collection::vec((1..4_u8, 0..20_u128), 1..60),
     ) {
         let mut registry = registry(1);
         let mut newest = std::collections::BTreeMap::new();
         for (number, revision) in revisions {
             push(&mut registry, vec![Record::Service(service(number, revision))]);
-            let largest: &mut u64 = newest.entry(number).or_default();
+            let largest: &mut Revision = newest.entry(number).or_default();
             *largest = revision.max(*largest);
             let wanted = service(number, *largest);
             let view = registry.view(&wanted.address);
--- a/coordination/member/tests/registry.rs
+++ b/coordination/member/tests/registry.rs
@@ -13,6 +13,7 @@
 use member::Service;
 use member::announcer::Change;
 use member::message::Error;
+use wire::Revision;
 use wire::target::State;
 
 use crate::net::CONVERGENCE_TIME;
@@ -23,7 +24,7 @@
 use crate::net::shared_service;
 use crate::net::target;
 
-fn config(revision: u64, len: usize) -> Service {
+fn config(revision: Revision, len: usize) -> Service {
     Service {
         address: shared_service(),
         revision,
--- a/coordination/member/tests/zones.rs
+++ b/coordination/member/tests/zones.rs
@@ -11,6 +11,7 @@
 use member::Service;
 use member::message::Push;
 use member::record::Report;
+use wire::Revision;
 use wire::ZoneId;
 
 use crate::net::CONVERGENCE_TIME;
@@ -202,7 +203,7 @@
     matches!(address, SocketAddr::V4(address) if address.ip().octets()[3] % 2 == 1)
 }
 
-fn put_config(net: &mut Net, number: u8, revision: u64) {
+fn put_config(net: &mut Net, number: u8, revision: Revision) {
     let now = net.now;
     let service = Service {
         address: shared_service(),
@@ -239,7 +240,7 @@
             .values()
             .all(|registry| registry.entries().count() == 8)
     );
-    let revisions = |net: &Net| -> Vec<u64> {
+    let revisions = |net: &Net| -> Vec<Revision> {
         let views = net
             .entries
             .values()
--- a/protocol/wire/src/frame.rs
+++ b/protocol/wire/src/frame.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 
 use crate::FlowKey;
 use crate::Revision;
@@ -11,6 +12,7 @@
 use crate::TargetId;
 use crate::Token;
 use crate::Transit;
+use crate::revision;
 
 /// Largest number of agents on the path of one relayed packet.
 pub const MAX_HOPS: usize = 8;
@@ -43,6 +45,7 @@
 }
 
 /// A caller's packet that is relayed along agents of a service.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Relay {
     /// Address of the caller, as received by the entry.
@@ -52,6 +55,7 @@
     /// The entry that replies are sent through.
     pub entry: SocketAddr,
     /// Revision of the service's configuration that the entry used.
+    #[serde_as(as = "revision::Compact")]
     pub revision: Revision,
     /// Home agent of the flow, which stores the flow's pin: the first in the
     /// flow's order of all targets.
--- a/protocol/wire/src/id.rs
+++ b/protocol/wire/src/id.rs
@@ -14,8 +14,13 @@
 /// incarnation of the same process replaces a smaller one.
 pub type Incarnation = u64;
 
-/// Revision of the configuration, assigned by the platform's key-value service.
-pub type Revision = u64;
+/// Revision of a change of the platform's key-value service: its era, which rises when
+/// the service is restored from an older copy, in the upper half, and its number within
+/// the era in the lower; see [`crate::revision`].
+pub type Revision = u128;
+
+/// Version of the operators' configuration of routes.
+pub type Version = u64;
 
 /// Id of an availability zone. Zones of one region have the same upper byte.
 pub type ZoneId = u16;
--- a/roles/app/src/entry/status.rs
+++ b/roles/app/src/entry/status.rs
@@ -10,6 +10,7 @@
 use config::Evacuations;
 use config::Service;
 use config::Update;
+use config::era;
 use member::Registry;
 use member::View;
 use member::view::Member;
@@ -76,7 +77,7 @@
     let operation = Service::from_bytes(&config.body).ok()?.operation;
     Some(InForce {
         address: view.address.to_string(),
-        revision: config.revision,
+        revision: era::number(config.revision),
         operation,
     })
 }
--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -8,6 +8,7 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 
+use config::era;
 use config::era::Era;
 use log::Level;
 use wire::Incarnation;
@@ -15,6 +16,7 @@
 use wire::Revision;
 use wire::ServiceAddress;
 use wire::TargetId;
+use wire::Version;
 
 /// Target of the log records that carry an event.
 pub const LOG_TARGET: &str = "greengagelug";
@@ -119,7 +121,7 @@
     2002 Error NotBound { service: ServiceAddress, error: String }
         "cannot bind the address of service {service}: {error}",
         "give the host that address and restart the entry, or set --fabric";
-    2003 Info ConfigInForce { version: Revision, routes: usize }
+    2003 Info ConfigInForce { version: Version, routes: usize }
         "configuration version {version} with {routes} routes is in force here", "nothing";
     2004 Error ConfigUnreadable { error: String }
         "cannot decode a configuration: {error}", "check the configuration that was last written to the store";
@@ -132,10 +134,10 @@
     2008 Warn StoreRestored { era: Era }
         "the store was restored from an older copy and is now in era {era}; changes made since the copy are lost",
         "check that the newest configuration is stored again; processes register again by themselves";
-    2009 Warn ConfigBehind { stored: Revision, version: Revision }
+    2009 Warn ConfigBehind { stored: Version, version: Version }
         "the store holds configuration version {stored}, which is older than version {version} in force here; the newer one stays in force",
         "write the newest configuration to the store again";
-    2010 Info ZoneEvacuated { zone: String, revision: Revision }
+    2010 Info ZoneEvacuated { zone: String, revision: era::Number }
         "availability zone {zone} is evacuated since revision {revision}: its backend servers get no new flows", "nothing";
     2011 Info ZoneRestored { zone: String }
         "availability zone {zone} is restored: its backend servers get new flows again", "nothing";
@@ -147,7 +149,7 @@
         "restore one of the zones, or start backend servers in another one";
     2014 Info ServiceCovered { service: ServiceAddress }
         "service {service} has backend servers in a zone that is not evacuated again", "nothing";
-    2015 Info RoutesMoved { version: Revision, routes: usize }
+    2015 Info RoutesMoved { version: Version, routes: usize }
         "configuration version {version} names other services than before for {routes} routes; their open flows stay at the former ones", "nothing";
     3001 Info TargetUp { service: ServiceAddress, target: TargetId }
         "backend server {target} of service {service} is ready for new flows", "nothing";
@@ -170,7 +172,7 @@
         "announcement {sequence} of backend server {server} is older than the last one and was ignored", "nothing";
     3009 Info OwnZone { state: String }
         "the availability zone of this host is {state}; while it is evacuated, new flows are passed on to other zones", "nothing";
-    4001 Info FlowOpened { flow: String, first: TargetId, version: Revision, count: usize }
+    4001 Info FlowOpened { flow: String, first: TargetId, version: Version, count: usize }
         "flow {flow} was sent to the agent of {first}, with {count} more agents on its path, by configuration version {version}", "nothing";
     4002 Info FlowTaken { flow: String, wait_us: u128, held_us: u128, risk_us: u128, running: u16, held: usize, entry: SocketAddr }
         "flow {flow} was accepted: expected wait {wait_us} us, later wait through other flows {held_us} us, loss through failures {risk_us} us; {running} requests and {held} flows before it; from entry {entry}",
--- a/roles/app/src/gateway/control.rs
+++ b/roles/app/src/gateway/control.rs
@@ -23,6 +23,8 @@
 use platform::document;
 use wire::Revision;
 use wire::ServiceAddress;
+use wire::Version;
+use wire::revision;
 
 use crate::change::Tracker;
 use crate::evacuation;
@@ -81,7 +83,7 @@
     pub is_confirmed: Arc<AtomicBool>,
     /// Version of the configuration that was last read from the store. Lower than
     /// the one in force if the store was restored from an older copy.
-    pub stored_version: Revision,
+    pub stored_version: Version,
     /// Whether callers can be served, as reported to the platform.
     pub is_ready: Arc<AtomicBool>,
     /// Whether that was reported once.
@@ -276,7 +278,7 @@
         }
         let service = member::Service {
             address: routes::DOCUMENT_ADDRESS,
-            revision: version,
+            revision: revision::from_packed(version),
             body: bytes.into(),
         };
         self.registry.put_service(now, service);
--- a/roles/app/src/gateway/evacuation.rs
+++ b/roles/app/src/gateway/evacuation.rs
@@ -7,7 +7,6 @@
 use config::era;
 use forward::Routes;
 use platform::name;
-use wire::Revision;
 use wire::ServiceAddress;
 
 use crate::clock;
@@ -41,7 +40,7 @@
     /// By the name of each zone that was ever evacuated: its revision, and the time at
     /// which this process learned of it in seconds since the Unix epoch; zeros once
     /// it was restored.
-    zones: BTreeMap<String, (Revision, u64)>,
+    zones: BTreeMap<String, (era::Number, u64)>,
     uncovered: usize,
 }
 
--- a/roles/app/src/gateway/rotation.rs
+++ b/roles/app/src/gateway/rotation.rs
@@ -20,6 +20,7 @@
 use member::record::entry_key;
 use member::registry::Identity;
 use wire::ServiceAddress;
+use wire::revision;
 
 use crate::clock;
 use crate::event::Event;
@@ -124,7 +125,7 @@
         let next = held.map_or(0, |held| held.revision.saturating_add(1));
         let service = Service {
             address,
-            revision: clock::incarnation().max(next),
+            revision: revision::from_packed(clock::incarnation()).max(next),
             body: body.into(),
         };
         registry.put_service(now, service);
--- a/roles/app/src/gateway/routes.rs
+++ b/roles/app/src/gateway/routes.rs
@@ -13,9 +13,9 @@
 use member::Registry;
 use member::View;
 use platform::document;
-use wire::Revision;
 use wire::ServiceAddress;
 use wire::Target;
+use wire::Version;
 use wire::target::State;
 
 use crate::event::Event;
@@ -98,7 +98,7 @@
     }
 
     /// Returns the version of the configuration in force; 0 before the first.
-    pub fn version(&self) -> Revision {
+    pub fn version(&self) -> Version {
         self.routes.table.version
     }
 
--- a/roles/app/src/metric/entry.rs
+++ b/roles/app/src/metric/entry.rs
@@ -4,6 +4,7 @@
 
 use async_channel::Sender;
 use async_io::Timer;
+use config::era;
 use member::Registry;
 use net::port::Counter;
 
@@ -46,7 +47,7 @@
     instruments.set_size("zones.lost", status.lost_zones)?;
     let configs = registry.views().filter_map(|view| view.config.as_ref());
     let revision = configs.map(|config| config.revision).max();
-    instruments.set("revision", "", revision.unwrap_or_default())
+    instruments.set("revision", "", era::number(revision.unwrap_or_default()))
 }
 
 /// Logs the metrics at an interval until the entry has stopped; never if the
--- a/roles/app/src/operator/command.rs
+++ b/roles/app/src/operator/command.rs
@@ -12,7 +12,6 @@
 use smol::Executor;
 use thiserror::Error;
 use tonic::Status;
-use wire::Revision;
 
 use super::args;
 use super::args::Command;
@@ -117,7 +116,7 @@
 ///
 /// Returns 0 if the service exists, never existed or cannot be read; the write to
 /// the store then decides whether it can be created.
-async fn deleted_revision(client: &mut Client, command: &Command) -> Result<Revision, Status> {
+async fn deleted_revision(client: &mut Client, command: &Command) -> Result<u64, Status> {
     let address = command.address.clone();
     let reply = client.get(schema::GetRequest { address }).await?;
     let Some(Found::Stored(stored)) = reply.into_inner().result else {
--- a/roles/app/src/operator/convert.rs
+++ b/roles/app/src/operator/convert.rs
@@ -14,6 +14,7 @@
 use config::change::Outcome;
 use config::change::Request;
 use config::diff::Difference;
+use config::era;
 use schema::apply_request::Change;
 use schema::change_reply::Result as Reply;
 use schema::drained::Subject;
@@ -41,7 +42,7 @@
     Ok(Request {
         address,
         edit,
-        expected: Some(request.expected_revision),
+        expected: Some(Revision::from(request.expected_revision)),
         operation: request.operation,
         dry_run: request.dry_run,
         retry: request.retry,
@@ -59,7 +60,7 @@
     Ok(Request {
         address: address(&request.address)?,
         edit,
-        expected: Some(request.expected_revision).filter(|revision| *revision != 0),
+        expected: Some(Revision::from(request.expected_revision)).filter(|revision| *revision != 0),
         operation: request.operation,
         dry_run: request.dry_run,
         retry: request.retry,
@@ -139,7 +140,7 @@
     });
     schema::Stored {
         operation: service.operation.clone(),
-        revision,
+        revision: era::number(revision),
         service: Some(schema::Service {
             address: service.address.to_string(),
             drained: drained.collect(),
@@ -174,22 +175,25 @@
         } => {
             let replaced_by = replaced_by.unwrap_or_default();
             let accepted = schema::Accepted {
-                revision,
-                replaced_by,
+                revision: era::number(revision),
+                replaced_by: era::number(replaced_by),
             };
             (Reply::Accepted(accepted), differences)
         }
         Outcome::Checked {
             revision,
             differences,
-        } => (Reply::Checked(schema::Checked { revision }), differences),
+        } => {
+            let revision = era::number(revision);
+            (Reply::Checked(schema::Checked { revision }), differences)
+        }
         Outcome::Conflict {
             winner,
             operation,
             effect,
         } => {
             let conflict = schema::Conflict {
-                winner_revision: winner,
+                winner_revision: era::number(winner),
                 winner_operation: operation,
                 outcome: self::effect(effect).into(),
             };
--- a/roles/app/src/operator/server.rs
+++ b/roles/app/src/operator/server.rs
@@ -14,6 +14,7 @@
 use config::Update;
 use config::change::Outcome;
 use config::change::Request as ChangeRequest;
+use config::era;
 use config::evacuation;
 use config::jitter::jitter;
 use config::key;
@@ -252,7 +253,10 @@
                     })
                 }
                 Err(fault) => Evacuated::Unavailable(unavailable(fault)),
-                Ok(revision) => Evacuated::Stored(schema::EvacuatedZone { zone, revision }),
+                Ok(revision) => Evacuated::Stored(schema::EvacuatedZone {
+                    zone,
+                    revision: era::number(revision),
+                }),
             },
         };
         // The readers spread the request if this list cannot be read.
@@ -277,7 +281,7 @@
                 let zones = Evacuations::from_listing(&listing).zones.into_iter();
                 let zones = zones.map(|(zone, revision)| schema::EvacuatedZone {
                     zone: zone.into(),
-                    revision,
+                    revision: era::number(revision),
                 });
                 reply.zones = zones.collect();
             }
--- a/roles/app/tests/evacuation.rs
+++ b/roles/app/tests/evacuation.rs
@@ -29,7 +29,7 @@
 "seeds":[],"store":"10.200.1.7:8169","is_first_start":true}"#;
 
 /// Revision of the first list; later ones have the next ones.
-const REVISION: u64 = 40;
+const REVISION: wire::Revision = 40;
 
 fn host(evacuation_ms: Option<u64>) -> Settings {
     Settings {
--- a/roles/app/tests/rotation.rs
+++ b/roles/app/tests/rotation.rs
@@ -28,6 +28,7 @@
 use member::registry::Identity;
 use net::Port;
 use platform::name;
+use wire::Revision;
 use wire::Seal;
 use wire::seal::Key;
 
@@ -132,7 +133,7 @@
         load: 1,
     };
     let late = Service {
-        revision: u64::MAX / 2,
+        revision: Revision::from(u64::MAX / 2),
         body: former.encode()?.into(),
         ..statements(&registry).remove(0)
     };
--- a/roles/forward/src/entry.rs
+++ b/roles/forward/src/entry.rs
@@ -32,10 +32,10 @@
 use route::Size;
 use wire::FlowId;
 use wire::Hop;
-use wire::Revision;
 use wire::Segment;
 use wire::TargetId;
 use wire::Transit;
+use wire::Version;
 use wire::ZoneId;
 use wire::batch::Report;
 use wire::segment::Kind;
@@ -188,7 +188,7 @@
 
     /// Returns the version of the current configuration; 0 before the first.
     #[must_use]
-    pub fn version(&self) -> Revision {
+    pub fn version(&self) -> Version {
         self.routes.table.version
     }
 
--- a/roles/forward/src/entry/action.rs
+++ b/roles/forward/src/entry/action.rs
@@ -4,10 +4,10 @@
 
 use wire::FlowId;
 use wire::Priority;
-use wire::Revision;
 use wire::ServiceAddress;
 use wire::TargetId;
 use wire::Transit;
+use wire::Version;
 use wire::transit::Terms;
 
 use super::Proofs;
@@ -41,7 +41,7 @@
         /// Number of agents on the path.
         hops: usize,
         /// Version of the configuration that the route was taken from.
-        version: Revision,
+        version: Version,
     },
     /// An agent admitted a flow.
     Accepted {
--- a/roles/forward/src/routes.rs
+++ b/roles/forward/src/routes.rs
@@ -10,10 +10,10 @@
 use route::hash::mix;
 use wire::FlowId;
 use wire::Priority;
-use wire::Revision;
 use wire::ServiceAddress;
 use wire::Target;
 use wire::TargetId;
+use wire::Version;
 use wire::ZoneId;
 use wire::target::State;
 use wire::transit::Demand;
@@ -49,7 +49,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Table {
     /// Version of the configuration; 0 before the first has been received.
-    pub version: Revision,
+    pub version: Version,
     /// Routes by the address that callers send to.
     pub routes: HashMap<SocketAddrV4, Route>,
     /// Time without packets after which a flow may be dropped as idle.
--- a/transport/store/src/http.rs
+++ b/transport/store/src/http.rs
@@ -12,6 +12,7 @@
 
 use async_io::Timer;
 use bytes::Bytes;
+use config::era;
 use futures_lite::FutureExt;
 use futures_lite::future;
 use http::HeaderMap;
@@ -239,7 +240,8 @@
             StatusCode::NOT_FOUND => Vec::new(),
             _ => decode(&answer.body)?,
         };
-        Ok((pairs, answer.number(INDEX_HEADER).unwrap_or_default()))
+        let index = answer.number(INDEX_HEADER).unwrap_or_default();
+        Ok((pairs, Revision::from(index)))
     }
 
     /// Sends a body as JSON by `PUT`.
@@ -291,7 +293,7 @@
             verb: schema::Verb::Cas,
             key: swap.key,
             value: swap.value,
-            index: swap.expected,
+            index: era::number(swap.expected),
             session: None,
         };
         let touch = swap.touch.map(|key| schema::Write {
@@ -319,7 +321,7 @@
             (StatusCode::OK, None, Some(results)) => results
                 .iter()
                 .find(|applied| applied.kv.key == key)
-                .map(|applied| applied.kv.modify_index)
+                .map(|applied| Revision::from(applied.kv.modify_index))
                 .ok_or(lost),
             _ => Err(lost),
         }
@@ -380,7 +382,7 @@
     KeyValue {
         key: pair.key,
         value: pair.value.unwrap_or_default(),
-        revision: pair.modify_index,
+        revision: Revision::from(pair.modify_index),
     }
 }
 
--- a/transport/store/tests/http.rs
+++ b/transport/store/tests/http.rs
@@ -11,13 +11,14 @@
 use store::Store;
 use store::Swap;
 use store::http::Settings;
+use wire::Revision;
 
 use standin_store::with_store;
 
 const WAIT: Duration = Duration::from_mins(1);
 const TTL: Duration = Duration::from_mins(10);
 
-fn swap(key: &str, value: &str, expected: u64) -> Swap {
+fn swap(key: &str, value: &str, expected: Revision) -> Swap {
     Swap {
         key: key.to_owned(),
         value: value.as_bytes().to_vec(),
--- a/transport/store/tests/reader.rs
+++ b/transport/store/tests/reader.rs
@@ -18,6 +18,7 @@
 use store::Store;
 use store::Swap;
 use store::reader;
+use wire::Revision;
 
 use standin_store::with_store;
 
@@ -30,7 +31,7 @@
 
 impl Fixture {
     /// Writes a service, as an operator's change does.
-    async fn write(&self, name: &str, expected: u64) -> u64 {
+    async fn write(&self, name: &str, expected: Revision) -> Revision {
         let address = "192.0.2.1:5000".parse().expect("an address");
         let service = Service {
             name: name.to_owned(),
@@ -49,7 +50,7 @@
     }
 
     /// Waits for the next update and checks its service name and revision.
-    async fn expect_update(&self, name: &str, revision: u64) {
+    async fn expect_update(&self, name: &str, revision: Revision) {
         let update = self.updates.recv().await.expect("an update");
         assert_eq!(
             (update.service.name.as_str(), update.revision),
