Sidecars: probe for flows that were dropped as idle within their largest age

Cause: a sidecar drops flows after an idle minute, a figure of its own, and then denies them as one that has seen all flows of its server.

Change: it remembers such flows until they have reached their largest age, and denies them only after a probe. Nothing changes where flows live for a minute at most.

--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -105,6 +105,8 @@
     passed_flows: ExpiringMap<Passed>,
     probes: ExpiringMap<Probe>,
     flows_not_held: ExpiringMap<Absence>,
+    /// Flows that were dropped as idle while the backend server may keep them.
+    idle_flows: ExpiringMap<()>,
     /// Flows that ended with their backend server, and its last sequence number on them.
     ended_flows: ExpiringMap<u32>,
     peers: Peers,
@@ -170,6 +172,9 @@
             passed_flows: ExpiringMap::new(settings.linger),
             probes: ExpiringMap::new(settings.max_flow_age),
             flows_not_held: ExpiringMap::new(settings.max_flow_age),
+            idle_flows: ExpiringMap::new(
+                settings.max_flow_age.saturating_sub(settings.idle_timeout),
+            ),
             ended_flows: ExpiringMap::new(settings.max_flow_age),
             peers: Peers::default(),
             searches: HashMap::new(),
@@ -411,12 +416,16 @@
         let settings = &self.settings;
         let occupancy = &mut self.occupancy;
         let risk = &mut self.risk;
+        let idle_flows = &mut self.idle_flows;
         self.flows.retain(|id, flow| {
             if flow.expire_request(now, settings.reservation_timeout, occupancy) {
                 risk.record_failure(now);
                 actions.push(Action::Failed { flow: *id });
             }
             let keep = !flow.is_expired(now, settings.linger, settings.idle_timeout);
+            if !keep && flow.is_open() && flow.server_position.is_some() {
+                idle_flows.insert(now, *id, ());
+            }
             if !keep && flow.slot.take().is_some() {
                 occupancy.release(now);
             }
@@ -436,6 +445,7 @@
             .set_idle_flows(now, u32::try_from(idle).unwrap_or(u32::MAX));
         self.passed_flows.expire(now);
         self.flows_not_held.expire(now);
+        self.idle_flows.expire(now);
         self.ended_flows.expire(now);
         self.probes.expire(now);
         self.vacancy.expire(now);
--- a/roles/forward/src/agent/batch.rs
+++ b/roles/forward/src/agent/batch.rs
@@ -284,6 +284,8 @@
         match self.flows.get(&flow) {
             Some(held) if held.is_used_here(sought.acknowledged) => Verdict::Held,
             None if self.flows_not_held.get(now, &flow).is_some() => Verdict::Returned,
+            // The server may keep it for longer than this process does.
+            None if self.idle_flows.get(now, &flow).is_some() => Verdict::Unknown,
             None if self.knows_all_flows(now) => Verdict::Complete,
             // The packet was sent before the entry received it, so the server was
             // not running then.
--- a/roles/forward/src/agent/lookup.rs
+++ b/roles/forward/src/agent/lookup.rs
@@ -50,11 +50,12 @@
         self.may_hold_prior_flows && !has_started_since
     }
 
-    /// Returns true if the backend server may hold an unknown flow that was
-    /// opened before this process started.
+    /// Returns true if the backend server may hold an unknown flow: one that was
+    /// opened before this process started, or that has been idle for long.
     pub(super) fn may_hold(&self, now: Duration, flow: &FlowId) -> bool {
-        self.may_have_prior_flows()
-            && now < self.started_at + self.settings.max_flow_age
+        let may_be_prior =
+            self.may_have_prior_flows() && now < self.started_at + self.settings.max_flow_age;
+        (may_be_prior || self.idle_flows.get(now, flow).is_some())
             && self.flows_not_held.get(now, flow).is_none()
             && self.passed_flows.get(now, flow).is_none()
             && self.ended_flows.get(now, flow).is_none()
--- a/roles/forward/tests/batch_agent.rs
+++ b/roles/forward/tests/batch_agent.rs
@@ -419,3 +419,28 @@
     };
     assert_eq!(handle(&mut agent, ms(20), event), []);
 }
+
+/// Guards against resets of open flows whose callers pause for longer than the agent keeps
+/// idle flows, where the deployment allows that.
+#[test]
+fn flow_that_was_dropped_as_idle_is_probed_within_its_largest_age() {
+    let settings = Settings {
+        max_flow_age: Duration::from_mins(2),
+        ..Settings::default()
+    };
+    let idle_timeout = settings.idle_timeout;
+    let mut agent = Agent::new(settings, hop(OWN), false, ms(0));
+    announce(&mut agent, ms(0), None, 1);
+    send_open(&mut agent, ms(1), 9, open_frame(&[OWN]));
+    accept_flow(&mut agent, ms(2), 9);
+    let idle = idle_timeout + ms(5_000);
+    handle(&mut agent, idle, Event::Tick);
+    assert!(agent.is_empty());
+    let findings = ask(&mut agent, idle, search(&[8, 9], 0));
+    assert!(findings.denies(0) && !findings.denies(1));
+    assert!(delivers(&look_up(&mut agent, idle, 9)));
+    assert_eq!(look_up(&mut agent, idle, 8), []);
+    let late = Duration::from_mins(3);
+    handle(&mut agent, late, Event::Tick);
+    assert!(ask(&mut agent, late, search(&[9], 0)).denies(0));
+}
