--- a/roles/app/src/sidecar.rs
+++ b/roles/app/src/sidecar.rs
@@ -139,6 +139,8 @@
             address: backend,
             service: host.service.clone(),
             boot: settings.0.boot.clone(),
+            origin,
+            filter: Arc::default(),
         };
         announcements::serve(address, backend, &executor, sender.clone()).await?;
     }
--- a/roles/app/src/sidecar/announcements.rs
+++ b/roles/app/src/sidecar/announcements.rs
@@ -3,11 +3,15 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Instant;
 
 use ::http::HeaderMap;
 use ::http::StatusCode;
 use async_channel::Sender;
 use forward::agent::Announcement;
+use forward::agent::Filter;
 use net::http;
 use net::http::Answer;
 use platform::Settings;
@@ -31,6 +35,10 @@
     pub service: Option<String>,
     /// Path of the settings file.
     pub boot: PathBuf,
+    /// Start of this process.
+    pub origin: Instant,
+    /// Announcements that it can have made.
+    pub filter: Arc<Mutex<Filter>>,
 }
 
 /// Serves the address for announcements, which the control thread applies.
@@ -82,7 +90,7 @@
             announcement,
         } if address == own.address
             && own.serves(announcement.service)
-            && announcement.is_plausible(clock::unix_time()) =>
+            && own.can_have_made(&announcement) =>
         {
             Some(Notice::State(Announcement {
                 age: clock::elapsed_since(announcement.start),
@@ -95,6 +103,11 @@
 }
 
 impl Backend {
+    fn can_have_made(&self, announcement: &Announcement) -> bool {
+        let mut filter = self.filter.lock().unwrap_or_else(PoisonError::into_inner);
+        filter.accept(self.origin.elapsed(), clock::unix_time(), announcement)
+    }
+
     /// Returns true if the settings name this service, or none. They are read again if
     /// they named another one when the process started.
     fn serves(&self, service: ServiceAddress) -> bool {
--- a/roles/app/tests/announcements.rs
+++ b/roles/app/tests/announcements.rs
@@ -2,7 +2,9 @@
 //! announced one that is odd.
 use std::fs;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use app::clock;
 use app::sidecar::announcements::Backend;
@@ -30,6 +32,8 @@
         address: SERVER.parse().unwrap(),
         service: service.map(str::to_owned),
         boot,
+        origin: Instant::now(),
+        filter: Arc::default(),
     }
 }
 
@@ -87,3 +91,26 @@
     assert!(!takes(&own, "a", u64::MAX, 1));
     assert!(!takes(&own, "a", now(), u64::MAX));
 }
+
+/// Guards against servers that never serve because they number their announcements from a
+/// large number. A single one, as of another writer, must not silence the server.
+#[test]
+fn announcements_numbered_from_a_large_number_are_taken_from_the_second_on() {
+    for first in [4_000_000, 1_796_000_000_000, u64::MAX - 3] {
+        let (own, start) = (own(Some("a"), boot("missing")), now());
+        let taken = [first, first + 1, first + 2].map(|number| takes(&own, "a", start, number));
+        assert_eq!(taken, [false, true, true], "{first}");
+        // A later start numbers anew.
+        assert!(takes(&own, "a", start + 5, 1));
+    }
+}
+
+#[test]
+fn two_odd_announcements_that_do_not_follow_each_other_are_not_taken() {
+    let (own, start) = (own(Some("a"), boot("missing")), now());
+    assert!(!takes(&own, "a", start, 4_000_000));
+    assert!(!takes(&own, "a", start, u64::MAX));
+    assert!(!takes(&own, "a", start, 4_000_001));
+    assert!(takes(&own, "a", start, 4_000_002));
+    assert!(takes(&own, "a", start, 7));
+}
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -51,6 +51,7 @@
 use admission::Passed;
 use age::Age;
 pub use backend::Announcement;
+pub use backend::Filter;
 pub use backend::Start;
 pub use backend::State;
 use batch::Batches;
--- a/roles/forward/src/agent/backend.rs
+++ b/roles/forward/src/agent/backend.rs
@@ -50,16 +50,56 @@
 /// Shortest mean interval between two announcements of a backend server.
 const MIN_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Tells the announcements of a backend server from those of another writer.
+#[derive(Debug, Default)]
+pub struct Filter {
+    /// Last announcement whose sequence number was too large for the age that it states,
+    /// and its time of arrival.
+    numbered_high: Option<(Duration, Announcement)>,
+}
+
+impl Filter {
+    /// Returns true if a backend server can have made an announcement that arrives `now`,
+    /// at a time since the Unix epoch. Servers may number theirs from any number: one with
+    /// a large number is taken once it follows another.
+    pub fn accept(&mut self, now: Duration, unix_time: Duration, stated: &Announcement) -> bool {
+        if stated.is_plausible(unix_time) {
+            return true;
+        }
+        if !stated.has_plausible_start(unix_time) {
+            return false;
+        }
+        let previous = self.numbered_high.replace((now, stated.clone()));
+        previous.is_some_and(|(at, previous)| stated.follows(&previous, now.saturating_sub(at)))
+    }
+}
+
 impl Announcement {
-    /// Returns true if a backend server can have made this announcement, given the time
-    /// since the Unix epoch. One of another writer with a start or a sequence number that
+    /// Returns true if a backend server that numbers its announcements from a small number
+    /// can have made this one, given the time since the Unix epoch. One of another writer with a start or a sequence number that
     /// is too large would make all that the server announces later count as older.
     #[must_use]
     pub fn is_plausible(&self, now: Duration) -> bool {
         let start = Duration::from_millis(self.start);
         let latest = now.saturating_add(MAX_CLOCK_DIFFERENCE);
         let longest = latest.saturating_sub(start).as_millis();
-        start <= latest && u128::from(self.sequence) <= longest / MIN_INTERVAL.as_millis()
+        let is_possible = u128::from(self.sequence) <= longest / MIN_INTERVAL.as_millis();
+        self.has_plausible_start(now) && is_possible
+    }
+
+    /// Returns true if a backend server can have started then, given the time since the
+    /// Unix epoch.
+    fn has_plausible_start(&self, now: Duration) -> bool {
+        Duration::from_millis(self.start) <= now.saturating_add(MAX_CLOCK_DIFFERENCE)
+    }
+
+    /// Returns true if a server can have made this announcement within `elapsed` after
+    /// the `previous` one.
+    fn follows(&self, previous: &Self, elapsed: Duration) -> bool {
+        let is_same_server = (&self.name, self.start) == (&previous.name, previous.start);
+        let most = elapsed.as_millis() / MIN_INTERVAL.as_millis() + 1;
+        let step = self.sequence.checked_sub(previous.sequence);
+        is_same_server && step.is_some_and(|step| step > 0 && u128::from(step) <= most)
     }
 
     /// Returns true if the deregistration of a server with this name, and this start where
