Sidecars: a refused connection proves a server's start only once one is made

Cause: a server at whose address nobody listens for connections although it runs counted as one that has started since its sidecar.

Change: the sidecar goes on until a connection is made, which it tells the core (ServerListening); only then has the server started since. Otherwise it asks the server.

--- a/roles/app/src/sidecar/presence.rs
+++ b/roles/app/src/sidecar/presence.rs
@@ -26,14 +26,17 @@
 const MAX_ATTEMPTS: u32 = 21;
 
 /// Connects to the backend server until it announces itself, and tells the core when the
-/// connection is refused.
+/// connection is refused. If it is, goes on until one is made, which shows that the server
+/// has started since.
 pub async fn watch(backend: SocketAddr, traffic: Arc<Traffic>) {
+    let mut was_absent = false;
     for attempt in 0..MAX_ATTEMPTS {
         // The first shows whether the server starts after this process.
         if attempt > 0 {
             Timer::after(ATTEMPT_INTERVAL).await;
         }
-        if !traffic.awaits_announcement() {
+        let awaits_announcement = traffic.awaits_announcement();
+        if !awaits_announcement && !was_absent {
             return;
         }
         let timeout = async {
@@ -42,10 +45,13 @@
         };
         match TcpStream::connect(backend).or(timeout).await {
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                traffic.handle(Event::ServerAbsent);
+                if awaits_announcement {
+                    was_absent = true;
+                    traffic.handle(Event::ServerAbsent);
+                }
             }
             // A server that accepts connections may hold flows.
-            Ok(_) => return,
+            Ok(_) => return traffic.handle(Event::ServerListening),
             Err(error) => log::debug!("cannot connect to the backend server: {error}"),
         }
     }
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -222,6 +222,7 @@
             }
             Event::ServerEnded => self.end_server(now, actions),
             Event::ServerAbsent => self.presence.record_absent(now),
+            Event::ServerListening => self.record_listening(now, actions),
             Event::Stop => self.is_stopping = true,
             Event::Tick => {}
         }
--- a/roles/forward/src/agent/event.rs
+++ b/roles/forward/src/agent/event.rs
@@ -86,6 +86,8 @@
     ServerEnded,
     /// No process listens at the address of the backend server.
     ServerAbsent,
+    /// A process listens at the address of the backend server.
+    ServerListening,
     /// The process is shutting down.
     Stop,
     /// A timer fired. Expired state is removed if a sweep is due.
--- a/roles/forward/src/agent/presence.rs
+++ b/roles/forward/src/agent/presence.rs
@@ -39,6 +39,8 @@
     first_returned: Option<Duration>,
     /// Time since which no process has listened at its address.
     absent_since: Option<Duration>,
+    /// Time from which a process has listened at its address where none did before.
+    appeared_at: Option<Duration>,
     /// Whether it has sent a packet of its own.
     has_sent: bool,
     /// Whether it has announced its end.
@@ -55,6 +57,7 @@
             returned_openings: 0,
             first_returned: None,
             absent_since: None,
+            appeared_at: None,
             has_sent: false,
             has_left: false,
             has_shown_prior_flow: false,
@@ -74,6 +77,11 @@
         self.absent_since.get_or_insert(now);
     }
 
+    /// Records that a process listens at the server's address.
+    pub fn record_listening(&mut self, now: Duration) {
+        self.appeared_at = self.absent_since.map(|_| now);
+    }
+
     /// Records a packet that the server sent by itself.
     pub fn record_sent(&mut self, kind: Kind) {
         self.has_sent = true;
@@ -88,10 +96,11 @@
         self.has_shown_prior_flow = true;
     }
 
-    /// Returns true if the server started after this process: no process listened at its
-    /// address before, and it has sent nothing on a flow that this process had not seen.
+    /// Returns true if the server started after this process: one listens at its address
+    /// where none did before, and it has sent nothing on a flow that this process had not
+    /// seen.
     pub const fn has_started_since(&self) -> bool {
-        self.absent_since.is_some() && !self.has_shown_prior_flow
+        self.appeared_at.is_some() && !self.has_shown_prior_flow
     }
 
     /// Records that the server has announced its end.
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -197,12 +197,7 @@
             let own_age = now.saturating_sub(self.started_at);
             self.may_hold_prior_flows &= age.longest(now) > own_age;
             self.server_age = Some(age);
-            self.batches.record_start(now);
-            actions.push(Action::ServerFound {
-                age: age.longest(now),
-                own_age,
-                knows_all_flows: self.knows_all_flows(now),
-            });
+            self.report_server(now, actions);
         }
         self.last_announced = now;
         self.unanswered_since = None;
@@ -225,6 +220,30 @@
         self.announcement = Some(announcement);
     }
 
+    /// Records that a process listens at the address of the backend server.
+    pub(super) fn record_listening(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let knew_all_flows = self.knows_all_flows(now);
+        self.presence.record_listening(now);
+        if self.knows_all_flows(now) && !knew_all_flows {
+            self.report_server(now, actions);
+            self.warm_up.clear_earlier_use();
+        }
+    }
+
+    /// Reports what is known of the backend server's past, also in answer to earlier
+    /// questions.
+    fn report_server(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let Some(age) = self.server_age else {
+            return;
+        };
+        self.batches.record_start(now);
+        actions.push(Action::ServerFound {
+            age: age.longest(now),
+            own_age: now.saturating_sub(self.started_at),
+            knows_all_flows: self.knows_all_flows(now),
+        });
+    }
+
     /// Marks the backend server as terminated and ends its flows.
     pub(super) fn end_server(&mut self, now: Duration, actions: &mut Vec<Action>) {
         match &mut self.announcement {
--- a/roles/forward/tests/batch_agent.rs
+++ b/roles/forward/tests/batch_agent.rs
@@ -152,6 +152,7 @@
 fn packet_on_a_flow_from_before_withdraws_the_denials() {
     let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
     handle(&mut agent, ms(0), Event::ServerAbsent);
+    handle(&mut agent, ms(0), Event::ServerListening);
     announce(&mut agent, ms(100), Some(ms(350)), 4);
     assert!(ask(&mut agent, ms(101), search(&[9], 0)).denies(0));
     let event = Event::ServerPacket {
@@ -169,6 +170,7 @@
     for (age, number) in [(Some(ms(50)), 0), (Some(ms(3_000)), 1), (None, 4_000_000)] {
         let mut agent = Agent::new(Settings::default(), hop(OWN), true, ms(0));
         handle(&mut agent, ms(0), Event::ServerAbsent);
+        handle(&mut agent, ms(0), Event::ServerListening);
         announce(&mut agent, ms(100), age, number);
         let findings = ask(&mut agent, ms(101), search(&[9], 0));
         assert!(findings.complete.contains(0), "{number}");
@@ -268,6 +270,7 @@
 fn agent_reports_by_itself_once_its_server_has_announced_itself() {
     let mut agent = restarted_agent();
     handle(&mut agent, ms(0), Event::ServerAbsent);
+    handle(&mut agent, ms(0), Event::ServerListening);
     assert!(!ask(&mut agent, ms(10), search(&[8, 9], 0)).denies(0));
     let findings = reported(&announce(&mut agent, ms(300), Some(ms(100)), 1));
     assert_eq!(findings.len(), 1);
@@ -444,3 +447,28 @@
     handle(&mut agent, late, Event::Tick);
     assert!(ask(&mut agent, late, search(&[9], 0)).denies(0));
 }
+
+/// Guards against denials beside a server at whose address nobody listens although it runs.
+#[test]
+fn agent_that_finds_nobody_after_the_announcement_either_denies_nothing() {
+    let mut agent = restarted_agent();
+    handle(&mut agent, ms(0), Event::ServerAbsent);
+    announce(&mut agent, ms(100), Some(ms(50)), 0);
+    assert!(!ask(&mut agent, ms(101), search(&[9], 0)).denies(0));
+    // It had not been absent when this process first looked.
+    let mut agent = restarted_agent();
+    handle(&mut agent, ms(0), Event::ServerListening);
+    announce(&mut agent, ms(100), Some(ms(50)), 0);
+    assert!(!ask(&mut agent, ms(101), search(&[9], 0)).denies(0));
+}
+
+/// An entry would ask again only after 400 ms.
+#[test]
+fn agent_reports_by_itself_once_somebody_listens_where_nobody_did() {
+    let mut agent = restarted_agent();
+    handle(&mut agent, ms(0), Event::ServerAbsent);
+    announce(&mut agent, ms(100), Some(ms(50)), 0);
+    assert!(!ask(&mut agent, ms(101), search(&[9], 0)).denies(0));
+    let findings = reported(&handle(&mut agent, ms(250), Event::ServerListening));
+    assert!(findings[0].complete.contains(0));
+}
--- a/roles/forward/tests/simulation/failure.rs
+++ b/roles/forward/tests/simulation/failure.rs
@@ -3,6 +3,8 @@
 
 use wire::TargetId;
 
+use forward::agent;
+
 use super::Event;
 use super::Simulation;
 use crate::fixtures::ms;
@@ -45,6 +47,7 @@
         self.unannounced.insert(id);
         *self.starts.entry(id).or_default() += 1;
         self.started_at.insert(id, self.now);
+        self.notify_agent(id, agent::Event::ServerListening);
         let start = self.starts[&id];
         let wait = ms(self.rng.u64(0..400));
         self.schedule(wait, Event::Announce(id, start));
