Soak: where numbers start, how long callers pause, pairs of faults at each state of a flow

A seed draws, apart from the main sequence, the first era, revision, version, priority and number of announcements, the idle timeout with the largest age of flows, and whether backend servers listen for health checks.

Servers of the soak keep idle flows for 130 s, beyond the longest idle timeout.

--- a/tools/soak/src/harness.rs
+++ b/tools/soak/src/harness.rs
@@ -110,6 +110,7 @@
                 starts: 0,
             }
         });
+        store.number_from(topology.origins.era, topology.origins.revision);
         Ok(Self {
             hosts: hosts.collect(),
             servers: servers.collect(),
@@ -117,7 +118,7 @@
             sockets: Sockets::bind(&topology, network)?,
             key: Key::new(topology.seed),
             checker: Checker::default(),
-            history: History::default(),
+            history: History::after(topology.origins.version),
             callers: Callers::default(),
             store_faults: (0, Duration::ZERO),
             evacuations: BTreeMap::new(),
@@ -147,13 +148,14 @@
         let version = self.history.record(&mut self.random, now, routes.clone());
         let rows: Vec<document::Route> = routes
             .iter()
-            .map(|(address, service)| {
-                let service = &self.topology.services[*service];
+            .map(|(address, number)| {
+                let service = &self.topology.services[*number];
                 document::Route {
                     address: *address,
                     service: service.name.clone(),
                     timeout: service.deadline,
                     target_latency: service.deadline / 4,
+                    priority: self.topology.origins.priority + *number as u64,
                 }
             })
             .collect();
@@ -228,7 +230,11 @@
         let held = &self.servers[server];
         let lives = held.instance.is_some() && held.starts == start;
         let is_routed = self.history.newest().contains_key(&flow.service);
-        if lives && is_routed && self.is_path_undisturbed(now, flow, server, Some(from)) {
+        let oldest = self.topology.limits.bounds.oldest_flow;
+        let opened = self.opening_of(flow).map(|(at, _)| at);
+        let is_young = opened.is_none_or(|at| now < at + oldest);
+        if lives && is_routed && is_young && self.is_path_undisturbed(now, flow, server, Some(from))
+        {
             let text = format!("{flow:?}, open at server {server}, was reset by {from}");
             self.checker
                 .record_violation(Invariant::Unbroken, now, text);
--- a/tools/soak/src/history.rs
+++ b/tools/soak/src/history.rs
@@ -21,6 +21,15 @@
 }
 
 impl History {
+    /// Creates a history whose versions are larger than `version`.
+    #[must_use]
+    pub const fn after(version: u64) -> Self {
+        Self {
+            versions: Vec::new(),
+            last_version: version,
+        }
+    }
+
     /// Records a configuration that is about to be written, and returns its
     /// version.
     pub fn record(&mut self, random: &mut fastrand::Rng, at: Duration, routes: Routes) -> u64 {
--- a/tools/soak/src/injector.rs
+++ b/tools/soak/src/injector.rs
@@ -1,5 +1,6 @@
 //! Injects disturbances into a run.
 mod odd;
+mod pair;
 mod series;
 mod store;
 
@@ -23,6 +24,7 @@
 use crate::plan::Disturbance;
 use crate::plan::Kind;
 use crate::proxy;
+use pair::Phase;
 
 /// Interval at which a stopping process is polled for its exit.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -140,6 +142,12 @@
             Kind::FreezeThenCrash => self.freeze_then_crash().await,
             Kind::OddEntries => self.leave_odd_entries(duration).await,
             Kind::ChangedBound => self.change_bounds().await,
+            Kind::Pause => self.pause().await,
+            Kind::PairOpening => self.pair(Phase::Opening).await,
+            Kind::PairCopy => self.pair(Phase::Copy).await,
+            Kind::PairIdle => self.pair(Phase::Idle).await,
+            Kind::PairMoved => self.pair(Phase::Moved).await,
+            Kind::PairReused => self.pair(Phase::Reused).await,
         }
     }
 
--- a/tools/soak/src/injector/series.rs
+++ b/tools/soak/src/injector/series.rs
@@ -27,10 +27,10 @@
 const DOWN_MS: std::ops::Range<u64> = 300..2_000;
 
 /// Pause between two long flows that are opened while a backend server is young.
-const OPENING_PAUSE: Duration = Duration::from_millis(4);
+pub(super) const OPENING_PAUSE: Duration = Duration::from_millis(4);
 
 /// Time beyond a bound after which it has surely passed.
-const MARGIN: Duration = Duration::from_millis(500);
+pub(super) const MARGIN: Duration = Duration::from_millis(500);
 
 impl Injector {
     /// Moves the routes of a service to another one, restarts half of the gateways once
@@ -123,7 +123,7 @@
 
     /// Restarts half of the gateways. All long flows of a service carry a request while
     /// these are away, so that the others have to find them.
-    async fn restart_gateways_under(&self, service: usize) -> io::Result<()> {
+    pub(super) async fn restart_gateways_under(&self, service: usize) -> io::Result<()> {
         let gateways = self.gateways(50);
         for gateway in &gateways {
             self.stop(*gateway).await?;
@@ -142,7 +142,7 @@
     }
 
     /// Returns a random service, one with long flows if there is any.
-    fn pick_service(&self) -> usize {
+    pub(super) fn pick_service(&self) -> usize {
         let all = {
             let services = &self.harness.borrow().topology.services;
             let all = 0..services.len();
@@ -157,7 +157,7 @@
 
     /// Writes a configuration in which the present routes of the callers of one service
     /// name another service.
-    fn name_service(&self, callers_of: usize, service: usize) {
+    pub(super) fn name_service(&self, callers_of: usize, service: usize) {
         let harness = &mut *self.harness.borrow_mut();
         let services = harness.topology.services.len();
         let mut routes = harness.history.newest();
--- a/tools/soak/src/lifecycle.rs
+++ b/tools/soak/src/lifecycle.rs
@@ -4,9 +4,11 @@
 use std::time::UNIX_EPOCH;
 
 use async_io::Timer;
+use futures_lite::FutureExt;
 use platform_standin::call;
 use platform_standin::call::Announcement;
 use smol::LocalExecutor;
+use smol::net::TcpListener;
 
 use crate::address::ANNOUNCEMENT_PORT;
 use crate::address::socket;
@@ -26,6 +28,9 @@
 /// Pause between two attempts to get an acknowledgement.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Interval at which a backend server that listens checks whether it still runs.
+const LISTEN_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Shortest pause between two announcements, relative to the heartbeat, and the range of
 /// the pauses.
 const MIN_HEARTBEAT: f64 = 0.7;
@@ -49,7 +54,7 @@
             slots: service.slots,
             is_draining: false,
             warm_up: WARM_UP,
-            sequence: 0,
+            sequence: harness.topology.origins.sequence,
             start: SystemTime::now()
                 .duration_since(UNIX_EPOCH)
                 .unwrap_or_default(),
@@ -57,6 +62,11 @@
         server.instance = Some(Instance::new(announcement));
         server.starts
     };
+    if harness.borrow().topology.origins.listens {
+        executor
+            .spawn(accept_health_checks(harness.clone(), number, start))
+            .detach();
+    }
     let harness = harness.clone();
     executor
         .spawn(async move {
@@ -70,6 +80,25 @@
         .detach();
 }
 
+/// Accepts connections at a backend server's address, and closes them, until it ends.
+async fn accept_health_checks(harness: Shared, number: usize, start: u32) {
+    let address = harness.borrow().servers[number].address;
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => return eprintln!("cannot listen at {address}: {error}"),
+    };
+    while is_running(&harness, number, start) {
+        let accept = async { listener.accept().await.map(drop) };
+        let pause = async {
+            Timer::after(LISTEN_POLL_INTERVAL).await;
+            Ok(())
+        };
+        if let Err(error) = accept.or(pause).await {
+            eprintln!("cannot accept connections at {address}: {error}");
+        }
+    }
+}
+
 /// Returns whether a backend server still runs since its start of the number
 /// `start`.
 fn is_running(harness: &Shared, number: usize, start: u32) -> bool {
@@ -86,8 +115,9 @@
         let Some(instance) = &mut harness.servers[number].instance else {
             return false;
         };
+        let announcement = instance.announcement.clone();
         instance.announcement.sequence += 1;
-        (socket(to, ANNOUNCEMENT_PORT), instance.announcement.clone())
+        (socket(to, ANNOUNCEMENT_PORT), announcement)
     };
     call::announce(to, &announcement, ACKNOWLEDGE_TIMEOUT).await
 }
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -24,7 +24,7 @@
 /// Ends of the groups of later kinds, each with the bits by which its sequence rotates
 /// the seed. They are drawn apart, so that the seeds of earlier failures still mean the
 /// same runs.
-const LATER_KINDS: [(usize, u32); 3] = [(33, 32), (35, 16), (38, 48)];
+const LATER_KINDS: [(usize, u32); 4] = [(33, 32), (35, 16), (38, 48), (44, 8)];
 
 /// Probability that a run has a disturbance, or a further one, of a group of later
 /// kinds.
@@ -112,6 +112,12 @@
     FreezeThenCrash "freeze-then-crash" "a sidecar is frozen for a moment while flows are opened, its backend server crashes soon after, and the flows are used once it is back"
     OddEntries "odd-entries" "another writer leaves odd entries among those of the store, and announces odd backend servers"
     ChangedBound "changed-bound" "the bounds of all settings become fractions, and some processes are restarted"
+    Pause "pause" "the callers of a service pause for most of the idle timeout, and use their flows again"
+    PairOpening "pair-opening" "two faults of a backend server's host while flows are opened there"
+    PairCopy "pair-copy" "two faults of it while copies of opening packets are under way"
+    PairIdle "pair-idle" "two faults of it while its flows are idle"
+    PairMoved "pair-moved" "two faults of it after its route was moved to another service"
+    PairReused "pair-reused" "two faults of it while flows end and their ports are used again"
 }
 
 /// Error of parsing a disturbance.
--- a/tools/soak/src/server.rs
+++ b/tools/soak/src/server.rs
@@ -20,7 +20,7 @@
 const MAX_WAITING: usize = 4;
 
 /// Idle time after which a backend server drops a flow.
-const FLOW_TIMEOUT: Duration = Duration::from_secs(70);
+const FLOW_TIMEOUT: Duration = Duration::from_secs(130);
 
 /// A backend server, which has one address and runs at most one instance at a
 /// time.
--- a/tools/soak/src/topology.rs
+++ b/tools/soak/src/topology.rs
@@ -8,6 +8,28 @@
 /// Factors by which a deployment may scale its time bounds.
 const BOUND_SCALES: [f64; 4] = [1.0, 1.0, 0.67, 2.0];
 
+/// Numbers from which revisions, versions and announcements may be counted, beside those of
+/// each width that a process may hold them in.
+const FIRST_NUMBERS: [u64; 8] = [
+    0,
+    1,
+    1_000,
+    4_000_000,
+    (1 << 32) - 3,
+    (1 << 48) - 3,
+    1_796_000_000_000_000,
+    u64::MAX - (1 << 32),
+];
+
+/// Eras of a store at the start of a run.
+const FIRST_ERAS: [u64; 4] = [1, 1, 65_534, 1 << 40];
+
+/// Priorities of the routes of the first service; the others have the next ones.
+const FIRST_PRIORITIES: [u64; 6] = [0, 0, 126, 253, 300, u64::MAX - 8];
+
+/// Idle timeouts with the largest ages of flows, in seconds.
+const FLOW_TIMES: [(u64, u64); 3] = [(15, 60), (15, 60), (80, 120)];
+
 /// Target load of the backend servers, in percent of their slots.
 const LOAD_PERCENT: u64 = 35;
 
@@ -28,6 +50,8 @@
     pub gateways: usize,
     /// Services, each with its backend servers and its load.
     pub services: Vec<Service>,
+    /// What the platform and backend servers start with.
+    pub origins: Origins,
     /// Time limits of the invariants.
     pub limits: Limits,
     /// Rate of the network link that the settings of every other entry host state, in
@@ -36,6 +60,23 @@
     pub slow_mbps: Option<f64>,
 }
 
+/// What the platform and backend servers start with.
+#[derive(Clone, Copy, Debug)]
+pub struct Origins {
+    /// Era of the store.
+    pub era: u64,
+    /// Revision of the store before the first change.
+    pub revision: u64,
+    /// Version of the configuration before the first one.
+    pub version: u64,
+    /// Number of the first announcement of a backend server.
+    pub sequence: u64,
+    /// Priority of the routes of the first service; the others have the next ones.
+    pub priority: u64,
+    /// Whether backend servers listen for health checks as long as they run.
+    pub listens: bool,
+}
+
 /// A service and its load.
 #[derive(Clone, Debug)]
 pub struct Service {
@@ -101,7 +142,8 @@
             zones: 1 + random.usize(..6),
             gateways: 1 + random.usize(..6),
             services,
-            limits: Limits::scaled(scale),
+            origins: Origins::draw(seed),
+            limits: Limits::scaled(scale).with_flow_times(seed),
             slow_mbps: None,
         }
     }
@@ -157,7 +199,33 @@
     }
 }
 
+impl Origins {
+    /// Draws numbers apart from the main sequence, so that the seeds of earlier failures
+    /// still mean the same deployments.
+    fn draw(seed: u64) -> Self {
+        let random = &mut Rng::with_seed(seed.rotate_left(24));
+        let number = |random: &mut Rng| FIRST_NUMBERS[random.usize(..FIRST_NUMBERS.len())];
+        Self {
+            era: FIRST_ERAS[random.usize(..FIRST_ERAS.len())],
+            revision: number(random),
+            version: number(random),
+            sequence: number(random),
+            priority: FIRST_PRIORITIES[random.usize(..FIRST_PRIORITIES.len())],
+            listens: random.bool(),
+        }
+    }
+}
+
 impl Limits {
+    /// Draws the idle timeout and the largest age of flows.
+    fn with_flow_times(mut self, seed: u64) -> Self {
+        let random = &mut Rng::with_seed(seed.rotate_left(40));
+        let (idle, oldest) = FLOW_TIMES[random.usize(..FLOW_TIMES.len())];
+        self.idle = Duration::from_secs(idle);
+        self.bounds.oldest_flow = Duration::from_secs(oldest);
+        self
+    }
+
     fn scaled(scale: f64) -> Self {
         let seconds = |seconds: f64| Duration::from_secs_f64(seconds * scale);
         Self {
--- a/tools/soak/tests/short.rs
+++ b/tools/soak/tests/short.rs
@@ -11,6 +11,7 @@
 use soak::plan::Kind;
 use soak::run;
 use soak::run::Plan;
+use soak::topology::Origins;
 use soak::topology::Service;
 use soak::topology::Topology;
 
@@ -206,3 +207,59 @@
     });
     assert_none_with(8, with_long_flows(), disturbances.into())
 }
+
+/// Guards against changes that never come into force, and backend servers that never serve
+/// or whose flows are reset, because a number is larger, or counted from another one, than
+/// a process expects.
+#[test]
+fn large_numbers_hide_no_change_and_no_backend_server() -> Result {
+    let mut topology = with_long_flows();
+    topology.origins = Origins {
+        era: 1 << 40,
+        revision: 1_796_000_000_000_000,
+        version: 1 << 48,
+        sequence: 4_000_000,
+        priority: 300,
+        listens: true,
+    };
+    let kinds = [
+        (1_000, Kind::Route),
+        (3_000, Kind::Crash),
+        (4_000, Kind::StoreRestored),
+        (8_000, Kind::Storm),
+    ];
+    let disturbances = kinds.map(|(at, kind)| Disturbance {
+        at: Duration::from_millis(at),
+        kind,
+        duration: Duration::from_secs(2),
+    });
+    assert_none_with(9, topology, disturbances.into())
+}
+
+/// Guards against resets of live flows because a restarted sidecar takes the number of an
+/// announcement for proof that it knows all flows.
+#[test]
+fn restarts_beside_servers_that_count_from_zero_break_no_open_flow() -> Result {
+    let mut topology = with_long_flows();
+    topology.origins.sequence = 0;
+    topology.origins.listens = false;
+    let disturbances = [1, 10].map(|at| Disturbance {
+        at: Duration::from_secs(at),
+        kind: Kind::YoungServer,
+        duration: Duration::from_secs(1),
+    });
+    assert_none_with(10, topology, disturbances.into())
+}
+
+/// Guards against flows that are reset, or reach another backend server, after two faults of
+/// one host while they are opened, and while their route points elsewhere.
+#[test]
+fn pairs_of_faults_of_a_host_break_no_open_flow() -> Result {
+    let kinds = [Kind::PairOpening, Kind::PairMoved];
+    let disturbances = (0..).zip(kinds).map(|(number, kind)| Disturbance {
+        at: Duration::from_secs(1 + 11 * number),
+        kind,
+        duration: Duration::from_secs(1),
+    });
+    assert_none_with(11, with_long_flows(), disturbances.collect())
+}
