--- a/roles/app/src/event.rs
+++ b/roles/app/src/event.rs
@@ -243,7 +243,7 @@
     4031 Info HolderReplaced { flow: String, former: TargetId, holder: TargetId }
         "flow {flow} is taken to be held by backend server {holder} in place of {former}: its sidecar has reported so, or that of {former} has denied it",
         "nothing";
-    4032 Debug ProbesRequested { target: TargetId, flows: usize }
+    4032 Info ProbesRequested { target: TargetId, flows: usize }
         "asked the agent of backend server {target} to look up {flows} flows by sending their packets to the server", "nothing";
     5001 Warn ServerEnded { flows: usize }
         "the backend server has ended with {flows} flows", "nothing if this was planned";
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -204,6 +204,7 @@
     let topology = &plan.topology;
     let (seed, gateways, zones) = (topology.seed, topology.gateways, topology.zones);
     println!("seed {seed}: {gateways} gateways in {zones} zones");
+    println!("  {:?}", topology.origins);
     for service in &topology.services {
         println!("  {service:?}");
     }
