--- a/tools/soak/src/lifecycle.rs
+++ b/tools/soak/src/lifecycle.rs
@@ -83,9 +83,15 @@
 /// Accepts connections at a backend server's address, and closes them, until it ends.
 async fn accept_health_checks(harness: Shared, number: usize, start: u32) {
     let address = harness.borrow().servers[number].address;
-    let listener = match TcpListener::bind(address).await {
-        Ok(listener) => listener,
-        Err(error) => return eprintln!("cannot listen at {address}: {error}"),
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            // The listener of the instance before may not have been closed yet.
+            Err(_) if is_running(&harness, number, start) => {
+                Timer::after(LISTEN_POLL_INTERVAL).await;
+            }
+            Err(_) => return,
+        }
     };
     while is_running(&harness, number, start) {
         let accept = async { listener.accept().await.map(drop) };
