Gateways: no ended flow stays silent for servers that no probe may reach

Cause: since sidecars whose servers started before them cannot tell about flows without a probe, and none may go to a service that the route is not known to have named ("A packet meant for one service never reaches another"). A gateway that started less than 75 s ago waits for these services too: after a loss of power of all hosts, callers of ended flows got no reset until their deadlines.

Probes in batches go out up to 512 at once.

--- a/roles/forward/src/entry/batch.rs
+++ b/roles/forward/src/entry/batch.rs
@@ -186,12 +186,13 @@
         if findings.held.contains(number) {
             return self.forward_undecided(now, flow, findings, actions);
         }
-        let Some(searching) = self
-            .searching_mut(&flow)
-            .filter(|_| findings.denies(number))
-        else {
+        let Some(searching) = self.searching_mut(&flow) else {
             return;
         };
+        searching.not_held.insert(index);
+        if !findings.denies(number) {
+            return;
+        }
         searching.denied.insert(index);
         searching.proofs.complete |= findings.complete.contains(number);
         searching.proofs.returned |= findings.returned.contains(number);
--- a/roles/forward/src/entry/flow.rs
+++ b/roles/forward/src/entry/flow.rs
@@ -144,6 +144,8 @@
     pub is_widened: bool,
     /// Backend servers that are certain not to hold the flow.
     pub denied: TargetSet,
+    /// Backend servers whose agents have answered a batch without holding the flow.
+    pub not_held: TargetSet,
     /// Kinds of proof that the denials rest on.
     pub proofs: Proofs,
 }
@@ -219,6 +221,7 @@
             probed_at: None,
             is_widened: false,
             denied: TargetSet::default(),
+            not_held: TargetSet::default(),
             proofs: Proofs::default(),
         }
     }
--- a/roles/forward/src/entry/undecided.rs
+++ b/roles/forward/src/entry/undecided.rs
@@ -65,7 +65,7 @@
 const PROBE_BATCH_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Flows a second that are probed for in batches, and how many at once.
-const PROBE_BATCH_LIMIT: RateLimit = RateLimit::new(2_000, 256);
+const PROBE_BATCH_LIMIT: RateLimit = RateLimit::new(2_000, 512);
 
 /// Maximum number of searches with probes for one flow. Agents probe twice at most.
 const MAX_PROBE_SEARCHES: u8 = 2;
--- a/roles/forward/tests/moved_routes.rs
+++ b/roles/forward/tests/moved_routes.rs
@@ -18,6 +18,8 @@
 use wire::Target;
 use wire::TargetId;
 use wire::Transit;
+use wire::batch::Bitmap;
+use wire::batch::Findings;
 use wire::segment::Kind;
 use wire::target::State;
 use wire::transit::HolderAbsent;
@@ -89,6 +91,16 @@
 /// Sends packets of unknown flows to an entry that started at `started_at`, and answers
 /// its searches for a second: all servers deny the flows but `holder`.
 fn search(started_at: Duration, arrival: Duration, holder: Option<TargetId>) -> Outcome {
+    search_with(started_at, arrival, holder, |_| ())
+}
+
+/// Does so with changed answers of the former service.
+fn search_with(
+    started_at: Duration,
+    arrival: Duration,
+    holder: Option<TargetId>,
+    change: impl Fn(&mut Findings),
+) -> Outcome {
     let mut entry = Entry::new(Settings::default(), entry_address(), 1, 1, started_at);
     handle(
         &mut entry,
@@ -117,6 +129,9 @@
                     let findings = servers.map(|id| {
                         let mut findings = denial(&asked, id);
                         findings.known_agents = 2;
+                        if is_former {
+                            change(&mut findings);
+                        }
                         if holder == Some(id) {
                             std::mem::swap(&mut findings.held, &mut findings.complete);
                         }
@@ -211,3 +226,18 @@
     let all: Vec<ServiceAddress> = history.services(CHANGE + ms(600), address).collect();
     assert_eq!(all.len(), 2, "{all:?}");
 }
+
+/// Guards against flows that stay silent after a failure of everything because agents of a
+/// service that the route may have named before cannot tell: no probe may go there. A
+/// service with an older server may hold them.
+#[test]
+fn flow_that_young_servers_of_another_service_do_not_hold_is_reset() {
+    for (age_ms, resets) in [(500, usize::from(FLOWS)), (u32::MAX, 0)] {
+        let outcome = search_with(STARTED_AFTER, ARRIVAL, None, |findings| {
+            findings.complete = Bitmap::default();
+            findings.age_ms = Some(age_ms);
+        });
+        assert_eq!(outcome.resets, resets, "{age_ms}");
+        assert!(outcome.is_former_asked);
+    }
+}
