Gateways: queued probes wait while an agent may be unknown

What callers would have seen: three packets of an open flow at servers that do not hold it, while its holder is at an agent that the gateway does not know yet.

Cause: checked when a flow was queued that all agents are known, and not when its probe was sent, up to a second later by the rate limit. Found by reading the change.

--- a/roles/forward/src/entry/undecided.rs
+++ b/roles/forward/src/entry/undecided.rs
@@ -293,11 +293,12 @@
     /// that they probe their backend servers. Flows that remain uncertain are searched for
     /// one by one, also at agents of earlier versions, which do not know this frame.
     fn send_probes(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let undecided = &mut self.undecided;
-        if undecided.to_probe.is_empty() || now < undecided.next_probes_at {
+        let is_due = !self.undecided.to_probe.is_empty() && now >= self.undecided.next_probes_at;
+        // A probe that does not reach the holder breaks the flow.
+        if !is_due || !self.knows_all_agents(now) {
             return;
         }
-        undecided.next_probes_at = now + PROBE_BATCH_INTERVAL;
+        self.undecided.next_probes_at = now + PROBE_BATCH_INTERVAL;
         let routes = Arc::clone(&self.routes);
         let mut by_agent: BTreeMap<TargetId, (SocketAddr, Vec<Bytes>)> = BTreeMap::new();
         while let Some(flow) = self.undecided.to_probe.first().copied() {
--- a/roles/forward/tests/undecided.rs
+++ b/roles/forward/tests/undecided.rs
@@ -449,3 +449,25 @@
     actions.extend(tick(&mut entry, KNOWN + ms(40), KNOWN + ms(300)));
     assert_eq!(probed(&actions), []);
 }
+
+/// A probe that does not reach the holder breaks a flow: it may be at an agent that the
+/// entry has heard of only after the flow was queued.
+#[test]
+fn queued_flows_are_not_probed_for_while_agents_may_be_unknown() {
+    let mut entry = entry_with(routes(targets()));
+    let mut actions = Vec::new();
+    for port in 1..=800 {
+        actions.extend(send(&mut entry, KNOWN, port, Kind::Data));
+    }
+    actions.extend(handle(&mut entry, KNOWN + ms(10), Event::Tick));
+    let search = batch_about(&actions, 800);
+    let mut findings = denials(&search);
+    findings[2].complete = Bitmap::default();
+    let first = report(&mut entry, KNOWN + ms(20), &search, findings);
+    assert!(!probed(&first).is_empty());
+    let mut more = targets();
+    more.push(target(4, 1, State::Ready));
+    let mut later = handle(&mut entry, KNOWN + ms(25), Event::Routes(routes(more)));
+    later.extend(tick(&mut entry, KNOWN + ms(40), KNOWN + ms(200)));
+    assert_eq!(probed(&later), []);
+}
