Decision on ended flows: the rule on unnamed services is part of it

 put the rule beside the pure function that decides, with a set of its own for each address. proof::decide has it now, from the sets that were there; what agents have answered about a flow is one type. No change of behaviour.

Tests: five cases of forward proof. Without the rule, on a trial copy of the function, moved_routes flow_that_young_servers_of_another_service_* and proof flow_that_a_young_ server_of_an_unnamed_service_* fail, which had not shown.

--- a/protocol/wire/src/batch.rs
+++ b/protocol/wire/src/batch.rs
@@ -166,6 +166,27 @@
         bytes.all(|(byte, bits)| bits & !self.bytes.get(byte).copied().unwrap_or_default() == 0)
     }
 
+    /// Returns the numbers that are in both sets.
+    #[must_use]
+    pub fn intersection(&self, other: &Self) -> Self {
+        let both = self.bytes.iter().zip(&other.bytes);
+        Self {
+            bytes: both.map(|(one, other)| one & other).collect(),
+        }
+    }
+
+    /// Returns the numbers that are in any of both sets.
+    #[must_use]
+    pub fn union(&self, other: &Self) -> Self {
+        let count = self.bytes.len().max(other.bytes.len());
+        let byte = |set: &Self, index: usize| set.bytes.get(index).copied().unwrap_or_default();
+        Self {
+            bytes: (0..count)
+                .map(|index| byte(self, index) | byte(other, index))
+                .collect(),
+        }
+    }
+
     /// Returns true if the set is empty.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/roles/forward/src/entry/batch.rs
+++ b/roles/forward/src/entry/batch.rs
@@ -189,11 +189,11 @@
         let Some(searching) = self.searching_mut(&flow) else {
             return;
         };
-        searching.not_held.insert(index);
+        searching.answers.not_held.insert(index);
         if !findings.denies(number) {
             return;
         }
-        searching.denied.insert(index);
+        searching.answers.denied.insert(index);
         searching.proofs.complete |= findings.complete.contains(number);
         searching.proofs.returned |= findings.returned.contains(number);
         searching.proofs.younger |= findings.younger.contains(number);
--- a/roles/forward/src/entry/decision.rs
+++ b/roles/forward/src/entry/decision.rs
@@ -36,8 +36,6 @@
     holders: TargetSet,
     /// Holders at services that the route is known to have named.
     named: TargetSet,
-    /// Indices of those at other services, which it may have named before.
-    unnamed: Vec<usize>,
     priority: Priority,
     knows_all_agents: bool,
     has_doubtful_agent: bool,
@@ -74,28 +72,21 @@
         let routes = Arc::clone(&self.routes);
         let route = routes.route(address)?;
         let candidates = routes.candidates(now, address);
-        let mut indices_of = |services: &[ServiceAddress]| -> Vec<usize> {
-            let targets = routes.targets_of_all(services);
-            let roster = &mut self.undecided.roster;
-            targets.map(|target| roster.index(target.id)).collect()
+        let mut set_of = |services: &[ServiceAddress]| {
+            let mut holders = TargetSet::default();
+            for target in routes.targets_of_all(services) {
+                holders.insert(self.undecided.roster.index(target.id));
+            }
+            holders
         };
-        let named = indices_of(&candidates.named);
-        let unnamed = indices_of(&candidates.unnamed);
-        let mut holders = TargetSet::default();
-        for index in named.iter().chain(&unnamed) {
-            holders.insert(*index);
-        }
-        let mut named_set = TargetSet::default();
-        for index in named {
-            named_set.insert(index);
-        }
+        let named = set_of(&candidates.named);
         let services = candidates.select(true);
+        let holders = set_of(&services);
         let mut all = services.iter();
         let is_doubted = all.any(|service| self.is_doubted(now, *service));
         Some(RouteView {
             holders,
-            named: named_set,
-            unnamed,
+            named,
             priority: route.priority,
             knows_all_agents: self.knows_all_agents(now),
             has_doubtful_agent: is_doubted || routes.has_down_target(&services),
@@ -129,7 +120,7 @@
         };
         let has_more = !view.named.contains_all(&view.holders);
         let is_due = !searching.is_widened && has_more;
-        searching.is_widened |= is_due && searching.denied.contains_all(&view.named);
+        searching.is_widened |= is_due && searching.answers.denied.contains_all(&view.named);
         is_due && searching.is_widened
     }
 
@@ -149,6 +140,7 @@
             knows_all_agents: route.knows_all_agents,
             has_doubtful_agent: route.has_doubtful_agent,
             holders: &route.holders,
+            named: &route.named,
             young: &self.undecided.young,
             is_recent: route.is_recent,
         };
@@ -157,16 +149,7 @@
         else {
             return None;
         };
-        let mut denied = searching.denied.clone();
-        if route.is_recent {
-            // No probe may go to a service that the route is not known to have named.
-            let unnamed = route.unnamed.iter();
-            let unheld = unnamed.filter(|index| {
-                self.undecided.young.contains(**index) && searching.not_held.contains(**index)
-            });
-            unheld.for_each(|index| denied.insert(*index));
-        }
-        let has_ended = proof::decide(&view, &denied) == Verdict::Ended;
+        let has_ended = proof::decide(&view, &searching.answers) == Verdict::Ended;
         has_ended.then_some((route.priority, searching.gives_up_at))
     }
 
--- a/roles/forward/src/entry/flow.rs
+++ b/roles/forward/src/entry/flow.rs
@@ -9,7 +9,7 @@
 use wire::segment::Kind;
 
 use super::holder::Claims;
-use super::proof::TargetSet;
+use super::proof::Answers;
 
 /// Maximum number of packets of one flow that are queued until its holder is
 /// found. Each end of a flow has at most this many packets in flight.
@@ -142,10 +142,8 @@
     /// Whether it is also searched for at services that its route is not known to have
     /// named.
     pub is_widened: bool,
-    /// Backend servers that are certain not to hold the flow.
-    pub denied: TargetSet,
-    /// Backend servers whose agents have answered a batch without holding the flow.
-    pub not_held: TargetSet,
+    /// What agents have answered to batches.
+    pub answers: Answers,
     /// Kinds of proof that the denials rest on.
     pub proofs: Proofs,
 }
@@ -220,8 +218,7 @@
             probe_searches: 0,
             probed_at: None,
             is_widened: false,
-            denied: TargetSet::default(),
-            not_held: TargetSet::default(),
+            answers: Answers::default(),
             proofs: Proofs::default(),
         }
     }
--- a/roles/forward/src/entry/undecided.rs
+++ b/roles/forward/src/entry/undecided.rs
@@ -317,7 +317,7 @@
             let services = routes.candidates(now, flow.service).named;
             for target in routes.targets_of_all(&services) {
                 let index = self.undecided.roster.index(target.id);
-                if !searching.denied.contains(index) {
+                if !searching.answers.denied.contains(index) {
                     let (_, packets) = by_agent
                         .entry(target.id)
                         .or_insert_with(|| (target.address, Vec::new()));
--- a/roles/forward/tests/proof.rs
+++ b/roles/forward/tests/proof.rs
@@ -1,5 +1,6 @@
 //! Tests the decision whether a flow has ended. Each case that stays open guards against
 //! a reset that breaks a flow which is alive.
+use forward::entry::proof::Answers;
 use forward::entry::proof::Doubt;
 use forward::entry::proof::TargetSet;
 use forward::entry::proof::Verdict;
@@ -14,18 +15,26 @@
     targets
 }
 
-/// Decides a flow with three possible holders.
+fn answers(denied: &[usize], not_held: &[usize]) -> Answers {
+    Answers {
+        denied: set(denied),
+        not_held: set(not_held),
+    }
+}
+
+/// Decides a flow with three possible holders, all of the service that the route names.
 fn decide_with(denied: &[usize], young: &[usize], change: impl Fn(&mut View<'_>)) -> Verdict {
     let (holders, young) = (set(&[0, 1, 70]), set(young));
     let mut view = View {
         knows_all_agents: true,
         has_doubtful_agent: false,
         holders: &holders,
+        named: &holders,
         young: &young,
         is_recent: true,
     };
     change(&mut view);
-    decide(&view, &set(denied))
+    decide(&view, &answers(denied, &ALL))
 }
 
 const ALL: [usize; 3] = [0, 1, 70];
@@ -63,10 +72,11 @@
         knows_all_agents: true,
         has_doubtful_agent: false,
         holders: &none,
+        named: &none,
         young: &none,
         is_recent: false,
     };
-    let verdict = decide(&view, &none);
+    let verdict = decide(&view, &Answers::default());
     assert_eq!(verdict, Verdict::Open(Doubt::AgentsUnknown));
 }
 
@@ -103,3 +113,51 @@
     assert!(!targets.is_empty());
     assert!(set(&[]).is_empty());
 }
+
+/// Decides a flow whose route is known to have named the service of servers 0 and 1 only,
+/// and may have named that of server 70 before the entry started.
+fn decide_unnamed(denied: &[usize], not_held: &[usize], change: impl Fn(&mut View<'_>)) -> Verdict {
+    let (holders, named, young) = (set(&ALL), set(&[0, 1]), set(&ALL));
+    let mut view = View {
+        knows_all_agents: true,
+        has_doubtful_agent: false,
+        holders: &holders,
+        named: &named,
+        young: &young,
+        is_recent: true,
+    };
+    change(&mut view);
+    decide(&view, &answers(denied, not_held))
+}
+
+/// Guards against flows that stay silent because no probe may go to another service.
+#[test]
+fn flow_that_a_young_server_of_an_unnamed_service_does_not_hold_has_ended() {
+    assert_eq!(decide_unnamed(&[0, 1], &ALL, |_| {}), Verdict::Ended);
+}
+
+#[test]
+fn flow_is_open_while_a_server_of_an_unnamed_service_has_not_answered() {
+    let verdict = decide_unnamed(&[0, 1], &[0, 1], |_| {});
+    assert_eq!(verdict, Verdict::Open(Doubt::NotDenied));
+}
+
+/// An uncertain answer of a named service leads to a probe.
+#[test]
+fn flow_is_open_while_a_server_of_a_named_service_is_uncertain() {
+    let verdict = decide_unnamed(&[0, 70], &ALL, |_| {});
+    assert_eq!(verdict, Verdict::Open(Doubt::NotDenied));
+}
+
+#[test]
+fn flow_is_open_while_an_older_server_of_an_unnamed_service_is_uncertain() {
+    let verdict = decide_unnamed(&[0, 1], &ALL, |view| view.young = view.named);
+    assert_eq!(verdict, Verdict::Open(Doubt::NotDenied));
+}
+
+/// Only the failure in which the entry started explains that all servers are young.
+#[test]
+fn flow_is_open_at_an_entry_that_runs_for_long_while_a_server_is_uncertain() {
+    let verdict = decide_unnamed(&[0, 1], &ALL, |view| view.is_recent = false);
+    assert_eq!(verdict, Verdict::Open(Doubt::NotDenied));
+}
