Sidecars: one state for the listener, half-closed idle flows, no dummy searcher

Two faults: a flow that only one end has closed was denied once it was dropped as idle, although RULES.md closes a flow "when both ends have sent a FIN"; and a server that had appeared at its address still counted as missing after 750 ms. Besides, the watch of the server's address kept what the core knows already, and a lookup for a batch of probes named a searcher that nobody used.

--- a/roles/app/src/sidecar/presence.rs
+++ b/roles/app/src/sidecar/presence.rs
@@ -29,14 +29,12 @@
 /// connection is refused. If it is, goes on until one is made, which shows that the server
 /// has started since.
 pub async fn watch(backend: SocketAddr, traffic: Arc<Traffic>) {
-    let mut was_absent = false;
     for attempt in 0..MAX_ATTEMPTS {
         // The first shows whether the server starts after this process.
         if attempt > 0 {
             Timer::after(ATTEMPT_INTERVAL).await;
         }
-        let awaits_announcement = traffic.awaits_announcement();
-        if !awaits_announcement && !was_absent {
+        if !traffic.awaits_server() {
             return;
         }
         let timeout = async {
@@ -45,10 +43,7 @@
         };
         match TcpStream::connect(backend).or(timeout).await {
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                if awaits_announcement {
-                    was_absent = true;
-                    traffic.handle(Event::ServerAbsent);
-                }
+                traffic.handle(Event::ServerAbsent);
             }
             // A server that accepts connections may hold flows.
             Ok(_) => return traffic.handle(Event::ServerListening),
--- a/roles/app/src/sidecar/traffic.rs
+++ b/roles/app/src/sidecar/traffic.rs
@@ -92,9 +92,10 @@
         (received, self.lock().repeated_packets())
     }
 
-    /// Returns true if the backend server has not announced itself to this process.
-    pub fn awaits_announcement(&self) -> bool {
-        self.lock().awaits_announcement()
+    /// Returns true if the backend server has not announced itself to this process, or no
+    /// process has listened at its address yet.
+    pub fn awaits_server(&self) -> bool {
+        self.lock().awaits_server()
     }
 
     /// Returns true if there is no backend server that could hold flows.
--- a/roles/forward/src/agent.rs
+++ b/roles/forward/src/agent.rs
@@ -221,10 +221,13 @@
                 self.handle_announcement(now, announcement, actions);
             }
             Event::ServerEnded => self.end_server(now, actions),
-            Event::ServerAbsent => self.presence.record_absent(now),
+            Event::ServerAbsent if self.announcement.is_none() => {
+                self.presence.record_absent(now);
+            }
             Event::ServerListening => self.record_listening(now, actions),
             Event::Stop => self.is_stopping = true,
-            Event::Tick => {}
+            // A server that has announced itself runs, whether it listens or not.
+            Event::ServerAbsent | Event::Tick => {}
         }
         if now >= self.next_sweep_at {
             self.next_sweep_at = now + self.settings.sweep_interval;
@@ -293,10 +296,11 @@
         self.announcement.is_none() && self.presence.is_missing(now, interval)
     }
 
-    /// Returns true if the backend server has not announced itself to this process.
+    /// Returns true if the backend server has not announced itself to this process, or no
+    /// process has listened at its address yet.
     #[must_use]
-    pub const fn awaits_announcement(&self) -> bool {
-        self.announcement.is_none()
+    pub const fn awaits_server(&self) -> bool {
+        self.announcement.is_none() || self.presence.is_absent()
     }
 
     /// Returns true if any request is running or queued.
@@ -425,7 +429,7 @@
                 actions.push(Action::Failed { flow: *id });
             }
             let keep = !flow.is_expired(now, settings.linger, settings.idle_timeout);
-            if !keep && flow.is_open() && flow.server_position.is_some() {
+            if !keep && !flow.has_ended() && flow.server_position.is_some() {
                 idle_flows.insert(now, *id, ());
             }
             if !keep && flow.slot.take().is_some() {
--- a/roles/forward/src/agent/backend.rs
+++ b/roles/forward/src/agent/backend.rs
@@ -76,8 +76,9 @@
 
 impl Announcement {
     /// Returns true if a backend server that numbers its announcements from a small number
-    /// can have made this one, given the time since the Unix epoch. One of another writer with a start or a sequence number that
-    /// is too large would make all that the server announces later count as older.
+    /// can have made this one, given the time since the Unix epoch. One of another writer
+    /// with a start or a sequence number that is too large would make all that the server
+    /// announces later count as older.
     #[must_use]
     pub fn is_plausible(&self, now: Duration) -> bool {
         let start = Duration::from_millis(self.start);
--- a/roles/forward/src/agent/flow.rs
+++ b/roles/forward/src/agent/flow.rs
@@ -356,6 +356,11 @@
         !self.has_caller_ended && !self.has_server_ended
     }
 
+    /// Returns true if both ends have closed the flow.
+    pub const fn has_ended(&self) -> bool {
+        self.has_caller_ended && self.has_server_ended
+    }
+
     /// Returns true if the flow is open but has no pending request.
     pub const fn is_idle(&self) -> bool {
         self.requests > 0 && self.slot.is_none() && self.is_open()
@@ -364,8 +369,11 @@
     /// Returns true if the flow can be dropped: no packet was seen for `linger`
     /// after its end, or for `idle_timeout` before it.
     pub fn is_expired(&self, now: Duration, linger: Duration, idle_timeout: Duration) -> bool {
-        let has_ended = self.has_caller_ended && self.has_server_ended;
-        let limit = if has_ended { linger } else { idle_timeout };
+        let limit = if self.has_ended() {
+            linger
+        } else {
+            idle_timeout
+        };
         now >= self.last_used + limit
     }
 
--- a/roles/forward/src/agent/lookup.rs
+++ b/roles/forward/src/agent/lookup.rs
@@ -42,6 +42,14 @@
     pub server_start: Start,
 }
 
+/// How a packet of an unknown flow is looked up.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Inquiry {
+    pub terms: Terms,
+    /// Receiver of a denial after a probe; `None` where the answer to a batch says so.
+    pub reply_to: Option<SocketAddr>,
+}
+
 impl Agent {
     /// Returns true if the backend server may hold flows that were opened before this
     /// process started.
@@ -101,40 +109,43 @@
         if segment.kind == Kind::Open {
             return actions.push(Action::Dropped(DropReason::LateOpening));
         }
-        let (target, searcher) = (lookup.target, lookup.searcher);
+        let inquiry = Inquiry {
+            terms: lookup.terms,
+            reply_to: Some(lookup.searcher),
+        };
+        let forward = Forward {
+            target: lookup.target,
+            entry: lookup.entry,
+            packet: lookup.packet,
+        };
         if self
-            .look_up_locally(now, lookup, Some(searcher), segment, actions)
+            .look_up_locally(now, forward, inquiry, segment, actions)
             .is_none()
         {
             return;
         }
         let forward = Forward {
-            target,
-            entry: searcher,
+            target: lookup.target,
+            entry: lookup.searcher,
             packet: Bytes::new(),
         };
         send_not_held(flow, forward, &segment, self.evidence(now), actions);
     }
 
     /// Delivers a packet whose holder is unknown if its flow is held here, or
-    /// sends it as a probe if the flow may be held, with the reply to `reply_to`.
-    /// Returns the maximum age of the backend server if it is certain not to hold
-    /// the flow and is at most `max_age_ms` old.
+    /// sends it as a probe if the flow may be held. Returns the maximum age of
+    /// the backend server if it is certain not to hold the flow and is at most
+    /// `max_age_ms` old.
     pub(super) fn look_up_locally(
         &mut self,
         now: Duration,
-        lookup: Lookup,
-        reply_to: Option<SocketAddr>,
+        forward: Forward,
+        inquiry: Inquiry,
         segment: Segment,
         actions: &mut Vec<Action>,
     ) -> Option<Duration> {
         let flow = segment.flow_from_caller();
-        let terms = lookup.terms;
-        let forward = Forward {
-            target: lookup.target,
-            entry: lookup.entry,
-            packet: lookup.packet,
-        };
+        let Inquiry { terms, reply_to } = inquiry;
         if self.flows.contains_key(&flow) {
             let entry = forward.entry;
             self.deliver(now, flow, forward, segment, actions);
@@ -174,17 +185,19 @@
                 actions.push(Action::Dropped(DropReason::LateOpening));
                 continue;
             }
-            let lookup = Lookup {
+            let forward = Forward {
                 target,
                 entry,
-                searcher: entry,
+                packet,
+            };
+            let inquiry = Inquiry {
                 terms: Terms {
                     may_probe: true,
                     max_age_ms: 0,
                 },
-                packet,
+                reply_to: None,
             };
-            self.look_up_locally(now, lookup, None, segment, actions);
+            self.look_up_locally(now, forward, inquiry, segment, actions);
         }
     }
 
--- a/roles/forward/src/agent/presence.rs
+++ b/roles/forward/src/agent/presence.rs
@@ -26,9 +26,24 @@
 /// the server counts as missing. One that starts together with its host listens by then.
 const MIN_ABSENT_TIME: Duration = Duration::from_millis(500);
 
-/// Time after the start of this process from which that time counts.
+/// Time after the start of this process from which an absence counts: its host may be
+/// starting too.
 const START_DELAY: Duration = Duration::from_millis(250);
 
+/// Whether a process listens at the backend server's address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Listener {
+    /// Not looked at yet, or there was one at the first look.
+    Unknown,
+    /// None has listened.
+    Absent {
+        /// Time of the first look.
+        since: Duration,
+    },
+    /// One listens where none did before.
+    Appeared,
+}
+
 /// What the agent has seen of its backend server since the agent's start.
 #[derive(Debug)]
 pub struct Presence {
@@ -37,10 +52,7 @@
     returned_openings: u8,
     /// Time of the first packet of any kind that it returned.
     first_returned: Option<Duration>,
-    /// Time since which no process has listened at its address.
-    absent_since: Option<Duration>,
-    /// Time from which a process has listened at its address where none did before.
-    appeared_at: Option<Duration>,
+    listener: Listener,
     /// Whether it has sent a packet of its own.
     has_sent: bool,
     /// Whether it has announced its end.
@@ -56,8 +68,7 @@
             started_at: now,
             returned_openings: 0,
             first_returned: None,
-            absent_since: None,
-            appeared_at: None,
+            listener: Listener::Unknown,
             has_sent: false,
             has_left: false,
             has_shown_prior_flow: false,
@@ -74,12 +85,21 @@
 
     /// Records that no process listens at the server's address.
     pub fn record_absent(&mut self, now: Duration) {
-        self.absent_since.get_or_insert(now);
+        if self.listener == Listener::Unknown {
+            self.listener = Listener::Absent { since: now };
+        }
     }
 
     /// Records that a process listens at the server's address.
-    pub fn record_listening(&mut self, now: Duration) {
-        self.appeared_at = self.absent_since.map(|_| now);
+    pub const fn record_listening(&mut self) {
+        if self.is_absent() {
+            self.listener = Listener::Appeared;
+        }
+    }
+
+    /// Returns true if no process has listened at the server's address.
+    pub const fn is_absent(&self) -> bool {
+        matches!(self.listener, Listener::Absent { .. })
     }
 
     /// Records a packet that the server sent by itself.
@@ -100,7 +120,7 @@
     /// where none did before, and it has sent nothing on a flow that this process had not
     /// seen.
     pub const fn has_started_since(&self) -> bool {
-        self.appeared_at.is_some() && !self.has_shown_prior_flow
+        matches!(self.listener, Listener::Appeared) && !self.has_shown_prior_flow
     }
 
     /// Records that the server has announced its end.
@@ -117,11 +137,13 @@
     /// announces itself once in `announcement_interval`.
     pub fn is_missing(&self, now: Duration, announcement_interval: Duration) -> bool {
         let counts_from = self.started_at + START_DELAY;
-        let is_absent = self
-            .absent_since
-            .is_some_and(|since| now >= since.max(counts_from) + MIN_ABSENT_TIME);
-        if is_absent && !self.has_sent {
-            return true;
+        match self.listener {
+            Listener::Absent { since }
+                if !self.has_sent && now >= since.max(counts_from) + MIN_ABSENT_TIME =>
+            {
+                return true;
+            }
+            _ => {}
         }
         let Some(first_returned) = self.first_returned else {
             return self.has_left;
--- a/roles/forward/src/agent/search.rs
+++ b/roles/forward/src/agent/search.rs
@@ -10,6 +10,7 @@
 use wire::TargetId;
 use wire::Transit;
 use wire::segment::Kind;
+use wire::transit::Forward;
 use wire::transit::HolderAbsent;
 use wire::transit::Lookup;
 use wire::transit::NotHeld;
@@ -18,6 +19,7 @@
 use super::Action;
 use super::Agent;
 use super::DropReason;
+use super::lookup::Inquiry;
 
 /// Maximum number of concurrent searches of one agent. When it is reached, an
 /// entry retries at another agent after a timeout.
@@ -91,13 +93,16 @@
         };
         let is_held = self.flows.contains_key(&flow);
         let has_ended = self.has_ended(now, &flow, &segment);
-        let age = self.look_up_locally(
-            now,
-            lookup.clone(),
-            Some(self.own.address),
-            segment,
-            actions,
-        );
+        let inquiry = Inquiry {
+            terms,
+            reply_to: Some(self.own.address),
+        };
+        let forward = Forward {
+            target: lookup.target,
+            entry: lookup.entry,
+            packet: lookup.packet.clone(),
+        };
+        let age = self.look_up_locally(now, forward, inquiry, segment, actions);
         if is_held || has_ended {
             self.searches.remove(&flow);
             return;
--- a/roles/forward/src/agent/server.rs
+++ b/roles/forward/src/agent/server.rs
@@ -223,7 +223,7 @@
     /// Records that a process listens at the address of the backend server.
     pub(super) fn record_listening(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let knew_all_flows = self.knows_all_flows(now);
-        self.presence.record_listening(now);
+        self.presence.record_listening();
         if self.knows_all_flows(now) && !knew_all_flows {
             self.report_server(now, actions);
             self.warm_up.clear_earlier_use();
--- a/roles/forward/tests/batch_agent.rs
+++ b/roles/forward/tests/batch_agent.rs
@@ -472,3 +472,36 @@
     let findings = reported(&handle(&mut agent, ms(250), Event::ServerListening));
     assert!(findings[0].complete.contains(0));
 }
+
+/// Guards against resets of a flow that only one end has closed, and that was dropped as
+/// idle.
+#[test]
+fn half_closed_flow_that_was_dropped_as_idle_is_probed_too() {
+    let settings = Settings {
+        max_flow_age: Duration::from_mins(2),
+        ..Settings::default()
+    };
+    let idle = settings.idle_timeout + ms(5_000);
+    let mut agent = Agent::new(settings, hop(OWN), false, ms(0));
+    announce(&mut agent, ms(0), None, 1);
+    send_open(&mut agent, ms(1), 9, open_frame(&[OWN]));
+    accept_flow(&mut agent, ms(2), 9);
+    let event = Event::Forward {
+        forward: forward_frame(OWN),
+        segment: caller_segment(9, Kind::Close, 100),
+    };
+    handle(&mut agent, ms(3), event);
+    handle(&mut agent, idle, Event::Tick);
+    assert!(agent.is_empty());
+    assert!(!ask(&mut agent, idle, search(&[9], 0)).denies(0));
+}
+
+/// Guards against a host whose flows stay undecided although its server runs: once a
+/// process listens, the server is not missing any more.
+#[test]
+fn server_that_has_appeared_is_not_missing() {
+    let mut agent = restarted_agent();
+    handle(&mut agent, ms(0), Event::ServerAbsent);
+    handle(&mut agent, ms(500), Event::ServerListening);
+    assert!(!agent.lacks_server(ms(900)));
+}
