--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`Target`] describes one backend server as its agent announces it.
 pub mod batch;
 pub mod caller;
+mod escaped;
 pub mod frame;
 pub mod id;
 mod priority;
--- a/protocol/wire/src/priority.rs
+++ b/protocol/wire/src/priority.rs
@@ -2,17 +2,13 @@
 //!
 //! Earlier versions write and read one byte. Smaller priorities than [`ESCAPE`] still
 //! take that form, so that these versions understand them; others follow the byte.
-use std::fmt;
-
 use serde::Deserialize;
 use serde::Deserializer;
 use serde::Serialize;
 use serde::Serializer;
-use serde::de::Error;
-use serde::de::SeqAccess;
-use serde::de::Visitor;
 
 use crate::Priority;
+use crate::escaped;
 use crate::trailing;
 
 /// First byte of a priority that takes more than one.
@@ -32,26 +28,8 @@
 
 impl<'de> Deserialize<'de> for Encoded {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        deserializer.deserialize_tuple(2, EncodedVisitor).map(Self)
-    }
-}
-
-struct EncodedVisitor;
-
-impl<'de> Visitor<'de> for EncodedVisitor {
-    type Value = Priority;
-
-    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("a priority")
-    }
-
-    fn visit_seq<A: SeqAccess<'de>>(self, mut parts: A) -> Result<Priority, A::Error> {
-        let missing = || A::Error::custom("a priority is cut short");
-        let byte: u8 = parts.next_element()?.ok_or_else(missing)?;
-        if byte < ESCAPE {
-            return Ok(Priority::from(byte));
-        }
-        parts.next_element()?.ok_or_else(missing)
+        let (byte, rest) = escaped::deserialize(deserializer, ESCAPE)?;
+        Ok(Self(rest.unwrap_or(Priority::from(byte))))
     }
 }
 
--- a/protocol/wire/src/revision.rs
+++ b/protocol/wire/src/revision.rs
@@ -3,18 +3,15 @@
 //! Earlier versions hold a revision in 64 bits: the number of the change in the lower
 //! 48, the era in the upper 16. What fits is still encoded so. Anything else follows a
 //! number that these versions reject.
-use std::fmt;
-
 use serde::Deserializer;
 use serde::Serialize;
 use serde::Serializer;
 use serde::de::Error;
-use serde::de::SeqAccess;
-use serde::de::Visitor;
 use serde_with::DeserializeAs;
 use serde_with::SerializeAs;
 
 use crate::Revision;
+use crate::escaped;
 
 /// Bits of an encoded revision that hold the number of the change.
 const NUMBER_BITS: u32 = 48;
@@ -71,29 +68,12 @@
 
 impl<'de> DeserializeAs<'de, Revision> for Compact {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Revision, D::Error> {
-        deserializer.deserialize_tuple(2, CompactVisitor)
-    }
-}
-
-struct CompactVisitor;
-
-impl<'de> Visitor<'de> for CompactVisitor {
-    type Value = Revision;
-
-    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("a revision")
-    }
-
-    fn visit_seq<A: SeqAccess<'de>>(self, mut parts: A) -> Result<Revision, A::Error> {
-        let missing = || A::Error::custom("a revision is cut short");
-        let first: u128 = parts.next_element()?.ok_or_else(missing)?;
-        match u64::try_from(first) {
-            Ok(packed) => Ok(from_packed(packed)),
-            Err(_) if first == ESCAPE => {
-                let (era, number) = parts.next_element()?.ok_or_else(missing)?;
-                Ok(join(era, number))
+        match escaped::deserialize(deserializer, ESCAPE)? {
+            (_, Some((era, number))) => Ok(join(era, number)),
+            (packed, None) => {
+                let packed = u64::try_from(packed).map_err(D::Error::custom)?;
+                Ok(from_packed(packed))
             }
-            Err(_) => Err(A::Error::custom(format!("{first} is no revision"))),
         }
     }
 }
