--- a/protocol/wire/tests/transit.rs
+++ b/protocol/wire/tests/transit.rs
@@ -129,6 +129,27 @@
     let number = |transit: &Transit| postcard::to_stdvec(transit).unwrap()[0];
     assert_eq!(number(&busy), 7);
     assert!(number(&search) > 7 && number(&report) > 7);
+    assert!(number(&Transit::Probes(probes(0, 0))) > number(&report));
+}
+
+/// Returns probes with this many packets of a length.
+fn probes(count: usize, length: usize) -> batch::Probes {
+    batch::Probes {
+        target: u64::MAX,
+        entry: SocketAddr::from(([10, 1, 0, 1], 65_000)),
+        packets: vec![Bytes::from(vec![7; length]); count],
+    }
+}
+
+/// Probes that are larger than a datagram would never arrive: those with the shortest
+/// packets have the most lengths to encode.
+#[test]
+fn the_largest_probes_fit_into_a_datagram() {
+    for length in [34, 100, 1_234] {
+        let probes = Transit::Probes(probes(batch::MAX_PROBE_BYTES / length, length));
+        let frame = postcard::to_stdvec(&wire::Frame::Transit(probes)).unwrap();
+        assert!(frame.len() < MAX_DATAGRAM_BYTES - 100, "{}", frame.len());
+    }
 }
 
 /// A batch that is larger than a datagram would never arrive.
--- a/tools/soak/src/harness.rs
+++ b/tools/soak/src/harness.rs
@@ -232,8 +232,11 @@
         let is_routed = self.history.newest().contains_key(&flow.service);
         let oldest = self.topology.limits.bounds.oldest_flow;
         let opened = self.opening_of(flow).map(|(at, _)| at);
-        let is_young = opened.is_none_or(|at| now < at + oldest);
-        if lives && is_routed && is_young && self.is_path_undisturbed(now, flow, server, Some(from))
+        let is_counted = opened.is_none_or(|at| now < at + oldest);
+        if lives
+            && is_routed
+            && is_counted
+            && self.is_path_undisturbed(now, flow, server, Some(from))
         {
             let text = format!("{flow:?}, open at server {server}, was reset by {from}");
             self.checker
